--- /dev/null
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/codec.py
@@ -0,0 +1,103 @@
+"""Registry of versioned dataclasses and their compact CBOR form.
+
+A value is encoded as ``[type code, version, fields]``. ``fields`` is an array in declaration order,
+so field names cost no bytes.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, fields, is_dataclass
+from typing import Any, TypeVar
+
+import cbor2
+from pydantic import TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
+ValueT = TypeVar("ValueT")
+
+
+@dataclass(frozen=True, slots=True)
+class RegisteredType:
+    """Entry of a registry.
+
+    Attributes
+    ----------
+    latest_wins
+        For peer messages: whether a queued value is replaced by a newer one of the same type.
+    """
+
+    code: int
+    version: int
+    cls: type[Any]
+    adapter: TypeAdapter[Any]
+    names: tuple[str, ...]
+    latest_wins: bool
+
+
+class TypeRegistry:
+    """Maps type codes to dataclasses, and values to arrays and back."""
+
+    def __init__(self) -> None:
+        self._by_code: dict[int, RegisteredType] = {}
+        self._by_class: dict[type[Any], RegisteredType] = {}
+
+    def register(
+        self, code: int, version: int, *, latest_wins: bool = False
+    ) -> Callable[[type[ValueT]], type[ValueT]]:
+        """Return a class decorator that registers a frozen dataclass under a type code."""
+
+        def decorate(cls: type[ValueT]) -> type[ValueT]:
+            if not is_dataclass(cls):
+                raise TypeError(f"{cls.__name__} is not a dataclass; apply @dataclass(frozen=True)")
+            if code in self._by_code:
+                raise ValueError(f"type code {code} is taken by {self._by_code[code].cls.__name__}")
+            names = tuple(field.name for field in fields(cls))
+            entry = RegisteredType(code, version, cls, TypeAdapter(cls), names, latest_wins)
+            self._by_code[code] = entry
+            self._by_class[cls] = entry
+            return cls
+
+        return decorate
+
+    def entry_of(self, value: object) -> RegisteredType:
+        """Return the entry of a value of a registered class."""
+        return self._by_class[type(value)]
+
+    def to_items(self, value: object) -> list[Any]:
+        """Return ``[type code, version, fields]`` of a registered value."""
+        entry = self.entry_of(value)
+        return [entry.code, entry.version, [_plain(getattr(value, n)) for n in entry.names]]
+
+    def from_items(self, items: object) -> Result[Any, str]:
+        """Return the value of ``[type code, version, fields]``, or what is wrong with it."""
+        if not isinstance(items, list) or len(items) != 3:
+            return Err("the value is not an array of three items")
+        code, version, values = items
+        if type(code) is not int or code not in self._by_code:
+            return Err(f"the type code {code!r} is unknown")
+        entry = self._by_code[code]
+        if version != entry.version:
+            return Err(f"version {version!r} of type code {code} is not supported")
+        if not isinstance(values, list) or len(values) != len(entry.names):
+            return Err(f"the number of fields of type code {code} is wrong")
+        try:
+            return Ok(entry.adapter.validate_python(dict(zip(entry.names, values, strict=True))))
+        except ValidationError as error:
+            return Err(f"{error.error_count()} invalid fields in type code {code}")
+
+
+def load_cbor(data: bytes) -> Result[Any, str]:
+    """Decode one CBOR item. Never raises on bad input."""
+    try:
+        return Ok(cbor2.loads(data))
+    except (cbor2.CBORError, ValueError, TypeError, RecursionError, OverflowError) as error:
+        return Err(str(error))
+
+
+def _plain(value: Any) -> Any:
+    if is_dataclass(value) and not isinstance(value, type):
+        return {field.name: _plain(getattr(value, field.name)) for field in fields(value)}
+    if isinstance(value, list | tuple):
+        return [_plain(item) for item in value]
+    if isinstance(value, dict):
+        return {key: _plain(item) for key, item in value.items()}
+    return value
--- /dev/null
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/exceptions.py
@@ -0,0 +1,115 @@
+"""Error kinds of nutmeglb. Every error carries a message, its context and a hint."""
+
+from collections.abc import Mapping
+
+
+class NutmegError(Exception):
+    """Base of all errors.
+
+    Parameters
+    ----------
+    message
+        What went wrong, in one sentence.
+    context
+        Identifiers and values that locate the fault. Must not contain secrets.
+    hint
+        What the reader can do about it.
+    """
+
+    def __init__(
+        self, message: str, *, context: Mapping[str, object] | None = None, hint: str
+    ) -> None:
+        super().__init__(message)
+        self.message = message
+        self.context = dict(context or {})
+        self.hint = hint
+
+    @property
+    def kind(self) -> str:
+        """Return the stable name of the error kind, as used in the administration API."""
+        return type(self).__name__
+
+    def __str__(self) -> str:
+        details = ", ".join(f"{key}={value}" for key, value in self.context.items())
+        suffix = f" ({details})" if details else ""
+        return f"{self.message}{suffix}. {self.hint}"
+
+
+class InvariantViolation(NutmegError):
+    """A guarantee does not hold. Always a defect of nutmeglb."""
+
+
+class FrameError(NutmegError):
+    """A peer frame is oversized, malformed, of an unknown type or of another version."""
+
+
+class StoredValueError(NutmegError):
+    """A value read from the store is malformed or has an unsupported version."""
+
+
+class SettingsError(NutmegError):
+    """The settings file is invalid."""
+
+
+class TicketInvalid(NutmegError):
+    """A ticket fails validation."""
+
+
+class TicketConflict(NutmegError):
+    """A later ticket changed the same object."""
+
+
+class StoreError(NutmegError):
+    """A call to the platform's key-value store failed."""
+
+
+class StoreUnavailable(StoreError):
+    """The call certainly had no effect."""
+
+
+class StoreOutcomeUnknown(StoreError):
+    """The call may have taken effect."""
+
+
+class StoreRefused(StoreError):
+    """The store answered and refused the call."""
+
+
+class JournalError(NutmegError):
+    """A journal append or load failed."""
+
+
+class LeadershipLost(NutmegError):
+    """This instance has no authority over the failure domain."""
+
+
+class PeerError(NutmegError):
+    """A peer cannot be reached or did not answer."""
+
+
+class RequestRefused(NutmegError):
+    """A caller's request was not run."""
+
+
+class RequestOutcomeUnknown(NutmegError):
+    """A caller's request may have run."""
+
+
+class JobRefused(NutmegError):
+    """A job cannot be accepted."""
+
+
+class NotFound(NutmegError):
+    """The named object does not exist."""
+
+
+class PermissionRefused(NutmegError):
+    """The token does not permit the command or query."""
+
+
+class AgentError(NutmegError):
+    """A worker agent cannot be reached or refused a call."""
+
+
+class InstanceListError(NutmegError):
+    """The platform's instance list cannot be read."""
--- /dev/null
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/identifiers.py
@@ -0,0 +1,11 @@
+"""Creation of unique identifiers from an injected random generator."""
+
+import random
+import uuid
+
+UUID_BITS = 128
+
+
+def new_id(rng: random.Random) -> str:
+    """Return a random UUID in hexadecimal form, reproducible for a seeded generator."""
+    return uuid.UUID(int=rng.getrandbits(UUID_BITS), version=4).hex
--- /dev/null
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/resources.py
@@ -0,0 +1,74 @@
+"""Resource vector of workers and tasks."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, order=False)
+class Resources:
+    """Amounts of processors, memory and accelerators.
+
+    Attributes
+    ----------
+    cpu_millis
+        Processor time in thousandths of a core.
+    memory_bytes
+        Memory in bytes.
+    accelerators
+        Number of accelerators.
+    """
+
+    cpu_millis: int = 0
+    memory_bytes: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_bytes + other.memory_bytes,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_bytes - other.memory_bytes,
+            self.accelerators - other.accelerators,
+        )
+
+    def scaled(self, factor: int) -> "Resources":
+        """Return the vector multiplied by a whole number."""
+        return Resources(
+            self.cpu_millis * factor, self.memory_bytes * factor, self.accelerators * factor
+        )
+
+    def fits_in(self, free: "Resources") -> bool:
+        """Return whether every component is at most that of ``free``."""
+        return (
+            self.cpu_millis <= free.cpu_millis
+            and self.memory_bytes <= free.memory_bytes
+            and self.accelerators <= free.accelerators
+        )
+
+    def is_non_negative(self) -> bool:
+        """Return whether no component is below zero."""
+        return self.cpu_millis >= 0 and self.memory_bytes >= 0 and self.accelerators >= 0
+
+    def dominant_share(self, capacity: "Resources") -> float:
+        """Return the largest ratio of a component to that of ``capacity``, 0 to 1 or above.
+
+        Components that are zero in ``capacity`` count as infinite when used, else as zero.
+        """
+        shares = (
+            _ratio(self.cpu_millis, capacity.cpu_millis),
+            _ratio(self.memory_bytes, capacity.memory_bytes),
+            _ratio(self.accelerators, capacity.accelerators),
+        )
+        return max(shares)
+
+
+def _ratio(used: int, capacity: int) -> float:
+    if used == 0:
+        return 0.0
+    if capacity == 0:
+        return float("inf")
+    return used / capacity
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/__main__.py
@@ -0,0 +1,6 @@
+"""Thin entry point."""
+
+
+def main() -> int:
+    """Run the program and return its exit status."""
+    return 0
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/settings/models.py
@@ -0,0 +1,135 @@
+"""Validated settings of an entry instance. One model per INI section."""
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+
+class Section(BaseModel):
+    """Base of all sections: unknown keys are errors."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class InstanceSection(Section):
+    """Identity of this instance."""
+
+    id: str = Field(min_length=1, max_length=64, description="Unique id of this instance.")
+    failure_domain: str = Field(min_length=1, max_length=64, description="Its failure domain.")
+    region: str = Field("", max_length=64, description="Region of the failure domain.")
+
+
+class ListenSection(Section):
+    """Addresses as ``ip:port``. Port 0 picks a free port."""
+
+    caller: str = Field("127.0.0.1:0", description="Listener for callers' requests.")
+    admin: str = Field("127.0.0.1:0", description="Listener of the administration API.")
+    peer: str = Field("127.0.0.1:0", description="Listener for other entry instances.")
+    ports_file: str = Field("", description="File that receives the bound addresses as JSON.")
+
+
+class StoreSection(Section):
+    """The platform's key-value store."""
+
+    address: str = Field(description="``ip:port`` of the store's HTTP gateway.")
+    call_timeout_ms: float = Field(2_000, ge=50, le=30_000, description="Timeout of one call.")
+    calls_per_s: float = Field(60, ge=1, le=2_000, description="Calls of this instance per second.")
+    backoff_max_ms: float = Field(5_000, ge=100, le=60_000, description="Longest retry delay.")
+
+
+class PlatformSection(Section):
+    """The platform's instance list."""
+
+    list_url: str = Field(description="URL of the instance list.")
+    poll_ms: float = Field(500, ge=50, le=1_000, description="Interval between reads.")
+
+
+class PeerSection(Section):
+    """Connections between entry instances."""
+
+    secret: str = Field(min_length=8, description="Shared secret of all entry instances.")
+    heartbeat_ms: float = Field(1_000, ge=50, le=10_000, description="Heartbeat interval.")
+    suspect_ms: float = Field(3_000, ge=100, le=60_000, description="Silence until suspected.")
+    queue_frames: int = Field(1_000, ge=10, le=100_000, description="Send queue per peer.")
+
+
+class LeadershipSection(Section):
+    """Leadership of the failure domain."""
+
+    lease_s: int = Field(3, ge=1, le=60, description="Length of the store lease.")
+    renew_ms: float = Field(1_000, ge=50, le=20_000, description="Interval between renewals.")
+    margin_ms: float = Field(500, ge=10, le=10_000, description="Clock margin on every lease.")
+    promise_ms: float = Field(2_000, ge=100, le=60_000, description="Length of a peer's promise.")
+
+
+class JournalSection(Section):
+    """Group commit of the domain's journal."""
+
+    commit_interval_ms: float = Field(100, ge=10, le=1_000, description="Between two commits.")
+    snapshot_pages: int = Field(500, ge=10, le=10_000, description="Pages until a snapshot.")
+
+
+class RoutingSection(Section):
+    """Callers' requests."""
+
+    grant_start_ms: float = Field(1_000, ge=50, le=10_000, description="Time to use a grant.")
+    body_limit_bytes: int = Field(1_000_000, ge=1_000, le=1_000_000, description="Largest body.")
+    retry_budget: float = Field(0.1, ge=0, le=1, description="Retries as a share of requests.")
+
+
+class TasksSection(Section):
+    """Tasks on workers."""
+
+    task_lease_ms: float = Field(15_000, ge=500, le=600_000, description="Lease of tasks.")
+    sync_wait_ms: float = Field(5_000, ge=100, le=60_000, description="Long poll of an agent.")
+
+
+class LogSection(Section):
+    """Logs and time line."""
+
+    file: str = Field("", description="Log file; empty writes to standard error.")
+    level: str = Field("info", pattern="^(debug|info|warning|error)$", description="Lowest level.")
+    timeline_events: int = Field(10_000, ge=100, le=1_000_000, description="Events kept.")
+
+
+class StopSection(Section):
+    """Planned stop."""
+
+    balancer_notice_ms: float = Field(2_000, ge=0, le=60_000, description="Not ready, serving.")
+    drain_limit_ms: float = Field(30_000, ge=0, le=600_000, description="Limit to finish work.")
+
+
+class TokensSection(BaseModel):
+    """Tokens of the administration API: key ``operator``, or ``team.<name>``."""
+
+    model_config = ConfigDict(extra="allow", frozen=True)
+
+    operator: str = Field(min_length=8, description="Token of the operators.")
+
+
+class Settings(Section):
+    """All settings."""
+
+    instance: InstanceSection
+    listen: ListenSection = ListenSection()
+    store: StoreSection
+    platform: PlatformSection
+    peer: PeerSection
+    leadership: LeadershipSection = LeadershipSection()
+    journal: JournalSection = JournalSection()
+    routing: RoutingSection = RoutingSection()
+    tasks: TasksSection = TasksSection()
+    log: LogSection = LogSection()
+    stop: StopSection = StopSection()
+    tokens: TokensSection
+
+    @model_validator(mode="after")
+    def _leases_outlast_heartbeats(self) -> "Settings":
+        checks = (
+            ("leadership.lease_s", self.leadership.lease_s * 1_000, self.leadership.renew_ms),
+            ("leadership.promise_ms", self.leadership.promise_ms, self.peer.heartbeat_ms),
+            ("peer.suspect_ms", self.peer.suspect_ms, self.peer.heartbeat_ms),
+            ("tasks.task_lease_ms", self.tasks.task_lease_ms, self.tasks.sync_wait_ms),
+        )
+        for name, lease_ms, heartbeat_ms in checks:
+            if lease_ms < 2 * heartbeat_ms:
+                raise ValueError(f"{name} must be at least twice its heartbeat interval")
+        return self
--- /dev/null
+++ b/scripts/check_imports.py
@@ -0,0 +1,49 @@
+"""Checks the import direction between packages and keeps I/O out of the decisions package."""
+
+import ast
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+PROJECT = {"nutmeglb_formats", "nutmeglb_decisions", "nutmeglb", "nutmegctl"}
+ALLOWED = {
+    "nutmeglb_formats": {"nutmeglb_formats"},
+    "nutmeglb_decisions": {"nutmeglb_formats", "nutmeglb_decisions"},
+    "nutmeglb": {"nutmeglb_formats", "nutmeglb_decisions", "nutmeglb"},
+    "nutmegctl": {"nutmeglb_formats", "nutmegctl"},
+}
+IO_MODULES = {"asyncio", "tornado", "websockets", "socket", "pycurl", "eliot", "aioprometheus"}
+
+
+def _imported(path: Path) -> Iterator[tuple[int, str]]:
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            for alias in node.names:
+                yield node.lineno, alias.name.split(".")[0]
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            yield node.lineno, node.module.split(".")[0]
+
+
+def _faults(package: str, path: Path) -> Iterator[str]:
+    for line, name in _imported(path):
+        if name in PROJECT and name not in ALLOWED[package]:
+            yield f"{path.relative_to(ROOT)}:{line}: {package} must not import {name}"
+        if package == "nutmeglb_decisions" and name in IO_MODULES:
+            yield f"{path.relative_to(ROOT)}:{line}: decisions must not import I/O ({name})"
+
+
+def main() -> int:
+    """Print every forbidden import and return the exit status."""
+    faults = [
+        fault
+        for package in ALLOWED
+        for path in sorted(ROOT.glob(f"packages/*/src/{package}/**/*.py"))
+        for fault in _faults(package, path)
+    ]
+    print("\n".join(faults) or "import direction: ok")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/measure.py
@@ -0,0 +1,1 @@
+"""To be written."""
--- /dev/null
+++ b/tests/unit/test_registry.py
@@ -0,0 +1,49 @@
+"""Peer frames: guards against a bad frame raising, or being applied in part."""
+
+from dataclasses import dataclass
+
+import cbor2
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from nutmeglb_formats.wire import registry
+
+
+@registry.message(code=9000, version=2)
+@dataclass(frozen=True, slots=True)
+class Sample:
+    name: str
+    count: int
+    items: tuple[str, ...] = ()
+
+
+def test_round_trip() -> None:
+    data = registry.encode(Sample("a", 3, ("x",)), sender="i1", epoch=7)
+    assert registry.decode(data).unwrap() == registry.Envelope("i1", 7, Sample("a", 3, ("x",)))
+
+
+@pytest.mark.parametrize(
+    ("frame", "text"),
+    [
+        (b"", "not valid CBOR"),
+        (b"\xff\x00garbage", "not valid CBOR"),
+        (cbor2.dumps({"a": 1}), "four items"),
+        (cbor2.dumps([9, "i1", 7, [9000, 2, ["a", 3, []]]]), "frame version"),
+        (cbor2.dumps([1, 5, 7, [9000, 2, ["a", 3, []]]]), "header is malformed"),
+        (cbor2.dumps([1, "i1", 7, [8999, 2, ["a", 3, []]]]), "type code 8999 is unknown"),
+        (cbor2.dumps([1, "i1", 7, [9000, 1, ["a", 3, []]]]), "version 1"),
+        (cbor2.dumps([1, "i1", 7, [9000, 2, ["a", 3]]]), "number of fields"),
+        (cbor2.dumps([1, "i1", 7, [9000, 2, ["a", "many", []]]]), "1 invalid fields"),
+        (b"\x00" * (registry.FRAME_LIMIT_BYTES + 1), "too large"),
+    ],
+)
+def test_bad_frame_is_a_typed_error(frame: bytes, text: str) -> None:
+    assert text in str(registry.decode(frame).unwrap_err())
+
+
+@seed(1)
+@settings(max_examples=200, database=None, deadline=None)
+@given(st.binary(max_size=200))
+def test_garbage_never_raises(data: bytes) -> None:
+    registry.decode(data)
