Add the store client and a store stand-in

The client speaks the etcd v3 HTTP/JSON gateway and tells calls that certainly had no effect from those that may have been applied. Calls pass a limiter with priorities, and a failing store is called less often with jittered exponential backoff. Store.range gains from_key, so that later tickets can be read without earlier ones. The stand-in refuses, delays, pauses, cuts and loses answers, per calling instance.

--- a/packages/nutmeglb/src/nutmeglb/_internal/context.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/context.py
@@ -123,9 +123,14 @@
         """Return one value, or ``None`` when the key is absent."""
 
     async def range(
-        self, prefix: str, *, limit: int = 0, priority: CallPriority = CallPriority.OTHER
+        self,
+        prefix: str,
+        *,
+        limit: int = 0,
+        from_key: str = "",
+        priority: CallPriority = CallPriority.OTHER,
     ) -> Result[list[KeyValue], StoreError]:
-        """Return the values under a prefix in key order."""
+        """Return the values under a prefix in key order, from ``from_key`` on when it is given."""
 
     async def txn(
         self,
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/store/client.py
@@ -0,0 +1,349 @@
+"""Client of the platform's key-value store (etcd v3 HTTP/JSON gateway)."""
+
+import json
+import logging
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from result import Err, Ok, Result
+from tenacity import AsyncRetrying, RetryCallState, retry_if_result, stop_after_attempt
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from nutmeglb._internal.context import CallPriority, Compare, KeyValue, Metrics, Put
+from nutmeglb._internal.settings.models import StoreSection
+from nutmeglb._internal.store import gateway
+from nutmeglb._internal.store.backoff import Backoff
+from nutmeglb._internal.store.limiter import CallLimiter
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.exceptions import StoreError, StoreRefused, StoreUnavailable
+
+logger = logging.getLogger(__name__)
+
+INSTANCE_HEADER = "X-Client-Instance"
+MAX_CONNECTIONS = 32
+MAX_WATCHES = 8
+RANGE_BATCH_KEYS = 32
+BODY_LIMIT_BYTES = 64 * 1_048_576
+ATTEMPTS = 2
+RETRY_WAIT_S = 0.05
+WATCH_MAX_S = 600.0
+WATCH_LINE_LIMIT_BYTES = 8 * 1_048_576
+
+RANGE = "/v3/kv/range"
+TXN = "/v3/kv/txn"
+LEASE_GRANT = "/v3/lease/grant"
+LEASE_KEEP_ALIVE = "/v3/lease/keepalive"
+LEASE_REVOKE = "/v3/lease/revoke"
+WATCH = "/v3/watch"
+
+Json = dict[str, Any]
+
+
+class StoreClient:
+    """The ``Store`` of ``context.py`` over HTTP.
+
+    A connection is used for one call only: tornado's simple client never resends a request, so a
+    transaction cannot be applied twice by the transport.
+    """
+
+    def __init__(
+        self,
+        settings: StoreSection,
+        instance_id: str,
+        clock: Clock,
+        rng: random.Random,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._instance_id = instance_id
+        self._clock = clock
+        self._rng = rng
+        self._limiter = CallLimiter(settings.calls_per_s, clock, metrics)
+        self._backoff = Backoff(rng, settings.backoff_max_ms)
+        self._blocked_until_ms = 0.0
+        self._calls: AsyncHTTPClient | None = None
+        self._watches: AsyncHTTPClient | None = None
+        self._count = metrics.counter(
+            "nutmeglb_store_calls_total", "Store calls by kind and outcome."
+        )
+        self._duration = metrics.histogram(
+            "nutmeglb_store_call_duration_ms", "Duration of store calls in milliseconds."
+        )
+
+    async def get(
+        self, key: str, *, priority: CallPriority = CallPriority.OTHER
+    ) -> Result[KeyValue | None, StoreError]:
+        """Return one value, or ``None`` when the key is absent."""
+        body = {"key": gateway.encode(key.encode())}
+        answer = await self._call(RANGE, body, priority, writes=False)
+        return answer.and_then(_key_values).map(lambda found: found[0] if found else None)
+
+    async def range(
+        self,
+        prefix: str,
+        *,
+        limit: int = 0,
+        from_key: str = "",
+        priority: CallPriority = CallPriority.OTHER,
+    ) -> Result[list[KeyValue], StoreError]:
+        """Return the values under a prefix in key order, read in bounded batches."""
+        found: list[KeyValue] = []
+        start = max(prefix, from_key).encode()
+        while not limit or len(found) < limit:
+            batch = min(limit - len(found), RANGE_BATCH_KEYS) if limit else RANGE_BATCH_KEYS
+            body = {
+                "key": gateway.encode(start),
+                "range_end": gateway.encode(gateway.prefix_end(prefix)),
+                "limit": str(batch),
+            }
+            answer = (await self._call(RANGE, body, priority, writes=False)).and_then(_key_values)
+            if isinstance(answer, Err):
+                return answer
+            found += answer.ok_value
+            if len(answer.ok_value) < batch:
+                break
+            start = found[-1].key.encode() + b"\0"
+        return Ok(found)
+
+    async def txn(
+        self,
+        compares: Sequence[Compare],
+        puts: Sequence[Put],
+        deletes: Sequence[str] = (),
+        *,
+        priority: CallPriority = CallPriority.OTHER,
+    ) -> Result[bool, StoreError]:
+        """Apply all writes when every condition holds. Return whether they were applied."""
+        body = gateway.txn_body(compares, puts, deletes)
+        answer = await self._call(TXN, body, priority, writes=True)
+        return answer.map(lambda value: value.get("succeeded") is True)
+
+    async def lease_grant(self, ttl_s: int) -> Result[int, StoreError]:
+        """Create a lease of ``ttl_s`` seconds and return its id."""
+        body = {"TTL": str(ttl_s)}
+        answer = await self._call(LEASE_GRANT, body, CallPriority.LEASE, writes=True)
+        return answer.and_then(lambda value: _integer(LEASE_GRANT, value, "ID"))
+
+    async def lease_keep_alive(self, lease: int) -> Result[bool, StoreError]:
+        """Renew a lease. Return whether it still existed."""
+        body = {"ID": str(lease)}
+        answer = await self._call(LEASE_KEEP_ALIVE, body, CallPriority.LEASE, writes=True)
+        if isinstance(answer, Err):
+            return answer
+        result = answer.ok_value.get("result")
+        if not isinstance(result, dict):
+            return Err(gateway.malformed(LEASE_KEEP_ALIVE, "no result", writes=True))
+        return _integer(LEASE_KEEP_ALIVE, {"TTL": 0} | result, "TTL").map(lambda ttl: ttl > 0)
+
+    async def lease_revoke(self, lease: int) -> Result[None, StoreError]:
+        """End a lease and delete its keys."""
+        body = {"ID": str(lease)}
+        answer = await self._call(LEASE_REVOKE, body, CallPriority.LEASE, writes=True)
+        return answer.map(lambda _: None)
+
+    async def watch(
+        self, prefix: str, on_change: Callable[[KeyValue], None], *, from_revision: int = 0
+    ) -> Result[None, StoreError]:
+        """Deliver changes until the connection ends; returns the reason.
+
+        Deleted keys are delivered with version 0. The watch ends by itself after ten minutes,
+        because an intermediate device can drop an idle connection without notice.
+        """
+        create: Json = {
+            "key": gateway.encode(prefix.encode()),
+            "range_end": gateway.encode(gateway.prefix_end(prefix)),
+        }
+        if from_revision:
+            create["start_revision"] = str(from_revision)
+        if self._is_blocked():
+            return Err(_backing_off(WATCH))
+        if not await self._limiter.acquire(CallPriority.OTHER, self._settings.call_timeout_ms):
+            return Err(_throttled(WATCH))
+        stream = _WatchStream(on_change)
+        request = self._request(WATCH, {"create_request": create}, WATCH_MAX_S)
+        request.streaming_callback = stream.feed
+        try:
+            response = await self._watch_client().fetch(request, raise_error=False)
+        except Exception as error:  # the client raises errors of the transport of many types
+            return Err(self._failed(WATCH, gateway.transport_error(error, WATCH, writes=False)))
+        if stream.fault:
+            return Err(gateway.malformed(WATCH, stream.fault, writes=False))
+        if response.code != 200:
+            return Err(self._failed(WATCH, gateway.response_error(response, WATCH, writes=False)))
+        self._count.inc(kind=WATCH, outcome="ok")
+        return Ok(None)
+
+    def close(self) -> None:
+        """Close the HTTP clients."""
+        for client in (self._calls, self._watches):
+            if client is not None:
+                client.close()
+        self._calls = self._watches = None
+
+    async def _call(
+        self, path: str, body: Json, priority: CallPriority, *, writes: bool
+    ) -> Result[Json, StoreError]:
+        """Make one call and repeat it once when it certainly had no effect."""
+        if priority is not CallPriority.LEASE and self._is_blocked():
+            self._count.inc(kind=path, outcome="backing_off")
+            return Err(_backing_off(path))
+        retrying = AsyncRetrying(
+            stop=stop_after_attempt(ATTEMPTS),
+            wait=self._retry_wait_s,
+            retry=retry_if_result(_is_unavailable),
+            retry_error_callback=lambda state: state.outcome.result() if state.outcome else None,
+        )
+        result: Result[Json, StoreError] = await retrying(
+            self._attempt, path, body, priority, writes
+        )
+        self._observe(path, result)
+        return result
+
+    async def _attempt(
+        self, path: str, body: Json, priority: CallPriority, writes: bool
+    ) -> Result[Json, StoreError]:
+        if not await self._limiter.acquire(priority, self._settings.call_timeout_ms):
+            return Err(_throttled(path))
+        started_ms = self._clock.now_ms()
+        request = self._request(path, body, self._settings.call_timeout_ms / 1_000)
+        try:
+            response = await self._call_client().fetch(request, raise_error=False)
+        except Exception as error:  # the client raises errors of the transport of many types
+            return Err(gateway.transport_error(error, path, writes))
+        finally:
+            self._duration.observe(self._clock.now_ms() - started_ms, kind=path)
+        if response.code != 200:
+            return Err(gateway.response_error(response, path, writes))
+        try:
+            value = json.loads(response.body)
+        except ValueError as error:
+            return Err(gateway.malformed(path, str(error), writes))
+        if not isinstance(value, dict):
+            return Err(gateway.malformed(path, "not an object", writes))
+        return Ok(value)
+
+    def _request(self, path: str, body: Json, timeout_s: float) -> HTTPRequest:
+        return HTTPRequest(
+            f"http://{self._settings.address}{path}",
+            method="POST",
+            headers={"Content-Type": "application/json", INSTANCE_HEADER: self._instance_id},
+            body=json.dumps(body),
+            connect_timeout=min(timeout_s, self._settings.call_timeout_ms / 1_000),
+            request_timeout=timeout_s,
+            follow_redirects=False,
+            decompress_response=False,
+        )
+
+    def _observe(self, path: str, result: Result[Json, StoreError]) -> None:
+        """Count the outcome, and hold back calls while the store fails.
+
+        The delay is random up to an exponentially growing bound, so that the instances do not
+        return all at once to a store that recovers.
+        """
+        if isinstance(result, Err):
+            self._failed(path, result.err_value)
+            return
+        self._count.inc(kind=path, outcome="ok")
+        if self._backoff.failures:
+            logger.info("store: reachable again after %d failures", self._backoff.failures)
+        self._backoff.reset()
+        self._blocked_until_ms = 0.0
+
+    def _failed(self, path: str, error: StoreError) -> StoreError:
+        self._count.inc(kind=path, outcome=error.kind)
+        if not isinstance(error, StoreRefused):
+            if self._backoff.failures == 0:
+                logger.warning("store: call failed: %s", error)
+            self._blocked_until_ms = self._clock.now_ms() + self._backoff.next_ms()
+        return error
+
+    def _is_blocked(self) -> bool:
+        return self._clock.now_ms() < self._blocked_until_ms
+
+    def _retry_wait_s(self, state: RetryCallState) -> float:
+        return self._rng.uniform(0, RETRY_WAIT_S)
+
+    def _call_client(self) -> AsyncHTTPClient:
+        if self._calls is None:
+            self._calls = _new_client(MAX_CONNECTIONS)
+        return self._calls
+
+    def _watch_client(self) -> AsyncHTTPClient:
+        if self._watches is None:
+            self._watches = _new_client(MAX_WATCHES)
+        return self._watches
+
+
+class _WatchStream:
+    """Splits the stream into lines and delivers their events."""
+
+    def __init__(self, on_change: Callable[[KeyValue], None]) -> None:
+        self._on_change = on_change
+        self._pending = b""
+        self.fault = ""
+
+    def feed(self, chunk: bytes) -> None:
+        """Accept a part of the stream."""
+        if self.fault:
+            return
+        *lines, self._pending = (self._pending + chunk).split(b"\n")
+        if len(self._pending) > WATCH_LINE_LIMIT_BYTES:
+            self.fault = "line too long"
+            return
+        for line in filter(None, lines):
+            self._deliver(line)
+
+    def _deliver(self, line: bytes) -> None:
+        try:
+            events = json.loads(line)["result"].get("events", [])
+            changes = [gateway.key_value(event["kv"]) for event in events]
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            self.fault = str(error) or type(error).__name__
+            return
+        for change in changes:
+            self._on_change(change)
+
+
+def _new_client(connections: int) -> AsyncHTTPClient:
+    return SimpleAsyncHTTPClient(
+        force_instance=True,
+        max_clients=connections,
+        max_body_size=BODY_LIMIT_BYTES,
+        max_buffer_size=BODY_LIMIT_BYTES,
+    )
+
+
+def _key_values(answer: Json) -> Result[list[KeyValue], StoreError]:
+    try:
+        return Ok([gateway.key_value(item) for item in answer.get("kvs") or []])
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Err(gateway.malformed(RANGE, str(error), writes=False))
+
+
+def _integer(call: str, answer: Json, name: str) -> Result[int, StoreError]:
+    try:
+        return Ok(int(answer[name]))
+    except (ValueError, KeyError, TypeError):
+        return Err(gateway.malformed(call, f"{name} is missing", writes=True))
+
+
+def _is_unavailable(result: Result[Json, StoreError]) -> bool:
+    return isinstance(result, Err) and isinstance(result.err_value, StoreUnavailable)
+
+
+def _throttled(call: str) -> StoreError:
+    return StoreUnavailable(
+        "The call limiter did not admit a store call in time",
+        context={"call": call},
+        hint="Raise store.calls_per_s, or find out what makes so many calls",
+    )
+
+
+def _backing_off(call: str) -> StoreError:
+    return StoreUnavailable(
+        "The store failed recently and is not called yet",
+        context={"call": call},
+        hint=gateway.HINT_UNAVAILABLE,
+    )
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/store/gateway.py
@@ -0,0 +1,126 @@
+"""Messages of the etcd v3 HTTP/JSON gateway, and what its errors say about a call's effect."""
+
+import base64
+import json
+import socket
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from tornado.httpclient import HTTPClientError, HTTPResponse
+from tornado.simple_httpclient import HTTPTimeoutError
+
+from nutmeglb._internal.context import Compare, KeyValue, Put
+from nutmeglb_formats.exceptions import (
+    StoreError,
+    StoreOutcomeUnknown,
+    StoreRefused,
+    StoreUnavailable,
+)
+
+Json = dict[str, Any]
+
+HINT_UNAVAILABLE = "The call had no effect and is repeated; check that the store is reachable"
+HINT_UNKNOWN = "Read the key back before repeating the call"
+HINT_REFUSED = "Correct the call; repeating it unchanged cannot succeed"
+
+# gRPC status codes that the store returns before a call takes effect.
+REFUSED_CODES = frozenset({3, 5, 6, 7, 9, 11, 12, 16})
+RESOURCE_EXHAUSTED = 8
+UNAVAILABLE = 14
+# Of the messages under code 14 only these are raised before the call is proposed. Others, such as
+# "request timed out", are raised while the proposal may still be committed.
+NOT_PROPOSED_MESSAGES = frozenset({"etcdserver: no leader", "etcdserver: not leader"})
+# Phases of the HTTP client in which nothing has been sent.
+NOT_SENT_TIMEOUTS = ("while connecting", "in request queue")
+
+
+def encode(data: bytes) -> str:
+    """Return bytes as base64 text."""
+    return base64.b64encode(data).decode()
+
+
+def prefix_end(prefix: str) -> bytes:
+    """Return the first key after all keys with a prefix."""
+    data = bytearray(prefix.encode())
+    while data and data[-1] == 0xFF:
+        data.pop()
+    if not data:
+        return b"\0"
+    data[-1] += 1
+    return bytes(data)
+
+
+def txn_body(compares: Sequence[Compare], puts: Sequence[Put], deletes: Sequence[str]) -> Json:
+    """Return the body of ``/v3/kv/txn``."""
+    writes: list[Json] = [{"request_put": _put_body(put)} for put in puts]
+    writes += [{"request_delete_range": {"key": encode(key.encode())}} for key in deletes]
+    return {"compare": [_compare_body(compare) for compare in compares], "success": writes}
+
+
+def _compare_body(compare: Compare) -> Json:
+    body: Json = {"key": encode(compare.key.encode()), "result": "EQUAL"}
+    if compare.value is None:
+        return body | {"target": "VERSION", "version": "0"}
+    return body | {"target": "VALUE", "value": encode(compare.value)}
+
+
+def _put_body(put: Put) -> Json:
+    body: Json = {"key": encode(put.key.encode()), "value": encode(put.value)}
+    return body | {"lease": str(put.lease)} if put.lease else body
+
+
+def key_value(item: Mapping[str, Any]) -> KeyValue:
+    """Return a key of an answer. Raises ``ValueError`` or ``KeyError`` when malformed."""
+    return KeyValue(
+        base64.b64decode(item["key"], validate=True).decode(),
+        base64.b64decode(item.get("value", ""), validate=True),
+        int(item.get("version", 0)),
+        int(item.get("mod_revision", 0)),
+    )
+
+
+def transport_error(error: BaseException, call: str, writes: bool) -> StoreError:
+    """Classify a failure without a response.
+
+    Only a refused connection and time-outs before the request was sent prove that the call had no
+    effect. A call that reads has none in any case.
+    """
+    context = {"call": call, "cause": str(error) or type(error).__name__}
+    unsent = isinstance(error, ConnectionRefusedError | socket.gaierror)
+    if isinstance(error, HTTPTimeoutError):
+        unsent = any(phase in str(error) for phase in NOT_SENT_TIMEOUTS)
+    if unsent or not writes:
+        return StoreUnavailable(
+            "The store cannot be reached", context=context, hint=HINT_UNAVAILABLE
+        )
+    return StoreOutcomeUnknown("The store did not answer", context=context, hint=HINT_UNKNOWN)
+
+
+def response_error(response: HTTPResponse, call: str, writes: bool) -> StoreError:
+    """Classify an error response by its gRPC status code."""
+    code, text = _status_of(response)
+    context = {"call": call, "status": response.code, "code": code, "cause": text}
+    if code in REFUSED_CODES:
+        return StoreRefused("The store refused a call", context=context, hint=HINT_REFUSED)
+    unproposed = code == RESOURCE_EXHAUSTED or text in NOT_PROPOSED_MESSAGES
+    if unproposed or not writes:
+        return StoreUnavailable(
+            "The store cannot serve a call", context=context, hint=HINT_UNAVAILABLE
+        )
+    return StoreOutcomeUnknown("The store reported a failure", context=context, hint=HINT_UNKNOWN)
+
+
+def _status_of(response: HTTPResponse) -> tuple[int | None, str]:
+    try:
+        body = json.loads(response.body)
+        return int(body["code"]), str(body.get("message", ""))
+    except (ValueError, TypeError, KeyError, AttributeError):
+        return None, str(HTTPClientError(response.code))
+
+
+def malformed(call: str, cause: str, writes: bool) -> StoreError:
+    """Return the error of a successful response that cannot be read."""
+    context = {"call": call, "cause": cause}
+    kind = StoreOutcomeUnknown if writes else StoreUnavailable
+    hint = HINT_UNKNOWN if writes else HINT_UNAVAILABLE
+    return kind("The store's answer is malformed", context=context, hint=hint)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/store/limiter.py
@@ -0,0 +1,93 @@
+"""Limit of store calls per process, with priorities.
+
+The store counts every call and its capacity does not grow with the fleet, so each instance keeps
+to a fixed rate. Lease renewals go first: a late renewal costs the domain its leader.
+"""
+
+import asyncio
+import heapq
+import itertools
+
+from nutmeglb._internal.context import CallPriority, Metrics
+from nutmeglb_formats.clock import Clock
+
+BURST_S = 0.5
+MIN_BURST_CALLS = 4.0
+RANK = {priority: rank for rank, priority in enumerate(CallPriority)}
+
+Waiter = tuple[int, int, asyncio.Future[None], CallPriority]
+
+
+class CallLimiter:
+    """Token bucket whose waiting calls are served by priority, then in order of arrival.
+
+    Parameters
+    ----------
+    calls_per_s
+        Sustained rate. Half a second's worth may be used at once after a quiet time.
+    """
+
+    def __init__(self, calls_per_s: float, clock: Clock, metrics: Metrics) -> None:
+        self._rate_per_ms = calls_per_s / 1_000
+        self._burst = max(MIN_BURST_CALLS, calls_per_s * BURST_S)
+        self._clock = clock
+        self._tokens = self._burst
+        self._updated_ms = clock.now_ms()
+        self._waiting: list[Waiter] = []
+        self._order = itertools.count()
+        self._timer: asyncio.TimerHandle | None = None
+        self._delayed = metrics.counter(
+            "nutmeglb_store_calls_delayed_total", "Store calls that waited for the call limiter."
+        )
+        self._queue_length = metrics.gauge(
+            "nutmeglb_store_calls_waiting", "Store calls waiting for the call limiter."
+        )
+
+    async def acquire(self, priority: CallPriority, timeout_ms: float) -> bool:
+        """Wait for a call's turn. Return whether it came within ``timeout_ms``."""
+        if self.try_acquire():
+            return True
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiting, (RANK[priority], next(self._order), turn, priority))
+        self._delayed.inc(priority=priority.value)
+        self._queue_length.set(len(self._waiting))
+        self._arm()
+        try:
+            await asyncio.wait_for(turn, timeout_ms / 1_000)
+        except TimeoutError:
+            return False
+        return True
+
+    def try_acquire(self) -> bool:
+        """Take a turn now if no call is waiting for one."""
+        self._refill()
+        if self._waiting or self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def serve(self) -> None:
+        """Admit the waiting calls whose turn has come."""
+        self._refill()
+        while self._waiting and self._tokens >= 1:
+            turn = heapq.heappop(self._waiting)[2]
+            if not turn.done():
+                self._tokens -= 1
+                turn.set_result(None)
+        self._queue_length.set(len(self._waiting))
+        self._arm()
+
+    def _refill(self) -> None:
+        now_ms = self._clock.now_ms()
+        added = (now_ms - self._updated_ms) * self._rate_per_ms
+        self._tokens = min(self._burst, self._tokens + added)
+        self._updated_ms = now_ms
+
+    def _arm(self) -> None:
+        if self._timer is None and self._waiting:
+            delay_ms = max(1.0, (1 - self._tokens) / self._rate_per_ms)
+            self._timer = asyncio.get_running_loop().call_later(delay_ms / 1_000, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self.serve()
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,319 @@
+"""Stand-in of the platform's key-value store: the etcd v3 HTTP/JSON gateway, in memory.
+
+Control paths: ``POST /faults`` replaces the active fault rules (a JSON array), ``GET /counts``
+returns the number of calls by kind. A rule is an object:
+
+- ``kind``: ``refuse`` (error before any effect), ``timeout`` (error after the effect, as the store
+  reports it when its own leader changes), ``delay`` (by ``delay_ms``), ``lose_response`` (effect,
+  then the connection closes), ``cut`` (the connection closes without effect), ``stale`` (reads
+  show the state at the time the rule was set), ``pause`` (calls wait until the rule is removed).
+- ``instances``: values of ``X-Client-Instance`` that the rule applies to. Absent: all callers.
+- ``paths``: request paths that the rule applies to. Absent: all.
+- ``times``: number of calls after which the rule ends. Absent: no end.
+"""
+
+import asyncio
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.ioloop import PeriodicCallback
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.options import define, options, parse_command_line
+from tornado.web import Application, RequestHandler
+
+from nutmeglb_formats.clock import Clock
+from standins.store_data import Json, StoreData, StoreFault, from_text
+
+INSTANCE_HEADER = "X-Client-Instance"
+EXPIRY_CHECK_MS = 50
+BODY_LIMIT_BYTES = 8 * 1_048_576
+RESOURCE_EXHAUSTED = 8
+UNAVAILABLE = 14
+HTTP_STATUS = {3: 400, 5: 404, 8: 429, 11: 400, 12: 501, 14: 503}
+WATCH_PATH = "/v3/watch"
+
+
+@dataclass(slots=True)
+class FaultRule:
+    """One active fault."""
+
+    kind: str
+    instances: list[str] | None = None
+    paths: list[str] | None = None
+    delay_ms: float = 0.0
+    times: int | None = None
+    removed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def applies(self, instance: str, path: str) -> bool:
+        """Return whether the rule applies to a call."""
+        return (
+            self.times != 0
+            and (self.instances is None or instance in self.instances)
+            and (self.paths is None or path in self.paths)
+        )
+
+    def use(self) -> None:
+        """Count one call."""
+        if self.times is not None:
+            self.times -= 1
+
+
+class StoreServer:
+    """The stand-in as a server in the running event loop.
+
+    Parameters
+    ----------
+    port
+        TCP port on 127.0.0.1; 0 picks a free port.
+    clock
+        Drives lease expiry.
+    """
+
+    def __init__(self, port: int = 0, clock: Clock | None = None) -> None:
+        self.data = StoreData(clock or Clock())
+        self.counts: Counter[str] = Counter()
+        self.rules: list[FaultRule] = []
+        self.watchers: set[WatchHandler] = set()
+        self._port = port
+        self._server: HTTPServer | None = None
+        self._expiry = PeriodicCallback(self.data.expire_leases, EXPIRY_CHECK_MS)
+
+    @property
+    def address(self) -> str:
+        """Return ``ip:port``."""
+        return f"127.0.0.1:{self._port}"
+
+    def start(self) -> None:
+        """Listen. The port stays the same after ``stop`` and ``start``."""
+        sockets = bind_sockets(self._port, "127.0.0.1")
+        self._port = sockets[0].getsockname()[1]
+        routes = [
+            (path, CallHandler, {"server": self, "method": method})
+            for path, method in (
+                ("/v3/kv/range", self.data.range),
+                ("/v3/kv/put", self.data.put),
+                ("/v3/kv/deleterange", self.data.delete),
+                ("/v3/kv/txn", self.data.txn),
+                ("/v3/lease/grant", self.data.lease_grant),
+                ("/v3/lease/keepalive", self.data.lease_keep_alive),
+                ("/v3/lease/revoke", self.data.lease_revoke),
+            )
+        ]
+        application = Application(
+            [
+                *routes,
+                (WATCH_PATH, WatchHandler, {"server": self}),
+                ("/faults", FaultsHandler, {"server": self}),
+                ("/counts", CountsHandler, {"server": self}),
+            ],
+            log_function=lambda handler: None,
+        )
+        self._server = HTTPServer(application, max_body_size=BODY_LIMIT_BYTES)
+        self._server.add_sockets(sockets)
+        self._expiry.start()
+
+    async def stop(self) -> None:
+        """Close the listener and every connection. Data and leases stay."""
+        self._expiry.stop()
+        self.set_faults([])
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+            self._server = None
+
+    def set_faults(self, rules: list[dict[str, Any]]) -> None:
+        """Replace the active rules. Raises ``TypeError`` for unknown fields."""
+        new_rules = [FaultRule(**rule) for rule in rules]
+        for rule in self.rules:
+            rule.removed.set()
+        self.rules = new_rules
+        self.data.freeze_reads(False)
+        self.data.freeze_reads(any(rule.kind == "stale" for rule in new_rules))
+        for watcher in list(self.watchers):
+            watcher.close_when_cut()
+
+    def rules_for(self, instance: str, path: str) -> list[FaultRule]:
+        """Return the rules that apply to a call, in order."""
+        return [rule for rule in self.rules if rule.applies(instance, path)]
+
+
+class StoreHandler(RequestHandler):
+    """Base of the store's own paths: counts calls and applies faults."""
+
+    def initialize(self, server: StoreServer, method: Any = None) -> None:
+        """Receive the server and the data method of the path."""
+        self.server = server
+        self.method = method
+
+    @property
+    def instance(self) -> str:
+        """Return the id of the calling entry instance."""
+        return self.request.headers.get(INSTANCE_HEADER, "")
+
+    def cut(self) -> None:
+        """Close the connection without a response."""
+        self.request.connection.stream.close()  # type: ignore[union-attr]
+
+    def answer_fault(self, fault: StoreFault) -> None:
+        """Answer an error as the gateway prints it."""
+        self.set_status(HTTP_STATUS.get(fault.code, 500))
+        self.write({"error": fault.message, "code": fault.code, "message": fault.message})
+
+    async def faults_before(self) -> set[str]:
+        """Apply the faults that precede the effect and return the kinds that follow it."""
+        kinds = set()
+        for rule in self.server.rules_for(self.instance, self.request.path):
+            rule.use()
+            kinds.add(rule.kind)
+            if rule.kind == "delay":
+                await asyncio.sleep(rule.delay_ms / 1_000)
+            elif rule.kind == "pause":
+                await rule.removed.wait()
+        return kinds
+
+
+class CallHandler(StoreHandler):
+    """Answers one unary call."""
+
+    async def post(self) -> None:
+        """Apply the call and the active faults."""
+        self.server.counts[self.request.path] += 1
+        faults = await self.faults_before()
+        if "cut" in faults:
+            self.cut()
+            return
+        if "refuse" in faults:
+            self.answer_fault(StoreFault(RESOURCE_EXHAUSTED, "etcdserver: too many requests"))
+            return
+        try:
+            answer: Json = self.method(json.loads(self.request.body or b"{}"))
+        except StoreFault as fault:
+            self.answer_fault(fault)
+            return
+        if "lose_response" in faults:
+            self.cut()
+        elif "timeout" in faults:
+            self.answer_fault(StoreFault(UNAVAILABLE, "etcdserver: request timed out"))
+        else:
+            self.write(answer)
+
+
+class WatchHandler(StoreHandler):
+    """Streams changes as newline-delimited JSON."""
+
+    async def post(self) -> None:
+        """Stream until the caller or a fault closes the connection."""
+        self.server.counts[self.request.path] += 1
+        faults = await self.faults_before()
+        if faults & {"cut", "lose_response"}:
+            self.cut()
+            return
+        if "refuse" in faults:
+            self.answer_fault(StoreFault(RESOURCE_EXHAUSTED, "etcdserver: too many requests"))
+            return
+        request = json.loads(self.request.body)["create_request"]
+        self._start = from_text(request["key"])
+        self._end = from_text(request["range_end"]) if "range_end" in request else None
+        self._queue: asyncio.Queue[Json | None] = asyncio.Queue()
+        data = self.server.data
+        first = int(request.get("start_revision", 0))
+        if first and first < data.oldest_revision():
+            compacted = str(data.oldest_revision())
+            self.write({"result": {"canceled": True, "compact_revision": compacted}})
+            return
+        unsubscribe = data.subscribe(self._on_events)
+        self.server.watchers.add(self)
+        try:
+            await self._send({"header": data.header(), "created": True})
+            if first:
+                self._on_events(data.events_since(first), data.revision)
+            while (result := await self._queue.get()) is not None:
+                await self._send(result)
+        except StreamClosedError:
+            pass
+        finally:
+            unsubscribe()
+            self.server.watchers.discard(self)
+
+    def close_when_cut(self) -> None:
+        """Close the connection when an active rule cuts this caller."""
+        rules = self.server.rules_for(self.instance, self.request.path)
+        if any(rule.kind in ("cut", "refuse") for rule in rules):
+            self._queue.put_nowait(None)
+            self.cut()
+
+    def on_connection_close(self) -> None:
+        """End the stream when the caller has gone."""
+        if self in self.server.watchers:
+            self._queue.put_nowait(None)
+
+    def _on_events(self, events: list[Json], revision: int) -> None:
+        wanted = [event for event in events if self._covers(from_text(event["kv"]["key"]))]
+        rules = self.server.rules_for(self.instance, self.request.path)
+        if wanted and not any(rule.kind == "stale" for rule in rules):
+            self._queue.put_nowait({"header": self.server.data.header(), "events": wanted})
+
+    def _covers(self, key: bytes) -> bool:
+        if self._end is None:
+            return key == self._start
+        return self._start <= key < self._end
+
+    async def _send(self, result: Json) -> None:
+        await self.faults_before()
+        self.write(json.dumps({"result": result}) + "\n")
+        await self.flush()
+
+
+class FaultsHandler(RequestHandler):
+    """Control path for faults."""
+
+    def initialize(self, server: StoreServer) -> None:
+        """Receive the server."""
+        self._store = server
+
+    def post(self) -> None:
+        """Replace the active rules."""
+        try:
+            self._store.set_faults(json.loads(self.request.body))
+        except (TypeError, ValueError) as error:
+            self.set_status(400)
+            self.write({"error": str(error)})
+
+
+class CountsHandler(RequestHandler):
+    """Control path for call counts."""
+
+    def initialize(self, server: StoreServer) -> None:
+        """Receive the server."""
+        self._store = server
+
+    def get(self) -> None:
+        """Return calls by path since the start."""
+        self.write(dict(self._store.counts))
+
+
+async def _serve(port: int, ports_file: str) -> None:
+    server = StoreServer(port)
+    server.start()
+    if ports_file:
+        partial = Path(ports_file + ".partial")
+        partial.write_text(json.dumps({"store": server.address}))
+        partial.rename(ports_file)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run the stand-in until interrupted."""
+    define("port", default=0, help="TCP port on 127.0.0.1; 0 picks a free port")
+    define("ports_file", default="", help="file that receives the bound address as JSON")
+    parse_command_line()
+    asyncio.run(_serve(options.port, options.ports_file))
+
+
+if __name__ == "__main__":
+    main()
