Add the leadership state machine

Authority rests on a store lease counted from the send time, or during a store outage on promises of every listed or connected instance of the domain. A new leader settles by pledges before it acts.

--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/leadership.py
@@ -0,0 +1,437 @@
+"""Leadership of a failure domain, as a state machine without I/O.
+
+Authority rests on a store lease, counted from the time its renewal was sent. During a store outage
+it rests on promises of every other instance of the domain not to campaign, counted from the time
+they were asked for. The epoch grows with every election, so the writes of a former leader can be
+refused.
+"""
+
+import random
+from collections import OrderedDict
+
+from nutmeglb_decisions.authority import NEVER_MS, Attempt, GivenPromise, Held, Neighbours
+from nutmeglb_decisions.invariants import require
+from nutmeglb_decisions.leadership_events import (
+    Answer,
+    Changed,
+    Effect,
+    Event,
+    GrantLease,
+    LeaderRead,
+    LeadershipTimes,
+    LeaderWritten,
+    LeaseGranted,
+    LeaseRenewed,
+    NoticeReceived,
+    PledgeAnswered,
+    PledgeAsked,
+    PromiseAnswered,
+    PromiseAsked,
+    ReadFailed,
+    ReadLeader,
+    Release,
+    ReleaseReceived,
+    RenewLease,
+    RenewOutcome,
+    RevokeLease,
+    SendNotice,
+    SendPromise,
+    StopRequested,
+    Tick,
+    WriteLeader,
+    WriteOutcome,
+)
+from nutmeglb_decisions.settling import Settling
+from nutmeglb_formats.identifiers import new_id
+from nutmeglb_formats.models.leader import LeaderRecord
+
+INVARIANT = "single_leader"
+CAMPAIGN_JITTER_MS = 200.0
+# A late renewal is normal for half an interval; after that promises are collected in advance, so
+# that authority continues without a gap when the store does not return.
+PROMISE_AFTER_RENEWALS = 1.5
+PROMISES_PER_RENEWAL = 2
+NOTICE_SILENCE_RENEWALS = 2
+# Attempts with unknown outcome that can still turn out to have been applied.
+PAST_ATTEMPTS = 16
+
+
+class LeadershipCore:
+    """Leadership as one instance sees and holds it.
+
+    Parameters
+    ----------
+    now_ms
+        Start of the process. A new process does not campaign for the length of a promise, because
+        it may have given one before it was restarted.
+    """
+
+    def __init__(
+        self, instance: str, times: LeadershipTimes, rng: random.Random, now_ms: float
+    ) -> None:
+        self._instance = instance
+        self._times = times
+        self._rng = rng
+        self._neighbours = Neighbours(now_ms)
+        self._known_epoch = 0
+        self._leader: str | None = None
+        self._notice_ms = NEVER_MS
+        self._read_at_ms = now_ms
+        self._campaign_at_ms: float | None = None
+        self._campaign_from_ms = now_ms + times.promise_ms + times.margin_ms
+        self._attempt: Attempt | None = None
+        self._past: OrderedDict[str, Attempt] = OrderedDict()
+        self._held: Held | None = None
+        self._renew_at_ms = now_ms
+        self._promises_at_ms = now_ms
+        self._promise = GivenPromise()
+        self._rounds = 0
+        self._settling: Settling | None = None
+        self._settled = False
+        self._stopped = False
+        self._reported = Changed(0, None, False, False)
+
+    @property
+    def known_epoch(self) -> int:
+        """Return the highest epoch seen."""
+        return self._known_epoch
+
+    @property
+    def leader(self) -> str | None:
+        """Return the instance believed to lead."""
+        return self._leader
+
+    @property
+    def settled(self) -> bool:
+        """Return whether the grants of former leaders are known or expired."""
+        return self._settled
+
+    @property
+    def is_campaigning(self) -> bool:
+        """Return whether an attempt is in progress."""
+        return self._attempt is not None
+
+    def store_until_ms(self) -> float:
+        """Return the end of the authority that rests on the store lease."""
+        return self._held.store_until_ms(self._times) if self._held else NEVER_MS
+
+    def promised_until_ms(self) -> float:
+        """Return the end of the authority that rests on promises of the other instances."""
+        if self._held is None:
+            return NEVER_MS
+        return self._held.promised_until_ms(self._neighbours, self._times)
+
+    def authority_until_ms(self, now_ms: float) -> float:
+        """Return the end of the authority, ``-inf`` without authority."""
+        if self._stopped or self._promise.in_force(now_ms):
+            return NEVER_MS
+        return max(self.store_until_ms(), self.promised_until_ms())
+
+    def has_authority(self, now_ms: float) -> bool:
+        """Return whether this instance may act as leader, apart from settling."""
+        return now_ms < self.authority_until_ms(now_ms)
+
+    def handle(self, event: Event, now_ms: float) -> list[Effect]:
+        """Process one event at monotonic time ``now_ms`` and return the effects."""
+        effects = self._dispatch(event, now_ms)
+        return effects + self._report(now_ms)
+
+    def _dispatch(self, event: Event, now_ms: float) -> list[Effect]:
+        match event:
+            case Tick():
+                return self._on_tick(event, now_ms)
+            case LeaderRead():
+                return self._on_read(event, now_ms)
+            case ReadFailed():
+                self._read_at_ms = now_ms + self._times.renew_ms
+                return []
+            case LeaseGranted():
+                return self._on_granted(event, now_ms)
+            case LeaderWritten():
+                return self._on_written(event, now_ms)
+            case LeaseRenewed():
+                return self._on_renewed(event, now_ms)
+            case PledgeAsked():
+                return self._on_pledge(event, now_ms)
+            case PledgeAnswered():
+                return self._on_pledged(event, now_ms)
+            case PromiseAsked():
+                return self._on_promise(event, now_ms)
+            case PromiseAnswered():
+                return self._on_promised(event, now_ms)
+            case NoticeReceived():
+                return self._on_notice(event, now_ms)
+            case ReleaseReceived():
+                return self._on_released(event, now_ms)
+            case StopRequested():
+                return self._on_stop()
+
+    def _on_tick(self, tick: Tick, now_ms: float) -> list[Effect]:
+        # A pause that long may have outlasted every promise and lease, so that another instance
+        # can have been elected without this one noticing.
+        pause_ms = now_ms - self._neighbours.updated_ms
+        if self._held is not None and pause_ms >= self._times.lease_ms - self._times.margin_ms:
+            self._held.unpaused = False
+        listed = None if tick.listed is None else tick.listed - {self._instance}
+        self._neighbours.update(listed, tick.reachable - {self._instance}, now_ms)
+        if self._stopped:
+            return []
+        if self._held is not None:
+            return self._lead(self._held, now_ms)
+        return self._follow(now_ms)
+
+    def _follow(self, now_ms: float) -> list[Effect]:
+        if self._attempt is not None:
+            return []
+        if self._campaign_at_ms is not None and now_ms >= self._campaign_at_ms:
+            self._campaign_at_ms = None
+            return self._campaign(self._known_epoch + 1, now_ms)
+        silence_ms = NOTICE_SILENCE_RENEWALS * self._times.renew_ms
+        if now_ms < self._read_at_ms or now_ms - self._notice_ms < silence_ms:
+            return []
+        self._read_at_ms = now_ms + self._times.renew_ms * self._rng.uniform(0.25, 0.5)
+        return [ReadLeader()]
+
+    def _lead(self, held: Held, now_ms: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if now_ms >= self._renew_at_ms:
+            self._renew_at_ms = now_ms + self._times.renew_ms
+            if held.lease is not None:
+                effects.append(RenewLease(held.lease, now_ms))
+            elif self._attempt is None:
+                effects.append(ReadLeader())
+            if self.has_authority(now_ms):
+                effects.append(SendNotice(held.epoch))
+        effects += self._ask_promises(held, now_ms)
+        return effects + self._settle(held, now_ms)
+
+    def _ask_promises(self, held: Held, now_ms: float) -> list[Effect]:
+        late_ms = PROMISE_AFTER_RENEWALS * self._times.renew_ms
+        confirmed = held.lease is not None and now_ms < held.confirmed_ms + late_ms
+        if confirmed or now_ms < self._promises_at_ms:
+            return []
+        self._promises_at_ms = now_ms + self._times.renew_ms / PROMISES_PER_RENEWAL
+        return [
+            SendPromise(name, held.epoch, now_ms) for name in sorted(self._neighbours.reachable)
+        ]
+
+    def _settle(self, held: Held, now_ms: float) -> list[Effect]:
+        if self._settled or not self.has_authority(now_ms):
+            return []
+        if self._settling is None:
+            self._rounds += 1
+            self._settling = Settling(held.epoch, self._rounds, now_ms, self._times)
+        asks = self._settling.ask(self._neighbours.others(), self._neighbours.reachable, now_ms)
+        return [*asks, *self._finish_settling(now_ms)]
+
+    def _finish_settling(self, now_ms: float) -> list[Effect]:
+        settling = self._settling
+        if settling is None or not self.has_authority(now_ms):
+            return []
+        if settling.must_wait(self._neighbours, now_ms):
+            return []
+        self._settling = None
+        self._settled = True
+        grants = tuple(settling.grants)
+        unknown = tuple(settling.missing(self._neighbours.others()))
+        self._reported = Changed(settling.epoch, self._instance, True, True)
+        return [Changed(settling.epoch, self._instance, True, True, grants, unknown)]
+
+    def _campaign(self, epoch: int, now_ms: float) -> list[Effect]:
+        if not self._may_campaign(now_ms):
+            self._read_at_ms = now_ms + self._times.renew_ms / 2
+            return []
+        record = LeaderRecord(self._instance, epoch, new_id(self._rng))
+        self._attempt = Attempt(record, self._known_epoch)
+        return [GrantLease(record.attempt)]
+
+    def _may_campaign(self, now_ms: float) -> bool:
+        if self._stopped or self._attempt is not None or self._promise.in_force(now_ms):
+            return False
+        # Without an earlier epoch there was no leader to promise anything to.
+        return self._known_epoch == 0 or now_ms >= self._campaign_from_ms
+
+    def _on_read(self, read: LeaderRead, now_ms: float) -> list[Effect]:
+        if read.epoch < self._known_epoch:
+            return []
+        self._learn_epoch(read.epoch)
+        record = read.leader
+        past = self._past.get(record.attempt) if record is not None else None
+        if past is not None and past.record.epoch == self._known_epoch:
+            return self._won(past, now_ms)
+        if self._held is not None:
+            if record is None and self._held.lease is None:
+                return self._campaign(self._held.epoch, now_ms)
+            return []
+        if record is None:
+            self._leader = None
+            delay_ms = self._rng.uniform(0, CAMPAIGN_JITTER_MS)
+            self._campaign_at_ms = self._campaign_at_ms or now_ms + delay_ms
+            return []
+        self._campaign_at_ms = None
+        # A record of this instance that it did not write is left from before a restart.
+        self._leader = record.instance if record.instance != self._instance else None
+        return []
+
+    def _on_granted(self, granted: LeaseGranted, now_ms: float) -> list[Effect]:
+        attempt = self._attempt
+        if granted.lease is None:
+            if attempt is not None and attempt.record.attempt == granted.attempt:
+                self._attempt = None
+                self._read_at_ms = now_ms + self._times.renew_ms
+            return []
+        if attempt is None or attempt.record.attempt != granted.attempt:
+            return [RevokeLease(granted.lease)]
+        if attempt.epoch_before != self._known_epoch or self._promise.in_force(now_ms):
+            self._attempt = None
+            return [RevokeLease(granted.lease)]
+        attempt.lease = granted.lease
+        attempt.granted_sent_ms = granted.sent_ms
+        return [WriteLeader(attempt.record, attempt.epoch_before, granted.lease)]
+
+    def _on_written(self, written: LeaderWritten, now_ms: float) -> list[Effect]:
+        attempt = self._attempt
+        if attempt is None or attempt.record.attempt != written.attempt:
+            return []
+        self._attempt = None
+        self._read_at_ms = now_ms
+        match written.outcome:
+            case WriteOutcome.APPLIED:
+                return self._won(attempt, now_ms)
+            case WriteOutcome.UNKNOWN:
+                self._past[attempt.record.attempt] = attempt
+                if len(self._past) > PAST_ATTEMPTS:
+                    self._past.popitem(last=False)
+                return [ReadLeader()]
+            case WriteOutcome.NOT_APPLIED:
+                self._read_at_ms = now_ms + self._times.renew_ms
+        return [RevokeLease(attempt.lease)]
+
+    def _won(self, attempt: Attempt, now_ms: float) -> list[Effect]:
+        epoch = attempt.record.epoch
+        if epoch < self._known_epoch or self._stopped:
+            return [RevokeLease(attempt.lease)]
+        held = self._held
+        if held is None or held.epoch != epoch:
+            self._learn_epoch(epoch)
+            held = self._held = Held(epoch, attempt.lease, attempt.granted_sent_ms)
+        else:
+            held.lease = attempt.lease
+            held.confirmed_ms = attempt.granted_sent_ms
+            held.unpaused = True
+        self._leader = self._instance
+        self._past.clear()
+        self._renew_at_ms = now_ms
+        return self._lead(held, now_ms)
+
+    def _on_renewed(self, renewed: LeaseRenewed, now_ms: float) -> list[Effect]:
+        held = self._held
+        if held is None or held.lease != renewed.lease:
+            return []
+        if renewed.outcome is RenewOutcome.RENEWED:
+            held.confirmed_ms = max(held.confirmed_ms, renewed.sent_ms)
+            held.unpaused = True
+        elif renewed.outcome is RenewOutcome.LEASE_GONE:
+            held.lease = None
+            return [ReadLeader()]
+        return []
+
+    def _on_pledge(self, asked: PledgeAsked, now_ms: float) -> list[Effect]:
+        self._learn_leader(asked.sender, asked.epoch, now_ms)
+        bound = self._promise.forbids(asked.epoch, now_ms)
+        accepted = asked.epoch >= self._known_epoch and not bound
+        return [Answer(accepted, self._known_epoch)]
+
+    def _on_pledged(self, answered: PledgeAnswered, now_ms: float) -> list[Effect]:
+        self._learn_epoch(answered.known_epoch)
+        if self._settling is None or self._settling.round_id != answered.round_id:
+            return []
+        if answered.accepted:
+            self._settling.pledged(answered.sender, answered.grants)
+        return self._finish_settling(now_ms)
+
+    def _on_promise(self, asked: PromiseAsked, now_ms: float) -> list[Effect]:
+        self._learn_leader(asked.sender, asked.epoch, now_ms)
+        bound = self._promise.forbids(asked.epoch, now_ms)
+        granted = asked.epoch >= self._known_epoch and not bound and self._attempt is None
+        if granted:
+            self._promise.give(asked.epoch, now_ms + self._times.promise_ms)
+            self._campaign_at_ms = None
+        return [Answer(granted, self._known_epoch)]
+
+    def _on_promised(self, answered: PromiseAnswered, now_ms: float) -> list[Effect]:
+        self._learn_epoch(answered.known_epoch)
+        if self._held is not None and self._held.epoch == answered.epoch and answered.granted:
+            promises = self._held.promises
+            former_ms = promises.get(answered.sender, NEVER_MS)
+            promises[answered.sender] = max(former_ms, answered.sent_ms)
+        return []
+
+    def _on_notice(self, notice: NoticeReceived, now_ms: float) -> list[Effect]:
+        self._learn_leader(notice.sender, notice.epoch, now_ms)
+        return []
+
+    def _on_released(self, released: ReleaseReceived, now_ms: float) -> list[Effect]:
+        self._promise.release(released.epoch)
+        if released.epoch == self._known_epoch and released.sender == self._leader:
+            self._leader = None
+            self._notice_ms = NEVER_MS
+            self._read_at_ms = now_ms
+        return []
+
+    def _on_stop(self) -> list[Effect]:
+        self._stopped = True
+        self._attempt = None
+        held, self._held = self._held, None
+        if held is None:
+            return []
+        self._leader = None
+        self._settled = False
+        self._settling = None
+        return [Release(held.lease, held.epoch)]
+
+    def _learn_leader(self, sender: str, epoch: int, now_ms: float) -> None:
+        require(
+            self._held is None or self._held.epoch != epoch or sender == self._instance,
+            INVARIANT,
+            "Two instances lead under the same epoch",
+            epoch=epoch,
+            instance=self._instance,
+            other=sender,
+        )
+        if epoch < self._known_epoch:
+            return
+        self._learn_epoch(epoch)
+        self._leader = sender
+        self._notice_ms = now_ms
+        self._campaign_at_ms = None
+
+    def _learn_epoch(self, epoch: int) -> None:
+        if epoch <= self._known_epoch:
+            return
+        self._known_epoch = epoch
+        self._leader = None
+        self._held = None
+        self._settling = None
+        self._settled = False
+
+    def _report(self, now_ms: float) -> list[Effect]:
+        has_authority = self.has_authority(now_ms)
+        if not has_authority:
+            # Subscribers are told of the loss, so a later authority starts with a new round.
+            self._settling = None
+            self._settled = False
+        leading = self._held is not None
+        require(
+            not has_authority or now_ms < max(self.store_until_ms(), self.promised_until_ms()),
+            INVARIANT,
+            "Authority outside a lease or promise",
+            instance=self._instance,
+        )
+        leader = self._leader if has_authority or not leading else None
+        settled = has_authority and self._settled
+        current = Changed(self._known_epoch, leader, has_authority, settled)
+        if current == self._reported:
+            return []
+        self._reported = current
+        return [current]
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/leadership_events.py
@@ -0,0 +1,276 @@
+"""Inputs and outputs of the leadership state machine."""
+
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Any
+
+from nutmeglb_formats.models.leader import LeaderRecord
+
+
+@dataclass(frozen=True, slots=True)
+class LeadershipTimes:
+    """Intervals in milliseconds. ``margin_ms`` covers different clock rates."""
+
+    lease_ms: float = 3_000.0
+    renew_ms: float = 1_000.0
+    margin_ms: float = 500.0
+    promise_ms: float = 2_000.0
+
+
+class WriteOutcome(Enum):
+    """Result of writing the leader key."""
+
+    APPLIED = auto()
+    CONDITION_FAILED = auto()
+    NOT_APPLIED = auto()
+    UNKNOWN = auto()
+
+
+class RenewOutcome(Enum):
+    """Result of renewing the lease."""
+
+    RENEWED = auto()
+    LEASE_GONE = auto()
+    FAILED = auto()
+
+
+# Inputs
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed.
+
+    Attributes
+    ----------
+    listed
+        Other entry instances of the domain in the platform's list; ``None`` when it has not been
+        read yet.
+    reachable
+        Other instances of the domain that are connected and send heartbeats.
+    """
+
+    listed: frozenset[str] | None
+    reachable: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderRead:
+    """The leader and the epoch were read. Epoch 0 means that the key is absent."""
+
+    leader: LeaderRecord | None
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadFailed:
+    """The leader could not be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGranted:
+    """A lease was created; ``lease`` is ``None`` when the call failed."""
+
+    attempt: str
+    sent_ms: float
+    lease: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderWritten:
+    """The transaction of an attempt ended."""
+
+    attempt: str
+    outcome: WriteOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRenewed:
+    """A renewal ended."""
+
+    lease: int
+    sent_ms: float
+    outcome: RenewOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class PledgeAsked:
+    """Another instance sent ``Pledge``."""
+
+    sender: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class PledgeAnswered:
+    """An instance answered this leader's ``Pledge``. ``grants`` is passed through."""
+
+    sender: str
+    round_id: int
+    accepted: bool
+    known_epoch: int
+    grants: tuple[Any, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PromiseAsked:
+    """Another instance sent ``Promise``."""
+
+    sender: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class PromiseAnswered:
+    """An instance answered this leader's ``Promise``, sent at ``sent_ms``."""
+
+    sender: str
+    epoch: int
+    sent_ms: float
+    granted: bool
+    known_epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoticeReceived:
+    """Another instance announced itself as leader."""
+
+    sender: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseReceived:
+    """A leader announced that it gave up its authority."""
+
+    sender: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested:
+    """The process stops: release the leadership and do not campaign again."""
+
+
+Event = (
+    Tick
+    | LeaderRead
+    | ReadFailed
+    | LeaseGranted
+    | LeaderWritten
+    | LeaseRenewed
+    | PledgeAsked
+    | PledgeAnswered
+    | PromiseAsked
+    | PromiseAnswered
+    | NoticeReceived
+    | ReleaseReceived
+    | StopRequested
+)
+
+
+# Outputs
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLeader:
+    """Read the leader and the epoch."""
+
+
+@dataclass(frozen=True, slots=True)
+class GrantLease:
+    """Create a lease for an attempt."""
+
+    attempt: str
+
+
+@dataclass(frozen=True, slots=True)
+class WriteLeader:
+    """Write leader and epoch if the leader is absent and the epoch is ``epoch_before``."""
+
+    record: LeaderRecord
+    epoch_before: int
+    lease: int
+
+
+@dataclass(frozen=True, slots=True)
+class RenewLease:
+    """Renew the lease."""
+
+    lease: int
+    sent_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class RevokeLease:
+    """End a lease that is not used."""
+
+    lease: int
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """End the lease, if there is one, and then announce the release to the domain."""
+
+    lease: int | None
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendPledge:
+    """Send ``Pledge``; ``round_id`` is passed back with the answer."""
+
+    instance: str
+    epoch: int
+    round_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendPromise:
+    """Send ``Promise``; ``sent_ms`` is passed back with the answer."""
+
+    instance: str
+    epoch: int
+    sent_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class SendNotice:
+    """Announce the leader to the domain."""
+
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Answer to the ``Pledge`` or ``Promise`` being handled."""
+
+    accepted: bool
+    known_epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """The leadership changed. ``grants`` and ``unknown_holders`` are set on settling."""
+
+    epoch: int
+    leader: str | None
+    is_self: bool
+    settled: bool
+    grants: tuple[Any, ...] = ()
+    unknown_holders: tuple[str, ...] = ()
+
+
+Effect = (
+    ReadLeader
+    | GrantLease
+    | WriteLeader
+    | RenewLease
+    | RevokeLease
+    | Release
+    | SendPledge
+    | SendPromise
+    | SendNotice
+    | Answer
+    | Changed
+)
