--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/broker.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/broker.py
@@ -5,7 +5,8 @@
 from itertools import chain
 
 from nutmeglb_decisions.routing.endpoints import EndpointView
-from nutmeglb_decisions.routing.service_broker import Grant, HeldSlots, Send, ServiceBroker
+from nutmeglb_decisions.routing.grants import Grant, HeldSlots, Send
+from nutmeglb_decisions.routing.service_broker import ServiceBroker
 from nutmeglb_decisions.routing.spillover import Spillover
 from nutmeglb_formats.models.config import Service
 from nutmeglb_formats.wire.routing import (
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/idempotency.py
@@ -0,0 +1,232 @@
+"""Idempotency keys: owner domain, claims, stored responses and expiry."""
+
+import hashlib
+from collections import deque
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+from nutmeglb_formats.models.idempotency import (
+    RETENTION_MS,
+    STORED_BODY_LIMIT_BYTES,
+    KeyClaimed,
+    KeyCompleted,
+    KeyReleased,
+    KeyUnknown,
+)
+from nutmeglb_formats.wire.routing import (
+    ClaimState,
+    KeyAnswer,
+    KeyClaim,
+    KeyResult,
+    RequestOutcome,
+)
+
+DIGEST_BYTES = 8
+# Entries removed per call, so that a burst of expiries does not block the event loop.
+EXPIRE_STEP = 100
+
+KeyId = tuple[str, str]
+KeyRecord = KeyClaimed | KeyCompleted | KeyReleased | KeyUnknown
+
+
+def owner_domain(service: str, key: str, domains: Sequence[str]) -> str:
+    """Return the domain that owns a key, by rendezvous hashing over the configured domains.
+
+    Raises
+    ------
+    ValueError
+        When no domain is given.
+    """
+    if not domains:
+        raise ValueError("no domain is configured; set domain_weights in the policy")
+    return max(domains, key=lambda domain: (_weight(service, key, domain), domain))
+
+
+def fingerprint(method: str, path: str, body: bytes) -> str:
+    """Return the digest that tells two requests with the same key apart."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (method.encode(), path.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def _weight(service: str, key: str, domain: str) -> bytes:
+    data = "\0".join((service, key, domain)).encode()
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
+class _Phase(StrEnum):
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    STORED = "stored"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True)
+class _Entry:
+    claimed: KeyClaimed
+    phase: _Phase
+    completed: KeyCompleted | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Append:
+    """Effect: commit a record, then call ``committed`` or ``not_committed`` with it."""
+
+    record: KeyRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Effect: answer the instance that sent the event."""
+
+    answer: KeyAnswer
+
+
+KeyEffect = Append | Reply
+
+
+class KeyTable:
+    """Keys that a domain owns, at its leader.
+
+    A claim is answered ``claimed`` only after its record is committed. All times are wall-clock
+    milliseconds, because claims outlive the process. Each operation takes constant time.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[KeyId, _Entry] = {}
+        self._by_age: deque[tuple[float, KeyId, str]] = deque()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def claim(self, wall_ms: float, message: KeyClaim) -> KeyEffect:
+        """Claim a key, or return what became of the earlier claim."""
+        self.expire(wall_ms)
+        key_id = (message.service, message.key)
+        entry = self._entries.get(key_id)
+        if entry is not None:
+            return Reply(self._answer(wall_ms, entry, message))
+        record = KeyClaimed(
+            message.service,
+            message.key,
+            message.request_id,
+            message.fingerprint,
+            wall_ms,
+            message.run_limit_ms,
+        )
+        self._add(record, _Phase.CLAIMING)
+        return Append(record)
+
+    def _answer(self, wall_ms: float, entry: _Entry, message: KeyClaim) -> KeyAnswer:
+        if entry.claimed.fingerprint != message.fingerprint:
+            return KeyAnswer(ClaimState.REUSED)
+        if entry.phase is _Phase.STORED and entry.completed is not None:
+            completed = entry.completed
+            if not completed.complete:
+                return KeyAnswer(ClaimState.UNKNOWN)
+            return KeyAnswer(ClaimState.STORED, completed.status, completed.headers, completed.body)
+        if entry.phase is _Phase.UNKNOWN:
+            return KeyAnswer(ClaimState.UNKNOWN)
+        if wall_ms > entry.claimed.claimed_wall_ms + entry.claimed.run_limit_ms:
+            return KeyAnswer(ClaimState.UNKNOWN)
+        return KeyAnswer(ClaimState.IN_PROGRESS)
+
+    def committed(self, record: KeyRecord) -> KeyAnswer:
+        """Apply a committed record and return the answer to its sender."""
+        if not isinstance(record, KeyClaimed):
+            return KeyAnswer(ClaimState.CLAIMED)
+        entry = self._entry_of(record.service, record.key, record.request_id)
+        if entry is None:
+            return KeyAnswer(ClaimState.REFUSED)
+        entry.phase = _Phase.RUNNING
+        return KeyAnswer(ClaimState.CLAIMED)
+
+    def not_committed(self, record: KeyRecord) -> KeyAnswer:
+        """Undo a claim whose record is not certainly committed. Its request is not dispatched."""
+        if isinstance(record, KeyClaimed):
+            entry = self._entry_of(record.service, record.key, record.request_id)
+            if entry is not None and entry.phase is _Phase.CLAIMING:
+                del self._entries[(record.service, record.key)]
+        return KeyAnswer(ClaimState.REFUSED)
+
+    def result(self, message: KeyResult) -> KeyEffect:
+        """Record the outcome of a claimed request. A repeated result has no effect."""
+        entry = self._entry_of(message.service, message.key, message.request_id)
+        if entry is None or entry.phase is not _Phase.RUNNING:
+            return Reply(KeyAnswer(ClaimState.REFUSED if entry is None else ClaimState.CLAIMED))
+        record = _result_record(message)
+        self._apply(record)
+        return Append(record)
+
+    def _entry_of(self, service: str, key: str, request_id: str) -> _Entry | None:
+        entry = self._entries.get((service, key))
+        if entry is None or entry.claimed.request_id != request_id:
+            return None
+        return entry
+
+    def load(self, wall_ms: float, records: Iterable[object]) -> None:
+        """Rebuild the table from journal records in order. Other record types are ignored."""
+        self._entries.clear()
+        self._by_age.clear()
+        for record in records:
+            if isinstance(record, KeyClaimed):
+                self._add(record, _Phase.RUNNING)
+            elif isinstance(record, KeyCompleted | KeyReleased | KeyUnknown):
+                self._apply(record)
+        self.expire(wall_ms)
+
+    def snapshot(self) -> list[KeyRecord]:
+        """Return the records of the full state.
+
+        Claims that wait for their commit are included: their page may precede the snapshot.
+        """
+        records: list[KeyRecord] = []
+        for entry in self._entries.values():
+            records.append(entry.claimed)
+            if entry.completed is not None:
+                records.append(entry.completed)
+            elif entry.phase is _Phase.UNKNOWN:
+                claimed = entry.claimed
+                records.append(KeyUnknown(claimed.service, claimed.key, claimed.request_id))
+        return records
+
+    def expire(self, wall_ms: float) -> None:
+        """Remove keys older than the retention time, a bounded number per call."""
+        for _ in range(EXPIRE_STEP):
+            if not self._by_age or wall_ms < self._by_age[0][0] + RETENTION_MS:
+                return
+            _, key_id, request_id = self._by_age.popleft()
+            if self._entry_of(*key_id, request_id) is not None:
+                del self._entries[key_id]
+
+    def _add(self, record: KeyClaimed, phase: _Phase) -> None:
+        key_id = (record.service, record.key)
+        self._entries[key_id] = _Entry(record, phase)
+        self._by_age.append((record.claimed_wall_ms, key_id, record.request_id))
+
+    def _apply(self, record: KeyCompleted | KeyReleased | KeyUnknown) -> None:
+        entry = self._entry_of(record.service, record.key, record.request_id)
+        if entry is None:
+            return
+        if isinstance(record, KeyReleased):
+            del self._entries[(record.service, record.key)]
+        elif isinstance(record, KeyUnknown):
+            entry.phase = _Phase.UNKNOWN
+        else:
+            entry.phase = _Phase.STORED
+            entry.completed = record
+
+
+def _result_record(message: KeyResult) -> KeyCompleted | KeyReleased | KeyUnknown:
+    names = (message.service, message.key, message.request_id)
+    if message.outcome is RequestOutcome.NOT_RUN:
+        return KeyReleased(*names)
+    if message.outcome is RequestOutcome.UNKNOWN:
+        return KeyUnknown(*names)
+    complete = message.complete and len(message.body) <= STORED_BODY_LIMIT_BYTES
+    body = message.body if complete else b""
+    headers = message.headers if complete else ()
+    return KeyCompleted(*names, message.status, headers, body, complete)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/service_broker.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/service_broker.py
@@ -4,11 +4,11 @@
 import math
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from nutmeglb_decisions.routing.admission import AdmissionQueue, WaitingRequest
 from nutmeglb_decisions.routing.endpoints import EndpointPool, EndpointState, EndpointView
 from nutmeglb_decisions.routing.estimates import ServiceTimes
+from nutmeglb_decisions.routing.grants import Grant, HeldSlots, Send
 from nutmeglb_formats.models.config import Service
 from nutmeglb_formats.wire.routing import (
     RefusalReason,
@@ -35,45 +35,6 @@
 ChooseDomain = Callable[[float, str, float], str | None]
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Effect: deliver a message to an instance, which may be the leader itself."""
-
-    to: str
-    message: SlotGrant | SlotRefused
-
-
-@dataclass(slots=True)
-class Grant:
-    """Slots in use.
-
-    Attributes
-    ----------
-    until_ms
-        Time at which the slots become free without a release.
-    ended
-        Whether the exchange has ended and the slots are only held for the endpoint's sake.
-    """
-
-    grant_id: str
-    holder: str
-    endpoint: str
-    until_ms: float
-    slots: int = 1
-    ended: bool = False
-    message: SlotGrant | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class HeldSlots:
-    """Slots that were in use before this leader took over. ``hold_ms`` counts from now."""
-
-    grant_id: str
-    holder: str
-    endpoint: str
-    hold_ms: float
-
-
 class ServiceBroker:
     """Grants the slots of a service's endpoints to waiting requests.
 
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/wire/routing.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/wire/routing.py
@@ -28,6 +28,7 @@
     SPILL = "spill"
     CONNECT_FAILED = "connect_failed"
     GRANT_EXPIRED = "grant_expired"
+    ENDPOINT_LEAVING = "endpoint_leaving"
     BODY_TOO_LARGE = "body_too_large"
     KEY_UNAVAILABLE = "key_unavailable"
     KEY_IN_PROGRESS = "key_in_progress"
