Add settings loader, telemetry, ticket files and admin interfaces

Other components need them before they can be written.

- Settings are read from INI with line numbers; every fault names section, key, line and remedy.
- Logs go through eliot with fixed prefixes, limited repeats and no secrets.
Events are kept in a bounded ring and written to the log.
Their order_ms is a hybrid logical clock; a frame may carry the sender's time as an optional fifth item, which the peer bus passes to EventRing.observe.
- Tickets are parsed from YAML nodes with units and lines, and written back.
- admin/services.py states what the administration API calls.

--- a/packages/nutmeglb-formats/src/nutmeglb_formats/exceptions.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/exceptions.py
@@ -113,3 +113,23 @@
 
 class InstanceListError(NutmegError):
     """The platform's instance list cannot be read."""
+
+
+class Unauthenticated(NutmegError):
+    """The call carries no valid token."""
+
+
+class BadRequest(NutmegError):
+    """A call to the administration API is malformed."""
+
+
+class Unreachable(NutmegError):
+    """No entry instance answered."""
+
+
+class UsageError(NutmegError):
+    """A command line is invalid. Nothing was done."""
+
+
+class NotReady(NutmegError):
+    """The instance cannot answer yet, or no longer."""
--- /dev/null
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/events.py
@@ -0,0 +1,118 @@
+"""Events of the time line, as kept in memory, logged and shown to operators."""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+from pydantic import TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
+from nutmeglb_formats.exceptions import StoredValueError
+
+EVENT_VERSION = 1
+EVENT_MESSAGE_TYPE = "event"
+Scalar = str | int | float | bool | None
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One decision of an entry instance.
+
+    Attributes
+    ----------
+    sequence
+        Position in the events of this process, from 1.
+    monotonic_ms
+        Monotonic time of the instance in milliseconds.
+    wall_ms
+        Wall-clock time of the instance in milliseconds since the Unix epoch.
+    order_ms
+        ``wall_ms``, raised where needed so that it exceeds that of every event that precedes this
+        one on the same instance or on an instance whose message arrived before. Time lines are
+        sorted by it.
+    epoch
+        Highest leadership epoch of the failure domain that the instance knew.
+    cause
+        Why the decision was made, in one short phrase.
+    """
+
+    instance: str
+    sequence: int
+    monotonic_ms: float
+    wall_ms: float
+    order_ms: float
+    epoch: int
+    kind: str
+    cause: str
+    request: str | None = None
+    task: str | None = None
+    job: str | None = None
+    ticket: int | None = None
+    worker: str | None = None
+    endpoint: str | None = None
+    fields: Mapping[str, Scalar] = field(default_factory=dict)
+
+
+ID_FIELDS = ("request", "task", "job", "ticket", "worker", "endpoint")
+_ADAPTER = TypeAdapter(Event)
+_ORDERED_NAMES = tuple(item.name for item in fields(Event))
+_NAMES = frozenset(_ORDERED_NAMES)
+
+
+@dataclass(frozen=True, slots=True)
+class EventFilter:
+    """Selects events. Fields that are ``None`` match everything."""
+
+    request: str | None = None
+    task: str | None = None
+    job: str | None = None
+    ticket: int | None = None
+    worker: str | None = None
+    endpoint: str | None = None
+    kind: str | None = None
+
+    def matches(self, event: Event) -> bool:
+        """Return whether the event has every given id, and its kind starts with ``kind``."""
+        if self.kind is not None and not event.kind.startswith(self.kind):
+            return False
+        wanted = ((name, getattr(self, name)) for name in ID_FIELDS)
+        return all(value is None or getattr(event, name) == value for name, value in wanted)
+
+
+def event_to_items(event: Event) -> dict[str, Any]:
+    """Return the stored form: a JSON object without empty ids."""
+    items: dict[str, Any] = {"version": EVENT_VERSION}
+    for name in _ORDERED_NAMES:
+        value = getattr(event, name)
+        if value is not None:
+            items[name] = value
+    return items
+
+
+def event_from_items(items: object) -> Result[Event, StoredValueError]:
+    """Validate the stored form. Never raises on bad input."""
+    if not isinstance(items, dict):
+        return Err(_error("it is not an object"))
+    values = dict(items)
+    version = values.pop("version", None)
+    if type(version) is not int or version != EVENT_VERSION:
+        return Err(_error(f"version {str(version)[:20]} is not supported"))
+    unknown = [key for key in values if key not in _NAMES]
+    if unknown:
+        return Err(_error(f"field {str(unknown[0])[:40]} is unknown"))
+    try:
+        event = _ADAPTER.validate_python(values)
+    except ValidationError as error:
+        return Err(_error(f"{error.error_count()} invalid fields"))
+    if not all(map(math.isfinite, (event.monotonic_ms, event.wall_ms, event.order_ms))):
+        return Err(_error("a time is not finite"))
+    return Ok(event)
+
+
+def _error(cause: str) -> StoredValueError:
+    return StoredValueError(
+        "The event is malformed",
+        context={"cause": cause},
+        hint="Read it with the release that wrote it",
+    )
--- /dev/null
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/quantities.py
@@ -0,0 +1,76 @@
+"""Quantities with units, as operators write them in tickets and on the command line."""
+
+import re
+from decimal import Decimal
+
+from result import Err, Ok, Result
+
+_QUANTITY = re.compile(r"^(?P<number>[0-9]+(?:\.[0-9]+)?)\s*(?P<unit>[A-Za-z]*)$")
+_NUMBER_LIMIT_CHARACTERS = 20
+CPU_UNITS = {"cores": 1_000, "core": 1_000, "m": 1}
+MEMORY_UNITS = {
+    "TiB": 1024**4,
+    "GiB": 1024**3,
+    "MiB": 1024**2,
+    "KiB": 1024,
+    "TB": 1000**4,
+    "GB": 1000**3,
+    "MB": 1000**2,
+    "kB": 1000,
+    "B": 1,
+}
+TIME_UNITS = {"h": 3_600_000, "min": 60_000, "s": 1_000, "ms": 1}
+_WRITTEN_MEMORY_UNITS = ("TiB", "GiB", "MiB", "KiB")
+
+
+def parse_cpu(text: str) -> Result[int, str]:
+    """Return thousandths of a core, or the remedy."""
+    return _parse(text, CPU_UNITS, "2 cores or 500m")
+
+
+def parse_memory(text: str) -> Result[int, str]:
+    """Return bytes, or the remedy."""
+    return _parse(text, MEMORY_UNITS, "4 GiB or 512 MiB")
+
+
+def parse_duration(text: str) -> Result[int, str]:
+    """Return milliseconds, or the remedy."""
+    return _parse(text, TIME_UNITS, "10 s, 250 ms, 5 min or 2 h")
+
+
+def format_cpu(millis: int) -> str:
+    """Write thousandths of a core with a unit."""
+    if millis % CPU_UNITS["cores"]:
+        return f"{millis}m"
+    cores = millis // CPU_UNITS["cores"]
+    return f"{cores} core" if cores == 1 else f"{cores} cores"
+
+
+def format_memory(size_bytes: int) -> str:
+    """Write bytes exactly, with the largest binary unit that divides them."""
+    for unit in _WRITTEN_MEMORY_UNITS:
+        if size_bytes and size_bytes % MEMORY_UNITS[unit] == 0:
+            return f"{size_bytes // MEMORY_UNITS[unit]} {unit}"
+    return f"{size_bytes} B"
+
+
+def format_duration(duration_ms: float) -> str:
+    """Write milliseconds exactly, with the largest unit that divides them."""
+    for unit, factor in TIME_UNITS.items():
+        if duration_ms and duration_ms % factor == 0:
+            return f"{int(duration_ms // factor)} {unit}"
+    return f"{duration_ms:g} ms"
+
+
+def _parse(text: str, units: dict[str, int], example: str) -> Result[int, str]:
+    found = _QUANTITY.match(text.strip())
+    if found is None or len(found["number"]) > _NUMBER_LIMIT_CHARACTERS:
+        return Err(f"Write a number with a unit, such as {example}")
+    factor = units.get(found["unit"])
+    if factor is None:
+        given = f"the unit {found['unit']!r} is unknown" if found["unit"] else "the unit is missing"
+        return Err(f"Write a unit ({', '.join(units)}), such as {example}; {given}")
+    amount = Decimal(found["number"]) * factor
+    if amount != int(amount):
+        return Err(f"Write a whole number of the smallest unit, such as {example}")
+    return Ok(int(amount))
--- /dev/null
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/timeline.py
@@ -0,0 +1,79 @@
+"""Merges the events of several instances, from logs and live queries, into one time line.
+
+Every event carries ``order_ms``, a hybrid logical clock: the instance's wall-clock time, raised to
+exceed the time of every earlier event of the same instance and the time stamped on every peer
+message received so far. An event caused by a message therefore sorts after the events that precede
+the sending, however far the two wall clocks differ. Between events that are not causally related
+the order is that of the wall clocks.
+"""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from result import Err
+
+from nutmeglb_formats.models.events import (
+    EVENT_MESSAGE_TYPE,
+    Event,
+    EventFilter,
+    event_from_items,
+)
+
+LINE_LIMIT_CHARACTERS = 100_000
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvents:
+    """Events found in a log, and the number of event lines that could not be read."""
+
+    events: tuple[Event, ...]
+    damaged: int
+
+
+def merge(streams: Iterable[Iterable[Event]], wanted: EventFilter | None = None) -> list[Event]:
+    """Return the distinct events of all streams in causal order.
+
+    An event that is both in a log and in a live answer appears once.
+    """
+    distinct: dict[tuple[str, int, float], Event] = {}
+    for stream in streams:
+        for event in stream:
+            if wanted is None or wanted.matches(event):
+                distinct[(event.instance, event.sequence, event.monotonic_ms)] = event
+    return sorted(distinct.values(), key=_order)
+
+
+def read_log(lines: Iterable[str]) -> LogEvents:
+    """Return the events among log lines. Truncated and foreign lines are skipped."""
+    events = []
+    damaged = 0
+    for line in lines:
+        if EVENT_MESSAGE_TYPE not in line:
+            continue
+        items = _event_items(line)
+        if items is None:
+            continue
+        decoded = event_from_items(items)
+        if isinstance(decoded, Err):
+            damaged += 1
+        else:
+            events.append(decoded.ok_value)
+    return LogEvents(tuple(events), damaged)
+
+
+def _event_items(line: str) -> object | None:
+    if len(line) > LINE_LIMIT_CHARACTERS:
+        return "oversized"
+    try:
+        message = json.loads(line)
+    except (ValueError, RecursionError):
+        return "truncated"
+    if isinstance(message, dict) and message.get("message_type") == EVENT_MESSAGE_TYPE:
+        event: object = message.get("event", "absent")
+        return event
+    return None
+
+
+def _order(event: Event) -> tuple[float, str, int]:
+    return event.order_ms, event.instance, event.sequence
--- a/packages/nutmeglb/src/nutmeglb/_internal/settings/models.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/settings/models.py
@@ -1,12 +1,51 @@
 """Validated settings of an entry instance. One model per INI section."""
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
+import ipaddress
+from typing import Annotated
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
+from pydantic_core import PydanticCustomError
+
+TOKEN_MIN_CHARACTERS = 8
+TEAM_PREFIX = "team."
+OPERATOR_KEY = "operator"
+MAX_PORT = 65_535
+
+
+def settings_fault(
+    message: str, remedy: str, *, section: str = "", key: str = ""
+) -> PydanticCustomError:
+    """Return a fault whose message and remedy the loader shows as they are."""
+    context = {"remedy": remedy, "section": section, "key": key}
+    return PydanticCustomError("settings_fault", "{message}", {"message": message, **context})
+
+
+def _check_address(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        remedy = "Write an IP address and a port, such as 127.0.0.1:7000 or [::1]:7000"
+        raise settings_fault("The address has no IP address", remedy) from None
+    if not (port.isascii() and port.isdigit() and int(port) <= MAX_PORT):
+        raise settings_fault("The address has no valid port", f"Use a port of 0 to {MAX_PORT}")
+    return value
+
+
+def _check_url(value: str) -> str:
+    if not value.startswith(("http://", "https://")):
+        raise settings_fault("The value is not a URL", "Write http://ip:port/path")
+    return value
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+HttpUrl = Annotated[str, AfterValidator(_check_url)]
 
 
 class Section(BaseModel):
     """Base of all sections: unknown keys are errors."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
 
 class InstanceSection(Section):
@@ -20,16 +59,16 @@
 class ListenSection(Section):
     """Addresses as ``ip:port``. Port 0 picks a free port."""
 
-    caller: str = Field("127.0.0.1:0", description="Listener for callers' requests.")
-    admin: str = Field("127.0.0.1:0", description="Listener of the administration API.")
-    peer: str = Field("127.0.0.1:0", description="Listener for other entry instances.")
+    caller: Address = Field("127.0.0.1:0", description="Listener for callers' requests.")
+    admin: Address = Field("127.0.0.1:0", description="Listener of the administration API.")
+    peer: Address = Field("127.0.0.1:0", description="Listener for other entry instances.")
     ports_file: str = Field("", description="File that receives the bound addresses as JSON.")
 
 
 class StoreSection(Section):
     """The platform's key-value store."""
 
-    address: str = Field(description="``ip:port`` of the store's HTTP gateway.")
+    address: Address = Field(description="``ip:port`` of the store's HTTP gateway.")
     call_timeout_ms: float = Field(2_000, ge=50, le=30_000, description="Timeout of one call.")
     calls_per_s: float = Field(60, ge=1, le=2_000, description="Calls of this instance per second.")
     backoff_max_ms: float = Field(5_000, ge=100, le=60_000, description="Longest retry delay.")
@@ -38,7 +77,7 @@
 class PlatformSection(Section):
     """The platform's instance list."""
 
-    list_url: str = Field(description="URL of the instance list.")
+    list_url: HttpUrl = Field(description="URL of the instance list.")
     poll_ms: float = Field(500, ge=50, le=1_000, description="Interval between reads.")
 
 
@@ -102,7 +141,28 @@
 
     model_config = ConfigDict(extra="allow", frozen=True)
 
-    operator: str = Field(min_length=8, description="Token of the operators.")
+    operator: str = Field(min_length=TOKEN_MIN_CHARACTERS, description="Token of the operators.")
+
+    @model_validator(mode="after")
+    def _extra_keys_are_team_tokens(self) -> "TokensSection":
+        holders = {self.operator: OPERATOR_KEY}
+        for key, token in (self.model_extra or {}).items():
+            if not key.startswith(TEAM_PREFIX) or key == TEAM_PREFIX:
+                remedy = "Use 'operator' or 'team.<name>'"
+                raise settings_fault("The key is unknown", remedy, section="tokens", key=key)
+            if not isinstance(token, str) or len(token) < TOKEN_MIN_CHARACTERS:
+                remedy = f"Use a token of at least {TOKEN_MIN_CHARACTERS} characters"
+                raise settings_fault("The token is too short", remedy, section="tokens", key=key)
+            if token in holders:
+                remedy = f"Give {key!r} and {holders[token]!r} different tokens"
+                raise settings_fault("Two tokens are equal", remedy, section="tokens", key=key)
+            holders[token] = key
+        return self
+
+    def teams(self) -> dict[str, str]:
+        """Return the token of each team by team name."""
+        extra = self.model_extra or {}
+        return {key.removeprefix(TEAM_PREFIX): str(token) for key, token in extra.items()}
 
 
 class Settings(Section):
@@ -123,13 +183,40 @@
 
     @model_validator(mode="after")
     def _leases_outlast_heartbeats(self) -> "Settings":
+        lease = self.leadership
         checks = (
-            ("leadership.lease_s", self.leadership.lease_s * 1_000, self.leadership.renew_ms),
-            ("leadership.promise_ms", self.leadership.promise_ms, self.peer.heartbeat_ms),
-            ("peer.suspect_ms", self.peer.suspect_ms, self.peer.heartbeat_ms),
-            ("tasks.task_lease_ms", self.tasks.task_lease_ms, self.tasks.sync_wait_ms),
+            ("leadership.lease_s", lease.lease_s * 1_000, "leadership.renew_ms", lease.renew_ms),
+            ("leadership.lease_s", lease.lease_s * 1_000, "leadership.margin_ms", lease.margin_ms),
+            (
+                "leadership.promise_ms",
+                lease.promise_ms,
+                "peer.heartbeat_ms",
+                self.peer.heartbeat_ms,
+            ),
+            ("peer.suspect_ms", self.peer.suspect_ms, "peer.heartbeat_ms", self.peer.heartbeat_ms),
+            (
+                "tasks.task_lease_ms",
+                self.tasks.task_lease_ms,
+                "tasks.sync_wait_ms",
+                self.tasks.sync_wait_ms,
+            ),
         )
-        for name, lease_ms, heartbeat_ms in checks:
-            if lease_ms < 2 * heartbeat_ms:
-                raise ValueError(f"{name} must be at least twice its heartbeat interval")
+        for long_name, long_ms, short_name, short_ms in checks:
+            if long_ms < 2 * short_ms:
+                section, key = long_name.split(".")
+                message = f"{long_name} must be at least twice {short_name}"
+                remedy = f"Raise {long_name} to at least {2 * short_ms:g} ms, or lower {short_name}"
+                raise settings_fault(message, remedy, section=section, key=key)
+        return self
+
+    @model_validator(mode="after")
+    def _listeners_differ(self) -> "Settings":
+        names: dict[str, str] = {}
+        for name in ("caller", "admin", "peer"):
+            address = getattr(self.listen, name)
+            if address in names and not address.endswith(":0"):
+                message = f"listen.{name} equals listen.{names[address]}"
+                remedy = "Use a separate port for each listener"
+                raise settings_fault(message, remedy, section="listen", key=name)
+            names[address] = name
         return self
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/telemetry/events.py
@@ -0,0 +1,120 @@
+"""Time line of this instance: a bounded ring of events, also written to the log."""
+
+from collections import deque
+from collections.abc import Callable
+
+from nutmeglb._internal.telemetry.logs import Level, LogOutput, current_output
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.models.events import (
+    EVENT_MESSAGE_TYPE,
+    Event,
+    EventFilter,
+    Scalar,
+    event_to_items,
+)
+
+# Smallest step between two events of one instance. Wall-clock times in milliseconds have a
+# resolution of about 0.0002 ms as a float.
+STEP_MS = 0.001
+# A peer whose clock is further ahead is not followed, so that one bad clock cannot move the time
+# line of the whole cell.
+MAX_AHEAD_MS = 60_000.0
+
+
+class EventRing:
+    """Implements ``EventLog`` and ``EventQuery``.
+
+    Parameters
+    ----------
+    epoch
+        Returns the highest leadership epoch known.
+    capacity
+        Number of events kept. The oldest are dropped first.
+    output
+        Log that receives every event. ``None`` uses the process's log.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        clock: Clock,
+        capacity: int,
+        epoch: Callable[[], int] = lambda: 0,
+        output: LogOutput | None = None,
+    ) -> None:
+        self._instance_id = instance_id
+        self._clock = clock
+        self._epoch = epoch
+        self._output = output
+        self._events: deque[Event] = deque(maxlen=capacity)
+        self._sequence = 0
+        self._order_ms = 0.0
+
+    def set_epoch_source(self, epoch: Callable[[], int]) -> None:
+        """Set the source of the epoch after leadership has been created."""
+        self._epoch = epoch
+
+    def stamp_ms(self) -> float:
+        """Return the time to put on an outgoing peer frame, in milliseconds."""
+        return max(self._order_ms, self._clock.wall_ms())
+
+    def observe(self, sent_ms: float) -> None:
+        """Note the time on an incoming peer frame. Later events sort after it."""
+        if self._order_ms < sent_ms <= self._clock.wall_ms() + MAX_AHEAD_MS:
+            self._order_ms = sent_ms
+
+    def emit(
+        self,
+        kind: str,
+        cause: str,
+        *,
+        request: str | None = None,
+        task: str | None = None,
+        job: str | None = None,
+        ticket: int | None = None,
+        worker: str | None = None,
+        endpoint: str | None = None,
+        **fields: object,
+    ) -> None:
+        """Record one decision."""
+        output = self._output or current_output()
+        wall_ms = self._clock.wall_ms()
+        self._sequence += 1
+        self._order_ms = max(wall_ms, self._order_ms + STEP_MS)
+        event = Event(
+            self._instance_id,
+            self._sequence,
+            self._clock.now_ms(),
+            wall_ms,
+            self._order_ms,
+            self._epoch(),
+            kind,
+            cause,
+            request,
+            task,
+            job,
+            ticket,
+            worker,
+            endpoint,
+            {name: _scalar(output.clean(name, value)) for name, value in fields.items()},
+        )
+        self._events.append(event)
+        if output.enabled(Level.INFO):
+            output.write_raw({"event": event_to_items(event)}, EVENT_MESSAGE_TYPE)
+
+    def query(self, wanted: EventFilter, limit: int) -> list[Event]:
+        """Return the latest matching events, oldest first."""
+        found: list[Event] = []
+        for event in reversed(self._events):
+            if len(found) >= limit:
+                break
+            if wanted.matches(event):
+                found.append(event)
+        found.reverse()
+        return found
+
+
+def _scalar(value: object) -> Scalar:
+    if value is None or isinstance(value, str | int | float | bool):
+        return value
+    return str(value)
--- a/tests/unit/test_registry.py
+++ b/tests/unit/test_registry.py
@@ -23,6 +23,11 @@
     assert registry.decode(data).unwrap() == registry.Envelope("i1", 7, Sample("a", 3, ("x",)))
 
 
+def test_time_of_sending_is_carried() -> None:
+    data = registry.encode(Sample("a", 3), sender="i1", epoch=7, sent_ms=12.5)
+    assert registry.decode(data).unwrap().sent_ms == 12.5
+
+
 @pytest.mark.parametrize(
     ("frame", "text"),
     [
@@ -35,6 +40,9 @@
         (cbor2.dumps([1, "i1", 7, [9000, 1, ["a", 3, []]]]), "version 1"),
         (cbor2.dumps([1, "i1", 7, [9000, 2, ["a", 3]]]), "number of fields"),
         (cbor2.dumps([1, "i1", 7, [9000, 2, ["a", "many", []]]]), "1 invalid fields"),
+        (cbor2.dumps([1, "i1", 7, [9000, 2, ["a", 3, []]], "late"]), "header is malformed"),
+        (cbor2.dumps([1, "i1", 7, [9000, 2, ["a", 3, []]], float("nan")]), "header is malformed"),
+        (cbor2.dumps([1, "i1", 7, [9000, 2, ["a", 3, []]], 1.0, 2]), "optional time"),
         (b"\x00" * (registry.FRAME_LIMIT_BYTES + 1), "too large"),
     ],
 )
--- /dev/null
+++ b/tests/unit/test_settings.py
@@ -0,0 +1,74 @@
+"""Settings: guards against a fault that starts an instance, or that names no place and remedy."""
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from nutmeglb._internal.settings.loader import load_text
+from tests.lib.samples import SETTINGS
+
+
+def test_valid_settings_have_defaults_and_team_tokens() -> None:
+    loaded = load_text(SETTINGS).unwrap()
+    assert loaded.platform.poll_ms == 500
+    assert loaded.tokens.teams() == {"counters": "counters-token-1", "labs": "labs-token-1"}
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "section", "key", "line", "text"),
+    [
+        ("[platform]", "[platform]\npoll_mss = 5", "platform", "poll_mss", 7, "poll_ms"),
+        ("[platform]", "[platform]\npoll_ms = 5", "platform", "poll_ms", 7, "50"),
+        ("[platform]", "[platform]\npoll_ms = 1 s", "platform", "poll_ms", 7, "milliseconds"),
+        ("[platform]", "[platform]\npoll_ms = nan", "platform", "poll_ms", 7, "finite"),
+        ("[platform]", "[platform]\nlist_url = http://a\n[x]", "x", None, 8, "known section"),
+        ("address = 127.0.0.1:2379", "", "store", "address", 4, "Add 'address"),
+        ("127.0.0.1:2379", "store:2379", "store", "address", 5, "IP address"),
+        ("127.0.0.1:2379", "127.0.0.1:99999", "store", "address", 5, "port"),
+        ("id = e1", "id = e1\nid = e2", "instance", "id", 3, "twice"),
+        ("[peer]", "[store]", "store", None, 8, "twice"),
+        ("[peer]", "[leadership]\nlease_s = 1\n[peer]", "leadership", "lease_s", 9, "twice"),
+        ("team.labs = labs-token-1", "labs = labs-token-1", "tokens", "labs", 13, "team.<name>"),
+        ("labs-token-1", "counters-token-1", "tokens", "team.labs", 13, "different"),
+        ("labs-token-1", "short", "tokens", "team.labs", 13, "8 characters"),
+        ("id = e1", "id", None, None, 2, "key = value"),
+        ("[instance]", "", None, None, 2, "section"),
+        ("id = e1", "id = e1\n  more", "instance", "id", 2, "one line"),
+        (
+            "[store]",
+            "[listen]\nadmin = 127.0.0.1:7\npeer = 127.0.0.1:7\n[store]",
+            "listen",
+            "peer",
+            6,
+            "separate port",
+        ),
+    ],
+)
+def test_fault_names_place_and_remedy(
+    old: str, new: str, section: str | None, key: str | None, line: int, text: str
+) -> None:
+    errors = load_text(SETTINGS.replace(old, new, 1)).unwrap_err()
+    found = errors[0]
+    assert found.context.get("section") == section
+    assert found.context.get("key") == key
+    assert found.context.get("line") == line
+    assert text in str(found)
+
+
+def test_fault_does_not_show_a_secret() -> None:
+    broken = SETTINGS.replace("counters-token-1", "pw-1234").replace("peer-secret-1", "pw-5")
+    errors = load_text(broken).unwrap_err()
+    assert errors
+    assert not any("pw-" in str(error) for error in errors)
+
+
+LINES = st.sampled_from(
+    [*SETTINGS.splitlines(), "poll_ms = 1e999", "[", "=", " x", "a=\x00", "é=1"]
+)
+
+
+@seed(2)
+@settings(max_examples=200, database=None, deadline=None)
+@given(st.lists(LINES | st.text(max_size=40), max_size=20))
+def test_garbage_never_raises(lines: list[str]) -> None:
+    load_text("\n".join(lines))
--- /dev/null
+++ b/tests/unit/test_telemetry.py
@@ -0,0 +1,160 @@
+"""Telemetry: guards against lost causal order, secrets in logs and unbounded labels."""
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from nutmeglb._internal.telemetry import logs
+from nutmeglb._internal.telemetry.events import MAX_AHEAD_MS, EventRing
+from nutmeglb._internal.telemetry.metrics import MAX_LABEL_SETS, MetricsRegistry
+from nutmeglb_formats.clock import ManualClock
+from nutmeglb_formats.models.events import EventFilter, event_from_items, event_to_items
+from nutmeglb_formats.timeline import merge, read_log
+
+
+class RecordingOutput(logs.LogOutput):
+    """Keeps lines instead of writing them."""
+
+    def __init__(self, clock: ManualClock, **options: Any) -> None:
+        super().__init__(clock, **options)
+        self.lines: list[dict[str, Any]] = []
+
+    def write_raw(self, line: dict[str, Any], message_type: str) -> None:
+        self.lines.append({"message_type": message_type, **line})
+
+
+def ring(name: str, clock: ManualClock, capacity: int = 100) -> EventRing:
+    return EventRing(name, clock, capacity, lambda: 7, RecordingOutput(clock))
+
+
+def test_event_after_a_message_follows_the_sending_despite_a_slow_clock() -> None:
+    fast, slow = ManualClock(20_000), ManualClock(1_000)
+    sender, receiver = ring("z", fast), ring("a", slow)
+    sender.emit("slot.granted", "free slot", request="r")
+    receiver.observe(sender.stamp_ms())
+    receiver.emit("request.sent", "granted", request="r")
+    sender.observe(receiver.stamp_ms())
+    sender.emit("slot.freed", "released", request="r")
+    order = merge([receiver.query(EventFilter(), 10), sender.query(EventFilter(), 10)])
+    assert [event.kind for event in order] == ["slot.granted", "request.sent", "slot.freed"]
+
+
+def test_unrelated_events_are_in_order_of_wall_time() -> None:
+    first, second = ManualClock(5), ManualClock(4)
+    a, b = ring("a", first), ring("b", second)
+    a.emit("x", "later")
+    b.emit("y", "earlier")
+    assert [e.kind for e in merge([a.query(EventFilter(), 9), b.query(EventFilter(), 9)])] == [
+        "y",
+        "x",
+    ]
+
+
+def test_a_clock_far_ahead_is_not_followed() -> None:
+    clock = ManualClock(1_000)
+    events = ring("a", clock)
+    events.observe(1_000 + MAX_AHEAD_MS + 1)
+    events.emit("x", "y")
+    assert events.query(EventFilter(), 1)[0].order_ms == 1_000
+
+
+def test_ring_is_bounded_and_filtered() -> None:
+    events = ring("a", ManualClock(), capacity=3)
+    for number in range(5):
+        events.emit("k", "c", job=f"j{number}", ticket=number)
+    assert [event.sequence for event in events.query(EventFilter(), 9)] == [3, 4, 5]
+    assert [event.sequence for event in events.query(EventFilter(), 2)] == [4, 5]
+    assert [event.ticket for event in events.query(EventFilter(job="j4"), 9)] == [4]
+
+
+def test_log_and_live_events_are_merged_once_and_damage_is_counted() -> None:
+    clock = ManualClock(1)
+    events = ring("a", clock)
+    events.emit("k", "c", wait_ms=1.5)
+    live = events.query(EventFilter(), 9)
+    line = json.dumps({"message_type": "event", "event": event_to_items(live[0])})
+    other = json.dumps({"message_type": "routing", "text": "event"})
+    found = read_log([line, line[:-20], other, line.replace('"version": 1', '"version": 2'), ""])
+    assert found.damaged == 2
+    assert merge([found.events, live]) == live
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=8,
+)
+
+
+@seed(5)
+@settings(max_examples=200, database=None, deadline=None)
+@given(st.data())
+def test_damaged_events_never_raise(data: st.DataObject) -> None:
+    events = ring("a", ManualClock(1))
+    events.emit("k", "c", request="r")
+    items = event_to_items(events.query(EventFilter(), 1)[0])
+    key = data.draw(st.sampled_from([*items, "extra"]))
+    items[key] = data.draw(JSON)
+    event_from_items(items)
+    event_from_items(data.draw(JSON))
+
+
+def test_repeats_are_limited_and_counted() -> None:
+    clock = ManualClock()
+    output = RecordingOutput(clock)
+    for _ in range(logs.REPEAT_BURST + 3):
+        output.write("store", logs.Level.WARNING, "Call failed", {})
+    assert len(output.lines) == logs.REPEAT_BURST
+    clock.advance(logs.REPEAT_WINDOW_MS)
+    output.write("store", logs.Level.WARNING, "Call failed", {})
+    assert output.lines[-1]["suppressed"] == 3
+    assert output.lines[-1]["text"] == "store: Call failed"
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"api_token": "open-sesame"},
+        {"note": "sent open-sesame to the store"},
+        {"headers": {"Authorization": "Bearer x", "list": ["open-sesame"]}},
+        {"error": ValueError("open-sesame")},
+    ],
+)
+def test_secrets_are_not_logged(fields: dict[str, object]) -> None:
+    clock = ManualClock()
+    output = RecordingOutput(clock, secrets=["open-sesame"])
+    output.write("admin", logs.Level.INFO, "Refused open-sesame", fields)
+    EventRing("a", clock, 9, output=output).emit("k", "c", **fields)
+    written = json.dumps(output.lines)
+    assert "sesame" not in written
+    assert "Bearer" not in written
+
+
+def test_lines_below_the_level_are_not_written() -> None:
+    output = RecordingOutput(ManualClock(), level=logs.Level.WARNING)
+    output.write("admin", logs.Level.INFO, "Started", {})
+    EventRing("a", ManualClock(), 9, output=output).emit("k", "c")
+    assert output.lines == []
+
+
+def test_label_values_are_bounded() -> None:
+    registry = MetricsRegistry()
+    counter = registry.counter("nutmeglb_test_total", "Test.")
+    for number in range(MAX_LABEL_SETS + 50):
+        registry.counter("nutmeglb_test_total", "Test.").inc(caller=str(number))
+    text = registry.render()[0].decode()
+    assert text.count("nutmeglb_test_total{") == MAX_LABEL_SETS + 1
+    assert 'nutmeglb_test_total{caller="other"} 50' in text
+    assert counter.value(caller="1") == 1
+    with pytest.raises(TypeError):
+        registry.gauge("nutmeglb_test_total", "Test.")
+
+
+def test_histogram_is_rendered() -> None:
+    registry = MetricsRegistry()
+    registry.histogram("nutmeglb_wait_seconds", "Wait.").observe(0.02, service="s")
+    text = registry.render()[0].decode()
+    assert 'nutmeglb_wait_seconds_bucket{le="0.025",service="s"} 1' in text
--- /dev/null
+++ b/tests/unit/test_ticket_file.py
@@ -0,0 +1,130 @@
+"""Ticket files: guards against a fault without a place, and against a value read differently."""
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from nutmeglb_formats.models.config import (
+    JobDefinition,
+    JobKind,
+    PlacementPolicy,
+    Policy,
+    Service,
+    Team,
+)
+from nutmeglb_formats.models.resources import Resources
+from nutmeglb_formats.models.ticket import Ticket
+from nutmeglb_formats.ticket_file import parse_ticket
+from nutmeglb_formats.ticket_text import diff_tickets, write_ticket
+from tests.lib.samples import TICKET
+
+
+def test_sizes_and_identifiers() -> None:
+    ticket = parse_ticket(TICKET.replace("raise-quota", "1e3")).unwrap()
+    assert ticket.ticket_id == "1e3"
+    assert ticket.services[0].max_run_ms == 10_000
+    assert ticket.jobs[0].resources == Resources(500, 2 * 1024**3)
+    assert ticket.teams[0].quota.cpu_millis == 200_000
+    assert ticket.policies[0].placement == {JobKind.BATCH: PlacementPolicy.SPREAD}
+    assert ticket.removed == ("jobs/old-job",)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "line", "path", "text"),
+    [
+        ("base: 3", "base: three", 3, "base", "whole number"),
+        ("base: 3\n", "", 1, None, "'base' is missing"),
+        ("format: 1", "format: 2", 1, "format", "format: 1"),
+        ("author: mira", "author: ''", 4, "author", "empty"),
+        ("author: mira", "autor: mira", 4, "autor", "Write 'author'"),
+        ("slots: 8", "slots: 0", 8, "set.services.shade-engine.slots", "from 1"),
+        ("10 s", "10", 8, "set.services.shade-engine.max_run", "unit is missing"),
+        ("10 s", "10 GiB", 8, "set.services.shade-engine.max_run", "'GiB' is unknown"),
+        ("500m", "0.5m", 15, "set.jobs.recalibration.resources.cpu", "whole number"),
+        ("2 GiB", "2 cores", 15, "set.jobs.recalibration.resources.memory", "GiB"),
+        ("kind: batch", "kind: service", 13, "set.jobs.recalibration.kind", "batch, gang"),
+        ("      tasks: 12\n", "", 10, "set.jobs.recalibration", "'tasks' is missing"),
+        ("b: 0.5", "b: 0.6", 21, "set.policies.default.domain_weights", "at most 1"),
+        ("b: 0.5", "a: 0.5", 21, "set.policies.default.domain_weights.a", "twice"),
+        ("batch: spread", "batch: near", 20, "set.policies.default.placement.batch", "pack"),
+        ("[old-job]", "[recalibration]", 1, None, "both set and removed"),
+        ("[old-job]", "[old-job, old-job]", 23, "remove.jobs[1]", "removed twice"),
+        ("[old-job]", "old-job", 23, "remove.jobs", "list"),
+        ("    recalibration:", "    're/cal':", 10, "set.jobs.re/cal", "name is not valid"),
+        ("mira", "&a mira\nextra: *a", 4, None, "aliases"),
+        ("mira", "!x mira", 4, None, "Tags"),
+        ("mira", "[", 6, None, "not valid YAML"),
+        ("mira", "~", 4, "author", "single value"),
+    ],
+)
+def test_fault_names_line_path_and_remedy(
+    old: str, new: str, line: int, path: str | None, text: str
+) -> None:
+    errors = parse_ticket(TICKET.replace(old, new, 1)).unwrap_err()
+    assert any(
+        text in str(error)
+        and error.context["line"] == line
+        and error.context.get("path") == path
+        and error.hint
+        for error in errors
+    ), [str(error) for error in errors]
+
+
+@pytest.mark.parametrize(
+    "text", ["", "[" * 100_000, "- " * 5_000, "\x00", "x" * 1_000_001, "a", "{}", "format: 1"]
+)
+def test_hostile_text_is_a_fault(text: str) -> None:
+    assert parse_ticket(text).unwrap_err()
+
+
+@seed(3)
+@settings(max_examples=200, database=None, deadline=None)
+@given(st.integers(0, len(TICKET)), st.text(max_size=10), st.integers(0, 20))
+def test_damaged_ticket_never_raises(position: int, inserted: str, removed: int) -> None:
+    parse_ticket(TICKET[:position] + inserted + TICKET[position + removed :])
+
+
+NAMES = st.from_regex(r"[a-zA-Z0-9][a-zA-Z0-9._-]{0,20}", fullmatch=True)
+RESOURCES = st.builds(
+    Resources, st.integers(0, 10**8), st.integers(0, 1024**5), st.integers(0, 100)
+)
+TICKETS = st.builds(
+    Ticket,
+    NAMES,
+    st.integers(0, 10**9),
+    st.text("abc é:#'\"", min_size=1).filter(str.strip),
+    st.text("abc\n-~{", min_size=1).filter(str.strip),
+    services=st.lists(
+        st.builds(
+            Service, NAMES, NAMES, slots=st.integers(1, 99), idempotent=st.booleans(),
+            max_run_ms=st.integers(1, 10**8).map(float), resources=RESOURCES,
+        ),
+        max_size=2,
+        unique_by=lambda item: item.name,
+    ).map(tuple),
+    jobs=st.lists(
+        st.builds(
+            JobDefinition, NAMES, NAMES, NAMES, st.sampled_from([JobKind.BATCH, JobKind.GANG]),
+            st.integers(1, 10**6), RESOURCES, command=st.text("a b\n:'", max_size=20),
+        ),
+        max_size=2,
+        unique_by=lambda item: item.name,
+    ).map(tuple),
+    teams=st.lists(st.builds(Team, NAMES, RESOURCES), min_size=1, max_size=1).map(tuple),
+    policies=st.just((Policy("default", {JobKind.GANG: PlacementPolicy.PACK}, {"a": 0.25}),)),
+)  # fmt: skip
+
+
+@seed(4)
+@settings(max_examples=100, database=None, deadline=None)
+@given(TICKETS)
+def test_written_ticket_reads_back_equal(ticket: Ticket) -> None:
+    assert parse_ticket(write_ticket(ticket)).unwrap() == ticket
+
+
+def test_diff_shows_changed_lines_only() -> None:
+    old = parse_ticket(TICKET).unwrap()
+    new = parse_ticket(TICKET.replace("slots: 8", "slots: 9")).unwrap()
+    changed = [line for line in diff_tickets(old, new, "1", "2").splitlines() if line[:1] in "+-"]
+    assert [line.strip() for line in changed[2:]] == ["-      slots: 8", "+      slots: 9"]
+    assert diff_tickets(old, old, "1", "1") == ""
