--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,4 @@
 	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/mypy $(foreach package,$(PACKAGES),-p $(subst -,_,$(package)))
 	$(BIN)/python -m scripts.check_imports
+	$(BIN)/python -m scripts.check_settings_docs
--- /dev/null
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/command_line.py
@@ -0,0 +1,204 @@
+"""Command lines through fire, with its hazards removed.
+
+fire calls a function before it looks at the remaining arguments, so a mistyped flag is reported
+after the command has acted. It also evaluates arguments as Python values, which turns the
+identifier ``1e3`` into a number. Here fire only binds arguments: values stay text, and the function
+runs after every argument has been accepted and converted to its annotated type.
+"""
+
+import contextlib
+import functools
+import inspect
+import io
+import re
+import types
+import typing
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import Any
+
+import fire
+from fire import decorators
+from result import Err, Ok, Result
+
+from nutmeglb_formats.exceptions import UsageError
+
+HELP_FLAGS = ("--help", "-h")
+_SHORT_FLAG = re.compile(r"^-[a-zA-Z]")
+_FLAG = re.compile(r"^--(?P<name>[a-zA-Z][a-zA-Z0-9_-]*)(?P<value>=.*)?$", re.DOTALL)
+_TRUE, _FALSE = "True", "False"
+
+Function = Callable[..., Any]
+Component = Function | Mapping[str, "Component"]
+
+
+class Deferred:
+    """A function and its arguments as text. fire finds nothing to call or to index in it."""
+
+    __slots__ = ("_arguments", "_function")
+
+    def __init__(self, function: Function, arguments: Mapping[str, Any]) -> None:
+        self._function = function
+        self._arguments = arguments
+
+
+def resolve(
+    component: Component, arguments: Sequence[str], program: str
+) -> Result[Callable[[], Any], UsageError]:
+    """Return the call that the arguments ask for, without making it.
+
+    Parameters
+    ----------
+    component
+        A function, or functions by command word. Parameters are annotated with ``str``, ``int``,
+        ``float`` or ``bool``, or one of them or ``None``.
+    """
+    function, words = _find(component, arguments)
+    known = _parameters(function) if function else {}
+    checked = _check(arguments[words:], known, program)
+    if isinstance(checked, Err):
+        return checked
+    bound = _bind(component, [*arguments[:words], *checked.ok_value], program)
+    if isinstance(bound, Err):
+        return bound
+    deferred = bound.ok_value
+    values = {}
+    for name, text in deferred._arguments.items():
+        converted = _convert(name, text, known[name])
+        if isinstance(converted, Err):
+            return converted
+        values[name] = converted.ok_value
+    return Ok(functools.partial(deferred._function, **values))
+
+
+def wants_help(arguments: Sequence[str]) -> bool:
+    """Return whether help is asked for."""
+    return any(flag in arguments for flag in HELP_FLAGS)
+
+
+def _find(component: Component, arguments: Sequence[str]) -> tuple[Function | None, int]:
+    """Return the function that the leading words name, and the number of these words."""
+    words = 0
+    for argument in arguments:
+        if not isinstance(component, Mapping) or argument not in component:
+            break
+        component = component[argument]
+        words += 1
+    return (None if isinstance(component, Mapping) else component), words
+
+
+def _parameters(function: Function) -> dict[str, type[Any]]:
+    hints = typing.get_type_hints(function)
+    return {name: _plain_type(hints[name]) for name in inspect.signature(function).parameters}
+
+
+def _plain_type(hint: Any) -> type[Any]:
+    if isinstance(hint, types.UnionType):
+        hint = next(item for item in typing.get_args(hint) if item is not types.NoneType)
+    return typing.cast(type[Any], hint)
+
+
+def _check(
+    arguments: Sequence[str], known: Mapping[str, type[Any]], program: str
+) -> Result[list[str], UsageError]:
+    """Refuse what fire would read in an unexpected way, and give flags an explicit value."""
+    checked: list[str] = []
+    seen: set[str] = set()
+    for index, argument in enumerate(arguments):
+        if argument in ("-", "--") or _SHORT_FLAG.match(argument):
+            return Err(_usage(f"The argument {argument!r} is not supported", "Write --name=value"))
+        found = _FLAG.match(argument)
+        if found is None:
+            checked.append(argument)
+            continue
+        name = found["name"].replace("-", "_")
+        if name not in known:
+            return Err(_unknown_flag(argument, known, program))
+        if name in seen:
+            return Err(_usage(f"The flag --{found['name']} is given twice", "Give it once"))
+        seen.add(name)
+        following = arguments[index + 1 : index + 2]
+        if found["value"] is None and known[name] is bool:
+            argument = f"{argument}={_TRUE}"
+        elif found["value"] is None and (not following or following[0].startswith("-")):
+            hint = f"Write --{found['name']}=VALUE"
+            return Err(_usage(f"The flag --{found['name']} has no value", hint))
+        checked.append(argument)
+    return Ok(checked)
+
+
+def _unknown_flag(argument: str, known: Mapping[str, type[Any]], program: str) -> UsageError:
+    flags = ", ".join(f"--{name.replace('_', '-')}" for name in known)
+    hint = f"Use one of {flags}" if flags else f"Run '{program} --help'"
+    return _usage(f"The flag {argument.partition('=')[0]} is unknown", hint)
+
+
+def _bind(
+    component: Component, arguments: Sequence[str], program: str
+) -> Result[Deferred, UsageError]:
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
+        try:
+            value = fire.Fire(
+                _deferring(component),
+                command=list(arguments),
+                name=program,
+                serialize=lambda _: None,
+            )
+        except fire.core.FireExit as stopped:
+            problem = stopped.trace.elements[-1].ErrorAsStr()
+            return Err(_usage(f"The command line is not valid: {problem}", _see_help(program)))
+    if not isinstance(value, Deferred):
+        given = " ".join(arguments) or "nothing"
+        return Err(_usage(f"A command is missing after {given!r}", _see_help(program)))
+    return Ok(value)
+
+
+def _see_help(program: str) -> str:
+    return f"Run '{program} --help' for the commands and their flags"
+
+
+def _deferring(component: Component) -> Any:
+    if isinstance(component, Mapping):
+        return {word: _deferring(item) for word, item in component.items()}
+    function = component
+
+    @functools.wraps(function)
+    def deferred(*positional: Any, **named: Any) -> Deferred:
+        bound = inspect.signature(function).bind(*positional, **named)
+        return Deferred(function, bound.arguments)
+
+    return decorators.SetParseFn(str)(deferred)
+
+
+def _convert(name: str, text: Any, wanted: type[Any]) -> Result[Any, UsageError]:
+    if not isinstance(text, str) or wanted is str:
+        return Ok(text)
+    flag = f"--{name.replace('_', '-')}"
+    if wanted is bool:
+        lower = text.capitalize()
+        if lower in (_TRUE, _FALSE):
+            return Ok(lower == _TRUE)
+        return Err(_usage(f"{flag} takes no value {text!r}", f"Write {flag} or {flag}=false"))
+    try:
+        return Ok(wanted(text))
+    except ValueError:
+        hint = f"Write {flag}=NUMBER"
+        return Err(_usage(f"{flag} takes a number, not {text!r}", hint))
+
+
+def _usage(message: str, hint: str) -> UsageError:
+    return UsageError(message, hint=hint)
+
+
+def flags_of(function: Function) -> Iterator[tuple[str, str]]:
+    """Return each parameter as written on a command line, and its default as text."""
+    types_of = _parameters(function)
+    for name, parameter in inspect.signature(function).parameters.items():
+        flag = name.replace("_", "-")
+        if parameter.default is inspect.Parameter.empty:
+            yield flag.upper(), ""
+        elif types_of[name] is bool:
+            yield f"--{flag}", ""
+        else:
+            default = parameter.default
+            yield f"--{flag}={flag.upper()}", "" if default in (None, "") else str(default)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/cli.py
@@ -0,0 +1,92 @@
+"""Command line of an entry instance."""
+
+import asyncio
+import importlib
+import sys
+from collections.abc import Iterable, Sequence
+from importlib import metadata
+from pathlib import Path
+
+from result import Err
+
+from nutmeglb._internal.settings.loader import load_file
+from nutmeglb._internal.settings.models import Settings
+from nutmeglb._internal.telemetry import logs
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.command_line import resolve, wants_help
+from nutmeglb_formats.exceptions import NutmegError, UsageError
+from nutmeglb_formats.exit_status import ExitStatus
+
+PROGRAM = "nutmeglb"
+HELP = """\
+Runs one entry instance of the nutmeglb cluster scheduler.
+
+  nutmeglb FILE           run with the settings in FILE until SIGTERM
+  nutmeglb --check FILE   check the settings in FILE and exit
+  nutmeglb --version      print the version and exit
+
+docs/settings.md describes the settings.
+"""
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the program and return its exit status."""
+    arguments = sys.argv[1:] if arguments is None else arguments
+    if wants_help(arguments):
+        print(HELP, end="")
+        return ExitStatus.OK
+    resolved = resolve(_command, arguments, PROGRAM)
+    if isinstance(resolved, Err):
+        _print_errors([resolved.err_value])
+        return ExitStatus.USAGE
+    return int(resolved.ok_value())
+
+
+def _command(file: str = "", check: str = "", version: bool = False) -> ExitStatus:
+    chosen = [bool(file), bool(check), version]
+    if chosen.count(True) != 1:
+        hint = "Run 'nutmeglb FILE', 'nutmeglb --check FILE' or 'nutmeglb --version'"
+        _print_errors([UsageError("Exactly one of the three forms is needed", hint=hint)])
+        return ExitStatus.USAGE
+    if version:
+        print(f"{PROGRAM} {metadata.version(PROGRAM)}")
+        return ExitStatus.OK
+    loaded = load_file(Path(check or file))
+    if isinstance(loaded, Err):
+        _print_errors(loaded.err_value)
+        return ExitStatus.ERROR
+    if check:
+        print(f"{check}: the settings are valid")
+        return ExitStatus.OK
+    return _run(loaded.ok_value)
+
+
+def _run(settings: Settings) -> ExitStatus:
+    # Imported late so that --check and --version work without loading the servers.
+    node = importlib.import_module("nutmeglb._internal.node")
+    secrets = [settings.peer.secret, settings.tokens.operator, *settings.tokens.teams().values()]
+    try:
+        logs.configure(
+            clock=Clock(),
+            level=settings.log.level,
+            file=settings.log.file,
+            instance_id=settings.instance.id,
+            secrets=secrets,
+        )
+    except OSError as error:
+        cause = {"file": settings.log.file, "cause": error.strerror}
+        hint = "Correct [log] file or the permissions of its directory"
+        _print_errors([NutmegError("The log file cannot be opened", context=cause, hint=hint)])
+        return ExitStatus.ERROR
+    try:
+        return ExitStatus(asyncio.run(node.run(settings)))
+    except OSError as error:
+        cause = {"cause": error.strerror or str(error)}
+        hint = "Check the addresses in [listen]: each must be local and free"
+        _print_errors([NutmegError("The instance cannot start", context=cause, hint=hint)])
+        return ExitStatus.ERROR
+
+
+def _print_errors(errors: Iterable[NutmegError]) -> None:
+    for error in errors:
+        print(f"{PROGRAM}: error: {error}", file=sys.stderr)
