Add the administration API

Operators and callers need commands and queries over HTTP. Commands and queries are in separate modules, and AdminServices states what they call. Tokens are compared by digest and all of them each time; a team sees only its own jobs and quota; unknown fields and parameters are refused; an unknown outcome is answered as 504, never as a refusal. The body of a ticket call is the ticket file, so faults carry its lines.

Records of logging loggers are passed to the eliot log with the same prefixes and limits, because several components use logging.getLogger(__name__).

--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/admin/authentication.py
@@ -0,0 +1,51 @@
+"""Bearer tokens of the administration API."""
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+
+from nutmeglb._internal.settings.models import TokensSection
+
+SCHEME = "Bearer "
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who calls. ``team`` ``None`` stands for an operator."""
+
+    team: str | None
+
+    @property
+    def is_operator(self) -> bool:
+        """Return whether the caller is an operator."""
+        return self.team is None
+
+    def may_act_for(self, team: str) -> bool:
+        """Return whether the caller may act for a team."""
+        return self.team is None or self.team == team
+
+
+class Authenticator:
+    """Finds the owner of a token.
+
+    Digests are compared, and all of them each time, so that the duration tells nothing about the
+    tokens, not even their length.
+    """
+
+    def __init__(self, tokens: TokensSection) -> None:
+        owners = [(tokens.operator, Identity(None))]
+        owners += [(token, Identity(team)) for team, token in tokens.teams().items()]
+        self._owners = [(_digest(token), identity) for token, identity in owners]
+
+    def identify(self, authorization: str) -> Identity | None:
+        """Return the owner of the token in an ``Authorization`` header."""
+        given = _digest(authorization.removeprefix(SCHEME))
+        found: Identity | None = None
+        for digest, identity in self._owners:
+            if hmac.compare_digest(digest, given):
+                found = identity
+        return found if authorization.startswith(SCHEME) else None
+
+
+def _digest(token: str) -> bytes:
+    return hashlib.sha256(token.encode(errors="surrogateescape")).digest()
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/admin/commands.py
@@ -0,0 +1,69 @@
+"""Handlers that change something. All are POST."""
+
+from http import HTTPStatus
+
+from result import Err
+
+from nutmeglb._internal.admin.handlers import AdminHandler, Refused, logger
+from nutmeglb_formats.exceptions import PermissionRefused
+from nutmeglb_formats.models.admin import JobAnswer, JobRequest, TicketAnswer
+from nutmeglb_formats.models.ticket import Ticket
+from nutmeglb_formats.ticket_file import parse_ticket
+
+
+class TicketHandler(AdminHandler):
+    """Base of the paths whose body is a ticket file."""
+
+    operators_only = True
+
+    def ticket(self) -> Ticket:
+        """Return the ticket in the body."""
+        parsed = parse_ticket(self.body_text())
+        if isinstance(parsed, Err):
+            raise Refused(parsed.err_value)
+        return parsed.ok_value
+
+
+class CheckTicketHandler(TicketHandler):
+    """``POST /v1/tickets/check``."""
+
+    async def post(self) -> None:
+        """Validate a ticket and change nothing."""
+        ticket = self.ticket()
+        self.unwrap(await self.services.tickets.check(ticket))
+        self.answer(TicketAnswer(touched=sorted(ticket.touched())))
+
+
+class FileTicketHandler(TicketHandler):
+    """``POST /v1/tickets``."""
+
+    async def post(self) -> None:
+        """File a ticket. Filing the same id twice is one ticket."""
+        ticket = self.ticket()
+        number = self.unwrap(await self.services.tickets.file(ticket))
+        logger.info("Ticket accepted", ticket=number, id=ticket.ticket_id, author=ticket.author)
+        self.answer(
+            TicketAnswer(number=number, touched=sorted(ticket.touched())), HTTPStatus.CREATED
+        )
+
+
+class SubmitJobHandler(AdminHandler):
+    """``POST /v1/jobs``."""
+
+    async def post(self) -> None:
+        """Submit a job. The same submission id twice is one job."""
+        request = self.body_as(JobRequest)
+        if not self.identity.may_act_for(request.team):
+            hint = f"Submit as team {self.identity.team}"
+            raise Refused([PermissionRefused("The token is of another team", hint=hint)])
+        view = self.unwrap(await self.services.jobs.submit(request.to_spec(), request.domain))
+        self.answer(JobAnswer(job=view), HTTPStatus.CREATED)
+
+
+class CancelJobHandler(AdminHandler):
+    """``POST /v1/jobs/<id>/cancel``."""
+
+    async def post(self, job_id: str) -> None:
+        """Cancel a job. Repeating it has no further effect."""
+        view = self.unwrap(await self.services.jobs.cancel(job_id, self.identity.team))
+        self.answer(JobAnswer(job=view))
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/admin/errors.py
@@ -0,0 +1,56 @@
+"""HTTP statuses of error kinds."""
+
+from collections.abc import Iterable
+from http import HTTPStatus
+
+from nutmeglb_formats import exceptions
+from nutmeglb_formats.exceptions import NutmegError
+from nutmeglb_formats.models.admin import ErrorAnswer, ErrorItem
+
+_STATUSES: tuple[tuple[type[NutmegError], HTTPStatus], ...] = (
+    (exceptions.Unauthenticated, HTTPStatus.UNAUTHORIZED),
+    (exceptions.PermissionRefused, HTTPStatus.FORBIDDEN),
+    (exceptions.NotFound, HTTPStatus.NOT_FOUND),
+    (exceptions.BadRequest, HTTPStatus.BAD_REQUEST),
+    (exceptions.TicketConflict, HTTPStatus.CONFLICT),
+    (exceptions.TicketInvalid, HTTPStatus.UNPROCESSABLE_ENTITY),
+    (exceptions.JobRefused, HTTPStatus.UNPROCESSABLE_ENTITY),
+    # The effect of the call is not known, so it must not look like a plain refusal.
+    (exceptions.StoreOutcomeUnknown, HTTPStatus.GATEWAY_TIMEOUT),
+    (exceptions.RequestOutcomeUnknown, HTTPStatus.GATEWAY_TIMEOUT),
+    (exceptions.StoreError, HTTPStatus.SERVICE_UNAVAILABLE),
+    (exceptions.JournalError, HTTPStatus.SERVICE_UNAVAILABLE),
+    (exceptions.LeadershipLost, HTTPStatus.SERVICE_UNAVAILABLE),
+    (exceptions.PeerError, HTTPStatus.SERVICE_UNAVAILABLE),
+    (exceptions.NotReady, HTTPStatus.SERVICE_UNAVAILABLE),
+)
+
+
+def status_of(error: NutmegError) -> HTTPStatus:
+    """Return the status of an error, 500 for a kind without one."""
+    for kind, status in _STATUSES:
+        if isinstance(error, kind):
+            return status
+    return HTTPStatus.INTERNAL_SERVER_ERROR
+
+
+def answer_of(errors: Iterable[NutmegError]) -> ErrorAnswer:
+    """Return the body that describes errors."""
+    items = [
+        ErrorItem(
+            kind=error.kind,
+            message=error.message,
+            context={key: _plain(value) for key, value in error.context.items()},
+            hint=error.hint,
+        )
+        for error in errors
+    ]
+    return ErrorAnswer(errors=items)
+
+
+def _plain(value: object) -> object:
+    if value is None or isinstance(value, str | int | float | bool):
+        return value
+    if isinstance(value, list | tuple | set | frozenset):
+        return [_plain(item) for item in value]
+    return str(value)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/admin/handlers.py
@@ -0,0 +1,162 @@
+"""Base of all handlers: authentication, bounded input and typed errors."""
+
+from collections.abc import Iterable, Sequence
+from http import HTTPStatus
+from types import TracebackType
+from typing import Any, TypeVar
+
+from pydantic import BaseModel, ValidationError
+from result import Err, Result
+from tornado import web
+
+from nutmeglb._internal.admin.authentication import Authenticator, Identity
+from nutmeglb._internal.admin.errors import answer_of, status_of
+from nutmeglb._internal.admin.services import AdminServices
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_formats.exceptions import (
+    BadRequest,
+    NutmegError,
+    PermissionRefused,
+    Unauthenticated,
+)
+from nutmeglb_formats.models.admin import DEFAULT_LIST_LIMIT, LIST_LIMIT, ErrorAnswer, ErrorItem
+
+logger = get_logger("admin")
+ValueT = TypeVar("ValueT")
+BodyT = TypeVar("BodyT", bound=BaseModel)
+
+
+class Refused(Exception):
+    """Ends the handling of a call with errors."""
+
+    def __init__(self, errors: Iterable[NutmegError]) -> None:
+        super().__init__()
+        self.errors = tuple(errors)
+
+
+class AdminHandler(web.RequestHandler):
+    """Answers JSON. Subclasses implement one path.
+
+    Attributes
+    ----------
+    parameters
+        Names of the query parameters that the path takes. Others are refused.
+    operators_only
+        Whether teams are refused.
+    """
+
+    parameters: Sequence[str] = ()
+    operators_only = False
+
+    def initialize(self, services: AdminServices, authenticator: Authenticator) -> None:
+        """Receive what the server passes."""
+        self.services = services
+        self._authenticator = authenticator
+
+    def prepare(self) -> None:
+        """Authenticate the caller and refuse unknown query parameters."""
+        identity = self._authenticator.identify(self.request.headers.get("Authorization", ""))
+        if identity is None:
+            hint = "Send 'Authorization: Bearer TOKEN' with a token from [tokens] of the settings"
+            raise Refused([Unauthenticated("The call carries no valid token", hint=hint)])
+        self.identity: Identity = identity
+        if self.operators_only and not identity.is_operator:
+            hint = "Use the operator token"
+            raise Refused([PermissionRefused("Only operators may do this", hint=hint)])
+        unknown = [name for name in self.request.query_arguments if name not in self.parameters]
+        if unknown:
+            hint = f"Use only: {', '.join(self.parameters) or 'no parameters'}"
+            raise Refused([BadRequest(f"The parameter {unknown[0]!r} is unknown", hint=hint)])
+
+    def text_parameter(self, name: str) -> str | None:
+        """Return a query parameter."""
+        value: str | None = self.get_query_argument(name, None)
+        return value
+
+    def whole_parameter(self, name: str, least: int, most: int) -> int | None:
+        """Return a query parameter that is a whole number."""
+        text = self.text_parameter(name)
+        if text is None:
+            return None
+        if not (text.isascii() and text.isdigit() and least <= int(text[:20]) <= most):
+            hint = f"Use a whole number from {least} to {most}"
+            raise Refused([BadRequest(f"The parameter {name!r} is not valid", hint=hint)])
+        return int(text)
+
+    def limit(self) -> int:
+        """Return the largest number of rows to answer."""
+        return self.whole_parameter("limit", 1, LIST_LIMIT) or DEFAULT_LIST_LIMIT
+
+    def body_text(self) -> str:
+        """Return the body as text."""
+        try:
+            return self.request.body.decode()
+        except UnicodeDecodeError:
+            raise Refused([BadRequest("The body is not text", hint="Send UTF-8")]) from None
+
+    def body_as(self, model: type[BodyT]) -> BodyT:
+        """Return the validated JSON body."""
+        try:
+            return model.model_validate_json(self.request.body)
+        except ValidationError as error:
+            raise Refused(_body_faults(error)) from None
+
+    def unwrap(self, result: Result[ValueT, NutmegError]) -> ValueT:
+        """Return the value, or end the call with the error."""
+        if isinstance(result, Err):
+            raise Refused([result.err_value])
+        return result.ok_value
+
+    def answer(self, body: BaseModel, status: HTTPStatus = HTTPStatus.OK) -> None:
+        """Send a body."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(body.model_dump_json(fallback=str))
+
+    def set_default_headers(self) -> None:
+        """Leave out the name and version of the server."""
+        self.clear_header("Server")
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer every fault as a typed error, without a traceback."""
+        error = kwargs.get("exc_info", (None, None, None))[1]
+        if isinstance(error, Refused):
+            self.answer(answer_of(error.errors), status_of(error.errors[0]))
+            return
+        status = HTTPStatus(status_code)
+        hint = "See docs/admin-api.md; if the call is right, see the log of the instance"
+        item = ErrorItem(kind="HttpError", message=status.phrase, hint=hint)
+        self.answer(ErrorAnswer(errors=[item]), status)
+
+    def log_exception(
+        self,
+        typ: type[BaseException] | None,
+        value: BaseException | None,
+        tb: TracebackType | None,
+    ) -> None:
+        """Log refusals for diagnosis, and defects as errors."""
+        path = self.request.path
+        if isinstance(value, Refused):
+            logger.debug("Call refused", path=path, kind=value.errors[0].kind)
+        elif isinstance(value, web.HTTPError):
+            logger.debug("Call refused", path=path, status=value.status_code)
+        else:
+            logger.error("Call failed", path=path, error=repr(value))
+
+
+class UnknownPathHandler(AdminHandler):
+    """Answers paths that do not exist."""
+
+    def prepare(self) -> None:
+        """Refuse the call."""
+        hint = "See docs/admin-api.md for the paths"
+        self.answer(answer_of([BadRequest("The path is unknown", hint=hint)]), HTTPStatus.NOT_FOUND)
+
+
+def _body_faults(error: ValidationError) -> list[NutmegError]:
+    faults: list[NutmegError] = []
+    for item in error.errors(include_url=False, include_input=False, include_context=False):
+        field = ".".join(str(part) for part in item["loc"])
+        context = {"field": field} if field else {}
+        faults.append(BadRequest("The body is not valid", context=context, hint=item["msg"]))
+    return faults
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/admin/queries.py
@@ -0,0 +1,218 @@
+"""Handlers that change nothing. All are GET."""
+
+import json
+from http import HTTPStatus
+from importlib import metadata
+
+from tornado import web
+
+from nutmeglb._internal.admin.handlers import AdminHandler, Refused
+from nutmeglb._internal.admin.services import AdminServices
+from nutmeglb_formats.exceptions import NotFound
+from nutmeglb_formats.models.admin import (
+    FiledTicket,
+    FiledTicketAnswer,
+    JobAnswer,
+    JobListAnswer,
+    StatusAnswer,
+    TeamListAnswer,
+    TicketListAnswer,
+    TicketSummary,
+    TimelineAnswer,
+    WhyAnswer,
+    WorkerListAnswer,
+)
+from nutmeglb_formats.models.events import EventFilter
+from nutmeglb_formats.models.jobs import JobView
+from nutmeglb_formats.ticket_text import write_ticket
+
+WHY_EVENTS = 20
+MAX_TICKET_NUMBER = 9_999_999_999
+
+
+class TicketListHandler(AdminHandler):
+    """``GET /v1/tickets``."""
+
+    parameters = ("limit",)
+    operators_only = True
+
+    async def get(self) -> None:
+        """Answer the latest tickets."""
+        filed = self.unwrap(await self.services.tickets.list(self.limit()))
+        self.answer(TicketListAnswer(tickets=[_summary(item) for item in filed]))
+
+
+class TicketShowHandler(AdminHandler):
+    """``GET /v1/tickets/<n>``."""
+
+    operators_only = True
+
+    async def get(self, number: str) -> None:
+        """Answer one ticket as a ticket file."""
+        filed = self.unwrap(await self.services.tickets.get(int(number)))
+        self.answer(FiledTicketAnswer(number=filed.number, text=write_ticket(filed.ticket)))
+
+
+class JobListHandler(AdminHandler):
+    """``GET /v1/jobs``."""
+
+    parameters = ("limit", "team")
+
+    async def get(self) -> None:
+        """Answer the latest jobs, for a team its own."""
+        team = self.identity.team
+        if team is None:
+            team = self.text_parameter("team")
+        views = self.unwrap(await self.services.jobs.list(team, self.limit()))
+        self.answer(JobListAnswer(jobs=[view for view in views if self._may_see(view)]))
+
+    def _may_see(self, view: JobView) -> bool:
+        return self.identity.may_act_for(view.spec.team)
+
+
+class JobQueryHandler(AdminHandler):
+    """Base of the paths about one job."""
+
+    async def job(self, job_id: str) -> JobView:
+        """Return a job. The job of another team looks as if it did not exist."""
+        view = self.unwrap(await self.services.jobs.show(job_id, self.identity.team))
+        if not self.identity.may_act_for(view.spec.team):
+            hint = "Run 'nutmegctl job list' for the jobs of your team"
+            raise Refused([NotFound("The job does not exist", context={"job": job_id}, hint=hint)])
+        return view
+
+
+class JobShowHandler(JobQueryHandler):
+    """``GET /v1/jobs/<id>``."""
+
+    async def get(self, job_id: str) -> None:
+        """Answer one job."""
+        self.answer(JobAnswer(job=await self.job(job_id)))
+
+
+class JobWhyHandler(JobQueryHandler):
+    """``GET /v1/jobs/<id>/why``."""
+
+    async def get(self, job_id: str) -> None:
+        """Answer why a job waits, with its latest events on this instance."""
+        view = await self.job(job_id)
+        events = self.services.events.query(EventFilter(job=job_id), WHY_EVENTS)
+        self.answer(
+            WhyAnswer(
+                job_id=job_id,
+                state=view.state.value,
+                wait_reason=view.wait_reason.value,
+                why=view.why,
+                events=list(events),
+            )
+        )
+
+
+class WorkersHandler(AdminHandler):
+    """``GET /v1/workers``."""
+
+    operators_only = True
+
+    async def get(self) -> None:
+        """Answer the workers that the failure domain's leader knows."""
+        workers = self.unwrap(await self.services.jobs.workers())
+        self.answer(WorkerListAnswer(workers=list(workers)))
+
+
+class TeamsHandler(AdminHandler):
+    """``GET /v1/teams``."""
+
+    async def get(self) -> None:
+        """Answer quota and use of all teams, for a team its own."""
+        teams = self.unwrap(await self.services.jobs.teams())
+        visible = [team for team in teams if self.identity.may_act_for(team.name)]
+        self.answer(TeamListAnswer(teams=visible))
+
+
+class StatusHandler(AdminHandler):
+    """``GET /v1/status``."""
+
+    def get(self) -> None:
+        """Answer the state of this instance and its view of the others."""
+        status = self.services.status
+        instance_id, domain = status.identity()
+        self.answer(
+            StatusAnswer(
+                instance_id=instance_id,
+                domain=domain,
+                version=metadata.version("nutmeglb"),
+                ready=status.ready(),
+                ticket=status.ticket_number(),
+                components={name: dict(values) for name, values in status.status().items()},
+                instances=list(status.instances()),
+            )
+        )
+
+
+class TimelineHandler(AdminHandler):
+    """``GET /v1/timeline``."""
+
+    parameters = ("request", "task", "job", "ticket", "worker", "endpoint", "kind", "limit")
+    operators_only = True
+
+    def get(self) -> None:
+        """Answer the latest matching events of this instance."""
+        wanted = EventFilter(
+            request=self.text_parameter("request"),
+            task=self.text_parameter("task"),
+            job=self.text_parameter("job"),
+            ticket=self.whole_parameter("ticket", 0, MAX_TICKET_NUMBER),
+            worker=self.text_parameter("worker"),
+            endpoint=self.text_parameter("endpoint"),
+            kind=self.text_parameter("kind"),
+        )
+        events = self.services.events.query(wanted, self.limit())
+        self.answer(TimelineAnswer(events=list(events)))
+
+
+class OpenHandler(web.RequestHandler):
+    """Base of the paths without token, for the balancer and for the metrics collector."""
+
+    def initialize(self, services: AdminServices) -> None:
+        """Receive what the server passes."""
+        self.services = services
+
+
+class MetricsHandler(OpenHandler):
+    """``GET /metrics``."""
+
+    def get(self) -> None:
+        """Answer the metrics."""
+        body, headers = self.services.render_metrics(self.request.headers.get_list("Accept"))
+        for name, value in headers.items():
+            self.set_header(name, value)
+        self.finish(body)
+
+
+class HealthHandler(OpenHandler):
+    """``GET /healthz``."""
+
+    def get(self) -> None:
+        """Answer that the event loop runs."""
+        self.finish(json.dumps({"healthy": True}))
+
+
+class ReadyHandler(OpenHandler):
+    """``GET /readyz``."""
+
+    def get(self) -> None:
+        """Answer 200 when the instance takes requests, else 503."""
+        ready = self.services.status.ready()
+        self.set_status(HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE)
+        self.finish(json.dumps({"ready": ready}))
+
+
+def _summary(filed: FiledTicket) -> TicketSummary:
+    ticket = filed.ticket
+    return TicketSummary(
+        number=filed.number,
+        id=ticket.ticket_id,
+        author=ticket.author,
+        summary=ticket.summary,
+        touched=sorted(ticket.touched()),
+    )
--- a/packages/nutmeglb/src/nutmeglb/_internal/admin/services.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/admin/services.py
@@ -62,6 +62,9 @@
 class StatusService(Protocol):
     """State of this instance and its view of the others."""
 
+    def identity(self) -> tuple[str, str]:
+        """Return instance id and failure domain."""
+
     def status(self) -> Mapping[str, Mapping[str, Any]]:
         """Return the status values per component."""
 
--- a/packages/nutmeglb/src/nutmeglb/_internal/cli.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/cli.py
@@ -11,7 +11,7 @@
 
 from nutmeglb._internal.settings.loader import load_file
 from nutmeglb._internal.settings.models import Settings
-from nutmeglb._internal.telemetry import logs
+from nutmeglb._internal.telemetry import bridge, logs
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.command_line import resolve, wants_help
 from nutmeglb_formats.exceptions import NutmegError, UsageError
@@ -66,7 +66,7 @@
     node = importlib.import_module("nutmeglb._internal.node")
     secrets = [settings.peer.secret, settings.tokens.operator, *settings.tokens.teams().values()]
     try:
-        logs.configure(
+        output = logs.configure(
             clock=Clock(),
             level=settings.log.level,
             file=settings.log.file,
@@ -78,6 +78,7 @@
         hint = "Correct [log] file or the permissions of its directory"
         _print_errors([NutmegError("The log file cannot be opened", context=cause, hint=hint)])
         return ExitStatus.ERROR
+    bridge.install(output, settings.log.level)
     try:
         return ExitStatus(asyncio.run(node.run(settings)))
     except OSError as error:
--- a/packages/nutmeglb/src/nutmeglb/_internal/telemetry/logs.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/telemetry/logs.py
@@ -1,7 +1,8 @@
 """Logs as JSON lines through eliot.
 
-Each module has ``logger = get_logger("<component>")``. The text of a line starts with the fixed
-prefix of the component. Repeats are rate-limited, and secrets are replaced before a line is
+Each module has ``logger = get_logger("<component>")``, or a ``logging`` logger named after the
+module, whose records ``bridge.install`` passes on. The text of a line starts with the fixed prefix
+of the component. Repeats are rate-limited, and secrets are replaced before a line is
 written.
 """
 
@@ -67,11 +68,21 @@
         """Return whether lines of a level are written."""
         return level >= self._level
 
-    def write(self, component: str, level: Level, text: str, fields: Mapping[str, object]) -> None:
-        """Write one line, unless its level is too low or it repeats too often."""
+    def write(
+        self,
+        component: str,
+        level: Level,
+        text: str,
+        fields: Mapping[str, object],
+        repeat_key: str | None = None,
+    ) -> None:
+        """Write one line, unless its level is too low or it repeats too often.
+
+        Lines with the same component and ``repeat_key`` are repeats. The default is the text.
+        """
         if not self.enabled(level):
             return
-        suppressed = self._admit(component, text)
+        suppressed = self._admit(component, text if repeat_key is None else repeat_key)
         if suppressed is None:
             return
         line = {name: self.clean(name, value) for name, value in fields.items()}
@@ -166,7 +177,7 @@
 
 def configure(
     *, clock: Clock, level: str, file: str, instance_id: str, secrets: Iterable[str]
-) -> None:
+) -> LogOutput:
     """Send the process's log to a file, or to standard error when ``file`` is empty.
 
     Raises
@@ -178,3 +189,4 @@
     eliot.to_file(stream)
     eliot.add_global_fields(instance=instance_id)
     use_output(LogOutput(clock, Level[level.upper()], secrets))
+    return _output
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -1,6 +1,7 @@
 """Telemetry: guards against lost causal order, secrets in logs and unbounded labels."""
 
 import json
+import logging
 from typing import Any
 
 import pytest
@@ -8,6 +9,7 @@
 from hypothesis import strategies as st
 
 from nutmeglb._internal.telemetry import logs
+from nutmeglb._internal.telemetry.bridge import BridgeHandler
 from nutmeglb._internal.telemetry.events import MAX_AHEAD_MS, EventRing
 from nutmeglb._internal.telemetry.metrics import MAX_LABEL_SETS, MetricsRegistry
 from nutmeglb_formats.clock import ManualClock
@@ -158,3 +160,19 @@
     registry.histogram("nutmeglb_wait_seconds", "Wait.").observe(0.02, service="s")
     text = registry.render()[0].decode()
     assert 'nutmeglb_wait_seconds_bucket{le="0.025",service="s"} 1' in text
+
+
+def test_records_of_logging_loggers_have_prefix_fields_and_limits() -> None:
+    clock = ManualClock()
+    output = RecordingOutput(clock, secrets=["open-sesame"])
+    handler = BridgeHandler(output)
+    for number in range(logs.REPEAT_BURST + 2):
+        record = logging.LogRecord(
+            "nutmeglb._internal.store.client", logging.WARNING, "", 1, "Call %s", (number,), None
+        )
+        record.lease = "open-sesame"
+        handler.emit(record)
+    assert len(output.lines) == logs.REPEAT_BURST
+    assert output.lines[0]["text"] == "store: Call 0"
+    assert output.lines[0]["lease"] == logs.REDACTED
+    assert output.lines[0]["level"] == "warning"
