--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/outbox.py
@@ -0,0 +1,74 @@
+"""Records waiting for the journal, and effects waiting for the I/O layer."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from nutmeglb_decisions.tasks.events import Append, Decided, Effect
+from nutmeglb_formats.exceptions import NutmegError
+
+OnCommit = Callable[[float], None]
+OnFailure = Callable[[float, NutmegError], None]
+
+
+@dataclass(slots=True)
+class _Write:
+    record: Any
+    on_commit: OnCommit
+    on_failure: OnFailure
+
+
+class Outbox:
+    """Collects records into one ``Append`` per flush and remembers what follows its outcome."""
+
+    def __init__(self) -> None:
+        self._writes: list[_Write] = []
+        self._effects: list[Effect] = []
+        self._open: dict[int, list[_Write]] = {}
+        self._next_batch = 1
+
+    @property
+    def open_batches(self) -> int:
+        """Return the number of appends without an outcome."""
+        return len(self._open)
+
+    def write(self, record: Any, on_commit: OnCommit, on_failure: OnFailure) -> None:
+        """Append a record with the next flush, then call one of the functions."""
+        self._writes.append(_Write(record, on_commit, on_failure))
+
+    def add(self, effect: Effect) -> None:
+        """Ask for an effect."""
+        self._effects.append(effect)
+
+    def decided(
+        self,
+        kind: str,
+        cause: str,
+        *,
+        job: str | None = None,
+        task: str | None = None,
+        worker: str | None = None,
+        **fields: object,
+    ) -> None:
+        """Record a decision for the time line."""
+        self._effects.append(Decided(kind, cause, job, task, worker, fields))
+
+    def flush(self) -> list[Effect]:
+        """Return all effects asked for since the last flush."""
+        effects, self._effects = self._effects, []
+        if self._writes:
+            effects.append(Append(self._next_batch, tuple(w.record for w in self._writes)))
+            self._open[self._next_batch] = self._writes
+            self._writes = []
+            self._next_batch += 1
+        return effects
+
+    def committed(self, batch: int, now_ms: float) -> None:
+        """Continue after a successful append. A repeated outcome does nothing."""
+        for write in self._open.pop(batch, ()):
+            write.on_commit(now_ms)
+
+    def failed(self, batch: int, now_ms: float, error: NutmegError) -> None:
+        """Continue after an append that may not have been applied."""
+        for write in self._open.pop(batch, ()):
+            write.on_failure(now_ms, error)
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/placement.py
@@ -0,0 +1,208 @@
+"""Choice of a worker for a request. Scores are closures; workers are indexed by free capacity."""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from itertools import islice
+
+from sortedcontainers import SortedList
+
+from nutmeglb_decisions.tasks.ledger import Account
+from nutmeglb_formats.models.resources import Resources
+
+# Enough fitting candidates to come within a percent of scoring all workers in measurements.
+CANDIDATES = 12
+
+Score = Callable[[Account, Resources], float]
+Filter = Callable[[Account], bool]
+
+
+def pack_score(account: Account, request: Resources) -> float:
+    """Prefer the worker that the request fills best and most evenly (lower is better)."""
+    left = account.free - request
+    cpu = left.cpu_millis / (account.capacity.cpu_millis or 1)
+    memory = left.memory_bytes / (account.capacity.memory_bytes or 1)
+    return cpu + memory + abs(cpu - memory)
+
+
+def load_of(account: Account) -> float:
+    """Return the used share of a worker's scarcest resource, 0 to 1."""
+    capacity = account.capacity
+    return 1.0 - min(
+        account.free.cpu_millis / (capacity.cpu_millis or 1),
+        account.free.memory_bytes / (capacity.memory_bytes or 1),
+    )
+
+
+def spread_score(worker_tasks: Callable[[str], int], rack_tasks: Callable[[str], int]) -> Score:
+    """Return a score that prefers racks and workers with few tasks of the job, then low load.
+
+    Parameters
+    ----------
+    worker_tasks, rack_tasks
+        Number of tasks of the job on a worker and in a rack.
+    """
+
+    def score(account: Account, request: Resources) -> float:
+        same = rack_tasks(account.rack) + 2 * worker_tasks(account.worker)
+        return same + load_of(account)
+
+    return score
+
+
+@dataclass(frozen=True, slots=True)
+class Earmark:
+    """Resources on a worker that wait for a job which is expected to start at ``start_ms``."""
+
+    job_id: str
+    needed: Resources
+    start_ms: float
+
+
+class _Pool:
+    """Workers of one kind, sorted by free processors, free memory and load."""
+
+    def __init__(self) -> None:
+        self.by_cpu: SortedList = SortedList()
+        self.by_memory: SortedList = SortedList()
+        self.by_load: SortedList = SortedList()
+        self._keys: dict[str, tuple[int, int, float]] = {}
+
+    def __len__(self) -> int:
+        return len(self._keys)
+
+    def put(self, account: Account) -> None:
+        worker = account.worker
+        keys = (account.free.cpu_millis, account.free.memory_bytes, load_of(account))
+        if self._keys.get(worker) == keys:
+            return
+        self.discard(worker)
+        self._keys[worker] = keys
+        self.by_cpu.add((keys[0], worker))
+        self.by_memory.add((keys[1], worker))
+        self.by_load.add((keys[2], worker))
+
+    def discard(self, worker: str) -> None:
+        keys = self._keys.pop(worker, None)
+        if keys is not None:
+            self.by_cpu.remove((keys[0], worker))
+            self.by_memory.remove((keys[1], worker))
+            self.by_load.remove((keys[2], worker))
+
+    def tightest_first(self, request: Resources) -> Iterator[str]:
+        """Yield workers with enough of the rarer resource, the fullest first."""
+        by_cpu = self.by_cpu.bisect_left((request.cpu_millis, ""))
+        by_memory = self.by_memory.bisect_left((request.memory_bytes, ""))
+        if by_cpu >= by_memory:
+            return (item[1] for item in islice(self.by_cpu, by_cpu, None))
+        return (item[1] for item in islice(self.by_memory, by_memory, None))
+
+    def least_loaded_first(self) -> Iterator[str]:
+        return (item[1] for item in self.by_load)
+
+
+class PlacementEngine:
+    """Index of the workers that may receive tasks.
+
+    Parameters
+    ----------
+    accounts
+        The ledger's accounts by worker.
+    """
+
+    def __init__(self, accounts: dict[str, Account]) -> None:
+        self._accounts = accounts
+        self._plain = _Pool()
+        self._accelerated = _Pool()
+        self._enabled: set[str] = set()
+        self.earmarks: dict[str, Earmark] = {}
+
+    def enable(self, worker: str) -> None:
+        """Let a worker receive tasks."""
+        self._enabled.add(worker)
+        self.refresh(self._accounts[worker])
+
+    def disable(self, worker: str) -> None:
+        """Give a worker no more tasks."""
+        self._enabled.discard(worker)
+        self._plain.discard(worker)
+        self._accelerated.discard(worker)
+
+    def enabled(self) -> set[str]:
+        """Return the workers that may receive tasks."""
+        return self._enabled
+
+    def refresh(self, account: Account) -> None:
+        """Update the index after a change of free resources."""
+        if account.worker not in self._enabled:
+            return
+        accelerated = account.capacity.accelerators > 0
+        (self._accelerated if accelerated else self._plain).put(account)
+        (self._plain if accelerated else self._accelerated).discard(account.worker)
+
+    def fits_somewhere(self, request: Resources) -> bool:
+        """Return whether an empty worker could hold the request."""
+        return any(request.fits_in(self._accounts[worker].capacity) for worker in self._enabled)
+
+    def choose(
+        self,
+        request: Resources,
+        score: Score,
+        *,
+        spread: bool,
+        job_id: str = "",
+        end_ms: float = float("inf"),
+        accept: Filter | None = None,
+    ) -> str | None:
+        """Return the best of a bounded number of candidates, or ``None`` when nothing fits.
+
+        Parameters
+        ----------
+        end_ms
+            Expected end of the task. A task may use earmarked resources when it ends before their
+            job is expected to start.
+        accept
+            Further condition on a worker.
+        """
+        for pool in self._pools(request):
+            order = pool.least_loaded_first() if spread else pool.tightest_first(request)
+            fitting = self._fitting(order, request, job_id, end_ms, accept)
+            best = min(
+                ((score(account, request), account.worker) for account in fitting), default=None
+            )
+            if best is not None:
+                return best[1]
+        return None
+
+    def _pools(self, request: Resources) -> Iterable[_Pool]:
+        # Workers with accelerators are left to the tasks that need them while others have room.
+        if request.accelerators:
+            return (self._accelerated,)
+        return (self._plain, self._accelerated) if len(self._accelerated) else (self._plain,)
+
+    def _fitting(
+        self,
+        order: Iterator[str],
+        request: Resources,
+        job_id: str,
+        end_ms: float,
+        accept: Filter | None,
+    ) -> Iterator[Account]:
+        found = 0
+        for worker in order:
+            account = self._accounts[worker]
+            if not request.fits_in(account.free) or (accept and not accept(account)):
+                continue
+            if self.earmarks and not self._respects_earmark(account, request, job_id, end_ms):
+                continue
+            yield account
+            found += 1
+            if found == CANDIDATES:
+                return
+
+    def _respects_earmark(
+        self, account: Account, request: Resources, job_id: str, end_ms: float
+    ) -> bool:
+        mark = self.earmarks.get(account.worker)
+        if mark is None or mark.job_id == job_id or end_ms <= mark.start_ms:
+            return True
+        return (request + mark.needed).fits_in(account.free)
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/quotas.py
@@ -0,0 +1,79 @@
+"""Share of every team's quota that a failure domain may use."""
+
+from collections.abc import Mapping
+
+from nutmeglb_decisions.tasks.invariants import QUOTA, ensure
+from nutmeglb_formats.models.config import Config, Team
+from nutmeglb_formats.models.resources import Resources
+
+NOTHING = Resources()
+
+
+def domain_limit(team: Team, weight: float) -> Resources:
+    """Return the part of a team's quota for a failure domain, rounded down."""
+    return Resources(
+        int(team.quota.cpu_millis * weight),
+        int(team.quota.memory_bytes * weight),
+        int(team.quota.accelerators * weight),
+    )
+
+
+class Quotas:
+    """Limits and use of all teams in one failure domain.
+
+    Because each domain has a fixed part of a quota, the sum over all domains stays within the quota
+    without any communication between domains.
+    """
+
+    def __init__(self, domain: str) -> None:
+        self._domain = domain
+        self._limits: dict[str, Resources] = {}
+        self._used: dict[str, Resources] = {}
+
+    def configure(self, config: Config) -> None:
+        """Take limits from a configuration. Use above a lowered limit is kept, not stopped."""
+        weight = config.policy.domain_weights.get(self._domain, 0.0)
+        self._limits = {name: domain_limit(team, weight) for name, team in config.teams.items()}
+
+    def limit(self, team: str) -> Resources | None:
+        """Return a team's limit in this failure domain."""
+        return self._limits.get(team)
+
+    def limits(self) -> Mapping[str, Resources]:
+        """Return the limits of all teams."""
+        return self._limits
+
+    def used(self, team: str) -> Resources:
+        """Return what a team uses in this failure domain."""
+        return self._used.get(team, NOTHING)
+
+    def admits(self, team: str, resources: Resources) -> bool:
+        """Return whether a team may use ``resources`` more."""
+        limit = self._limits.get(team)
+        return limit is not None and (self.used(team) + resources).fits_in(limit)
+
+    def share(self, team: str) -> float:
+        """Return the dominant share of a team: use over limit, 0 to 1."""
+        limit = self._limits.get(team)
+        return self.used(team).dominant_share(limit) if limit is not None else float("inf")
+
+    def charge(self, team: str, resources: Resources) -> None:
+        """Add to a team's use.
+
+        Raises
+        ------
+        InvariantViolation
+            The team would exceed its limit.
+        """
+        ensure(self.admits(team, resources), QUOTA, "A start exceeds a team's quota", team=team)
+        self.adopt(team, resources)
+
+    def adopt(self, team: str, resources: Resources) -> None:
+        """Add use that already exists, whatever the limit."""
+        self._used[team] = self.used(team) + resources
+
+    def refund(self, team: str, resources: Resources) -> None:
+        """Subtract from a team's use."""
+        rest = self.used(team) - resources
+        ensure(rest.is_non_negative(), QUOTA, "A team's use is below zero", team=team)
+        self._used[team] = rest
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/state.py
@@ -0,0 +1,149 @@
+"""State of jobs and attempts in the memory of a domain's leader."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from nutmeglb_decisions.tasks.ranking import Shape
+from nutmeglb_formats.models.config import JobKind
+from nutmeglb_formats.models.jobs import JobSpec
+from nutmeglb_formats.models.resources import Resources
+from nutmeglb_formats.models.tasks import AttemptKey
+
+BITS_PER_BYTE = 8
+
+
+class Phase(StrEnum):
+    """Phase of a live attempt.
+
+    ``RESERVED``: the journal does not hold it yet. ``COMMITTED``: it may be sent to the agent.
+    ``HELD``: the agent admitted a gang member. ``RUNNING``: the agent reported it running.
+    """
+
+    RESERVED = "reserved"
+    COMMITTED = "committed"
+    HELD = "held"
+    RUNNING = "running"
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """A live attempt.
+
+    Attributes
+    ----------
+    seen
+        Whether the agent has reported it.
+    hold
+        Whether the agent must wait for the other members of the gang.
+    stop_cause
+        Why it is being stopped, or empty.
+    """
+
+    key: AttemptKey
+    name: str
+    worker: str
+    charged: Resources
+    phase: Phase
+    created_ms: float
+    lease_ms: float
+    gang: int = 0
+    hold: bool = False
+    seen: bool = False
+    stop_cause: str = ""
+    started_ms: float = 0.0
+    expected_end_ms: float = float("inf")
+    reclaims: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """An accepted job.
+
+    Attributes
+    ----------
+    sequence
+        Order of acceptance.
+    queued
+        Whether the ranking holds the job.
+    fresh
+        Index of the first task that was never attempted.
+    retries
+        Indexes of tasks whose last attempt ended without completing them.
+    completing
+        Indexes whose completion is not yet in the journal.
+    numbers
+        Highest attempt number of attempted, incomplete tasks.
+    not_before_ms
+        Backoff of a job whose tasks fail everywhere.
+    finished_ms
+        Wall-clock time of the end, or 0.
+    """
+
+    job_id: str
+    spec: JobSpec
+    submitted_ms: float
+    sequence: int
+    ticket: int = 0
+    service: str = ""
+    accepted_ms: float = 0.0
+    queued: bool = False
+    cancelled: bool = False
+    cancelling: bool = False
+    fresh: int = 0
+    retries: deque[int] = field(default_factory=deque)
+    live: dict[int, Attempt] = field(default_factory=dict)
+    completing: set[int] = field(default_factory=set)
+    done: bytearray = field(default_factory=bytearray)
+    done_count: int = 0
+    numbers: dict[int, int] = field(default_factory=dict)
+    tasks: int = 0
+    not_before_ms: float = 0.0
+    failures: int = 0
+    finished_ms: float = 0.0
+    shape: Shape = Shape(Resources())
+    rack_tasks: dict[str, int] = field(default_factory=dict)
+    worker_tasks: dict[str, int] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.tasks = self.tasks or self.spec.tasks
+        self.done = self.done or bytearray((self.tasks + BITS_PER_BYTE - 1) // BITS_PER_BYTE)
+
+    @property
+    def is_gang(self) -> bool:
+        """Return whether all tasks start together."""
+        return self.spec.kind is JobKind.GANG
+
+    @property
+    def is_service(self) -> bool:
+        """Return whether ended tasks are replaced."""
+        return self.spec.kind is JobKind.SERVICE
+
+    @property
+    def ended(self) -> bool:
+        """Return whether no task will start any more."""
+        return self.cancelled or self.finished_ms > 0
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of tasks without a live attempt that are not complete."""
+        return 0 if self.ended else len(self.retries) + max(0, self.tasks - self.fresh)
+
+    def is_done(self, index: int) -> bool:
+        """Return whether the journal holds the completion of a task."""
+        byte, bit = divmod(index, BITS_PER_BYTE)
+        return byte < len(self.done) and bool(self.done[byte] >> bit & 1)
+
+    def set_done(self, index: int) -> None:
+        """Record the completion of a task."""
+        byte, bit = divmod(index, BITS_PER_BYTE)
+        self.done[byte] |= 1 << bit
+        self.done_count += 1
+        self.numbers.pop(index, None)
+
+    def take_index(self) -> int:
+        """Remove and return the index of the next waiting task."""
+        if self.retries:
+            return self.retries.popleft()
+        self.fresh += 1
+        return self.fresh - 1
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/takeover.py
@@ -0,0 +1,187 @@
+"""Recovery of jobs from the journal by a new leader, and the records of a snapshot."""
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from nutmeglb_decisions.tasks.lifecycle import Lifecycle
+from nutmeglb_decisions.tasks.state import BITS_PER_BYTE, Attempt, Job, Phase
+from nutmeglb_formats.models.resources import Resources
+from nutmeglb_formats.models.tasks import (
+    AttemptEnded,
+    AttemptKey,
+    AttemptStarted,
+    JobAccepted,
+    JobCancelled,
+    JobProgress,
+    JobResized,
+)
+
+
+class Replay:
+    """Applies journal records in order.
+
+    Records of unknown jobs are ignored: their jobs were dropped from a later snapshot.
+    """
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, Job] = {}
+        self._open: dict[str, dict[int, AttemptStarted]] = {}
+
+    def apply(self, records: Iterable[Any]) -> None:
+        """Apply records. Records of other areas are ignored."""
+        for record in records:
+            match record:
+                case JobAccepted():
+                    self._accepted(record)
+                case JobCancelled() if record.job_id in self.jobs:
+                    self.jobs[record.job_id].cancelled = True
+                case JobResized() if record.job_id in self.jobs:
+                    self.jobs[record.job_id].tasks = record.tasks
+                case AttemptStarted() if record.job_id in self.jobs:
+                    self._started(record)
+                case AttemptEnded() if record.job_id in self.jobs:
+                    self._ended(record)
+                case JobProgress() if record.job_id in self.jobs:
+                    self._progress(record)
+
+    def _accepted(self, record: JobAccepted) -> None:
+        if record.job_id in self.jobs:
+            return
+        self.jobs[record.job_id] = Job(
+            record.job_id,
+            record.spec,
+            record.submitted_ms,
+            len(self.jobs),
+            ticket=record.ticket,
+            service=record.service,
+        )
+        self._open[record.job_id] = {}
+
+    def _started(self, record: AttemptStarted) -> None:
+        job = self.jobs[record.job_id]
+        if record.number > job.numbers.get(record.index, 0) and not job.is_done(record.index):
+            job.numbers[record.index] = record.number
+            self._open[record.job_id][record.index] = record
+
+    def _ended(self, record: AttemptEnded) -> None:
+        job = self.jobs[record.job_id]
+        current = self._open[record.job_id].get(record.index)
+        if record.completes and not job.is_done(record.index):
+            job.set_done(record.index)
+        if current is not None and (record.number >= current.number or record.completes):
+            del self._open[record.job_id][record.index]
+
+    def _progress(self, record: JobProgress) -> None:
+        job = self.jobs[record.job_id]
+        job.done = bytearray(record.done) or job.done
+        job.done_count = sum(byte.bit_count() for byte in job.done)
+        job.numbers = dict(record.numbers)
+        job.cancelled = record.cancelled
+        job.finished_ms = record.finished_ms
+
+    def open_attempts(self, job: Job) -> list[AttemptStarted]:
+        """Return the attempts of a job that may be running."""
+        return list(self._open[job.job_id].values())
+
+
+def recover(lifecycle: Lifecycle, records: Iterable[Any], now_ms: float) -> None:
+    """Take over jobs from the journal. Open attempts stay with their workers until resolved."""
+    replay = Replay()
+    replay.apply(records)
+    for job in replay.jobs.values():
+        attempts = replay.open_attempts(job)
+        _set_waiting(job, {attempt.index for attempt in attempts})
+        if not job.is_service and job.done_count >= job.tasks and not job.finished_ms:
+            job.finished_ms = lifecycle.wall_offset_ms + now_ms
+        for record in attempts:
+            _restore_attempt(lifecycle, job, record, now_ms)
+        lifecycle.add_job(job)
+        _stop_unwanted(lifecycle, job)
+
+
+def _set_waiting(job: Job, live: set[int]) -> None:
+    attempted = [index for index in job.numbers if index < job.tasks]
+    job.fresh = max(attempted, default=-1) + 1
+    while job.fresh < job.tasks and job.is_done(job.fresh):
+        job.fresh += 1
+    job.retries.extend(
+        index for index in range(job.fresh) if index not in live and not job.is_done(index)
+    )
+
+
+def _restore_attempt(lifecycle: Lifecycle, job: Job, record: AttemptStarted, now_ms: float) -> None:
+    key = AttemptKey(record.job_id, record.index, record.number)
+    charged = job.spec.resources
+    if record.charged:
+        charged = Resources(record.charged[0], record.charged[1], charged.accelerators)
+    attempt = Attempt(
+        key,
+        str(key),
+        record.worker,
+        charged,
+        Phase.COMMITTED,
+        now_ms,
+        record.lease_ms,
+        record.gang,
+        record.gang > 0,
+    )
+    lifecycle.restore(job, attempt, now_ms)
+
+
+def _stop_unwanted(lifecycle: Lifecycle, job: Job) -> None:
+    members = list(job.live.values())
+    partial_gang = any(member.gang and member.gang != len(members) for member in members)
+    for attempt in members:
+        if job.cancelled:
+            lifecycle.stop(attempt, "job_cancelled")
+        elif attempt.key.index >= job.tasks:
+            lifecycle.stop(attempt, "fewer_replicas")
+        elif partial_gang:
+            lifecycle.stop(attempt, "gang_incomplete")
+
+
+def snapshot(jobs: Iterable[Job], epoch: int) -> Iterator[Any]:
+    """Yield the records that restore the given jobs.
+
+    Changes whose journal outcome is still open are included, because their records may precede the
+    snapshot. None of them does harm when its append fails: a start was not sent, a completion did
+    happen, and the caller of a submission or cancellation receives no confirmation.
+    """
+    for job in jobs:
+        yield JobAccepted(job.job_id, job.spec, job.submitted_ms, job.ticket, job.service)
+        if job.tasks != job.spec.tasks:
+            yield JobResized(job.job_id, job.tasks)
+        numbers = tuple(
+            (index, number - 1 if index in job.live else number)
+            for index, number in job.numbers.items()
+        )
+        cancelled = job.cancelled or job.cancelling
+        done = _with(job.done, job.completing)
+        yield JobProgress(job.job_id, bytes(done), numbers, cancelled, job.finished_ms)
+        for attempt in job.live.values():
+            yield _started_record(job, attempt, epoch)
+
+
+def _with(done: bytearray, indexes: Iterable[int]) -> bytearray:
+    result = bytearray(done)
+    for index in indexes:
+        byte, bit = divmod(index, BITS_PER_BYTE)
+        result[byte] |= 1 << bit
+    return result
+
+
+def _started_record(job: Job, attempt: Attempt, epoch: int) -> AttemptStarted:
+    charged = attempt.charged
+    declared = charged == job.spec.resources
+    size = () if declared else (charged.cpu_millis, charged.memory_bytes)
+    key = attempt.key
+    return AttemptStarted(
+        key.job_id,
+        key.index,
+        key.number,
+        attempt.worker,
+        epoch,
+        attempt.lease_ms,
+        attempt.gang,
+        size,
+    )
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/workers.py
@@ -0,0 +1,205 @@
+"""The scheduler's side of the agent protocol for one worker.
+
+Leases are counted on the agent's clock from ``echo_ms``, the agent's own time in the newest
+response that the scheduler had received. That response left the agent before the scheduler
+received it. A renewal that is delivered late therefore cannot extend a lease beyond the time of
+that receipt plus the length of the lease.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from nutmeglb_decisions.tasks.invariants import JOURNAL_FIRST, ensure
+from nutmeglb_decisions.tasks.state import Attempt, Phase
+from nutmeglb_formats.models.agent import (
+    Amounts,
+    FinishedTask,
+    RunningTask,
+    StartCommand,
+    SyncRequest,
+    SyncResponse,
+    TaskPhase,
+    ThrottleCommand,
+)
+from nutmeglb_formats.models.resources import Resources
+
+# Commands per request. The rest follows in the next request, so a request stays well below 4 MB.
+COMMAND_LIMIT = 500
+# A link that is created again in the same epoch must continue with higher sequence numbers. It
+# starts at the time in microseconds, which passes faster than requests are sent.
+SEQUENCES_PER_MS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Reports:
+    """What a response says about attempts.
+
+    Attributes
+    ----------
+    admitted
+        Live attempts that the agent reports for the first time or in a new phase.
+    ended
+        Ended live attempts.
+    vanished
+        Live attempts that the agent had reported and no longer knows.
+    orphans
+        Running attempts that are not live here.
+    late
+        Ended attempts that are not live here.
+    """
+
+    admitted: tuple[tuple[Attempt, TaskPhase], ...] = ()
+    ended: tuple[tuple[Attempt, FinishedTask], ...] = ()
+    vanished: tuple[Attempt, ...] = ()
+    orphans: tuple[RunningTask, ...] = ()
+    late: tuple[FinishedTask, ...] = ()
+
+
+@dataclass(slots=True, eq=False)
+class WorkerLink:
+    """Protocol state of a worker.
+
+    Attributes
+    ----------
+    listed, leaving
+        What the platform's list says.
+    resolved
+        Whether the agent has answered in this epoch and its leases have not expired since.
+    renewed_ms
+        Time of receipt of the newest response that was echoed in a request.
+    """
+
+    worker: str
+    created_ms: float
+    lease_ms: float
+    margin_ms: float
+    listed: bool = False
+    leaving: bool = False
+    resolved: bool = False
+    boot: str = ""
+    agent_ms: float = -1.0
+    received_ms: float = 0.0
+    renewed_ms: float = 0.0
+    sequence: int = 0
+    attempts: dict[str, Attempt] = field(default_factory=dict)
+    orphans: dict[str, Resources] = field(default_factory=dict)
+    stop: dict[str, None] = field(default_factory=dict)
+    checkpoint: dict[str, None] = field(default_factory=dict)
+    throttle: dict[str, int] = field(default_factory=dict)
+    ack: dict[str, None] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.renewed_ms = self.created_ms
+        self.sequence = int(self.created_ms * SEQUENCES_PER_MS)
+
+    @property
+    def expiry_ms(self) -> float:
+        """Return the time at which every lease on the worker has certainly expired."""
+        longest = max([self.lease_ms, *(item.lease_ms for item in self.attempts.values())])
+        return self.renewed_ms + longest + self.margin_ms
+
+    def has_commands(self) -> bool:
+        """Return whether anything but a renewal waits for the agent."""
+        return bool(
+            self.stop
+            or self.checkpoint
+            or self.throttle
+            or self.ack
+            or any(_needs_start(attempt) for attempt in self.attempts.values())
+        )
+
+    def has_starts(self) -> bool:
+        """Return whether the agent has not confirmed a start."""
+        return self.resolved and any(_needs_start(item) for item in self.attempts.values())
+
+    def request(
+        self, scheduler: str, epoch: int, wait_ms: float, command_of: Callable[[Attempt], str]
+    ) -> SyncRequest:
+        """Return the next request. Unconfirmed commands are repeated in every request."""
+        self.sequence += 1
+        self.renewed_ms = max(self.renewed_ms, self.received_ms)
+        return SyncRequest(
+            scheduler=scheduler,
+            epoch=epoch,
+            sequence=self.sequence,
+            lease_ms=self.lease_ms,
+            wait_ms=wait_ms,
+            echo_boot=self.boot,
+            echo_ms=max(0.0, self.agent_ms),
+            start=self._starts(command_of) if self.resolved else (),
+            stop=tuple(self.stop)[:COMMAND_LIMIT],
+            checkpoint=tuple(self.checkpoint)[:COMMAND_LIMIT],
+            throttle=tuple(
+                ThrottleCommand(attempt=name, cpu_millis=limit)
+                for name, limit in list(self.throttle.items())[:COMMAND_LIMIT]
+            ),
+            ack=tuple(self.ack)[:COMMAND_LIMIT],
+        )
+
+    def _starts(self, command_of: Callable[[Attempt], str]) -> tuple[StartCommand, ...]:
+        starts = []
+        for attempt in self.attempts.values():
+            if not _needs_start(attempt):
+                continue
+            ensure(
+                attempt.phase is not Phase.RESERVED,
+                JOURNAL_FIRST,
+                "An attempt would start before the journal holds it",
+                task=attempt.name,
+            )
+            starts.append(
+                StartCommand(
+                    attempt=attempt.name,
+                    command=command_of(attempt),
+                    size=Amounts.of(attempt.charged),
+                    hold=attempt.hold,
+                )
+            )
+            if len(starts) == COMMAND_LIMIT:
+                break
+        return tuple(starts)
+
+    def receive(self, response: SyncResponse, now_ms: float) -> Reports | None:
+        """Take over a response. Returns ``None`` for one that a newer response has overtaken."""
+        same_boot = response.boot == self.boot
+        if same_boot and response.agent_ms <= self.agent_ms:
+            return None
+        self.boot = response.boot
+        self.agent_ms = response.agent_ms
+        self.received_ms = now_ms
+        self.resolved = True
+        running = {task.attempt: task for task in response.running}
+        finished = {task.attempt: task for task in response.finished}
+        self.ack = {name: None for name in self.ack if name in finished}
+        self.stop = {name: None for name in self.stop if name not in finished}
+        self.checkpoint = {name: None for name in self.checkpoint if name in running}
+        self.throttle = {}
+        return self._reports(running, finished)
+
+    def _reports(
+        self, running: dict[str, RunningTask], finished: dict[str, FinishedTask]
+    ) -> Reports:
+        live = self.attempts
+        return Reports(
+            admitted=tuple(
+                (live[name], task.phase)
+                for name, task in running.items()
+                if name in live and live[name].phase.value != task.phase.value
+            ),
+            ended=tuple((live[name], task) for name, task in finished.items() if name in live),
+            vanished=tuple(
+                attempt
+                for name, attempt in live.items()
+                if attempt.seen and name not in running and name not in finished
+            ),
+            orphans=tuple(task for name, task in running.items() if name not in live),
+            late=tuple(
+                task for name, task in finished.items() if name not in live and name not in self.ack
+            ),
+        )
+
+
+def _needs_start(attempt: Attempt) -> bool:
+    if attempt.stop_cause or attempt.phase is Phase.RESERVED:
+        return False
+    return attempt.phase is Phase.COMMITTED or (attempt.phase is Phase.HELD and not attempt.hold)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/exceptions.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/exceptions.py
@@ -113,3 +113,7 @@
 
 class InstanceListError(NutmegError):
     """The platform's instance list cannot be read."""
+
+
+class AgentEpochRefused(AgentError):
+    """A worker agent obeys a scheduler with a higher epoch."""
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/agents/worker.py
@@ -0,0 +1,112 @@
+"""Loops that keep one worker agent in sync with the scheduler."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Ok
+
+from nutmeglb._internal.agents.client import AgentClient
+from nutmeglb_formats.models.agent import SyncRequest, SyncResponse
+
+MS_PER_S = 1_000.0
+FIRST_RETRY_MS = 100.0
+MAX_RETRY_MS = 2_000.0
+# An agent may ignore the commands of an overtaken request; they are then sent again.
+RESEND_MS = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class SyncPort:
+    """What the loops need from the job service.
+
+    Attributes
+    ----------
+    may_send
+        Whether this instance has authority now. Checked immediately before every request.
+    request
+        Returns the next request to a worker for a long poll of the given milliseconds.
+    received
+        Takes a response of a worker.
+    has_starts
+        Whether a worker has not confirmed a start.
+    """
+
+    may_send: Callable[[], bool]
+    request: Callable[[str, float], SyncRequest | None]
+    received: Callable[[str, SyncResponse], None]
+    has_starts: Callable[[str], bool]
+
+
+class WorkerSync:
+    """One long-poll request and at most one command request at a time to one worker."""
+
+    def __init__(
+        self,
+        worker: str,
+        address: str,
+        client: AgentClient,
+        port: SyncPort,
+        rng: random.Random,
+        wait_ms: float,
+    ) -> None:
+        self.address = address
+        self._worker = worker
+        self._client = client
+        self._port = port
+        self._rng = rng
+        self._wait_ms = wait_ms
+        self._wake = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def reachable(self) -> bool:
+        """Return whether the last long poll succeeded."""
+        return self._reachable
+
+    _reachable = False
+
+    def start(self) -> None:
+        """Start both loops."""
+        self._tasks = [asyncio.create_task(self._poll()), asyncio.create_task(self._command())]
+
+    def wake(self) -> None:
+        """Send waiting commands now."""
+        self._wake.set()
+
+    def stop(self) -> None:
+        """Stop both loops. Requests in flight are abandoned."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _poll(self) -> None:
+        retry_ms = FIRST_RETRY_MS
+        while True:
+            self._reachable = await self._sync(self._wait_ms)
+            if self._reachable:
+                retry_ms = FIRST_RETRY_MS
+                continue
+            await asyncio.sleep(retry_ms * self._rng.uniform(0.5, 1.0) / MS_PER_S)
+            retry_ms = min(2 * retry_ms, MAX_RETRY_MS)
+
+    async def _command(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            # Without contact the long poll's retries carry the commands.
+            if self._reachable and await self._sync(0.0) and self._port.has_starts(self._worker):
+                await asyncio.sleep(RESEND_MS / MS_PER_S)
+                self._wake.set()
+
+    async def _sync(self, wait_ms: float) -> bool:
+        if not self._port.may_send():
+            return False
+        request = self._port.request(self._worker, wait_ms)
+        if request is None:
+            return False
+        result = await self._client.sync(self.address, request)
+        if not isinstance(result, Ok):
+            return False
+        self._port.received(self._worker, result.ok_value)
+        return True
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/jobs/driver.py
@@ -0,0 +1,249 @@
+"""Runs the task scheduler of a failure domain while this instance leads it."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from result import Err, Ok, Result
+
+from nutmeglb._internal.agents.client import AgentClient
+from nutmeglb._internal.agents.worker import SyncPort, WorkerSync
+from nutmeglb._internal.context import Context
+from nutmeglb_decisions.tasks.events import (
+    Answer,
+    Append,
+    CommitFailed,
+    Committed,
+    Configured,
+    Decided,
+    Effect,
+    Event,
+    ListedWorker,
+    SendCommands,
+    Synced,
+    Tick,
+    WorkersListed,
+)
+from nutmeglb_decisions.tasks.scheduler import Scheduler
+from nutmeglb_formats.exceptions import InvariantViolation, LeadershipLost, NutmegError
+from nutmeglb_formats.models.agent import SyncRequest, SyncResponse
+from nutmeglb_formats.models.config import Config
+from nutmeglb_formats.models.instances import InstanceRole, InstanceState
+
+TICK_MS = 50.0
+MS_PER_S = 1_000.0
+
+
+class SchedulerDriver:
+    """Feeds events to the scheduler and carries out its effects.
+
+    Parameters
+    ----------
+    records
+        Records of the journal, in order.
+    on_violation
+        Called after an invariant violation. The scheduler must then be recovered.
+    """
+
+    def __init__(
+        self, ctx: Context, epoch: int, records: list[Any], on_violation: Callable[[], None]
+    ) -> None:
+        self.epoch = epoch
+        self._ctx = ctx
+        self._on_violation = on_violation
+        self._client = AgentClient(ctx.settings.store.call_timeout_ms)
+        self._workers: dict[str, WorkerSync] = {}
+        self._answers: dict[int, asyncio.Future[Result[str, NutmegError]]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._wake = asyncio.Event()
+        self._paused = False
+        self._violations = ctx.metrics.counter(
+            "nutmeglb_invariant_violations_total", "Violated guarantees."
+        )
+        self.core = Scheduler(
+            domain=ctx.domain,
+            epoch=epoch,
+            config=ctx.config.current(),
+            records=records,
+            lease_ms=ctx.settings.tasks.task_lease_ms,
+            margin_ms=ctx.settings.leadership.margin_ms,
+            now_ms=ctx.clock.now_ms(),
+            wall_ms=ctx.clock.wall_ms(),
+            rng=ctx.rng,
+        )
+        self._port = SyncPort(
+            may_send=self._may_command,
+            request=self._request,
+            received=self._received,
+            has_starts=self._has_starts,
+        )
+
+    def start(self) -> None:
+        """Begin to command workers."""
+        self.configure(self._ctx.config.current())
+        self.list_workers()
+        self._spawn(self._run())
+
+    def pause(self) -> None:
+        """Start no more tasks."""
+        self._paused = True
+
+    def stop(self) -> None:
+        """Stop all loops and fail the waiting commands."""
+        for task in self._tasks:
+            task.cancel()
+        for worker in self._workers.values():
+            worker.stop()
+        self._workers.clear()
+        self._client.close()
+        for future in self._answers.values():
+            if not future.done():
+                future.set_result(Err(_leadership_lost(self._ctx.domain)))
+        self._answers.clear()
+
+    def status(self) -> Mapping[str, object]:
+        """Return counts of jobs and workers."""
+        life = self.core.life
+        return {
+            "epoch": self.epoch,
+            "jobs": len(life.jobs),
+            "workers": len(life.links),
+            "workers_reachable": sum(w.reachable for w in self._workers.values()),
+            "open_journal_batches": life.outbox.open_batches,
+        }
+
+    async def command(self, number: int, event: Event) -> Result[str, NutmegError]:
+        """Apply a command and wait for its answer: a job id or an error."""
+        future: asyncio.Future[Result[str, NutmegError]] = asyncio.Future()
+        self._answers[number] = future
+        self.handle(event)
+        try:
+            return await future
+        finally:
+            self._answers.pop(number, None)
+
+    def configure(self, config: Config) -> None:
+        """Take over a configuration."""
+        self.handle(Configured(config, self._ctx.clock.wall_ms()))
+
+    def list_workers(self) -> None:
+        """Take over the platform's instance list."""
+        instances = self._ctx.instances.instances(InstanceRole.WORKER, self._ctx.domain)
+        listed = tuple(
+            ListedWorker(item.instance_id, item.state is InstanceState.LEAVING)
+            for item in instances
+        )
+        self.handle(WorkersListed(listed))
+        for item in instances:
+            self._ensure_sync(item.instance_id, item.address)
+        for worker in [w for w in self._workers if w not in self.core.life.links]:
+            self._workers.pop(worker).stop()
+
+    def handle(self, event: Event) -> None:
+        """Apply an event and carry out its effects."""
+        self._carry_out(lambda now_ms: self.core.handle(event, now_ms))
+        self._wake.set()
+
+    def _ensure_sync(self, worker: str, address: str) -> None:
+        current = self._workers.get(worker)
+        if current is not None and current.address == address:
+            return
+        if current is not None:
+            current.stop()
+        wait_ms = self._ctx.settings.tasks.sync_wait_ms
+        sync = WorkerSync(worker, address, self._client, self._port, self._ctx.rng, wait_ms)
+        self._workers[worker] = sync
+        sync.start()
+
+    async def _run(self) -> None:
+        while True:
+            self.handle(Tick())
+            self._wake.clear()
+            while not self._paused and self.core.has_work(self._ctx.clock.now_ms()):
+                if not self._ctx.leadership.is_leader():
+                    break
+                self._carry_out(self.core.step)
+                await asyncio.sleep(0)
+            try:
+                await asyncio.wait_for(self._wake.wait(), TICK_MS / MS_PER_S)
+            except TimeoutError:
+                continue
+
+    def _carry_out(self, decide: Callable[[float], list[Effect]]) -> None:
+        try:
+            effects = decide(self._ctx.clock.now_ms())
+        except InvariantViolation as violation:
+            self._violated(violation)
+            return
+        for effect in effects:
+            self._do(effect)
+
+    def _violated(self, violation: InvariantViolation) -> None:
+        self._violations.inc(invariant=str(violation.context.get("invariant", "unknown")))
+        self._ctx.events.emit("invariant_violated", str(violation))
+        asyncio.get_running_loop().call_soon(self._on_violation)
+
+    def _do(self, effect: Effect) -> None:
+        match effect:
+            case Append(batch, records):
+                self._spawn(self._append(batch, records))
+            case SendCommands(worker):
+                if worker in self._workers:
+                    self._workers[worker].wake()
+            case Answer(number, job_id, error):
+                future = self._answers.get(number)
+                if future is not None and not future.done():
+                    future.set_result(Ok(job_id) if error is None else Err(error))
+            case Decided():
+                self._emit(effect)
+
+    def _emit(self, decided: Decided) -> None:
+        fields: dict[str, Any] = dict(decided.fields)
+        self._ctx.events.emit(
+            decided.kind,
+            decided.cause,
+            job=decided.job,
+            task=decided.task,
+            worker=decided.worker,
+            **fields,
+        )
+
+    async def _append(self, batch: int, records: tuple[Any, ...]) -> None:
+        result = await self._ctx.journal.append(records)
+        if isinstance(result, Ok):
+            self.handle(Committed(batch))
+        else:
+            self.handle(CommitFailed(batch, result.err_value))
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # Port of the worker loops
+
+    def _may_command(self) -> bool:
+        leadership = self._ctx.leadership
+        return leadership.is_leader() and leadership.epoch == self.epoch
+
+    def _request(self, worker: str, wait_ms: float) -> SyncRequest | None:
+        try:
+            return self.core.sync_request(worker, wait_ms)
+        except InvariantViolation as violation:
+            self._violated(violation)
+            return None
+
+    def _received(self, worker: str, response: SyncResponse) -> None:
+        self.handle(Synced(worker, response))
+
+    def _has_starts(self, worker: str) -> bool:
+        link = self.core.life.links.get(worker)
+        return link is not None and link.has_starts()
+
+
+def _leadership_lost(domain: str) -> LeadershipLost:
+    return LeadershipLost(
+        "This instance stopped leading the failure domain",
+        context={"domain": domain},
+        hint="Repeat the command with the same submission id",
+    )
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/jobs/views.py
@@ -0,0 +1,80 @@
+"""Views of jobs, workers and teams for callers and operators."""
+
+from nutmeglb_decisions.tasks.lifecycle import Lifecycle
+from nutmeglb_decisions.tasks.state import Job
+from nutmeglb_formats.models.jobs import JobState, JobView
+from nutmeglb_formats.models.resources import Resources
+from nutmeglb_formats.wire.tasks import TeamView, WorkerView
+
+
+def job_view(life: Lifecycle, job: Job, now_ms: float) -> JobView:
+    """Return the view of a job."""
+    reason, why = life.wait_reason(job, now_ms)
+    return JobView(
+        job_id=job.job_id,
+        spec=job.spec,
+        state=_state(job),
+        waiting=job.waiting,
+        running=len(job.live),
+        finished=job.done_count,
+        submitted_ms=job.submitted_ms,
+        wait_reason=reason,
+        why=why,
+    )
+
+
+def _state(job: Job) -> JobState:
+    if job.cancelled:
+        return JobState.CANCELLED
+    if job.finished_ms:
+        return JobState.FINISHED
+    return JobState.RUNNING if job.live or job.completing else JobState.WAITING
+
+
+def worker_views(life: Lifecycle) -> tuple[WorkerView, ...]:
+    """Return the views of all workers."""
+    views = []
+    for worker, link in sorted(life.links.items()):
+        account = life.ledger.account(worker)
+        views.append(
+            WorkerView(
+                worker=worker,
+                domain=life.domain,
+                rack=account.rack if account else "",
+                state=_worker_state(life, worker),
+                capacity=account.capacity if account else Resources(),
+                allocated=account.allocated if account else Resources(),
+                tasks=len(link.attempts),
+            )
+        )
+    return tuple(views)
+
+
+def _worker_state(life: Lifecycle, worker: str) -> str:
+    link = life.links[worker]
+    if not link.resolved:
+        return "unreachable"
+    if link.leaving or not link.listed:
+        return "leaving"
+    return "live" if worker in life.engine.enabled() else "quarantined"
+
+
+def team_views(life: Lifecycle) -> tuple[TeamView, ...]:
+    """Return quota and use of all teams."""
+    waiting: dict[str, int] = {}
+    running: dict[str, int] = {}
+    for job in life.jobs.values():
+        team = job.spec.team
+        waiting[team] = waiting.get(team, 0) + job.waiting
+        running[team] = running.get(team, 0) + len(job.live)
+    return tuple(
+        TeamView(
+            team=team,
+            domain=life.domain,
+            limit=limit,
+            used=life.quotas.used(team),
+            waiting=waiting.get(team, 0),
+            running=running.get(team, 0),
+        )
+        for team, limit in sorted(life.quotas.limits().items())
+    )
--- /dev/null
+++ b/standins/agent.py
@@ -0,0 +1,173 @@
+"""Stand-in of a worker agent over HTTP. Tasks are simulated by their run time.
+
+The command of a task is a list of ``key=value`` items: ``run_ms``, ``outcome``, ``cpu_millis`` and
+``memory_bytes`` (measured use). A command that begins with ``service`` runs until it is stopped.
+
+``POST /v1/sync`` is the protocol. ``GET /record`` returns every run of a task. ``POST /faults``
+sets faults: ``fail_starts``, ``refuse`` (booleans), ``lose_responses`` (number of responses) and
+``freeze_ms`` (no answer for this time).
+"""
+
+import argparse
+import asyncio
+import json
+import math
+from pathlib import Path
+
+from pydantic import ValidationError
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.models.agent import SYNC_LIMIT_BYTES, EpochRefusal, SyncRequest, SyncResponse
+from nutmeglb_formats.models.resources import Resources
+from standins.agent_state import AgentState, Faults
+
+MS_PER_S = 1_000.0
+
+
+class AgentServer:
+    """HTTP listener around an ``AgentState``."""
+
+    def __init__(self, state: AgentState) -> None:
+        self.state = state
+        self.port = 0
+        self.calls = 0
+        self._changed = asyncio.Condition()
+        self._frozen_until_ms = 0.0
+        self._server: HTTPServer | None = None
+
+    def start(self, port: int = 0, host: str = "127.0.0.1") -> int:
+        """Listen and return the bound port."""
+        sockets = bind_sockets(port, host)
+        app = Application(
+            [
+                (r"/v1/sync", _Sync, {"agent": self}),
+                (r"/record", _Record, {"agent": self}),
+                (r"/faults", _SetFaults, {"agent": self}),
+            ]
+        )
+        self._server = HTTPServer(app, max_body_size=SYNC_LIMIT_BYTES)
+        self._server.add_sockets(sockets)
+        self.port = int(sockets[0].getsockname()[1])
+        return self.port
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+    def freeze(self, duration_ms: float) -> None:
+        """Answer nothing for a time."""
+        self._frozen_until_ms = self.state.clock.now_ms() + duration_ms
+
+    async def thaw(self) -> None:
+        """Wait until the agent is not frozen."""
+        while self._frozen_until_ms > self.state.clock.now_ms():
+            left_ms = self._frozen_until_ms - self.state.clock.now_ms()
+            await asyncio.sleep(left_ms / MS_PER_S)
+
+    async def sync(self, request: SyncRequest) -> SyncResponse | EpochRefusal:
+        """Apply a request, then wait for a change that the scheduler has not seen."""
+        await self.thaw()
+        self.calls += 1
+        response = self.state.sync(request)
+        if isinstance(response, EpochRefusal):
+            return response
+        async with self._changed:
+            self._changed.notify_all()
+        if await self._wait_for_change(request):
+            await self.thaw()
+        if request.epoch < self.state.epoch:
+            return EpochRefusal(epoch=self.state.epoch)
+        return self.state.response()
+
+    async def _wait_for_change(self, request: SyncRequest) -> bool:
+        """Return whether anything was waited for."""
+        clock = self.state.clock
+        deadline_ms = clock.now_ms() + request.wait_ms
+        waited = False
+        seen_ms = request.echo_ms if request.echo_boot == self.state.boot else -math.inf
+        while self.state.changed_ms <= seen_ms and request.epoch >= self.state.epoch:
+            left_ms = min(deadline_ms, self.state.next_change_ms()) - clock.now_ms()
+            if clock.now_ms() >= deadline_ms:
+                break
+            waited = True
+            async with self._changed:
+                try:
+                    await asyncio.wait_for(self._changed.wait(), max(0.001, left_ms / MS_PER_S))
+                except TimeoutError:
+                    self.state.advance()
+        return waited
+
+
+class _Handler(RequestHandler):
+    def initialize(self, agent: AgentServer) -> None:
+        self.agent = agent
+
+
+class _Sync(_Handler):
+    async def post(self) -> None:
+        try:
+            request = SyncRequest.model_validate_json(self.request.body)
+        except ValidationError as error:
+            self.set_status(400)
+            self.write({"error": f"{error.error_count()} invalid fields"})
+            return
+        answer = await self.agent.sync(request)
+        faults = self.agent.state.faults
+        if faults.lose_responses > 0:
+            faults.lose_responses -= 1
+            self.request.connection.stream.close()  # type: ignore[attr-defined]
+            return
+        if isinstance(answer, EpochRefusal):
+            self.set_status(409)
+        self.set_header("Content-Type", "application/json")
+        self.write(answer.model_dump_json())
+
+
+class _Record(_Handler):
+    def get(self) -> None:
+        self.set_header("Content-Type", "application/json")
+        self.write(json.dumps(self.agent.state.record_items()))
+
+
+class _SetFaults(_Handler):
+    def post(self) -> None:
+        faults = Faults(**json.loads(self.request.body))
+        self.agent.state.faults = faults
+        if faults.freeze_ms:
+            self.agent.freeze(faults.freeze_ms)
+        self.write({})
+
+
+def _arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--worker", required=True)
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--ports_file", default="")
+    parser.add_argument("--cpu_millis", type=int, default=16_000)
+    parser.add_argument("--memory_bytes", type=int, default=64_000_000_000)
+    parser.add_argument("--accelerators", type=int, default=0)
+    parser.add_argument("--rack", default="")
+    return parser.parse_args()
+
+
+async def _serve(options: argparse.Namespace) -> None:
+    clock = Clock()
+    capacity = Resources(options.cpu_millis, options.memory_bytes, options.accelerators)
+    boot = f"{clock.wall_ms():.0f}"
+    agent = AgentServer(AgentState(options.worker, capacity, clock, options.rack, boot))
+    port = agent.start(options.port)
+    if options.ports_file:
+        path = Path(options.ports_file)
+        partial = path.with_name(path.name + ".part")
+        partial.write_text(json.dumps({"agent": f"127.0.0.1:{port}"}))
+        partial.rename(path)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(_serve(_arguments()))
--- /dev/null
+++ b/standins/agent_state.py
@@ -0,0 +1,261 @@
+"""The agent's side of the protocol, without I/O. ``docs/agent-protocol.md`` states its rules."""
+
+import math
+from dataclasses import asdict, dataclass, field
+
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.models.agent import (
+    Amounts,
+    EpochRefusal,
+    FinishedTask,
+    RunningTask,
+    StartCommand,
+    SyncRequest,
+    SyncResponse,
+    TaskOutcome,
+    TaskPhase,
+    UsageReport,
+)
+from nutmeglb_formats.models.resources import Resources
+
+DEFAULT_RUN_MS = 1_000.0
+CHECKPOINT_MS = 20.0
+USAGE_LAG_MS = 500.0
+RESPONSE_STEP_MS = 0.001
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a task, for the record. Times are milliseconds of the agent's clock."""
+
+    attempt: str
+    epoch: int
+    start_ms: float
+    end_ms: float | None = None
+    outcome: str = ""
+
+
+@dataclass(slots=True)
+class Task:
+    """An admitted task. ``end_ms`` is when it ends by itself."""
+
+    attempt: str
+    size: Resources
+    lease_end_ms: float
+    run_ms: float
+    outcome: TaskOutcome
+    used: Resources
+    phase: TaskPhase = TaskPhase.HELD
+    start_ms: float = 0.0
+    end_ms: float = math.inf
+    run: Run | None = None
+
+
+@dataclass(slots=True)
+class Faults:
+    """Faults to show. ``refuse`` refuses every start, ``fail_starts`` fails every task."""
+
+    fail_starts: bool = False
+    refuse: bool = False
+    lose_responses: int = 0
+    freeze_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class AgentState:
+    """Tasks of one worker under leases.
+
+    A task ends when its lease expires, also while the agent itself hangs: expiry is dated to the
+    end of the lease, as by a timer of the operating system.
+    """
+
+    worker: str
+    capacity: Resources
+    clock: Clock
+    rack: str = ""
+    boot: str = "1"
+    epoch: int = 0
+    sequence: int = 0
+    changed_ms: float = 0.0
+    faults: Faults = field(default_factory=Faults)
+    record: list[Run] = field(default_factory=list)
+    tasks: dict[str, Task] = field(default_factory=dict)
+    finished: dict[str, FinishedTask] = field(default_factory=dict)
+    _answered_ms: float = 0.0
+
+    def restart(self, boot: str) -> None:
+        """Start the agent again: all tasks end and everything is forgotten."""
+        now_ms = self.clock.now_ms()
+        self.advance()
+        for task in self.tasks.values():
+            if task.run is not None:
+                task.run.end_ms, task.run.outcome = now_ms, "agent_restarted"
+        self.tasks.clear()
+        self.finished.clear()
+        self.boot = boot
+        self.epoch = self.sequence = 0
+        self._answered_ms = self.changed_ms = 0.0
+
+    def next_change_ms(self) -> float:
+        """Return the time of the next end of a task."""
+        return min((min(t.end_ms, t.lease_end_ms) for t in self.tasks.values()), default=math.inf)
+
+    def advance(self) -> None:
+        """End the tasks whose time or lease is over."""
+        now_ms = self.clock.now_ms()
+        for task in list(self.tasks.values()):
+            if task.end_ms <= min(now_ms, task.lease_end_ms):
+                self._end(task, task.outcome, task.end_ms)
+            elif task.lease_end_ms <= now_ms:
+                self._end(task, TaskOutcome.LEASE_EXPIRED, task.lease_end_ms)
+
+    def sync(self, request: SyncRequest) -> SyncResponse | EpochRefusal:
+        """Apply one request and return the complete state."""
+        self.advance()
+        if request.epoch < self.epoch:
+            return EpochRefusal(epoch=self.epoch)
+        if request.epoch > self.epoch:
+            self.epoch, self.sequence = request.epoch, 0
+        if request.echo_boot == self.boot:
+            self._renew(request.echo_ms + request.lease_ms)
+            if request.sequence > self.sequence:
+                self.sequence = request.sequence
+                self._command(request)
+        return self.response()
+
+    def response(self) -> SyncResponse:
+        """Return the complete state."""
+        self.advance()
+        self._answered_ms = max(self.clock.now_ms(), self._answered_ms + RESPONSE_STEP_MS)
+        now_ms = self._answered_ms
+        return SyncResponse(
+            epoch=self.epoch,
+            boot=self.boot,
+            agent_ms=now_ms,
+            capacity=Amounts.of(self.capacity),
+            rack=self.rack,
+            running=tuple(self._running(task, now_ms) for task in self.tasks.values()),
+            finished=tuple(self.finished.values()),
+            usage=tuple(self._usage(now_ms)),
+        )
+
+    def free(self) -> Resources:
+        """Return the resources that no admitted task occupies."""
+        free = self.capacity
+        for task in self.tasks.values():
+            free = free - task.size
+        return free
+
+    def _renew(self, lease_end_ms: float) -> None:
+        for task in self.tasks.values():
+            task.lease_end_ms = max(task.lease_end_ms, lease_end_ms)
+
+    def _command(self, request: SyncRequest) -> None:
+        for name in request.stop:
+            self._stop(name)
+        for name in request.ack:
+            self.finished.pop(name, None)
+        lease_end_ms = request.echo_ms + request.lease_ms
+        for start in request.start:
+            if lease_end_ms > self.clock.now_ms():
+                self._start(start, lease_end_ms)
+        for name in request.checkpoint:
+            task = self.tasks.get(name)
+            if task is not None and task.outcome is not TaskOutcome.CHECKPOINTED:
+                task.outcome = TaskOutcome.CHECKPOINTED
+                task.end_ms = min(task.end_ms, self.clock.now_ms() + CHECKPOINT_MS)
+        for throttle in request.throttle:
+            task = self.tasks.get(throttle.attempt)
+            if task is not None:
+                limit = min(throttle.cpu_millis, task.used.cpu_millis)
+                task.used = Resources(limit, task.used.memory_bytes, task.used.accelerators)
+
+    def _start(self, start: StartCommand, lease_end_ms: float) -> None:
+        if start.attempt in self.finished:
+            return
+        task = self.tasks.get(start.attempt)
+        if task is None:
+            size = start.size.resources()
+            if self.faults.refuse or not size.fits_in(self.free()):
+                reason = "refused by a fault" if self.faults.refuse else "no room"
+                self._finish(start.attempt, TaskOutcome.REFUSED, False, 0.0, reason)
+                return
+            task = self._admit(start, size, lease_end_ms)
+        if task.phase is TaskPhase.HELD and not start.hold:
+            self._run(task)
+
+    def _admit(self, start: StartCommand, size: Resources, lease_end_ms: float) -> Task:
+        options = dict(item.split("=", 1) for item in start.command.split() if "=" in item)
+        endless = start.command.startswith("service")
+        run_ms = math.inf if endless else float(options.get("run_ms", DEFAULT_RUN_MS))
+        outcome = TaskOutcome(options.get("outcome", TaskOutcome.SUCCEEDED))
+        used = Resources(
+            int(options.get("cpu_millis", size.cpu_millis)),
+            int(options.get("memory_bytes", size.memory_bytes)),
+            size.accelerators,
+        )
+        if self.faults.fail_starts:
+            run_ms, outcome = 0.0, TaskOutcome.FAILED
+        task = Task(start.attempt, size, lease_end_ms, run_ms, outcome, used)
+        self.tasks[start.attempt] = task
+        self.changed_ms = self._answered_ms + RESPONSE_STEP_MS / 2
+        return task
+
+    def _run(self, task: Task) -> None:
+        now_ms = self.clock.now_ms()
+        task.phase = TaskPhase.RUNNING
+        task.start_ms = now_ms
+        task.end_ms = now_ms + task.run_ms
+        task.run = Run(task.attempt, self.epoch, now_ms)
+        self.record.append(task.run)
+        self.changed_ms = self._answered_ms + RESPONSE_STEP_MS / 2
+
+    def _stop(self, name: str) -> None:
+        task = self.tasks.get(name)
+        if task is not None:
+            self._end(task, TaskOutcome.STOPPED, self.clock.now_ms())
+        elif name not in self.finished:
+            # The entry stays until it is acknowledged, so a delayed start cannot run the attempt.
+            self._finish(name, TaskOutcome.STOPPED, False, 0.0, "not started")
+
+    def _end(self, task: Task, outcome: TaskOutcome, end_ms: float) -> None:
+        del self.tasks[task.attempt]
+        if task.run is not None:
+            task.run.end_ms, task.run.outcome = end_ms, outcome.value
+        started = task.run is not None
+        run_ms = end_ms - task.start_ms if started else 0.0
+        self._finish(task.attempt, outcome, started, run_ms, "")
+
+    def _finish(
+        self, name: str, outcome: TaskOutcome, started: bool, run_ms: float, reason: str
+    ) -> None:
+        self.finished[name] = FinishedTask(
+            attempt=name, outcome=outcome, started=started, run_ms=max(0.0, run_ms), reason=reason
+        )
+        self.changed_ms = self._answered_ms + RESPONSE_STEP_MS / 2
+
+    def _running(self, task: Task, now_ms: float) -> RunningTask:
+        run_ms = now_ms - task.start_ms if task.run is not None else 0.0
+        return RunningTask(
+            attempt=task.attempt,
+            phase=task.phase,
+            size=Amounts.of(task.size),
+            run_ms=max(0.0, run_ms),
+        )
+
+    def _usage(self, now_ms: float) -> list[UsageReport]:
+        return [
+            UsageReport(
+                attempt=task.attempt,
+                cpu_millis=task.used.cpu_millis,
+                memory_bytes=task.used.memory_bytes,
+                age_ms=USAGE_LAG_MS,
+            )
+            for task in self.tasks.values()
+            if task.run is not None and now_ms - task.start_ms >= USAGE_LAG_MS
+        ]
+
+    def record_items(self) -> list[dict[str, object]]:
+        """Return every run of a task."""
+        self.advance()
+        return [asdict(run) for run in self.record]
