--- a/packages/nutmeglb-formats/src/nutmeglb_formats/wire/tasks.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/wire/tasks.py
@@ -2,36 +2,11 @@
 
 from dataclasses import dataclass
 
+from nutmeglb_formats.models.admin import TeamView, WorkerView
 from nutmeglb_formats.models.jobs import JobSpec, JobView
-from nutmeglb_formats.models.resources import Resources
 from nutmeglb_formats.wire.registry import message
 
 
-@dataclass(frozen=True, slots=True)
-class WorkerView:
-    """State of a worker as shown to operators."""
-
-    worker: str
-    domain: str
-    rack: str
-    state: str
-    capacity: Resources
-    allocated: Resources
-    tasks: int
-
-
-@dataclass(frozen=True, slots=True)
-class TeamView:
-    """Quota and use of a team in a failure domain."""
-
-    team: str
-    domain: str
-    limit: Resources
-    used: Resources
-    waiting: int
-    running: int
-
-
 @dataclass(frozen=True, slots=True)
 class ErrorBody:
     """A typed error in transit."""
@@ -78,12 +53,11 @@
 @message(403, 1)
 @dataclass(frozen=True, slots=True)
 class ListJobs:
-    """Query: the newest jobs of a failure domain, of one team when ``of_team`` is set."""
+    """Query: the newest jobs of a failure domain, only the requesting team's unless empty."""
 
     domain: str
     team: str
     hops: int
-    of_team: str
     limit: int
 
 
--- a/packages/nutmeglb/src/nutmeglb/_internal/jobs/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/jobs/service.py
@@ -10,7 +10,7 @@
 from nutmeglb._internal.context import Context, LeadershipChange
 from nutmeglb._internal.jobs.driver import SchedulerDriver
 from nutmeglb._internal.jobs.errors import from_body, to_body
-from nutmeglb._internal.jobs.views import job_view, team_views, worker_views
+from nutmeglb._internal.jobs.views import job_view, sum_of_teams, team_views, worker_views
 from nutmeglb_decisions.tasks.events import Cancel, Submit
 from nutmeglb_decisions.tasks.submission import choose_domain, domain_of
 from nutmeglb_formats.exceptions import (
@@ -20,6 +20,7 @@
     PeerError,
     PermissionRefused,
 )
+from nutmeglb_formats.models.admin import TeamView, WorkerView
 from nutmeglb_formats.models.config import Config
 from nutmeglb_formats.models.jobs import JobSpec, JobView
 from nutmeglb_formats.wire.tasks import (
@@ -31,8 +32,6 @@
     ListWorkers,
     ShowJob,
     SubmitJob,
-    TeamView,
-    WorkerView,
 )
 
 FORWARD_TIMEOUT_MS = 10_000.0
@@ -55,8 +54,8 @@
 class JobService:
     """Component with the commands and queries about jobs.
 
-    Every method takes ``requester``: the team of the caller's token, or ``None`` for an operator.
-    On an instance that does not lead the failure domain concerned, the call is forwarded.
+    ``team`` is the team of the caller's token, or ``None`` for an operator. On an instance that
+    does not lead the failure domain concerned, the call is forwarded.
     """
 
     name = "jobs"
@@ -102,7 +101,7 @@
     # Commands
 
     async def submit(
-        self, spec: JobSpec, domain: str | None = None, *, requester: str | None = None
+        self, spec: JobSpec, domain: str | None = None, team: str | None = None
     ) -> Result[JobView, NutmegError]:
         """Accept a job. Returns after the journal holds it.
 
@@ -112,62 +111,49 @@
             Failure domain that runs the job. By default it follows from the team and the
             submission id, so that a repetition through any instance reaches the same leader.
         """
-        if requester is not None and spec.team != requester:
+        if team is not None and spec.team != team:
             return Err(_not_owner(spec.name))
         chosen = domain or choose_domain(
             spec.team, spec.submission_id, self._ctx.config.current().policy, self._ctx.domain
         )
-        return await self._job_call(SubmitJob(chosen, requester or "", 0, spec))
+        return await self._job_call(SubmitJob(chosen, team or "", 0, spec))
 
-    async def cancel(
-        self, job_id: str, *, requester: str | None = None
-    ) -> Result[JobView, NutmegError]:
+    async def cancel(self, job_id: str, team: str | None = None) -> Result[JobView, NutmegError]:
         """Cancel a job. Returns after the journal holds the cancellation."""
-        return await self._job_call(CancelJob(domain_of(job_id), requester or "", 0, job_id))
+        return await self._job_call(CancelJob(domain_of(job_id), team or "", 0, job_id))
 
     # Queries
 
-    async def show(
-        self, job_id: str, *, requester: str | None = None
-    ) -> Result[JobView, NutmegError]:
+    async def show(self, job_id: str, team: str | None = None) -> Result[JobView, NutmegError]:
         """Return one job."""
-        return await self._job_call(ShowJob(domain_of(job_id), requester or "", 0, job_id))
+        return await self._job_call(ShowJob(domain_of(job_id), team or "", 0, job_id))
 
     async def list(
-        self,
-        team: str | None = None,
-        limit: int = DEFAULT_LIMIT,
-        *,
-        requester: str | None = None,
+        self, team: str | None = None, limit: int = DEFAULT_LIMIT
     ) -> Result[JobViews, NutmegError]:
-        """Return the newest jobs of all reachable failure domains."""
-        if requester is not None and team not in (None, requester):
-            return Err(_not_owner(team or ""))
+        """Return the newest jobs of all reachable failure domains, of one team if given."""
         bounded = max(1, min(limit, MAX_LIMIT))
-        of_team = requester or team or ""
-        replies = await self._list_call(
-            lambda domain: ListJobs(domain, requester or "", 0, of_team, bounded)
-        )
+        replies = await self._list_call(lambda domain: ListJobs(domain, team or "", 0, bounded))
         if isinstance(replies, Err):
             return replies
         jobs = [view for reply in replies.ok_value for view in reply.jobs]
         jobs.sort(key=lambda view: view.submitted_ms, reverse=True)
         return Ok(jobs[:bounded])
 
-    async def workers(self, *, requester: str | None = None) -> Result[WorkerViews, NutmegError]:
+    async def workers(self, team: str | None = None) -> Result[WorkerViews, NutmegError]:
         """Return the workers of all reachable failure domains."""
-        replies = await self._list_call(lambda domain: ListWorkers(domain, requester or "", 0))
+        replies = await self._list_call(lambda domain: ListWorkers(domain, team or "", 0))
         if isinstance(replies, Err):
             return replies
         return Ok([view for reply in replies.ok_value for view in reply.workers])
 
-    async def teams(self, *, requester: str | None = None) -> Result[TeamViews, NutmegError]:
-        """Return quota and use of the teams in all reachable failure domains."""
-        replies = await self._list_call(lambda domain: ListTeams(domain, requester or "", 0))
+    async def teams(self, team: str | None = None) -> Result[TeamViews, NutmegError]:
+        """Return quota and use in all reachable failure domains, of one team if given."""
+        replies = await self._list_call(lambda domain: ListTeams(domain, team or "", 0))
         if isinstance(replies, Err):
             return replies
-        views = [view for reply in replies.ok_value for view in reply.teams]
-        return Ok([view for view in views if requester in (None, view.team)])
+        views = sum_of_teams(view for reply in replies.ok_value for view in reply.teams)
+        return Ok([view for view in views if team in (None, view.name)])
 
     # Forwarding
 
@@ -230,7 +216,7 @@
             case ListWorkers():
                 return ListReply(workers=worker_views(life))
             case ListTeams():
-                return ListReply(teams=team_views(life))
+                return ListReply(teams=team_views(life, self._ctx.config.current()))
             case ListJobs():
                 return ListReply(jobs=self._newest(call, driver))
             case _:
@@ -241,7 +227,7 @@
 
     def _newest(self, call: ListJobs, driver: SchedulerDriver) -> tuple[JobView, ...]:
         jobs = driver.core.life.jobs.values()
-        chosen = (job for job in reversed(jobs) if call.of_team in ("", job.spec.team))
+        chosen = (job for job in reversed(jobs) if call.team in ("", job.spec.team))
         now_ms = self._ctx.clock.now_ms()
         limited = itertools.islice(chosen, call.limit)
         return tuple(job_view(driver.core.life, job, now_ms) for job in limited)
--- a/packages/nutmeglb/src/nutmeglb/_internal/jobs/views.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/jobs/views.py
@@ -1,10 +1,13 @@
 """Views of jobs, workers and teams for callers and operators."""
 
+from collections.abc import Iterable
+
 from nutmeglb_decisions.tasks.lifecycle import Lifecycle
 from nutmeglb_decisions.tasks.state import Job
+from nutmeglb_formats.models.admin import TeamView, WorkerView
+from nutmeglb_formats.models.config import Config
 from nutmeglb_formats.models.jobs import JobState, JobView
 from nutmeglb_formats.models.resources import Resources
-from nutmeglb_formats.wire.tasks import TeamView, WorkerView
 
 
 def job_view(life: Lifecycle, job: Job, now_ms: float) -> JobView:
@@ -38,7 +41,7 @@
         account = life.ledger.account(worker)
         views.append(
             WorkerView(
-                worker=worker,
+                worker_id=worker,
                 domain=life.domain,
                 rack=account.rack if account else "",
                 state=_worker_state(life, worker),
@@ -59,8 +62,8 @@
     return "live" if worker in life.engine.enabled() else "quarantined"
 
 
-def team_views(life: Lifecycle) -> tuple[TeamView, ...]:
-    """Return quota and use of all teams."""
+def team_views(life: Lifecycle, config: Config) -> tuple[TeamView, ...]:
+    """Return every team's whole quota and its use in this failure domain."""
     waiting: dict[str, int] = {}
     running: dict[str, int] = {}
     for job in life.jobs.values():
@@ -69,12 +72,28 @@
         running[team] = running.get(team, 0) + len(job.live)
     return tuple(
         TeamView(
-            team=team,
-            domain=life.domain,
-            limit=limit,
-            used=life.quotas.used(team),
-            waiting=waiting.get(team, 0),
-            running=running.get(team, 0),
+            name=name,
+            quota=team.quota,
+            allocated=life.quotas.used(name),
+            running=running.get(name, 0),
+            waiting=waiting.get(name, 0),
         )
-        for team, limit in sorted(life.quotas.limits().items())
+        for name, team in sorted(config.teams.items())
     )
+
+
+def sum_of_teams(views: Iterable[TeamView]) -> list[TeamView]:
+    """Return one view per team with the sums over failure domains."""
+    total: dict[str, TeamView] = {}
+    for view in views:
+        known = total.get(view.name)
+        if known is not None:
+            view = TeamView(
+                view.name,
+                view.quota,
+                known.allocated + view.allocated,
+                known.running + view.running,
+                known.waiting + view.waiting,
+            )
+        total[view.name] = view
+    return list(total.values())
--- a/standins/agent_state.py
+++ b/standins/agent_state.py
@@ -22,17 +22,29 @@
 CHECKPOINT_MS = 20.0
 USAGE_LAG_MS = 500.0
 RESPONSE_STEP_MS = 0.001
+MS_PER_S = 1_000.0
 
 
 @dataclass(slots=True)
 class Run:
-    """One run of a task, for the record. Times are milliseconds of the agent's clock."""
+    """One admitted attempt, for the record. Times are milliseconds of the agent's clock.
+
+    Attributes
+    ----------
+    start_ms
+        ``None`` for an attempt that was only held.
+    acknowledged
+        Whether the scheduler has acknowledged the end.
+    """
 
     attempt: str
     epoch: int
-    start_ms: float
+    size: Resources
+    admitted_ms: float
+    start_ms: float | None = None
     end_ms: float | None = None
     outcome: str = ""
+    acknowledged: bool = False
 
 
 @dataclass(slots=True)
@@ -45,10 +57,10 @@
     run_ms: float
     outcome: TaskOutcome
     used: Resources
+    run: Run
     phase: TaskPhase = TaskPhase.HELD
     start_ms: float = 0.0
     end_ms: float = math.inf
-    run: Run | None = None
 
 
 @dataclass(slots=True)
@@ -82,14 +94,14 @@
     tasks: dict[str, Task] = field(default_factory=dict)
     finished: dict[str, FinishedTask] = field(default_factory=dict)
     _answered_ms: float = 0.0
+    _ended: dict[str, Run] = field(default_factory=dict)
 
     def restart(self, boot: str) -> None:
         """Start the agent again: all tasks end and everything is forgotten."""
         now_ms = self.clock.now_ms()
         self.advance()
         for task in self.tasks.values():
-            if task.run is not None:
-                task.run.end_ms, task.run.outcome = now_ms, "agent_restarted"
+            task.run.end_ms, task.run.outcome = now_ms, "agent_restarted"
         self.tasks.clear()
         self.finished.clear()
         self.boot = boot
@@ -154,7 +166,8 @@
         for name in request.stop:
             self._stop(name)
         for name in request.ack:
-            self.finished.pop(name, None)
+            if self.finished.pop(name, None) is not None and name in self._ended:
+                self._ended.pop(name).acknowledged = True
         lease_end_ms = request.echo_ms + request.lease_ms
         for start in request.start:
             if lease_end_ms > self.clock.now_ms():
@@ -196,7 +209,9 @@
         )
         if self.faults.fail_starts:
             run_ms, outcome = 0.0, TaskOutcome.FAILED
-        task = Task(start.attempt, size, lease_end_ms, run_ms, outcome, used)
+        run = Run(start.attempt, self.epoch, size, self.clock.now_ms())
+        self.record.append(run)
+        task = Task(start.attempt, size, lease_end_ms, run_ms, outcome, used, run)
         self.tasks[start.attempt] = task
         self.changed_ms = self._answered_ms + RESPONSE_STEP_MS / 2
         return task
@@ -206,8 +221,7 @@
         task.phase = TaskPhase.RUNNING
         task.start_ms = now_ms
         task.end_ms = now_ms + task.run_ms
-        task.run = Run(task.attempt, self.epoch, now_ms)
-        self.record.append(task.run)
+        task.run.start_ms = now_ms
         self.changed_ms = self._answered_ms + RESPONSE_STEP_MS / 2
 
     def _stop(self, name: str) -> None:
@@ -220,9 +234,9 @@
 
     def _end(self, task: Task, outcome: TaskOutcome, end_ms: float) -> None:
         del self.tasks[task.attempt]
-        if task.run is not None:
-            task.run.end_ms, task.run.outcome = end_ms, outcome.value
-        started = task.run is not None
+        task.run.end_ms, task.run.outcome = end_ms, outcome.value
+        self._ended[task.attempt] = task.run
+        started = task.run.start_ms is not None
         run_ms = end_ms - task.start_ms if started else 0.0
         self._finish(task.attempt, outcome, started, run_ms, "")
 
@@ -235,7 +249,7 @@
         self.changed_ms = self._answered_ms + RESPONSE_STEP_MS / 2
 
     def _running(self, task: Task, now_ms: float) -> RunningTask:
-        run_ms = now_ms - task.start_ms if task.run is not None else 0.0
+        run_ms = now_ms - task.start_ms if task.phase is TaskPhase.RUNNING else 0.0
         return RunningTask(
             attempt=task.attempt,
             phase=task.phase,
@@ -252,10 +266,26 @@
                 age_ms=USAGE_LAG_MS,
             )
             for task in self.tasks.values()
-            if task.run is not None and now_ms - task.start_ms >= USAGE_LAG_MS
+            if task.phase is TaskPhase.RUNNING and now_ms - task.start_ms >= USAGE_LAG_MS
         ]
 
     def record_items(self) -> list[dict[str, object]]:
-        """Return every run of a task."""
+        """Return every admitted attempt. Times are seconds of the agent's clock."""
         self.advance()
-        return [asdict(run) for run in self.record]
+        return [_record_item(run) for run in self.record]
+
+
+def _record_item(run: Run) -> dict[str, object]:
+    job, index, _ = run.attempt.rsplit("/", 2)
+    return {
+        "attempt": run.attempt,
+        "task": f"{job}/{index}",
+        "job": job,
+        "epoch": run.epoch,
+        "size": asdict(run.size),
+        "admitted_s": run.admitted_ms / MS_PER_S,
+        "started_s": None if run.start_ms is None else run.start_ms / MS_PER_S,
+        "ended_s": None if run.end_ms is None else run.end_ms / MS_PER_S,
+        "outcome": run.outcome,
+        "acknowledged": run.acknowledged,
+    }
