--- a/packages/nutmeglb-formats/src/nutmeglb_formats/exceptions.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/exceptions.py
@@ -115,6 +115,10 @@
     """The platform's instance list cannot be read."""
 
 
+class AgentEpochRefused(AgentError):
+    """A worker agent obeys a scheduler with a higher epoch."""
+
+
 class Unauthenticated(NutmegError):
     """The call carries no valid token."""
 
