--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/instances.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/instances.py
@@ -19,6 +19,31 @@
     LEAVING = "leaving"
 
 
+class MemberState(StrEnum):
+    """State of an entry instance as seen by another one."""
+
+    LIVE = "live"
+    SUSPECTED = "suspected"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A known entry instance.
+
+    Attributes
+    ----------
+    peer_address, admin_address
+        ``host:port`` of its listeners; empty when unknown.
+    """
+
+    instance_id: str
+    domain: str
+    peer_address: str
+    admin_address: str
+    state: MemberState
+
+
 @dataclass(frozen=True, slots=True)
 class Instance:
     """One instance.
--- a/packages/nutmeglb/src/nutmeglb/_internal/context.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/context.py
@@ -13,26 +13,8 @@
 from nutmeglb_formats.exceptions import JournalError, PeerError, StoreError
 from nutmeglb_formats.models.config import Config
 from nutmeglb_formats.models.instances import Instance, InstanceRole
-
-
-class MemberState(StrEnum):
-    """State of an entry instance as seen from here."""
-
-    LIVE = "live"
-    SUSPECTED = "suspected"
-    LEAVING = "leaving"
-
-
-@dataclass(frozen=True, slots=True)
-class Member:
-    """An entry instance other than this one, or this one."""
-
-    instance_id: str
-    domain: str
-    peer_address: str
-    admin_address: str
-    state: MemberState
-
+from nutmeglb_formats.models.instances import Member as Member
+from nutmeglb_formats.models.instances import MemberState as MemberState
 
 Reply = object | None
 Handler = Callable[[str, Any], Reply | Awaitable[Reply]]
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/dialer.py
@@ -0,0 +1,127 @@
+"""Outgoing connections to other entry instances, with backoff."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.exceptions import WebSocketException
+
+from nutmeglb._internal.peers.handshake import PEER_PATH
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.wire.envelope import BATCH_LIMIT_BYTES
+
+logger = logging.getLogger(__name__)
+
+OPEN_TIMEOUT_S = 2.0
+FIRST_DELAY_MS = 50.0
+BACKOFF_FACTOR = 2.0
+
+
+class Dialer:
+    """Opens at most one connection to each wanted instance.
+
+    Failed attempts to the same instance are spaced by exponential backoff with full jitter, so
+    that instances do not reconnect at the same time after an outage.
+
+    Parameters
+    ----------
+    headers
+        Request headers of the handshake.
+    max_delay_ms
+        Longest delay between two attempts in milliseconds.
+    on_connection
+        Runs a connection until it closes. Receives the connection and the instance id.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        headers: dict[str, str],
+        max_delay_ms: float,
+        on_connection: Callable[[ClientConnection, str], Awaitable[None]],
+    ) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._headers = headers
+        self._max_delay_ms = max_delay_ms
+        self._on_connection = on_connection
+        self._active: dict[str, asyncio.Task[None]] = {}
+        self._attempts: dict[str, asyncio.Event] = {}
+        self._failures: dict[str, int] = {}
+        self._not_before_ms: dict[str, float] = {}
+
+    def unreachable(self) -> set[str]:
+        """Return the instances to which the last attempt failed."""
+        return set(self._failures)
+
+    def dial(self, instance_id: str, address: str) -> None:
+        """Start an attempt unless one is active or the backoff has not passed."""
+        if instance_id in self._active:
+            return
+        if self._clock.now_ms() < self._not_before_ms.get(instance_id, 0.0):
+            return
+        self._attempts[instance_id] = asyncio.Event()
+        task = asyncio.create_task(self._run(instance_id, address))
+        self._active[instance_id] = task
+        task.add_done_callback(lambda _: self._ended(instance_id))
+
+    async def attempted(self, instance_id: str) -> None:
+        """Wait until the active attempt has succeeded or failed, if there is one."""
+        attempt = self._attempts.get(instance_id)
+        if attempt is not None:
+            await attempt.wait()
+
+    def forget(self, instance_id: str) -> None:
+        """Drop the backoff state of an instance that no longer exists."""
+        self._failures.pop(instance_id, None)
+        self._not_before_ms.pop(instance_id, None)
+
+    async def stop(self) -> None:
+        """Cancel every attempt and connection."""
+        tasks = list(self._active.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run(self, instance_id: str, address: str) -> None:
+        try:
+            connection = await self._open(address)
+        except (OSError, TimeoutError, WebSocketException) as error:
+            self._record_failure(instance_id, address, error)
+            return
+        self.forget(instance_id)
+        asyncio.get_running_loop().call_soon(self._attempts[instance_id].set)
+        await self._on_connection(connection, instance_id)
+        # A peer that accepts and closes at once must not be dialled in a tight loop.
+        self._delay(instance_id, FIRST_DELAY_MS)
+
+    def _ended(self, instance_id: str) -> None:
+        self._active.pop(instance_id, None)
+        self._attempts.pop(instance_id).set()
+
+    async def _open(self, address: str) -> ClientConnection:
+        return await connect(
+            f"ws://{address}{PEER_PATH}",
+            additional_headers=self._headers,
+            user_agent_header=None,
+            compression=None,
+            ping_interval=None,
+            open_timeout=OPEN_TIMEOUT_S,
+            max_size=BATCH_LIMIT_BYTES,
+            proxy=None,
+        )
+
+    def _record_failure(self, instance_id: str, address: str, error: Exception) -> None:
+        failures = self._failures.get(instance_id, 0) + 1
+        self._failures[instance_id] = failures
+        longest = min(self._max_delay_ms, FIRST_DELAY_MS * BACKOFF_FACTOR**failures)
+        self._delay(instance_id, longest)
+        if failures == 1:
+            logger.info("peers: cannot connect to %s at %s: %s", instance_id, address, error)
+
+    def _delay(self, instance_id: str, longest_ms: float) -> None:
+        delay_ms = self._rng.uniform(FIRST_DELAY_MS, max(FIRST_DELAY_MS, longest_ms))
+        self._not_before_ms[instance_id] = self._clock.now_ms() + delay_ms
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/dispatch.py
@@ -0,0 +1,84 @@
+"""Delivery of received messages to handlers, and replies."""
+
+import inspect
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from result import Err
+
+from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.context import Handler
+from nutmeglb_formats.wire.membership import Reply, Request
+from nutmeglb_formats.wire.registry import MESSAGES
+
+logger = logging.getLogger(__name__)
+
+
+class MessageDispatcher:
+    """Calls the handler of each message type.
+
+    A failing handler is logged and does not affect the connection.
+
+    Parameters
+    ----------
+    send
+        Sends a message to an instance.
+    """
+
+    def __init__(self, send: Callable[[str, object], None], background: BackgroundTasks) -> None:
+        self._send = send
+        self._background = background
+        self._handlers: dict[type[Any], Handler] = {}
+
+    def on(self, message_type: type[Any], handler: Handler) -> None:
+        """Set the handler of a message type."""
+        self._handlers[message_type] = handler
+
+    def deliver(self, sender: str, message: Any) -> None:
+        """Call the handler and send what it returns."""
+        if isinstance(message, Request):
+            self._background.spawn(self._answer(sender, message))
+            return
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            logger.warning("peers: no handler for %s from %s", type(message).__name__, sender)
+            return
+        try:
+            outcome = handler(sender, message)
+        except Exception:
+            logger.exception("peers: handler of %s failed", type(message).__name__)
+            return
+        if inspect.isawaitable(outcome):
+            self._background.spawn(self._finish(sender, outcome))
+        elif outcome is not None:
+            self._send(sender, outcome)
+
+    async def reply_to(self, sender: str, request: Request) -> Reply:
+        """Return the reply to a request. Handler errors become an error reply."""
+        decoded = MESSAGES.from_items(request.body)
+        if isinstance(decoded, Err):
+            return Reply(request.correlation, [], decoded.err_value)
+        message = decoded.ok_value
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return Reply(request.correlation, [], "the peer has no handler for the message")
+        try:
+            outcome = handler(sender, message)
+            answer = await outcome if inspect.isawaitable(outcome) else outcome
+        except Exception as error:
+            logger.exception("peers: handler of %s failed", type(message).__name__)
+            return Reply(request.correlation, [], f"the handler failed: {type(error).__name__}")
+        return Reply(request.correlation, MESSAGES.to_items(answer) if answer is not None else [])
+
+    async def _answer(self, sender: str, request: Request) -> None:
+        self._send(sender, await self.reply_to(sender, request))
+
+    async def _finish(self, sender: str, outcome: Awaitable[object | None]) -> None:
+        try:
+            answer = await outcome
+        except Exception:
+            logger.exception("peers: a handler failed")
+            return
+        if answer is not None:
+            self._send(sender, answer)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/faults.py
@@ -0,0 +1,35 @@
+"""Fault switch of the peer bus, for tests of partitions."""
+
+import json
+from pathlib import Path
+
+
+class FaultSwitch:
+    """Failure domains to and from which everything is dropped.
+
+    The switch is off unless ``peer.fault_file`` names a file. The file holds a JSON list of
+    failure domains and is read again on every heartbeat interval.
+
+    Parameters
+    ----------
+    file
+        Path of the file; empty disables the switch.
+    """
+
+    def __init__(self, file: str) -> None:
+        self._file = file
+        self._domains: frozenset[str] = frozenset()
+
+    def read(self) -> None:
+        """Read the file. A missing or malformed file cuts nothing."""
+        if not self._file:
+            return
+        try:
+            domains = json.loads(Path(self._file).read_text())
+        except (OSError, ValueError):
+            domains = []
+        self._domains = frozenset(domains) if isinstance(domains, list) else frozenset()
+
+    def is_cut(self, domain: str) -> bool:
+        """Return whether everything to and from a failure domain is dropped."""
+        return domain in self._domains
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/link.py
@@ -0,0 +1,168 @@
+"""One open WebSocket connection to another entry instance."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err
+from websockets.asyncio.connection import Connection
+from websockets.exceptions import ConnectionClosed, ConnectionClosedError, PayloadTooBig
+from websockets.frames import CloseCode
+
+from nutmeglb._internal.peers.queue import SendQueue
+from nutmeglb_formats.wire.envelope import BATCH_TARGET_BYTES, decode_batch, encode_batch
+from nutmeglb_formats.wire.registry import FRAME_LIMIT_BYTES, encode
+
+logger = logging.getLogger(__name__)
+
+CLOSE_TIMEOUT_S = 1.0
+
+
+@dataclass(slots=True)
+class LinkCallbacks:
+    """What a link reports.
+
+    Attributes
+    ----------
+    on_message
+        Called with the link and each received message.
+    on_bytes
+        Called with the peer, ``"sent"`` or ``"received"``, and a number of bytes.
+    on_bad_frame
+        Called with the peer and the cause before the connection is closed.
+    is_cut
+        Whether the fault switch drops everything to and from the peer.
+    """
+
+    on_message: Callable[["Link", Any], None]
+    on_bytes: Callable[[str, str, int], None]
+    on_bad_frame: Callable[[str, str], None]
+    is_cut: Callable[["Link"], bool]
+
+
+class Link:
+    """Sends batches from a bounded queue and delivers received messages.
+
+    Parameters
+    ----------
+    connection
+        Open WebSocket connection, already authenticated.
+    peer_id, peer_domain
+        Identity of the other side.
+    outgoing
+        Whether this instance opened the connection.
+    header
+        Returns this instance's id and highest known epoch for the frames.
+    queue_limit
+        Largest number of queued messages.
+    """
+
+    def __init__(
+        self,
+        connection: Connection,
+        peer_id: str,
+        peer_domain: str,
+        *,
+        outgoing: bool,
+        header: Callable[[], tuple[str, int]],
+        queue_limit: int,
+        callbacks: LinkCallbacks,
+        now_ms: float,
+    ) -> None:
+        self.peer_id = peer_id
+        self.peer_domain = peer_domain
+        self.outgoing = outgoing
+        self.used_ms = now_ms
+        self.heard_ms = now_ms
+        self._connection = connection
+        self._header = header
+        self._queue = SendQueue(queue_limit)
+        self._callbacks = callbacks
+        self._sender: asyncio.Task[None] | None = None
+
+    def put(self, message: object) -> bool:
+        """Queue a message. Return whether there was room."""
+        return self._queue.put(message)
+
+    async def run(self) -> None:
+        """Send and receive until the connection closes."""
+        self._sender = asyncio.create_task(self._send_loop())
+        try:
+            await self._receive_loop()
+        except ConnectionClosed as error:
+            self._count_oversized(error)
+        finally:
+            self._sender.cancel()
+            await self.close()
+
+    async def close(self, code: int = CloseCode.NORMAL_CLOSURE) -> None:
+        """Close the connection without waiting long for the other side."""
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await self._connection.close(code)
+        except TimeoutError:
+            self._connection.transport.abort()
+
+    async def _receive_loop(self) -> None:
+        async for data in self._connection:
+            if self._callbacks.is_cut(self):
+                continue
+            self._callbacks.on_bytes(self.peer_id, "received", len(data))
+            if not self._deliver(data):
+                await self.close(CloseCode.INVALID_DATA)
+                return
+
+    def _deliver(self, data: str | bytes) -> bool:
+        if isinstance(data, str):
+            self._callbacks.on_bad_frame(self.peer_id, "text instead of binary")
+            return False
+        batch = decode_batch(data)
+        if isinstance(batch, Err):
+            self._callbacks.on_bad_frame(self.peer_id, str(batch.err_value))
+            return False
+        if any(envelope.sender != self.peer_id for envelope in batch.ok_value):
+            self._callbacks.on_bad_frame(self.peer_id, "a frame names another sender")
+            return False
+        for envelope in batch.ok_value:
+            self._callbacks.on_message(self, envelope.message)
+        return True
+
+    async def _send_loop(self) -> None:
+        while True:
+            messages = await self._queue.take_all()
+            for batch in self._batches(messages):
+                if self._callbacks.is_cut(self):
+                    continue
+                try:
+                    await self._connection.send(batch)
+                except ConnectionClosed:
+                    return
+                self._callbacks.on_bytes(self.peer_id, "sent", len(batch))
+
+    def _batches(self, messages: Sequence[object]) -> Iterator[bytes]:
+        sender, epoch = self._header()
+        frames: list[bytes] = []
+        size = 0
+        for message in messages:
+            frame = encode(message, sender=sender, epoch=epoch)
+            if len(frame) > FRAME_LIMIT_BYTES:
+                logger.error("peers: message of type %s is too large", type(message).__name__)
+                continue
+            if frames and size + len(frame) > BATCH_TARGET_BYTES:
+                yield encode_batch(frames)
+                frames, size = [], 0
+            frames.append(frame)
+            size += len(frame)
+        if frames:
+            yield encode_batch(frames)
+
+    def _count_oversized(self, error: ConnectionClosed) -> None:
+        too_big = isinstance(error.__cause__, PayloadTooBig) or (
+            isinstance(error, ConnectionClosedError)
+            and error.sent is not None
+            and error.sent.code == CloseCode.MESSAGE_TOO_BIG
+        )
+        if too_big:
+            self._callbacks.on_bad_frame(self.peer_id, "oversized")
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/server.py
@@ -0,0 +1,83 @@
+"""Listener for connections from other entry instances."""
+
+import logging
+from collections.abc import Awaitable, Callable
+
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.http11 import Request, Response
+
+from nutmeglb._internal.peers.handshake import PeerName, check_request, peer_name
+from nutmeglb_formats.wire.envelope import BATCH_LIMIT_BYTES
+
+logger = logging.getLogger(__name__)
+
+OPEN_TIMEOUT_S = 5.0
+
+
+class PeerServer:
+    """Accepts authenticated peer connections.
+
+    Parameters
+    ----------
+    address
+        ``ip:port``; port 0 picks a free port.
+    on_connection
+        Runs a connection until it closes.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        secret: str,
+        own_id: str,
+        on_connection: Callable[[ServerConnection, PeerName], Awaitable[None]],
+        on_refused: Callable[[], None],
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._secret = secret
+        self._own_id = own_id
+        self._on_connection = on_connection
+        self._on_refused = on_refused
+        self._server: Server | None = None
+
+    @property
+    def bound_address(self) -> str:
+        """Return ``ip:port`` of the listener, empty before it is started."""
+        if self._server is None:
+            return ""
+        host, port = next(iter(self._server.sockets)).getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def start(self) -> None:
+        """Bind the listener."""
+        self._server = await serve(
+            self._handle,
+            self._host,
+            self._port,
+            process_request=self._check,
+            compression=None,
+            ping_interval=None,
+            open_timeout=OPEN_TIMEOUT_S,
+            max_size=BATCH_LIMIT_BYTES,
+            server_header=None,
+        )
+
+    async def stop(self) -> None:
+        """Close the listener and every accepted connection."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def _check(self, connection: ServerConnection, request: Request) -> Response | None:
+        refusal = check_request(connection, request, self._secret, self._own_id)
+        if refusal is not None:
+            self._on_refused()
+            logger.warning("peers: refused a connection with status %s", refusal.status_code)
+        return refusal
+
+    async def _handle(self, connection: ServerConnection) -> None:
+        name = peer_name(connection.request) if connection.request else None
+        if name is not None:
+            await self._on_connection(connection, name)
--- a/packages/nutmeglb/src/nutmeglb/_internal/settings/models.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/settings/models.py
@@ -49,6 +49,10 @@
     heartbeat_ms: float = Field(1_000, ge=50, le=10_000, description="Heartbeat interval.")
     suspect_ms: float = Field(3_000, ge=100, le=60_000, description="Silence until suspected.")
     queue_frames: int = Field(1_000, ge=10, le=100_000, description="Send queue per peer.")
+    reconnect_max_ms: float = Field(2_000, ge=50, le=60_000, description="Longest retry delay.")
+    fault_file: str = Field(
+        "", description="Tests only: file that lists failure domains to cut off."
+    )
 
 
 class LeadershipSection(Section):
