--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/lifecycle.py
@@ -0,0 +1,106 @@
+"""Start and planned stop of the components of an entry instance."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping, Sequence
+from enum import StrEnum
+
+from nutmeglb._internal.context import Component
+from nutmeglb._internal.settings.models import StopSection
+from nutmeglb_formats.clock import Clock
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1_000.0
+# A component that does not stop in this time is abandoned, so that the process always ends.
+STOP_LIMIT_S = 5.0
+
+
+class LifeState(StrEnum):
+    """Stage of the life of this instance."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+class Lifecycle:
+    """Starts components in order, and drains and stops them on a planned stop.
+
+    Parameters
+    ----------
+    components
+        In start order. They are stopped in reverse order.
+    drain_order
+        Components to drain, in order: first those that accept work, then those that finish it,
+        then those that hold leases.
+    on_draining
+        Called when the planned stop begins, before the balancer's notice time.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        settings: StopSection,
+        components: Sequence[Component],
+        drain_order: Sequence[Component],
+        on_draining: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._components = list(components)
+        self._drain_order = list(drain_order)
+        self._on_draining = on_draining
+        self._started: list[Component] = []
+        self._state = LifeState.STARTING
+
+    @property
+    def state(self) -> LifeState:
+        """Return the stage."""
+        return self._state
+
+    async def start(self) -> None:
+        """Start every component. On a failure the started ones are stopped again."""
+        try:
+            for component in self._components:
+                await component.start()
+                self._started.append(component)
+        except BaseException:
+            await self.stop()
+            raise
+        self._state = LifeState.SERVING
+
+    async def drain(self) -> None:
+        """Perform a planned stop up to the point where no work is left."""
+        self._state = LifeState.DRAINING
+        logger.info("node: draining, the balancer has %s ms", self._settings.balancer_notice_ms)
+        self._on_draining()
+        await asyncio.sleep(self._settings.balancer_notice_ms / MS_PER_S)
+        deadline_ms = self._clock.now_ms() + self._settings.drain_limit_ms
+        for component in self._drain_order:
+            await self._drain_one(component, deadline_ms)
+
+    async def stop(self) -> None:
+        """Stop every started component in reverse order."""
+        while self._started:
+            component = self._started.pop()
+            try:
+                async with asyncio.timeout(STOP_LIMIT_S):
+                    await component.stop()
+            except Exception:
+                logger.exception("node: %s did not stop", component.name)
+        self._state = LifeState.STOPPED
+
+    def status(self) -> dict[str, Mapping[str, object]]:
+        """Return the status of every started component by name."""
+        return {component.name: component.status() for component in self._started}
+
+    async def _drain_one(self, component: Component, deadline_ms: float) -> None:
+        logger.info("node: draining %s", component.name)
+        remaining_s = max(0.0, deadline_ms - self._clock.now_ms()) / MS_PER_S
+        try:
+            async with asyncio.timeout(remaining_s + STOP_LIMIT_S):
+                await component.drain(deadline_ms)
+        except Exception:
+            logger.exception("node: %s did not drain", component.name)
