--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/ports_file.py
@@ -0,0 +1,18 @@
+"""File that tells which addresses an instance has bound."""
+
+import json
+from collections.abc import Mapping
+from pathlib import Path
+
+
+def write_ports_file(path: str, addresses: Mapping[str, str]) -> None:
+    """Write ``{"caller": "ip:port", ...}``. Readers never see a partly written file.
+
+    Raises
+    ------
+    OSError
+        When the directory does not exist or is not writable.
+    """
+    partial = Path(path + ".partial")
+    partial.write_text(json.dumps(dict(addresses)) + "\n")
+    partial.replace(path)
--- /dev/null
+++ b/scripts/soak_checks.py
@@ -0,0 +1,346 @@
+"""Checks the records of callers, endpoints, workers and operators against G1 to G8.
+
+All times are wall-clock seconds of one machine. Pure functions: each returns violations.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Hashable, Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from itertools import pairwise
+from typing import TypeVar
+
+from nutmeglb_formats.models.resources import Resources
+
+LEAVING_LIMIT_S = 2.0
+TICKET_LIMIT_S = 4.0
+ItemT = TypeVar("ItemT")
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A guarantee that did not hold."""
+
+    guarantee: str
+    cause: str
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointRun:
+    """One request as an endpoint saw it. ``ended_s`` is when the endpoint stopped working on it."""
+
+    marker: str
+    key: str
+    endpoint: str
+    started_s: float
+    ended_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRecord:
+    """One request as a caller saw it.
+
+    Attributes
+    ----------
+    outcome
+        ``answered``, ``not-run`` or ``unknown`` as told by the response, ``refused`` when no
+        connection could be opened, ``closed`` when it ended early, ``gave-up`` when the caller
+        stopped waiting.
+    echoed
+        Marker found in the response of an endpoint.
+    """
+
+    marker: str
+    key: str
+    idempotent: bool
+    entry: str
+    sent_s: float
+    ended_s: float
+    outcome: str
+    echoed: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskRun:
+    """One attempt as a worker saw it.
+
+    Attributes
+    ----------
+    admitted_s
+        When its resources were taken on the worker.
+    started_s
+        When it began to run; ``None`` when it was only held.
+    acknowledged
+        Whether the scheduler acknowledged the end.
+    """
+
+    worker: str
+    attempt: str
+    task: str
+    job: str
+    size: Resources
+    admitted_s: float
+    started_s: float | None
+    ended_s: float
+    outcome: str
+    acknowledged: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class TicketRecord:
+    """One ticket as its operator saw it. ``number`` is 0 unless it was accepted."""
+
+    ticket_id: str
+    race: str
+    outcome: str
+    number: int
+    answered_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class TicketSample:
+    """Ticket number that an instance reported. ``life`` changes with every start."""
+
+    entry: str
+    life: int
+    at_s: float
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Span:
+    """A time during which an instance or a fault was in some state."""
+
+    name: str
+    start_s: float
+    end_s: float
+
+    def overlaps(self, start_s: float, end_s: float) -> bool:
+        """Return whether the two times have a part in common."""
+        return self.start_s < end_s and start_s < self.end_s
+
+
+@dataclass(slots=True)
+class Records:
+    """Everything that a soak run recorded.
+
+    Attributes
+    ----------
+    leaving
+        Per endpoint: since when the platform's list showed it as leaving, until its end.
+    unreachable
+        Entry instances that were stopped, frozen or cut off from both store and peers.
+    planned_stops
+        Entry instances between SIGTERM and their end.
+    """
+
+    callers: list[CallerRecord] = field(default_factory=list)
+    runs: list[EndpointRun] = field(default_factory=list)
+    peak_connections: dict[str, int] = field(default_factory=dict)
+    tasks: list[TaskRun] = field(default_factory=list)
+    capacities: dict[str, Resources] = field(default_factory=dict)
+    accepted_jobs: dict[str, int] = field(default_factory=dict)
+    gangs: dict[str, int] = field(default_factory=dict)
+    tickets: list[TicketRecord] = field(default_factory=list)
+    samples: list[TicketSample] = field(default_factory=list)
+    leaving: list[Span] = field(default_factory=list)
+    unreachable: list[Span] = field(default_factory=list)
+    planned_stops: list[Span] = field(default_factory=list)
+
+
+def check_slots(runs: Iterable[EndpointRun], slots: int, max_run_s: float) -> Iterator[Violation]:
+    """G1: requests at the same time on an endpoint stay within its slots.
+
+    A run longer than ``max_run_s`` breaks the endpoint's own contract, so it counts until then.
+    """
+    for endpoint, group in _grouped(runs, lambda run: run.endpoint).items():
+        spans = [(r.started_s, min(r.ended_s, r.started_s + max_run_s), 1) for r in group]
+        peak, at_s = _peak(spans)
+        if peak > slots:
+            yield Violation("G1", f"{endpoint} ran {peak} requests on {slots} slots", at_s)
+
+
+def check_connections(peaks: Mapping[str, int], connections: int) -> Iterator[Violation]:
+    """G1: connections of an endpoint stay within their limit."""
+    for endpoint, peak in peaks.items():
+        if peak > connections:
+            yield Violation("G1", f"{endpoint} had {peak} connections", 0.0)
+
+
+def check_capacity(
+    tasks: Iterable[TaskRun], capacities: Mapping[str, Resources]
+) -> Iterator[Violation]:
+    """G1: admitted tasks fit into their worker."""
+    for worker, group in _grouped(tasks, lambda task: task.worker).items():
+        capacity = capacities[worker]
+        for name in ("cpu_millis", "memory_bytes", "accelerators"):
+            spans = [(t.admitted_s, t.ended_s, getattr(t.size, name)) for t in group]
+            peak, at_s = _peak(spans)
+            if peak > getattr(capacity, name):
+                yield Violation("G1", f"{worker} had {peak} {name} allocated", at_s)
+
+
+def check_single_run(tasks: Sequence[TaskRun]) -> Iterator[Violation]:
+    """G2: attempts of one task do not overlap, and at most one success is acknowledged."""
+    for task, group in _grouped(tasks, lambda run: run.task).items():
+        spans = [(t.started_s, t.ended_s, 1) for t in group if t.started_s is not None]
+        peak, at_s = _peak(spans)
+        if peak > 1:
+            places = sorted({t.worker for t in group})
+            yield Violation("G2", f"task {task} ran {peak} times at once on {places}", at_s)
+        successes = [t for t in group if t.outcome == "succeeded" and t.acknowledged]
+        if len(successes) > 1:
+            yield Violation("G2", f"task {task} completed {len(successes)} times", at_s)
+
+
+def check_completion(tasks: Sequence[TaskRun], jobs: Mapping[str, int]) -> Iterator[Violation]:
+    """G2: every task of an accepted deferred job has completed."""
+    done = _grouped([t for t in tasks if t.outcome == "succeeded"], lambda run: run.job)
+    for job, count in jobs.items():
+        completed = len({t.task for t in done.get(job, [])})
+        if completed != count:
+            yield Violation("G2", f"job {job} completed {completed} of {count} tasks", 0.0)
+
+
+def check_gangs(tasks: Sequence[TaskRun], gangs: Mapping[str, int]) -> Iterator[Violation]:
+    """G2: when the first task of a gang starts, every task of it has been admitted."""
+    by_job = _grouped(tasks, lambda run: run.job)
+    for job, size in gangs.items():
+        group = by_job.get(job, [])
+        started = [t.started_s for t in group if t.started_s is not None]
+        if not started:
+            continue
+        first_s = min(started)
+        admitted = {t.task for t in group if t.admitted_s <= first_s}
+        if len(admitted) < size:
+            yield Violation("G2", f"gang {job} started with {len(admitted)} of {size}", first_s)
+
+
+def check_own_answer(callers: Iterable[CallerRecord]) -> Iterator[Violation]:
+    """G3: an answer is that of the caller's own request, or of its key's first request."""
+    for record in callers:
+        own = record.echoed == record.marker
+        same_key = bool(record.key) and record.echoed.split("#")[0] == record.marker.split("#")[0]
+        if record.outcome == "answered" and not own and not same_key:
+            cause = f"caller of {record.marker} received the answer of {record.echoed!r}"
+            yield Violation("G3", cause, record.ended_s)
+
+
+def check_not_run(
+    callers: Iterable[CallerRecord], runs: Iterable[EndpointRun]
+) -> Iterator[Violation]:
+    """G4: a request that was reported as not run reached no endpoint."""
+    ran = {run.marker: run for run in runs}
+    for record in callers:
+        if record.outcome == "not-run" and record.marker in ran:
+            run = ran[record.marker]
+            cause = f"{record.marker} was reported as not run by {record.entry}, ran on "
+            yield Violation("G4", cause + run.endpoint, run.started_s)
+
+
+def check_at_most_once(
+    callers: Iterable[CallerRecord], runs: Sequence[EndpointRun]
+) -> Iterator[Violation]:
+    """G5: a non-idempotent request runs at most once, and so does everything under one key."""
+    protected = {record.marker for record in callers if not record.idempotent and not record.key}
+    by_marker = _grouped([r for r in runs if r.marker in protected], lambda run: run.marker)
+    by_key = _grouped([r for r in runs if r.key], lambda run: run.key)
+    for name, group in [*by_marker.items(), *by_key.items()]:
+        if len(group) > 1:
+            places = sorted({run.endpoint for run in group})
+            cause = f"{name} ran {len(group)} times on {places}"
+            yield Violation("G5", cause, max(run.started_s for run in group))
+
+
+def check_leaving(runs: Sequence[EndpointRun], leaving: Iterable[Span]) -> Iterator[Violation]:
+    """G6: an endpoint receives nothing 2 s after it was listed as leaving."""
+    for span in leaving:
+        late = [
+            run.started_s
+            for run in runs
+            if run.endpoint == span.name
+            and span.start_s + LEAVING_LIMIT_S < run.started_s < span.end_s
+        ]
+        if late:
+            delay_s = max(late) - span.start_s
+            cause = f"{span.name} received {len(late)} requests, the last after {delay_s:.2f} s"
+            yield Violation("G6", cause, max(late))
+
+
+def check_planned_stops(
+    callers: Sequence[CallerRecord], stops: Iterable[Span]
+) -> Iterator[Violation]:
+    """G7: no request in flight at an instance is cut by its planned stop."""
+    for span in stops:
+        for record in callers:
+            cut = record.entry == span.name and record.outcome == "closed"
+            if cut and span.overlaps(record.sent_s, record.ended_s):
+                yield Violation("G7", f"{span.name} cut {record.marker}", record.ended_s)
+
+
+def check_tickets(
+    tickets: Sequence[TicketRecord],
+    samples: Sequence[TicketSample],
+    unreachable: Sequence[Span],
+) -> Iterator[Violation]:
+    """G8: races have one winner; tickets are in force within 4 s and never revert."""
+    for race, group in _grouped([t for t in tickets if t.race], lambda t: t.race).items():
+        won = sum(t.outcome == "accepted" for t in group)
+        lost = sum(t.outcome == "conflict" for t in group)
+        if won > 1 or (won + lost == len(group) and won != 1):
+            cause = f"race {race} had {won} winners of {len(group)}"
+            yield Violation("G8", cause, group[0].answered_s)
+    yield from _check_order(samples)
+    yield from _check_in_force(tickets, samples, unreachable)
+
+
+def _check_order(samples: Sequence[TicketSample]) -> Iterator[Violation]:
+    for (entry, _), group in _grouped(samples, lambda s: (s.entry, s.life)).items():
+        ordered = sorted(group, key=lambda sample: sample.at_s)
+        for older, newer in pairwise(ordered):
+            if newer.number < older.number:
+                cause = f"{entry} went from ticket {older.number} back to {newer.number}"
+                yield Violation("G8", cause, newer.at_s)
+
+
+def _check_in_force(
+    tickets: Sequence[TicketRecord],
+    samples: Sequence[TicketSample],
+    unreachable: Sequence[Span],
+) -> Iterator[Violation]:
+    for ticket in (t for t in tickets if t.outcome == "accepted"):
+        due_s = ticket.answered_s + TICKET_LIMIT_S
+        for sample in samples:
+            late = sample.at_s > due_s and sample.number < ticket.number
+            excused = any(
+                span.name == sample.entry and span.overlaps(ticket.answered_s, sample.at_s)
+                for span in unreachable
+            )
+            if late and not excused:
+                cause = f"ticket {ticket.number} is not in force on {sample.entry}"
+                yield Violation("G8", cause, sample.at_s)
+                break
+
+
+def _grouped(
+    items: Iterable[ItemT], key: Callable[[ItemT], Hashable]
+) -> dict[Hashable, list[ItemT]]:
+    groups: dict[Hashable, list[ItemT]] = defaultdict(list)
+    for item in items:
+        groups[key(item)].append(item)
+    return groups
+
+
+def _peak(spans: Iterable[tuple[float, float, int]]) -> tuple[int, float]:
+    """Return the largest sum of overlapping amounts and when it began."""
+    changes = []
+    for start_s, end_s, amount in spans:
+        changes.append((start_s, 1, amount))
+        changes.append((end_s, 0, -amount))
+    # At the same time, ends sort before starts.
+    total, peak, at_s = 0, 0, 0.0
+    for moment_s, _, amount in sorted(changes):
+        total += amount
+        if total > peak:
+            peak, at_s = total, moment_s
+    return peak, at_s
