--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/membership.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/membership.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from nutmeglb_formats.models.instances import Instance, InstanceState, Member, MemberState
 from nutmeglb_formats.wire.membership import Heartbeat
@@ -32,7 +32,7 @@
     connected: bool = False
     last_heard_ms: float | None = None
     state: MemberState = MemberState.SUSPECTED
-    relays: dict[str, str] = field(default_factory=dict)
+    heartbeat: Heartbeat | None = None
 
 
 @dataclass(slots=True)
@@ -100,7 +100,7 @@
         peer.last_heard_ms = now_ms
         peer.announced_leaving = beat.leaving
         peer.admin_address = beat.admin_address or peer.admin_address
-        peer.relays = dict(beat.relays)
+        peer.heartbeat = beat
         if not peer.listed:
             peer.peer_address = beat.peer_address
         if beat.leader_epoch:
@@ -148,6 +148,11 @@
             peer.instance_id, peer.domain, peer.peer_address, peer.admin_address, peer.state
         )
 
+    def last_heartbeat(self, instance_id: str) -> Heartbeat | None:
+        """Return the last heartbeat of another member, or ``None`` when there was none."""
+        peer = self._peers.get(instance_id)
+        return peer.heartbeat if peer else None
+
     def leader_of(self, domain: str) -> tuple[int, str]:
         """Return the highest known epoch of a failure domain and its leader, empty if unknown."""
         known = self._leaders.get(domain)
@@ -212,8 +217,8 @@
         return usable
 
     def _announced_relay(self, domain: str) -> str:
-        own = (p for p in self._peers.values() if p.domain == self._domain)
-        return next((p.relays[domain] for p in own if domain in p.relays), "")
+        beats = [p.heartbeat for p in self._peers.values() if p.domain == self._domain]
+        return next((b.relays[domain] for b in beats if b and domain in b.relays), "")
 
     def _heard(self, peer: _Peer, now_ms: float) -> bool:
         return peer.last_heard_ms is not None and now_ms - peer.last_heard_ms < self._suspect_ms
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/wire/membership.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/wire/membership.py
@@ -24,6 +24,8 @@
         Number of the last ticket in force at the sender.
     relays
         For each other failure domain, the leader or connected instance that the sender knows.
+    stale_since_ms
+        Wall-clock time since which neither store nor peer confirmed the sender's configuration.
     """
 
     domain: str
@@ -34,6 +36,7 @@
     leaving: bool = False
     ticket: int = 0
     relays: Mapping[str, str] = field(default_factory=dict)
+    stale_since_ms: float | None = None
 
 
 @message(101, 1)
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/bus.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/bus.py
@@ -47,6 +47,7 @@
     leader: str = ""
     leader_epoch: int = 0
     ticket: int = 0
+    stale_since_ms: float | None = None
     admin_address: str = ""
 
 
@@ -162,6 +163,10 @@
         self._refresh_self()
         self._beat_all()
 
+    def last_heartbeat(self, instance_id: str) -> Heartbeat | None:
+        """Return the last heartbeat of another member, or ``None`` when there was none."""
+        return self._membership.last_heartbeat(instance_id)
+
     # PeerBus
 
     def send(self, instance_id: str, message: object) -> None:
@@ -362,6 +367,7 @@
             self._leaving,
             state.ticket,
             self._membership.relays(),
+            state.stale_since_ms,
         )
 
     def _beat_all(self) -> None:
