--- a/packages/nutmeglb/src/nutmeglb/_internal/lifecycle.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/lifecycle.py
@@ -1,15 +1,15 @@
 """Start and planned stop of the components of an entry instance."""
 
 import asyncio
-import logging
 from collections.abc import Callable, Mapping, Sequence
 from enum import StrEnum
 
 from nutmeglb._internal.context import Component
 from nutmeglb._internal.settings.models import StopSection
+from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_formats.clock import Clock
 
-logger = logging.getLogger(__name__)
+logger = get_logger("node")
 
 MS_PER_S = 1_000.0
 # A component that does not stop in this time is abandoned, so that the process always ends.
@@ -74,7 +74,7 @@
     async def drain(self) -> None:
         """Perform a planned stop up to the point where no work is left."""
         self._state = LifeState.DRAINING
-        logger.info("node: draining, the balancer has %s ms", self._settings.balancer_notice_ms)
+        logger.info("draining", balancer_notice_ms=self._settings.balancer_notice_ms)
         self._on_draining()
         await asyncio.sleep(self._settings.balancer_notice_ms / MS_PER_S)
         deadline_ms = self._clock.now_ms() + self._settings.drain_limit_ms
@@ -88,8 +88,8 @@
             try:
                 async with asyncio.timeout(STOP_LIMIT_S):
                     await component.stop()
-            except Exception:
-                logger.exception("node: %s did not stop", component.name)
+            except Exception as error:
+                logger.error("a component did not stop", name=component.name, cause=repr(error))
         self._state = LifeState.STOPPED
 
     def status(self) -> dict[str, Mapping[str, object]]:
@@ -97,10 +97,9 @@
         return {component.name: component.status() for component in self._started}
 
     async def _drain_one(self, component: Component, deadline_ms: float) -> None:
-        logger.info("node: draining %s", component.name)
         remaining_s = max(0.0, deadline_ms - self._clock.now_ms()) / MS_PER_S
         try:
             async with asyncio.timeout(remaining_s + STOP_LIMIT_S):
                 await component.drain(deadline_ms)
-        except Exception:
-            logger.exception("node: %s did not drain", component.name)
+        except Exception as error:
+            logger.error("a component did not drain", name=component.name, cause=repr(error))
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/bus.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/bus.py
@@ -1,11 +1,10 @@
 """Peer bus: typed messages between entry instances over WebSocket connections."""
 
 import asyncio
-import logging
 import random
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from result import Err, Result
 from websockets.asyncio.client import ClientConnection
@@ -23,6 +22,7 @@
 from nutmeglb._internal.peers.links import LinkTable
 from nutmeglb._internal.peers.server import PeerServer
 from nutmeglb._internal.settings.models import Settings
+from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.membership import MemberChanged, Membership
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.exceptions import PeerError
@@ -30,7 +30,7 @@
 from nutmeglb_formats.wire.membership import Heartbeat, Reply, Request
 from nutmeglb_formats.wire.registry import MESSAGES
 
-logger = logging.getLogger(__name__)
+logger = get_logger("peers")
 
 # A connection opened on demand is closed after this time without a request or message.
 IDLE_CLOSE_MS = 60_000.0
@@ -40,6 +40,16 @@
 MS_PER_S = 1_000.0
 
 
+class TimeLineClock(Protocol):
+    """Hybrid logical clock of the time line."""
+
+    def stamp_ms(self) -> float:
+        """Return the time to put on an outgoing frame, in milliseconds."""
+
+    def observe(self, sent_ms: float) -> None:
+        """Note the time on an incoming frame."""
+
+
 @dataclass(frozen=True, slots=True)
 class LocalState:
     """What this instance announces in its heartbeats."""
@@ -61,6 +71,8 @@
     ----------
     on_member_change
         Called with every change of a member's state.
+    time_line
+        Orders events of several instances; ``None`` stamps frames with the wall clock.
     """
 
     name = "peers"
@@ -73,6 +85,7 @@
         instances: InstanceList,
         metrics: Metrics,
         on_member_change: Callable[[MemberChanged], None] = lambda change: None,
+        time_line: TimeLineClock | None = None,
     ) -> None:
         self._settings = settings.peer
         self._clock = clock
@@ -99,7 +112,12 @@
         headers = headers_for(settings.peer.secret, self._id, self._domain)
         self._dialer = Dialer(clock, rng, headers, settings.peer.reconnect_max_ms, self._dialled)
         self._callbacks = LinkCallbacks(
-            self._receive, self._count_bytes, self._count_bad_frame, self._is_cut
+            self._receive,
+            self._count_bytes,
+            self._count_bad_frame,
+            self._is_cut,
+            time_line.stamp_ms if time_line else clock.wall_ms,
+            time_line.observe if time_line else lambda sent_ms: None,
         )
         self._bytes = metrics.counter("nutmeglb_peer_bytes_total", "Bytes exchanged with a peer.")
         self._bad = metrics.counter("nutmeglb_peer_bad_frames_total", "Bad frames from a peer.")
@@ -393,8 +411,9 @@
     def _changed(self, changes: list[MemberChanged], *, notify: bool = False) -> None:
         self._open.set(float(len(self._links)))
         for change in changes:
+            state = change.state or "gone"
             logger.info(
-                "peers: %s is %s (%s)", change.instance_id, change.state or "gone", change.cause
+                "a member changed", peer=change.instance_id, state=state, cause=change.cause
             )
             if change.state is None:
                 self._dialer.forget(change.instance_id)
@@ -414,4 +433,4 @@
 
     def _count_bad_frame(self, peer: str, cause: str) -> None:
         self._bad.inc(peer=peer)
-        logger.warning("peers: closed the connection to %s after a bad frame: %s", peer, cause)
+        logger.warning("closed a connection after a bad frame", peer=peer, cause=cause)
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/dialer.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/dialer.py
@@ -1,7 +1,6 @@
 """Outgoing connections to other entry instances, with backoff."""
 
 import asyncio
-import logging
 import random
 from collections.abc import Awaitable, Callable
 
@@ -9,10 +8,11 @@
 from websockets.exceptions import WebSocketException
 
 from nutmeglb._internal.peers.handshake import PEER_PATH
+from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.wire.envelope import BATCH_LIMIT_BYTES
 
-logger = logging.getLogger(__name__)
+logger = get_logger("peers")
 
 OPEN_TIMEOUT_S = 2.0
 FIRST_DELAY_MS = 50.0
@@ -120,7 +120,7 @@
         longest = min(self._max_delay_ms, FIRST_DELAY_MS * BACKOFF_FACTOR**failures)
         self._delay(instance_id, longest)
         if failures == 1:
-            logger.info("peers: cannot connect to %s at %s: %s", instance_id, address, error)
+            logger.info("cannot connect", peer=instance_id, address=address, cause=error)
 
     def _delay(self, instance_id: str, longest_ms: float) -> None:
         delay_ms = self._rng.uniform(FIRST_DELAY_MS, max(FIRST_DELAY_MS, longest_ms))
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/dispatch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/dispatch.py
@@ -1,7 +1,7 @@
 """Delivery of received messages to handlers, and replies."""
 
 import inspect
-import logging
+import traceback
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -9,10 +9,13 @@
 
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.context import Handler
+from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_formats.wire.membership import Reply, Request
 from nutmeglb_formats.wire.registry import MESSAGES
 
-logger = logging.getLogger(__name__)
+logger = get_logger("peers")
+
+TRACE_LINES = 4
 
 
 class MessageDispatcher:
@@ -42,15 +45,15 @@
             return
         handler = self._handlers.get(type(message))
         if handler is None:
-            logger.warning("peers: no handler for %s from %s", type(message).__name__, sender)
+            logger.warning("a message has no handler", type=type(message).__name__, peer=sender)
             return
         try:
             outcome = handler(sender, message)
-        except Exception:
-            logger.exception("peers: handler of %s failed", type(message).__name__)
+        except Exception as error:
+            _log_failure(message, error)
             return
         if inspect.isawaitable(outcome):
-            self._background.spawn(self._finish(sender, outcome))
+            self._background.spawn(self._finish(sender, message, outcome))
         elif outcome is not None:
             self._send(sender, outcome)
 
@@ -67,18 +70,23 @@
             outcome = handler(sender, message)
             answer = await outcome if inspect.isawaitable(outcome) else outcome
         except Exception as error:
-            logger.exception("peers: handler of %s failed", type(message).__name__)
+            _log_failure(message, error)
             return Reply(request.correlation, [], f"the handler failed: {type(error).__name__}")
         return Reply(request.correlation, MESSAGES.to_items(answer) if answer is not None else [])
 
     async def _answer(self, sender: str, request: Request) -> None:
         self._send(sender, await self.reply_to(sender, request))
 
-    async def _finish(self, sender: str, outcome: Awaitable[object | None]) -> None:
+    async def _finish(self, sender: str, message: Any, outcome: Awaitable[object | None]) -> None:
         try:
             answer = await outcome
-        except Exception:
-            logger.exception("peers: a handler failed")
+        except Exception as error:
+            _log_failure(message, error)
             return
         if answer is not None:
             self._send(sender, answer)
+
+
+def _log_failure(message: Any, error: Exception) -> None:
+    cause = "".join(traceback.format_exception(error)[-TRACE_LINES:])
+    logger.error("a handler failed", type=type(message).__name__, cause=cause)
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/link.py
@@ -1,7 +1,6 @@
 """One open WebSocket connection to another entry instance."""
 
 import asyncio
-import logging
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -12,10 +11,11 @@
 from websockets.frames import CloseCode
 
 from nutmeglb._internal.peers.queue import SendQueue
+from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_formats.wire.envelope import BATCH_TARGET_BYTES, decode_batch, encode_batch
 from nutmeglb_formats.wire.registry import FRAME_LIMIT_BYTES, encode
 
-logger = logging.getLogger(__name__)
+logger = get_logger("peers")
 
 CLOSE_TIMEOUT_S = 1.0
 
@@ -34,12 +34,16 @@
         Called with the peer and the cause before the connection is closed.
     is_cut
         Whether the fault switch drops everything to and from the peer.
+    stamp_ms, observe_ms
+        Time-line clock: read for outgoing frames, told about incoming ones.
     """
 
     on_message: Callable[["Link", Any], None]
     on_bytes: Callable[[str, str, int], None]
     on_bad_frame: Callable[[str, str], None]
     is_cut: Callable[["Link"], bool]
+    stamp_ms: Callable[[], float]
+    observe_ms: Callable[[float], None]
 
 
 class Link:
@@ -126,6 +130,7 @@
             self._callbacks.on_bad_frame(self.peer_id, "a frame names another sender")
             return False
         for envelope in batch.ok_value:
+            self._callbacks.observe_ms(envelope.sent_ms)
             self._callbacks.on_message(self, envelope.message)
         return True
 
@@ -143,12 +148,13 @@
 
     def _batches(self, messages: Sequence[object]) -> Iterator[bytes]:
         sender, epoch = self._header()
+        sent_ms = self._callbacks.stamp_ms()
         frames: list[bytes] = []
         size = 0
         for message in messages:
-            frame = encode(message, sender=sender, epoch=epoch)
+            frame = encode(message, sender=sender, epoch=epoch, sent_ms=sent_ms)
             if len(frame) > FRAME_LIMIT_BYTES:
-                logger.error("peers: message of type %s is too large", type(message).__name__)
+                logger.error("a message is too large", type=type(message).__name__)
                 continue
             if frames and size + len(frame) > BATCH_TARGET_BYTES:
                 yield encode_batch(frames)
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/server.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/server.py
@@ -1,15 +1,15 @@
 """Listener for connections from other entry instances."""
 
-import logging
 from collections.abc import Awaitable, Callable
 
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.http11 import Request, Response
 
 from nutmeglb._internal.peers.handshake import PeerName, check_request, peer_name
+from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_formats.wire.envelope import BATCH_LIMIT_BYTES
 
-logger = logging.getLogger(__name__)
+logger = get_logger("peers")
 
 OPEN_TIMEOUT_S = 5.0
 
@@ -74,7 +74,7 @@
         refusal = check_request(connection, request, self._secret, self._own_id)
         if refusal is not None:
             self._on_refused()
-            logger.warning("peers: refused a connection with status %s", refusal.status_code)
+            logger.warning("refused a connection", status=refusal.status_code)
         return refusal
 
     async def _handle(self, connection: ServerConnection) -> None:
--- a/packages/nutmeglb/src/nutmeglb/_internal/platform/instance_list.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/platform/instance_list.py
@@ -1,7 +1,6 @@
 """Reader of the platform's instance list (Prometheus HTTP service discovery format)."""
 
 import asyncio
-import logging
 from collections.abc import Callable, Mapping, Sequence
 
 from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
@@ -12,11 +11,12 @@
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.context import Metrics
 from nutmeglb._internal.settings.models import Settings
+from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.exceptions import InstanceListError
 from nutmeglb_formats.models.instances import Instance, InstanceRole, InstanceState
 
-logger = logging.getLogger(__name__)
+logger = get_logger("platform")
 
 NOT_MODIFIED = 304
 TIMEOUT_S = 2.0
@@ -142,7 +142,7 @@
         if isinstance(result, Err):
             self._reads.inc(result="error")
             if not self._failing:
-                logger.warning("platform: %s", result.err_value)
+                logger.warning("cannot read the list", cause=result.err_value)
             self._failing = True
         else:
             self._failing = False
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -227,7 +227,7 @@
             for number in range(1, self.layout.instances + 1):
                 name = f"{domain}-entry-{number}"
                 file = self._write_settings(name, domain)
-                arguments = ["-m", "nutmeglb", f"--settings={file}"]
+                arguments = ["-m", "nutmeglb", str(file)]
                 yield Node(ManagedProcess(name, self.directory, arguments), "entry", domain)
 
     def _new_endpoints(self) -> Iterator[Node]:
