--- a/scripts/soak_checks.py
+++ b/scripts/soak_checks.py
@@ -1,6 +1,7 @@
 """Checks the records of callers, endpoints, workers and operators against G1 to G8.
 
-All times are monotonic seconds, which all processes of one machine share. Pure functions: each returns violations.
+All times are monotonic seconds, which all processes of one machine share. Each function is pure
+and returns violations.
 """
 
 from collections import defaultdict
