Add the I/O layer of leadership

Store calls, peer messages and timers feed the state machine. Authority is read against the monotonic clock on every query. An invariant violation ends all authority of the instance until it is restarted.

--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/leadership.py
@@ -0,0 +1,305 @@
+"""I/O layer of leadership: store calls, peer messages and timers around the state machine."""
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from result import Err, Ok, Result
+
+from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.context import (
+    Context,
+    InUseGrant,
+    LeadershipChange,
+    LeadershipMode,
+    MemberState,
+)
+from nutmeglb._internal.leadership_store import LeadershipStore
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_decisions import leadership_events as ev
+from nutmeglb_decisions.leadership import LeadershipCore
+from nutmeglb_formats.exceptions import InvariantViolation
+from nutmeglb_formats.models.instances import InstanceRole
+from nutmeglb_formats.wire import leadership as wire
+
+logger = get_logger("leadership")
+
+TICK_MS = 100.0
+PEER_TIMEOUT_MS = 1_000.0
+STOP_LIMIT_MS = 2_000.0
+
+
+class DomainLeadership:
+    """The ``Leadership`` of ``context.py``.
+
+    ``is_leader`` and ``authority_until_ms`` read the monotonic clock on every call, so they are
+    right after a pause even before the event loop has processed anything else.
+    """
+
+    name = "leadership"
+
+    def __init__(self, ctx: Context) -> None:
+        self._ctx = ctx
+        settings = ctx.settings.leadership
+        times = ev.LeadershipTimes(
+            lease_ms=settings.lease_s * 1_000.0,
+            renew_ms=settings.renew_ms,
+            margin_ms=settings.margin_ms,
+            promise_ms=settings.promise_ms,
+        )
+        self._tick_ms = min(TICK_MS, settings.renew_ms / 4)
+        self._core = LeadershipCore(ctx.instance_id, times, ctx.rng, ctx.clock.now_ms())
+        self._store = LeadershipStore(ctx.store, ctx.domain, settings.lease_s)
+        self._tasks = BackgroundTasks()
+        self._subscribers: list[Callable[[LeadershipChange], None]] = []
+        self._reporter: Callable[[], Sequence[InUseGrant]] = tuple
+        self._released = asyncio.Event()
+        self._failed = False
+        self._changes = ctx.metrics.counter(
+            "nutmeglb_leadership_changes_total", "Changes of leader or authority seen here."
+        )
+        self._is_leader_gauge = ctx.metrics.gauge(
+            "nutmeglb_leadership_is_leader", "1 while this instance leads its failure domain."
+        )
+        self._epoch_gauge = ctx.metrics.gauge(
+            "nutmeglb_leadership_epoch", "Highest epoch of the failure domain known here."
+        )
+        self._violations = ctx.metrics.counter(
+            "nutmeglb_invariant_violations_total", "Violated guarantees."
+        )
+
+    @property
+    def epoch(self) -> int:
+        """Return the highest epoch known."""
+        return self._core.known_epoch
+
+    @property
+    def leader_instance(self) -> str | None:
+        """Return the instance that leads the domain, if known."""
+        return self._core.leader
+
+    @property
+    def mode(self) -> LeadershipMode:
+        """Return what this instance's authority rests on."""
+        now_ms = self._ctx.clock.now_ms()
+        if self._failed or not self._core.has_authority(now_ms):
+            return LeadershipMode.NONE
+        if now_ms < self._core.store_until_ms():
+            return LeadershipMode.STORE
+        return LeadershipMode.PROMISED
+
+    def is_leader(self) -> bool:
+        """Return whether this instance has authority now and has settled."""
+        return self._core.settled and self._ctx.clock.now_ms() < self.authority_until_ms()
+
+    def authority_until_ms(self) -> float:
+        """Return the monotonic time in milliseconds at which the authority ends."""
+        if self._failed:
+            return float("-inf")
+        return self._core.authority_until_ms(self._ctx.clock.now_ms())
+
+    def subscribe(self, callback: Callable[[LeadershipChange], None]) -> None:
+        """Call back after every change."""
+        self._subscribers.append(callback)
+
+    def set_grant_reporter(self, reporter: Callable[[], Sequence[InUseGrant]]) -> None:
+        """Set the source of grants reported to a new leader: own and witnessed ones."""
+        self._reporter = reporter
+
+    async def start(self) -> None:
+        """Register message handlers and start the timer."""
+        peers = self._ctx.peers
+        peers.on(wire.Pledge, self._on_pledge)
+        peers.on(wire.Promise, self._on_promise)
+        peers.on(wire.LeaderNotice, self._on_notice)
+        peers.on(wire.LeaderReleased, self._on_released)
+        peers.subscribe(self._on_peers_changed)
+        self._tasks.spawn(self._run())
+
+    async def drain(self, deadline_ms: float) -> None:
+        """Release the leadership, so that another instance can take over at once."""
+        self._feed(ev.StopRequested())
+        remaining_ms = min(STOP_LIMIT_MS, deadline_ms - self._ctx.clock.now_ms())
+        try:
+            await asyncio.wait_for(self._released.wait(), max(0.0, remaining_ms) / 1_000)
+        except TimeoutError:
+            logger.warning("the lease was not released in time and ends by itself")
+
+    async def stop(self) -> None:
+        """Release the leadership, if that has not been done, and cancel all tasks."""
+        if not self._released.is_set():
+            await self.drain(self._ctx.clock.now_ms() + STOP_LIMIT_MS)
+        await self._tasks.cancel()
+
+    def status(self) -> Mapping[str, object]:
+        """Return values for the status query."""
+        return {
+            "epoch": self.epoch,
+            "leader": self.leader_instance,
+            "is_leader": self.is_leader(),
+            "mode": self.mode.value,
+            "settled": self._core.settled,
+        }
+
+    async def _run(self) -> None:
+        while True:
+            self._tick()
+            await asyncio.sleep(self._tick_ms / 1_000)
+
+    def _tick(self) -> None:
+        domain = self._ctx.domain
+        entries = self._ctx.instances.instances(InstanceRole.ENTRY)
+        listed = frozenset(item.instance_id for item in entries if item.domain == domain)
+        reachable = frozenset(
+            member.instance_id
+            for member in self._ctx.peers.members(domain)
+            if member.state is not MemberState.SUSPECTED
+            and self._ctx.peers.connected(member.instance_id)
+        )
+        # An empty list is never the true state, because this instance is an entry instance.
+        self._feed(ev.Tick(listed if entries else None, reachable))
+
+    def _on_peers_changed(self) -> None:
+        if not self._released.is_set():
+            self._tick()
+
+    def _feed(self, event: ev.Event) -> ev.Answer | None:
+        if self._failed:
+            return None
+        try:
+            effects = self._core.handle(event, self._ctx.clock.now_ms())
+        except InvariantViolation as violation:
+            self._fail(violation)
+            raise
+        answer = None
+        for effect in effects:
+            if isinstance(effect, ev.Answer):
+                answer = effect
+            else:
+                self._perform(effect)
+        return answer
+
+    def _fail(self, violation: InvariantViolation) -> None:
+        """Give up every authority. Only a restart makes the state trustworthy again."""
+        self._failed = True
+        self._violations.inc(invariant=str(violation.context.get("invariant")))
+        self._ctx.events.emit("invariant_violated", str(violation))
+        logger.error("invariant violated, authority given up", cause=str(violation))
+        self._publish(ev.Changed(self.epoch, None, False, False))
+
+    def _perform(self, effect: ev.Effect) -> None:
+        match effect:
+            case ev.Changed():
+                self._publish(effect)
+            case ev.SendNotice(epoch):
+                self._ctx.peers.broadcast_domain(wire.LeaderNotice(epoch))
+            case ev.Release():
+                self._tasks.spawn(self._release(effect))
+            case ev.SendPledge():
+                self._tasks.spawn(self._pledge(effect))
+            case ev.SendPromise():
+                self._tasks.spawn(self._promise(effect))
+            case _:
+                self._tasks.spawn(self._call_store(effect))
+
+    async def _call_store(self, effect: ev.Effect) -> None:
+        event = await self._store.perform(effect, self._ctx.clock.now_ms())
+        if event is not None:
+            self._feed(event)
+
+    async def _release(self, effect: ev.Release) -> None:
+        if effect.lease is not None:
+            await self._store.perform(ev.RevokeLease(effect.lease), self._ctx.clock.now_ms())
+        self._ctx.peers.broadcast_domain(wire.LeaderReleased(effect.epoch))
+        # The bus sends queued messages when this coroutine yields.
+        await asyncio.sleep(0)
+        self._released.set()
+
+    async def _pledge(self, effect: ev.SendPledge) -> None:
+        reply = await self._ask(effect.instance, wire.Pledge(effect.epoch), wire.PledgeReply)
+        if isinstance(reply, Err):
+            return
+        value: wire.PledgeReply = reply.ok_value
+        self._feed(
+            ev.PledgeAnswered(
+                effect.instance, effect.round_id, value.accepted, value.known_epoch, value.grants
+            )
+        )
+
+    async def _promise(self, effect: ev.SendPromise) -> None:
+        reply = await self._ask(effect.instance, wire.Promise(effect.epoch), wire.PromiseReply)
+        if isinstance(reply, Err):
+            return
+        value: wire.PromiseReply = reply.ok_value
+        self._feed(
+            ev.PromiseAnswered(
+                effect.instance, effect.epoch, effect.sent_ms, value.granted, value.known_epoch
+            )
+        )
+
+    async def _ask(self, instance: str, message: object, kind: type[Any]) -> Result[Any, str]:
+        reply = await self._ctx.peers.request(instance, message, PEER_TIMEOUT_MS)
+        if isinstance(reply, Err):
+            return Err(str(reply.err_value))
+        if not isinstance(reply.ok_value, kind):
+            return Err("the reply has another type")
+        return Ok(reply.ok_value)
+
+    def _on_pledge(self, sender: str, message: wire.Pledge) -> wire.PledgeReply | None:
+        answer = self._feed(ev.PledgeAsked(sender, message.epoch))
+        if answer is None:
+            return None
+        grants = self._held_grants() if answer.accepted else ()
+        return wire.PledgeReply(answer.accepted, answer.known_epoch, grants)
+
+    def _on_promise(self, sender: str, message: wire.Promise) -> wire.PromiseReply | None:
+        answer = self._feed(ev.PromiseAsked(sender, message.epoch))
+        return wire.PromiseReply(answer.accepted, answer.known_epoch) if answer else None
+
+    def _on_notice(self, sender: str, message: wire.LeaderNotice) -> None:
+        self._feed(ev.NoticeReceived(sender, message.epoch))
+
+    def _on_released(self, sender: str, message: wire.LeaderReleased) -> None:
+        self._feed(ev.ReleaseReceived(sender, message.epoch))
+
+    def _held_grants(self) -> tuple[wire.HeldGrant, ...]:
+        return tuple(
+            wire.HeldGrant(item.grant_id, item.service, item.endpoint, item.holder, item.hold_ms)
+            for item in self._reporter()
+        )
+
+    def _publish(self, changed: ev.Changed) -> None:
+        settled_now = changed.is_self and changed.settled
+        grants = (*changed.grants, *self._held_grants()) if settled_now else ()
+        in_use = {
+            item.grant_id: InUseGrant(
+                item.grant_id, item.service, item.endpoint, item.holder, item.hold_ms
+            )
+            for item in grants
+        }
+        change = LeadershipChange(
+            changed.epoch,
+            changed.leader,
+            changed.is_self,
+            changed.settled,
+            tuple(in_use.values()),
+            changed.unknown_holders,
+        )
+        self._record(change)
+        for callback in self._subscribers:
+            callback(change)
+
+    def _record(self, change: LeadershipChange) -> None:
+        self._changes.inc()
+        self._is_leader_gauge.set(1.0 if change.is_self and change.settled else 0.0)
+        self._epoch_gauge.set(float(change.epoch))
+        cause = "authority" if change.is_self else "follows" if change.leader_instance else "none"
+        self._ctx.events.emit(
+            "leadership_changed",
+            cause,
+            epoch=change.epoch,
+            leader=change.leader_instance,
+            settled=change.settled,
+            in_use=len(change.in_use),
+            unknown_holders=list(change.unknown_holders),
+        )
