Add the ticket log, configuration and ticket filing

Tickets are applied in order and never taken back. Filing proposes the next number by compare-and-swap and resolves lost responses by reading the position back.

--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/ticket_log.py
@@ -0,0 +1,187 @@
+"""The ticket log as one instance sees it: conflicts, and application in order."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from enum import Enum, auto
+from typing import Any
+
+from result import Err, Ok, Result
+
+from nutmeglb_decisions.invariants import require
+from nutmeglb_decisions.ticket_validation import validate
+from nutmeglb_formats.exceptions import NutmegError, TicketConflict, TicketInvalid
+from nutmeglb_formats.models.config import Config
+from nutmeglb_formats.models.stored_ticket import TicketLogSnapshot, digest_of
+from nutmeglb_formats.models.ticket import Ticket
+
+INVARIANT = "tickets"
+SECTIONS = ("services", "jobs", "teams", "policies")
+# Tickets for which ids and changed objects are remembered. A ticket written against an older number
+# cannot be checked for conflicts, so it is refused.
+HISTORY_TICKETS = 1_000
+PRUNE_INTERVAL = 100
+
+
+class Offer(Enum):
+    """What became of a ticket that was read or relayed."""
+
+    APPLIED = auto()
+    STALE = auto()
+    GAP = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """Decision on a ticket to file: propose it at ``number``, or it has that number already."""
+
+    number: int
+    is_filed: bool
+
+
+class TicketLog:
+    """Configuration in force. Tickets are applied in order and never taken back."""
+
+    def __init__(self) -> None:
+        self._config = Config()
+        self._recent: dict[str, tuple[int, str]] = {}
+        self._ids: dict[int, str] = {}
+
+    @property
+    def config(self) -> Config:
+        """Return the configuration."""
+        return self._config
+
+    @property
+    def number(self) -> int:
+        """Return the number of the last ticket applied."""
+        return self._config.number
+
+    def offer(self, number: int, ticket: Ticket) -> Offer:
+        """Apply a ticket if it is the next one.
+
+        Raises
+        ------
+        InvariantViolation
+            Another ticket is in force under the same number.
+        """
+        if number > self.number + 1:
+            return Offer.GAP
+        if number <= self.number:
+            known = self._ids.get(number, ticket.ticket_id)
+            require(
+                known == ticket.ticket_id,
+                INVARIANT,
+                "Two tickets have the same number",
+                number=number,
+                ticket=ticket.ticket_id,
+                in_force=known,
+            )
+            return Offer.STALE
+        self._replace(apply_ticket(self._config, number, ticket))
+        self._remember(ticket.ticket_id, number, digest_of(ticket))
+        return Offer.APPLIED
+
+    def adopt(self, snapshot: TicketLogSnapshot) -> Offer:
+        """Take a snapshot if it is newer."""
+        if snapshot.config.number <= self.number:
+            return Offer.STALE
+        self._replace(snapshot.config)
+        self._recent.clear()
+        self._ids.clear()
+        for ticket_id, (number, digest) in snapshot.recent.items():
+            self._remember(ticket_id, number, digest)
+        return Offer.APPLIED
+
+    def snapshot(self) -> TicketLogSnapshot:
+        """Return the present state."""
+        return TicketLogSnapshot(self._config, dict(self._recent))
+
+    def propose(self, ticket: Ticket) -> Result[Proposal, NutmegError]:
+        """Check a ticket against the configuration in force."""
+        known = self._recent.get(ticket.ticket_id)
+        if known is not None:
+            return _same_ticket(ticket, *known)
+        conflict = _conflict(self._config, ticket)
+        if conflict is not None:
+            return Err(conflict)
+        fault = validate(ticket, self._config, apply_ticket(self._config, self.number + 1, ticket))
+        return Err(fault) if fault is not None else Ok(Proposal(self.number + 1, False))
+
+    def _replace(self, config: Config) -> None:
+        require(
+            config.number > self.number,
+            INVARIANT,
+            "The ticket number in force went back",
+            number=config.number,
+            in_force=self.number,
+        )
+        self._config = config
+
+    def _remember(self, ticket_id: str, number: int, digest: str) -> None:
+        self._recent[ticket_id] = (number, digest)
+        self._ids[number] = ticket_id
+        oldest = self.number - HISTORY_TICKETS
+        while self._ids and (first := next(iter(self._ids))) <= oldest:
+            self._recent.pop(self._ids.pop(first), None)
+
+
+def apply_ticket(config: Config, number: int, ticket: Ticket) -> Config:
+    """Return the configuration after a ticket."""
+    values: dict[str, Any] = {name: dict(getattr(config, name)) for name in SECTIONS}
+    for entry in ticket.removed:
+        section, _, name = entry.partition("/")
+        values.get(section, {}).pop(name, None)
+    for section in SECTIONS:
+        for item in getattr(ticket, section):
+            values[section][item.name] = item
+    changed_by = dict(config.changed_by) | dict.fromkeys(ticket.touched(), number)
+    if number % PRUNE_INTERVAL == 0:
+        changed_by = _pruned(changed_by, number - HISTORY_TICKETS)
+    return replace(config, number=number, changed_by=changed_by, **values)
+
+
+def _pruned(changed_by: Mapping[str, int], oldest: int) -> dict[str, int]:
+    return {entry: number for entry, number in changed_by.items() if number > oldest}
+
+
+def _same_ticket(ticket: Ticket, number: int, digest: str) -> Result[Proposal, NutmegError]:
+    if digest_of(ticket) == digest:
+        return Ok(Proposal(number, True))
+    return Err(
+        TicketInvalid(
+            "Another ticket with this id has been filed",
+            context={"id": ticket.ticket_id, "number": number},
+            hint="Choose a new id",
+        )
+    )
+
+
+def _conflict(config: Config, ticket: Ticket) -> NutmegError | None:
+    if ticket.base > config.number:
+        return TicketInvalid(
+            "The base is above the last ticket",
+            context={"base": ticket.base, "last": config.number},
+            hint=f"Set base to {config.number}",
+        )
+    if ticket.base < config.number - HISTORY_TICKETS:
+        return TicketConflict(
+            "The base is too old to find conflicts",
+            context={"base": ticket.base, "last": config.number},
+            hint=f"Compare with the configuration in force and set base to {config.number}",
+        )
+    later = _later_changes(config.changed_by, ticket.touched(), ticket.base)
+    if not later:
+        return None
+    number, entry = max(later)
+    return TicketConflict(
+        "A later ticket changed the same object",
+        context={"object": entry, "ticket": number, "base": ticket.base},
+        hint=f"Take over its change and set base to {config.number}",
+    )
+
+
+def _later_changes(
+    changed_by: Mapping[str, int], touched: Iterable[str], base: int
+) -> list[tuple[int, str]]:
+    changes = ((changed_by.get(entry, 0), entry) for entry in touched)
+    return [(number, entry) for number, entry in changes if number > base]
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/configuration.py
@@ -0,0 +1,361 @@
+"""Configuration in force: follows the ticket log in the store and through peers."""
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+
+from result import Err, Ok, Result
+
+from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.context import Context, KeyValue
+from nutmeglb._internal.store.backoff import Backoff
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb._internal.ticket_relay import Relayed, TicketExchange
+from nutmeglb._internal.ticket_store import StoredTicket, TicketStore, decode
+from nutmeglb_decisions.ticket_log import Offer, TicketLog
+from nutmeglb_formats.exceptions import InvariantViolation, NotFound, NutmegError, StoredValueError
+from nutmeglb_formats.models.admin import FiledTicket
+from nutmeglb_formats.models.config import Config
+from nutmeglb_formats.models.stored_ticket import (
+    TICKET_PREFIX,
+    NumberedTicket,
+    TicketLogSnapshot,
+    decode_ticket,
+    encode_stored,
+)
+from nutmeglb_formats.wire.config import TicketAnnounce
+
+logger = get_logger("tickets")
+
+# The watch brings new tickets at once. The poll closes the gap when a watch ends or is dropped
+# without notice, well within the 4 s in which a ticket must be in force.
+POLL_MS = 1_500.0
+ANNOUNCE_MS = 1_000.0
+STALE_AFTER_MS = 5_000.0
+BOOTSTRAP_RETRY_MS = 200.0
+WATCH_BACKOFF_MAX_MS = 2_000.0
+MAX_CATCH_UP_BATCHES = 1_000
+# Id, number and digest of a ticket in the snapshot, beside its objects.
+RECENT_ENTRY_BYTES = 150
+# Tickets from these sources are new. Others are announced with the next periodic announcement.
+ANNOUNCED_SOURCES = ("filed", "watch")
+
+
+class TicketConfiguration:
+    """The ``Configuration`` of ``context.py``."""
+
+    name = "configuration"
+
+    def __init__(self, ctx: Context) -> None:
+        self._ctx = ctx
+        self._log = TicketLog()
+        self.store = TicketStore(ctx.store)
+        self.exchange = TicketExchange(
+            ctx.peers, self._log, self._on_announce, lambda: self.is_loaded
+        )
+        self._tasks = BackgroundTasks()
+        self._subscribers: list[Callable[[Config, Config], None]] = []
+        self._catching_up = asyncio.Lock()
+        self._fetching = False
+        self._snapshot_bound: int | None = None
+        self._loaded = asyncio.Event()
+        self._confirmed_ms = ctx.clock.now_ms()
+        metrics = ctx.metrics
+        self._number = metrics.gauge("nutmeglb_ticket_number", "Number of the ticket in force.")
+        self._applied = metrics.counter("nutmeglb_tickets_applied_total", "Tickets applied here.")
+        self._stale = metrics.counter("nutmeglb_tickets_stale_total", "Old tickets ignored.")
+        self._violations = metrics.counter(
+            "nutmeglb_invariant_violations_total", "Violated guarantees."
+        )
+
+    @property
+    def log(self) -> TicketLog:
+        """Return the ticket log."""
+        return self._log
+
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether a configuration was read from the store or a peer."""
+        return self._loaded.is_set()
+
+    @property
+    def stale_since_ms(self) -> float | None:
+        """Return the wall-clock time since which neither store nor peer confirmed it."""
+        age_ms = self._confirmed_age_ms()
+        if age_ms < STALE_AFTER_MS:
+            return None
+        return self._ctx.clock.wall_ms() - age_ms
+
+    def current(self) -> Config:
+        """Return the immutable configuration."""
+        return self._log.config
+
+    def subscribe(self, callback: Callable[[Config, Config], None]) -> None:
+        """Call back with the old and the new configuration."""
+        self._subscribers.append(callback)
+
+    async def wait_loaded(self) -> None:
+        """Wait until a configuration was read."""
+        await self._loaded.wait()
+
+    async def start(self) -> None:
+        """Register message handlers and start following the log."""
+        self.exchange.register()
+        self._tasks.spawn(self._follow())
+        self._tasks.spawn(self._announce_loop())
+
+    async def drain(self, deadline_ms: float) -> None:
+        """Do nothing: requests that are drained still need the configuration."""
+
+    async def stop(self) -> None:
+        """Cancel all tasks."""
+        await self._tasks.cancel()
+
+    def status(self) -> Mapping[str, object]:
+        """Return values for the status query."""
+        return {
+            "ticket": self._log.number,
+            "loaded": self.is_loaded,
+            "stale_since_ms": self.stale_since_ms,
+        }
+
+    async def get(self, number: int) -> Result[FiledTicket, NutmegError]:
+        """Return an accepted ticket, or ``NotFound``."""
+        kept = self._kept(number)
+        if kept is not None:
+            return Ok(kept)
+        found = await self.store.read(number)
+        if isinstance(found, Err):
+            return Err(found.err_value)
+        if found.ok_value is None:
+            hint = "List the tickets; old ones are removed from the store"
+            return Err(NotFound("The ticket does not exist", context={"number": number}, hint=hint))
+        return Ok(FiledTicket(number, found.ok_value.value.ticket))
+
+    async def list(self, limit: int) -> Result[Sequence[FiledTicket], NutmegError]:
+        """Return the latest accepted tickets, latest first."""
+        last = self._log.number
+        numbers = range(last, max(0, last - limit), -1)
+        kept = [ticket for number in numbers if (ticket := self._kept(number)) is not None]
+        if len(kept) == len(numbers):
+            return Ok(kept)
+        found: list[StoredTicket] = []
+        after = max(0, last - limit)
+        while after < last:
+            batch = await self.store.read_after(after)
+            if isinstance(batch, Err):
+                return Err(batch.err_value)
+            if not batch.ok_value:
+                break
+            found += batch.ok_value
+            after = found[-1].number
+        return Ok([FiledTicket(item.number, item.value.ticket) for item in reversed(found)])
+
+    async def catch_up(self) -> Result[None, NutmegError]:
+        """Apply every later ticket in the store."""
+        async with self._catching_up:
+            for _ in range(MAX_CATCH_UP_BATCHES):
+                started_ms = self._ctx.clock.now_ms()
+                batch = await self.store.read_after(self._log.number)
+                if isinstance(batch, Err):
+                    return Err(batch.err_value)
+                if not batch.ok_value:
+                    self._confirm(started_ms)
+                    return Ok(None)
+                before = self._log.number
+                if batch.ok_value[0].number > before + 1:
+                    # Older tickets have been removed; the snapshot replaces them.
+                    loaded = await self._load_snapshot()
+                    if isinstance(loaded, Err):
+                        return loaded
+                for item in batch.ok_value:
+                    self.offer(item.value, item.data, "store")
+                if self._log.number == before:
+                    return Err(_gap(before, batch.ok_value[0].number))
+                # Long logs are applied in steps, so that other work gets its turn.
+                await asyncio.sleep(0)
+        return Ok(None)
+
+    def offer(self, item: NumberedTicket, data: bytes, source: str) -> Offer:
+        """Apply a ticket if it is the next one, and tell subscribers."""
+        old = self._log.config
+        try:
+            offer = self._log.offer(item.number, item.ticket)
+        except InvariantViolation as violation:
+            self._violations.inc(invariant=str(violation.context.get("invariant")))
+            self._ctx.events.emit("invariant_violated", str(violation), ticket=item.number)
+            raise
+        if offer is Offer.STALE:
+            self._stale.inc()
+        if offer is Offer.APPLIED:
+            self.exchange.recent.add(item.number, data)
+            self._applied.inc(source=source)
+            self._ctx.events.emit(
+                "ticket_applied",
+                source,
+                ticket=item.number,
+                id=item.ticket.ticket_id,
+                author=item.ticket.author,
+            )
+            if self._snapshot_bound is not None:
+                self._snapshot_bound += len(data) + RECENT_ENTRY_BYTES
+            self._publish(old)
+            if source in ANNOUNCED_SOURCES:
+                self.exchange.announce(self._confirmed_age_ms())
+        return offer
+
+    def snapshot_bound(self, *, measure: bool = False) -> int:
+        """Return an upper bound of the snapshot's size in bytes.
+
+        Encoding a large configuration takes milliseconds, so the size is measured only once and
+        then the size of every ticket is added, until ``measure`` asks for the exact size.
+        """
+        if measure or self._snapshot_bound is None:
+            self._snapshot_bound = len(encode_stored(self._log.snapshot()))
+        return self._snapshot_bound
+
+    def write_snapshot(self) -> None:
+        """Write a snapshot in the background."""
+        self._tasks.spawn(self.store.write_snapshot(self._log.snapshot()))
+
+    def _kept(self, number: int) -> FiledTicket | None:
+        data = self.exchange.recent.get(number)
+        decoded = decode_ticket(data) if data is not None else None
+        if decoded is None or isinstance(decoded, Err):
+            return None
+        return FiledTicket(number, decoded.ok_value.ticket)
+
+    def _publish(self, old: Config) -> None:
+        self._number.set(float(self._log.number))
+        for callback in self._subscribers:
+            callback(old, self._log.config)
+
+    def _adopt(self, snapshot: TicketLogSnapshot, source: str) -> None:
+        old = self._log.config
+        if self._log.adopt(snapshot) is Offer.APPLIED:
+            self._snapshot_bound = None
+            self._ctx.events.emit("snapshot_applied", source, ticket=self._log.number)
+            self._publish(old)
+
+    async def _load_snapshot(self) -> Result[None, NutmegError]:
+        snapshot = await self.store.read_snapshot()
+        if isinstance(snapshot, Err):
+            return Err(snapshot.err_value)
+        if snapshot.ok_value is not None:
+            self._adopt(snapshot.ok_value, "store")
+        return Ok(None)
+
+    async def _follow(self) -> None:
+        while not self.is_loaded:
+            await self._bootstrap()
+            if not self.is_loaded:
+                delay_ms = self._ctx.rng.uniform(0.5, 1.0) * BOOTSTRAP_RETRY_MS
+                await asyncio.sleep(delay_ms / 1_000)
+        self._tasks.spawn(self._watch_loop())
+        while True:
+            await asyncio.sleep(self._ctx.rng.uniform(0.8, 1.0) * POLL_MS / 1_000)
+            await self._guarded_catch_up()
+
+    async def _bootstrap(self) -> None:
+        """Load the configuration from the store, or else from any peer."""
+        loaded = await self._load_snapshot()
+        if loaded.is_ok() and (await self._guarded_catch_up()).is_ok():
+            self._set_loaded("store")
+            return
+        members = [m.instance_id for m in self._ctx.peers.members()]
+        candidates = [name for name in members if self._ctx.peers.connected(name)]
+        self._ctx.rng.shuffle(candidates)
+        for name in candidates:
+            if await self._fetch(name):
+                self._set_loaded("peer")
+                return
+
+    def _set_loaded(self, source: str) -> None:
+        self._loaded.set()
+        self._ctx.events.emit("configuration_loaded", source, ticket=self._log.number)
+
+    async def _guarded_catch_up(self) -> Result[None, NutmegError]:
+        try:
+            result = await self.catch_up()
+        except InvariantViolation as violation:
+            logger.error("the ticket log is inconsistent", cause=str(violation))
+            return Err(violation)
+        if isinstance(result, Err):
+            logger.warning("the ticket log cannot be read", cause=str(result.err_value))
+        return result
+
+    async def _watch_loop(self) -> None:
+        backoff = Backoff(self._ctx.rng, WATCH_BACKOFF_MAX_MS)
+        while True:
+            started_ms = self._ctx.clock.now_ms()
+            await self._ctx.store.watch(TICKET_PREFIX, self._on_change)
+            if self._ctx.clock.now_ms() - started_ms > WATCH_BACKOFF_MAX_MS:
+                backoff.reset()
+            await asyncio.sleep(backoff.next_ms() / 1_000)
+            await self._guarded_catch_up()
+
+    def _on_change(self, change: KeyValue) -> None:
+        if change.version == 0:
+            return
+        ticket = decode(change)
+        if isinstance(ticket, Err):
+            logger.error("a stored ticket cannot be read", cause=str(ticket.err_value))
+            return
+        self._offer_or_catch_up(ticket.ok_value.value, ticket.ok_value.data)
+
+    def _offer_or_catch_up(self, item: NumberedTicket, data: bytes) -> None:
+        try:
+            offer = self.offer(item, data, "watch")
+        except InvariantViolation as violation:
+            logger.error("the ticket log is inconsistent", cause=str(violation))
+            return
+        if offer is Offer.GAP:
+            self._tasks.spawn(self._guarded_catch_up())
+
+    async def _announce_loop(self) -> None:
+        while True:
+            await asyncio.sleep(ANNOUNCE_MS / 1_000)
+            if self.is_loaded:
+                self.exchange.announce(self._confirmed_age_ms())
+
+    async def _on_announce(self, sender: str, message: TicketAnnounce) -> None:
+        if message.number > self._log.number and self.is_loaded and not self._fetching:
+            self._fetching = True
+            try:
+                while message.number > self._log.number and await self._fetch(sender):
+                    pass
+            finally:
+                self._fetching = False
+        if message.number <= self._log.number and message.confirmed_age_ms >= 0:
+            self._confirm(self._ctx.clock.now_ms() - message.confirmed_age_ms)
+
+    async def _fetch(self, instance_id: str) -> bool:
+        """Apply one batch of a peer's tickets. Return whether the peer was useful."""
+        fetched = await self.exchange.fetch(instance_id)
+        if isinstance(fetched, Err):
+            logger.warning("a peer sent no tickets", peer=instance_id, cause=str(fetched.err_value))
+            return False
+        relayed: Relayed = fetched.ok_value
+        before = self._log.number
+        try:
+            if relayed.snapshot is not None:
+                self._adopt(relayed.snapshot, "peer")
+            for item, data in relayed.tickets:
+                self.offer(item, data, "peer")
+        except InvariantViolation as violation:
+            logger.error("a peer's ticket log differs", peer=instance_id, cause=str(violation))
+            return False
+        return self._log.number > before or not self.is_loaded
+
+    def _confirm(self, at_ms: float) -> None:
+        self._confirmed_ms = max(self._confirmed_ms, at_ms)
+
+    def _confirmed_age_ms(self) -> float:
+        return max(0.0, self._ctx.clock.now_ms() - self._confirmed_ms)
+
+
+def _gap(number: int, found: int) -> NutmegError:
+    return StoredValueError(
+        "Tickets are missing in the store",
+        context={"in_force": number, "next_found": found},
+        hint="This ends by itself when the store serves stale reads; otherwise restore the keys",
+    )
--- a/packages/nutmeglb/src/nutmeglb/_internal/store/client.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/store/client.py
@@ -1,5 +1,6 @@
 """Client of the platform's key-value store (etcd v3 HTTP/JSON gateway)."""
 
+import asyncio
 import json
 import logging
 import random
@@ -8,7 +9,7 @@
 
 from result import Err, Ok, Result
 from tenacity import AsyncRetrying, RetryCallState, retry_if_result, stop_after_attempt
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from nutmeglb._internal.context import CallPriority, Compare, KeyValue, Metrics, Put
@@ -165,7 +166,7 @@
         request = self._request(WATCH, {"create_request": create}, WATCH_MAX_S)
         request.streaming_callback = stream.feed
         try:
-            response = await self._watch_client().fetch(request, raise_error=False)
+            response = await _fetch(self._watch_client(), request)
         except Exception as error:  # the client raises errors of the transport of many types
             return Err(self._failed(WATCH, gateway.transport_error(error, WATCH, writes=False)))
         if stream.fault:
@@ -209,7 +210,7 @@
         started_ms = self._clock.now_ms()
         request = self._request(path, body, self._settings.call_timeout_ms / 1_000)
         try:
-            response = await self._call_client().fetch(request, raise_error=False)
+            response = await _fetch(self._call_client(), request)
         except Exception as error:  # the client raises errors of the transport of many types
             return Err(gateway.transport_error(error, path, writes))
         finally:
@@ -306,6 +307,20 @@
             self._on_change(change)
 
 
+async def _fetch(client: AsyncHTTPClient, request: HTTPRequest) -> HTTPResponse:
+    """Fetch, and let the exchange end by itself when the caller is cancelled.
+
+    Tornado does not end an exchange whose future is cancelled and logs its later failure as an
+    error.
+    """
+    future = client.fetch(request, raise_error=False)
+    try:
+        return await asyncio.shield(future)
+    except asyncio.CancelledError:
+        future.add_done_callback(lambda ended: ended.cancelled() or ended.exception())
+        raise
+
+
 def _new_client(connections: int) -> AsyncHTTPClient:
     return SimpleAsyncHTTPClient(
         force_instance=True,
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/ticket_filing.py
@@ -0,0 +1,169 @@
+"""Filing of tickets: proposes numbers until one is won, and resolves lost responses."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+from result import Err, Ok, Result
+
+from nutmeglb._internal.configuration import TicketConfiguration
+from nutmeglb._internal.context import Context
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_formats.exceptions import (
+    NutmegError,
+    StoreError,
+    StoreOutcomeUnknown,
+    StoreUnavailable,
+    TicketInvalid,
+)
+from nutmeglb_formats.models.admin import FiledTicket
+from nutmeglb_formats.models.stored_ticket import (
+    SNAPSHOT_LIMIT_BYTES,
+    NumberedTicket,
+    encode_stored,
+)
+from nutmeglb_formats.models.ticket import Ticket
+
+logger = get_logger("tickets")
+
+FILE_LIMIT_MS = 5_000.0
+RETRY_MS = 50.0
+
+
+class TicketFiling:
+    """The ``TicketService`` of the administration API."""
+
+    def __init__(self, ctx: Context, configuration: TicketConfiguration) -> None:
+        self._ctx = ctx
+        self._configuration = configuration
+        self._filing = asyncio.Lock()
+        self._filed = ctx.metrics.counter(
+            "nutmeglb_tickets_filed_total", "Tickets filed at this instance, by outcome."
+        )
+
+    async def file(self, ticket: Ticket) -> Result[int, NutmegError]:
+        """Validate and propose a ticket. Return its number.
+
+        Errors are ``TicketInvalid``, ``TicketConflict`` and ``StoreError``. After
+        ``StoreOutcomeUnknown`` the same ticket can be filed again: its id makes it one ticket.
+        """
+        async with self._filing:
+            result = await self._file(ticket)
+        outcome = result.err_value.kind if isinstance(result, Err) else "accepted"
+        self._filed.inc(outcome=outcome)
+        cause = str(result.err_value) if isinstance(result, Err) else "accepted"
+        self._ctx.events.emit(
+            "ticket_filed", cause, ticket=result.ok(), id=ticket.ticket_id, author=ticket.author
+        )
+        return result
+
+    async def check(self, ticket: Ticket) -> Result[None, NutmegError]:
+        """Validate a ticket against the configuration in force and change nothing."""
+        proposal = self._configuration.log.propose(ticket)
+        if isinstance(proposal, Err):
+            return Err(proposal.err_value)
+        return self._check_snapshot(ticket, 0)
+
+    async def get(self, number: int) -> Result[FiledTicket, NutmegError]:
+        """Return an accepted ticket, or ``NotFound``."""
+        return await self._configuration.get(number)
+
+    async def list(self, limit: int) -> Result[Sequence[FiledTicket], NutmegError]:
+        """Return the latest accepted tickets, latest first."""
+        return await self._configuration.list(limit)
+
+    async def _file(self, ticket: Ticket) -> Result[int, NutmegError]:
+        """Propose until the ticket has a number, is refused, or the time limit is reached.
+
+        An unknown outcome stays the result until a later read shows what became of the write.
+        """
+        deadline_ms = self._ctx.clock.now_ms() + FILE_LIMIT_MS
+        failure: NutmegError = _gave_up(ticket)
+        while self._ctx.clock.now_ms() < deadline_ms:
+            result = await self._try(ticket)
+            if isinstance(result, Err) and isinstance(result.err_value, StoreError):
+                if not isinstance(failure, StoreOutcomeUnknown):
+                    failure = result.err_value
+            elif isinstance(result, Err) or result.ok_value is not None:
+                return result
+            await asyncio.sleep(self._ctx.rng.uniform(0, RETRY_MS) / 1_000)
+        return Err(failure)
+
+    async def _try(self, ticket: Ticket) -> Result[Any, NutmegError]:
+        """Propose once. Return the number, or ``None`` when another ticket took it."""
+        current = await self._refresh()
+        if isinstance(current, Err):
+            return current
+        proposal = self._configuration.log.propose(ticket)
+        if isinstance(proposal, Err):
+            return Err(proposal.err_value)
+        number = proposal.ok_value.number
+        if proposal.ok_value.is_filed:
+            return Ok(number)
+        outcome = await self._propose(ticket, number)
+        return outcome.map(lambda written: number if written else None)
+
+    async def _refresh(self) -> Result[None, NutmegError]:
+        fence = await self._configuration.store.read_fence()
+        if isinstance(fence, Err):
+            return Err(fence.err_value)
+        return await self._configuration.catch_up()
+
+    async def _propose(self, ticket: Ticket, number: int) -> Result[bool, NutmegError]:
+        store = self._configuration.store
+        if number < store.fence.oldest:
+            # Reads are stale: the tickets from here on have been removed long ago.
+            return Ok(False)
+        item = NumberedTicket(number, ticket)
+        data = encode_stored(item)
+        fits = self._check_snapshot(ticket, len(data))
+        if isinstance(fits, Err):
+            return Err(fits.err_value)
+        written = await store.propose(number, data)
+        if isinstance(written, Err) and isinstance(written.err_value, StoreOutcomeUnknown):
+            return await self._resolve(item, data, written.err_value)
+        if isinstance(written, Err) or not written.ok_value:
+            return written
+        self._accepted(item, data)
+        return Ok(True)
+
+    async def _resolve(
+        self, item: NumberedTicket, data: bytes, unknown: NutmegError
+    ) -> Result[bool, NutmegError]:
+        """Read the position back after a lost response and compare the ids."""
+        found = await self._configuration.store.read(item.number)
+        if isinstance(found, Err) or found.ok_value is None:
+            return Err(unknown)
+        if found.ok_value.value.ticket.ticket_id != item.ticket.ticket_id:
+            return Ok(False)
+        self._accepted(item, data)
+        return Ok(True)
+
+    def _accepted(self, item: NumberedTicket, data: bytes) -> None:
+        self._configuration.offer(item, data, "filed")
+        if self._configuration.store.snapshot_due(item.number):
+            self._configuration.write_snapshot()
+
+    def _check_snapshot(self, ticket: Ticket, size: int) -> Result[None, NutmegError]:
+        """Refuse a ticket whose configuration would not fit into one stored value."""
+        size = size or len(encode_stored(NumberedTicket(0, ticket)))
+        bound = self._configuration.snapshot_bound()
+        if bound + size > SNAPSHOT_LIMIT_BYTES:
+            bound = self._configuration.snapshot_bound(measure=True)
+        if bound + size <= SNAPSHOT_LIMIT_BYTES:
+            return Ok(None)
+        return Err(
+            TicketInvalid(
+                "The whole configuration would be too large",
+                context={"bytes": bound + size, "limit": SNAPSHOT_LIMIT_BYTES},
+                hint="Remove objects that are no longer needed first",
+            )
+        )
+
+
+def _gave_up(ticket: Ticket) -> NutmegError:
+    return StoreUnavailable(
+        "No ticket number could be won in time",
+        context={"id": ticket.ticket_id},
+        hint="File the ticket again; other tickets are being filed at the same time",
+    )
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/ticket_store.py
@@ -0,0 +1,158 @@
+"""The ticket log in the store: reading, proposing, snapshots and removal of old tickets."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from nutmeglb._internal.context import CallPriority, Compare, KeyValue, Put, Store
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_decisions.ticket_log import HISTORY_TICKETS
+from nutmeglb_formats.exceptions import NutmegError, StoredValueError
+from nutmeglb_formats.models import stored_ticket as stored
+from nutmeglb_formats.models.stored_ticket import LogFence, NumberedTicket, TicketLogSnapshot
+
+logger = get_logger("tickets")
+
+READ_BATCH = 100
+SNAPSHOT_INTERVAL = 100
+# Etcd allows 128 operations in a transaction.
+DELETE_BATCH = 120
+
+
+@dataclass(frozen=True, slots=True)
+class StoredTicket:
+    """A ticket as read, with its stored bytes for relaying."""
+
+    number: int
+    data: bytes
+    value: NumberedTicket
+
+
+class TicketStore:
+    """Store calls of the ticket log.
+
+    Removal of old tickets makes an absent key ambiguous. Proposals therefore compare the fence,
+    which changes with every removal.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._fence_data: bytes | None = None
+        self._fence = LogFence(0, 1)
+
+    @property
+    def fence(self) -> LogFence:
+        """Return the fence as last read."""
+        return self._fence
+
+    async def read_fence(self) -> Result[LogFence, NutmegError]:
+        """Read the fence."""
+        found = await self._store.get(stored.FENCE_KEY, priority=CallPriority.TICKET)
+        if isinstance(found, Err):
+            return Err(found.err_value)
+        data = found.ok_value.value if found.ok_value else None
+        fence = stored.decode_fence(data)
+        if isinstance(fence, Err):
+            return Err(fence.err_value)
+        self._fence_data, self._fence = data, fence.ok_value
+        return Ok(self._fence)
+
+    async def read_after(self, number: int) -> Result[list[StoredTicket], NutmegError]:
+        """Read the next tickets after a number, a batch at most."""
+        found = await self._store.range(
+            stored.TICKET_PREFIX,
+            limit=READ_BATCH,
+            from_key=stored.ticket_key(number + 1),
+            priority=CallPriority.TICKET,
+        )
+        if isinstance(found, Err):
+            return Err(found.err_value)
+        return decode_all(found.ok_value)
+
+    async def read(self, number: int) -> Result[StoredTicket | None, NutmegError]:
+        """Read one ticket; ``None`` when it is absent."""
+        found = await self._store.get(stored.ticket_key(number), priority=CallPriority.TICKET)
+        if isinstance(found, Err):
+            return Err(found.err_value)
+        if found.ok_value is None:
+            return Ok(None)
+        return decode(found.ok_value)
+
+    async def read_snapshot(self) -> Result[TicketLogSnapshot | None, NutmegError]:
+        """Read the snapshot; ``None`` when there is none yet."""
+        found = await self._store.get(stored.SNAPSHOT_KEY, priority=CallPriority.TICKET)
+        if isinstance(found, Err):
+            return Err(found.err_value)
+        if found.ok_value is None:
+            return Ok(None)
+        return _widened(stored.decode_snapshot(found.ok_value.value))
+
+    async def propose(self, number: int, data: bytes) -> Result[bool, NutmegError]:
+        """Write a ticket if its number is free. Return whether it was written."""
+        compares = [
+            Compare(stored.ticket_key(number), None),
+            Compare(stored.FENCE_KEY, self._fence_data),
+        ]
+        put = Put(stored.ticket_key(number), data)
+        written = await self._store.txn(compares, [put], priority=CallPriority.TICKET)
+        return Err(written.err_value) if isinstance(written, Err) else Ok(written.ok_value)
+
+    def snapshot_due(self, number: int) -> bool:
+        """Return whether a snapshot should be written after a ticket."""
+        return number - self._fence.snapshot >= SNAPSHOT_INTERVAL
+
+    async def write_snapshot(self, snapshot: TicketLogSnapshot) -> None:
+        """Write a snapshot and remove tickets that are too old to be needed.
+
+        Any instance may do this; the fence lets one of them succeed. A failure is repeated by the
+        next ticket that is filed.
+        """
+        data = stored.encode_stored(snapshot)
+        if len(data) > stored.SNAPSHOT_LIMIT_BYTES:
+            logger.error("the snapshot is too large", bytes=len(data))
+            return
+        number = snapshot.config.number
+        keep_from = max(self._fence.oldest, number - HISTORY_TICKETS + 1)
+        oldest = min(self._fence.oldest + DELETE_BATCH, keep_from)
+        fence = LogFence(number, oldest)
+        written = await self._store.txn(
+            [Compare(stored.FENCE_KEY, self._fence_data)],
+            [Put(stored.SNAPSHOT_KEY, data), Put(stored.FENCE_KEY, stored.encode_fence(fence))],
+            [stored.ticket_key(old) for old in range(self._fence.oldest, oldest)],
+            priority=CallPriority.OTHER,
+        )
+        if isinstance(written, Err):
+            logger.warning("the snapshot was not written", cause=str(written.err_value))
+        await self.read_fence()
+
+
+def decode(item: KeyValue) -> Result[StoredTicket, NutmegError]:
+    """Decode a ticket and check it against its key."""
+    value = stored.decode_ticket(item.value)
+    if isinstance(value, Err):
+        return Err(value.err_value)
+    ticket = value.ok_value
+    if stored.ticket_key(ticket.number) != item.key:
+        hint = "Find out what wrote to this key"
+        return Err(
+            StoredValueError("A ticket has a wrong key", context={"key": item.key}, hint=hint)
+        )
+    return Ok(StoredTicket(ticket.number, item.value, ticket))
+
+
+def decode_all(items: Sequence[KeyValue]) -> Result[list[StoredTicket], NutmegError]:
+    """Decode tickets, or return the first fault."""
+    tickets = []
+    for item in items:
+        ticket = decode(item)
+        if isinstance(ticket, Err):
+            return ticket
+        tickets.append(ticket.ok_value)
+    return Ok(tickets)
+
+
+def _widened(
+    result: Result[TicketLogSnapshot, StoredValueError],
+) -> Result[TicketLogSnapshot | None, NutmegError]:
+    return Err(result.err_value) if isinstance(result, Err) else Ok(result.ok_value)
--- a/tests/lib/domain.py
+++ b/tests/lib/domain.py
@@ -41,13 +41,16 @@
         self._network = network
         self._id = instance_id
         self.domain = domain
+        self._tasks: set[asyncio.Task[Any]] = set()
         self._handlers: dict[type[Any], Callable[[str, Any], Any]] = {}
         network.buses[instance_id] = self
 
     def send(self, instance_id: str, message: object) -> None:
         if self.connected(instance_id):
             bus = self._network.buses[instance_id]
-            asyncio.get_running_loop().call_soon(bus.receive, self._id, self._copy(message))
+            task = asyncio.create_task(bus.deliver(self._id, self._copy(message)))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     def broadcast_domain(self, message: object) -> None:
         for member in self.members(self.domain):
@@ -84,6 +87,11 @@
     def subscribe(self, callback: Callable[[], None]) -> None:
         pass
 
+    async def deliver(self, sender: str, message: Any) -> None:
+        reply = self.receive(sender, message)
+        if inspect.isawaitable(reply):
+            await reply
+
     def receive(self, sender: str, message: Any) -> Any:
         handler = self._handlers.get(type(message))
         return handler(sender, message) if handler else None
