--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/broker.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/broker.py
@@ -32,14 +32,21 @@
         Time in which a grant must be used, from the settings key ``routing.grant_start_ms``.
     """
 
-    def __init__(self, domain: str, epoch: int, start_within_ms: float, rng: random.Random) -> None:
+    def __init__(
+        self,
+        domain: str,
+        epoch: int,
+        start_within_ms: float,
+        rng: random.Random,
+        spillover: Spillover | None = None,
+    ) -> None:
         self._domain = domain
         self._epoch = epoch
         self._start_within_ms = start_within_ms
         self._rng = rng
         self._services: dict[str, ServiceBroker] = {}
         self._granted = 0
-        self.spillover = Spillover(domain, rng)
+        self.spillover = spillover or Spillover(domain, rng)
 
     def service(self, name: str) -> ServiceBroker | None:
         """Return the broker of a service, or ``None``."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/idempotency.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/idempotency.py
@@ -153,10 +153,16 @@
         return KeyAnswer(ClaimState.REFUSED)
 
     def result(self, message: KeyResult) -> KeyEffect:
-        """Record the outcome of a claimed request. A repeated result has no effect."""
+        """Record the outcome of a claimed request. A repeated result has no effect.
+
+        A claim may be withdrawn as not run before it is committed: its sender no longer waits.
+        """
         entry = self._entry_of(message.service, message.key, message.request_id)
-        if entry is None or entry.phase is not _Phase.RUNNING:
-            return Reply(KeyAnswer(ClaimState.REFUSED if entry is None else ClaimState.CLAIMED))
+        if entry is None:
+            return Reply(KeyAnswer(ClaimState.REFUSED))
+        withdrawn = message.outcome is RequestOutcome.NOT_RUN and entry.phase is _Phase.CLAIMING
+        if entry.phase is not _Phase.RUNNING and not withdrawn:
+            return Reply(KeyAnswer(ClaimState.CLAIMED))
         record = _result_record(message)
         self._apply(record)
         return Append(record)
--- a/packages/nutmeglb/src/nutmeglb/_internal/context.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/context.py
@@ -219,7 +219,10 @@
         """Read the snapshot's records and all later ones, in order."""
 
     def set_snapshot_source(self, source: Callable[[], Sequence[Any]]) -> None:
-        """Set the function that returns the records of the full current state."""
+        """Add a function that returns the records of its component's full current state.
+
+        A snapshot holds the records of all added functions.
+        """
 
 
 class Configuration(Protocol):
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/bus.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/bus.py
@@ -215,7 +215,7 @@
             async with asyncio.timeout(timeout_ms / MS_PER_S):
                 link = await self._await_link(instance_id)
                 if link is None:
-                    return Err(peer_error(instance_id, "no connection"))
+                    return Err(peer_error(instance_id, "no connection", sent=False))
                 return await self._ask(link, message)
         except TimeoutError:
             return Err(peer_error(instance_id, f"no reply within {timeout_ms:.0f} ms"))
@@ -323,7 +323,7 @@
         correlation, future = self._correlator.open(link.peer_id)
         try:
             if not self._put(link, Request(correlation, MESSAGES.to_items(message))):
-                return Err(peer_error(link.peer_id, "the send queue is full"))
+                return Err(peer_error(link.peer_id, "the send queue is full", sent=False))
             return await future
         finally:
             self._correlator.close(correlation)
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/correlation.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/correlation.py
@@ -57,11 +57,17 @@
         return (c for c, p in self._pending.items() if p.instance_id == instance_id)
 
 
-def peer_error(instance_id: str, cause: str) -> PeerError:
-    """Return the error of a request that has no reply."""
+def peer_error(instance_id: str, cause: str, *, sent: bool = True) -> PeerError:
+    """Return the error of a request that has no reply.
+
+    Parameters
+    ----------
+    sent
+        Whether the request may have reached the peer.
+    """
     return PeerError(
         "The peer did not answer",
-        context={"instance": instance_id, "cause": cause},
+        context={"instance": instance_id, "cause": cause, "sent": sent},
         hint="Check that the instance runs and that its peer address is reachable",
     )
 
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/assembly.py
@@ -0,0 +1,72 @@
+"""Creates the components of the request path."""
+
+from dataclasses import dataclass
+
+from nutmeglb._internal.context import Component, Context
+from nutmeglb._internal.routing.exchange import Dispatcher
+from nutmeglb._internal.routing.forwarding import Forwarder
+from nutmeglb._internal.routing.keys import KeyService
+from nutmeglb._internal.routing.leaving import LeavingEndpoints
+from nutmeglb._internal.routing.listener import CallerListener
+from nutmeglb._internal.routing.outbox import Outbox
+from nutmeglb._internal.routing.runner import RequestRunner
+from nutmeglb._internal.routing.slot_broker import SlotBroker
+from nutmeglb._internal.routing.slot_client import SlotClient
+from nutmeglb._internal.routing.violations import Violations
+from nutmeglb._internal.routing.witness import WitnessedGrants, WitnessRecords
+from nutmeglb_decisions.routing.spillover import Spillover
+from nutmeglb_formats.wire.routing import SlotGrant, SlotRefused
+
+
+@dataclass(frozen=True, slots=True)
+class Routing:
+    """Components of the request path.
+
+    Attributes
+    ----------
+    components
+        In start order. They are drained and stopped in reverse order.
+    """
+
+    listener: CallerListener
+    broker: SlotBroker
+    keys: KeyService
+    forwarder: Forwarder
+    dispatcher: Dispatcher
+    runner: RequestRunner
+
+    @property
+    def components(self) -> tuple[Component, ...]:
+        """Return the components in start order."""
+        return (self.keys, self.broker, self.runner, self.forwarder, self.listener)
+
+
+def create_routing(ctx: Context) -> Routing:
+    """Create the request path of an entry instance."""
+    violations = Violations(ctx)
+    spillover = Spillover(ctx.domain, ctx.rng)
+    leaving = LeavingEndpoints(ctx)
+    broker = SlotBroker(ctx, leaving, spillover, violations, WitnessedGrants(ctx))
+
+    def receive(sender: str, message: object) -> None:
+        if isinstance(message, SlotGrant):
+            client.on_grant(sender, message)
+        elif isinstance(message, SlotRefused):
+            client.on_refused(sender, message)
+        else:
+            broker.receive(sender, message)
+
+    outbox = Outbox(ctx, receive)
+    client = SlotClient(ctx, outbox, WitnessRecords(ctx), spillover)
+    broker.connect(outbox, client)
+    dispatcher = Dispatcher(
+        ctx.clock,
+        ctx.settings.routing.body_limit_bytes,
+        leaving.may_send,
+        leaving.announced,
+    )
+    keys = KeyService(ctx)
+    runner = RequestRunner(ctx, client, dispatcher, keys, violations)
+    forwarder = Forwarder(ctx, runner, spillover, broker.summary)
+    listener = CallerListener(ctx, runner)
+    return Routing(listener, broker, keys, forwarder, dispatcher, runner)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/exchange.py
@@ -0,0 +1,285 @@
+"""Dispatch of requests to endpoints, one fresh connection per exchange."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPHeaders
+
+from nutmeglb_decisions.routing.attempt_types import Dispatch, ExchangeEnd, ExchangeResult
+from nutmeglb_decisions.routing.invariants import require
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.wire.routing import HeaderList, RefusalReason
+
+# Exchanges of one instance at a time. Beyond it they wait inside the client; their grants expire.
+MAX_EXCHANGES = 512
+CONNECT_TIMEOUT_MS = 1_000.0
+MS_PER_S = 1_000.0
+REQUEST_ID_HEADER = "X-Request-Id"
+LEAVING_HEADER = "X-Endpoint-Leaving"
+BODILESS_STATUSES = frozenset({204, 304})
+FIRST_FINAL_STATUS = 200
+# After these errors libcurl has closed the connection while the endpoint may still be working.
+ABORTING_ERRORS = frozenset(
+    {
+        pycurl.E_OPERATION_TIMEDOUT,
+        pycurl.E_ABORTED_BY_CALLBACK,
+        pycurl.E_WRITE_ERROR,
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+        pycurl.E_WEIRD_SERVER_REPLY,
+        pycurl.E_FILESIZE_EXCEEDED,
+    }
+)
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Payload:
+    """What is sent to the endpoint. ``path`` starts with a slash and includes the query."""
+
+    request_id: str
+    method: str
+    path: str
+    headers: HeaderList
+    body: bytes
+
+
+@dataclass(slots=True)
+class _Exchange:
+    """An exchange in progress. ``sent`` is set before the first byte of the request is sent."""
+
+    dispatch: Dispatch
+    request_id: str
+    sent: bool = False
+    aborted: bool = False
+    expired: bool = False
+    done: Callable[[ExchangeResult], None] = field(default=lambda result: None)
+
+
+class Dispatcher:
+    """Sends requests through tornado's curl client.
+
+    Every exchange uses its own connection: on a kept-alive connection that closes without a
+    response, libcurl sends a POST a second time by itself. libcurl calls back after the connection
+    is open and before the first byte of the request. This is where the start limit is checked, and
+    it tells for certain whether a request may have reached the endpoint.
+
+    Parameters
+    ----------
+    response_limit_bytes
+        Largest response body.
+    may_send
+        Returns whether an endpoint may get a request now: false once it is leaving.
+    on_leaving
+        Called with an endpoint that announced its departure in a response header.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        response_limit_bytes: int,
+        may_send: Callable[[str], bool] = lambda endpoint: True,
+        on_leaving: Callable[[str], None] = lambda endpoint: None,
+    ) -> None:
+        self._clock = clock
+        self._may_send = may_send
+        self._on_leaving = on_leaving
+        self._exchanges: dict[str, _Exchange] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._client = CurlAsyncHTTPClient(
+            force_instance=True,
+            max_clients=MAX_EXCHANGES,
+            max_body_size=response_limit_bytes,
+            defaults={"follow_redirects": False, "decompress_response": False},
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of exchanges in progress."""
+        return len(self._exchanges)
+
+    def send(
+        self,
+        dispatch: Dispatch,
+        payload: Payload,
+        timeout_ms: float,
+        done: Callable[[ExchangeResult], None],
+    ) -> None:
+        """Start an exchange. ``done`` is called once with its result, unless it is aborted.
+
+        Parameters
+        ----------
+        timeout_ms
+            Time after which the connection is closed.
+        """
+        exchange_id = dispatch.exchange_id
+        require(
+            exchange_id not in self._exchanges,
+            "at_most_once",
+            "An exchange would be sent twice",
+            exchange=exchange_id,
+        )
+        exchange = _Exchange(dispatch, payload.request_id, done=done)
+        self._exchanges[exchange_id] = exchange
+        task = asyncio.create_task(self._run(exchange, payload, timeout_ms))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def was_sent(self, exchange_id: str) -> bool:
+        """Return whether a byte of the request may have been sent."""
+        exchange = self._exchanges.get(exchange_id)
+        return exchange is None or exchange.sent
+
+    def abort(self, exchange_id: str) -> None:
+        """Close the connection of an exchange. Its result is dropped."""
+        exchange = self._exchanges.get(exchange_id)
+        if exchange is not None:
+            exchange.aborted = True
+
+    async def stop(self) -> None:
+        """Close every connection."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._client.close()
+
+    async def _run(self, exchange: _Exchange, payload: Payload, timeout_ms: float) -> None:
+        exchange_id = exchange.dispatch.exchange_id
+        try:
+            result = await self._fetch(exchange, payload, timeout_ms)
+        finally:
+            del self._exchanges[exchange_id]
+        if not exchange.aborted:
+            exchange.done(result)
+
+    async def _fetch(
+        self, exchange: _Exchange, payload: Payload, timeout_ms: float
+    ) -> ExchangeResult:
+        if not self._still_allowed(exchange):
+            return _result(exchange, ExchangeEnd.NOT_SENT, reason=self._refusal(exchange))
+        request = HTTPRequest(
+            f"http://{exchange.dispatch.grant.address}{payload.path}",
+            method=payload.method,
+            headers=_request_headers(payload),
+            body=payload.body or None,
+            connect_timeout=min(CONNECT_TIMEOUT_MS, timeout_ms) / MS_PER_S,
+            request_timeout=timeout_ms / MS_PER_S,
+            allow_nonstandard_methods=True,
+            prepare_curl_callback=lambda curl: self._prepare(curl, exchange),
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (ValueError, KeyError, pycurl.error) as error:
+            end = ExchangeEnd.ABORTED if exchange.sent else ExchangeEnd.NOT_SENT
+            return _result(exchange, end, reason=f"invalid_request: {error}")
+        return self._interpret(exchange, payload, response)
+
+    def _prepare(self, curl: Any, exchange: _Exchange) -> None:
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        curl.setopt(pycurl.FORBID_REUSE, 1)
+        curl.setopt(pycurl.PATH_AS_IS, 1)
+        curl.setopt(pycurl.PREREQFUNCTION, lambda *addresses: self._before_send(exchange))
+        curl.setopt(pycurl.NOPROGRESS, 0)
+        curl.setopt(pycurl.XFERINFOFUNCTION, lambda *progress: int(exchange.aborted))
+
+    def _before_send(self, exchange: _Exchange) -> int:
+        if exchange.aborted or not self._still_allowed(exchange):
+            return int(pycurl.PREREQFUNC_ABORT)
+        exchange.sent = True
+        return int(pycurl.PREREQFUNC_OK)
+
+    def _still_allowed(self, exchange: _Exchange) -> bool:
+        exchange.expired = self._clock.now_ms() >= exchange.dispatch.start_by_ms
+        return not exchange.expired and self._may_send(exchange.dispatch.grant.endpoint)
+
+    @staticmethod
+    def _refusal(exchange: _Exchange) -> str:
+        expired, leaving = RefusalReason.GRANT_EXPIRED, RefusalReason.ENDPOINT_LEAVING
+        return str(expired if exchange.expired else leaving)
+
+    def _interpret(
+        self, exchange: _Exchange, payload: Payload, response: HTTPResponse
+    ) -> ExchangeResult:
+        if response.headers.get(LEAVING_HEADER) == "1":
+            self._on_leaving(exchange.dispatch.grant.endpoint)
+        errno = getattr(response.error, "errno", None)
+        if errno is not None:
+            return self._failed(exchange, int(errno), str(response.error))
+        fault = _response_fault(exchange, payload, response)
+        if fault:
+            return _result(exchange, ExchangeEnd.CLOSED, reason=fault)
+        return ExchangeResult(
+            exchange.dispatch.exchange_id,
+            exchange.request_id,
+            ExchangeEnd.RESPONSE,
+            response.code,
+            _response_headers(response.headers, payload.method),
+            response.body or b"",
+        )
+
+    def _failed(self, exchange: _Exchange, errno: int, text: str) -> ExchangeResult:
+        if not exchange.sent:
+            allowed = errno != pycurl.E_ABORTED_BY_CALLBACK
+            reason = str(RefusalReason.CONNECT_FAILED) if allowed else self._refusal(exchange)
+            return _result(exchange, ExchangeEnd.NOT_SENT, reason=reason)
+        end = ExchangeEnd.ABORTED if errno in ABORTING_ERRORS else ExchangeEnd.CLOSED
+        return _result(exchange, end, reason=f"exchange_failed: {text}")
+
+
+def _result(exchange: _Exchange, end: ExchangeEnd, reason: str) -> ExchangeResult:
+    exchange_id = exchange.dispatch.exchange_id
+    return ExchangeResult(exchange_id, exchange.request_id, end, reason=reason)
+
+
+def _response_fault(exchange: _Exchange, payload: Payload, response: HTTPResponse) -> str:
+    """Return why a response must not be passed on, or an empty text."""
+    echoed = response.headers.get(REQUEST_ID_HEADER)
+    if echoed is not None and echoed != exchange.request_id:
+        return "response_of_another_request"
+    if response.code < FIRST_FINAL_STATUS:
+        return "no_final_response"
+    if payload.method == "HEAD" or response.code in BODILESS_STATUSES:
+        return ""
+    # Without a length, the end of the connection may also be a truncation.
+    if "Content-Length" not in response.headers and "Transfer-Encoding" not in response.headers:
+        return "response_without_length"
+    return ""
+
+
+def _request_headers(payload: Payload) -> HTTPHeaders:
+    headers = HTTPHeaders()
+    for name, value in payload.headers:
+        if name.lower() not in HOP_HEADERS:
+            headers.add(name, value)
+    headers[REQUEST_ID_HEADER] = payload.request_id
+    return headers
+
+
+def _response_headers(headers: HTTPHeaders, method: str) -> HeaderList:
+    hidden = {REQUEST_ID_HEADER.lower(), LEAVING_HEADER.lower()}
+    kept = [
+        (name, value)
+        for name, value in headers.get_all()
+        if name.lower() not in HOP_HEADERS and name.lower() not in hidden
+    ]
+    if method == "HEAD" and "Content-Length" in headers:
+        kept.append(("Content-Length", headers["Content-Length"]))
+    return tuple(kept)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/listener.py
@@ -0,0 +1,350 @@
+"""Listener for callers' requests."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerRequest
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler, stream_request_body
+
+from nutmeglb._internal.context import Context
+from nutmeglb._internal.routing.exchange import REQUEST_ID_HEADER, Payload
+from nutmeglb._internal.routing.runner import Incoming, RequestRunner, RunningRequest
+from nutmeglb_decisions.routing.attempt_types import Answer, RequestInfo
+from nutmeglb_formats.identifiers import new_id
+from nutmeglb_formats.models.config import RequestClass, Service
+from nutmeglb_formats.wire.routing import RefusalReason, RequestOutcome
+
+LONGEST_TIMEOUT_MS = 3_600_000.0
+KEY_LIMIT_CHARACTERS = 256
+CALLER_LIMIT_CHARACTERS = 128
+OUTCOME_HEADER = "X-Request-Outcome"
+# A body beyond the limit is read and dropped up to this multiple, so that the caller can read the
+# refusal. Then the connection is closed.
+DISCARD_FACTOR = 4
+# Tornado would refuse a larger body itself, without a typed answer.
+UNLIMITED_BYTES = 1 << 62
+OWN_HEADERS = frozenset(
+    {
+        "x-request-class",
+        "x-request-timeout-ms",
+        "x-caller",
+        "x-idempotent",
+        "x-request-id",
+        "host",
+    }
+)
+CONFLICT_REASONS = frozenset({RefusalReason.KEY_IN_PROGRESS, RefusalReason.KEY_REUSED})
+HINTS = {
+    RefusalReason.QUEUE_FULL: "Retry later or raise the service's queue_limit",
+    RefusalReason.TOO_LATE: "Retry later or with a longer X-Request-Timeout-Ms",
+    RefusalReason.SHED: "Retry later; requests of a higher class went first",
+    RefusalReason.NO_ENDPOINT: "Check that the service has live endpoints in the instance list",
+    RefusalReason.UNKNOWN_SERVICE: "File a ticket that declares the service",
+    RefusalReason.KEY_IN_PROGRESS: "Wait for the first request with this Idempotency-Key",
+    RefusalReason.KEY_REUSED: "Use a new Idempotency-Key for a different request",
+    RefusalReason.KEY_UNAVAILABLE: "Retry later with the same Idempotency-Key",
+    RefusalReason.BODY_TOO_LARGE: "Send a body within routing.body_limit_bytes",
+}
+NOT_RUN_HINT = "The request was not run; it is safe to retry"
+UNKNOWN_HINT = "The request may have run; check its effect before a retry"
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidRequest:
+    """A request that cannot be accepted."""
+
+    status: HTTPStatus
+    reason: str
+    hint: str
+
+
+class CallerListener:
+    """HTTP server for ``/services/<service>/<path>``."""
+
+    name = "listener"
+
+    def __init__(self, ctx: Context, runner: RequestRunner) -> None:
+        self._ctx = ctx
+        self._runner = runner
+        self._draining = False
+        self._server: HTTPServer | None = None
+        self._address = ""
+
+    @property
+    def bound_address(self) -> str:
+        """Return ``ip:port`` of the listener."""
+        return self._address
+
+    async def start(self) -> None:
+        """Bind the listener."""
+        host, port = self._ctx.settings.listen.caller.rsplit(":", 1)
+        sockets = bind_sockets(int(port), host)
+        self._address = f"{host}:{sockets[0].getsockname()[1]}"
+        routes = [(r"/services/[^/]+(?:/.*)?", CallerHandler, {"listener": self})]
+        application = Application(routes, default_handler_class=UnknownPath)
+        self._server = HTTPServer(
+            application,
+            max_body_size=UNLIMITED_BYTES,
+            max_buffer_size=2 * self._ctx.settings.routing.body_limit_bytes,
+        )
+        self._server.add_sockets(sockets)
+
+    async def drain(self, deadline_ms: float) -> None:
+        """Stop accepting connections and finish the requests in flight.
+
+        Requests on open connections are still served, and each response closes its connection.
+        """
+        self._draining = True
+        if self._server is not None:
+            self._server.stop()
+        await self._runner.drain(deadline_ms)
+
+    async def stop(self) -> None:
+        """Close the listener and every connection."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+            self._server = None
+
+    def status(self) -> Mapping[str, object]:
+        """Return address and load."""
+        return {"address": self._address, "draining": self._draining}
+
+    @property
+    def draining(self) -> bool:
+        """Return whether the instance is stopping."""
+        return self._draining
+
+    @property
+    def body_limit_bytes(self) -> int:
+        """Return the largest accepted body."""
+        return self._ctx.settings.routing.body_limit_bytes
+
+    def new_request_id(self) -> str:
+        """Return a unique request id."""
+        return new_id(self._ctx.rng)
+
+    async def run(self, incoming: Incoming, handler: "CallerHandler") -> Answer:
+        """Run a request."""
+        return await self._runner.run(incoming, handler.set_running)
+
+    def parse(
+        self, request_id: str, request: HTTPServerRequest, body: bytes
+    ) -> Incoming | InvalidRequest:
+        """Return the request, or why it is refused."""
+        _, _, name, *rest = (request.uri or "").split("/", 3)
+        name, _, query = name.partition("?")
+        service = self._ctx.config.current().services.get(name)
+        if service is None:
+            reason = RefusalReason.UNKNOWN_SERVICE
+            return InvalidRequest(HTTPStatus.NOT_FOUND, reason, HINTS[reason])
+        info = self._info(request_id, request, service)
+        if isinstance(info, InvalidRequest):
+            return info
+        if request.method == "GET" and body:
+            return _invalid("A GET request has a body", "Use another method")
+        path = "/" + (rest[0] if rest else "") + (f"?{query}" if query else "")
+        headers = tuple(
+            (key, value)
+            for key, value in request.headers.get_all()
+            if key.lower() not in OWN_HEADERS
+        )
+        payload = Payload(request_id, request.method or "GET", path, headers, body)
+        return Incoming(info, service, payload, request.headers.get("Idempotency-Key", ""))
+
+    def _info(
+        self, request_id: str, request: HTTPServerRequest, service: Service
+    ) -> RequestInfo | InvalidRequest:
+        headers = request.headers
+        request_class = headers.get("X-Request-Class", service.default_class.value)
+        if request_class not in set(RequestClass):
+            return _invalid("X-Request-Class is invalid", "Use urgent or deferred")
+        timeout_ms = _number(headers.get("X-Request-Timeout-Ms"), service.default_timeout_ms)
+        if timeout_ms is None:
+            return _invalid("X-Request-Timeout-Ms is invalid", "Use milliseconds above 0")
+        idempotent = headers.get("X-Idempotent", str(service.idempotent)).lower()
+        if idempotent not in ("true", "false"):
+            return _invalid("X-Idempotent is invalid", "Use true or false")
+        key = headers.get("Idempotency-Key", "")
+        if len(key) > KEY_LIMIT_CHARACTERS:
+            return _invalid("Idempotency-Key is too long", "Use at most 256 characters")
+        caller = headers.get("X-Caller", request.remote_ip or "")[:CALLER_LIMIT_CHARACTERS]
+        return RequestInfo(
+            request_id,
+            service.name,
+            RequestClass(request_class),
+            caller,
+            self._ctx.clock.now_ms() + timeout_ms,
+            idempotent == "true",
+            keyed=bool(key),
+        )
+
+
+@stream_request_body
+class CallerHandler(RequestHandler):
+    """One request. The body is read with a limit of its own, for a typed refusal."""
+
+    SUPPORTED_METHODS = ("GET", "HEAD", "POST", "DELETE", "PATCH", "PUT", "OPTIONS")
+
+    def initialize(self, listener: CallerListener) -> None:
+        """Set the listener."""
+        self._listener = listener
+        self._body = bytearray()
+        self._received = 0
+        self._running: RunningRequest | None = None
+        self._refused = False
+        self._gone = False
+        self._request_id = listener.new_request_id()
+
+    def set_default_headers(self) -> None:
+        """Send no server name and no default content type."""
+        self.clear_header("Server")
+        self.clear_header("Content-Type")
+
+    def prepare(self) -> None:
+        """Refuse an announced body that is too large."""
+        self.set_header(REQUEST_ID_HEADER, self._request_id)
+        if self._listener.draining:
+            self.set_header("Connection", "close")
+        try:
+            length = int(self.request.headers.get("Content-Length", "0"))
+        except ValueError:
+            length = 0
+        if length > self._listener.body_limit_bytes:
+            self._refuse_body()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collect the body."""
+        self._received += len(chunk)
+        limit = self._listener.body_limit_bytes
+        if self._received > DISCARD_FACTOR * limit:
+            self._close_connection()
+        if self._refused:
+            return
+        if self._received > limit:
+            self._refuse_body()
+            return
+        self._body += chunk
+
+    def set_running(self, running: RunningRequest) -> None:
+        """Set the handle that ends the request when the caller goes."""
+        self._running = running
+
+    def on_connection_close(self) -> None:
+        """End the request: its caller has gone."""
+        self._gone = True
+        if self._running is not None:
+            self._running.caller_gone()
+
+    async def _run(self) -> None:
+        if self._refused:
+            return
+        incoming = self._listener.parse(self._request_id, self.request, bytes(self._body))
+        if isinstance(incoming, InvalidRequest):
+            self._send_error(
+                incoming.status, RequestOutcome.NOT_RUN, incoming.reason, incoming.hint
+            )
+            return
+        answer = await self._listener.run(incoming, self)
+        self._running = None
+        if not self._gone:
+            self._send_answer(answer)
+
+    async def get(self) -> None:
+        """Run a GET request."""
+        await self._run()
+
+    head = post = delete = patch = put = options = get
+
+    def _send_answer(self, answer: Answer) -> None:
+        if answer.outcome is RequestOutcome.ANSWERED:
+            self.set_status(answer.status, _reason_phrase(answer.status))
+            for name, value in answer.headers:
+                self.add_header(name, value)
+            self.set_header(OUTCOME_HEADER, answer.outcome.value)
+            self.finish(answer.body or None)
+            return
+        reason = answer.reason
+        if answer.outcome is RequestOutcome.UNKNOWN:
+            self._send_error(HTTPStatus.GATEWAY_TIMEOUT, answer.outcome, reason, UNKNOWN_HINT)
+            return
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        if reason in CONFLICT_REASONS:
+            status = HTTPStatus.CONFLICT
+        hint = HINTS.get(RefusalReason(reason), NOT_RUN_HINT) if reason in HINTS else NOT_RUN_HINT
+        self._send_error(status, answer.outcome, reason, hint)
+
+    def _refuse_body(self) -> None:
+        self._refused = True
+        self.set_header("Connection", "close")
+        reason = RefusalReason.BODY_TOO_LARGE
+        self._send_error(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE, RequestOutcome.NOT_RUN, reason, HINTS[reason]
+        )
+
+    def _send_error(
+        self, status: HTTPStatus, outcome: RequestOutcome, reason: str, hint: str
+    ) -> None:
+        kind = "RequestRefused"
+        if outcome is RequestOutcome.UNKNOWN:
+            kind = "RequestOutcomeUnknown"
+        self.set_status(status)
+        self.set_header(OUTCOME_HEADER, outcome.value)
+        self.set_header("Content-Type", "application/json")
+        body = {
+            "kind": kind,
+            "reason": str(reason),
+            "hint": hint,
+            "request_id": self._request_id,
+        }
+        self.finish(json.dumps(body))
+
+    def _close_connection(self) -> None:
+        connection: Any = self.request.connection
+        connection.stream.close()
+
+    def compute_etag(self) -> str | None:
+        """Add no entity tag: the response is the endpoint's."""
+        return None
+
+
+class UnknownPath(RequestHandler):
+    """Answers paths outside ``/services/``."""
+
+    def prepare(self) -> None:
+        """Answer every method."""
+        self.set_status(HTTPStatus.NOT_FOUND)
+        self.set_header(OUTCOME_HEADER, RequestOutcome.NOT_RUN.value)
+        self.finish(
+            {
+                "kind": "RequestRefused",
+                "reason": "unknown_path",
+                "hint": "Use /services/<service>/<path>",
+            }
+        )
+
+
+def _invalid(reason: str, hint: str) -> InvalidRequest:
+    return InvalidRequest(HTTPStatus.BAD_REQUEST, reason, hint)
+
+
+def _number(text: str | None, default: float) -> float | None:
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0.0 < value <= LONGEST_TIMEOUT_MS else None
+
+
+def _reason_phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Status"
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/runner.py
@@ -0,0 +1,312 @@
+"""Runs callers' requests: carries out the effects of the attempt state machine."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.context import Context
+from nutmeglb._internal.routing.exchange import Dispatcher, Payload
+from nutmeglb._internal.routing.keys import KeyService
+from nutmeglb._internal.routing.slot_client import SlotClient
+from nutmeglb._internal.routing.violations import Violations
+from nutmeglb_decisions.routing.attempt import Attempt
+from nutmeglb_decisions.routing.attempt_types import (
+    AbortExchange,
+    Answer,
+    AskSlot,
+    AttemptEffect,
+    CancelSlot,
+    ClaimKey,
+    Dispatch,
+    Effects,
+    ExchangeResult,
+    Finish,
+    Forward,
+    ReleaseSlot,
+    RequestInfo,
+)
+from nutmeglb_decisions.routing.idempotency import fingerprint
+from nutmeglb_decisions.routing.retry_budget import RetryBudget
+from nutmeglb_formats.exceptions import InvariantViolation
+from nutmeglb_formats.models.config import Service
+from nutmeglb_formats.models.idempotency import STORED_BODY_LIMIT_BYTES
+from nutmeglb_formats.wire.routing import (
+    ClaimState,
+    ForwardRequest,
+    ForwardResponse,
+    KeyAnswer,
+    KeyClaim,
+    KeyResult,
+    RequestOutcome,
+    SlotGrant,
+    SlotRefused,
+    SlotRequest,
+)
+
+MS_PER_S = 1_000.0
+DRAIN_POLL_MS = 20.0
+# Added to the time in which a claimed request must have ended, for clock differences.
+KEY_MARGIN_MS = 1_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Incoming:
+    """A request as accepted. ``key`` is empty without an idempotency key."""
+
+    info: RequestInfo
+    service: Service
+    payload: Payload
+    key: str = ""
+
+
+class Forwarding(Protocol):
+    """Sends requests to other domains."""
+
+    async def forward(self, message: ForwardRequest) -> tuple[ForwardResponse | None, bool]:
+        """Return the response, and whether the request may have reached the other domain."""
+
+
+class RequestRunner:
+    """Runs requests of callers and of other domains."""
+
+    name = "requests"
+
+    def __init__(
+        self,
+        ctx: Context,
+        slots: SlotClient,
+        dispatcher: Dispatcher,
+        keys: KeyService,
+        violations: Violations,
+    ) -> None:
+        self.ctx = ctx
+        self.slots = slots
+        self.dispatcher = dispatcher
+        self.keys = keys
+        self.violations = violations
+        self.budget = RetryBudget(ctx.settings.routing.retry_budget)
+        self.background = BackgroundTasks()
+        self.forwarding: Forwarding | None = None
+        self._in_flight = 0
+        self._requests = ctx.metrics.counter("nutmeglb_requests_total", "Requests by outcome.")
+        self._retries = ctx.metrics.counter("nutmeglb_request_retries_total", "Retries.")
+        self._waits = ctx.metrics.histogram(
+            "nutmeglb_request_wait_seconds", "Time from acceptance to the first dispatch."
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests in progress."""
+        return self._in_flight
+
+    async def start(self) -> None:
+        """Do nothing: requests arrive from the listener and from other domains."""
+
+    async def drain(self, deadline_ms: float) -> None:
+        """Finish the requests in flight."""
+        while self._in_flight > 0 and self.ctx.clock.now_ms() < deadline_ms:
+            await asyncio.sleep(DRAIN_POLL_MS / MS_PER_S)
+
+    async def stop(self) -> None:
+        """Close every connection to endpoints."""
+        await self.background.cancel()
+        await self.dispatcher.stop()
+
+    def status(self) -> Mapping[str, object]:
+        """Return values for the status query."""
+        return {
+            "in_flight": self._in_flight,
+            "waiting_for_slot": self.slots.waiting,
+            "exchanges": self.dispatcher.in_flight,
+            "retries_available": int(self.budget.saved),
+        }
+
+    async def run(
+        self, incoming: Incoming, on_running: Callable[["RunningRequest"], None] | None = None
+    ) -> Answer:
+        """Run a request to its answer. ``on_running`` receives the handle to end it early."""
+        running = RunningRequest(self, incoming)
+        self._in_flight += 1
+        try:
+            if on_running is not None:
+                on_running(running)
+            answer = await running.run()
+        finally:
+            self._in_flight -= 1
+        self._requests.inc(
+            service=incoming.info.service,
+            request_class=incoming.info.request_class.value,
+            outcome=answer.outcome.value,
+        )
+        if answer.outcome is not RequestOutcome.ANSWERED:
+            self.ctx.events.emit(
+                "request_not_answered",
+                answer.reason,
+                request=incoming.info.request_id,
+                outcome=answer.outcome.value,
+            )
+        return answer
+
+    def count_dispatch(self, incoming: Incoming, first: bool, wait_ms: float) -> None:
+        """Count a dispatch as first one or as retry."""
+        if first:
+            self._waits.observe(wait_ms / MS_PER_S, service=incoming.info.service)
+            return
+        self._retries.inc(service=incoming.info.service)
+        self.ctx.events.emit(
+            "request_retried", "an earlier exchange failed", request=incoming.info.request_id
+        )
+
+
+class RunningRequest:
+    """One request in progress. Implements ``SlotUser``."""
+
+    def __init__(self, runner: RequestRunner, incoming: Incoming) -> None:
+        self._runner = runner
+        self._incoming = incoming
+        self._attempt = Attempt(incoming.info, runner.budget)
+        self._answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self._started_ms = runner.ctx.clock.now_ms()
+        self._dispatched = False
+
+    async def run(self) -> Answer:
+        """Return the answer, at the deadline at the latest."""
+        self._step(lambda now_ms: self._attempt.start(now_ms))
+        left_ms = self._incoming.info.deadline_ms - self._now_ms()
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(max(0.0, left_ms) / MS_PER_S, self._on_deadline)
+        try:
+            return await self._answer
+        finally:
+            timer.cancel()
+
+    def caller_gone(self) -> None:
+        """End the request because nobody waits for its answer."""
+        was_sent = self._runner.dispatcher.was_sent
+        self._step(lambda now_ms: self._attempt.caller_gone(now_ms, was_sent))
+
+    def slot_request(self) -> SlotRequest:
+        """Return the current slot request."""
+        return self._attempt.slot_request(self._now_ms())
+
+    def granted(self, grant: SlotGrant) -> None:
+        """Use a grant."""
+        self._step(lambda now_ms: self._attempt.granted(now_ms, grant))
+
+    def refused(self, message: SlotRefused) -> None:
+        """Handle a refused slot."""
+        self._step(lambda now_ms: self._attempt.refused(now_ms, message))
+
+    def _now_ms(self) -> float:
+        return self._runner.ctx.clock.now_ms()
+
+    def _on_deadline(self) -> None:
+        was_sent = self._runner.dispatcher.was_sent
+        self._step(lambda now_ms: self._attempt.deadline(now_ms, was_sent))
+
+    def _on_exchange(self, result: ExchangeResult) -> None:
+        self._step(lambda now_ms: self._attempt.exchange_ended(now_ms, result))
+
+    def _step(self, event: Callable[[float], Effects]) -> None:
+        try:
+            for effect in event(self._now_ms()):
+                self._carry_out(effect)
+        except InvariantViolation as violation:
+            self._runner.violations.report(violation)
+            self._finish(Answer(RequestOutcome.UNKNOWN, reason="invariant_violated"))
+
+    def _carry_out(self, effect: AttemptEffect) -> None:
+        runner = self._runner
+        match effect:
+            case ClaimKey():
+                runner.background.spawn(self._claim())
+            case AskSlot(message):
+                runner.slots.ask(message, self)
+            case CancelSlot(slot_id):
+                runner.slots.cancel(slot_id, self._incoming.info.service)
+            case Dispatch():
+                self._dispatch(effect)
+            case AbortExchange(exchange_id):
+                runner.dispatcher.abort(exchange_id)
+            case ReleaseSlot(message):
+                runner.slots.release(message)
+            case Forward(domain):
+                runner.background.spawn(self._forward(domain))
+            case Finish(answer):
+                self._finish(answer)
+
+    def _dispatch(self, dispatch: Dispatch) -> None:
+        now_ms = self._now_ms()
+        left_ms = self._incoming.info.deadline_ms - now_ms
+        timeout_ms = max(1.0, min(left_ms, dispatch.grant.max_run_ms))
+        first = not self._dispatched
+        self._dispatched = True
+        self._runner.count_dispatch(self._incoming, first, now_ms - self._started_ms)
+        self._runner.dispatcher.send(
+            dispatch, self._incoming.payload, timeout_ms, self._on_exchange
+        )
+
+    async def _claim(self) -> None:
+        incoming = self._incoming
+        payload = incoming.payload
+        left_ms = incoming.info.deadline_ms - self._now_ms()
+        message = KeyClaim(
+            incoming.info.service,
+            incoming.key,
+            incoming.info.request_id,
+            fingerprint(payload.method, payload.path, payload.body),
+            left_ms + incoming.service.max_run_ms + KEY_MARGIN_MS,
+        )
+        answer = await self._runner.keys.claim(message, left_ms)
+        if self._attempt.done and answer.state is ClaimState.CLAIMED:
+            self._report(Answer(RequestOutcome.NOT_RUN))
+            return
+        self._on_key(answer)
+
+    def _on_key(self, answer: KeyAnswer) -> None:
+        self._step(lambda now_ms: self._attempt.key_answered(now_ms, answer))
+
+    async def _forward(self, domain: str) -> None:
+        info = self._incoming.info
+        payload = self._incoming.payload
+        message = ForwardRequest(
+            info.request_id,
+            domain,
+            info.service,
+            payload.method,
+            payload.path,
+            payload.headers,
+            payload.body,
+            info.request_class,
+            info.caller,
+            info.deadline_ms - self._now_ms(),
+            info.idempotent,
+        )
+        assert self._runner.forwarding is not None
+        response, sent = await self._runner.forwarding.forward(message)
+        self._step(lambda now_ms: self._attempt.forward_ended(now_ms, response, sent))
+
+    def _finish(self, answer: Answer) -> None:
+        if self._answer.done():
+            return
+        if self._attempt.claimed:
+            self._report(answer)
+        self._answer.set_result(answer)
+
+    def _report(self, answer: Answer) -> None:
+        complete = len(answer.body) <= STORED_BODY_LIMIT_BYTES
+        info = self._incoming.info
+        self._runner.keys.report(
+            KeyResult(
+                info.service,
+                self._incoming.key,
+                info.request_id,
+                answer.outcome,
+                answer.status,
+                answer.headers if complete else (),
+                answer.body if complete else b"",
+                complete,
+            )
+        )
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/slot_broker.py
@@ -0,0 +1,261 @@
+"""The leader's side of the slot messages."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from nutmeglb._internal.context import Context, InUseGrant, LeadershipChange
+from nutmeglb._internal.routing.leaving import LeavingEndpoints
+from nutmeglb._internal.routing.outbox import Outbox
+from nutmeglb._internal.routing.slot_client import SlotClient
+from nutmeglb._internal.routing.violations import Violations
+from nutmeglb._internal.routing.witness import WitnessedGrants
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_decisions.routing.broker import Broker, EndpointView, HeldSlots, Send
+from nutmeglb_decisions.routing.service_broker import MARGIN_MS
+from nutmeglb_decisions.routing.spillover import Spillover
+from nutmeglb_formats.exceptions import InvariantViolation
+from nutmeglb_formats.models.config import Config
+from nutmeglb_formats.models.instances import InstanceRole
+from nutmeglb_formats.wire.routing import (
+    DomainSummary,
+    ReleaseOutcome,
+    SlotCancel,
+    SlotGrant,
+    SlotRefused,
+    SlotRelease,
+    SlotRequest,
+)
+
+logger = get_logger("routing")
+MS_PER_S = 1_000.0
+# Keeps a due event that cannot be applied yet, such as a probe, from occupying the event loop.
+SHORTEST_TIMER_MS = 5.0
+
+
+class SlotBroker:
+    """Runs the broker core while this instance leads its domain."""
+
+    name = "slot-broker"
+
+    def __init__(
+        self,
+        ctx: Context,
+        leaving: LeavingEndpoints,
+        spillover: Spillover,
+        violations: Violations,
+        witnessed: WitnessedGrants,
+    ) -> None:
+        self._ctx = ctx
+        self._leaving = leaving
+        self._spillover = spillover
+        self._violations = violations
+        self._witnessed = witnessed
+        self._core: Broker | None = None
+        self._outbox: Outbox | None = None
+        self._client: SlotClient | None = None
+        self._own_grants: list[SlotGrant] = []
+        self._timer: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._free = ctx.metrics.gauge("nutmeglb_slots_free", "Free slots of the domain.")
+        self._queued = ctx.metrics.gauge("nutmeglb_slot_queue_length", "Requests without a slot.")
+
+    def connect(self, outbox: Outbox, client: SlotClient) -> None:
+        """Set the parts that refer to the broker in turn."""
+        self._outbox = outbox
+        self._client = client
+
+    async def start(self) -> None:
+        """Follow leadership, configuration, endpoints and peers."""
+        self._ctx.leadership.subscribe(self._on_leadership)
+        self._ctx.config.subscribe(self._on_config)
+        self._ctx.instances.subscribe(self._configure)
+        self._ctx.peers.subscribe(self._on_peers)
+        self._leaving.subscribe(self._on_leaving)
+
+    async def drain(self, deadline_ms: float) -> None:
+        """Go on: the leadership is handed over when it is released."""
+
+    async def stop(self) -> None:
+        """Stop granting."""
+        self._reset()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def status(self) -> Mapping[str, object]:
+        """Return slots and queues per service."""
+        if self._core is None:
+            return {"leading": False}
+        services = {
+            name: {
+                "free_slots": broker.pool.free_slots,
+                "usable_slots": broker.pool.usable_slots,
+                "queued": broker.queued,
+                "grants": len(broker.grants),
+            }
+            for name, broker in self._core.services().items()
+        }
+        return {"leading": True, "services": services}
+
+    def summary(self) -> DomainSummary | None:
+        """Return the domain's load when this instance leads it."""
+        if self._core is None or not self._ctx.leadership.is_leader():
+            return None
+        self._witnessed.flush_ended(self._ctx.leadership.epoch)
+        summary = self._core.summary()
+        for name, item in summary.services.items():
+            self._free.set(float(item.free_slots), service=name)
+            self._queued.set(float(item.queued), service=name)
+        return summary
+
+    def receive(self, sender: str, message: Any) -> None:
+        """Apply a slot message. Without authority it has no effect and is sent again later."""
+        match message:
+            case SlotRequest():
+                self._apply(lambda core, now_ms: core.request(now_ms, sender, message))
+            case SlotRelease():
+                if sender == self._ctx.instance_id:
+                    self._witnessed.end(message.grant_id)
+                self._apply(lambda core, now_ms: core.release(now_ms, sender, message))
+            case SlotCancel():
+                self._apply(lambda core, now_ms: core.cancel(message))
+            case _:
+                logger.warning("an unexpected slot message", sender=sender)
+
+    def _apply(self, step: Callable[[Broker, float], list[Send] | None]) -> None:
+        if self._core is None or not self._ctx.leadership.is_leader():
+            return
+        try:
+            effects = step(self._core, self._ctx.clock.now_ms())
+        except InvariantViolation as violation:
+            self._violations.report(violation)
+            return
+        self._carry_out(effects or [])
+        self._set_timer()
+
+    def _carry_out(self, effects: list[Send]) -> None:
+        assert self._outbox is not None
+        for effect in effects:
+            if isinstance(effect.message, SlotRefused):
+                self._ctx.events.emit(
+                    "slot_refused",
+                    str(effect.message.reason),
+                    request=effect.message.request_id,
+                    domain=effect.message.spill_to,
+                )
+            if effect.to != self._ctx.instance_id:
+                self._outbox.send(effect.to, effect.message)
+            elif isinstance(effect.message, SlotGrant):
+                self._grant_self(effect.message)
+            elif self._client is not None:
+                self._client.on_refused(effect.to, effect.message)
+
+    def _grant_self(self, grant: SlotGrant) -> None:
+        if not self._own_grants:
+            asyncio.get_running_loop().call_soon(self._record_own)
+        self._own_grants.append(grant)
+
+    def _record_own(self) -> None:
+        grants, self._own_grants = self._own_grants, []
+        if not grants:
+            return
+        task = asyncio.create_task(self._witness_and_use(grants))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _witness_and_use(self, grants: list[SlotGrant]) -> None:
+        longest_ms = grants[0].start_within_ms + grants[0].max_run_ms + MARGIN_MS
+        may_use = await self._witnessed.record(grants, longest_ms)
+        own = self._ctx.instance_id
+        for grant in grants:
+            if may_use and self._client is not None:
+                self._client.on_grant(own, grant)
+                continue
+            unused = SlotRelease(grant.grant_id, grant.service, ReleaseOutcome.UNUSED)
+            self.receive(own, unused)
+
+    def _set_timer(self) -> None:
+        due_ms = self._core.next_timer_ms() if self._core is not None else None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if due_ms is None:
+            return
+        delay_ms = max(SHORTEST_TIMER_MS, due_ms - self._ctx.clock.now_ms())
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_ms / MS_PER_S, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._apply(lambda core, now_ms: core.tick(now_ms))
+
+    def _on_leadership(self, change: LeadershipChange) -> None:
+        if not change.is_self or not change.settled:
+            self._reset()
+            return
+        if self._core is None:
+            self._begin(change)
+
+    def _begin(self, change: LeadershipChange) -> None:
+        self._core = Broker(
+            self._ctx.domain,
+            change.epoch,
+            self._ctx.settings.routing.grant_start_ms,
+            self._ctx.rng,
+            self._spillover,
+        )
+        self._configure()
+        held = _held_by_service(change.in_use)
+        unknown = bool(change.unknown_holders)
+        self._core.recover(self._ctx.clock.now_ms(), held, unknown)
+        self._ctx.events.emit(
+            "slots_recovered",
+            "a new leader took over",
+            in_use=len(change.in_use),
+            unknown_holders=",".join(change.unknown_holders),
+        )
+        self._set_timer()
+
+    def _reset(self) -> None:
+        self._core = None
+        self._own_grants = []
+        self._witnessed.reset()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_config(self, old: Config, new: Config) -> None:
+        self._configure()
+
+    def _configure(self) -> None:
+        services = self._ctx.config.current().services
+        views: dict[str, list[EndpointView]] = defaultdict(list)
+        for item in self._ctx.instances.instances(InstanceRole.ENDPOINT, self._ctx.domain):
+            leaving = self._leaving.is_leaving(item)
+            views[item.service].append(EndpointView(item.instance_id, item.address, leaving))
+        self._apply(lambda core, now_ms: core.configure(now_ms, services, views))
+
+    def _on_leaving(self, endpoint: str) -> None:
+        self._apply(lambda core, now_ms: core.mark_leaving(endpoint))
+
+    def _on_peers(self) -> None:
+        gone = [
+            member.instance_id
+            for member in self._ctx.peers.members(self._ctx.domain)
+            if member.instance_id != self._ctx.instance_id
+            and not self._ctx.peers.connected(member.instance_id)
+        ]
+        for instance_id in gone:
+            self._apply(lambda core, now_ms, holder=instance_id: core.holder_gone(holder))  # type: ignore[misc]
+
+
+def _held_by_service(in_use: Iterable[InUseGrant]) -> dict[str, list[HeldSlots]]:
+    """Group reported grants. A grant reported by its holder and by a witness counts once."""
+    unique = {grant.grant_id: grant for grant in in_use}
+    held: dict[str, list[HeldSlots]] = defaultdict(list)
+    for grant in unique.values():
+        item = HeldSlots(grant.grant_id, grant.holder, grant.endpoint, grant.hold_ms)
+        held[grant.service].append(item)
+    return held
