--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/exchange.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/exchange.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
@@ -23,16 +23,10 @@
 LEAVING_HEADER = "X-Endpoint-Leaving"
 BODILESS_STATUSES = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
-# After these errors libcurl has closed the connection while the endpoint may still be working.
-ABORTING_ERRORS = frozenset(
-    {
-        pycurl.E_OPERATION_TIMEDOUT,
-        pycurl.E_ABORTED_BY_CALLBACK,
-        pycurl.E_WRITE_ERROR,
-        pycurl.E_UNSUPPORTED_PROTOCOL,
-        pycurl.E_WEIRD_SERVER_REPLY,
-        pycurl.E_FILESIZE_EXCEEDED,
-    }
+# With these errors the endpoint ended the exchange. After all others, libcurl closed the connection
+# and the endpoint may still be working.
+CLOSED_ERRORS = frozenset(
+    {pycurl.E_GOT_NOTHING, pycurl.E_RECV_ERROR, pycurl.E_SEND_ERROR, pycurl.E_PARTIAL_FILE}
 )
 HOP_HEADERS = frozenset(
     {
@@ -187,6 +181,8 @@
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
+        except CurlError as error:
+            return self._failed(exchange, error.errno, error.message or "")
         except (ValueError, KeyError, pycurl.error) as error:
             end = ExchangeEnd.ABORTED if exchange.sent else ExchangeEnd.NOT_SENT
             return _result(exchange, end, reason=f"invalid_request: {error}")
@@ -220,9 +216,6 @@
     ) -> ExchangeResult:
         if response.headers.get(LEAVING_HEADER) == "1":
             self._on_leaving(exchange.dispatch.grant.endpoint)
-        errno = getattr(response.error, "errno", None)
-        if errno is not None:
-            return self._failed(exchange, int(errno), str(response.error))
         fault = _response_fault(exchange, payload, response)
         if fault:
             return _result(exchange, ExchangeEnd.CLOSED, reason=fault)
@@ -235,12 +228,12 @@
             response.body or b"",
         )
 
-    def _failed(self, exchange: _Exchange, errno: int, text: str) -> ExchangeResult:
+    def _failed(self, exchange: _Exchange, errno: int | None, text: str) -> ExchangeResult:
         if not exchange.sent:
             allowed = errno != pycurl.E_ABORTED_BY_CALLBACK
             reason = str(RefusalReason.CONNECT_FAILED) if allowed else self._refusal(exchange)
             return _result(exchange, ExchangeEnd.NOT_SENT, reason=reason)
-        end = ExchangeEnd.ABORTED if errno in ABORTING_ERRORS else ExchangeEnd.CLOSED
+        end = ExchangeEnd.CLOSED if errno in CLOSED_ERRORS else ExchangeEnd.ABORTED
         return _result(exchange, end, reason=f"exchange_failed: {text}")
 
 
--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/listener.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/listener.py
@@ -26,6 +26,7 @@
 # A body beyond the limit is read and dropped up to this multiple, so that the caller can read the
 # refusal. Then the connection is closed.
 DISCARD_FACTOR = 4
+READ_BUFFER_BYTES = 2 * 1024 * 1024
 # Tornado would refuse a larger body itself, without a typed answer.
 UNLIMITED_BYTES = 1 << 62
 OWN_HEADERS = frozenset(
@@ -90,7 +91,7 @@
         self._server = HTTPServer(
             application,
             max_body_size=UNLIMITED_BYTES,
-            max_buffer_size=2 * self._ctx.settings.routing.body_limit_bytes,
+            max_buffer_size=READ_BUFFER_BYTES,
         )
         self._server.add_sockets(sockets)
 
