Add nutmegctl

Operators and callers need a client of the administration API. Each command is one module found through a registry. A command acts only after every argument was accepted; several entry instances are tried in order, which is safe because ticket and submission ids take effect once; a lost answer is reported as such and never as a refusal. ticket wait asks every live instance itself, and timeline merges logs and live answers in causal order.

Scenarios cover filing, conflicts, bad tickets, mistyped flags and unreachable servers.

--- a/packages/nutmegctl/src/nutmegctl/__main__.py
+++ b/packages/nutmegctl/src/nutmegctl/__main__.py
@@ -1,6 +1,10 @@
 """Thin entry point."""
 
+import sys
 
-def main() -> int:
-    """Run the program and return its exit status."""
-    return 0
+from nutmegctl._internal.cli import main
+
+__all__ = ["main"]
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/nutmegctl/src/nutmegctl/_internal/output.py
@@ -0,0 +1,78 @@
+"""Tables, JSON, progress and errors."""
+
+import json
+import sys
+from collections.abc import Iterable, Sequence
+from datetime import UTC, datetime
+
+from pydantic import BaseModel
+
+from nutmeglb_formats.exceptions import NutmegError
+from nutmeglb_formats.models.resources import Resources
+from nutmeglb_formats.quantities import format_cpu, format_memory
+
+COLUMN_GAP = "  "
+MS_PER_S = 1_000
+PROGRAM = "nutmegctl"
+
+
+class Output:
+    """Writes answers to standard output, and the rest to standard error."""
+
+    def __init__(self, as_json: bool) -> None:
+        self._as_json = as_json
+        self._progress = ""
+
+    def answer(
+        self, body: BaseModel, headings: Sequence[str], rows: Iterable[Sequence[object]]
+    ) -> None:
+        """Write an answer as a table, or as JSON when it is asked for."""
+        if self._as_json:
+            print(body.model_dump_json(indent=2))
+        else:
+            print(table(headings, rows))
+
+    def text(self, body: BaseModel | dict[str, object], text: str) -> None:
+        """Write a text, or the answer as JSON when it is asked for."""
+        if not self._as_json:
+            print(text)
+        elif isinstance(body, BaseModel):
+            print(body.model_dump_json(indent=2))
+        else:
+            print(json.dumps(body, indent=2))
+
+    def progress(self, text: str) -> None:
+        """Show what a long wait waits for, once per change."""
+        if text != self._progress:
+            self._progress = text
+            print(f"{PROGRAM}: {text}", file=sys.stderr, flush=True)
+
+
+def errors(found: Iterable[NutmegError]) -> None:
+    """Write errors with their remedies."""
+    for error in found:
+        print(f"{PROGRAM}: error: {error}", file=sys.stderr)
+
+
+def table(headings: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
+    """Return aligned columns."""
+    lines = [[str(heading).upper() for heading in headings]]
+    lines += [["-" if cell in (None, "") else str(cell) for cell in row] for row in rows]
+    widths = [max(len(line[column]) for line in lines) for column in range(len(headings))]
+    padded = (
+        COLUMN_GAP.join(cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        for line in lines
+    )
+    return "\n".join(line.rstrip() for line in padded)
+
+
+def time_text(wall_ms: float) -> str:
+    """Return a wall-clock time in UTC with milliseconds."""
+    moment = datetime.fromtimestamp(wall_ms / MS_PER_S, UTC)
+    return moment.isoformat(sep=" ", timespec="milliseconds").removesuffix("+00:00")
+
+
+def resources_text(resources: Resources) -> str:
+    """Return amounts with units."""
+    text = f"{format_cpu(resources.cpu_millis)}, {format_memory(resources.memory_bytes)}"
+    return f"{text}, {resources.accelerators} acc" if resources.accelerators else text
--- /dev/null
+++ b/packages/nutmegctl/src/nutmegctl/_internal/registry.py
@@ -0,0 +1,93 @@
+"""Registry of commands. Every module in ``commands`` registers one."""
+
+import functools
+import importlib
+import inspect
+import pkgutil
+import typing
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Concatenate, ParamSpec
+
+from nutmegctl._internal import commands
+from nutmegctl._internal.session import Session
+from nutmeglb_formats.exit_status import ExitStatus
+
+Parameters = ParamSpec("Parameters")
+CommandFunction = Callable[Concatenate[Session, Parameters], Awaitable[ExitStatus]]
+
+
+@dataclass(frozen=True, slots=True)
+class Command:
+    """A command, found by its words."""
+
+    words: tuple[str, ...]
+    function: Callable[..., Awaitable[ExitStatus]]
+    summary: str
+    details: str
+    examples: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Flags that every command takes."""
+
+    server: str = ""
+    token_file: str = ""
+    config: str = ""
+    json: bool = False
+
+
+Runner = Callable[[Command, Options, dict[str, Any]], ExitStatus]
+_COMMANDS: dict[tuple[str, ...], Command] = {}
+
+
+def command(
+    *words: str, examples: tuple[str, ...]
+) -> Callable[[CommandFunction[Parameters]], CommandFunction[Parameters]]:
+    """Return a decorator that registers a command. Its docstring is the help text."""
+
+    def register(function: CommandFunction[Parameters]) -> CommandFunction[Parameters]:
+        summary, _, details = inspect.cleandoc(function.__doc__ or "").partition("\n\n")
+        _COMMANDS[words] = Command(words, function, summary, details, examples)
+        return function
+
+    return register
+
+
+def all_commands() -> dict[tuple[str, ...], Command]:
+    """Return every command by its words, in alphabetical order."""
+    for module in pkgutil.iter_modules(commands.__path__):
+        importlib.import_module(f"{commands.__name__}.{module.name}")
+    return dict(sorted(_COMMANDS.items()))
+
+
+def component(run: Runner) -> dict[str, Any]:
+    """Return nested functions by command word, for ``command_line.resolve``."""
+    tree: dict[str, Any] = {}
+    for words, found in all_commands().items():
+        branch = tree
+        for word in words[:-1]:
+            branch = branch.setdefault(word, {})
+        branch[words[-1]] = with_options(found, run)
+    return tree
+
+
+def with_options(found: Command, run: Runner) -> Callable[..., ExitStatus]:
+    """Return the command as a plain function that also takes the common flags."""
+
+    def call(**values: Any) -> ExitStatus:
+        options = Options(**{name: values.pop(name) for name in names if name in values})
+        return run(found, options, values)
+
+    _, *own = inspect.signature(found.function).parameters.values()
+    common = [
+        item.replace(kind=inspect.Parameter.KEYWORD_ONLY)
+        for item in inspect.signature(Options).parameters.values()
+    ]
+    names = [item.name for item in common]
+    hints = typing.get_type_hints(found.function)
+    call.__signature__ = inspect.Signature([*own, *common])  # type: ignore[attr-defined]
+    call.__annotations__ = {item.name: hints[item.name] for item in own}
+    call.__annotations__ |= typing.get_type_hints(Options)
+    return functools.update_wrapper(call, found.function, assigned=("__name__",), updated=())
--- /dev/null
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/addresses.py
@@ -0,0 +1,40 @@
+"""Validated addresses in settings files."""
+
+import ipaddress
+from typing import Annotated
+
+from pydantic import AfterValidator
+from pydantic_core import PydanticCustomError
+
+MAX_PORT = 65_535
+
+
+def settings_fault(
+    message: str, remedy: str, *, section: str = "", key: str = ""
+) -> PydanticCustomError:
+    """Return a fault whose message and remedy the loader shows as they are."""
+    context = {"remedy": remedy, "section": section, "key": key}
+    return PydanticCustomError("settings_fault", "{message}", {"message": message, **context})
+
+
+def check_address(value: str) -> str:
+    """Return the address, or raise a fault when it is not ``ip:port``."""
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        remedy = "Write an IP address and a port, such as 127.0.0.1:7000 or [::1]:7000"
+        raise settings_fault("The address has no IP address", remedy) from None
+    if not (port.isascii() and port.isdigit() and int(port) <= MAX_PORT):
+        raise settings_fault("The address has no valid port", f"Use a port of 0 to {MAX_PORT}")
+    return value
+
+
+def _check_url(value: str) -> str:
+    if not value.startswith(("http://", "https://")):
+        raise settings_fault("The value is not a URL", "Write http://ip:port/path")
+    return value
+
+
+Address = Annotated[str, AfterValidator(check_address)]
+HttpUrl = Annotated[str, AfterValidator(_check_url)]
--- a/packages/nutmeglb/src/nutmeglb/_internal/settings/models.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/settings/models.py
@@ -1,45 +1,12 @@
 """Validated settings of an entry instance. One model per INI section."""
 
-import ipaddress
-from typing import Annotated
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
-from pydantic_core import PydanticCustomError
+from nutmeglb_formats.addresses import Address, HttpUrl, settings_fault
 
 TOKEN_MIN_CHARACTERS = 8
 TEAM_PREFIX = "team."
 OPERATOR_KEY = "operator"
-MAX_PORT = 65_535
-
-
-def settings_fault(
-    message: str, remedy: str, *, section: str = "", key: str = ""
-) -> PydanticCustomError:
-    """Return a fault whose message and remedy the loader shows as they are."""
-    context = {"remedy": remedy, "section": section, "key": key}
-    return PydanticCustomError("settings_fault", "{message}", {"message": message, **context})
-
-
-def _check_address(value: str) -> str:
-    host, _, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-    except ValueError:
-        remedy = "Write an IP address and a port, such as 127.0.0.1:7000 or [::1]:7000"
-        raise settings_fault("The address has no IP address", remedy) from None
-    if not (port.isascii() and port.isdigit() and int(port) <= MAX_PORT):
-        raise settings_fault("The address has no valid port", f"Use a port of 0 to {MAX_PORT}")
-    return value
-
-
-def _check_url(value: str) -> str:
-    if not value.startswith(("http://", "https://")):
-        raise settings_fault("The value is not a URL", "Write http://ip:port/path")
-    return value
-
-
-Address = Annotated[str, AfterValidator(_check_address)]
-HttpUrl = Annotated[str, AfterValidator(_check_url)]
 
 
 class Section(BaseModel):
--- /dev/null
+++ b/tests/functional/test_operators.py
@@ -0,0 +1,144 @@
+"""Operators' scenarios, against the administration API with fakes on one event loop."""
+
+import asyncio
+import contextlib
+import dataclasses
+import shlex
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from nutmeglb_formats.exceptions import StoreOutcomeUnknown
+from nutmeglb_formats.models.admin import InstanceView
+from nutmeglb_formats.models.jobs import JobState
+from tests.lib.admin_fakes import COUNTERS, LABS, OPERATOR, AdminFixture, running_admin
+from tests.lib.operator_line import Finished, run_line
+from tests.lib.samples import TICKET
+
+scenarios("operators.feature")
+
+TEAM_TOKENS = {"labs": LABS, "counters": COUNTERS}
+
+
+class Desk:
+    """An operator's working place."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.runner = asyncio.Runner()
+        self.stack = contextlib.AsyncExitStack()
+        self.servers: list[str] = []
+        self.admin: AdminFixture | None = None
+        self.finished = Finished(-1, "", "")
+        self.use_token(OPERATOR)
+
+    def use_token(self, token: str) -> None:
+        (self.directory / "token").write_text(token + "\n")
+
+    async def start(self) -> None:
+        self.admin = await self.stack.enter_async_context(running_admin())
+        self.servers.append(self.admin.server.address)
+
+    async def start_and_stop(self) -> None:
+        async with running_admin() as fixture:
+            self.servers.append(fixture.server.address)
+
+    def run(self, line: str) -> None:
+        files = {path.name for path in self.directory.iterdir()}
+        words = [
+            str(self.directory / word) if word in files else word for word in shlex.split(line)
+        ]
+        flags = [f"--server={','.join(self.servers)}", f"--token-file={self.directory / 'token'}"]
+        self.finished = self.runner.run(run_line(shlex.join([*words, *flags])))
+
+    def close(self) -> None:
+        self.runner.run(self.stack.aclose())
+        self.runner.close()
+
+
+@pytest.fixture
+def desk(tmp_path: Path) -> Iterator[Desk]:
+    desk = Desk(tmp_path)
+    yield desk
+    desk.close()
+
+
+@given("a running entry instance")
+def _running(desk: Desk) -> None:
+    desk.runner.run(desk.start())
+
+
+@given("an entry instance that has stopped")
+def _stopped(desk: Desk) -> None:
+    desk.runner.run(desk.start_and_stop())
+
+
+@given(parsers.re(r'the ticket file "(?P<name>[^"]+)"$'))
+def _ticket_file(desk: Desk, name: str) -> None:
+    (desk.directory / name).write_text(TICKET.replace("base: 3", "base: 0"))
+
+
+@given(parsers.parse('the ticket file "{name}" with "{old}" replaced by "{new}"'))
+def _changed_ticket_file(desk: Desk, name: str, old: str, new: str) -> None:
+    text = TICKET.replace("base: 3", "base: 0")
+    assert old in text
+    (desk.directory / name).write_text(text.replace(old, new))
+
+
+@given("the store loses the answer of the write")
+def _lost_answer(desk: Desk) -> None:
+    assert desk.admin is not None
+    hint = "File the same ticket again: the same id is one ticket"
+    desk.admin.tickets.failure = StoreOutcomeUnknown("The answer was lost", hint=hint)
+
+
+@given(parsers.parse('the live instance "{name}" has ticket {number:d} in force'))
+def _other_instance(desk: Desk, name: str, number: int) -> None:
+    assert desk.admin is not None
+    view = InstanceView("e1", "a", "live", "")
+    desk.admin.status.views = [
+        view,
+        dataclasses.replace(view, instance_id=name, ticket=number),
+    ]
+
+
+@given(parsers.parse('a token of team "{team}"'))
+@when(parsers.parse('a token of team "{team}"'))
+def _team_token(desk: Desk, team: str) -> None:
+    desk.use_token(TEAM_TOKENS[team])
+
+
+@when(parsers.parse('the operator runs "{line}"'))
+def _runs(desk: Desk, line: str) -> None:
+    desk.run(line)
+
+
+@then(parsers.parse("the exit status is {status:d}"))
+def _exit_status(desk: Desk, status: int) -> None:
+    assert desk.finished.status == status, desk.finished
+
+
+@then(parsers.parse('the output contains "{text}"'))
+def _output(desk: Desk, text: str) -> None:
+    assert text in desk.finished.out
+
+
+@then(parsers.parse('the errors contain "{text}"'))
+def _errors(desk: Desk, text: str) -> None:
+    assert text in desk.finished.err
+    assert "Traceback" not in desk.finished.err
+    assert OPERATOR not in desk.finished.err
+
+
+@then(parsers.re(r"(?P<count>\d+) tickets? (is|are) in force"))
+def _filed(desk: Desk, count: str) -> None:
+    assert desk.admin is not None
+    assert len(desk.admin.tickets.filed) == int(count)
+
+
+@then(parsers.parse('job "{job}" is waiting'))
+def _job_waits(desk: Desk, job: str) -> None:
+    assert desk.admin is not None
+    assert desk.admin.jobs.jobs[job].state is JobState.WAITING
--- a/tests/lib/admin_fakes.py
+++ b/tests/lib/admin_fakes.py
@@ -45,6 +45,8 @@
 
     async def check(self, ticket: Ticket) -> Result[None, NutmegError]:
         for filed in self.filed[ticket.base :]:
+            if filed.ticket.ticket_id == ticket.ticket_id:
+                continue
             shared = sorted(filed.ticket.touched() & ticket.touched())
             if shared:
                 context = {"ticket": filed.number, "object": shared[0]}
