--- a/packages/nutmegctl/src/nutmegctl/_internal/commands/job_submit.py
+++ b/packages/nutmegctl/src/nutmegctl/_internal/commands/job_submit.py
@@ -42,8 +42,8 @@
     """Submit a job and print its id.
 
     The sizes are those of one task, with units. RUN is the expected run time of a task. KIND is
-    batch, gang or service, JOB_CLASS urgent or deferred. When the answer is lost, submit again
-    with the submission id that is printed first: it stays one job.
+    batch or gang, JOB_CLASS urgent or deferred. Without DOMAIN the policy's weights decide. When
+    the answer is lost, submit again with the submission id that is printed first: it stays one job.
     """
     submission_id = submission_id or uuid.uuid4().hex
     values = {
--- a/packages/nutmegctl/src/nutmegctl/_internal/commands/workers.py
+++ b/packages/nutmegctl/src/nutmegctl/_internal/commands/workers.py
@@ -11,7 +11,7 @@
 
 @command("workers", examples=("nutmegctl workers", "nutmegctl workers --json"))
 async def workers(session: Session) -> ExitStatus:
-    """List the workers of the instance's failure domain, with what is allocated and used."""
+    """List the workers of all reachable failure domains, with what is allocated and used."""
     answer = unwrap(await session.client.get("/v1/workers", WorkerListAnswer))
     rows = [
         (
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/admin.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/admin.py
@@ -22,7 +22,10 @@
 class Body(BaseModel):
     """Base of all bodies."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
+    # The run time of a service's tasks is infinite, which JSON numbers cannot express.
+    model_config = ConfigDict(
+        extra="forbid", frozen=True, allow_inf_nan=False, ser_json_inf_nan="strings"
+    )
 
 
 class ResourcesBody(Body):
@@ -178,13 +181,19 @@
     tickets: list[TicketSummary]
 
 
-class JobAnswer(Body):
+class JobViewBody(Body):
+    """Base of answers with jobs: a service's tasks have an infinite run time."""
+
+    model_config = ConfigDict(allow_inf_nan=True)
+
+
+class JobAnswer(JobViewBody):
     """Answer of ``POST /v1/jobs``, of a cancellation and of ``GET /v1/jobs/<id>``."""
 
     job: JobView
 
 
-class JobListAnswer(Body):
+class JobListAnswer(JobViewBody):
     """Answer of ``GET /v1/jobs``."""
 
     jobs: list[JobView]
--- a/packages/nutmeglb/src/nutmeglb/_internal/admin/queries.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/admin/queries.py
@@ -114,7 +114,7 @@
     operators_only = True
 
     async def get(self) -> None:
-        """Answer the workers that the failure domain's leader knows."""
+        """Answer the workers of all reachable failure domains."""
         workers = self.unwrap(await self.services.jobs.workers())
         self.answer(WorkerListAnswer(workers=list(workers)))
 
--- a/packages/nutmeglb/src/nutmeglb/_internal/admin/services.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/admin/services.py
@@ -53,7 +53,7 @@
         """Return the latest jobs, latest first."""
 
     async def workers(self) -> Result[Sequence[WorkerView], NutmegError]:
-        """Return the workers that the failure domain's leader knows."""
+        """Return the workers of all reachable failure domains."""
 
     async def teams(self) -> Result[Sequence[TeamView], NutmegError]:
         """Return quota and use of all teams."""
