--- a/packages/nutmegctl/src/nutmegctl/_internal/ticket_source.py
+++ b/packages/nutmegctl/src/nutmegctl/_internal/ticket_source.py
@@ -28,6 +28,7 @@
 async def ticket_of(session: Session, source: str) -> Ticket:
     """Return the ticket with a number, or in a file."""
     if source.isascii() and source.isdigit():
-        found = unwrap(await session.client.get(path_of("tickets", source), FiledTicketAnswer))
-        return parse(found.text, f"ticket {source}")
+        return unwrap(
+            await session.client.get(path_of("tickets", source), FiledTicketAnswer)
+        ).ticket
     return parse(unwrap(read_file(source)), source)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/admin.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/admin.py
@@ -159,10 +159,10 @@
 
 
 class FiledTicketAnswer(Body):
-    """Answer of ``GET /v1/tickets/<n>``. ``text`` is a ticket file."""
+    """Answer of ``GET /v1/tickets/<n>``."""
 
     number: int
-    text: str
+    ticket: Ticket
 
 
 class TicketSummary(Body):
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/ticket_file.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/ticket_file.py
@@ -4,7 +4,7 @@
 both.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Generator, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -24,6 +24,7 @@
 from nutmeglb_formats.models.resources import Resources
 from nutmeglb_formats.models.ticket import TICKET_FORMAT, TICKET_LIMIT_BYTES, Ticket
 from nutmeglb_formats.ticket_nodes import Cursor, Faults
+from nutmeglb_formats.yaml_nodes import compose
 
 MAX_TICKET_NUMBER = 9_999_999_999
 MAX_COUNT = 1_000_000
@@ -125,25 +126,43 @@
 _HEADER = ("format", "id", "base", "author", "summary")
 
 
-def parse_ticket(text: str, *, file: str = "ticket") -> Result[Ticket, tuple[TicketInvalid, ...]]:
+Parsed = Result[Ticket, tuple[TicketInvalid, ...]]
+
+
+def parse_ticket(text: str, *, file: str = "ticket") -> Parsed:
     """Return the ticket, or every fault that was found. Never raises on bad input."""
+    steps = parse_steps(text, file=file)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            parsed: Parsed = end.value
+            return parsed
+
+
+def parse_steps(text: str, *, file: str = "ticket") -> Generator[None, None, Parsed]:
+    """Parse as ``parse_ticket`` does, yielding after every step of about a millisecond."""
     faults = Faults(file)
     if len(text.encode(errors="replace")) > TICKET_LIMIT_BYTES:
         hint = f"Split it; the limit is {TICKET_LIMIT_BYTES} bytes"
         faults.add("The ticket is too large", hint, line=1, path="")
         return Err(faults.errors())
-    root = ticket_nodes.open_document(text, faults)
-    ticket = _ticket(root) if root is not None else None
+    composed = yield from compose(text)
+    if isinstance(composed, Err):
+        fault = composed.err_value
+        faults.add(fault.message, fault.hint, line=fault.line, path="")
+        return Err(faults.errors())
+    ticket = yield from _ticket(Cursor(composed.ok_value, "", faults))
     errors = faults.errors()
     if ticket is None or errors:
         return Err(errors)
     return Ok(ticket)
 
 
-def _ticket(root: Cursor) -> Ticket | None:
+def _ticket(root: Cursor) -> Generator[None, None, Ticket | None]:
     items = root.known_items((*_HEADER, "set", "remove"))
     header = _header(root, items)
-    objects = _set_objects(items.get("set"))
+    objects = yield from _set_objects(items.get("set"))
     removed = _removed_objects(items.get("remove"))
     _check_contents(root, objects, removed)
     if root.faults.errors() or header is None:
@@ -185,12 +204,13 @@
     return value
 
 
-def _set_objects(cursor: Cursor | None) -> dict[str, list[Any]]:
+def _set_objects(cursor: Cursor | None) -> Generator[None, None, dict[str, list[Any]]]:
     objects: dict[str, list[Any]] = {section: [] for section in _SECTIONS}
     sections = cursor.known_items(_SECTIONS) if cursor is not None else {}
     for section, items in sections.items():
         model, keys = _SECTIONS[section]
-        for name, item in items.items().items():
+        for name, item in items.each_item():
+            yield
             found = _object(item, name, model, keys)
             if found is not None:
                 objects[section].append(found)
@@ -219,7 +239,7 @@
 
 
 def _removed_objects(cursor: Cursor | None) -> list[str]:
-    removed: list[str] = []
+    removed: dict[str, None] = {}
     sections = cursor.known_items(_SECTIONS) if cursor is not None else {}
     for section, items in sections.items():
         for item in items.elements():
@@ -228,8 +248,8 @@
             if name is not None and entry in removed:
                 item.fault("The object is removed twice", "Remove one of the two entries")
             if name is not None:
-                removed.append(entry)
-    return removed
+                removed[entry] = None
+    return list(removed)
 
 
 def _check_contents(root: Cursor, objects: dict[str, list[Any]], removed: list[str]) -> None:
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/ticket_nodes.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/ticket_nodes.py
@@ -1,14 +1,14 @@
 """Typed access to YAML nodes. Faults are collected with line, path and remedy."""
 
 import difflib
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from typing import TypeVar
 
-import yaml
 from result import Err, Ok, Result
 
 from nutmeglb_formats.exceptions import TicketInvalid
+from nutmeglb_formats.yaml_nodes import Mapped, Node, Scalar, Sequenced
 
 ValueT = TypeVar("ValueT")
 Reader = Callable[["Cursor"], ValueT]
@@ -16,8 +16,6 @@
 NAME_LIMIT_CHARACTERS = 100
 TEXT_LIMIT_CHARACTERS = 10_000
 MAX_FAULTS = 50
-NULL_TAG = "tag:yaml.org,2002:null"
-_Loader: type[yaml.SafeLoader] = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
 class Faults:
@@ -45,30 +43,30 @@
 class Cursor:
     """A node with its path. ``key`` is the node of its key, if it has one."""
 
-    node: yaml.Node
+    node: Node
     path: str
     faults: Faults
-    key: yaml.Node | None = None
+    key: Scalar | None = None
 
     @property
     def line(self) -> int:
         """Return the line of the key, or of a node without key, from 1."""
-        return int((self.key or self.node).start_mark.line) + 1
+        return (self.key or self.node).line
 
     def fault(self, message: str, hint: str) -> None:
         """Add a fault at this node."""
         self.faults.add(message, hint, line=self.line, path=self.path)
 
-    def child(self, name: str, key: yaml.Node, node: yaml.Node) -> "Cursor":
+    def child(self, name: str, key: Scalar, node: Node) -> "Cursor":
         """Return the cursor of a child."""
         return Cursor(node, f"{self.path}.{name}" if self.path else name, self.faults, key)
 
     def text(self) -> str | None:
         """Return the text of a scalar as it is written, or add a fault."""
-        if not isinstance(self.node, yaml.ScalarNode) or self.node.tag == NULL_TAG:
+        if not isinstance(self.node, Scalar) or self.node.is_null:
             self.fault("A single value is expected", "Write one value after the colon")
             return None
-        value: str = self.node.value
+        value = self.node.value
         if len(value) > TEXT_LIMIT_CHARACTERS:
             self.fault("The value is too long", f"Use at most {TEXT_LIMIT_CHARACTERS} characters")
             return None
@@ -76,29 +74,33 @@
 
     def items(self) -> dict[str, "Cursor"]:
         """Return the children of a mapping by key. Repeated keys are faults."""
-        if not isinstance(self.node, yaml.MappingNode):
+        return dict(self.each_item())
+
+    def each_item(self) -> Iterator[tuple[str, "Cursor"]]:
+        """Yield the children of a mapping one by one. Repeated keys are faults."""
+        if not isinstance(self.node, Mapped):
             self.fault("A mapping is expected", "Write indented 'key: value' lines")
-            return {}
-        children: dict[str, Cursor] = {}
-        for key_node, value_node in self.node.value:
+            return
+        seen: set[str] = set()
+        for key_node, value_node in self.node.pairs:
             key = Cursor(key_node, self.path, self.faults).text()
-            if key is None:
+            if key is None or not isinstance(key_node, Scalar):
                 continue
-            if key in children:
-                hint = "Remove one of the two"
-                self.child(key, key_node, value_node).fault("The key is present twice", hint)
+            child = self.child(key, key_node, value_node)
+            if key in seen:
+                child.fault("The key is present twice", "Remove one of the two")
                 continue
-            children[key] = self.child(key, key_node, value_node)
-        return children
+            seen.add(key)
+            yield key, child
 
     def elements(self) -> list["Cursor"]:
         """Return the children of a list."""
-        if not isinstance(self.node, yaml.SequenceNode):
+        if not isinstance(self.node, Sequenced):
             self.fault("A list is expected", "Write [a, b] or indented '- a' lines")
             return []
         return [
             Cursor(node, f"{self.path}[{index}]", self.faults)
-            for index, node in enumerate(self.node.value)
+            for index, node in enumerate(self.node.items)
         ]
 
     def known_items(self, known: Iterable[str]) -> dict[str, "Cursor"]:
@@ -112,47 +114,6 @@
         return children
 
 
-def open_document(text: str, faults: Faults) -> Cursor | None:
-    """Parse YAML without constructing values. Anchors, aliases and tags are refused."""
-    try:
-        node = yaml.compose(text, Loader=_Loader)
-    except yaml.MarkedYAMLError as error:
-        mark = error.problem_mark or error.context_mark
-        line = int(mark.line) + 1 if mark else 1
-        hint = f"Correct the YAML: {error.problem or 'syntax error'}"
-        faults.add("The file is not valid YAML", hint, line=line, path="")
-        return None
-    except (yaml.YAMLError, RecursionError, ValueError):
-        faults.add("The file is not valid YAML", "Write plain UTF-8 text", line=1, path="")
-        return None
-    if node is None:
-        faults.add("The file is empty", "Start with 'format: 1'", line=1, path="")
-        return None
-    root = Cursor(node, "", faults)
-    return root if _is_plain(root) else None
-
-
-def _is_plain(root: Cursor) -> bool:
-    """Refuse aliases, because a few lines of them can stand for a gigabyte of values."""
-    seen: set[int] = set()
-    stack = [root.node]
-    while stack:
-        node = stack.pop()
-        where = Cursor(node, "", root.faults)
-        if id(node) in seen:
-            where.fault("Anchors and aliases are not supported", "Write the value in full")
-            return False
-        seen.add(id(node))
-        if not node.tag.startswith("tag:yaml.org,2002:"):
-            where.fault("Tags are not supported", "Remove the text that starts with '!'")
-            return False
-        if isinstance(node, yaml.MappingNode):
-            stack.extend(part for pair in node.value for part in pair)
-        elif isinstance(node, yaml.SequenceNode):
-            stack.extend(node.value)
-    return True
-
-
 def name(cursor: Cursor) -> str | None:
     """Read an identifier."""
     value = cursor.text()
--- /dev/null
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/yaml_nodes.py
@@ -0,0 +1,148 @@
+"""YAML text as nodes with line numbers, composed in bounded steps.
+
+PyYAML's own composer builds a whole document in one call, which takes half a second for the largest
+ticket; an event loop must not stand still for that long.
+"""
+
+from collections.abc import Generator, Iterator
+from dataclasses import dataclass, field
+
+import yaml
+from result import Err, Ok, Result
+
+EVENTS_PER_STEP = 100
+_NULLS = frozenset({"", "~", "null", "Null", "NULL"})
+_Loader: type[yaml.SafeLoader] = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+@dataclass(frozen=True, slots=True)
+class Scalar:
+    """A single value as it is written. ``line`` counts from 1 in all nodes."""
+
+    line: int
+    value: str
+    is_null: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Mapped:
+    """A mapping."""
+
+    line: int
+    pairs: list[tuple["Node", "Node"]] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Sequenced:
+    """A list."""
+
+    line: int
+    items: list["Node"] = field(default_factory=list)
+
+
+Node = Scalar | Mapped | Sequenced
+
+
+@dataclass(frozen=True, slots=True)
+class YamlFault:
+    """Why a text is refused."""
+
+    message: str
+    hint: str
+    line: int
+
+
+Composed = Result[Node, YamlFault]
+NOT_YAML = "The file is not valid YAML"
+
+
+def compose(text: str) -> Generator[None, None, Composed]:
+    """Compose one document, yielding after every step. Never raises on bad input.
+
+    Anchors, aliases, tags and several documents are refused: a few lines of aliases can stand for
+    a gigabyte of values.
+    """
+    composer = _Composer()
+    events = _events(text)
+    count = 0
+    while True:
+        event = next(events, None)
+        if event is None:
+            break
+        if isinstance(event, YamlFault):
+            return Err(event)
+        fault = composer.add(event)
+        if fault is not None:
+            return Err(fault)
+        count += 1
+        if count % EVENTS_PER_STEP == 0:
+            yield
+    if composer.root is None:
+        return Err(YamlFault("The file is empty", "Start with 'format: 1'", 1))
+    return Ok(composer.root)
+
+
+def _events(text: str) -> Iterator[yaml.Event | YamlFault]:
+    try:
+        yield from yaml.parse(text, Loader=_Loader)
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark or error.context_mark
+        hint = f"Correct the YAML: {error.problem or 'syntax error'}"
+        yield YamlFault(NOT_YAML, hint, int(mark.line) + 1 if mark else 1)
+    except (yaml.YAMLError, RecursionError, ValueError):
+        yield YamlFault(NOT_YAML, "Write plain UTF-8 text", 1)
+
+
+class _Composer:
+    """Builds nodes from parser events."""
+
+    def __init__(self) -> None:
+        self.root: Node | None = None
+        self._documents = 0
+        self._open: list[Mapped | Sequenced] = []
+        # Keys whose values have not been read, one per open mapping.
+        self._keys: list[Node | None] = []
+
+    def add(self, event: yaml.Event) -> YamlFault | None:
+        """Take one event, or return why the document is refused."""
+        line = int(event.start_mark.line) + 1 if event.start_mark else 1
+        if isinstance(event, yaml.AliasEvent) or getattr(event, "anchor", None):
+            hint = "Write the value in full"
+            return YamlFault("Anchors and aliases are not supported", hint, line)
+        if getattr(event, "tag", None):
+            return YamlFault("Tags are not supported", "Remove the text that starts with '!'", line)
+        match event:
+            case yaml.DocumentStartEvent():
+                self._documents += 1
+                if self._documents > 1:
+                    hint = "Write one ticket per file"
+                    return YamlFault("The file has several documents", hint, line)
+            case yaml.ScalarEvent():
+                is_null = event.implicit[0] and event.value in _NULLS
+                self._attach(Scalar(line, event.value, is_null))
+            case yaml.MappingStartEvent():
+                self._enter(Mapped(line))
+            case yaml.SequenceStartEvent():
+                self._enter(Sequenced(line))
+            case yaml.MappingEndEvent() | yaml.SequenceEndEvent():
+                self._open.pop()
+                self._keys.pop()
+        return None
+
+    def _enter(self, node: Mapped | Sequenced) -> None:
+        self._attach(node)
+        self._open.append(node)
+        self._keys.append(None)
+
+    def _attach(self, node: Node) -> None:
+        if not self._open:
+            self.root = node
+            return
+        parent = self._open[-1]
+        if isinstance(parent, Sequenced):
+            parent.items.append(node)
+        elif self._keys[-1] is None:
+            self._keys[-1] = node
+        else:
+            parent.pairs.append((self._keys[-1], node))
+            self._keys[-1] = None
--- a/packages/nutmeglb/src/nutmeglb/_internal/admin/commands.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/admin/commands.py
@@ -1,5 +1,6 @@
 """Handlers that change something. All are POST."""
 
+import asyncio
 from http import HTTPStatus
 
 from result import Err
@@ -8,7 +9,7 @@
 from nutmeglb_formats.exceptions import PermissionRefused
 from nutmeglb_formats.models.admin import JobAnswer, JobRequest, TicketAnswer
 from nutmeglb_formats.models.ticket import Ticket
-from nutmeglb_formats.ticket_file import parse_ticket
+from nutmeglb_formats.ticket_file import Parsed, parse_steps
 
 
 class TicketHandler(AdminHandler):
@@ -16,9 +17,17 @@
 
     operators_only = True
 
-    def ticket(self) -> Ticket:
-        """Return the ticket in the body."""
-        parsed = parse_ticket(self.body_text())
+    async def ticket(self) -> Ticket:
+        """Return the ticket in the body. Other work runs between the steps of parsing."""
+        steps = parse_steps(self.body_text())
+        while True:
+            try:
+                next(steps)
+            except StopIteration as end:
+                return self._accepted(end.value)
+            await asyncio.sleep(0)
+
+    def _accepted(self, parsed: Parsed) -> Ticket:
         if isinstance(parsed, Err):
             raise Refused(parsed.err_value)
         return parsed.ok_value
@@ -29,7 +38,7 @@
 
     async def post(self) -> None:
         """Validate a ticket and change nothing."""
-        ticket = self.ticket()
+        ticket = await self.ticket()
         self.unwrap(await self.services.tickets.check(ticket))
         self.answer(TicketAnswer(touched=sorted(ticket.touched())))
 
@@ -39,7 +48,7 @@
 
     async def post(self) -> None:
         """File a ticket. Filing the same id twice is one ticket."""
-        ticket = self.ticket()
+        ticket = await self.ticket()
         number = self.unwrap(await self.services.tickets.file(ticket))
         logger.info("Ticket accepted", ticket=number, id=ticket.ticket_id, author=ticket.author)
         self.answer(
--- a/packages/nutmeglb/src/nutmeglb/_internal/admin/queries.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/admin/queries.py
@@ -24,7 +24,6 @@
 )
 from nutmeglb_formats.models.events import EventFilter
 from nutmeglb_formats.models.jobs import JobView
-from nutmeglb_formats.ticket_text import write_ticket
 
 WHY_EVENTS = 20
 MAX_TICKET_NUMBER = 9_999_999_999
@@ -48,9 +47,9 @@
     operators_only = True
 
     async def get(self, number: str) -> None:
-        """Answer one ticket as a ticket file."""
+        """Answer one ticket."""
         filed = self.unwrap(await self.services.tickets.get(int(number)))
-        self.answer(FiledTicketAnswer(number=filed.number, text=write_ticket(filed.ticket)))
+        self.answer(FiledTicketAnswer(number=filed.number, ticket=filed.ticket))
 
 
 class JobListHandler(AdminHandler):
--- /dev/null
+++ b/tests/unit/test_docs.py
@@ -0,0 +1,49 @@
+"""Pages: guards against commands, paths and metrics in the pages that do not exist."""
+
+import re
+import shlex
+from pathlib import Path
+
+import pytest
+
+from nutmegctl._internal import registry
+from nutmeglb._internal.admin import server
+from nutmeglb_formats.command_line import resolve
+from nutmeglb_formats.exit_status import ExitStatus
+
+ROOT = Path(__file__).resolve().parents[2]
+PAGES = [*sorted((ROOT / "docs").glob("*.md")), ROOT / "README.md"]
+COMMAND = re.compile(r"^(?:\$ )?(?:\.venv/bin/)?nutmegctl ((?:\w+ ?).*?)(?:\s+#.*)?$", re.MULTILINE)
+# Errors that a page quotes start with the name of the program.
+QUOTED = "nutmegctl: "
+
+
+def _commands() -> list[tuple[str, str]]:
+    return [(page.name, line) for page in PAGES for line in COMMAND.findall(page.read_text())]
+
+
+@pytest.mark.parametrize(("page", "line"), _commands())
+def test_command_in_a_page_is_accepted(page: str, line: str) -> None:
+    component = registry.component(lambda *_: ExitStatus.OK)
+    resolve(component, shlex.split(line), "nutmegctl").unwrap()
+
+
+def test_examples_in_help_are_accepted() -> None:
+    component = registry.component(lambda *_: ExitStatus.OK)
+    for command in registry.all_commands().values():
+        for example in command.examples:
+            resolve(component, shlex.split(example)[1:], "nutmegctl").unwrap()
+
+
+def test_every_path_of_the_api_is_described() -> None:
+    text = (ROOT / "docs" / "admin-api.md").read_text()
+    for method, path, _ in server._CLOSED_PATHS:
+        shown = path.replace(server._ID, "ID").replace("([0-9]{1,10})", "N")
+        assert f"### {method} {shown}\n" in text
+
+
+def test_metrics_in_alerts_exist() -> None:
+    text = (ROOT / "docs" / "operations.md").read_text()
+    sources = "".join(path.read_text() for path in (ROOT / "packages").rglob("*.py"))
+    missing = {name for name in re.findall(r"nutmeglb_[a-z_]+", text) if f'"{name}"' not in sources}
+    assert not missing
--- a/tests/unit/test_ticket_file.py
+++ b/tests/unit/test_ticket_file.py
@@ -14,7 +14,7 @@
 )
 from nutmeglb_formats.models.resources import Resources
 from nutmeglb_formats.models.ticket import Ticket
-from nutmeglb_formats.ticket_file import parse_ticket
+from nutmeglb_formats.ticket_file import parse_steps, parse_ticket
 from nutmeglb_formats.ticket_text import diff_tickets, write_ticket
 from tests.lib.samples import TICKET
 
@@ -53,6 +53,7 @@
         ("    recalibration:", "    're/cal':", 10, "set.jobs.re/cal", "name is not valid"),
         ("mira", "&a mira\nextra: *a", 4, None, "aliases"),
         ("mira", "!x mira", 4, None, "Tags"),
+        ("mira", "a\n---\nb: c", 5, None, "several documents"),
         ("mira", "[", 6, None, "not valid YAML"),
         ("mira", "~", 4, "author", "single value"),
     ],
@@ -122,6 +123,16 @@
     assert parse_ticket(write_ticket(ticket)).unwrap() == ticket
 
 
+def test_large_ticket_is_parsed_in_many_steps() -> None:
+    jobs = "".join(
+        f"    j{n}: {{team: t, domain: a, kind: batch, tasks: 1, resources: {{}}}}\n"
+        for n in range(500)
+    )
+    text = f"format: 1\nid: x\nbase: 0\nauthor: a\nsummary: s\nset:\n  jobs:\n{jobs}"
+    assert sum(1 for _ in parse_steps(text)) > 500
+    assert len(parse_ticket(text).unwrap().jobs) == 500
+
+
 def test_diff_shows_changed_lines_only() -> None:
     old = parse_ticket(TICKET).unwrap()
     new = parse_ticket(TICKET.replace("slots: 8", "slots: 9")).unwrap()
