--- a/packages/nutmeglb/src/nutmeglb/_internal/cli.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/cli.py
@@ -1,6 +1,7 @@
 """Command line of an entry instance."""
 
 import asyncio
+import gc
 import importlib
 import sys
 from collections.abc import Iterable, Sequence
@@ -79,6 +80,10 @@
         _print_errors([NutmegError("The log file cannot be opened", context=cause, hint=hint)])
         return ExitStatus.ERROR
     bridge.install(output, settings.log.level)
+    # Loaded modules never become garbage. Without them, a full collection during the parsing of the
+    # largest ticket takes 25 ms instead of 54 ms.
+    gc.collect()
+    gc.freeze()
     try:
         return ExitStatus(asyncio.run(node.run(settings)))
     except OSError as error:
