--- a/scripts/check_settings_docs.py
+++ b/scripts/check_settings_docs.py
@@ -70,7 +70,7 @@
         return f"{limits['min_length']} or more characters"
     if "max_length" in limits:
         return f"at most {limits['max_length']} characters"
-    return "any"
+    return "text"
 
 
 def _row(section: str, key: str, field: FieldInfo) -> str:
@@ -82,10 +82,11 @@
         default = "none, required"
     else:
         default = "empty" if field.default == "" else f"`{field.default}`"
+    allowed = "port 0 to 65535" if unit == "`ip:port`" else _range(field)
     purpose = (field.description or "").replace("``", "`")
     if not purpose:
         raise SystemExit(f"[{section}] {key} has no description; add one to the model")
-    return f"| `{key}` | {unit} | {default} | {_range(field)} | {purpose} |"
+    return f"| `{key}` | {unit} | {default} | {allowed} | {purpose} |"
 
 
 def _section(name: str, model: type[BaseModel]) -> Iterator[str]:
