--- a/packages/nutmeglb-formats/src/nutmeglb_formats/exceptions.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/exceptions.py
@@ -137,3 +137,7 @@
 
 class NotReady(NutmegError):
     """The instance cannot answer yet, or no longer."""
+
+
+class JournalOutcomeUnknown(JournalError):
+    """The records of an append may be in the journal."""
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/journal.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/journal.py
@@ -4,6 +4,8 @@
 themselves with ``record(code, version)``.
 """
 
+import json
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,6 +18,8 @@
 PAGE_VERSION = 1
 PAGE_LIMIT_BYTES = 1_000_000
 PAGE_ITEMS = 4
+JOURNAL_DIGITS = 10
+HEAD_VERSION = 1
 
 RECORDS = TypeRegistry()
 record = RECORDS.register
@@ -32,13 +36,90 @@
 
 def encode_page(page: Page) -> bytes:
     """Encode a page. The caller keeps pages below ``PAGE_LIMIT_BYTES``."""
-    items = [RECORDS.to_items(item) for item in page.records]
-    return cbor2.dumps([PAGE_VERSION, page.page_id, page.epoch, items])
+    return join_page(page.page_id, page.epoch, [encode_record(item) for item in page.records])
 
 
-def record_size_bytes(value: object) -> int:
-    """Return the encoded size of one record in bytes."""
-    return len(cbor2.dumps(RECORDS.to_items(value)))
+def encode_record(value: object) -> bytes:
+    """Encode one record."""
+    return cbor2.dumps(RECORDS.to_items(value))
+
+
+def join_page(page_id: str, epoch: int, records: Sequence[bytes]) -> bytes:
+    """Return a page of encoded records, without encoding them again."""
+    head = [_array_head(PAGE_ITEMS), *map(cbor2.dumps, (PAGE_VERSION, page_id, epoch))]
+    return b"".join([*head, _array_head(len(records)), *records])
+
+
+def _array_head(length: int) -> bytes:
+    """Return the CBOR head of an array (RFC 8949, major type 4)."""
+    if length < 24:
+        return bytes([0x80 | length])
+    if length < 0x100:
+        return b"\x98" + length.to_bytes(1)
+    if length < 0x10000:
+        return b"\x99" + length.to_bytes(2)
+    return b"\x9a" + length.to_bytes(4)
+
+
+@dataclass(frozen=True, slots=True)
+class JournalHead:
+    """Where the journal of a failure domain begins.
+
+    Attributes
+    ----------
+    snapshot
+        Number of the last page that the snapshot covers; 0 without a snapshot.
+    slot, parts
+        Place of the snapshot and number of its values. Snapshots alternate between two slots, so an
+        unfinished one never damages the one in use.
+    oldest
+        Number of the oldest page that has not been deleted.
+    """
+
+    snapshot: int = 0
+    slot: int = 0
+    parts: int = 0
+    oldest: int = 1
+
+
+def head_key(domain: str) -> str:
+    """Return the key of the journal's head."""
+    return f"domains/{domain}/journal-head"
+
+
+def page_prefix(domain: str) -> str:
+    """Return the prefix of all pages."""
+    return f"domains/{domain}/journal/"
+
+
+def page_key(domain: str, seq: int) -> str:
+    """Return the key of a page."""
+    return f"{page_prefix(domain)}{seq:0{JOURNAL_DIGITS}}"
+
+
+def snapshot_key(domain: str, slot: int, part: int) -> str:
+    """Return the key of one part of a snapshot."""
+    return f"domains/{domain}/snapshot/{slot}-{part:0{JOURNAL_DIGITS}}"
+
+
+def encode_head(head: JournalHead) -> bytes:
+    """Return the stored form; equal heads have equal bytes."""
+    fields = (head.snapshot, head.slot, head.parts, head.oldest)
+    return json.dumps([HEAD_VERSION, *fields]).encode()
+
+
+def decode_head(data: bytes | None) -> Result[JournalHead, StoredValueError]:
+    """Read a head. An absent one stands for a journal without a snapshot."""
+    if data is None:
+        return Ok(JournalHead())
+    try:
+        value = json.loads(data)
+    except ValueError as error:
+        return Err(_error("The journal's head is not JSON", str(error)))
+    match value:
+        case [1, int(snapshot), int(slot), int(parts), int(oldest)]:
+            return Ok(JournalHead(snapshot, slot, parts, oldest))
+    return Err(_error("The journal's head is malformed", "wrong items"))
 
 
 def decode_page(data: bytes) -> Result[Page, StoredValueError]:
--- a/packages/nutmeglb/src/nutmeglb/_internal/context.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/context.py
@@ -218,10 +218,13 @@
     async def load(self) -> Result[list[Any], JournalError]:
         """Read the snapshot's records and all later ones, in order."""
 
-    def set_snapshot_source(self, source: Callable[[], Sequence[Any]]) -> None:
+    def set_snapshot_source(self, source: Callable[[], Sequence[Any] | None]) -> None:
         """Add a function that returns the records of its component's full current state.
 
-        A snapshot holds the records of all added functions.
+        A snapshot holds the records of all added functions. A function returns ``None`` while its
+        component has not loaded its state. The records cover every append that has returned, and
+        may include appends that wait. After ``append`` has returned, the component changes its
+        state without waiting for anything else.
         """
 
 
--- a/packages/nutmeglb/src/nutmeglb/_internal/jobs/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/jobs/service.py
@@ -94,9 +94,9 @@
             return {"leading": False}
         return {"leading": True, **self._driver.status()}
 
-    def snapshot_records(self) -> Records:
-        """Return the journal records of all jobs and live attempts."""
-        return self._driver.core.snapshot() if self._driver is not None else []
+    def snapshot_records(self) -> Records | None:
+        """Return the journal records of all jobs and live attempts, ``None`` before a takeover."""
+        return self._driver.core.snapshot() if self._driver is not None else None
 
     # Commands
 
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/journal.py
@@ -0,0 +1,301 @@
+"""Journal of the failure domain: group commit, loading and snapshots."""
+
+import asyncio
+import itertools
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from result import Err, Ok, Result
+
+from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.context import Context, LeadershipChange
+from nutmeglb._internal.journal_store import JournalStore
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_decisions import journal as core
+from nutmeglb_formats.exceptions import (
+    InvariantViolation,
+    JournalError,
+    JournalOutcomeUnknown,
+    NutmegError,
+)
+from nutmeglb_formats.models.journal import JournalHead, encode_record
+
+logger = get_logger("journal")
+
+Source = Callable[[], Sequence[Any] | None]
+
+LOAD_ATTEMPTS = 5
+LOAD_RETRY_MS = 100.0
+# Turns of the event loop in which callers process the answers of their appends before a snapshot.
+ANSWER_TURNS = 10
+
+
+class DomainJournal:
+    """The ``Journal`` of ``context.py``."""
+
+    name = "journal"
+
+    def __init__(self, ctx: Context) -> None:
+        self._ctx = ctx
+        self._interval_ms = ctx.settings.journal.commit_interval_ms
+        self._core = core.JournalCore(self._interval_ms, ctx.rng)
+        self._store = JournalStore(ctx.store, ctx.domain, ctx.rng)
+        self._head = JournalHead()
+        self._tasks = BackgroundTasks()
+        self._sources: list[Source] = []
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[Result[None, JournalError]]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._idle = asyncio.Event()
+        self._loading: asyncio.Task[Result[list[Any], JournalError]] | None = None
+        self._snapshotting = False
+        metrics = ctx.metrics
+        self._appends = metrics.counter("nutmeglb_journal_appends_total", "Appends by outcome.")
+        self._pages = metrics.counter("nutmeglb_journal_pages_total", "Pages committed.")
+        self._records = metrics.counter("nutmeglb_journal_records_total", "Records committed.")
+        self._duration = metrics.histogram(
+            "nutmeglb_journal_append_duration_ms", "Duration of appends in milliseconds."
+        )
+        self._snapshots = metrics.counter("nutmeglb_journal_snapshots_total", "Snapshots written.")
+        self._violations = metrics.counter(
+            "nutmeglb_invariant_violations_total", "Violated guarantees."
+        )
+
+    async def start(self) -> None:
+        """Follow the leadership."""
+        self._ctx.leadership.subscribe(self._on_leadership)
+
+    async def drain(self, deadline_ms: float) -> None:
+        """Wait until every append has an outcome."""
+        while self._waiting and self._ctx.clock.now_ms() < deadline_ms:
+            await asyncio.sleep(self._interval_ms / 1_000)
+
+    async def stop(self) -> None:
+        """Close the journal and cancel all tasks."""
+        self._close("the instance stops")
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._tasks.cancel()
+        for number in list(self._waiting):
+            self._answer(core.Resolve(number, core.Outcome.UNKNOWN, "the instance stops"))
+
+    def status(self) -> Mapping[str, object]:
+        """Return values for the status query."""
+        return {
+            "epoch": self._core.epoch,
+            "next_page": self._core.next_seq,
+            "waiting": len(self._waiting),
+            "snapshot": self._head.snapshot,
+        }
+
+    def set_snapshot_source(self, source: Source) -> None:
+        """Add a function that returns the records of a component's full state."""
+        self._sources.append(source)
+
+    async def append(self, records: Sequence[Any]) -> Result[None, JournalError]:
+        """Commit records as part of a group commit.
+
+        ``JournalOutcomeUnknown`` means that the records may be in the journal; any other error
+        means that they never will be.
+        """
+        if not self._may_write():
+            return Err(_error(core.Outcome.FAILED, "this instance does not lead the domain"))
+        number = next(self._numbers)
+        answer: asyncio.Future[Result[None, JournalError]] = asyncio.Future()
+        self._waiting[number] = answer
+        started_ms = self._ctx.clock.now_ms()
+        encoded = [encode_record(record) for record in records]
+        self._perform(self._core.append(number, encoded, started_ms))
+        result = await answer
+        self._duration.observe(self._ctx.clock.now_ms() - started_ms)
+        return result
+
+    async def load(self) -> Result[list[Any], JournalError]:
+        """Read the snapshot's records and all later ones, in order.
+
+        Calls at the same time share one read. The journal accepts appends afterwards.
+        """
+        if self._loading is None or self._loading.done():
+            self._loading = self._tasks.spawn(self._load())
+        return await asyncio.shield(self._loading)
+
+    def _may_write(self) -> bool:
+        """Check the authority against the clock, right before a write."""
+        leadership = self._ctx.leadership
+        return leadership.is_leader() and self._core.epoch == leadership.epoch
+
+    def _on_leadership(self, change: LeadershipChange) -> None:
+        if not change.is_self or change.epoch != self._core.epoch:
+            self._close("this instance no longer leads the failure domain")
+
+    def _close(self, cause: str) -> None:
+        self._perform(self._core.close(cause))
+
+    async def _load(self) -> Result[list[Any], JournalError]:
+        if self._core.epoch == self._ctx.leadership.epoch:
+            self._core.hold()
+        else:
+            self._close("the journal is loaded under a new epoch")
+        while not self._core.is_idle:
+            self._idle.clear()
+            await self._idle.wait()
+        cause = "this instance does not lead the domain"
+        for _ in range(LOAD_ATTEMPTS):
+            if not self._ctx.leadership.is_leader():
+                break
+            loaded = await self._try_load(self._ctx.leadership.epoch)
+            if isinstance(loaded, Ok):
+                return Ok(loaded.ok_value)
+            cause = str(loaded.err_value)
+            logger.warning("the journal could not be loaded", cause=cause)
+            await asyncio.sleep(self._ctx.rng.uniform(0.5, 1.0) * LOAD_RETRY_MS / 1_000)
+        self._close("the journal could not be loaded")
+        return Err(_error(core.Outcome.FAILED, cause))
+
+    async def _try_load(self, epoch: int) -> Result[list[Any], NutmegError]:
+        try:
+            loaded = await self._store.load(epoch)
+        except InvariantViolation as violation:
+            self._violations.inc(invariant=str(violation.context.get("invariant")))
+            self._ctx.events.emit("invariant_violated", str(violation))
+            return Err(violation)
+        if isinstance(loaded, Err):
+            return Err(loaded.err_value)
+        if self._ctx.leadership.epoch != epoch:
+            return Err(_error(core.Outcome.FAILED, "the epoch changed"))
+        records = loaded.ok_value.records
+        self._head = loaded.ok_value.head
+        self._core.open(epoch, loaded.ok_value.next_seq)
+        self._ctx.events.emit("journal_loaded", "takeover", epoch=epoch, records=len(records))
+        self._perform(self._core.advance(self._ctx.clock.now_ms()))
+        return Ok(records)
+
+    def _perform(self, effects: Sequence[core.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case core.WritePage():
+                    self._tasks.spawn(self._write(effect))
+                case core.ReadPage(seq):
+                    self._tasks.spawn(self._read(seq))
+                case core.Resolve():
+                    self._answer(effect)
+                case core.PageCommitted(seq, records):
+                    self._pages.inc()
+                    self._records.inc(records)
+        if self._core.is_idle:
+            self._idle.set()
+        self._arm()
+        if effects:
+            self._consider_snapshot()
+
+    def _answer(self, resolved: core.Resolve) -> None:
+        answer = self._waiting.pop(resolved.append, None)
+        if answer is None or answer.done():
+            return
+        self._appends.inc(outcome=resolved.outcome.name.lower())
+        if resolved.outcome is core.Outcome.COMMITTED:
+            answer.set_result(Ok(None))
+        else:
+            answer.set_result(Err(_error(resolved.outcome, resolved.cause)))
+
+    async def _write(self, effect: core.WritePage) -> None:
+        if not self._may_write():
+            result = core.Written.NOT_APPLIED
+            self._close("this instance no longer leads the failure domain")
+        else:
+            result = await self._store.write(effect)
+        self._perform(self._core.written(effect.seq, result, self._ctx.clock.now_ms()))
+
+    async def _read(self, seq: int) -> None:
+        found = await self._store.read_back(seq)
+        now_ms = self._ctx.clock.now_ms()
+        if isinstance(found, Err):
+            logger.warning("a page cannot be read back", page=seq, cause=str(found.err_value))
+            self._perform(self._core.read_failed(seq, now_ms))
+        else:
+            self._perform(self._core.read(seq, *found.ok_value, now_ms))
+
+    def _arm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        due_ms = self._core.due_ms()
+        if due_ms is not None:
+            delay_ms = max(1.0, due_ms - self._ctx.clock.now_ms())
+            self._timer = asyncio.get_running_loop().call_later(delay_ms / 1_000, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._perform(self._core.advance(self._ctx.clock.now_ms()))
+
+    def _consider_snapshot(self) -> None:
+        pages = self._core.next_seq - 1 - self._head.snapshot
+        due = pages >= self._ctx.settings.journal.snapshot_pages
+        if due and self._core.epoch is not None and not self._snapshotting:
+            self._snapshotting = True
+            self._tasks.spawn(self._snapshot())
+
+    async def _snapshot(self) -> None:
+        try:
+            await self._take_snapshot()
+        finally:
+            # Repeated attempts after a failure are spaced like commits of a full journal.
+            await asyncio.sleep(self._interval_ms / 1_000)
+            self._snapshotting = False
+
+    async def _take_snapshot(self) -> None:
+        epoch, seq, records = await self._quiet_state()
+        if epoch is None or records is None or not self._may_write():
+            return
+        written = await self._store.write_snapshot(records, seq, epoch, self._head)
+        if isinstance(written, Err):
+            logger.warning("the snapshot was not written", cause=str(written.err_value))
+            await self._reload_head()
+            return
+        self._head = written.ok_value
+        self._snapshots.inc()
+        self._ctx.events.emit("journal_snapshot", "page limit", page=seq, records=len(records))
+        while self._head.oldest <= self._head.snapshot and self._may_write():
+            deleted = await self._store.delete_pages(epoch, self._head)
+            if isinstance(deleted, Err):
+                await self._reload_head()
+                return
+            self._head = deleted.ok_value
+
+    async def _quiet_state(self) -> tuple[int | None, int, list[Any] | None]:
+        """Return epoch, last page and the records of the state that includes this page.
+
+        Callers process the outcome of an append without waiting for anything else, so after some
+        turns of the event loop without a new page the state of all of them includes it.
+        """
+        seq = -1
+        while seq != self._core.next_seq - 1:
+            seq = self._core.next_seq - 1
+            for _ in range(ANSWER_TURNS):
+                await asyncio.sleep(0)
+        parts = [source() for source in self._sources]
+        complete = [part for part in parts if part is not None]
+        if not parts or len(complete) < len(parts):
+            return self._core.epoch, seq, None
+        return self._core.epoch, seq, [record for part in complete for record in part]
+
+    async def _reload_head(self) -> None:
+        """Read the head again after a failed or unknown write of it."""
+        head = await self._store.read_head()
+        if isinstance(head, Ok):
+            self._head = head.ok_value
+
+
+def _error(outcome: core.Outcome, cause: str) -> JournalError:
+    context = {"cause": cause}
+    if outcome is core.Outcome.UNKNOWN:
+        return JournalOutcomeUnknown(
+            "The records may be in the journal",
+            context=context,
+            hint="Look the object up before repeating the command",
+        )
+    return JournalError(
+        "The records are not in the journal",
+        context=context,
+        hint="Repeat the command; it is forwarded to the leader of the failure domain",
+    )
--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/keys.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/keys.py
@@ -135,8 +135,8 @@
         logger.warning("a key record is not committed", cause=str(written.err_value))
         return table.not_committed(effect.record)
 
-    def _snapshot(self) -> Sequence[object]:
-        return self._table.snapshot()
+    def _snapshot(self) -> Sequence[object] | None:
+        return self._table.snapshot() if self._is_owner() else None
 
     def _on_leadership(self, change: LeadershipChange) -> None:
         if change.is_self and change.settled:
--- /dev/null
+++ b/tests/unit/test_journal.py
@@ -0,0 +1,251 @@
+"""Group commit of the journal over a model of the store.
+
+Guards against an acknowledged record that is lost, a refused record that appears, and a page of an
+older epoch.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from nutmeglb_decisions import journal
+from nutmeglb_decisions.journal import JournalCore, Outcome, ReadPage, Resolve, WritePage, Written
+from nutmeglb_formats.exceptions import InvariantViolation
+from nutmeglb_formats.models.journal import (
+    Page,
+    decode_page,
+    encode_page,
+    encode_record,
+    join_page,
+)
+from nutmeglb_formats.models.tasks import AttemptEnded
+
+INTERVAL_MS = 100.0
+
+
+@dataclass
+class Leader:
+    """A leader with its core, the calls in flight and the outcome of its appends."""
+
+    core: JournalCore
+    epoch: int
+    writes: list[WritePage] = field(default_factory=list)
+    reads: list[int] = field(default_factory=list)
+    late: list[WritePage] = field(default_factory=list)
+    outcomes: dict[int, Outcome] = field(default_factory=dict)
+
+
+def make_core() -> JournalCore:
+    core = JournalCore(INTERVAL_MS, random.Random(1))
+    core.open(1, 1)
+    return core
+
+
+def outcomes(effects: list[journal.Effect]) -> list[tuple[int, Outcome]]:
+    return [(item.append, item.outcome) for item in effects if isinstance(item, Resolve)]
+
+
+def test_first_record_is_written_at_once_and_later_ones_after_the_interval() -> None:
+    core = make_core()
+    (write,) = core.append(1, [b"a"], 0.0)
+    assert isinstance(write, WritePage)
+    assert core.append(2, [b"b"], 1.0) == core.append(3, [b"c"], 2.0) == []
+    assert outcomes(core.written(1, Written.APPLIED, 10.0)) == [(1, Outcome.COMMITTED)]
+    assert core.advance(99.0) == []
+    assert core.due_ms() == 100.0
+    (write,) = core.advance(100.0)
+    assert isinstance(write, WritePage)
+    assert (write.seq, write.records) == (2, (b"b", b"c"))
+
+
+@pytest.mark.parametrize(
+    ("result", "found", "epoch", "expected"),
+    [
+        (Written.UNKNOWN, "own", 1, Outcome.COMMITTED),
+        (Written.UNKNOWN, "own", 2, Outcome.COMMITTED),
+        (Written.UNKNOWN, "other", 2, Outcome.FAILED),
+        (Written.UNKNOWN, None, 2, Outcome.UNKNOWN),
+        (Written.UNKNOWN, None, 1, None),
+        (Written.CONDITION_FAILED, None, 2, Outcome.FAILED),
+        (Written.CONDITION_FAILED, "own", 1, Outcome.COMMITTED),
+        (Written.CONDITION_FAILED, None, 1, None),
+    ],
+)
+def test_outcome_after_reading_back(
+    result: Written, found: str | None, epoch: int, expected: Outcome | None
+) -> None:
+    core = make_core()
+    (write,) = core.append(1, [b"a"], 0.0)
+    assert isinstance(write, WritePage)
+    assert core.written(1, result, 5.0) == [ReadPage(1)]
+    page_id = write.page_id if found == "own" else found
+    effects = core.read(1, page_id, epoch, 6.0)
+    assert outcomes(effects) == ([(1, expected)] if expected else [])
+    if expected is None:
+        assert core.advance(6.0 + INTERVAL_MS) == [write]
+
+
+@pytest.mark.parametrize(
+    ("result", "expected"),
+    [(Written.NOT_APPLIED, Outcome.FAILED), (Written.UNKNOWN, Outcome.UNKNOWN)],
+)
+def test_append_does_not_wait_longer_than_its_limit(result: Written, expected: Outcome) -> None:
+    core = make_core()
+    core.append(1, [b"a"], 0.0)
+    core.append(2, [b"b"], 100.0)
+    core.written(1, result, 5.0)
+    if result is Written.UNKNOWN:
+        core.read_failed(1, 6.0)
+    late = core.advance(journal.APPEND_LIMIT_MS + 100.0)
+    assert outcomes(late) == [(1, expected), (2, Outcome.FAILED)]
+    assert core.is_idle == (expected is Outcome.FAILED)
+
+
+def test_large_append_is_split_and_a_larger_record_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(journal, "PAGE_RECORD_BYTES", 10)
+    core = make_core()
+    (write,) = core.append(1, [b"aaaa", b"bbbb", b"cccc"], 0.0)
+    assert isinstance(write, WritePage) and write.records == (b"aaaa", b"bbbb")
+    effects = core.written(1, Written.APPLIED, 200.0)
+    assert outcomes(effects) == [] and effects[-1].records == (b"cccc",)  # type: ignore[union-attr]
+    assert outcomes(core.written(2, Written.APPLIED, 201.0)) == [(1, Outcome.COMMITTED)]
+    assert outcomes(core.append(2, [b"x" * 11], 300.0)) == [(2, Outcome.FAILED)]
+
+
+def test_closing_fails_waiting_appends_and_older_epochs_cannot_open() -> None:
+    core = make_core()
+    core.append(1, [b"a"], 0.0)
+    core.append(2, [b"b"], 0.0)
+    assert outcomes(core.close("lost")) == [(2, Outcome.FAILED)]
+    assert outcomes(core.written(1, Written.APPLIED, 1.0)) == [(1, Outcome.COMMITTED)]
+    core.open(3, 2)
+    with pytest.raises(InvariantViolation):
+        core.open(2, 2)
+
+
+@pytest.mark.parametrize("count", [0, 1, 23, 24, 255, 256, 70_000])
+def test_joined_page_equals_encoded_page(count: int) -> None:
+    records = (AttemptEnded("j", 1, 2, "succeeded", True),) * count
+    data = join_page("p1", 7, [encode_record(record) for record in records])
+    assert data == encode_page(Page("p1", 7, records))
+    assert decode_page(data).unwrap() == Page("p1", 7, records)
+
+
+class JournalMachine(RuleBasedStateMachine):
+    """Successive leaders append through a store that refuses, loses responses and is late."""
+
+    @initialize()
+    def start(self) -> None:
+        self.now_ms = 0.0
+        self.epoch = 0
+        self.pages: list[WritePage] = []
+        self.leaders: list[Leader] = []
+        self.appended = 0
+        self.take_over()
+
+    @rule()
+    def take_over(self) -> None:
+        """A new leader reads the journal completely. Former ones continue unaware."""
+        self.epoch += 1
+        core = JournalCore(INTERVAL_MS, random.Random(self.epoch))
+        core.open(self.epoch, len(self.pages) + 1)
+        self.leaders.append(Leader(core, self.epoch))
+
+    @rule(index=st.integers(0, 3), count=st.integers(1, 3))
+    def append(self, index: int, count: int) -> None:
+        leader = self.leaders[-1 - index % len(self.leaders)]
+        for _ in range(count):
+            self.appended += 1
+            record = str(self.appended).encode()
+            self._perform(leader, leader.core.append(self.appended, [record], self.now_ms))
+
+    @rule(duration_ms=st.sampled_from((10.0, 100.0, 3_500.0)))
+    def advance(self, duration_ms: float) -> None:
+        self.now_ms += duration_ms
+        for leader in self.leaders:
+            self._perform(leader, leader.core.advance(self.now_ms))
+
+    @rule(fault=st.sampled_from(("none", "none", "refused", "lost", "late")))
+    def answer_writes(self, fault: str) -> None:
+        for leader in self.leaders:
+            writes, leader.writes = leader.writes, []
+            for write in writes:
+                self._answer_write(leader, write, fault)
+
+    @rule()
+    def late_writes_arrive(self) -> None:
+        for leader in self.leaders:
+            late, leader.late = leader.late, []
+            for write in late:
+                self._apply(write)
+
+    @rule(fault=st.sampled_from(("none", "failed", "stale")))
+    def answer_reads(self, fault: str) -> None:
+        for leader in self.leaders:
+            reads, leader.reads = leader.reads, []
+            for seq in reads:
+                if fault == "failed":
+                    effects = leader.core.read_failed(seq, self.now_ms)
+                else:
+                    pages = self.pages if fault == "none" else self.pages[: seq - 1]
+                    found = pages[seq - 1].page_id if seq <= len(pages) else None
+                    epoch = self.epoch if fault == "none" else leader.epoch
+                    effects = leader.core.read(seq, found, epoch, self.now_ms)
+                self._perform(leader, effects)
+
+    @rule()
+    def former_leader_learns(self) -> None:
+        for leader in self.leaders[:-1]:
+            self._perform(leader, leader.core.close("lost"))
+
+    def _answer_write(self, leader: Leader, write: WritePage, fault: str) -> None:
+        result = Written.UNKNOWN
+        if fault == "refused":
+            result = Written.NOT_APPLIED
+        elif fault == "late":
+            leader.late.append(write)
+        else:
+            applied = self._apply(write)
+            if fault == "none":
+                result = Written.APPLIED if applied else Written.CONDITION_FAILED
+        self._perform(leader, leader.core.written(write.seq, result, self.now_ms))
+
+    def _apply(self, write: WritePage) -> bool:
+        applies = write.epoch == self.epoch and write.seq == len(self.pages) + 1
+        if applies:
+            self.pages.append(write)
+        return applies
+
+    def _perform(self, leader: Leader, effects: list[journal.Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, WritePage):
+                leader.writes.append(effect)
+            elif isinstance(effect, ReadPage):
+                leader.reads.append(effect.seq)
+            elif isinstance(effect, Resolve):
+                leader.outcomes.setdefault(effect.append, effect.outcome)
+
+    @invariant()
+    def outcomes_agree_with_the_store(self) -> None:
+        if not hasattr(self, "pages"):
+            return
+        stored = [int(record) for page in self.pages for record in page.records]
+        assert len(stored) == len(set(stored))
+        epochs = [page.epoch for page in self.pages]
+        assert epochs == sorted(epochs)
+        for leader in self.leaders:
+            for append, outcome in leader.outcomes.items():
+                if outcome is not Outcome.UNKNOWN:
+                    assert (append in stored) == (outcome is Outcome.COMMITTED)
+
+
+TestJournal = seed(13)(JournalMachine).TestCase
+TestJournal.settings = settings(
+    max_examples=100, stateful_step_count=40, deadline=None, database=None
+)
