--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/ticket_validation.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/ticket_validation.py
@@ -165,8 +165,8 @@
     if ticket.policies or any(entry.startswith("policies/") for entry in ticket.removed):
         affected = set(after.teams)
     for job in after.jobs.values():
-        limit = _limit(after, job.team, job.domain)
-        if job.team not in affected or limit is None:
+        limit = _limit(after, job.team, job.domain) if job.team in affected else None
+        if limit is None:
             continue
         count = job.tasks if job.kind is JobKind.GANG else 1
         if not job.resources.scaled(count).fits_in(limit):
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/stored_ticket.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/stored_ticket.py
@@ -5,16 +5,17 @@
 
 import hashlib
 import json
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import Any, TypeVar
+from typing import Any
 
 import cbor2
+from pydantic import TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
 from nutmeglb_formats.codec import TypeRegistry, load_cbor
 from nutmeglb_formats.exceptions import StoredValueError
-from nutmeglb_formats.models.config import Config
+from nutmeglb_formats.models.config import Config, JobDefinition, Policy, Service, Team
 from nutmeglb_formats.models.ticket import Ticket
 
 STORED_VERSION = 1
@@ -26,9 +27,9 @@
 FENCE_KEY = "snapshots/tickets-fence"
 DIGEST_BYTES = 8
 
-ValueT = TypeVar("ValueT")
-
 STORED = TypeRegistry()
+_NUMBERS = TypeAdapter(dict[str, int])
+_RECENT = TypeAdapter(dict[str, tuple[int, str]])
 
 
 @STORED.register(1, 1)
@@ -40,7 +41,19 @@
     ticket: Ticket
 
 
-@STORED.register(2, 1)
+# Codes of the objects in a snapshot.
+STORED.register(10, 1)(Service)
+STORED.register(11, 1)(JobDefinition)
+STORED.register(12, 1)(Team)
+STORED.register(13, 1)(Policy)
+SECTION_OF: Mapping[type[Any], str] = {
+    Service: "services",
+    JobDefinition: "jobs",
+    Team: "teams",
+    Policy: "policies",
+}
+
+
 @dataclass(frozen=True, slots=True)
 class TicketLogSnapshot:
     """The configuration after a ticket.
@@ -74,19 +87,79 @@
     return hashlib.blake2b(content, digest_size=DIGEST_BYTES).hexdigest()
 
 
-def encode_stored(value: NumberedTicket | TicketLogSnapshot) -> bytes:
-    """Return the stored form."""
+def encode_stored(value: NumberedTicket) -> bytes:
+    """Return the stored form of a ticket."""
     return cbor2.dumps([STORED_VERSION, STORED.to_items(value)])
 
 
 def decode_ticket(data: bytes) -> Result[NumberedTicket, StoredValueError]:
     """Read a stored ticket. Never raises on bad input."""
-    return _decode(data, NumberedTicket)
+    loaded = load_cbor(data)
+    if isinstance(loaded, Err):
+        return Err(_error("The stored ticket is not valid CBOR", loaded.err_value))
+    match loaded.ok_value:
+        case [version, items] if version == STORED_VERSION:
+            value: Result[Any, str] = STORED.from_items(items)
+        case _:
+            return Err(_error("The stored ticket has an unsupported version", "wrong items"))
+    if isinstance(value, Err):
+        return Err(_error("The stored ticket is invalid", value.err_value))
+    if not isinstance(value.ok_value, NumberedTicket):
+        return Err(_error("The stored ticket has another type", type(value.ok_value).__name__))
+    return Ok(value.ok_value)
+
+
+def snapshot_objects(config: Config) -> Iterator[tuple[str, Any]]:
+    """Yield every object with its entry ``"<section>/<object name>"``."""
+    for section in SECTION_OF.values():
+        for name, item in getattr(config, section).items():
+            yield f"{section}/{name}", item
+
+
+def encode_object(item: Any) -> bytes:
+    """Return the stored form of one object."""
+    return cbor2.dumps(STORED.to_items(item))
+
+
+def join_snapshot(snapshot: TicketLogSnapshot, objects: Sequence[bytes]) -> bytes:
+    """Return the stored form of a snapshot whose objects are encoded already."""
+    recent = {ticket_id: list(known) for ticket_id, known in snapshot.recent.items()}
+    config = snapshot.config
+    changed_by = dict(config.changed_by)
+    return cbor2.dumps([STORED_VERSION, config.number, list(objects), changed_by, recent])
 
 
 def decode_snapshot(data: bytes) -> Result[TicketLogSnapshot, StoredValueError]:
     """Read a snapshot. Never raises on bad input."""
-    return _decode(data, TicketLogSnapshot)
+    loaded = load_cbor(data)
+    if isinstance(loaded, Err):
+        return Err(_error("The snapshot is not valid CBOR", loaded.err_value))
+    match loaded.ok_value:
+        case [int(version), *_] if version != STORED_VERSION:
+            return Err(_error("The snapshot has an unsupported version", str(version)))
+        case [_, int(number), list(objects), dict(changed_by), dict(recent)]:
+            return _snapshot(number, objects, changed_by, recent)
+    return Err(_error("The snapshot is malformed", "wrong items"))
+
+
+def _snapshot(
+    number: int, objects: list[Any], changed_by: dict[Any, Any], recent: dict[Any, Any]
+) -> Result[TicketLogSnapshot, StoredValueError]:
+    sections: dict[str, dict[str, Any]] = {section: {} for section in SECTION_OF.values()}
+    for data in objects:
+        loaded = load_cbor(data) if isinstance(data, bytes) else Err("not bytes")
+        item = STORED.from_items(loaded.ok_value) if isinstance(loaded, Ok) else loaded
+        if isinstance(item, Err):
+            return Err(_error("An object of the snapshot is invalid", item.err_value))
+        if type(item.ok_value) not in SECTION_OF:
+            return Err(_error("An object of the snapshot has another type", "wrong code"))
+        sections[SECTION_OF[type(item.ok_value)]][item.ok_value.name] = item.ok_value
+    try:
+        numbers = _NUMBERS.validate_python(changed_by)
+        ids = _RECENT.validate_python(recent)
+    except ValidationError as error:
+        return Err(_error("The snapshot's indexes are invalid", f"{error.error_count()} faults"))
+    return Ok(TicketLogSnapshot(Config(number=number, changed_by=numbers, **sections), ids))
 
 
 def encode_fence(fence: LogFence) -> bytes:
@@ -109,22 +182,6 @@
     return Err(_error("The fence of the ticket log cannot be read", "wrong fields"))
 
 
-def _decode(data: bytes, kind: type[ValueT]) -> Result[ValueT, StoredValueError]:
-    loaded = load_cbor(data)
-    if isinstance(loaded, Err):
-        return Err(_error("The stored value is not valid CBOR", loaded.err_value))
-    match loaded.ok_value:
-        case [version, items] if version == STORED_VERSION:
-            value: Result[Any, str] = STORED.from_items(items)
-        case _:
-            return Err(_error("The stored value has an unsupported version", "wrong items"))
-    if isinstance(value, Err):
-        return Err(_error("The stored value is invalid", value.err_value))
-    if not isinstance(value.ok_value, kind):
-        return Err(_error("The stored value has another type", type(value.ok_value).__name__))
-    return Ok(value.ok_value)
-
-
 def _error(text: str, cause: str) -> StoredValueError:
     return StoredValueError(
         text, context={"cause": cause}, hint="Start a release that can read this value"
--- a/packages/nutmeglb/src/nutmeglb/_internal/configuration.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/configuration.py
@@ -20,7 +20,6 @@
     NumberedTicket,
     TicketLogSnapshot,
     decode_ticket,
-    encode_stored,
 )
 from nutmeglb_formats.wire.config import TicketAnnounce
 
@@ -203,19 +202,25 @@
                 self.exchange.announce(self._confirmed_age_ms())
         return offer
 
-    def snapshot_bound(self, *, measure: bool = False) -> int:
+    async def snapshot_bound(self, *, measure: bool = False) -> int:
         """Return an upper bound of the snapshot's size in bytes.
 
-        Encoding a large configuration takes milliseconds, so the size is measured only once and
-        then the size of every ticket is added, until ``measure`` asks for the exact size.
+        The size is measured once and then the size of every ticket is added, until ``measure``
+        asks for the exact size.
         """
-        if measure or self._snapshot_bound is None:
-            self._snapshot_bound = len(encode_stored(self._log.snapshot()))
-        return self._snapshot_bound
+        bound = self._snapshot_bound
+        if measure or bound is None:
+            bound = self._snapshot_bound = len(await self.exchange.snapshots.encode())
+        return bound
 
     def write_snapshot(self) -> None:
         """Write a snapshot in the background."""
-        self._tasks.spawn(self.store.write_snapshot(self._log.snapshot()))
+        self._tasks.spawn(self._write_snapshot())
+
+    async def _write_snapshot(self) -> None:
+        number = self._log.number
+        data = await self.exchange.snapshots.encode()
+        await self.store.write_snapshot(number, data)
 
     def _kept(self, number: int) -> FiledTicket | None:
         data = self.exchange.recent.get(number)
--- a/packages/nutmeglb/src/nutmeglb/_internal/ticket_filing.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/ticket_filing.py
@@ -62,7 +62,7 @@
         proposal = self._configuration.log.propose(ticket)
         if isinstance(proposal, Err):
             return Err(proposal.err_value)
-        return self._check_snapshot(ticket, 0)
+        return await self._check_snapshot(ticket, 0)
 
     async def get(self, number: int) -> Result[FiledTicket, NutmegError]:
         """Return an accepted ticket, or ``NotFound``."""
@@ -116,7 +116,7 @@
             return Ok(False)
         item = NumberedTicket(number, ticket)
         data = encode_stored(item)
-        fits = self._check_snapshot(ticket, len(data))
+        fits = await self._check_snapshot(ticket, len(data))
         if isinstance(fits, Err):
             return Err(fits.err_value)
         written = await store.propose(number, data)
@@ -144,12 +144,12 @@
         if self._configuration.store.snapshot_due(item.number):
             self._configuration.write_snapshot()
 
-    def _check_snapshot(self, ticket: Ticket, size: int) -> Result[None, NutmegError]:
+    async def _check_snapshot(self, ticket: Ticket, size: int) -> Result[None, NutmegError]:
         """Refuse a ticket whose configuration would not fit into one stored value."""
         size = size or len(encode_stored(NumberedTicket(0, ticket)))
-        bound = self._configuration.snapshot_bound()
+        bound = await self._configuration.snapshot_bound()
         if bound + size > SNAPSHOT_LIMIT_BYTES:
-            bound = self._configuration.snapshot_bound(measure=True)
+            bound = await self._configuration.snapshot_bound(measure=True)
         if bound + size <= SNAPSHOT_LIMIT_BYTES:
             return Ok(None)
         return Err(
--- a/packages/nutmeglb/src/nutmeglb/_internal/ticket_relay.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/ticket_relay.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from nutmeglb._internal.context import PeerBus
+from nutmeglb._internal.ticket_snapshot import SnapshotEncoder
 from nutmeglb_decisions.ticket_log import TicketLog
 from nutmeglb_formats.exceptions import NutmegError, PeerError
 from nutmeglb_formats.models import stored_ticket as stored
@@ -82,6 +83,7 @@
         is_loaded: Callable[[], bool],
     ) -> None:
         self.recent = RecentTickets()
+        self.snapshots = SnapshotEncoder(log)
         self._peers = peers
         self._log = log
         self._on_announce = on_announce
@@ -110,7 +112,7 @@
             return Err(PeerError("The peer sent another type of answer", hint=hint))
         return _decode(reply.ok_value)
 
-    def _on_wanted(self, sender: str, wanted: TicketsWanted) -> TicketRelay | None:
+    async def _on_wanted(self, sender: str, wanted: TicketsWanted) -> TicketRelay | None:
         if not self._is_loaded():
             return None
         number = self._log.number
@@ -119,7 +121,7 @@
         batch = self.recent.after(wanted.after)
         if batch is not None:
             return TicketRelay(number, batch)
-        return TicketRelay(number, (), stored.encode_stored(self._log.snapshot()))
+        return TicketRelay(number, (), await self.snapshots.encode())
 
 
 def _decode(relay: TicketRelay) -> Result[Relayed, NutmegError]:
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/ticket_snapshot.py
@@ -0,0 +1,35 @@
+"""Encoding of the ticket log's snapshot in bounded steps."""
+
+import asyncio
+from typing import Any
+
+from nutmeglb_decisions.ticket_log import TicketLog
+from nutmeglb_formats.models.stored_ticket import encode_object, join_snapshot, snapshot_objects
+
+# One object takes about 0.1 ms.
+ENCODE_STEP = 20
+
+
+class SnapshotEncoder:
+    """Keeps the encoded form of every object, so that only changed objects are encoded again."""
+
+    def __init__(self, log: TicketLog) -> None:
+        self._log = log
+        self._encoded: dict[str, tuple[Any, bytes]] = {}
+
+    async def encode(self) -> bytes:
+        """Return the stored form of the log's state at the time of the call."""
+        snapshot = self._log.snapshot()
+        former, current = self._encoded, dict[str, tuple[Any, bytes]]()
+        fresh = 0
+        for entry, item in snapshot_objects(snapshot.config):
+            known = former.get(entry)
+            if known is not None and known[0] is item:
+                current[entry] = known
+                continue
+            current[entry] = (item, encode_object(item))
+            fresh += 1
+            if fresh % ENCODE_STEP == 0:
+                await asyncio.sleep(0)
+        self._encoded = current
+        return join_snapshot(snapshot, [data for _, data in current.values()])
--- a/packages/nutmeglb/src/nutmeglb/_internal/ticket_store.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/ticket_store.py
@@ -102,17 +102,15 @@
         """Return whether a snapshot should be written after a ticket."""
         return number - self._fence.snapshot >= SNAPSHOT_INTERVAL
 
-    async def write_snapshot(self, snapshot: TicketLogSnapshot) -> None:
-        """Write a snapshot and remove tickets that are too old to be needed.
+    async def write_snapshot(self, number: int, data: bytes) -> None:
+        """Write the snapshot after ticket ``number`` and remove tickets that are too old.
 
         Any instance may do this; the fence lets one of them succeed. A failure is repeated by the
         next ticket that is filed.
         """
-        data = stored.encode_stored(snapshot)
         if len(data) > stored.SNAPSHOT_LIMIT_BYTES:
             logger.error("the snapshot is too large", bytes=len(data))
             return
-        number = snapshot.config.number
         keep_from = max(self._fence.oldest, number - HISTORY_TICKETS + 1)
         oldest = min(self._fence.oldest + DELETE_BATCH, keep_from)
         fence = LogFence(number, oldest)
--- a/tests/unit/test_ticket_log.py
+++ b/tests/unit/test_ticket_log.py
@@ -3,14 +3,17 @@
 Guards against a ticket that overwrites an unseen change, reverts, or is lost after acceptance.
 """
 
+import asyncio
 from dataclasses import replace
 from typing import Any
 
+import cbor2
 import pytest
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from nutmeglb._internal.ticket_snapshot import SnapshotEncoder
 from nutmeglb_decisions import ticket_log
 from nutmeglb_decisions.ticket_log import Offer, TicketLog
 from nutmeglb_formats.exceptions import InvariantViolation, TicketConflict, TicketInvalid
@@ -36,6 +39,10 @@
     return number
 
 
+def encoded(log: TicketLog) -> bytes:
+    return asyncio.run(SnapshotEncoder(log).encode())
+
+
 def base_log() -> TicketLog:
     log = TicketLog()
     filed(log, ticket("base", teams=(TEAM,), policies=(POLICY,), services=(SERVICE,), jobs=(JOB,)))
@@ -121,9 +128,13 @@
     log = base_log()
     item = stored.NumberedTicket(7, ticket(jobs=(JOB,), policies=(POLICY,)))
     assert stored.decode_ticket(stored.encode_stored(item)).unwrap() == item
-    assert stored.decode_snapshot(stored.encode_stored(log.snapshot())).unwrap() == log.snapshot()
-    for data in (b"", b"\xff", stored.encode_stored(log.snapshot()), b"\x82\x02\x01"):
-        assert stored.decode_ticket(data).is_err()
+    data = encoded(log)
+    assert stored.decode_snapshot(data).unwrap() == log.snapshot()
+    for bad in (b"", b"\xff", b"\x82\x02\x01", cbor2.dumps([1, 1, [b"x"], {}, {}])):
+        assert stored.decode_ticket(bad).is_err()
+        assert stored.decode_snapshot(bad).is_err()
+    assert stored.decode_ticket(data).is_err()
+    assert stored.decode_snapshot(stored.encode_stored(item)).is_err()
 
 
 class TicketMachine(RuleBasedStateMachine):
@@ -203,8 +214,7 @@
 
     @rule(name=st.sampled_from(NAMES), other=st.sampled_from(NAMES))
     def relay_snapshot(self, name: str, other: str) -> None:
-        data = stored.encode_stored(self.logs[other].snapshot())
-        self.logs[name].adopt(stored.decode_snapshot(data).unwrap())
+        self.logs[name].adopt(stored.decode_snapshot(encoded(self.logs[other])).unwrap())
 
     @rule(name=st.sampled_from(NAMES))
     def restart(self, name: str) -> None:
