--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/leadership.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/leadership.py
@@ -8,39 +8,12 @@
 
 import random
 from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
 
+from nutmeglb_decisions import leadership_events as ev
 from nutmeglb_decisions.authority import NEVER_MS, Attempt, GivenPromise, Held, Neighbours
 from nutmeglb_decisions.invariants import require
-from nutmeglb_decisions.leadership_events import (
-    Answer,
-    Changed,
-    Effect,
-    Event,
-    GrantLease,
-    LeaderRead,
-    LeadershipTimes,
-    LeaderWritten,
-    LeaseGranted,
-    LeaseRenewed,
-    NoticeReceived,
-    PledgeAnswered,
-    PledgeAsked,
-    PromiseAnswered,
-    PromiseAsked,
-    ReadFailed,
-    ReadLeader,
-    Release,
-    ReleaseReceived,
-    RenewLease,
-    RenewOutcome,
-    RevokeLease,
-    SendNotice,
-    SendPromise,
-    StopRequested,
-    Tick,
-    WriteLeader,
-    WriteOutcome,
-)
 from nutmeglb_decisions.settling import Settling
 from nutmeglb_formats.identifiers import new_id
 from nutmeglb_formats.models.leader import LeaderRecord
@@ -52,6 +25,9 @@
 PROMISE_AFTER_RENEWALS = 1.5
 PROMISES_PER_RENEWAL = 2
 NOTICE_SILENCE_RENEWALS = 2
+# A leader that cannot reach the store accepts no jobs. After this time it hands over to an instance
+# that can; shorter outages end before a takeover would.
+HANDOVER_AFTER_RENEWALS = 10
 # Attempts with unknown outcome that can still turn out to have been applied.
 PAST_ATTEMPTS = 16
 
@@ -67,7 +43,7 @@
     """
 
     def __init__(
-        self, instance: str, times: LeadershipTimes, rng: random.Random, now_ms: float
+        self, instance: str, times: ev.LeadershipTimes, rng: random.Random, now_ms: float
     ) -> None:
         self._instance = instance
         self._times = times
@@ -85,11 +61,12 @@
         self._renew_at_ms = now_ms
         self._promises_at_ms = now_ms
         self._promise = GivenPromise()
+        self._store_seen_ms = NEVER_MS
         self._rounds = 0
         self._settling: Settling | None = None
         self._settled = False
         self._stopped = False
-        self._reported = Changed(0, None, False, False)
+        self._reported = ev.Changed(0, None, False, False)
 
     @property
     def known_epoch(self) -> int:
@@ -131,42 +108,30 @@
         """Return whether this instance may act as leader, apart from settling."""
         return now_ms < self.authority_until_ms(now_ms)
 
-    def handle(self, event: Event, now_ms: float) -> list[Effect]:
+    def handle(self, event: ev.Event, now_ms: float) -> list[ev.Effect]:
         """Process one event at monotonic time ``now_ms`` and return the effects."""
         effects = self._dispatch(event, now_ms)
         return effects + self._report(now_ms)
 
-    def _dispatch(self, event: Event, now_ms: float) -> list[Effect]:
-        match event:
-            case Tick():
-                return self._on_tick(event, now_ms)
-            case LeaderRead():
-                return self._on_read(event, now_ms)
-            case ReadFailed():
-                self._read_at_ms = now_ms + self._times.renew_ms
-                return []
-            case LeaseGranted():
-                return self._on_granted(event, now_ms)
-            case LeaderWritten():
-                return self._on_written(event, now_ms)
-            case LeaseRenewed():
-                return self._on_renewed(event, now_ms)
-            case PledgeAsked():
-                return self._on_pledge(event, now_ms)
-            case PledgeAnswered():
-                return self._on_pledged(event, now_ms)
-            case PromiseAsked():
-                return self._on_promise(event, now_ms)
-            case PromiseAnswered():
-                return self._on_promised(event, now_ms)
-            case NoticeReceived():
-                return self._on_notice(event, now_ms)
-            case ReleaseReceived():
-                return self._on_released(event, now_ms)
-            case StopRequested():
-                return self._on_stop()
-
-    def _on_tick(self, tick: Tick, now_ms: float) -> list[Effect]:
+    def _dispatch(self, event: ev.Event, now_ms: float) -> list[ev.Effect]:
+        handlers: dict[type[Any], Callable[[Any, float], list[ev.Effect]]] = {
+            ev.Tick: self._on_tick,
+            ev.LeaderRead: self._on_read,
+            ev.ReadFailed: self._on_read_failed,
+            ev.LeaseGranted: self._on_granted,
+            ev.LeaderWritten: self._on_written,
+            ev.LeaseRenewed: self._on_renewed,
+            ev.PledgeAsked: self._on_pledge,
+            ev.PledgeAnswered: self._on_pledged,
+            ev.PromiseAsked: self._on_promise,
+            ev.PromiseAnswered: self._on_promised,
+            ev.NoticeReceived: self._on_notice,
+            ev.ReleaseReceived: self._on_released,
+            ev.StopRequested: self._on_stop,
+        }
+        return handlers[type(event)](event, now_ms)
+
+    def _on_tick(self, tick: ev.Tick, now_ms: float) -> list[ev.Effect]:
         # A pause that long may have outlasted every promise and lease, so that another instance
         # can have been elected without this one noticing.
         pause_ms = now_ms - self._neighbours.updated_ms
@@ -180,7 +145,7 @@
             return self._lead(self._held, now_ms)
         return self._follow(now_ms)
 
-    def _follow(self, now_ms: float) -> list[Effect]:
+    def _follow(self, now_ms: float) -> list[ev.Effect]:
         if self._attempt is not None:
             return []
         if self._campaign_at_ms is not None and now_ms >= self._campaign_at_ms:
@@ -190,32 +155,32 @@
         if now_ms < self._read_at_ms or now_ms - self._notice_ms < silence_ms:
             return []
         self._read_at_ms = now_ms + self._times.renew_ms * self._rng.uniform(0.25, 0.5)
-        return [ReadLeader()]
+        return [ev.ReadLeader()]
 
-    def _lead(self, held: Held, now_ms: float) -> list[Effect]:
-        effects: list[Effect] = []
+    def _lead(self, held: Held, now_ms: float) -> list[ev.Effect]:
+        effects: list[ev.Effect] = []
         if now_ms >= self._renew_at_ms:
             self._renew_at_ms = now_ms + self._times.renew_ms
             if held.lease is not None:
-                effects.append(RenewLease(held.lease, now_ms))
+                effects.append(ev.RenewLease(held.lease, now_ms))
             elif self._attempt is None:
-                effects.append(ReadLeader())
+                effects.append(ev.ReadLeader())
             if self.has_authority(now_ms):
-                effects.append(SendNotice(held.epoch))
+                effects.append(ev.SendNotice(held.epoch))
         effects += self._ask_promises(held, now_ms)
         return effects + self._settle(held, now_ms)
 
-    def _ask_promises(self, held: Held, now_ms: float) -> list[Effect]:
+    def _ask_promises(self, held: Held, now_ms: float) -> list[ev.Effect]:
         late_ms = PROMISE_AFTER_RENEWALS * self._times.renew_ms
         confirmed = held.lease is not None and now_ms < held.confirmed_ms + late_ms
         if confirmed or now_ms < self._promises_at_ms:
             return []
         self._promises_at_ms = now_ms + self._times.renew_ms / PROMISES_PER_RENEWAL
         return [
-            SendPromise(name, held.epoch, now_ms) for name in sorted(self._neighbours.reachable)
+            ev.SendPromise(name, held.epoch, now_ms) for name in sorted(self._neighbours.reachable)
         ]
 
-    def _settle(self, held: Held, now_ms: float) -> list[Effect]:
+    def _settle(self, held: Held, now_ms: float) -> list[ev.Effect]:
         if self._settled or not self.has_authority(now_ms):
             return []
         if self._settling is None:
@@ -224,7 +189,7 @@
         asks = self._settling.ask(self._neighbours.others(), self._neighbours.reachable, now_ms)
         return [*asks, *self._finish_settling(now_ms)]
 
-    def _finish_settling(self, now_ms: float) -> list[Effect]:
+    def _finish_settling(self, now_ms: float) -> list[ev.Effect]:
         settling = self._settling
         if settling is None or not self.has_authority(now_ms):
             return []
@@ -234,16 +199,16 @@
         self._settled = True
         grants = tuple(settling.grants)
         unknown = tuple(settling.missing(self._neighbours.others()))
-        self._reported = Changed(settling.epoch, self._instance, True, True)
-        return [Changed(settling.epoch, self._instance, True, True, grants, unknown)]
+        self._reported = ev.Changed(settling.epoch, self._instance, True, True)
+        return [ev.Changed(settling.epoch, self._instance, True, True, grants, unknown)]
 
-    def _campaign(self, epoch: int, now_ms: float) -> list[Effect]:
+    def _campaign(self, epoch: int, now_ms: float) -> list[ev.Effect]:
         if not self._may_campaign(now_ms):
             self._read_at_ms = now_ms + self._times.renew_ms / 2
             return []
         record = LeaderRecord(self._instance, epoch, new_id(self._rng))
         self._attempt = Attempt(record, self._known_epoch)
-        return [GrantLease(record.attempt)]
+        return [ev.GrantLease(record.attempt)]
 
     def _may_campaign(self, now_ms: float) -> bool:
         if self._stopped or self._attempt is not None or self._promise.in_force(now_ms):
@@ -251,9 +216,10 @@
         # Without an earlier epoch there was no leader to promise anything to.
         return self._known_epoch == 0 or now_ms >= self._campaign_from_ms
 
-    def _on_read(self, read: LeaderRead, now_ms: float) -> list[Effect]:
+    def _on_read(self, read: ev.LeaderRead, now_ms: float) -> list[ev.Effect]:
         if read.epoch < self._known_epoch:
             return []
+        self._store_seen_ms = now_ms
         self._learn_epoch(read.epoch)
         record = read.leader
         past = self._past.get(record.attempt) if record is not None else None
@@ -273,7 +239,11 @@
         self._leader = record.instance if record.instance != self._instance else None
         return []
 
-    def _on_granted(self, granted: LeaseGranted, now_ms: float) -> list[Effect]:
+    def _on_read_failed(self, failed: ev.ReadFailed, now_ms: float) -> list[ev.Effect]:
+        self._read_at_ms = now_ms + self._times.renew_ms
+        return []
+
+    def _on_granted(self, granted: ev.LeaseGranted, now_ms: float) -> list[ev.Effect]:
         attempt = self._attempt
         if granted.lease is None:
             if attempt is not None and attempt.record.attempt == granted.attempt:
@@ -281,36 +251,36 @@
                 self._read_at_ms = now_ms + self._times.renew_ms
             return []
         if attempt is None or attempt.record.attempt != granted.attempt:
-            return [RevokeLease(granted.lease)]
+            return [ev.RevokeLease(granted.lease)]
         if attempt.epoch_before != self._known_epoch or self._promise.in_force(now_ms):
             self._attempt = None
-            return [RevokeLease(granted.lease)]
+            return [ev.RevokeLease(granted.lease)]
         attempt.lease = granted.lease
         attempt.granted_sent_ms = granted.sent_ms
-        return [WriteLeader(attempt.record, attempt.epoch_before, granted.lease)]
+        return [ev.WriteLeader(attempt.record, attempt.epoch_before, granted.lease)]
 
-    def _on_written(self, written: LeaderWritten, now_ms: float) -> list[Effect]:
+    def _on_written(self, written: ev.LeaderWritten, now_ms: float) -> list[ev.Effect]:
         attempt = self._attempt
         if attempt is None or attempt.record.attempt != written.attempt:
             return []
         self._attempt = None
         self._read_at_ms = now_ms
         match written.outcome:
-            case WriteOutcome.APPLIED:
+            case ev.WriteOutcome.APPLIED:
                 return self._won(attempt, now_ms)
-            case WriteOutcome.UNKNOWN:
+            case ev.WriteOutcome.UNKNOWN:
                 self._past[attempt.record.attempt] = attempt
                 if len(self._past) > PAST_ATTEMPTS:
                     self._past.popitem(last=False)
-                return [ReadLeader()]
-            case WriteOutcome.NOT_APPLIED:
+                return [ev.ReadLeader()]
+            case ev.WriteOutcome.NOT_APPLIED:
                 self._read_at_ms = now_ms + self._times.renew_ms
-        return [RevokeLease(attempt.lease)]
+        return [ev.RevokeLease(attempt.lease)]
 
-    def _won(self, attempt: Attempt, now_ms: float) -> list[Effect]:
+    def _won(self, attempt: Attempt, now_ms: float) -> list[ev.Effect]:
         epoch = attempt.record.epoch
         if epoch < self._known_epoch or self._stopped:
-            return [RevokeLease(attempt.lease)]
+            return [ev.RevokeLease(attempt.lease)]
         held = self._held
         if held is None or held.epoch != epoch:
             self._learn_epoch(epoch)
@@ -324,25 +294,25 @@
         self._renew_at_ms = now_ms
         return self._lead(held, now_ms)
 
-    def _on_renewed(self, renewed: LeaseRenewed, now_ms: float) -> list[Effect]:
+    def _on_renewed(self, renewed: ev.LeaseRenewed, now_ms: float) -> list[ev.Effect]:
         held = self._held
         if held is None or held.lease != renewed.lease:
             return []
-        if renewed.outcome is RenewOutcome.RENEWED:
+        if renewed.outcome is ev.RenewOutcome.RENEWED:
             held.confirmed_ms = max(held.confirmed_ms, renewed.sent_ms)
             held.unpaused = True
-        elif renewed.outcome is RenewOutcome.LEASE_GONE:
+        elif renewed.outcome is ev.RenewOutcome.LEASE_GONE:
             held.lease = None
-            return [ReadLeader()]
+            return [ev.ReadLeader()]
         return []
 
-    def _on_pledge(self, asked: PledgeAsked, now_ms: float) -> list[Effect]:
+    def _on_pledge(self, asked: ev.PledgeAsked, now_ms: float) -> list[ev.Effect]:
         self._learn_leader(asked.sender, asked.epoch, now_ms)
         bound = self._promise.forbids(asked.epoch, now_ms)
         accepted = asked.epoch >= self._known_epoch and not bound
-        return [Answer(accepted, self._known_epoch)]
+        return [ev.Answer(accepted, self._known_epoch)]
 
-    def _on_pledged(self, answered: PledgeAnswered, now_ms: float) -> list[Effect]:
+    def _on_pledged(self, answered: ev.PledgeAnswered, now_ms: float) -> list[ev.Effect]:
         self._learn_epoch(answered.known_epoch)
         if self._settling is None or self._settling.round_id != answered.round_id:
             return []
@@ -350,28 +320,40 @@
             self._settling.pledged(answered.sender, answered.grants)
         return self._finish_settling(now_ms)
 
-    def _on_promise(self, asked: PromiseAsked, now_ms: float) -> list[Effect]:
+    def _on_promise(self, asked: ev.PromiseAsked, now_ms: float) -> list[ev.Effect]:
         self._learn_leader(asked.sender, asked.epoch, now_ms)
         bound = self._promise.forbids(asked.epoch, now_ms)
         granted = asked.epoch >= self._known_epoch and not bound and self._attempt is None
         if granted:
             self._promise.give(asked.epoch, now_ms + self._times.promise_ms)
             self._campaign_at_ms = None
-        return [Answer(granted, self._known_epoch)]
+        seen_ms = now_ms - self._store_seen_ms
+        reachable = seen_ms < NOTICE_SILENCE_RENEWALS * self._times.renew_ms
+        return [ev.Answer(granted, self._known_epoch, reachable), *self._probe(now_ms)]
 
-    def _on_promised(self, answered: PromiseAnswered, now_ms: float) -> list[Effect]:
+    def _probe(self, now_ms: float) -> list[ev.Effect]:
+        """Read the leader now and then, to tell a leader without the store that there is one."""
+        if now_ms < self._read_at_ms or self._attempt is not None:
+            return []
+        self._read_at_ms = now_ms + self._times.renew_ms
+        return [ev.ReadLeader()]
+
+    def _on_promised(self, answered: ev.PromiseAnswered, now_ms: float) -> list[ev.Effect]:
         self._learn_epoch(answered.known_epoch)
         if self._held is not None and self._held.epoch == answered.epoch and answered.granted:
             promises = self._held.promises
             former_ms = promises.get(answered.sender, NEVER_MS)
             promises[answered.sender] = max(former_ms, answered.sent_ms)
+            limit_ms = HANDOVER_AFTER_RENEWALS * self._times.renew_ms
+            if answered.store_reachable and now_ms - self._held.confirmed_ms >= limit_ms:
+                return self._release()
         return []
 
-    def _on_notice(self, notice: NoticeReceived, now_ms: float) -> list[Effect]:
+    def _on_notice(self, notice: ev.NoticeReceived, now_ms: float) -> list[ev.Effect]:
         self._learn_leader(notice.sender, notice.epoch, now_ms)
         return []
 
-    def _on_released(self, released: ReleaseReceived, now_ms: float) -> list[Effect]:
+    def _on_released(self, released: ev.ReleaseReceived, now_ms: float) -> list[ev.Effect]:
         self._promise.release(released.epoch)
         if released.epoch == self._known_epoch and released.sender == self._leader:
             self._leader = None
@@ -379,16 +361,19 @@
             self._read_at_ms = now_ms
         return []
 
-    def _on_stop(self) -> list[Effect]:
+    def _on_stop(self, requested: ev.StopRequested, now_ms: float) -> list[ev.Effect]:
         self._stopped = True
         self._attempt = None
+        return self._release()
+
+    def _release(self) -> list[ev.Effect]:
         held, self._held = self._held, None
         if held is None:
             return []
         self._leader = None
         self._settled = False
         self._settling = None
-        return [Release(held.lease, held.epoch)]
+        return [ev.Release(held.lease, held.epoch)]
 
     def _learn_leader(self, sender: str, epoch: int, now_ms: float) -> None:
         require(
@@ -415,7 +400,7 @@
         self._settling = None
         self._settled = False
 
-    def _report(self, now_ms: float) -> list[Effect]:
+    def _report(self, now_ms: float) -> list[ev.Effect]:
         has_authority = self.has_authority(now_ms)
         if not has_authority:
             # Subscribers are told of the loss, so a later authority starts with a new round.
@@ -430,7 +415,7 @@
         )
         leader = self._leader if has_authority or not leading else None
         settled = has_authority and self._settled
-        current = Changed(self._known_epoch, leader, has_authority, settled)
+        current = ev.Changed(self._known_epoch, leader, has_authority, settled)
         if current == self._reported:
             return []
         self._reported = current
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/leadership_events.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/leadership_events.py
@@ -129,6 +129,7 @@
     sent_ms: float
     granted: bool
     known_epoch: int
+    store_reachable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -243,10 +244,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """Answer to the ``Pledge`` or ``Promise`` being handled."""
+    """Answer to the ``Pledge`` or ``Promise`` being handled.
+
+    Attributes
+    ----------
+    store_reachable
+        Whether this instance read the leader from the store a short time ago.
+    """
 
     accepted: bool
     known_epoch: int
+    store_reachable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/wire/leadership.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/wire/leadership.py
@@ -45,10 +45,17 @@
 @message(code=503, version=1)
 @dataclass(frozen=True, slots=True)
 class PromiseReply:
-    """Answer to ``Promise``. A refusal names the highest epoch known."""
+    """Answer to ``Promise``. A refusal names the highest epoch known.
+
+    Attributes
+    ----------
+    store_reachable
+        Whether the sender read the leader from the store a short time ago.
+    """
 
     granted: bool
     known_epoch: int
+    store_reachable: bool = False
 
 
 @message(code=504, version=1, latest_wins=True)
--- a/packages/nutmeglb/src/nutmeglb/_internal/leadership.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/leadership.py
@@ -53,7 +53,8 @@
         self._tasks = BackgroundTasks()
         self._subscribers: list[Callable[[LeadershipChange], None]] = []
         self._reporter: Callable[[], Sequence[InUseGrant]] = tuple
-        self._released = asyncio.Event()
+        self._releasing: asyncio.Task[None] | None = None
+        self._stopping = False
         self._failed = False
         self._changes = ctx.metrics.counter(
             "nutmeglb_leadership_changes_total", "Changes of leader or authority seen here."
@@ -118,16 +119,18 @@
 
     async def drain(self, deadline_ms: float) -> None:
         """Release the leadership, so that another instance can take over at once."""
+        self._stopping = True
         self._feed(ev.StopRequested())
+        if self._releasing is None:
+            return
         remaining_ms = min(STOP_LIMIT_MS, deadline_ms - self._ctx.clock.now_ms())
-        try:
-            await asyncio.wait_for(self._released.wait(), max(0.0, remaining_ms) / 1_000)
-        except TimeoutError:
+        done, _ = await asyncio.wait({self._releasing}, timeout=max(0.0, remaining_ms) / 1_000)
+        if not done:
             logger.warning("the lease was not released in time and ends by itself")
 
     async def stop(self) -> None:
         """Release the leadership, if that has not been done, and cancel all tasks."""
-        if not self._released.is_set():
+        if not self._stopping:
             await self.drain(self._ctx.clock.now_ms() + STOP_LIMIT_MS)
         await self._tasks.cancel()
 
@@ -160,7 +163,7 @@
         self._feed(ev.Tick(listed if entries else None, reachable))
 
     def _on_peers_changed(self) -> None:
-        if not self._released.is_set():
+        if not self._stopping:
             self._tick()
 
     def _feed(self, event: ev.Event) -> ev.Answer | None:
@@ -194,7 +197,7 @@
             case ev.SendNotice(epoch):
                 self._ctx.peers.broadcast_domain(wire.LeaderNotice(epoch))
             case ev.Release():
-                self._tasks.spawn(self._release(effect))
+                self._releasing = self._tasks.spawn(self._release(effect))
             case ev.SendPledge():
                 self._tasks.spawn(self._pledge(effect))
             case ev.SendPromise():
@@ -213,7 +216,6 @@
         self._ctx.peers.broadcast_domain(wire.LeaderReleased(effect.epoch))
         # The bus sends queued messages when this coroutine yields.
         await asyncio.sleep(0)
-        self._released.set()
 
     async def _pledge(self, effect: ev.SendPledge) -> None:
         reply = await self._ask(effect.instance, wire.Pledge(effect.epoch), wire.PledgeReply)
@@ -233,7 +235,12 @@
         value: wire.PromiseReply = reply.ok_value
         self._feed(
             ev.PromiseAnswered(
-                effect.instance, effect.epoch, effect.sent_ms, value.granted, value.known_epoch
+                effect.instance,
+                effect.epoch,
+                effect.sent_ms,
+                value.granted,
+                value.known_epoch,
+                value.store_reachable,
             )
         )
 
@@ -254,7 +261,9 @@
 
     def _on_promise(self, sender: str, message: wire.Promise) -> wire.PromiseReply | None:
         answer = self._feed(ev.PromiseAsked(sender, message.epoch))
-        return wire.PromiseReply(answer.accepted, answer.known_epoch) if answer else None
+        if answer is None:
+            return None
+        return wire.PromiseReply(answer.accepted, answer.known_epoch, answer.store_reachable)
 
     def _on_notice(self, sender: str, message: wire.LeaderNotice) -> None:
         self._feed(ev.NoticeReceived(sender, message.epoch))
--- a/tests/lib/leadership_world.py
+++ b/tests/lib/leadership_world.py
@@ -14,6 +14,7 @@
 TICK_MS = 100.0
 CALL_TIMEOUT_MS = 2_000.0
 PEER_TIMEOUT_MS = 1_000.0
+SUSPECT_MS = 3_000.0
 
 
 @dataclass
@@ -55,6 +56,7 @@
 
     def __init__(self, world: "World", name: str) -> None:
         self.core = LeadershipCore(name, world.times, world.rng, world.now_ms)
+        self.paused_from_ms = 0.0
         self.paused_until_ms = 0.0
         self.waiting: list[Callable[[], None]] = []
         self.changes: list[ev.Changed] = []
@@ -109,6 +111,8 @@
 
     def pause(self, name: str, duration_ms: float) -> None:
         process = self.processes[name]
+        if self.now_ms >= process.paused_until_ms:
+            process.paused_from_ms = self.now_ms
         process.paused_until_ms = max(process.paused_until_ms, self.now_ms + duration_ms)
 
     def restart(self, name: str) -> None:
@@ -141,7 +145,9 @@
         self.at(TICK_MS, self._tick_all)
 
     def _hears(self, name: str, other: str) -> bool:
-        silent = self.now_ms - 3_000 > self.processes[other].paused_until_ms > 0
+        process = self.processes[other]
+        is_paused = self.now_ms < process.paused_until_ms
+        silent = is_paused and self.now_ms - process.paused_from_ms > SUSPECT_MS
         return self.connected(name, other) and not silent
 
     def feed(self, process: Process, name: str, event: Any) -> ev.Answer | None:
@@ -211,7 +217,9 @@
             if isinstance(effect, ev.SendPledge):
                 event: Any = ev.PledgeAnswered(other, effect.round_id, granted, known)
             else:
-                event = ev.PromiseAnswered(other, effect.epoch, effect.sent_ms, granted, known)
+                event = ev.PromiseAnswered(
+                    other, effect.epoch, effect.sent_ms, granted, known, answer.store_reachable
+                )
             self._deliver(process, name, event)
 
         self.at(self._hop_ms(), arrive)
--- a/tests/unit/test_leadership.py
+++ b/tests/unit/test_leadership.py
@@ -164,14 +164,14 @@
 def test_no_promise_while_an_attempt_is_in_progress() -> None:
     core, _ = candidate(10_000.0)
     answer = core.handle(ev.PromiseAsked("a", 5), 10_400.0)[0]
-    assert answer == ev.Answer(accepted=False, known_epoch=5)
+    assert answer == ev.Answer(accepted=False, known_epoch=5, store_reachable=True)
 
 
 def test_no_attempt_while_a_promise_is_in_force() -> None:
     core, attempt = candidate(10_000.0)
     core.handle(ev.LeaderWritten(attempt, ev.WriteOutcome.NOT_APPLIED), 10_400.0)
     answer = core.handle(ev.PromiseAsked("a", 5), 10_500.0)[0]
-    assert answer == ev.Answer(accepted=True, known_epoch=5)
+    assert answer == ev.Answer(accepted=True, known_epoch=5, store_reachable=True)
     core.handle(ev.LeaderRead(None, 5), 10_600.0)
     ticks = [core.handle(ev.Tick(frozenset("a"), frozenset()), at) for at in (11_000.0, 12_400.0)]
     assert not any(isinstance(effect, ev.GrantLease) for tick in ticks for effect in tick)
@@ -198,6 +198,16 @@
     assert world.leaders() == [leader]
 
 
+def test_leader_that_alone_cannot_reach_the_store_hands_over() -> None:
+    world, leader = elected()
+    world.store_fault[leader] = "refuse"
+    world.advance(5_000)
+    assert world.leaders() == [leader]
+    world.advance(15_000)
+    (successor,) = world.leaders()
+    assert successor != leader
+
+
 @pytest.mark.parametrize(("pause_ms", "continues"), [(2_000.0, True), (4_000.0, False)])
 def test_lone_instance_needs_the_store_after_a_long_pause(pause_ms: float, continues: bool) -> None:
     world = World(["a"], 1)
