Check names of instances, failure domains and teams in settings

They become parts of store keys, job ids and paths, so a name such as a/b would address other keys. Settings now follow the rule for names that tickets have.

--- a/packages/nutmeglb-formats/src/nutmeglb_formats/addresses.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/addresses.py
@@ -1,4 +1,4 @@
-"""Validated addresses in settings files."""
+"""Validated addresses and names in settings files."""
 
 import ipaddress
 from typing import Annotated
@@ -6,6 +6,8 @@
 from pydantic import AfterValidator
 from pydantic_core import PydanticCustomError
 
+from nutmeglb_formats.names import NAME_HINT, is_name
+
 MAX_PORT = 65_535
 
 
@@ -36,5 +38,12 @@
     return value
 
 
+def _check_name(value: str) -> str:
+    if not is_name(value):
+        raise settings_fault("The name is not valid", NAME_HINT)
+    return value
+
+
+Name = Annotated[str, AfterValidator(_check_name)]
 Address = Annotated[str, AfterValidator(check_address)]
 HttpUrl = Annotated[str, AfterValidator(_check_url)]
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/ticket_file.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/ticket_file.py
@@ -23,6 +23,7 @@
 )
 from nutmeglb_formats.models.resources import Resources
 from nutmeglb_formats.models.ticket import TICKET_FORMAT, TICKET_LIMIT_BYTES, Ticket
+from nutmeglb_formats.names import NAME_HINT, is_name
 from nutmeglb_formats.ticket_nodes import Cursor, Faults
 from nutmeglb_formats.yaml_nodes import compose
 
@@ -218,8 +219,8 @@
 
 
 def _object(cursor: Cursor, name: str, model: type[Any], keys: Mapping[str, _Key]) -> Any | None:
-    if not ticket_nodes.is_name(name):
-        cursor.fault("The name is not valid", ticket_nodes.NAME_HINT)
+    if not is_name(name):
+        cursor.fault("The name is not valid", NAME_HINT)
         return None
     values = _read_keys(cursor, keys)
     return None if values is None else model(name=name, **values)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/ticket_nodes.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/ticket_nodes.py
@@ -8,12 +8,12 @@
 from result import Err, Ok, Result
 
 from nutmeglb_formats.exceptions import TicketInvalid
+from nutmeglb_formats.names import NAME_HINT, is_name
 from nutmeglb_formats.yaml_nodes import Mapped, Node, Scalar, Sequenced
 
 ValueT = TypeVar("ValueT")
 Reader = Callable[["Cursor"], ValueT]
 
-NAME_LIMIT_CHARACTERS = 100
 TEXT_LIMIT_CHARACTERS = 10_000
 MAX_FAULTS = 50
 
@@ -125,16 +125,6 @@
     return value
 
 
-NAME_HINT = f"Use 1 to {NAME_LIMIT_CHARACTERS} letters, digits, '.', '_' or '-'"
-
-
-def is_name(value: str) -> bool:
-    """Return whether a text can name an object."""
-    allowed = value.replace(".", "").replace("_", "").replace("-", "")
-    plain = allowed.isascii() and allowed.isalnum()
-    return plain and len(value) <= NAME_LIMIT_CHARACTERS
-
-
 def text(cursor: Cursor) -> str | None:
     """Read any text."""
     return cursor.text()
--- a/packages/nutmeglb/src/nutmeglb/_internal/settings/models.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/settings/models.py
@@ -2,7 +2,8 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-from nutmeglb_formats.addresses import Address, HttpUrl, settings_fault
+from nutmeglb_formats.addresses import Address, HttpUrl, Name, settings_fault
+from nutmeglb_formats.names import NAME_HINT, is_name
 
 TOKEN_MIN_CHARACTERS = 8
 TEAM_PREFIX = "team."
@@ -18,8 +19,8 @@
 class InstanceSection(Section):
     """Identity of this instance."""
 
-    id: str = Field(min_length=1, max_length=64, description="Unique id of this instance.")
-    failure_domain: str = Field(min_length=1, max_length=64, description="Its failure domain.")
+    id: Name = Field(min_length=1, max_length=64, description="Unique id of this instance.")
+    failure_domain: Name = Field(min_length=1, max_length=64, description="Its failure domain.")
     region: str = Field("", max_length=64, description="Region of the failure domain.")
 
 
@@ -121,6 +122,10 @@
             if not key.startswith(TEAM_PREFIX) or key == TEAM_PREFIX:
                 remedy = "Use 'operator' or 'team.<name>'"
                 raise settings_fault("The key is unknown", remedy, section="tokens", key=key)
+            if not is_name(key.removeprefix(TEAM_PREFIX)):
+                raise settings_fault(
+                    "The team's name is not valid", NAME_HINT, section="tokens", key=key
+                )
             if not isinstance(token, str) or len(token) < TOKEN_MIN_CHARACTERS:
                 remedy = f"Use a token of at least {TOKEN_MIN_CHARACTERS} characters"
                 raise settings_fault("The token is too short", remedy, section="tokens", key=key)
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -102,6 +102,8 @@
     items[key] = data.draw(JSON)
     event_from_items(items)
     event_from_items(data.draw(JSON))
+    line = json.dumps({"message_type": "event", "event": items})
+    read_log([line[: data.draw(st.integers(0, len(line)))], data.draw(st.text(max_size=20))])
 
 
 def test_repeats_are_limited_and_counted() -> None:
