Report defects without a traceback and end quietly on a closed pipe

nutmegctl printed a traceback when its reader closed the pipe, and for any defect. The daemon now logs the traceback of a defect and prints a short error.

--- a/packages/nutmegctl/src/nutmegctl/_internal/cli.py
+++ b/packages/nutmegctl/src/nutmegctl/_internal/cli.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import functools
+import os
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from importlib import metadata
 from typing import Any
 
@@ -50,10 +51,26 @@
     if isinstance(resolved, Err):
         output.errors([resolved.err_value])
         return ExitStatus.USAGE
+    return _finish(resolved.ok_value)
+
+
+def _finish(call: Callable[[], ExitStatus]) -> int:
+    """Make the call and return its exit status. No failure ends in a traceback."""
     try:
-        return int(resolved.ok_value())
+        status = int(call())
+        sys.stdout.flush()
+        return status
     except KeyboardInterrupt:
         return INTERRUPTED_STATUS
+    except BrokenPipeError:
+        # The reader, such as head, has read enough. Python would report the flush at exit again.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return ExitStatus.OK
+    except Exception as error:
+        hint = "This is a defect of nutmegctl; report it with the command line"
+        defect = NutmegError("Unexpected error", context={"cause": repr(error)}, hint=hint)
+        output.errors([defect])
+        return ExitStatus.ERROR
 
 
 def _run(command: Command, options: Options, values: dict[str, Any]) -> ExitStatus:
--- a/packages/nutmeglb/src/nutmeglb/_internal/cli.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/cli.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import importlib
+import logging
 import sys
 from collections.abc import Iterable, Sequence
 from importlib import metadata
@@ -91,6 +92,11 @@
         hint = "Check the addresses in [listen]: each must be local and free"
         _print_errors([NutmegError("The instance cannot start", context=cause, hint=hint)])
         return ExitStatus.ERROR
+    except Exception:
+        logging.getLogger(__name__).exception("The instance stops because of a defect")
+        hint = "See the log, and report it with the lines before"
+        _print_errors([NutmegError("The instance stopped because of a defect", hint=hint)])
+        return ExitStatus.ERROR
 
 
 def _print_errors(errors: Iterable[NutmegError]) -> None:
--- a/tests/functional/test_nutmegctl.py
+++ b/tests/functional/test_nutmegctl.py
@@ -109,6 +109,19 @@
         assert f"nutmegctl {' '.join(words)}" in capsys.readouterr().out.partition("examples:")[2]
 
 
+def test_defect_is_reported_without_a_traceback(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    def fail(*_: object) -> None:
+        raise ZeroDivisionError("x")
+
+    monkeypatch.setattr(cli, "connection", fail)
+    assert cli.main(["status"]) == ExitStatus.ERROR
+    error = capsys.readouterr().err
+    assert "ZeroDivisionError" in error
+    assert "Traceback" not in error
+
+
 @pytest.mark.parametrize("module", ["nutmeglb", "nutmegctl"])
 def test_entry_points_answer_version(module: str) -> None:
     script = Path(sys.executable).with_name(module)
