--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/capacity.py
@@ -0,0 +1,86 @@
+"""Resources of a failure domain: ledger, quotas, placement index and ranking, kept consistent."""
+
+from collections.abc import Callable
+
+from nutmeglb_decisions.tasks.ledger import Account, Ledger
+from nutmeglb_decisions.tasks.placement import PlacementEngine
+from nutmeglb_decisions.tasks.quotas import Quotas
+from nutmeglb_decisions.tasks.ranking import Ranking
+from nutmeglb_formats.models.resources import Resources
+
+
+class Capacity:
+    """What is free, who uses it, and which jobs wait for it.
+
+    Parameters
+    ----------
+    keep
+        Whether a job still has a task to place.
+    """
+
+    def __init__(self, domain: str, keep: Callable[[str], bool]) -> None:
+        self.quotas = Quotas(domain)
+        self.ranking = Ranking(keep)
+        self.ledger = Ledger(self._account_changed)
+        self.engine = PlacementEngine(self.ledger.accounts())
+        self._freed: dict[str, None] = {}
+        self._gangs_may_fit = False
+
+    def _account_changed(self, account: Account) -> None:
+        self.engine.refresh(account)
+
+    def account(self, worker: str) -> Account | None:
+        """Return a worker's account."""
+        return self.ledger.account(worker)
+
+    def rack_of(self, worker: str) -> str:
+        """Return the rack of a worker, or an empty text."""
+        account = self.ledger.account(worker)
+        return account.rack if account is not None else ""
+
+    def charge(self, team: str, worker: str, name: str, resources: Resources) -> None:
+        """Charge an attempt to its worker and team."""
+        self.ledger.reserve(worker, name, resources)
+        self.quotas.charge(team, resources)
+        self.ranking.set_share(team, self.quotas.share(team), fell=False)
+
+    def adopt(self, worker: str, name: str, resources: Resources) -> None:
+        """Charge a running attempt to its worker, whatever is free."""
+        if self.ledger.account(worker) is not None:
+            self.ledger.adopt(worker, name, resources)
+
+    def refund(self, team: str, worker: str, name: str, resources: Resources) -> None:
+        """Take back the charges of an ended attempt."""
+        self.ledger.release(worker, name)
+        self.quotas.refund(team, resources)
+        self.ranking.set_share(team, self.quotas.share(team), fell=True)
+        self.mark_freed(worker)
+
+    def limits_changed(self) -> None:
+        """Take over new limits of all teams."""
+        for team in self.quotas.limits():
+            self.ranking.set_share(team, self.quotas.share(team), fell=True)
+
+    # Blocked shapes
+
+    def mark_freed(self, worker: str) -> None:
+        """Consider blocked shapes again on a worker at the next step."""
+        self._freed[worker] = None
+
+    def has_freed(self) -> bool:
+        """Return whether blocked shapes must be considered again."""
+        return bool(self._freed)
+
+    def unblock_freed(self) -> None:
+        """Consider the shapes again of which a task fits on a worker with freed resources."""
+        for worker in self._freed:
+            account = self.ledger.account(worker)
+            if account is not None and worker in self.engine.enabled():
+                self.ranking.unblock_fitting(account.free)
+                self._gangs_may_fit = True
+        self._freed.clear()
+
+    def take_gangs_may_fit(self) -> bool:
+        """Return whether resources were freed since the last call."""
+        freed, self._gangs_may_fit = self._gangs_may_fit, False
+        return freed
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/dispatch.py
@@ -0,0 +1,372 @@
+"""Places waiting tasks in bounded steps, keeps workers free for gangs, preempts for urgent work."""
+
+import random
+from collections.abc import Callable
+
+from nutmeglb_decisions.tasks.estimates import Estimates
+from nutmeglb_decisions.tasks.events import SendCommands
+from nutmeglb_decisions.tasks.gangs import MAX_HOLD_FACTOR, Hold, has_room, plan_hold, plan_members
+from nutmeglb_decisions.tasks.history import History, job_key
+from nutmeglb_decisions.tasks.invariants import GANG_WHOLE, ensure
+from nutmeglb_decisions.tasks.ledger import Account
+from nutmeglb_decisions.tasks.lifecycle import Lifecycle
+from nutmeglb_decisions.tasks.placement import Score, pack_score, spread_score
+from nutmeglb_decisions.tasks.preemption import (
+    CHECKPOINT_LIMIT_MS,
+    PreemptionBudget,
+    choose_victims,
+    sample_workers,
+)
+from nutmeglb_decisions.tasks.ranking import CLASS_ORDER, Shape
+from nutmeglb_decisions.tasks.state import Attempt, Job, Phase
+from nutmeglb_formats.models.config import Config, JobKind, PlacementPolicy, RequestClass
+from nutmeglb_formats.models.resources import Resources
+
+# One placement takes about 100 microseconds, so a step stays within a few milliseconds.
+PLACEMENTS_PER_STEP = 32
+# Starts that wait for the journal. A slow store must not collect reservations without bound.
+MAX_OPEN_BATCHES = 8
+# A blocked job younger than this waits without workers being kept free for it.
+HOLD_AFTER_MS = 2_000.0
+HOLD_CHECK_MS = 200.0
+# Only gangs, and tasks of at least this share of the largest worker, need workers kept free.
+LARGE_SHARE = 0.25
+QUOTA_BARRIER_MS = 10_000.0
+# Blocked gangs considered per check, which bounds its time.
+GANGS_PER_CHECK = 8
+GANG_CHECK_MS = 100.0
+PREEMPTION_CHECK_MS = 50.0
+PREEMPTED = "preempted"
+DEFAULT_PLACEMENT = {
+    JobKind.SERVICE: PlacementPolicy.SPREAD,
+    JobKind.BATCH: PlacementPolicy.PACK,
+    JobKind.GANG: PlacementPolicy.PACK,
+}
+
+
+class Dispatcher:
+    """Decides which waiting task goes where."""
+
+    def __init__(
+        self,
+        life: Lifecycle,
+        config: Config,
+        estimates: Estimates,
+        history: History,
+        rng: random.Random,
+    ) -> None:
+        self._life = life
+        self._config = config
+        self._estimates = estimates
+        self._history = history
+        self._rng = rng
+        self._hold: Hold | None = None
+        self._next_hold_check_ms = 0.0
+        self._next_preemption_ms = 0.0
+        self._next_gang_check_ms = 0.0
+        self._gang_offset = 0
+        self._budget = PreemptionBudget()
+        self._preempted: dict[str, tuple[Attempt, float]] = {}
+        self.preemptions = 0
+
+    def configure(self, config: Config) -> None:
+        """Take over the policy of a configuration."""
+        self._config = config
+
+    def may_start(self, now_ms: float) -> bool:
+        """Return whether the journal takes starts."""
+        if now_ms < self._life.journal_hold_until_ms:
+            return False
+        return self._life.outbox.open_batches < MAX_OPEN_BATCHES
+
+    def has_work(self, now_ms: float) -> bool:
+        """Return whether a job can be considered."""
+        ranking = self._life.capacity.ranking
+        return self.may_start(now_ms) and any(ranking.next_job(name) for name in CLASS_ORDER)
+
+    # Placement
+
+    def place_some(self, now_ms: float) -> None:
+        """Place a bounded number of tasks, in order of rank."""
+        left = PLACEMENTS_PER_STEP
+        if not self.may_start(now_ms):
+            return
+        for job_class in CLASS_ORDER:
+            while left > 0:
+                found = self._life.capacity.ranking.next_job(job_class)
+                if found is None:
+                    break
+                left -= self._place(self._life.jobs[found[0]], found[1], now_ms)
+
+    def _place(self, job: Job, shape: Shape, now_ms: float) -> int:
+        """Place a task or a whole gang. Return the number of choices made."""
+        spec = job.spec
+        if not self._life.capacity.quotas.admits(spec.team, shape.resources.scaled(shape.together)):
+            self._over_quota(job, shape, now_ms)
+            return 1
+        if shape.together == 1:
+            worker = self._choose(job, shape, now_ms)
+            workers = None if worker is None else [worker]
+        else:
+            workers = self._choose_members(job, shape, now_ms)
+        if workers is None:
+            self._life.capacity.ranking.block(shape)
+            return 1
+        self._start_all(job, shape, workers, now_ms)
+        return len(workers)
+
+    def _over_quota(self, job: Job, shape: Shape, now_ms: float) -> None:
+        limit = self._life.capacity.quotas.limit(job.spec.team)
+        possible = limit is not None and shape.resources.scaled(shape.together).fits_in(limit)
+        waits_long = now_ms - job.accepted_ms >= QUOTA_BARRIER_MS
+        self._life.capacity.ranking.set_over_quota(
+            job.spec.job_class,
+            job.spec.team,
+            shape,
+            barrier=job.sequence if possible and waits_long else None,
+        )
+
+    def _choose_members(self, job: Job, shape: Shape, now_ms: float) -> list[str] | None:
+        accounts = self._life.capacity.ledger.accounts()
+        enabled = (accounts[worker] for worker in self._life.capacity.engine.enabled())
+        if not has_room(shape.resources, enabled, shape.together):
+            return None
+        return plan_members(
+            self._life.capacity.ledger,
+            lambda: self._choose(job, shape, now_ms),
+            shape.resources,
+            shape.together,
+        )
+
+    def _choose(self, job: Job, shape: Shape, now_ms: float) -> str | None:
+        policy = self._policy_of(job)
+        end_ms = now_ms + self._estimates.run_ms(job_key(job), job.spec.run_ms)
+        if job.spec.job_class is RequestClass.URGENT:
+            # Urgent work does not wait for deferred gangs.
+            end_ms = now_ms
+        score = self._score_of(job, policy)
+
+        def choose(accept: Callable[[Account], bool] | None) -> str | None:
+            return self._life.capacity.engine.choose(
+                shape.resources,
+                score,
+                spread=policy is PlacementPolicy.SPREAD,
+                job_id=job.job_id,
+                end_ms=end_ms,
+                accept=accept,
+            )
+
+        if job.failed_on:
+            worker = choose(lambda account: account.worker not in job.failed_on)
+            if worker is not None:
+                return worker
+        return choose(None)
+
+    def _start_all(self, job: Job, shape: Shape, workers: list[str], now_ms: float) -> None:
+        gang = len(workers) if job.is_gang else 0
+        run_ms = self._estimates.run_ms(job_key(job), job.spec.run_ms)
+        for worker in workers:
+            attempt = self._life.start(job, worker, shape.resources, now_ms, gang=gang)
+            attempt.expected_end_ms = now_ms + run_ms
+            self._history.placed(attempt, now_ms)
+        ensure(
+            not job.is_gang or len(job.live) == gang,
+            GANG_WHOLE,
+            "A gang was reserved in part",
+            job=job.job_id,
+        )
+        if gang:
+            self._life.assembling[job.job_id] = now_ms + self._config.policy.gang_hold_ms
+        if self._hold is not None and self._hold.job_id == job.job_id:
+            self._end_hold()
+
+    def _policy_of(self, job: Job) -> PlacementPolicy:
+        kind = job.spec.kind
+        return self._config.policy.placement.get(kind, DEFAULT_PLACEMENT[kind])
+
+    def _score_of(self, job: Job, policy: PlacementPolicy) -> Score:
+        if policy is PlacementPolicy.PACK:
+            return pack_score
+        return spread_score(
+            lambda worker: job.worker_tasks.get(worker, 0),
+            lambda rack: job.rack_tasks.get(rack, 0),
+        )
+
+    # Time
+
+    def tick(self, now_ms: float) -> None:
+        """Check holds, gangs that do not assemble, and urgent tasks that wait."""
+        if now_ms >= self._next_hold_check_ms:
+            self._next_hold_check_ms = now_ms + HOLD_CHECK_MS
+            self._check_hold(now_ms)
+            self._check_assembling(now_ms)
+        if now_ms >= self._next_gang_check_ms:
+            self._next_gang_check_ms = now_ms + GANG_CHECK_MS
+            self._unblock_gangs()
+        if now_ms >= self._next_preemption_ms:
+            self._next_preemption_ms = now_ms + PREEMPTION_CHECK_MS
+            self._stop_slow_checkpoints(now_ms)
+            self._preempt(now_ms)
+
+    # Holds
+
+    def _unblock_gangs(self) -> None:
+        """Consider some blocked gangs again after resources were freed, in turn."""
+        if not self._life.capacity.take_gangs_may_fit():
+            return
+        ranking = self._life.capacity.ranking
+        gangs = [shape for shape in ranking.blocked() if shape.together > 1]
+        for number in range(min(GANGS_PER_CHECK, len(gangs))):
+            ranking.unblock(gangs[(self._gang_offset + number) % len(gangs)])
+        self._gang_offset += GANGS_PER_CHECK
+
+    def _end_hold(self) -> None:
+        self._hold = None
+        self._life.held_jobs.clear()
+        self._life.capacity.engine.earmarks.clear()
+        # Tasks that the hold kept away may fit now.
+        for worker in self._life.capacity.engine.enabled():
+            self._life.capacity.mark_freed(worker)
+
+    def _check_hold(self, now_ms: float) -> None:
+        if self._hold is not None:
+            job = self._life.jobs.get(self._hold.job_id)
+            if job is not None and job.waiting and job.queued and now_ms < self._hold.until_ms:
+                return
+            self._end_hold()
+        waiting: list[tuple[int, int, str, Shape]] = []
+        largest = self._largest_worker()
+        for job_class in CLASS_ORDER:
+            for sequence, job_id, shape in self._life.capacity.ranking.oldest_blocked(job_class):
+                large = shape.resources.dominant_share(largest) >= LARGE_SHARE
+                if shape.together > 1 or large:
+                    turns = self._life.jobs[job_id].hold_turns
+                    waiting.append((turns, sequence, job_id, shape))
+        for _, _, job_id, shape in sorted(waiting, key=lambda item: item[:2]):
+            if self._begin_hold(self._life.jobs[job_id], shape, now_ms):
+                return
+
+    def _largest_worker(self) -> Resources:
+        accounts = self._life.capacity.ledger.accounts().values()
+        return max((a.capacity for a in accounts), key=lambda c: c.cpu_millis, default=Resources())
+
+    def _begin_hold(self, job: Job, shape: Shape, now_ms: float) -> bool:
+        if not job.waiting or now_ms - job.accepted_ms < HOLD_AFTER_MS:
+            return False
+        if not self._life.capacity.quotas.admits(
+            job.spec.team, shape.resources.scaled(shape.together)
+        ):
+            return False
+        accounts = self._life.capacity.ledger.accounts()
+        workers = [
+            (accounts[worker], self._ending_attempts(worker))
+            for worker in self._life.capacity.engine.enabled()
+        ]
+        marks = plan_hold(job.job_id, shape.resources, shape.together, workers, now_ms, self._rng)
+        if not marks:
+            return False
+        factor = min(2**job.hold_turns, MAX_HOLD_FACTOR)
+        job.hold_turns += 1
+        self._hold = Hold(job.job_id, now_ms + self._config.policy.gang_hold_ms * factor)
+        self._life.held_jobs.add(job.job_id)
+        self._life.capacity.engine.earmarks.update(marks)
+        self._life.outbox.decided(
+            "workers_held", "waits longest", job=job.job_id, workers=len(marks)
+        )
+        return True
+
+    def _ending_attempts(self, worker: str) -> list[Attempt]:
+        jobs = self._life.jobs
+        attempts = self._life.links[worker].attempts.values()
+        return [item for item in attempts if not jobs[item.key.job_id].is_service]
+
+    def _check_assembling(self, now_ms: float) -> None:
+        for job_id, deadline_ms in list(self._life.assembling.items()):
+            job = self._life.jobs.get(job_id)
+            held = job is not None and any(member.hold for member in job.live.values())
+            if job is None or not held:
+                del self._life.assembling[job_id]
+            elif now_ms >= deadline_ms:
+                del self._life.assembling[job_id]
+                self._life.stop_later(list(job.live.values()), "gang_not_assembled")
+
+    # Preemption
+
+    def _preempt(self, now_ms: float) -> None:
+        policy = self._config.policy
+        left = self._budget.left(policy.preemptions_per_minute, now_ms)
+        for _, job_id, shape in self._life.capacity.ranking.oldest_blocked(RequestClass.URGENT):
+            job = self._life.jobs[job_id]
+            if left <= 0:
+                return
+            if shape.together > 1 or not job.waiting or now_ms < job.preempted_until_ms:
+                continue
+            if not self._life.capacity.quotas.admits(job.spec.team, shape.resources):
+                continue
+            left -= self._make_room(job, shape, left, now_ms)
+
+    def _make_room(self, job: Job, shape: Shape, limit: int, now_ms: float) -> int:
+        accounts = self._life.capacity.ledger.accounts()
+        names = sample_workers(list(self._life.capacity.engine.enabled()), self._rng)
+        workers = [(accounts[name], self._life.links[name]) for name in names]
+        victims = choose_victims(shape.resources, workers, self._is_preemptible, limit, now_ms)
+        for victim in victims:
+            self._checkpoint(victim, PREEMPTED, now_ms)
+            self._budget.spend(now_ms)
+            self.preemptions += 1
+        if victims:
+            # The victims need this long to end. Until then no more are taken for the same job.
+            job.preempted_until_ms = now_ms + CHECKPOINT_LIMIT_MS / max(1, job.waiting)
+        return len(victims)
+
+    def _is_preemptible(self, attempt: Attempt) -> bool:
+        spec = self._life.jobs[attempt.key.job_id].spec
+        deferred = spec.job_class is RequestClass.DEFERRED and spec.kind is JobKind.BATCH
+        return deferred and spec.preemptible
+
+    def _checkpoint(self, attempt: Attempt, cause: str, now_ms: float) -> None:
+        attempt.stop_cause = cause
+        self._life.links[attempt.worker].checkpoint[attempt.name] = None
+        self._preempted[attempt.name] = (attempt, now_ms + CHECKPOINT_LIMIT_MS)
+        self._life.outbox.add(SendCommands(attempt.worker))
+        self._life.outbox.decided("task_preempted", cause, task=attempt.name, worker=attempt.worker)
+
+    def _stop_slow_checkpoints(self, now_ms: float) -> None:
+        for name, (attempt, deadline_ms) in list(self._preempted.items()):
+            link = self._life.links.get(attempt.worker)
+            if link is None or link.attempts.get(name) is not attempt:
+                del self._preempted[name]
+            elif now_ms >= deadline_ms:
+                del self._preempted[name]
+                link.stop[name] = None
+                self._life.outbox.add(SendCommands(attempt.worker))
+
+    # Reclaimed resources
+
+    def relieve(self, worker: str, now_ms: float) -> None:
+        """Act when measured use exceeds a worker's capacity: throttle, then checkpoint tasks."""
+        account = self._life.capacity.ledger.account(worker)
+        link = self._life.links.get(worker)
+        if account is None or link is None or not self._config.policy.reclaim:
+            return
+        running = [a for a in link.attempts.values() if a.phase is Phase.RUNNING]
+        cpu = sum(a.used_cpu for a in running) - account.capacity.cpu_millis
+        memory = sum(a.used_memory for a in running) - account.capacity.memory_bytes
+        if cpu <= 0 and memory <= 0:
+            return
+        exceeding = [a for a in running if self._exceeds(a)]
+        for attempt in sorted(exceeding, key=lambda a: a.started_ms, reverse=True):
+            if cpu > 0 and not attempt.throttled and not attempt.stop_cause:
+                attempt.throttled = True
+                link.throttle[attempt.name] = attempt.charged.cpu_millis
+                cpu -= attempt.used_cpu - attempt.charged.cpu_millis
+            elif (memory > 0 or cpu > 0) and not attempt.stop_cause:
+                cpu -= attempt.used_cpu
+                memory -= attempt.used_memory
+                self._checkpoint(attempt, "reclaimed", now_ms)
+        self._life.outbox.add(SendCommands(worker))
+
+    def _exceeds(self, attempt: Attempt) -> bool:
+        over_cpu = attempt.used_cpu > attempt.charged.cpu_millis
+        over_memory = attempt.used_memory > attempt.charged.memory_bytes
+        return (over_cpu or over_memory) and self._is_preemptible(attempt)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/events.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/events.py
@@ -64,6 +64,13 @@
     response: SyncResponse
 
 
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """A call to an agent failed."""
+
+    worker: str
+
+
 @dataclass(frozen=True, slots=True)
 class Configured:
     """A configuration came into force. ``wall_ms`` is the wall-clock time."""
@@ -77,7 +84,17 @@
     """Time passed."""
 
 
-Event = Submit | Cancel | Committed | CommitFailed | WorkersListed | Synced | Configured | Tick
+Event = (
+    Submit
+    | Cancel
+    | Committed
+    | CommitFailed
+    | WorkersListed
+    | Synced
+    | Unreachable
+    | Configured
+    | Tick
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/gangs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/gangs.py
@@ -1,12 +1,32 @@
-"""Gangs: all members are reserved in one step or none is."""
+"""Gangs and large tasks: whole reservations, and workers kept free for the one that waits longest.
 
-from collections.abc import Callable
+At most one job of a failure domain keeps workers free. Jobs take turns in a fixed order, so holds
+cannot block each other. Other tasks may use the kept workers when they end before the expected
+start, or when they leave enough room.
+"""
 
-from nutmeglb_decisions.tasks.ledger import Ledger
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from nutmeglb_decisions.tasks.ledger import Account, Ledger
+from nutmeglb_decisions.tasks.placement import Earmark
+from nutmeglb_decisions.tasks.state import Attempt
 from nutmeglb_formats.models.resources import Resources
 
 Choose = Callable[[], str | None]
 PLAN_PREFIX = "plan/"
+# Workers examined for one plan, which bounds its time at 1,000 workers.
+PLAN_WORKERS = 256
+MAX_HOLD_FACTOR = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """The job that workers are kept free for."""
+
+    job_id: str
+    until_ms: float
 
 
 def plan_members(
@@ -27,3 +47,81 @@
     for number, worker in enumerate(workers):
         ledger.release(worker, f"{PLAN_PREFIX}{number}")
     return workers if len(workers) == members else None
+
+
+def members_that_fit(request: Resources, free: Resources, limit: int) -> int:
+    """Return how many requests fit in ``free``, at most ``limit``."""
+    count = limit
+    for need, have in (
+        (request.cpu_millis, free.cpu_millis),
+        (request.memory_bytes, free.memory_bytes),
+        (request.accelerators, free.accelerators),
+    ):
+        if need:
+            count = min(count, max(0, have) // need)
+    return count
+
+
+def has_room(request: Resources, accounts: Iterable[Account], members: int) -> bool:
+    """Return whether all members fit now, disregarding earmarks."""
+    found = 0
+    for account in accounts:
+        found += members_that_fit(request, account.free, members)
+        if found >= members:
+            return True
+    return False
+
+
+def plan_hold(
+    job_id: str,
+    request: Resources,
+    members: int,
+    workers: list[tuple[Account, list[Attempt]]],
+    now_ms: float,
+    rng: random.Random,
+) -> dict[str, Earmark]:
+    """Return the workers to keep free so that all members fit as early as expected ends allow.
+
+    Parameters
+    ----------
+    workers
+        Accounts of possible workers with their attempts that are expected to end.
+    """
+    usable = [item for item in workers if request.fits_in(item[0].capacity)]
+    if len(usable) > max(PLAN_WORKERS, 2 * members):
+        usable = rng.sample(usable, max(PLAN_WORKERS, 2 * members))
+    free = {account.worker: account.free for account, _ in usable}
+    fits = {worker: members_that_fit(request, amount, members) for worker, amount in free.items()}
+    ends = sorted(
+        (max(now_ms, attempt.expected_end_ms), attempt.name, attempt)
+        for _, attempts in usable
+        for attempt in attempts
+    )
+    total = sum(fits.values())
+    start_ms = now_ms
+    for end_ms, _, attempt in ends:
+        if total >= members:
+            break
+        worker = attempt.worker
+        free[worker] = free[worker] + attempt.charged
+        count = members_that_fit(request, free[worker], members)
+        total += count - fits[worker]
+        fits[worker] = count
+        start_ms = end_ms
+    if total < members:
+        return {}
+    return _earmarks(job_id, request, members, fits, start_ms)
+
+
+def _earmarks(
+    job_id: str, request: Resources, members: int, fits: dict[str, int], start_ms: float
+) -> dict[str, Earmark]:
+    marks = {}
+    left = members
+    for worker in sorted(fits, key=lambda name: -fits[name]):
+        count = min(left, fits[worker])
+        if count == 0:
+            break
+        marks[worker] = Earmark(job_id, request.scaled(count), start_ms)
+        left -= count
+    return marks
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/history.py
@@ -0,0 +1,97 @@
+"""Learns from ended attempts: estimates, quarantine of workers, backoff of jobs."""
+
+from collections.abc import Callable
+
+from nutmeglb_decisions.tasks.estimates import Estimates, JobKey
+from nutmeglb_decisions.tasks.lifecycle import Lifecycle
+from nutmeglb_decisions.tasks.quarantine import EARLY_FAILURE_MS, Quarantine
+from nutmeglb_decisions.tasks.state import Attempt, Job, Phase
+from nutmeglb_formats.models.agent import FinishedTask, TaskOutcome
+
+FAILURES = (TaskOutcome.FAILED, TaskOutcome.REFUSED)
+
+
+def job_key(job: Job) -> JobKey:
+    """Return what jobs that resemble each other have in common."""
+    return job.spec.team, job.spec.name
+
+
+class History:
+    """Outcome of attempts.
+
+    Parameters
+    ----------
+    availability_changed
+        Called with a worker whose quarantine began, ended or allows a probe.
+    """
+
+    def __init__(
+        self,
+        life: Lifecycle,
+        estimates: Estimates,
+        quarantine: Quarantine,
+        availability_changed: Callable[[str], None],
+    ) -> None:
+        self._life = life
+        self._estimates = estimates
+        self._quarantine = quarantine
+        self._availability_changed = availability_changed
+        self._probes: dict[str, Attempt] = {}
+
+    def placed(self, attempt: Attempt, now_ms: float) -> None:
+        """Record a placement. A quarantined worker receives one task at a time."""
+        if self._quarantine.is_probed(attempt.worker):
+            self._quarantine.probe_started(attempt.worker, now_ms)
+            self._probes[attempt.worker] = attempt
+            self._availability_changed(attempt.worker)
+
+    def ended(
+        self, job: Job, attempt: Attempt, outcome: str, report: FinishedTask | None, now_ms: float
+    ) -> None:
+        """Learn from the end of an attempt."""
+        if report is None:
+            return
+        key = job_key(job)
+        if attempt.peak_cpu or attempt.peak_memory:
+            self._estimates.observe_use(key, attempt.peak_cpu, attempt.peak_memory)
+        if outcome == TaskOutcome.SUCCEEDED:
+            self._estimates.observe_run(key, report.run_ms)
+        if outcome in FAILURES and report.run_ms < EARLY_FAILURE_MS:
+            self._failed_soon(job, attempt, now_ms)
+        elif outcome == TaskOutcome.SUCCEEDED or report.run_ms >= EARLY_FAILURE_MS:
+            self._succeeded(job, attempt.worker)
+
+    def tick(self, now_ms: float) -> None:
+        """Start probes that are due, and end the quarantine of workers whose probe runs."""
+        for worker, attempt in list(self._probes.items()):
+            job = self._life.jobs.get(attempt.key.job_id)
+            live = job is not None and job.live.get(attempt.key.index) is attempt
+            if job is None or not live:
+                del self._probes[worker]
+            elif attempt.phase is Phase.RUNNING and now_ms - attempt.started_ms >= EARLY_FAILURE_MS:
+                del self._probes[worker]
+                self._succeeded(job, worker)
+        for worker in self._quarantine.due_probes(now_ms):
+            self._availability_changed(worker)
+
+    def _succeeded(self, job: Job, worker: str) -> None:
+        job.failures = 0
+        job.failed_on.clear()
+        if self._quarantine.succeeded(worker, job_key(job)):
+            self._life.outbox.decided("quarantine_ended", "probe succeeded", worker=worker)
+            self._availability_changed(worker)
+
+    def _failed_soon(self, job: Job, attempt: Attempt, now_ms: float) -> None:
+        key = job_key(job)
+        workers = len(self._life.links)
+        job.failures += 1
+        job.failed_on.add(attempt.worker)
+        if self._quarantine.failed(attempt.worker, key, workers, now_ms):
+            self._life.outbox.decided("quarantine_began", "starts fail soon", worker=attempt.worker)
+        self._availability_changed(attempt.worker)
+        if self._quarantine.fails_everywhere(key, len(self._life.capacity.engine.enabled())):
+            delay_ms = self._quarantine.backoff_ms(job.failures)
+            self._life.delay(job, now_ms + delay_ms)
+            self._life.outbox.decided(
+                "job_backoff", "fails on every worker", job=job.job_id, delay_ms=delay_ms
+            )
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/jobs.py
@@ -0,0 +1,205 @@
+"""Accepts, cancels and declares jobs. Every change takes effect after its journal commit."""
+
+from collections.abc import Callable
+
+from nutmeglb_decisions.tasks import submission
+from nutmeglb_decisions.tasks.events import Answer, Cancel, Submit
+from nutmeglb_decisions.tasks.lifecycle import Lifecycle
+from nutmeglb_decisions.tasks.state import Job
+from nutmeglb_formats.exceptions import NotFound, NutmegError
+from nutmeglb_formats.models.config import Config, JobDefinition, Service
+from nutmeglb_formats.models.jobs import JobSpec
+from nutmeglb_formats.models.tasks import JobAccepted, JobCancelled, JobResized
+
+Done = Callable[[str, NutmegError | None], None]
+# Submission ids of ended jobs are remembered this long.
+RETENTION_MS = 24 * 3_600_000.0
+FORGET_PER_TICK = 200
+
+
+class JobCommands:
+    """Commands about jobs, and the jobs that tickets declare."""
+
+    def __init__(self, life: Lifecycle, config: Config) -> None:
+        self._life = life
+        self._config = config
+        self._accepting: dict[str, tuple[Job, list[Done]]] = {}
+        self._reconcile_again = False
+
+    def accepting(self) -> list[Job]:
+        """Return the jobs whose acceptance is being written."""
+        return [job for job, _ in self._accepting.values()]
+
+    def submit(self, event: Submit) -> None:
+        """Accept a submitted job, or answer with the job of an earlier submission."""
+        spec = event.spec
+        job_id = submission.submitted_job_id(self._life.domain, spec.team, spec.submission_id)
+        done = self._answer(event.request)
+        if job_id in self._life.jobs:
+            done(job_id, None)
+            return
+        error = submission.refusal(spec, self._life.capacity.quotas, self._life.unfinished_jobs)
+        if error is not None:
+            done("", error)
+            return
+        self._accept(Job(job_id, spec, event.wall_ms, 0), done)
+
+    def cancel(self, event: Cancel) -> None:
+        """Cancel a job."""
+        job = self._life.jobs.get(event.job_id)
+        done = self._answer(event.request)
+        if job is None:
+            context = {"job": event.job_id}
+            done("", NotFound("The job is unknown", context=context, hint="List the jobs"))
+        elif job.ended:
+            done(job.job_id, None)
+        else:
+            self._write_cancel(job, "command", done)
+
+    def _answer(self, request: int) -> Done:
+        return lambda job_id, error: self._life.outbox.add(Answer(request, job_id, error))
+
+    def _accept(self, job: Job, done: Done) -> None:
+        waiting = self._accepting.get(job.job_id)
+        if waiting is not None:
+            waiting[1].append(done)
+            return
+        self._accepting[job.job_id] = (job, [done])
+
+        def committed(now_ms: float) -> None:
+            _, callbacks = self._accepting.pop(job.job_id)
+            job.accepted_ms = now_ms
+            self._life.add_job(job)
+            self._life.outbox.decided("job_accepted", "journal commit", job=job.job_id)
+            for callback in callbacks:
+                callback(job.job_id, None)
+
+        def failed(now_ms: float, error: NutmegError) -> None:
+            _, callbacks = self._accepting.pop(job.job_id)
+            for callback in callbacks:
+                callback("", error)
+
+        record = JobAccepted(job.job_id, job.spec, job.submitted_ms, job.ticket, job.service)
+        self._life.outbox.write(record, committed, failed)
+
+    def _write_cancel(self, job: Job, cause: str, done: Done) -> None:
+        job.cancelling = True
+
+        def committed(now_ms: float) -> None:
+            if not job.ended:
+                self._life.end_job(job, now_ms, cancelled=True)
+                self._life.outbox.decided("job_cancelled", cause, job=job.job_id)
+                self._life.stop_later(list(job.live.values()), "job_cancelled")
+            done(job.job_id, None)
+
+        def failed(now_ms: float, error: NutmegError) -> None:
+            job.cancelling = False
+            done("", error)
+
+        self._life.outbox.write(JobCancelled(job.job_id), committed, failed)
+
+    # Declared jobs
+
+    def configure(self, config: Config, wall_ms: float) -> None:
+        """Create, resize and cancel the jobs that the configuration declares.
+
+        A leader may briefly see an older configuration than an earlier leader did. What a later
+        ticket declared is therefore left alone.
+        """
+        self._config = config
+        self._reconcile_again = False
+        newest: dict[str, int] = {}
+        for job in self._life.jobs.values():
+            if job.ticket and not job.service:
+                newest[job.spec.name] = max(newest.get(job.spec.name, 0), job.ticket)
+        for definition in config.jobs.values():
+            if definition.domain == self._life.domain:
+                self._declare_job(definition, newest.get(definition.name, 0), wall_ms)
+        for service in config.services.values():
+            self._declare_service(service, wall_ms)
+        self._cancel_removed()
+
+    def retry(self, wall_ms: float) -> None:
+        """Declare again what the journal did not take."""
+        if self._reconcile_again:
+            self.configure(self._config, wall_ms)
+
+    def _declared(self, job_id: str, error: NutmegError | None) -> None:
+        if error is not None:
+            self._reconcile_again = True
+
+    def _declare_job(self, definition: JobDefinition, newest: int, wall_ms: float) -> None:
+        ticket = self._config.changed_by.get(f"jobs/{definition.name}", self._config.number)
+        job_id = submission.ticket_job_id(self._life.domain, definition.name, ticket)
+        if ticket > newest and job_id not in self._life.jobs:
+            spec = submission.spec_of_definition(definition, ticket)
+            self._accept(Job(job_id, spec, wall_ms, 0, ticket=max(1, ticket)), self._declared)
+
+    def _declare_service(self, service: Service, wall_ms: float) -> None:
+        ticket = self._config.changed_by.get(f"services/{service.name}", self._config.number)
+        current = self._service_jobs(service.name)
+        if any(job.ticket > ticket for job in current):
+            return
+        spec = submission.spec_of_service(service, ticket)
+        same = next((job for job in current if _same_replicas(job.spec, spec)), None)
+        for job in current:
+            if job is not same:
+                self._write_cancel(job, "ticket", self._declared)
+        if same is not None and service.replicas not in (0, same.tasks):
+            self._resize(same, service.replicas)
+        elif same is not None and service.replicas == 0:
+            self._write_cancel(same, "ticket", self._declared)
+        job_id = submission.service_job_id(self._life.domain, service.name, ticket)
+        if same is None and service.replicas and job_id not in self._life.jobs:
+            job = Job(job_id, spec, wall_ms, 0, ticket=max(1, ticket), service=service.name)
+            self._accept(job, self._declared)
+
+    def _service_jobs(self, name: str) -> list[Job]:
+        jobs = self._life.jobs.values()
+        return [job for job in jobs if job.service == name and not job.ended]
+
+    def _resize(self, job: Job, tasks: int) -> None:
+        def committed(now_ms: float) -> None:
+            self._life.resize(job, tasks)
+
+        def failed(now_ms: float, error: NutmegError) -> None:
+            self._reconcile_again = True
+
+        self._life.outbox.write(JobResized(job.job_id, tasks), committed, failed)
+
+    def _cancel_removed(self) -> None:
+        config = self._config
+        for job in list(self._life.jobs.values()):
+            names = config.services if job.service else config.jobs
+            known = (job.service or job.spec.name) in names
+            if job.ticket and not known and not job.ended and job.ticket <= config.number:
+                self._write_cancel(job, "ticket", self._declared)
+
+    # Memory
+
+    def forget_old(self, now_ms: float) -> None:
+        """Drop jobs that ended long ago. A declared job stays as long as its ticket does."""
+        limit_ms = self._life.wall_offset_ms + now_ms - RETENTION_MS
+        old: list[str] = []
+        for job in self._life.jobs.values():
+            if len(old) == FORGET_PER_TICK or job.submitted_ms > limit_ms:
+                break
+            idle = job.ended and not job.live and not job.completing
+            if idle and job.finished_ms <= limit_ms and not self._is_declared(job):
+                old.append(job.job_id)
+        for job_id in old:
+            del self._life.jobs[job_id]
+
+    def _is_declared(self, job: Job) -> bool:
+        names = self._config.services if job.service else self._config.jobs
+        return job.ticket > 0 and (job.service or job.spec.name) in names
+
+
+def _same_replicas(one: JobSpec, other: JobSpec) -> bool:
+    """Return whether tasks of both are interchangeable."""
+    return (one.team, one.resources, one.job_class, one.command) == (
+        other.team,
+        other.resources,
+        other.job_class,
+        other.command,
+    )
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
@@ -1,7 +1,8 @@
 """Life cycle of attempts: start after the journal commit, end, restart, completion."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
+from nutmeglb_decisions.tasks.capacity import Capacity
 from nutmeglb_decisions.tasks.events import SendCommands
 from nutmeglb_decisions.tasks.invariants import (
     GANG_WHOLE,
@@ -9,23 +10,22 @@
     SINGLE_RUN,
     ensure,
 )
-from nutmeglb_decisions.tasks.ledger import Account, Ledger
 from nutmeglb_decisions.tasks.outbox import Outbox
-from nutmeglb_decisions.tasks.placement import PlacementEngine
-from nutmeglb_decisions.tasks.quotas import Quotas
-from nutmeglb_decisions.tasks.ranking import Ranking, Shape
+from nutmeglb_decisions.tasks.quarantine import JOB_FAILING_WORKERS
+from nutmeglb_decisions.tasks.ranking import Shape
 from nutmeglb_decisions.tasks.state import Attempt, Job, Phase
 from nutmeglb_decisions.tasks.workers import WorkerLink
 from nutmeglb_formats.exceptions import NutmegError
 from nutmeglb_formats.models.agent import FinishedTask, TaskOutcome
-from nutmeglb_formats.models.jobs import WaitReason
+from nutmeglb_formats.models.config import JobKind
 from nutmeglb_formats.models.resources import Resources
 from nutmeglb_formats.models.tasks import AttemptEnded, AttemptKey, AttemptStarted
 
 LOST = "lost"
-NOT_JOURNALLED = "not_journalled"
+NEVER_SENT = "never_sent"
 REQUEUE_DELAY_MS = 1_000.0
 
+SizeOf = Callable[[Job], Resources]
 OnEnd = Callable[[Job, Attempt, str, FinishedTask | None, float], None]
 
 
@@ -42,12 +42,20 @@
         Length of task leases in milliseconds.
     margin_ms
         Clock margin added to every lease, in milliseconds.
+    size_of
+        Returns the expected size of a job's tasks.
     on_end
         Called after an attempt ended, before its task is queued again.
     """
 
     def __init__(
-        self, domain: str, epoch: int, lease_ms: float, margin_ms: float, on_end: OnEnd
+        self,
+        domain: str,
+        epoch: int,
+        lease_ms: float,
+        margin_ms: float,
+        on_end: OnEnd,
+        size_of: SizeOf,
     ) -> None:
         self.domain = domain
         self.epoch = epoch
@@ -55,17 +63,18 @@
         self.margin_ms = margin_ms
         self.jobs: dict[str, Job] = {}
         self.links: dict[str, WorkerLink] = {}
-        self.quotas = Quotas(domain)
+        self.capacity = Capacity(domain, self._keep)
         self.outbox = Outbox()
-        self.ranking = Ranking(self._keep)
-        self.ledger = Ledger(self._account_changed)
-        self.engine = PlacementEngine(self.ledger.accounts())
         self.wall_offset_ms = 0.0
+        self.unfinished_jobs = 0
+        self.reclaim = False
+        self.assembling: dict[str, float] = {}
         self.journal_hold_until_ms = 0.0
         self.held_jobs: set[str] = set()
-        self._freed: dict[str, None] = {}
         self._on_end = on_end
+        self._size_of = size_of
         self._next_sequence = 0
+        self._stopping: list[tuple[Iterator[Attempt], str]] = []
         self._delayed: list[Job] = []
         self._postponed: list[Callable[[], None]] = []
 
@@ -75,8 +84,8 @@
         """Take over an accepted job and queue it."""
         job.sequence = self._next_sequence
         self._next_sequence += 1
-        job.shape = Shape(job.spec.resources, job.tasks if job.is_gang else 1)
         self.jobs[job.job_id] = job
+        self.unfinished_jobs += not job.ended
         self.enqueue(job)
 
     def enqueue(self, job: Job) -> None:
@@ -84,20 +93,45 @@
         if job.queued or not self._placeable(job):
             return
         job.queued = True
-        if job.is_gang:
-            job.shape = Shape(job.spec.resources, job.waiting)
         spec = job.spec
-        self.ranking.add(
+        job.shape = Shape(self._charge_of(job), job.waiting if job.is_gang else 1)
+        self.capacity.ranking.add(
             spec.job_class,
             spec.team,
             job.shape,
             (job.sequence, job.job_id),
-            share=self.quotas.share(spec.team),
+            share=self.capacity.quotas.share(spec.team),
             first=job.fresh > 0,
         )
 
+    def _charge_of(self, job: Job) -> Resources:
+        spec = job.spec
+        if not (self.reclaim and spec.preemptible and spec.kind is JobKind.BATCH):
+            return spec.resources
+        return self._size_of(job)
+
     def _placeable(self, job: Job) -> bool:
-        return job.waiting > 0 and not (job.is_gang and (job.live or job.completing))
+        if job.is_gang and (job.live or job.completing):
+            return False
+        # A job that fails everywhere is tried with one task at a time.
+        if job.failures >= JOB_FAILING_WORKERS and job.live:
+            return False
+        return job.waiting > 0
+
+    def resize(self, job: Job, tasks: int) -> None:
+        """Change the number of replicas of a service."""
+        job.tasks = tasks
+        job.fresh = min(job.fresh, tasks) if not job.live else max(job.fresh, max(job.live) + 1)
+        job.retries = type(job.retries)(index for index in job.retries if index < tasks)
+        surplus = [attempt for index, attempt in job.live.items() if index >= tasks]
+        self.stop_later(surplus, "fewer_replicas")
+        self.enqueue(job)
+
+    def end_job(self, job: Job, now_ms: float, *, cancelled: bool) -> None:
+        """Record that no task of a job will start any more."""
+        job.cancelled = cancelled
+        job.finished_ms = self.wall_offset_ms + now_ms
+        self.unfinished_jobs -= 1
 
     def _keep(self, job_id: str) -> bool:
         job = self.jobs.get(job_id)
@@ -130,59 +164,18 @@
             self.links[worker] = link
         return link
 
-    def wait_reason(self, job: Job, now_ms: float) -> tuple[WaitReason, str]:
-        """Return why a job waits, as a kind and as a sentence."""
-        if job.waiting == 0:
-            return WaitReason.NONE, ""
-        if job.not_before_ms > now_ms:
-            return WaitReason.BACKOFF, "Its tasks fail on every worker; it is retried later."
-        limit = self.quotas.limit(job.spec.team)
-        together = job.spec.resources.scaled(job.shape.together)
-        if limit is None or not together.fits_in(limit):
-            return WaitReason.QUOTA, "It exceeds the team's quota in this failure domain."
-        if not self.engine.fits_somewhere(job.spec.resources):
-            return WaitReason.FITS_NOWHERE, "It is larger than every available worker."
-        if not self.quotas.admits(job.spec.team, together):
-            return WaitReason.QUOTA, "The team's quota is in use."
-        if now_ms < self.journal_hold_until_ms:
-            return WaitReason.STORE_OUTAGE, "The journal cannot be written."
-        if job.job_id in self.held_jobs:
-            return WaitReason.GANG_HOLD, "Workers are being kept free for it."
-        return WaitReason.QUEUED, "It waits for free resources."
-
-    # Resources
-
-    def _account_changed(self, account: Account) -> None:
-        self.engine.refresh(account)
-
-    def unblock_freed(self) -> None:
-        """Consider the shapes again that fit on workers with freed resources."""
-        for worker in self._freed:
-            account = self.ledger.account(worker)
-            if account is not None and worker in self.engine.enabled():
-                self.ranking.unblock_fitting(account.free)
-        self._freed.clear()
-
-    def mark_freed(self, worker: str) -> None:
-        """Consider blocked shapes again on a worker at the next step."""
-        self._freed[worker] = None
-
-    def charge(self, job: Job, attempt: Attempt) -> None:
-        """Charge an attempt to its worker and team."""
-        self.ledger.reserve(attempt.worker, attempt.name, attempt.charged)
-        self.quotas.charge(job.spec.team, attempt.charged)
-        self.ranking.set_share(job.spec.team, self.quotas.share(job.spec.team), fell=False)
-
-    def adopt(self, job: Job, attempt: Attempt) -> None:
-        """Charge an attempt that the journal already holds."""
-        if self.ledger.account(attempt.worker) is not None:
-            self.ledger.adopt(attempt.worker, attempt.name, attempt.charged)
-
-    def _refund(self, job: Job, attempt: Attempt) -> None:
-        self.ledger.release(attempt.worker, attempt.name)
-        self.quotas.refund(job.spec.team, attempt.charged)
-        self.ranking.set_share(job.spec.team, self.quotas.share(job.spec.team), fell=True)
-        self.mark_freed(attempt.worker)
+    def set_capacity(self, worker: str, capacity: Resources, rack: str) -> None:
+        """Take over a worker's capacity and rack."""
+        known = self.capacity.account(worker) is not None
+        old_rack = self.capacity.rack_of(worker)
+        self.capacity.ledger.set_capacity(worker, capacity, rack)
+        self.capacity.mark_freed(worker)
+        for attempt in self.links[worker].attempts.values():
+            if not known:
+                self.capacity.adopt(worker, attempt.name, attempt.charged)
+            counts = self.jobs[attempt.key.job_id].rack_tasks
+            _count(counts, old_rack, -1)
+            _count(counts, rack, 1)
 
     # Start
 
@@ -202,7 +195,7 @@
         attempt = Attempt(
             key, str(key), worker, charged, Phase.RESERVED, now_ms, self.lease_ms, gang, gang > 0
         )
-        self.charge(job, attempt)
+        self.capacity.charge(job.spec.team, worker, attempt.name, charged)
         job.numbers[index] = number
         self._register(job, attempt)
         size = () if charged == job.spec.resources else (charged.cpu_millis, charged.memory_bytes)
@@ -220,21 +213,16 @@
         job.live[attempt.key.index] = attempt
         link = self.links[attempt.worker]
         link.attempts[attempt.name] = attempt
-        rack = self.rack_of(attempt.worker)
-        job.rack_tasks[rack] = job.rack_tasks.get(rack, 0) + 1
-        job.worker_tasks[attempt.worker] = job.worker_tasks.get(attempt.worker, 0) + 1
+        _count(job.rack_tasks, self.capacity.rack_of(attempt.worker), 1)
+        _count(job.worker_tasks, attempt.worker, 1)
 
     def restore(self, job: Job, attempt: Attempt, now_ms: float) -> None:
         """Take over an attempt of an earlier leader."""
         self.link(attempt.worker, now_ms)
-        self.quotas.adopt(job.spec.team, attempt.charged)
+        attempt.expected_end_ms = now_ms + job.spec.run_ms
+        self.capacity.quotas.adopt(job.spec.team, attempt.charged)
         self._register(job, attempt)
 
-    def rack_of(self, worker: str) -> str:
-        """Return the rack of a worker, or an empty text."""
-        account = self.ledger.account(worker)
-        return account.rack if account is not None else ""
-
     def _start_committed(self, job: Job, attempt: Attempt, now_ms: float) -> None:
         if job.live.get(attempt.key.index) is not attempt:
             return
@@ -242,8 +230,8 @@
             self.end(job, attempt, TaskOutcome.STOPPED, now_ms)
             return
         attempt.phase = Phase.COMMITTED
-        if self.ledger.account(attempt.worker) is not None:
-            self.ledger.commit(attempt.worker, attempt.name)
+        if self.capacity.ledger.account(attempt.worker) is not None:
+            self.capacity.ledger.commit(attempt.worker, attempt.name)
         self.outbox.add(SendCommands(attempt.worker))
 
     def _start_failed(self, job: Job, attempt: Attempt, now_ms: float, error: NutmegError) -> None:
@@ -273,7 +261,7 @@
         complete = index in job.completing or job.is_done(index)
         completes = outcome == TaskOutcome.SUCCEEDED and not job.is_service and not complete
         if completes:
-            job.completing.add(index)
+            job.completing[index] = attempt.key.number
         self.write_end(job, attempt.key, attempt.worker, outcome, completes)
         self.outbox.decided(
             "task_ended", outcome, job=job.job_id, task=attempt.name, worker=attempt.worker
@@ -286,12 +274,9 @@
         del job.live[attempt.key.index]
         link = self.links[attempt.worker]
         link.attempts.pop(attempt.name, None)
-        self._refund(job, attempt)
-        rack = self.rack_of(attempt.worker)
-        for counts, key in ((job.rack_tasks, rack), (job.worker_tasks, attempt.worker)):
-            counts[key] = counts.get(key, 1) - 1
-            if counts[key] <= 0:
-                del counts[key]
+        self.capacity.refund(job.spec.team, attempt.worker, attempt.name, attempt.charged)
+        _count(job.rack_tasks, self.capacity.rack_of(attempt.worker), -1)
+        _count(job.worker_tasks, attempt.worker, -1)
 
     def _requeue(self, job: Job, attempt: Attempt) -> None:
         if attempt.key.index < job.tasks:
@@ -303,8 +288,14 @@
     ) -> None:
         """Write the end of an attempt to the journal, then acknowledge it to the agent."""
 
+        name = str(key)
+        link = self.links.get(worker)
+        if link is not None:
+            link.ending.add(name)
+        succeeded = outcome == TaskOutcome.SUCCEEDED and not job.is_service
+
         def committed(now_ms: float) -> None:
-            self.acknowledge(worker, str(key))
+            self.forget(worker, name, discard=succeeded and not completes)
             if completes:
                 self._completed(job, key, now_ms)
 
@@ -322,11 +313,12 @@
             for write in writes:
                 write()
 
-    def acknowledge(self, worker: str, name: str) -> None:
-        """Let the agent forget an ended attempt."""
+    def forget(self, worker: str, name: str, *, discard: bool) -> None:
+        """Let the agent forget an ended attempt, with or without its result."""
         link = self.links.get(worker)
         if link is not None:
-            link.ack[name] = None
+            link.ending.discard(name)
+            (link.discard if discard else link.ack)[name] = None
             self.outbox.add(SendCommands(worker))
 
     def _completed(self, job: Job, key: AttemptKey, now_ms: float) -> None:
@@ -336,17 +328,17 @@
             "A task would complete twice",
             task=str(key),
         )
-        job.completing.discard(key.index)
-        job.set_done(key.index)
-        if job.done_count == job.tasks:
-            job.finished_ms = self.wall_offset_ms + now_ms
+        del job.completing[key.index]
+        job.set_done(key.index, key.number)
+        if job.done_count == job.tasks and not job.ended:
+            self.end_job(job, now_ms, cancelled=False)
             self.outbox.decided("job_finished", "all tasks complete", job=job.job_id)
         self.enqueue(job)
 
     def complete_late(self, job: Job, key: AttemptKey, worker: str) -> None:
         """Count the success of an attempt that was given up, and stop its replacement."""
         replacement = job.live.get(key.index)
-        job.completing.add(key.index)
+        job.completing[key.index] = key.number
         if key.index in job.retries:
             job.retries.remove(key.index)
         if replacement is not None:
@@ -357,13 +349,35 @@
 
     def stop(self, attempt: Attempt, cause: str) -> None:
         """Ask the agent to stop an attempt. An attempt not yet journalled ends at its commit."""
-        if attempt.stop_cause:
+        if attempt.stop_cause and attempt.name not in self.links[attempt.worker].checkpoint:
             return
         attempt.stop_cause = cause
         if attempt.phase is not Phase.RESERVED:
             self.links[attempt.worker].stop[attempt.name] = None
             self.outbox.add(SendCommands(attempt.worker))
 
+    def stop_later(self, attempts: list[Attempt], cause: str) -> None:
+        """Stop attempts in bounded steps."""
+        if attempts:
+            self._stopping.append((iter(attempts), cause))
+
+    def has_stops(self) -> bool:
+        """Return whether attempts wait to be stopped."""
+        return bool(self._stopping)
+
+    def stop_some(self, limit: int) -> None:
+        """Stop at most ``limit`` of the waiting attempts."""
+        while self._stopping and limit:
+            attempts, cause = self._stopping[-1]
+            attempt = next(attempts, None)
+            if attempt is None:
+                self._stopping.pop()
+                continue
+            limit -= 1
+            job = self.jobs.get(attempt.key.job_id)
+            if job is not None and job.live.get(attempt.key.index) is attempt:
+                self.stop(attempt, cause)
+
     def release_gang(self, job: Job) -> None:
         """Let a gang run once the agents hold every member."""
         members = list(job.live.values())
@@ -380,3 +394,9 @@
         for member in members:
             member.hold = False
             self.outbox.add(SendCommands(member.worker))
+
+
+def _count(counts: dict[str, int], key: str, change: int) -> None:
+    counts[key] = counts.get(key, 0) + change
+    if counts[key] <= 0:
+        del counts[key]
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/preemption.py
@@ -0,0 +1,93 @@
+"""Choice of deferred tasks that make room for urgent ones, within a budget per minute."""
+
+import random
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from nutmeglb_decisions.tasks.ledger import Account
+from nutmeglb_decisions.tasks.state import Attempt, Phase
+from nutmeglb_decisions.tasks.workers import WorkerLink
+from nutmeglb_formats.models.resources import Resources
+
+MINUTE_MS = 60_000.0
+# Workers examined per decision, which bounds its time.
+SAMPLED_WORKERS = 12
+# An agent that has not ended a task this long after a checkpoint request is told to stop it.
+CHECKPOINT_LIMIT_MS = 2_000.0
+
+
+class PreemptionBudget:
+    """Preemptions of the last minute."""
+
+    def __init__(self) -> None:
+        self._times_ms: deque[float] = deque()
+
+    def left(self, limit: int, now_ms: float) -> int:
+        """Return how many tasks may be preempted now."""
+        while self._times_ms and self._times_ms[0] <= now_ms - MINUTE_MS:
+            self._times_ms.popleft()
+        return max(0, limit - len(self._times_ms))
+
+    def spend(self, now_ms: float) -> None:
+        """Count one preemption."""
+        self._times_ms.append(now_ms)
+
+
+def choose_victims(
+    request: Resources,
+    workers: Iterable[tuple[Account, WorkerLink]],
+    preemptible: Callable[[Attempt], bool],
+    limit: int,
+    now_ms: float,
+) -> list[Attempt]:
+    """Return the tasks of one worker whose end makes room for a request, or nothing.
+
+    The worker with the least lost run time is chosen. Tasks that are already ending count as room.
+    """
+    best: tuple[float, list[Attempt]] | None = None
+    for account, link in workers:
+        if not request.fits_in(account.capacity):
+            continue
+        victims = _victims_on(request, account, link, preemptible, limit)
+        if victims is None:
+            continue
+        cost = sum(_lost_work(victim, now_ms) for victim in victims)
+        if best is None or cost < best[0]:
+            best = (cost, victims)
+    return best[1] if best is not None else []
+
+
+def _victims_on(
+    request: Resources,
+    account: Account,
+    link: WorkerLink,
+    preemptible: Callable[[Attempt], bool],
+    limit: int,
+) -> list[Attempt] | None:
+    room = account.free
+    candidates = []
+    for attempt in link.attempts.values():
+        if attempt.stop_cause:
+            room = room + attempt.charged
+        elif attempt.phase is Phase.RUNNING and preemptible(attempt):
+            candidates.append(attempt)
+    # The youngest have the least work to lose.
+    candidates.sort(key=lambda attempt: -attempt.started_ms)
+    victims: list[Attempt] = []
+    for attempt in candidates:
+        if request.fits_in(room) or len(victims) == limit:
+            break
+        room = room + attempt.charged
+        victims.append(attempt)
+    return victims if victims and request.fits_in(room) else None
+
+
+def _lost_work(attempt: Attempt, now_ms: float) -> float:
+    return (now_ms - attempt.started_ms) * (1 + attempt.charged.cpu_millis)
+
+
+def sample_workers(workers: list[str], rng: random.Random) -> list[str]:
+    """Return a bounded random choice of workers."""
+    if len(workers) <= SAMPLED_WORKERS:
+        return workers
+    return rng.sample(workers, SAMPLED_WORKERS)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/ranking.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/ranking.py
@@ -26,11 +26,18 @@
 
 @dataclass(slots=True)
 class _Lane:
-    """Waiting jobs of one class and team, by shape, oldest first."""
+    """Waiting jobs of one class and team, by shape, oldest first.
+
+    Attributes
+    ----------
+    barrier
+        Younger jobs than this one wait, because it has waited long for the team's own quota.
+    """
 
     share: float
     queues: dict[Shape, deque[tuple[int, str]]] = field(default_factory=dict)
     over_quota: set[Shape] = field(default_factory=set)
+    barrier: int | None = None
 
 
 class _ClassQueue:
@@ -140,9 +147,12 @@
             lane = group.lanes[team]
             best: tuple[int, Shape] | None = None
             for shape, queue in lane.queues.items():
+                first = queue[0][0] if queue else -1
                 usable = shape in group.open and shape not in lane.over_quota
-                if usable and (best is None or not queue or queue[0][0] < best[0]):
-                    best = (queue[0][0] if queue else -1, shape)
+                if lane.barrier is not None and first > lane.barrier:
+                    usable = False
+                if usable and (best is None or first < best[0]):
+                    best = (first, shape)
             if best is not None:
                 return team, lane, best[1]
         return None
@@ -165,13 +175,26 @@
                 group.open.add(shape)
 
     def unblock_fitting(self, free: Resources) -> None:
-        """Consider every shape again of which one task fits in ``free``."""
-        for shape in [s for s in self._blocked if s.resources.fits_in(free)]:
+        """Consider every shape again of which one task fits in ``free``. Gangs are left out."""
+        single = [s for s in self._blocked if s.together == 1]
+        for shape in [s for s in single if s.resources.fits_in(free)]:
             self.unblock(shape)
 
-    def set_over_quota(self, job_class: RequestClass, team: str, shape: Shape) -> None:
-        """Skip a team's shape until the team's use falls."""
-        self._classes[job_class].lanes[team].over_quota.add(shape)
+    def set_over_quota(
+        self, job_class: RequestClass, team: str, shape: Shape, *, barrier: int | None = None
+    ) -> None:
+        """Skip a team's shape until the team's use falls.
+
+        Parameters
+        ----------
+        barrier
+            Order of acceptance of a job that has waited long. Younger jobs of its team wait too, so
+            that they do not use up every part of the quota that is returned.
+        """
+        lane = self._classes[job_class].lanes[team]
+        lane.over_quota.add(shape)
+        if barrier is not None:
+            lane.barrier = barrier if lane.barrier is None else min(lane.barrier, barrier)
 
     def set_share(self, team: str, share: float, *, fell: bool) -> None:
         """Take over a team's new dominant share. ``fell`` tells that its use is lower now."""
@@ -180,6 +203,7 @@
             lane = group.lanes.get(team)
             if fell and lane is not None:
                 lane.over_quota.clear()
+                lane.barrier = None
 
     def is_waiting(self, shape: Shape) -> bool:
         """Return whether any job of the shape waits."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/state.py
@@ -32,6 +32,8 @@
 
     Attributes
     ----------
+    sent
+        Whether a request with its start may have reached the agent.
     seen
         Whether the agent has reported it.
     hold
@@ -49,11 +51,16 @@
     lease_ms: float
     gang: int = 0
     hold: bool = False
+    sent: bool = False
     seen: bool = False
     stop_cause: str = ""
     started_ms: float = 0.0
     expected_end_ms: float = float("inf")
-    reclaims: bool = False
+    throttled: bool = False
+    used_cpu: int = 0
+    used_memory: int = 0
+    peak_cpu: int = 0
+    peak_memory: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -71,11 +78,17 @@
     retries
         Indexes of tasks whose last attempt ended without completing them.
     completing
-        Indexes whose completion is not yet in the journal.
+        Attempt numbers by index of completions that are not yet in the journal.
     numbers
         Highest attempt number of attempted, incomplete tasks.
+    won
+        Number of the attempt that completed a task, where it is not 1.
     not_before_ms
         Backoff of a job whose tasks fail everywhere.
+    failures, failed_on
+        Early failures since the last success, and the workers concerned.
+    hold_turns
+        How often workers were kept free for the job.
     finished_ms
         Wall-clock time of the end, or 0.
     """
@@ -93,13 +106,17 @@
     fresh: int = 0
     retries: deque[int] = field(default_factory=deque)
     live: dict[int, Attempt] = field(default_factory=dict)
-    completing: set[int] = field(default_factory=set)
+    completing: dict[int, int] = field(default_factory=dict)
     done: bytearray = field(default_factory=bytearray)
     done_count: int = 0
     numbers: dict[int, int] = field(default_factory=dict)
+    won: dict[int, int] = field(default_factory=dict)
     tasks: int = 0
     not_before_ms: float = 0.0
     failures: int = 0
+    failed_on: set[str] = field(default_factory=set)
+    hold_turns: int = 0
+    preempted_until_ms: float = 0.0
     finished_ms: float = 0.0
     shape: Shape = Shape(Resources())
     rack_tasks: dict[str, int] = field(default_factory=dict)
@@ -134,12 +151,18 @@
         byte, bit = divmod(index, BITS_PER_BYTE)
         return byte < len(self.done) and bool(self.done[byte] >> bit & 1)
 
-    def set_done(self, index: int) -> None:
-        """Record the completion of a task."""
+    def completed_by(self, key: AttemptKey) -> bool:
+        """Return whether the journal holds the completion of a task by this attempt."""
+        return self.is_done(key.index) and self.won.get(key.index, 1) == key.number
+
+    def set_done(self, index: int, number: int) -> None:
+        """Record the completion of a task by an attempt."""
         byte, bit = divmod(index, BITS_PER_BYTE)
         self.done[byte] |= 1 << bit
         self.done_count += 1
         self.numbers.pop(index, None)
+        if number != 1:
+            self.won[index] = number
 
     def take_index(self) -> int:
         """Remove and return the index of the next waiting task."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/takeover.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/takeover.py
@@ -67,7 +67,7 @@
         job = self.jobs[record.job_id]
         current = self._open[record.job_id].get(record.index)
         if record.completes and not job.is_done(record.index):
-            job.set_done(record.index)
+            job.set_done(record.index, record.number)
         if current is not None and (record.number >= current.number or record.completes):
             del self._open[record.job_id][record.index]
 
@@ -76,6 +76,7 @@
         job.done = bytearray(record.done) or job.done
         job.done_count = sum(byte.bit_count() for byte in job.done)
         job.numbers = dict(record.numbers)
+        job.won = dict(record.won)
         job.cancelled = record.cancelled
         job.finished_ms = record.finished_ms
 
@@ -157,7 +158,10 @@
         )
         cancelled = job.cancelled or job.cancelling
         done = _with(job.done, job.completing)
-        yield JobProgress(job.job_id, bytes(done), numbers, cancelled, job.finished_ms)
+        won = {**job.won, **{i: n for i, n in job.completing.items() if n != 1}}
+        yield JobProgress(
+            job.job_id, bytes(done), numbers, tuple(won.items()), cancelled, job.finished_ms
+        )
         for attempt in job.live.values():
             yield _started_record(job, attempt, epoch)
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/workers.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/workers.py
@@ -65,6 +65,10 @@
         What the platform's list says.
     resolved
         Whether the agent has answered in this epoch and its leases have not expired since.
+    ending
+        Ended attempts whose end is not yet in the journal.
+    suspected
+        Whether the last call to the agent failed.
     renewed_ms
         Time of receipt of the newest response that was echoed in a request.
     """
@@ -76,6 +80,7 @@
     listed: bool = False
     leaving: bool = False
     resolved: bool = False
+    suspected: bool = False
     boot: str = ""
     agent_ms: float = -1.0
     received_ms: float = 0.0
@@ -87,6 +92,8 @@
     checkpoint: dict[str, None] = field(default_factory=dict)
     throttle: dict[str, int] = field(default_factory=dict)
     ack: dict[str, None] = field(default_factory=dict)
+    discard: dict[str, None] = field(default_factory=dict)
+    ending: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self.renewed_ms = self.created_ms
@@ -98,16 +105,6 @@
         longest = max([self.lease_ms, *(item.lease_ms for item in self.attempts.values())])
         return self.renewed_ms + longest + self.margin_ms
 
-    def has_commands(self) -> bool:
-        """Return whether anything but a renewal waits for the agent."""
-        return bool(
-            self.stop
-            or self.checkpoint
-            or self.throttle
-            or self.ack
-            or any(_needs_start(attempt) for attempt in self.attempts.values())
-        )
-
     def has_starts(self) -> bool:
         """Return whether the agent has not confirmed a start."""
         return self.resolved and any(_needs_start(item) for item in self.attempts.values())
@@ -134,6 +131,7 @@
                 for name, limit in list(self.throttle.items())[:COMMAND_LIMIT]
             ),
             ack=tuple(self.ack)[:COMMAND_LIMIT],
+            discard=tuple(self.discard)[:COMMAND_LIMIT],
         )
 
     def _starts(self, command_of: Callable[[Attempt], str]) -> tuple[StartCommand, ...]:
@@ -147,6 +145,7 @@
                 "An attempt would start before the journal holds it",
                 task=attempt.name,
             )
+            attempt.sent = True
             starts.append(
                 StartCommand(
                     attempt=attempt.name,
@@ -171,6 +170,7 @@
         running = {task.attempt: task for task in response.running}
         finished = {task.attempt: task for task in response.finished}
         self.ack = {name: None for name in self.ack if name in finished}
+        self.discard = {name: None for name in self.discard if name in finished}
         self.stop = {name: None for name in self.stop if name not in finished}
         self.checkpoint = {name: None for name in self.checkpoint if name in running}
         self.throttle = {}
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/agent.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/agent.py
@@ -91,6 +91,11 @@
     echo_boot, echo_ms
         ``boot`` and ``agent_ms`` of the newest response that the scheduler has received. Leases
         run for ``lease_ms`` from ``echo_ms`` of the agent's clock.
+    ack
+        Ended attempts to forget. The result of a success takes effect now.
+    discard
+        Ended attempts to forget whose result must not take effect, because the task is complete
+        through another attempt.
     """
 
     version: Literal[1] = 1
@@ -106,6 +111,7 @@
     checkpoint: tuple[AttemptName, ...] = Field((), max_length=MAX_ITEMS)
     throttle: tuple[ThrottleCommand, ...] = Field((), max_length=MAX_ITEMS)
     ack: tuple[AttemptName, ...] = Field((), max_length=MAX_ITEMS)
+    discard: tuple[AttemptName, ...] = Field((), max_length=MAX_ITEMS)
 
 
 class RunningTask(AgentModel):
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/tasks.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/tasks.py
@@ -121,6 +121,8 @@
         Bit ``index % 8`` of byte ``index // 8`` is set for every complete task.
     numbers
         Pairs of task index and highest attempt number of incomplete tasks.
+    won
+        Pairs of task index and number of the completing attempt, where it is not 1.
     finished_ms
         Wall-clock time of the end of the job in milliseconds, or 0.
     """
@@ -128,5 +130,6 @@
     job_id: str
     done: bytes
     numbers: tuple[tuple[int, int], ...]
+    won: tuple[tuple[int, int], ...]
     cancelled: bool
     finished_ms: float = 0.0
--- a/packages/nutmeglb/src/nutmeglb/_internal/agents/worker.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/agents/worker.py
@@ -29,6 +29,8 @@
         Returns the next request to a worker for a long poll of the given milliseconds.
     received
         Takes a response of a worker.
+    failed
+        Takes note of a failed call to a worker.
     has_starts
         Whether a worker has not confirmed a start.
     """
@@ -36,6 +38,7 @@
     may_send: Callable[[], bool]
     request: Callable[[str, float], SyncRequest | None]
     received: Callable[[str, SyncResponse], None]
+    failed: Callable[[str], None]
     has_starts: Callable[[str], bool]
 
 
@@ -107,6 +110,7 @@
             return False
         result = await self._client.sync(self.address, request)
         if not isinstance(result, Ok):
+            self._port.failed(self._worker)
             return False
         self._port.received(self._worker, result.ok_value)
         return True
--- a/packages/nutmeglb/src/nutmeglb/_internal/jobs/driver.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/jobs/driver.py
@@ -22,6 +22,7 @@
     SendCommands,
     Synced,
     Tick,
+    Unreachable,
     WorkersListed,
 )
 from nutmeglb_decisions.tasks.scheduler import Scheduler
@@ -75,6 +76,7 @@
             may_send=self._may_command,
             request=self._request,
             received=self._received,
+            failed=self._failed,
             has_starts=self._has_starts,
         )
 
@@ -236,6 +238,9 @@
     def _received(self, worker: str, response: SyncResponse) -> None:
         self.handle(Synced(worker, response))
 
+    def _failed(self, worker: str) -> None:
+        self.handle(Unreachable(worker))
+
     def _has_starts(self, worker: str) -> bool:
         link = self.core.life.links.get(worker)
         return link is not None and link.has_starts()
--- a/packages/nutmeglb/src/nutmeglb/_internal/jobs/views.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/jobs/views.py
@@ -4,6 +4,7 @@
 
 from nutmeglb_decisions.tasks.lifecycle import Lifecycle
 from nutmeglb_decisions.tasks.state import Job
+from nutmeglb_decisions.tasks.why import wait_reason
 from nutmeglb_formats.models.admin import TeamView, WorkerView
 from nutmeglb_formats.models.config import Config
 from nutmeglb_formats.models.jobs import JobState, JobView
@@ -12,7 +13,7 @@
 
 def job_view(life: Lifecycle, job: Job, now_ms: float) -> JobView:
     """Return the view of a job."""
-    reason, why = life.wait_reason(job, now_ms)
+    reason, why = wait_reason(life, job, now_ms)
     return JobView(
         job_id=job.job_id,
         spec=job.spec,
@@ -38,7 +39,7 @@
     """Return the views of all workers."""
     views = []
     for worker, link in sorted(life.links.items()):
-        account = life.ledger.account(worker)
+        account = life.capacity.ledger.account(worker)
         views.append(
             WorkerView(
                 worker_id=worker,
@@ -55,11 +56,11 @@
 
 def _worker_state(life: Lifecycle, worker: str) -> str:
     link = life.links[worker]
-    if not link.resolved:
+    if not link.resolved or link.suspected:
         return "unreachable"
     if link.leaving or not link.listed:
         return "leaving"
-    return "live" if worker in life.engine.enabled() else "quarantined"
+    return "live" if worker in life.capacity.engine.enabled() else "quarantined"
 
 
 def team_views(life: Lifecycle, config: Config) -> tuple[TeamView, ...]:
@@ -74,7 +75,7 @@
         TeamView(
             name=name,
             quota=team.quota,
-            allocated=life.quotas.used(name),
+            allocated=life.capacity.quotas.used(name),
             running=running.get(name, 0),
             waiting=waiting.get(name, 0),
         )
--- a/standins/agent_state.py
+++ b/standins/agent_state.py
@@ -168,6 +168,8 @@
         for name in request.ack:
             if self.finished.pop(name, None) is not None and name in self._ended:
                 self._ended.pop(name).acknowledged = True
+        for name in request.discard:
+            self.finished.pop(name, None)
         lease_end_ms = request.echo_ms + request.lease_ms
         for start in request.start:
             if lease_end_ms > self.clock.now_ms():
