--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
@@ -287,7 +287,6 @@
         self, job: Job, key: AttemptKey, worker: str, outcome: str, completes: bool
     ) -> None:
         """Write the end of an attempt to the journal, then acknowledge it to the agent."""
-
         name = str(key)
         link = self.links.get(worker)
         if link is not None:
@@ -295,7 +294,11 @@
         succeeded = outcome == TaskOutcome.SUCCEEDED and not job.is_service
 
         def committed(now_ms: float) -> None:
-            self.forget(worker, name, discard=succeeded and not completes)
+            if link is not None:
+                link.ending.discard(name)
+            # An attempt that was given up may still turn out to have succeeded.
+            if outcome not in (LOST, NEVER_SENT):
+                self.forget(worker, name, discard=succeeded and not completes)
             if completes:
                 self._completed(job, key, now_ms)
 
@@ -317,7 +320,6 @@
         """Let the agent forget an ended attempt, with or without its result."""
         link = self.links.get(worker)
         if link is not None:
-            link.ending.discard(name)
             (link.discard if discard else link.ack)[name] = None
             self.outbox.add(SendCommands(worker))
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/workers.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/workers.py
@@ -69,8 +69,9 @@
         Ended attempts whose end is not yet in the journal.
     suspected
         Whether the last call to the agent failed.
-    renewed_ms
-        Time of receipt of the newest response that was echoed in a request.
+    received_ms
+        Time of receipt of the newest response, at first the time of creation. No request can renew
+        a lease beyond it.
     """
 
     worker: str
@@ -84,7 +85,6 @@
     boot: str = ""
     agent_ms: float = -1.0
     received_ms: float = 0.0
-    renewed_ms: float = 0.0
     sequence: int = 0
     attempts: dict[str, Attempt] = field(default_factory=dict)
     orphans: dict[str, Resources] = field(default_factory=dict)
@@ -96,14 +96,14 @@
     ending: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
-        self.renewed_ms = self.created_ms
+        self.received_ms = self.created_ms
         self.sequence = int(self.created_ms * SEQUENCES_PER_MS)
 
     @property
     def expiry_ms(self) -> float:
         """Return the time at which every lease on the worker has certainly expired."""
         longest = max([self.lease_ms, *(item.lease_ms for item in self.attempts.values())])
-        return self.renewed_ms + longest + self.margin_ms
+        return self.received_ms + longest + self.margin_ms
 
     def has_starts(self) -> bool:
         """Return whether the agent has not confirmed a start."""
@@ -114,7 +114,6 @@
     ) -> SyncRequest:
         """Return the next request. Unconfirmed commands are repeated in every request."""
         self.sequence += 1
-        self.renewed_ms = max(self.renewed_ms, self.received_ms)
         return SyncRequest(
             scheduler=scheduler,
             epoch=epoch,
@@ -194,7 +193,10 @@
             ),
             orphans=tuple(task for name, task in running.items() if name not in live),
             late=tuple(
-                task for name, task in finished.items() if name not in live and name not in self.ack
+                task
+                for name, task in finished.items()
+                if not (name in live or name in self.ending)
+                and not (name in self.ack or name in self.discard)
             ),
         )
 
