--- a/packages/nutmeglb/src/nutmeglb/_internal/context.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/context.py
@@ -13,26 +13,8 @@
 from nutmeglb_formats.exceptions import JournalError, PeerError, StoreError
 from nutmeglb_formats.models.config import Config
 from nutmeglb_formats.models.instances import Instance, InstanceRole
-
-
-class MemberState(StrEnum):
-    """State of an entry instance as seen from here."""
-
-    LIVE = "live"
-    SUSPECTED = "suspected"
-    LEAVING = "leaving"
-
-
-@dataclass(frozen=True, slots=True)
-class Member:
-    """An entry instance other than this one, or this one."""
-
-    instance_id: str
-    domain: str
-    peer_address: str
-    admin_address: str
-    state: MemberState
-
+from nutmeglb_formats.models.instances import Member as Member
+from nutmeglb_formats.models.instances import MemberState as MemberState
 
 Reply = object | None
 Handler = Callable[[str, Any], Reply | Awaitable[Reply]]
@@ -123,9 +105,14 @@
         """Return one value, or ``None`` when the key is absent."""
 
     async def range(
-        self, prefix: str, *, limit: int = 0, priority: CallPriority = CallPriority.OTHER
+        self,
+        prefix: str,
+        *,
+        limit: int = 0,
+        from_key: str = "",
+        priority: CallPriority = CallPriority.OTHER,
     ) -> Result[list[KeyValue], StoreError]:
-        """Return the values under a prefix in key order."""
+        """Return the values under a prefix in key order, from ``from_key`` on when it is given."""
 
     async def txn(
         self,
@@ -232,7 +219,10 @@
         """Read the snapshot's records and all later ones, in order."""
 
     def set_snapshot_source(self, source: Callable[[], Sequence[Any]]) -> None:
-        """Set the function that returns the records of the full current state."""
+        """Add a function that returns the records of its component's full current state.
+
+        A snapshot holds the records of all added functions.
+        """
 
 
 class Configuration(Protocol):
