--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/attempt.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/attempt.py
@@ -189,6 +189,8 @@
             self._may_spill = False
             self._state = _State.FORWARDED
             return [Forward(message.spill_to)]
+        if message.reason is RefusalReason.ENDPOINT_LEAVING:
+            return self._unused_grant(now_ms)
         return self._give_up(message.reason)
 
     def forward_ended(self, now_ms: float, response: ForwardResponse | None, sent: bool) -> Effects:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/broker.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/broker.py
@@ -1,7 +1,7 @@
 """Slot broker of a domain: one queue and one ledger per service, at the domain's leader."""
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from itertools import chain
 
 from nutmeglb_decisions.routing.endpoints import EndpointView
@@ -106,6 +106,14 @@
         for name, broker in self._services.items():
             broker.recover(now_ms, in_use.get(name, ()), unknown)
 
+    def held_without(self, now_ms: float, holders: Container[str]) -> list[tuple[str, HeldSlots]]:
+        """Return service and slots that none of the given instances can report to a next leader."""
+        return [
+            (name, item)
+            for name, broker in self._services.items()
+            for item in broker.held_without(now_ms, holders)
+        ]
+
     def request(self, now_ms: float, holder: str, message: SlotRequest) -> list[Send]:
         """Grant, queue or refuse a request."""
         broker = self._services.get(message.service)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/grants.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/grants.py
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldSlots:
-    """Slots that were in use before this leader took over. ``hold_ms`` counts from now."""
+    """A slot in use, as passed from one leader to the next. ``hold_ms`` counts from now."""
 
     grant_id: str
     holder: str
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/service_broker.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/service_broker.py
@@ -3,7 +3,7 @@
 import heapq
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 
 from nutmeglb_decisions.routing.admission import AdmissionQueue, WaitingRequest
 from nutmeglb_decisions.routing.endpoints import EndpointPool, EndpointState, EndpointView
@@ -142,6 +142,23 @@
         for state in self._pool.all():
             self._block(state, self._blocked_until_ms)
 
+    def held_without(self, now_ms: float, holders: Container[str]) -> list[HeldSlots]:
+        """Return the slots that none of the given instances can report to a next leader.
+
+        The next leader adds its own margin, so this one's is left out.
+        """
+        return [
+            HeldSlots(
+                f"{grant.grant_id}/{slot}" if slot else grant.grant_id,
+                grant.holder,
+                grant.endpoint,
+                max(0.0, grant.until_ms - now_ms - MARGIN_MS),
+            )
+            for grant in self._grants.values()
+            if grant.holder not in holders
+            for slot in range(grant.slots)
+        ]
+
     def _block(self, state: EndpointState, until_ms: float) -> None:
         slots = state.limit - state.in_use
         if slots <= 0:
@@ -329,6 +346,10 @@
         grant = self._grants[grant_id]
         if grant.message is None or grant.ended or grant.holder != holder:
             return []
+        state = self._pool.get(grant.endpoint)
+        if state is None or state.leaving or not state.listed:
+            refused = SlotRefused(grant.message.request_id, RefusalReason.ENDPOINT_LEAVING)
+            return [Send(holder, refused)]
         return [Send(holder, grant.message)]
 
     def _add_grant(self, grant: Grant) -> None:
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/wire/routing.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/wire/routing.py
@@ -166,11 +166,21 @@
 
 @dataclass(frozen=True, slots=True)
 class WitnessedGrant:
-    """A grant that the leader uses itself. ``hold_ms`` counts from the receipt of the record."""
+    """A slot that the leader must not be the only one to know.
+
+    Attributes
+    ----------
+    holder
+        Instance that uses the slot: the leader itself, or one that is not connected any more.
+        Empty for a slot that is held because nobody knows whether it is in use.
+    hold_ms
+        Time from the receipt of the record after which the slot is free.
+    """
 
     grant_id: str
     service: str
     endpoint: str
+    holder: str
     hold_ms: float
 
 
@@ -192,6 +202,28 @@
     accepted: bool
 
 
+@message(code=308, version=1)
+@dataclass(frozen=True, slots=True)
+class WitnessQuery:
+    """Asks of which leaders an instance is the witness."""
+
+
+@message(code=309, version=1)
+@dataclass(frozen=True, slots=True)
+class WitnessStatus:
+    """Reply to ``WitnessQuery``."""
+
+    leaders: tuple[str, ...]
+
+
+@message(code=316, version=1)
+@dataclass(frozen=True, slots=True)
+class BrokerReady:
+    """Tells the domain that the leader grants slots, so that waiting requests are sent again."""
+
+    epoch: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceSummary:
     """Load of a service in a domain.
--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/assembly.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/assembly.py
@@ -46,7 +46,8 @@
     violations = Violations(ctx)
     spillover = Spillover(ctx.domain, ctx.rng)
     leaving = LeavingEndpoints(ctx)
-    broker = SlotBroker(ctx, leaving, spillover, violations, WitnessedGrants(ctx))
+    records = WitnessRecords(ctx)
+    broker = SlotBroker(ctx, leaving, spillover, violations, WitnessedGrants(ctx), records)
 
     def receive(sender: str, message: object) -> None:
         if isinstance(message, SlotGrant):
@@ -57,7 +58,7 @@
             broker.receive(sender, message)
 
     outbox = Outbox(ctx, receive)
-    client = SlotClient(ctx, outbox, WitnessRecords(ctx), spillover)
+    client = SlotClient(ctx, outbox, records, spillover)
     broker.connect(outbox, client)
     dispatcher = Dispatcher(
         ctx.clock,
--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/slot_broker.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/slot_broker.py
@@ -1,16 +1,23 @@
 """The leader's side of the slot messages."""
 
 import asyncio
-from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections import defaultdict, deque
+from collections.abc import Callable, Container, Iterable, Mapping
 from typing import Any
 
+from result import Ok
+
+from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.context import Context, InUseGrant, LeadershipChange
 from nutmeglb._internal.routing.leaving import LeavingEndpoints
 from nutmeglb._internal.routing.outbox import Outbox
 from nutmeglb._internal.routing.slot_client import SlotClient
 from nutmeglb._internal.routing.violations import Violations
-from nutmeglb._internal.routing.witness import WitnessedGrants
+from nutmeglb._internal.routing.witness import (
+    RECORD_TIMEOUT_MS,
+    WitnessedGrants,
+    WitnessRecords,
+)
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.routing.broker import Broker, EndpointView, HeldSlots, Send
 from nutmeglb_decisions.routing.service_broker import MARGIN_MS
@@ -19,6 +26,7 @@
 from nutmeglb_formats.models.config import Config
 from nutmeglb_formats.models.instances import InstanceRole
 from nutmeglb_formats.wire.routing import (
+    BrokerReady,
     DomainSummary,
     ReleaseOutcome,
     SlotCancel,
@@ -26,12 +34,17 @@
     SlotRefused,
     SlotRelease,
     SlotRequest,
+    WitnessedGrant,
+    WitnessQuery,
+    WitnessStatus,
 )
 
 logger = get_logger("routing")
 MS_PER_S = 1_000.0
 # Keeps a due event that cannot be applied yet, such as a probe, from occupying the event loop.
 SHORTEST_TIMER_MS = 5.0
+# Releases that arrive while a new leader learns the slots in use. Beyond it, slots expire.
+EARLY_RELEASES = 10_000
 
 
 class SlotBroker:
@@ -46,18 +59,23 @@
         spillover: Spillover,
         violations: Violations,
         witnessed: WitnessedGrants,
+        own_records: WitnessRecords,
     ) -> None:
         self._ctx = ctx
         self._leaving = leaving
         self._spillover = spillover
         self._violations = violations
         self._witnessed = witnessed
+        self._own_records = own_records
         self._core: Broker | None = None
         self._outbox: Outbox | None = None
         self._client: SlotClient | None = None
         self._own_grants: list[SlotGrant] = []
         self._timer: asyncio.TimerHandle | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks()
+        self._early: deque[tuple[str, SlotRelease]] = deque(maxlen=EARLY_RELEASES)
+        self._connected: set[str] = set()
+        self._lost_ms: dict[str, float] = {}
         self._free = ctx.metrics.gauge("nutmeglb_slots_free", "Free slots of the domain.")
         self._queued = ctx.metrics.gauge("nutmeglb_slot_queue_length", "Requests without a slot.")
 
@@ -80,9 +98,7 @@
     async def stop(self) -> None:
         """Stop granting."""
         self._reset()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.cancel()
 
     def status(self) -> Mapping[str, object]:
         """Return slots and queues per service."""
@@ -118,6 +134,8 @@
             case SlotRelease():
                 if sender == self._ctx.instance_id:
                     self._witnessed.end(message.grant_id)
+                if self._core is None:
+                    self._early.append((sender, message))
                 self._apply(lambda core, now_ms: core.release(now_ms, sender, message))
             case SlotCancel():
                 self._apply(lambda core, now_ms: core.cancel(message))
@@ -161,14 +179,21 @@
         grants, self._own_grants = self._own_grants, []
         if not grants:
             return
-        task = asyncio.create_task(self._witness_and_use(grants))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.spawn(self._witness_and_use(grants))
 
     async def _witness_and_use(self, grants: list[SlotGrant]) -> None:
-        longest_ms = grants[0].start_within_ms + grants[0].max_run_ms + MARGIN_MS
-        may_use = await self._witnessed.record(grants, longest_ms)
         own = self._ctx.instance_id
+        records = [
+            WitnessedGrant(
+                grant.grant_id,
+                grant.service,
+                grant.endpoint,
+                own,
+                grant.start_within_ms + grant.max_run_ms,
+            )
+            for grant in grants
+        ]
+        may_use = await self._witnessed.record(grants[0].epoch, records)
         for grant in grants:
             if may_use and self._client is not None:
                 self._client.on_grant(own, grant)
@@ -196,9 +221,13 @@
             self._reset()
             return
         if self._core is None:
-            self._begin(change)
+            self._background.spawn(self._begin(change))
 
-    def _begin(self, change: LeadershipChange) -> None:
+    async def _begin(self, change: LeadershipChange) -> None:
+        unknown = await self._unknown_holders(change)
+        leadership = self._ctx.leadership
+        if self._core is not None or not leadership.is_leader() or leadership.epoch != change.epoch:
+            return
         self._core = Broker(
             self._ctx.domain,
             change.epoch,
@@ -208,15 +237,67 @@
         )
         self._configure()
         held = _held_by_service(change.in_use)
-        unknown = bool(change.unknown_holders)
-        self._core.recover(self._ctx.clock.now_ms(), held, unknown)
+        self._core.recover(self._ctx.clock.now_ms(), held, bool(unknown))
         self._ctx.events.emit(
             "slots_recovered",
             "a new leader took over",
             in_use=len(change.in_use),
-            unknown_holders=",".join(change.unknown_holders),
+            unknown_holders=",".join(unknown),
         )
+        while self._early:
+            self.receive(*self._early.popleft())
+        # An instance that restarted under its old id cannot report what it held before.
+        self._record_held(())
         self._set_timer()
+        self._ctx.peers.broadcast_domain(BrokerReady(change.epoch))
+        if self._client is not None:
+            self._client.leader_ready(self._ctx.instance_id)
+
+    async def _unknown_holders(self, change: LeadershipChange) -> list[str]:
+        """Return the missing instances that may hold grants which nobody reported.
+
+        A missing instance holds none when its connection was lost so long ago that they have
+        expired. The grants of a missing former leader are known when it is the only one missing,
+        and an instance that answers was its witness.
+        """
+        services = self._ctx.config.current().services.values()
+        longest_ms = max((service.max_run_ms for service in services), default=0.0)
+        longest_ms += self._ctx.settings.routing.grant_start_ms + MARGIN_MS
+        now_ms = self._ctx.clock.now_ms()
+        unknown = [
+            name
+            for name in change.unknown_holders
+            if now_ms - self._lost_ms.get(name, now_ms) < longest_ms
+        ]
+        if len(unknown) != 1:
+            return unknown
+        return [] if unknown[0] in await self._witnessed_leaders() else unknown
+
+    async def _witnessed_leaders(self) -> set[str]:
+        leaders = set(self._own_records.leaders())
+        for member in self._ctx.peers.members(self._ctx.domain):
+            if not self._ctx.peers.connected(member.instance_id):
+                continue
+            answer = await self._ctx.peers.request(
+                member.instance_id, WitnessQuery(), RECORD_TIMEOUT_MS
+            )
+            if isinstance(answer, Ok) and isinstance(answer.ok_value, WitnessStatus):
+                leaders |= set(answer.ok_value.leaders)
+        return leaders
+
+    def _record_held(self, reporting: Container[str]) -> None:
+        """Record the slots that none of the given instances could report to a next leader."""
+        if self._core is None:
+            return
+        now_ms = self._ctx.clock.now_ms()
+        held = self._core.held_without(now_ms, reporting)
+        records = [
+            WitnessedGrant(item.grant_id, service, item.endpoint, item.holder, item.hold_ms)
+            for service, item in held
+        ]
+        if records or self._witnessed.needs_witness():
+            epoch = self._ctx.leadership.epoch
+            self._background.spawn(self._witnessed.record(epoch, records))
 
     def _reset(self) -> None:
         self._core = None
@@ -241,14 +322,24 @@
         self._apply(lambda core, now_ms: core.mark_leaving(endpoint))
 
     def _on_peers(self) -> None:
-        gone = [
+        now_ms = self._ctx.clock.now_ms()
+        connected = {
             member.instance_id
             for member in self._ctx.peers.members(self._ctx.domain)
-            if member.instance_id != self._ctx.instance_id
-            and not self._ctx.peers.connected(member.instance_id)
-        ]
-        for instance_id in gone:
-            self._apply(lambda core, now_ms, holder=instance_id: core.holder_gone(holder))  # type: ignore[misc]
+            if self._ctx.peers.connected(member.instance_id)
+        }
+        lost = self._connected - connected
+        self._connected = connected
+        for instance_id in connected:
+            self._lost_ms.pop(instance_id, None)
+        for instance_id in lost:
+            self._lost_ms[instance_id] = now_ms
+            self._withdraw(instance_id)
+        if lost or self._witnessed.needs_witness():
+            self._record_held(connected | {self._ctx.instance_id})
+
+    def _withdraw(self, holder: str) -> None:
+        self._apply(lambda core, now_ms: core.holder_gone(holder))
 
 
 def _held_by_service(in_use: Iterable[InUseGrant]) -> dict[str, list[HeldSlots]]:
--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/slot_client.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/slot_client.py
@@ -10,6 +10,7 @@
 from nutmeglb._internal.routing.witness import WitnessRecords
 from nutmeglb_decisions.routing.spillover import Spillover
 from nutmeglb_formats.wire.routing import (
+    BrokerReady,
     RefusalReason,
     ReleaseOutcome,
     SlotCancel,
@@ -65,6 +66,7 @@
         ctx.leadership.set_grant_reporter(self.in_use)
         ctx.leadership.subscribe(self._on_leadership)
         ctx.peers.subscribe(self._on_peers)
+        ctx.peers.on(BrokerReady, self._on_ready)
 
     @property
     def waiting(self) -> int:
@@ -136,6 +138,16 @@
         if user is not None:
             user.refused(message)
 
+    def leader_ready(self, sender: str) -> None:
+        """Send everything again to a leader that has begun to grant slots."""
+        leader = self._leader()
+        if leader is not None and leader == sender:
+            self._leader_reachable = True
+            self._send_again(leader)
+
+    def _on_ready(self, sender: str, message: BrokerReady) -> None:
+        self.leader_ready(sender)
+
     def _leader(self) -> str | None:
         leader = self._ctx.leadership.leader_instance
         if leader is None:
--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/witness.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/witness.py
@@ -1,7 +1,8 @@
-"""Witness records: grants that the leader uses itself are known to one more instance.
+"""Witness records: what the leader alone would know is known to one more instance.
 
-When the leader dies, its own grants would otherwise be lost with it, and their slots would have to
-be held for their maximum run time.
+These are the grants that the leader uses itself, and the slots of instances that are not connected
+any more. When the leader dies, they would otherwise be lost with it, and all slots would have to be
+held for their maximum run time.
 """
 
 from collections.abc import Sequence
@@ -10,7 +11,13 @@
 from result import Ok
 
 from nutmeglb._internal.context import Context, InUseGrant, MemberState
-from nutmeglb_formats.wire.routing import SlotGrant, WitnessAnswer, WitnessedGrant, WitnessRecord
+from nutmeglb_formats.wire.routing import (
+    WitnessAnswer,
+    WitnessedGrant,
+    WitnessQuery,
+    WitnessRecord,
+    WitnessStatus,
+)
 
 # Several round trips inside a domain. A slower witness is replaced.
 RECORD_TIMEOUT_MS = 250.0
@@ -18,7 +25,6 @@
 
 @dataclass(slots=True)
 class _Record:
-    leader: str
     grant: WitnessedGrant
     until_ms: float
 
@@ -29,7 +35,9 @@
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
         self._records: dict[str, _Record] = {}
+        self._leaders: dict[str, int] = {}
         ctx.peers.on(WitnessRecord, self._on_record)
+        ctx.peers.on(WitnessQuery, self._on_query)
 
     def in_use(self) -> list[InUseGrant]:
         """Return the grants that a new leader must know."""
@@ -40,21 +48,33 @@
                 grant_id,
                 record.grant.service,
                 record.grant.endpoint,
-                record.leader,
+                record.grant.holder,
                 record.until_ms - now_ms,
             )
             for grant_id, record in self._records.items()
         ]
 
+    def leaders(self) -> tuple[str, ...]:
+        """Return the leaders that use this instance as their witness."""
+        return tuple(self._leaders)
+
+    def _on_query(self, sender: str, message: WitnessQuery) -> WitnessStatus:
+        return WitnessStatus(self.leaders())
+
     def _on_record(self, sender: str, message: WitnessRecord) -> WitnessAnswer:
         if message.epoch < self._ctx.leadership.epoch:
             return WitnessAnswer(accepted=False)
         now_ms = self._ctx.clock.now_ms()
         self._expire(now_ms)
+        # Records of an earlier epoch were learned by the leader of this one.
+        self._leaders = {
+            name: epoch for name, epoch in self._leaders.items() if epoch >= message.epoch
+        }
+        self._leaders[sender] = message.epoch
         for grant_id in message.ended:
             self._records.pop(grant_id, None)
         for grant in message.grants:
-            self._records[grant.grant_id] = _Record(sender, grant, now_ms + grant.hold_ms)
+            self._records[grant.grant_id] = _Record(grant, now_ms + grant.hold_ms)
         return WitnessAnswer(accepted=True)
 
     def _expire(self, now_ms: float) -> None:
@@ -64,12 +84,12 @@
 
 
 class WitnessedGrants:
-    """Grants that this leader uses itself, and the witness that knows them."""
+    """What this leader alone would know, and the witness that knows it too."""
 
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
         self._witness: str | None = None
-        self._active: dict[str, tuple[SlotGrant, float]] = {}
+        self._active: dict[str, _Record] = {}
         self._ended: list[str] = []
 
     def reset(self) -> None:
@@ -83,6 +103,10 @@
         if self._active.pop(grant_id, None) is not None:
             self._ended.append(grant_id)
 
+    def needs_witness(self) -> bool:
+        """Return whether another instance must become the witness now."""
+        return self._witness is None or not self._ctx.peers.connected(self._witness)
+
     def flush_ended(self, epoch: int) -> None:
         """Tell the witness about ended grants when no new grant does so."""
         if self._witness is None or not self._ended:
@@ -90,13 +114,8 @@
         ended, self._ended = tuple(self._ended), []
         self._ctx.peers.send(self._witness, WitnessRecord(epoch, (), ended))
 
-    async def record(self, grants: Sequence[SlotGrant], hold_ms: float) -> bool:
-        """Record grants before their use.
-
-        Parameters
-        ----------
-        hold_ms
-            Longest time from now during which the slots may be in use.
+    async def record(self, epoch: int, grants: Sequence[WitnessedGrant]) -> bool:
+        """Record grants before their use. Without grants, only find a witness.
 
         Returns
         -------
@@ -104,12 +123,12 @@
             False when a witness knows a newer epoch, so that the grants must not be used. True
             when a witness has them, or when no instance of the domain is connected.
         """
-        until_ms = self._ctx.clock.now_ms() + hold_ms
+        now_ms = self._ctx.clock.now_ms()
         for grant in grants:
-            self._active[grant.grant_id] = (grant, until_ms)
+            self._active[grant.grant_id] = _Record(grant, now_ms + grant.hold_ms)
         refused: set[str] = set()
         while (witness := self._choose(refused)) is not None:
-            accepted = await self._send(witness, grants)
+            accepted = await self._send(witness, epoch, grants)
             if accepted is not None:
                 return accepted
             refused.add(witness)
@@ -129,23 +148,29 @@
             return self._witness
         return candidates[0] if candidates else None
 
-    async def _send(self, witness: str, grants: Sequence[SlotGrant]) -> bool | None:
+    async def _send(
+        self, witness: str, epoch: int, grants: Sequence[WitnessedGrant]
+    ) -> bool | None:
         now_ms = self._ctx.clock.now_ms()
         if witness != self._witness:
-            items = [item for item in self._active.values() if item[1] > now_ms]
-        else:
-            items = [self._active[g.grant_id] for g in grants if g.grant_id in self._active]
+            grants = [
+                _shortened(item, now_ms) for item in self._active.values() if item.until_ms > now_ms
+            ]
         ended, self._ended = tuple(self._ended), []
-        message = WitnessRecord(
-            grants[0].epoch,
-            tuple(
-                WitnessedGrant(grant.grant_id, grant.service, grant.endpoint, until_ms - now_ms)
-                for grant, until_ms in items
-            ),
-            ended,
-        )
+        message = WitnessRecord(epoch, tuple(grants), ended)
         answer = await self._ctx.peers.request(witness, message, RECORD_TIMEOUT_MS)
         if not isinstance(answer, Ok) or not isinstance(answer.ok_value, WitnessAnswer):
             return None
         self._witness = witness
         return answer.ok_value.accepted
+
+
+def _shortened(record: _Record, now_ms: float) -> WitnessedGrant:
+    grant = record.grant
+    return WitnessedGrant(
+        grant.grant_id,
+        grant.service,
+        grant.endpoint,
+        grant.holder,
+        record.until_ms - now_ms,
+    )
