--- a/packages/nutmeglb/src/nutmeglb/_internal/store/client.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/store/client.py
@@ -21,6 +21,7 @@
 
 logger = logging.getLogger(__name__)
 
+MS_PER_S = 1_000.0
 INSTANCE_HEADER = "X-Client-Instance"
 MAX_CONNECTIONS = 32
 MAX_WATCHES = 8
@@ -69,7 +70,7 @@
             "nutmeglb_store_calls_total", "Store calls by kind and outcome."
         )
         self._duration = metrics.histogram(
-            "nutmeglb_store_call_duration_ms", "Duration of store calls in milliseconds."
+            "nutmeglb_store_call_seconds", "Duration of store calls."
         )
 
     async def get(
@@ -213,7 +214,7 @@
         except Exception as error:  # the client raises errors of the transport of many types
             return Err(gateway.transport_error(error, path, writes))
         finally:
-            self._duration.observe(self._clock.now_ms() - started_ms, kind=path)
+            self._duration.observe((self._clock.now_ms() - started_ms) / MS_PER_S, kind=path)
         if response.code != 200:
             return Err(gateway.response_error(response, path, writes))
         try:
