--- a/packages/nutmegctl/src/nutmegctl/_internal/commands/status.py
+++ b/packages/nutmegctl/src/nutmegctl/_internal/commands/status.py
@@ -1,33 +1,60 @@
 """Command ``status``."""
 
-from nutmegctl._internal.output import time_text
+from collections.abc import Mapping
+
+from nutmegctl._internal.output import table, time_text
 from nutmegctl._internal.registry import command
 from nutmegctl._internal.session import Session, unwrap
 from nutmeglb_formats.exit_status import ExitStatus
 from nutmeglb_formats.models.admin import InstanceView, StatusAnswer
 
+INSTANCE_HEADINGS = (
+    "instance",
+    "domain",
+    "state",
+    "ticket",
+    "admin address",
+    "not confirmed since",
+)
+
 
 @command("status", examples=("nutmegctl status", "nutmegctl status --json"))
 async def status(session: Session) -> ExitStatus:
-    """Show an instance, its components and the instances that it knows."""
+    """Show an instance, its components and the instances that it knows.
+
+    TICKET is the number of the last ticket in force. An instance with a time under NOT CONFIRMED
+    SINCE reaches neither the store nor a peer that does. --json shows nested values in full.
+    """
     answer = unwrap(await session.client.get("/v1/status", StatusAnswer))
     rows: list[tuple[object, ...]] = [
-        ("instance", "", answer.instance_id),
+        ("instance", "id", answer.instance_id),
         ("", "domain", answer.domain),
         ("", "version", answer.version),
-        ("", "ready", str(answer.ready).lower()),
+        ("", "ready", _text(answer.ready)),
         ("", "ticket", answer.ticket),
     ]
     for name, values in sorted(answer.components.items()):
-        rows += [(name, key, value) for key, value in sorted(values.items())]
-    rows += [("instances", view.instance_id, _instance_text(view)) for view in answer.instances]
-    session.output.answer(answer, ("component", "field", "value"), rows)
+        rows += [(name, key, _text(value)) for key, value in sorted(values.items())]
+    parts = [
+        table(("component", "field", "value"), rows),
+        table(INSTANCE_HEADINGS, [_row(view) for view in answer.instances]),
+    ]
+    session.output.text(answer, "\n\n".join(parts))
     return ExitStatus.OK
 
 
-def _instance_text(view: InstanceView) -> str:
-    ticket = "unknown" if view.ticket is None else view.ticket
-    text = f"{view.state}, domain {view.domain}, ticket {ticket}"
-    if view.stale_since_ms is None:
-        return text
-    return f"{text}, not confirmed since {time_text(view.stale_since_ms)}"
+def _row(view: InstanceView) -> tuple[object, ...]:
+    stale = "" if view.stale_since_ms is None else time_text(view.stale_since_ms)
+    return (view.instance_id, view.domain, view.state, view.ticket, view.admin_address, stale)
+
+
+def _text(value: object) -> str:
+    """Return a value in one cell. Lists of nested values are counted."""
+    if isinstance(value, bool):
+        return str(value).lower()
+    if isinstance(value, Mapping):
+        return ", ".join(f"{key} {_text(item)}" for key, item in value.items())
+    if isinstance(value, list):
+        nested = any(isinstance(item, Mapping | list) for item in value)
+        return f"{len(value)} entries" if nested else ", ".join(map(_text, value))
+    return "" if value is None else str(value)
