--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/dispatch.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/dispatch.py
@@ -25,7 +25,7 @@
 # One placement takes about 100 microseconds, so a step stays within a few milliseconds.
 PLACEMENTS_PER_STEP = 32
 # Starts that wait for the journal. A slow store must not collect reservations without bound.
-MAX_OPEN_BATCHES = 8
+MAX_OPEN_RECORDS = 2_000
 # A blocked job younger than this waits without workers being kept free for it.
 HOLD_AFTER_MS = 2_000.0
 HOLD_CHECK_MS = 200.0
@@ -77,7 +77,7 @@
         """Return whether the journal takes starts."""
         if now_ms < self._life.journal_hold_until_ms:
             return False
-        return self._life.outbox.open_batches < MAX_OPEN_BATCHES
+        return self._life.outbox.open_records < MAX_OPEN_RECORDS
 
     def has_work(self, now_ms: float) -> bool:
         """Return whether a job can be considered."""
@@ -86,9 +86,9 @@
 
     # Placement
 
-    def place_some(self, now_ms: float) -> None:
-        """Place a bounded number of tasks, in order of rank."""
-        left = PLACEMENTS_PER_STEP
+    def place_some(self, now_ms: float, limit: int) -> None:
+        """Place a bounded number of tasks, in order of rank. A gang is not divided."""
+        left = limit
         if not self.may_start(now_ms):
             return
         for job_class in CLASS_ORDER:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
@@ -67,6 +67,7 @@
         self.outbox = Outbox()
         self.wall_offset_ms = 0.0
         self.unfinished_jobs = 0
+        self.starts = 0
         self.reclaim = False
         self.assembling: dict[str, float] = {}
         self.journal_hold_until_ms = 0.0
@@ -196,6 +197,7 @@
             key, str(key), worker, charged, Phase.RESERVED, now_ms, self.lease_ms, gang, gang > 0
         )
         self.capacity.charge(job.spec.team, worker, attempt.name, charged)
+        self.starts += 1
         job.numbers[index] = number
         self._register(job, attempt)
         size = () if charged == job.spec.resources else (charged.cpu_millis, charged.memory_bytes)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/outbox.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/outbox.py
@@ -26,11 +26,12 @@
         self._effects: list[Effect] = []
         self._open: dict[int, list[_Write]] = {}
         self._next_batch = 1
+        self._open_records = 0
 
     @property
-    def open_batches(self) -> int:
-        """Return the number of appends without an outcome."""
-        return len(self._open)
+    def open_records(self) -> int:
+        """Return the number of records without an outcome."""
+        return self._open_records
 
     def write(self, record: Any, on_commit: OnCommit, on_failure: OnFailure) -> None:
         """Append a record with the next flush, then call one of the functions."""
@@ -59,16 +60,22 @@
         if self._writes:
             effects.append(Append(self._next_batch, tuple(w.record for w in self._writes)))
             self._open[self._next_batch] = self._writes
+            self._open_records += len(self._writes)
             self._writes = []
             self._next_batch += 1
         return effects
 
     def committed(self, batch: int, now_ms: float) -> None:
         """Continue after a successful append. A repeated outcome does nothing."""
-        for write in self._open.pop(batch, ()):
+        for write in self._take(batch):
             write.on_commit(now_ms)
 
     def failed(self, batch: int, now_ms: float, error: NutmegError) -> None:
         """Continue after an append that may not have been applied."""
-        for write in self._open.pop(batch, ()):
+        for write in self._take(batch):
             write.on_failure(now_ms, error)
+
+    def _take(self, batch: int) -> list[_Write]:
+        writes = self._open.pop(batch, [])
+        self._open_records -= len(writes)
+        return writes
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/scheduler.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/scheduler.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from nutmeglb_decisions.tasks.dispatch import Dispatcher
+from nutmeglb_decisions.tasks.dispatch import PLACEMENTS_PER_STEP, Dispatcher
 from nutmeglb_decisions.tasks.estimates import Estimates
 from nutmeglb_decisions.tasks.events import (
     Cancel,
@@ -125,11 +125,11 @@
                 self._tick(now_ms)
         return self._life.outbox.flush()
 
-    def step(self, now_ms: float) -> list[Effect]:
-        """Do a bounded amount of waiting work: stops first, then placements."""
+    def step(self, now_ms: float, placements: int = PLACEMENTS_PER_STEP) -> list[Effect]:
+        """Do a bounded amount of waiting work: stops first, then at most ``placements``."""
         self._life.stop_some(STOPS_PER_STEP)
         self._life.capacity.unblock_freed()
-        self._dispatch.place_some(now_ms)
+        self._dispatch.place_some(now_ms, placements)
         return self._life.outbox.flush()
 
     def _configured(self, config: Config, wall_ms: float) -> None:
--- a/packages/nutmeglb/src/nutmeglb/_internal/jobs/driver.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/jobs/driver.py
@@ -111,7 +111,7 @@
             "jobs": len(life.jobs),
             "workers": len(life.links),
             "workers_reachable": sum(w.reachable for w in self._workers.values()),
-            "open_journal_batches": life.outbox.open_batches,
+            "open_journal_records": life.outbox.open_records,
         }
 
     async def command(self, number: int, event: Event) -> Result[str, NutmegError]:
