--- a/packages/nutmeglb-formats/src/nutmeglb_formats/wire/routing.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/wire/routing.py
@@ -221,6 +221,11 @@
     epoch: int
     services: Mapping[str, ServiceSummary] = field(default_factory=dict)
 
+    @property
+    def latest_key(self) -> str:
+        """Return the domain: a queued summary replaces only older ones of the same domain."""
+        return self.domain
+
 
 @message(code=311, version=1)
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/node_status.py
@@ -0,0 +1,75 @@
+"""Status of this instance as the administration API shows it."""
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from nutmeglb._internal.configuration import TicketConfiguration
+from nutmeglb._internal.context import Context
+from nutmeglb._internal.lifecycle import LifeState
+from nutmeglb._internal.peers.bus import Bus
+from nutmeglb_formats.models.admin import InstanceView
+from nutmeglb_formats.models.instances import Member
+
+
+class NodeStatus:
+    """The ``StatusService`` of the administration API.
+
+    Parameters
+    ----------
+    life_state
+        Returns the stage of the life of this instance.
+    components
+        Returns the status of every component by name.
+    """
+
+    def __init__(
+        self,
+        ctx: Context,
+        bus: Bus,
+        configuration: TicketConfiguration,
+        life_state: Callable[[], LifeState],
+        components: Callable[[], Mapping[str, Mapping[str, object]]],
+    ) -> None:
+        self._ctx = ctx
+        self._bus = bus
+        self._configuration = configuration
+        self._life_state = life_state
+        self._components = components
+
+    def identity(self) -> tuple[str, str]:
+        """Return instance id and failure domain."""
+        return self._ctx.instance_id, self._ctx.domain
+
+    def status(self) -> Mapping[str, Mapping[str, Any]]:
+        """Return the status values per component, and the stage of this instance."""
+        return {"node": {"state": self._life_state().value}, **self._components()}
+
+    def instances(self) -> Sequence[InstanceView]:
+        """Return all known entry instances, this one included."""
+        return [self._view(member) for member in self._bus.members()]
+
+    def ticket_number(self) -> int:
+        """Return the number of the last ticket in force here."""
+        return self._configuration.current().number
+
+    def ready(self) -> bool:
+        """Return whether the instance takes requests: configured and not draining."""
+        return self._life_state() is LifeState.SERVING and self._configuration.is_loaded
+
+    def _view(self, member: Member) -> InstanceView:
+        ticket: int | None = None
+        stale_since_ms: float | None = None
+        beat = self._bus.last_heartbeat(member.instance_id)
+        if member.instance_id == self._ctx.instance_id:
+            ticket = self.ticket_number()
+            stale_since_ms = self._configuration.stale_since_ms
+        elif beat is not None:
+            ticket, stale_since_ms = beat.ticket, beat.stale_since_ms
+        return InstanceView(
+            member.instance_id,
+            member.domain,
+            member.state.value,
+            member.admin_address,
+            ticket,
+            stale_since_ms,
+        )
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/dispatch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/dispatch.py
@@ -39,7 +39,7 @@
         self._handlers[message_type] = handler
 
     def deliver(self, sender: str, message: Any) -> None:
-        """Call the handler and send what it returns."""
+        """Call the handler. What it returns is sent only when the message is a request."""
         if isinstance(message, Request):
             self._background.spawn(self._answer(sender, message))
             return
@@ -53,9 +53,7 @@
             _log_failure(message, error)
             return
         if inspect.isawaitable(outcome):
-            self._background.spawn(self._finish(sender, message, outcome))
-        elif outcome is not None:
-            self._send(sender, outcome)
+            self._background.spawn(self._finish(message, outcome))
 
     async def reply_to(self, sender: str, request: Request) -> Reply:
         """Return the reply to a request. Handler errors become an error reply."""
@@ -77,14 +75,11 @@
     async def _answer(self, sender: str, request: Request) -> None:
         self._send(sender, await self.reply_to(sender, request))
 
-    async def _finish(self, sender: str, message: Any, outcome: Awaitable[object | None]) -> None:
+    async def _finish(self, message: Any, outcome: Awaitable[object | None]) -> None:
         try:
-            answer = await outcome
+            await outcome
         except Exception as error:
             _log_failure(message, error)
-            return
-        if answer is not None:
-            self._send(sender, answer)
 
 
 def _log_failure(message: Any, error: Exception) -> None:
--- a/packages/nutmeglb/src/nutmeglb/_internal/telemetry/bridge.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/telemetry/bridge.py
@@ -5,6 +5,8 @@
 from nutmeglb._internal.telemetry.logs import Level, LogOutput
 
 PACKAGE_PREFIX = "nutmeglb._internal."
+# These write a line for every request or connection at level info.
+QUIET_LIBRARIES = ("tornado.access", "websockets", "asyncio")
 _PLAIN_ATTRIBUTES = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 
 
@@ -47,6 +49,8 @@
     root = logging.getLogger()
     root.handlers = [BridgeHandler(output)]
     root.setLevel(level.upper())
+    for library in QUIET_LIBRARIES:
+        logging.getLogger(library).setLevel(logging.WARNING)
 
 
 def _level(number: int) -> Level:
