Measure control cost by size

Store calls, peer bytes, processor time and memory per node at rest and under a load of requests, for 8 to 48 workers, 2 to 4 instances per domain and 1 to 3 domains, so that slopes can be worked out.

--- /dev/null
+++ b/measure/control_cost.py
@@ -0,0 +1,227 @@
+"""Control cost per node: store calls, peer bytes, processor time and memory, by size.
+
+Workers and endpoints are stand-ins inside the measuring process, so that only entry instances and
+the two platform stand-ins are processes of their own.
+"""
+
+import asyncio
+import functools
+import logging
+import os
+import random
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from measure.figures import Case, Figures
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.models.resources import Resources
+from scripts.soak_checks import Records
+from scripts.soak_load import Load
+from standins.agent import AgentServer
+from standins.agent_state import AgentState
+from standins.endpoint import Behaviour, Endpoint
+from tests.lib.callers import Call, call
+from tests.lib.cluster import Cluster, Layout, Node, eventually
+from tests.lib.processes import ManagedProcess
+
+SEED = 1
+WINDOW_S = 2.2
+SETTLE_S = 1.0
+CALLERS_PER_DOMAIN = 4
+RUN_MS = 20.0
+AT_REST = "at rest"
+CPU_MILLIS = 16_000
+MEMORY_BYTES = 64 * 1024**3
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+BYTES_PER_KB = 1_000.0
+BYTES_PER_MB = 1_000_000.0
+# Budgets per node of section 1.3 of the design page.
+CORE_SHARE_TARGET = 0.029
+MEMORY_MB_TARGET = 128.0
+PEER_KB_PER_S_TARGET = 7.0
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """Size of a cell."""
+
+    domains: int = 2
+    instances: int = 2
+    workers: int = 8
+
+    @property
+    def text(self) -> str:
+        """Return the size in plain words."""
+        return f"{self.domains} domains x {self.instances} instances, {self.workers} workers in all"
+
+
+BASE = Size()
+SIZES = {
+    "base": BASE,
+    "workers_24": replace(BASE, workers=24),
+    "workers_48": replace(BASE, workers=48),
+    "instances_3": replace(BASE, instances=3),
+    "instances_4": replace(BASE, instances=4),
+    "domains_1": replace(BASE, domains=1),
+    "domains_3": replace(BASE, domains=3),
+}
+
+
+@dataclass(slots=True)
+class Reading:
+    """Counters of one moment."""
+
+    store_calls: Counter[str]
+    peer_bytes: float
+    cpu_s: float
+    memory_bytes: float
+
+
+class Standins:
+    """Workers and endpoints in this process."""
+
+    def __init__(self) -> None:
+        self._agents: list[AgentServer] = []
+        self._endpoints: list[Endpoint] = []
+
+    async def start(self, cluster: Cluster, size: Size) -> None:
+        """Start everything and put it into the platform's list."""
+        domains = cluster.layout.domains
+        for number in range(size.workers):
+            name = f"worker-{number}"
+            capacity = Resources(CPU_MILLIS, MEMORY_BYTES)
+            agent = AgentServer(AgentState(name, capacity, Clock()))
+            address = f"127.0.0.1:{agent.start()}"
+            self._agents.append(agent)
+            node = _node(name, "worker", domains[number % len(domains)], address)
+            await cluster.put_into_list(node)
+        for domain in domains:
+            endpoint = Endpoint(Behaviour(mean_ms=RUN_MS))
+            await endpoint.start()
+            self._endpoints.append(endpoint)
+            address = f"127.0.0.1:{endpoint.port}"
+            await cluster.put_into_list(_node(f"{domain}-endpoint", "endpoint", domain, address))
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await asyncio.gather(*(agent.stop() for agent in self._agents))
+        await asyncio.gather(*(endpoint.stop() for endpoint in self._endpoints))
+
+
+def _node(name: str, role: str, domain: str, address: str) -> Node:
+    return Node(ManagedProcess(name, Path(), ()), role, domain, ports={role: address})
+
+
+async def read(cluster: Cluster) -> Reading:
+    """Read all counters."""
+    calls = await cluster.get_json(cluster.store_address, "/counts")
+    peer_bytes = 0.0
+    for entry in cluster.entries():
+        text = await cluster.get_text(entry.ports["admin"], "/metrics")
+        for line in text.splitlines():
+            if line.startswith("nutmeglb_peer_bytes_total") and 'direction="sent"' in line:
+                peer_bytes += float(line.rpartition(" ")[2])
+    pids = [entry.process.pid for entry in cluster.entries()]
+    cpu_s = sum(_cpu_s(pid) for pid in pids)
+    memory_bytes = sum(_memory_bytes(pid) for pid in pids)
+    return Reading(Counter(calls), peer_bytes, cpu_s, memory_bytes)
+
+
+async def measure_window(cluster: Cluster) -> dict[str, float]:
+    """Return the figures of one window, per second and per node."""
+    nodes = len(cluster.entries())
+    loop = asyncio.get_running_loop()
+    before, started_s = await read(cluster), loop.time()
+    await asyncio.sleep(WINDOW_S)
+    after, ended_s = await read(cluster), loop.time()
+    elapsed_s = ended_s - started_s
+    calls = after.store_calls - before.store_calls
+    figures = {
+        f"store_{path.rpartition('/')[2]}_calls_per_s": round(count / elapsed_s, 2)
+        for path, count in sorted(calls.items())
+    }
+    peer_bytes = after.peer_bytes - before.peer_bytes
+    return figures | {
+        "store_calls_per_s": round(calls.total() / elapsed_s, 2),
+        "peer_kb_per_s_per_node": round(peer_bytes / elapsed_s / nodes / BYTES_PER_KB, 3),
+        "core_share_per_node": round((after.cpu_s - before.cpu_s) / elapsed_s / nodes, 4),
+        "memory_mb_per_node": round(after.memory_bytes / nodes / BYTES_PER_MB, 1),
+    }
+
+
+async def load_requests(cluster: Cluster) -> None:
+    """Send urgent requests one after the other through random instances until cancelled."""
+    rng = random.Random(SEED)
+    number = 0
+    while True:
+        number += 1
+        entry = rng.choice(cluster.entries())
+        await call(cluster, entry, Call(f"{id(rng)}-{number}", RUN_MS, idempotent=True))
+
+
+async def measure(size: Size) -> list[tuple[str, dict[str, float]]]:
+    """Measure one size at rest and under load."""
+    names = ("east", "west", "north")[: size.domains]
+    layout = Layout(domains=names, instances=size.instances, endpoints=0, workers=0, settings={})
+    standins = Standins()
+    try:
+        async with Cluster(layout) as cluster:
+            await standins.start(cluster, size)
+            return await measure_cluster(cluster)
+    finally:
+        await standins.stop()
+
+
+async def measure_cluster(cluster: Cluster) -> list[tuple[str, dict[str, float]]]:
+    """Return the figures at rest and under a load of requests."""
+    for entry in cluster.entries():
+        await eventually(functools.partial(cluster.ready, entry), "the instance is ready")
+    await Load(cluster, random.Random(SEED), Records()).file_first_ticket()
+    await asyncio.sleep(SETTLE_S)
+    rest = await measure_window(cluster)
+    count = CALLERS_PER_DOMAIN * len(cluster.layout.domains)
+    callers = [asyncio.create_task(load_requests(cluster)) for _ in range(count)]
+    load = await measure_window(cluster)
+    for caller in callers:
+        caller.cancel()
+    await asyncio.gather(*callers, return_exceptions=True)
+    return [(AT_REST, rest), (f"{count} callers", load)]
+
+
+def run_size(name: str) -> Iterator[Figures]:
+    """Measure one size and yield its figures."""
+    size = SIZES[name]
+    logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
+    for policy, figures in asyncio.run(measure(size)):
+        # Requests are the work itself, so the budgets of control hold at rest only.
+        targets = _targets(figures) if policy == AT_REST else {}
+        yield Figures(f"control_cost_{name}", size.text, policy, "", SEED, figures, targets)
+
+
+def _targets(figures: dict[str, float]) -> dict[str, str]:
+    limits = {
+        "core_share_per_node": CORE_SHARE_TARGET,
+        "memory_mb_per_node": MEMORY_MB_TARGET,
+        "peer_kb_per_s_per_node": PEER_KB_PER_S_TARGET,
+    }
+    return {
+        f"{name} at most {limit}": "met" if figures[name] <= limit else "not met at this size"
+        for name, limit in limits.items()
+    }
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
+def _memory_bytes(pid: int) -> float:
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return float(pages * os.sysconf("SC_PAGE_SIZE"))
+
+
+CASES: dict[str, Case] = {
+    f"control_cost_{name}": functools.partial(run_size, name) for name in SIZES
+}
