Fill all slots in the soak run and inject up to three faults at once

With 12 callers on 32 slots and 8 cores per worker the limits were hardly reached, and faults of a worker without tasks had no effect. 40 callers now share 16 slots and workers have 4 cores.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -13,14 +13,13 @@
 from scripts import soak_checks as checks
 from scripts.soak_checks import Records, Violation
 from scripts.soak_faults import FaultInjector, wait_ready
-from scripts.soak_load import MAX_RUN_MS, Load
+from scripts.soak_load import MAX_RUN_MS, SLOTS, Load
 from scripts.soak_records import Recorder
 from tests.lib.cluster import Cluster, Layout, eventually
 
-SLOTS = 8
 CONNECTIONS = 64
-WORKER_CPU_MILLIS = 8_000
-WORKER_MEMORY_BYTES = 32 * 1024**3
+WORKER_CPU_MILLIS = 4_000
+WORKER_MEMORY_BYTES = 16 * 1024**3
 FINISH_LIMIT_S = 120.0
 SHOWN_VIOLATIONS = 20
 GUARANTEES = tuple(f"G{number}" for number in range(1, 9))
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -15,7 +15,8 @@
 OUTAGE_S = (4.0, 6.0)
 SHORT_S = (1.0, 2.0)
 SETTLE_S = (0.5, 3.0)
-TOGETHER_SHARE = 0.4
+# Weights of one, two and three faults at the same time.
+TOGETHER_WEIGHTS = (5, 3, 2)
 LEADER_SHARE = 0.5
 NOW = asyncio.get_running_loop
 
@@ -74,9 +75,9 @@
         """
         order: list[str] = []
         while NOW().time() < deadline_s:
-            if len(order) < 2:
+            if len(order) < len(TOGETHER_WEIGHTS):
                 order += self._rng.sample(sorted(self._kinds), len(self._kinds))
-            count = 2 if self._rng.random() < TOGETHER_SHARE else 1
+            count = self._rng.choices((1, 2, 3), TOGETHER_WEIGHTS)[0]
             chosen = [order.pop(0) for _ in range(count)]
             await asyncio.gather(*(self._inject(kind) for kind in chosen))
             await asyncio.sleep(self._rng.uniform(*SETTLE_S))
--- a/scripts/soak_load.py
+++ b/scripts/soak_load.py
@@ -8,7 +8,14 @@
 
 from tornado.httpclient import HTTPClientError
 
-from nutmeglb_formats.models.config import JobDefinition, JobKind, Policy, Service, Team
+from nutmeglb_formats.models.config import (
+    JobDefinition,
+    JobKind,
+    PlacementPolicy,
+    Policy,
+    Service,
+    Team,
+)
 from nutmeglb_formats.models.resources import Resources
 from nutmeglb_formats.models.ticket import Ticket
 from nutmeglb_formats.ticket_text import write_ticket
@@ -18,15 +25,18 @@
 
 GIB = 1024**3
 TEAM = "color"
-CALLERS = 12
-CALL_PAUSE_S = (0.0, 0.1)
+CALLERS = 40
+CALL_PAUSE_S = (0.0, 0.2)
 TRIES = 4
-JOB_PAUSE_S = (0.4, 1.2)
+JOB_PAUSE_S = (0.05, 0.5)
 TICKET_PAUSE_S = (1.0, 2.5)
 RETRY_PAUSE_S = (0.1, 0.5)
 RETRIES = 60
+PLACEMENT = {JobKind.BATCH: PlacementPolicy.SPREAD, JobKind.GANG: PlacementPolicy.PACK}
 TASK_SIZE = Resources(1_000, GIB)
 MAX_RUN_MS = 3_000.0
+# Few enough that the callers fill all slots most of the time.
+SLOTS = 4
 
 
 class Load:
@@ -65,7 +75,7 @@
         idempotent = self._rng.random() < 0.4
         keyed = not idempotent and self._rng.random() < 0.5
         request_class = "urgent" if self._rng.random() < 0.6 else "deferred"
-        run_ms = min(MAX_RUN_MS / 2, self._rng.paretovariate(1.5) * 10)
+        run_ms = min(MAX_RUN_MS / 2, self._rng.paretovariate(1.5) * 25)
         for attempt in range(1, TRIES + 1):
             request = Call(
                 marker,
@@ -111,8 +121,9 @@
 
     async def _submit(self, name: str) -> None:
         gang = self._rng.random() < 0.3
-        tasks = self._rng.randint(2, 4) if gang else self._rng.randint(1, 4)
-        run_ms = self._rng.uniform(100, 1_500)
+        tasks = self._rng.randint(2, 5) if gang else self._rng.randint(1, 5)
+        # Some tasks outlast a pause of their worker that is longer than the task lease.
+        run_ms = self._rng.uniform(100, 1_500) * self._rng.choice((1, 1, 4))
         body = {
             "submission_id": name,
             "name": name,
@@ -148,7 +159,7 @@
             "First ticket of the run.",
             services=(self._service(5_000.0),),
             teams=(Team(TEAM, Resources(64_000, 256 * GIB)),),
-            policies=(Policy("default", domain_weights=weights),),
+            policies=(Policy("default", PLACEMENT, weights),),
         )
         answer = await self._persist("/v1/tickets", write_ticket(ticket))
         assert answer, "the first ticket was not accepted"
@@ -219,6 +230,7 @@
         return Service(
             self._cluster.layout.service,
             TEAM,
+            slots=SLOTS,
             max_run_ms=MAX_RUN_MS,
             default_timeout_ms=timeout_ms,
             queue_limit=200,
