--- a/tests/lib/callers.py
+++ b/tests/lib/callers.py
@@ -84,10 +84,10 @@
         outcome, status, echoed = _read(response)
     except HTTPTimeoutError:
         outcome = "gave-up"
-    except (HTTPStreamClosedError, StreamClosedError):
-        outcome = "closed"
     except ConnectionRefusedError:
         outcome = "refused"
+    except (HTTPStreamClosedError, StreamClosedError, ConnectionError):
+        outcome = "closed"
     return CallResult(outcome, status, echoed, sent_s, loop.time())
 
 
