--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/workers.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/workers.py
@@ -65,8 +65,13 @@
         What the platform's list says.
     resolved
         Whether the agent has answered in this epoch and its leases have not expired since.
-    renewed_ms
-        Time of receipt of the newest response that was echoed in a request.
+    ending
+        Ended attempts whose end is not yet in the journal.
+    suspected
+        Whether the last call to the agent failed.
+    received_ms
+        Time of receipt of the newest response, at first the time of creation. No request can renew
+        a lease beyond it.
     """
 
     worker: str
@@ -76,10 +81,10 @@
     listed: bool = False
     leaving: bool = False
     resolved: bool = False
+    suspected: bool = False
     boot: str = ""
     agent_ms: float = -1.0
     received_ms: float = 0.0
-    renewed_ms: float = 0.0
     sequence: int = 0
     attempts: dict[str, Attempt] = field(default_factory=dict)
     orphans: dict[str, Resources] = field(default_factory=dict)
@@ -87,26 +92,18 @@
     checkpoint: dict[str, None] = field(default_factory=dict)
     throttle: dict[str, int] = field(default_factory=dict)
     ack: dict[str, None] = field(default_factory=dict)
+    discard: dict[str, None] = field(default_factory=dict)
+    ending: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
-        self.renewed_ms = self.created_ms
+        self.received_ms = self.created_ms
         self.sequence = int(self.created_ms * SEQUENCES_PER_MS)
 
     @property
     def expiry_ms(self) -> float:
         """Return the time at which every lease on the worker has certainly expired."""
         longest = max([self.lease_ms, *(item.lease_ms for item in self.attempts.values())])
-        return self.renewed_ms + longest + self.margin_ms
-
-    def has_commands(self) -> bool:
-        """Return whether anything but a renewal waits for the agent."""
-        return bool(
-            self.stop
-            or self.checkpoint
-            or self.throttle
-            or self.ack
-            or any(_needs_start(attempt) for attempt in self.attempts.values())
-        )
+        return self.received_ms + longest + self.margin_ms
 
     def has_starts(self) -> bool:
         """Return whether the agent has not confirmed a start."""
@@ -117,7 +114,6 @@
     ) -> SyncRequest:
         """Return the next request. Unconfirmed commands are repeated in every request."""
         self.sequence += 1
-        self.renewed_ms = max(self.renewed_ms, self.received_ms)
         return SyncRequest(
             scheduler=scheduler,
             epoch=epoch,
@@ -134,6 +130,7 @@
                 for name, limit in list(self.throttle.items())[:COMMAND_LIMIT]
             ),
             ack=tuple(self.ack)[:COMMAND_LIMIT],
+            discard=tuple(self.discard)[:COMMAND_LIMIT],
         )
 
     def _starts(self, command_of: Callable[[Attempt], str]) -> tuple[StartCommand, ...]:
@@ -147,6 +144,7 @@
                 "An attempt would start before the journal holds it",
                 task=attempt.name,
             )
+            attempt.sent = True
             starts.append(
                 StartCommand(
                     attempt=attempt.name,
@@ -171,6 +169,7 @@
         running = {task.attempt: task for task in response.running}
         finished = {task.attempt: task for task in response.finished}
         self.ack = {name: None for name in self.ack if name in finished}
+        self.discard = {name: None for name in self.discard if name in finished}
         self.stop = {name: None for name in self.stop if name not in finished}
         self.checkpoint = {name: None for name in self.checkpoint if name in running}
         self.throttle = {}
@@ -194,7 +193,10 @@
             ),
             orphans=tuple(task for name, task in running.items() if name not in live),
             late=tuple(
-                task for name, task in finished.items() if name not in live and name not in self.ack
+                task
+                for name, task in finished.items()
+                if not (name in live or name in self.ending)
+                and not (name in self.ack or name in self.discard)
             ),
         )
 
