Refuse leadership settings whose authority ends between renewals

A lease that is shorter than two renewals plus the margin, or a promise shorter than one renewal plus the margin, made the authority lapse without any fault. Such settings are now errors.

--- a/packages/nutmeglb/src/nutmeglb/_internal/settings/models.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/settings/models.py
@@ -185,6 +185,21 @@
                 raise settings_fault(message, remedy, section=section, key=key)
         return self
 
+    @model_validator(mode="after")
+    def _authority_outlasts_renewals(self) -> "Settings":
+        lease = self.leadership
+        # Authority is collected anew once per renewal interval, and twice while promises are used.
+        checks = (
+            ("lease_s", lease.lease_s * 1_000, 2 * lease.renew_ms + lease.margin_ms),
+            ("promise_ms", lease.promise_ms, lease.renew_ms + lease.margin_ms),
+        )
+        for key, value_ms, needed_ms in checks:
+            if value_ms < needed_ms:
+                message = f"leadership.{key} leaves too little time between renewals"
+                remedy = f"Raise it to at least {needed_ms:g} ms, or lower renew_ms or margin_ms"
+                raise settings_fault(message, remedy, section="leadership", key=key)
+        return self
+
     @model_validator(mode="after")
     def _listeners_differ(self) -> "Settings":
         names: dict[str, str] = {}
