Let a stopping leader answer its successor before it ends

The successor of a planned stop could not ask the process that had ended and waited for lease and margin. The stopping leader now waits, for 2 s at most, until the successor has asked for its grants.

--- a/packages/nutmeglb/src/nutmeglb/_internal/leadership.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/leadership.py
@@ -27,6 +27,7 @@
 TICK_MS = 100.0
 PEER_TIMEOUT_MS = 1_000.0
 STOP_LIMIT_MS = 2_000.0
+REPLY_MS = 50.0
 
 
 class DomainLeadership:
@@ -54,6 +55,7 @@
         self._subscribers: list[Callable[[LeadershipChange], None]] = []
         self._reporter: Callable[[], Sequence[InUseGrant]] = tuple
         self._releasing: asyncio.Task[None] | None = None
+        self._pledged = asyncio.Event()
         self._stopping = False
         self._failed = False
         self._changes = ctx.metrics.counter(
@@ -118,20 +120,26 @@
         self._tasks.spawn(self._run())
 
     async def drain(self, deadline_ms: float) -> None:
-        """Release the leadership, so that another instance can take over at once."""
-        self._stopping = True
-        self._feed(ev.StopRequested())
-        if self._releasing is None:
+        """Release the leadership, and wait until a successor has asked for the grants in use.
+
+        A successor that cannot ask this instance any more has to wait for the length of a lease.
+        """
+        limit_ms = min(deadline_ms, self._ctx.clock.now_ms() + STOP_LIMIT_MS)
+        was_leader = await self._release_now(limit_ms)
+        if not was_leader or not self._reachable():
             return
-        remaining_ms = min(STOP_LIMIT_MS, deadline_ms - self._ctx.clock.now_ms())
-        done, _ = await asyncio.wait({self._releasing}, timeout=max(0.0, remaining_ms) / 1_000)
-        if not done:
-            logger.warning("the lease was not released in time and ends by itself")
+        remaining_ms = max(0.0, limit_ms - self._ctx.clock.now_ms())
+        try:
+            await asyncio.wait_for(self._pledged.wait(), remaining_ms / 1_000)
+        except TimeoutError:
+            logger.warning("no other instance has taken over in time")
+        # The reply to the successor is sent while this coroutine sleeps.
+        await asyncio.sleep(REPLY_MS / 1_000)
 
     async def stop(self) -> None:
         """Release the leadership, if that has not been done, and cancel all tasks."""
         if not self._stopping:
-            await self.drain(self._ctx.clock.now_ms() + STOP_LIMIT_MS)
+            await self._release_now(self._ctx.clock.now_ms() + STOP_LIMIT_MS)
         await self._tasks.cancel()
 
     def status(self) -> Mapping[str, object]:
@@ -149,18 +157,34 @@
             self._tick()
             await asyncio.sleep(self._tick_ms / 1_000)
 
-    def _tick(self) -> None:
-        domain = self._ctx.domain
-        entries = self._ctx.instances.instances(InstanceRole.ENTRY)
-        listed = frozenset(item.instance_id for item in entries if item.domain == domain)
-        reachable = frozenset(
+    async def _release_now(self, limit_ms: float) -> bool:
+        """Release the leadership. Return whether there was one to release."""
+        self._stopping = True
+        self._releasing = None
+        self._feed(ev.StopRequested())
+        if self._releasing is None:
+            return False
+        remaining_ms = max(0.0, limit_ms - self._ctx.clock.now_ms())
+        done, _ = await asyncio.wait({self._releasing}, timeout=remaining_ms / 1_000)
+        if not done:
+            logger.warning("the lease was not released in time and ends by itself")
+        return True
+
+    def _reachable(self) -> frozenset[str]:
+        return frozenset(
             member.instance_id
-            for member in self._ctx.peers.members(domain)
+            for member in self._ctx.peers.members(self._ctx.domain)
             if member.state is not MemberState.SUSPECTED
+            and member.instance_id != self._ctx.instance_id
             and self._ctx.peers.connected(member.instance_id)
         )
+
+    def _tick(self) -> None:
+        domain = self._ctx.domain
+        entries = self._ctx.instances.instances(InstanceRole.ENTRY)
+        listed = frozenset(item.instance_id for item in entries if item.domain == domain)
         # An empty list is never the true state, because this instance is an entry instance.
-        self._feed(ev.Tick(listed if entries else None, reachable))
+        self._feed(ev.Tick(listed if entries else None, self._reachable()))
 
     def _on_peers_changed(self) -> None:
         if not self._stopping:
@@ -256,6 +280,8 @@
         answer = self._feed(ev.PledgeAsked(sender, message.epoch))
         if answer is None:
             return None
+        if self._stopping and answer.accepted:
+            self._pledged.set()
         grants = self._held_grants() if answer.accepted else ()
         return wire.PledgeReply(answer.accepted, answer.known_epoch, grants)
 
--- a/tests/functional/test_leadership.py
+++ b/tests/functional/test_leadership.py
@@ -58,7 +58,9 @@
         grant = InUseGrant("g1", "shade-engine", "e1", "a", 500.0)
         for node in domain.nodes.values():
             node.set_grant_reporter(lambda: [grant])
-        await domain.nodes[first].drain(domain.contexts[first].clock.now_ms() + 1_000)
+        await domain.nodes[first].drain(domain.contexts[first].clock.now_ms() + 20_000)
+        # The successor has asked this instance, so it need not wait after the process has ended.
+        assert domain.nodes[first].epoch == 2
         second = await domain.leader(other_than=first)
         settled = [change for change in domain.changes[second] if change.settled][-1]
         assert settled.in_use == (grant,)
