Parse durations as floats, so that a ticket filed twice is recognized

A whole cell refused the second filing of the same file as another ticket with its id: the parser gave 5000, the stored form 5000.0, and tickets are compared by their stored form. Memory is written with the unit that gives the smallest number (64 GB instead of KiB).

--- a/packages/nutmegctl/src/nutmegctl/_internal/commands/status.py
+++ b/packages/nutmegctl/src/nutmegctl/_internal/commands/status.py
@@ -57,4 +57,6 @@
     if isinstance(value, list):
         nested = any(isinstance(item, Mapping | list) for item in value)
         return f"{len(value)} entries" if nested else ", ".join(map(_text, value))
+    if isinstance(value, float):
+        return f"{value:.1f}"
     return "" if value is None else str(value)
--- a/packages/nutmegctl/src/nutmegctl/_internal/output.py
+++ b/packages/nutmegctl/src/nutmegctl/_internal/output.py
@@ -13,6 +13,8 @@
 
 COLUMN_GAP = "  "
 MS_PER_S = 1_000
+GIB_BYTES = 1024**3
+EXACT_MEMORY_CHARACTERS = 10
 PROGRAM = "nutmegctl"
 
 
@@ -73,6 +75,9 @@
 
 
 def resources_text(resources: Resources) -> str:
-    """Return amounts with units."""
-    text = f"{format_cpu(resources.cpu_millis)}, {format_memory(resources.memory_bytes)}"
+    """Return amounts with units. Long numbers of bytes, as measured use has them, are rounded."""
+    memory = format_memory(resources.memory_bytes)
+    if len(memory) > EXACT_MEMORY_CHARACTERS:
+        memory = f"{resources.memory_bytes / GIB_BYTES:.2f} GiB"
+    text = f"{format_cpu(resources.cpu_millis)}, {memory}"
     return f"{text}, {resources.accelerators} acc" if resources.accelerators else text
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/quantities.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/quantities.py
@@ -20,7 +20,6 @@
     "B": 1,
 }
 TIME_UNITS = {"h": 3_600_000, "min": 60_000, "s": 1_000, "ms": 1}
-_WRITTEN_MEMORY_UNITS = ("TiB", "GiB", "MiB", "KiB")
 
 
 def parse_cpu(text: str) -> Result[int, str]:
@@ -47,11 +46,12 @@
 
 
 def format_memory(size_bytes: int) -> str:
-    """Write bytes exactly, with the largest binary unit that divides them."""
-    for unit in _WRITTEN_MEMORY_UNITS:
-        if size_bytes and size_bytes % MEMORY_UNITS[unit] == 0:
-            return f"{size_bytes // MEMORY_UNITS[unit]} {unit}"
-    return f"{size_bytes} B"
+    """Write bytes exactly, with the unit that gives the smallest number."""
+    if size_bytes == 0:
+        return "0 B"
+    fitting = [unit for unit, factor in MEMORY_UNITS.items() if size_bytes % factor == 0]
+    unit = max(fitting, key=lambda name: MEMORY_UNITS[name])
+    return f"{size_bytes // MEMORY_UNITS[unit]} {unit}"
 
 
 def format_duration(duration_ms: float) -> str:
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/ticket_file.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/ticket_file.py
@@ -45,7 +45,7 @@
 _memory = ticket_nodes.quantity(
     quantities.parse_memory, 0, MAX_MEMORY_BYTES, f"at most {MAX_MEMORY_BYTES // 1024**4} TiB"
 )
-_duration = ticket_nodes.quantity(
+_whole_ms = ticket_nodes.quantity(
     quantities.parse_duration, 1, MAX_DURATION_MS, "a duration from 1 ms to 720 h"
 )
 _count = ticket_nodes.whole(0, MAX_COUNT)
@@ -61,6 +61,16 @@
     required: bool = False
 
 
+def _duration(cursor: Cursor) -> float | None:
+    """Return milliseconds as the models have them.
+
+    A float, because the stored form tells 5000 from 5000.0, and a ticket that is filed twice is
+    recognized by its stored form.
+    """
+    value = _whole_ms(cursor)
+    return None if value is None else float(value)
+
+
 def _resources(cursor: Cursor) -> Resources | None:
     values = _read_keys(cursor, _RESOURCES)
     return None if values is None else Resources(**values)
--- a/tests/unit/test_ticket_file.py
+++ b/tests/unit/test_ticket_file.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
+from pydantic import TypeAdapter
 
 from nutmeglb_formats.models.config import (
     JobDefinition,
@@ -14,6 +15,7 @@
 )
 from nutmeglb_formats.models.resources import Resources
 from nutmeglb_formats.models.ticket import Ticket
+from nutmeglb_formats.quantities import format_memory, parse_memory
 from nutmeglb_formats.ticket_file import parse_steps, parse_ticket
 from nutmeglb_formats.ticket_text import diff_tickets, write_ticket
 from tests.lib.samples import TICKET
@@ -29,6 +31,31 @@
     assert ticket.removed == ("jobs/old-job",)
 
 
+def test_parsed_ticket_has_the_stored_form_of_the_ticket_read_back() -> None:
+    """Guards against filing the same file twice being taken for another ticket: 5000 is not 5000.0
+    in CBOR."""
+    text = TICKET.replace("placement: {batch", "gang_hold: 5 s\n      placement: {batch")
+    ticket = parse_ticket(text.replace("tasks: 12", "run: 5 s\n      tasks: 12")).unwrap()
+    adapter = TypeAdapter(Ticket)
+    read_back = adapter.validate_json(adapter.dump_json(ticket))
+    assert repr(read_back) == repr(ticket)
+
+
+@pytest.mark.parametrize(
+    ("size_bytes", "text"),
+    [
+        (0, "0 B"),
+        (64 * 10**9, "64 GB"),
+        (64 * 1024**3, "64 GiB"),
+        (1536 * 1024**2, "1536 MiB"),
+        (1001, "1001 B"),
+    ],
+)
+def test_memory_is_written_exactly_with_a_small_number(size_bytes: int, text: str) -> None:
+    assert format_memory(size_bytes) == text
+    assert parse_memory(text).unwrap() == size_bytes
+
+
 @pytest.mark.parametrize(
     ("old", "new", "line", "path", "text"),
     [
