Import the node directly, and apply the examples as the ticket log does

The node exists now. The examples' test validates and applies every example ticket in order with the ticket log's own functions.

--- a/packages/nutmeglb/src/nutmeglb/_internal/cli.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/cli.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import importlib
 import logging
 import sys
 from collections.abc import Iterable, Sequence
@@ -65,7 +64,8 @@
 
 def _run(settings: Settings) -> ExitStatus:
     # Imported late so that --check and --version work without loading the servers.
-    node = importlib.import_module("nutmeglb._internal.node")
+    from nutmeglb._internal import node
+
     secrets = [settings.peer.secret, settings.tokens.operator, *settings.tokens.teams().values()]
     try:
         output = logs.configure(
@@ -86,7 +86,7 @@
     gc.collect()
     gc.freeze()
     try:
-        return ExitStatus(asyncio.run(node.run(settings)))
+        return asyncio.run(node.run(settings))
     except OSError as error:
         cause = {"cause": error.strerror or str(error)}
         hint = "Check the addresses in [listen]: each must be local and free"
--- a/tests/unit/test_examples.py
+++ b/tests/unit/test_examples.py
@@ -6,7 +6,9 @@
 
 from nutmegctl._internal.connection import load_client_file
 from nutmeglb._internal.settings.loader import load_file
-from nutmeglb_formats.models.config import JobKind, PlacementPolicy
+from nutmeglb_decisions.ticket_log import apply_ticket
+from nutmeglb_decisions.ticket_validation import validate
+from nutmeglb_formats.models.config import Config, JobKind, PlacementPolicy
 from nutmeglb_formats.models.resources import Resources
 from nutmeglb_formats.ticket_file import parse_ticket
 from nutmeglb_formats.ticket_text import write_ticket
@@ -26,6 +28,11 @@
     tickets = [parse_ticket(path.read_text(), file=path.name).unwrap() for path in paths]
     assert [ticket.base for ticket in tickets] == list(range(len(tickets)))
     assert [parse_ticket(write_ticket(ticket)).unwrap() for ticket in tickets] == tickets
+    config = Config()
+    for number, ticket in enumerate(tickets, start=1):
+        after = apply_ticket(config, number, ticket)
+        assert validate(ticket, config, after) is None
+        config = after
     teams = {team.name: team for ticket in tickets for team in ticket.teams}
     policy = next(policy for ticket in tickets for policy in ticket.policies)
     jobs = [job for ticket in tickets for job in ticket.jobs]
