Reach a failure domain again after every attempt to it failed

An instance that was paused longer than the connection timeout stayed excluded as relay: a failed attempt was only forgotten by a later successful one, which was never made, and an incoming connection did not count. Failed attempts now exclude an instance only until their backoff has passed, and connected instances are never excluded. The soak run also kills and pauses whole domains, and an opened connection counts as heard, which ends a flap between suspected and live on every connection.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/membership.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/membership.py
@@ -114,6 +114,8 @@
         peer = self._peers.get(instance_id)
         if peer is not None:
             peer.connected = connected
+            # An opened connection shows life as a heartbeat does.
+            peer.last_heard_ms = now_ms if connected else peer.last_heard_ms
         return self.advance(now_ms, cause="connection")
 
     def advance(self, now_ms: float, cause: str = "no heartbeat") -> list[MemberChanged]:
@@ -175,11 +177,12 @@
         Parameters
         ----------
         unreachable
-            Instances to which the last connection attempt failed.
+            Instances to which the last connection attempt failed. Connected ones are used anyway.
         """
         excluded = set(unreachable)
-        candidates = [i for i in self._relay_candidates(domain) if i not in excluded]
-        connected = [i for i in candidates if self._peers[i].connected]
+        usable = self._relay_candidates(domain)
+        connected = [i for i in usable if self._peers[i].connected]
+        candidates = [i for i in usable if i not in excluded or i in connected]
         leader = self.leader_of(domain)[1]
         if leader in candidates and (leader in connected or not connected):
             return leader
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/bus.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/bus.py
@@ -277,6 +277,8 @@
             self._remove(link)
 
     def _add(self, link: Link) -> None:
+        if not link.outgoing:
+            self._dialer.forget(link.peer_id)
         for replaced in self._links.add(link):
             self._background.spawn(replaced.close())
         self._put(link, self._heartbeat())
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/dialer.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/dialer.py
@@ -54,8 +54,13 @@
         self._not_before_ms: dict[str, float] = {}
 
     def unreachable(self) -> set[str]:
-        """Return the instances to which the last attempt failed."""
-        return set(self._failures)
+        """Return the instances to which the last attempt failed and that are not tried again yet.
+
+        An instance leaves the set when its backoff has passed. Otherwise one failed attempt to
+        every instance of a failure domain would cut that domain off for good.
+        """
+        now_ms = self._clock.now_ms()
+        return {i for i in self._failures if now_ms < self._not_before_ms.get(i, 0.0)}
 
     def dial(self, instance_id: str, address: str) -> None:
         """Start an attempt unless one is active or the backoff has not passed."""
--- a/scripts/soak_faults.py
+++ b/scripts/soak_faults.py
@@ -50,6 +50,8 @@
             "entry_killed": self._kill_entry,
             "entry_paused": self._pause_entry,
             "entry_stopped": self._stop_entry,
+            "domain_killed": self._kill_domain,
+            "domain_paused": self._pause_domain,
             "domain_cut_from_store": self._cut_store,
             "domain_cut_from_peers": self._cut_peers,
             "domain_cut_from_both": self._cut_both,
@@ -125,6 +127,23 @@
                     self.failures.append(Violation("G7", cause, NOW().time()))
                 await self._recorder.restart_entry(entry)
 
+    async def _kill_domain(self) -> None:
+        async with self._claim_entries() as entries, self._unreachable(entries):
+            for entry in entries:
+                entry.process.kill()
+            if entries:
+                await self._pause(SHORT_S)
+            await asyncio.gather(*(self._recorder.restart_entry(entry) for entry in entries))
+
+    async def _pause_domain(self) -> None:
+        async with self._claim_entries() as entries, self._unreachable(entries):
+            for entry in entries:
+                entry.process.send(signal.SIGSTOP)
+            if entries:
+                await self._pause(OUTAGE_S)
+            for entry in entries:
+                entry.process.send(signal.SIGCONT)
+
     # Networks
 
     async def _cut_store(self) -> None:
@@ -266,6 +285,20 @@
         finally:
             self._busy.discard(domain or "")
 
+    @asynccontextmanager
+    async def _claim_entries(self) -> AsyncIterator[list[Node]]:
+        """Choose a failure domain without other faults and claim all its entry instances."""
+        async with self._claim_domain() as domain:
+            entries = self._cluster.entries(domain) if domain is not None else []
+            names = {entry.name for entry in entries}
+            if names & self._busy:
+                entries, names = [], set()
+            self._busy |= names
+            try:
+                yield entries
+            finally:
+                self._busy -= names
+
     @asynccontextmanager
     async def _only_one(self, name: str) -> AsyncIterator[bool]:
         free = name not in self._busy
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -102,3 +102,10 @@
     membership.on_heartbeat("a1", beat("a", relays={"b": "b2"}), 0.0)
     assert membership.relay_of("b") == "b2"
     assert membership.relay_of("c") is None
+
+
+def test_connected_instance_is_a_relay_although_connecting_to_it_failed() -> None:
+    membership = group("a1", "b1")
+    membership.on_heartbeat("b1", beat("b"), 0.0)
+    membership.on_connection("b1", True, 0.0)
+    assert membership.relay_of("b", {"b1"}) == "b1"
--- a/tests/unit/test_peer_bus.py
+++ b/tests/unit/test_peer_bus.py
@@ -12,7 +12,7 @@
 
 from nutmeglb._internal.peers.handshake import headers_for
 from nutmeglb._internal.peers.queue import SendQueue
-from nutmeglb_formats.models.instances import MemberState
+from nutmeglb_formats.models.instances import Instance, InstanceRole, MemberState
 from nutmeglb_formats.wire.envelope import BATCH_LIMIT_BYTES, encode_batch
 from nutmeglb_formats.wire.membership import Heartbeat
 from nutmeglb_formats.wire.registry import encode, message
@@ -106,6 +106,19 @@
     run(scenario)
 
 
+def test_domain_is_connected_again_after_every_attempt_to_it_has_failed() -> None:
+    async def scenario(group: BusGroup) -> None:
+        first = await group.start("a1", "a")
+        dead = Instance("b1", InstanceRole.ENTRY, "b", "127.0.0.1:1")
+        group.list.set([*group.list.instances(InstanceRole.ENTRY), dead])
+        await eventually(lambda: first.relay_of("b") is None)
+        await group.start("b1", "b")
+        await eventually(lambda: first.connected("b1"))
+        assert first.relay_of("b") == "b1"
+
+    run(scenario)
+
+
 def test_leaving_is_announced() -> None:
     async def scenario(group: BusGroup) -> None:
         first, second = await group.start("a1", "a"), await group.start("a2", "a")
