--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/scheduler.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/scheduler.py
@@ -24,6 +24,7 @@
 from nutmeglb_decisions.tasks.lifecycle import Lifecycle
 from nutmeglb_decisions.tasks.quarantine import Quarantine
 from nutmeglb_decisions.tasks.reports import WorkerReports
+from nutmeglb_decisions.tasks.room import RoomMaker
 from nutmeglb_decisions.tasks.state import Attempt, Job
 from nutmeglb_decisions.tasks.takeover import recover, snapshot
 from nutmeglb_formats.models.agent import FinishedTask, SyncRequest, TaskOutcome
@@ -78,7 +79,10 @@
         self._history = History(
             self._life, self._estimates, self._quarantine, self._reports.update_availability
         )
-        self._dispatch = Dispatcher(self._life, config, self._estimates, self._history, rng)
+        self._room = RoomMaker(self._life, config, rng)
+        self._dispatch = Dispatcher(
+            self._life, config, self._estimates, self._history, self._room, rng
+        )
         self._jobs = JobCommands(self._life, config)
         self._next_forget_ms = now_ms
         recover(self._life, records, now_ms)
@@ -96,7 +100,7 @@
     @property
     def preemptions(self) -> int:
         """Return the number of preempted tasks."""
-        return self._dispatch.preemptions
+        return self._room.preemptions
 
     # Commands
 
@@ -116,7 +120,7 @@
             case Synced(worker, response):
                 self._reports.synced(event, now_ms)
                 if response.usage:
-                    self._dispatch.relieve(worker, now_ms)
+                    self._room.relieve(worker, now_ms)
             case Unreachable(worker):
                 self._reports.unreachable(worker, now_ms)
             case Configured(config, wall_ms):
@@ -136,6 +140,7 @@
         self._life.capacity.quotas.configure(config)
         self._life.capacity.limits_changed()
         self._dispatch.configure(config)
+        self._room.configure(config)
         self._life.reclaim = config.policy.reclaim
         self._jobs.configure(config, wall_ms)
 
