--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/listener.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/listener.py
@@ -87,7 +87,10 @@
         sockets = bind_sockets(int(port), host)
         self._address = f"{host}:{sockets[0].getsockname()[1]}"
         routes = [(r"/services/[^/]+(?:/.*)?", CallerHandler, {"listener": self})]
-        application = Application(routes, default_handler_class=UnknownPath)
+        # Outcomes are in the metrics and the time line.
+        application = Application(
+            routes, default_handler_class=UnknownPath, log_function=lambda handler: None
+        )
         self._server = HTTPServer(
             application,
             max_body_size=UNLIMITED_BYTES,
--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/slot_broker.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/slot_broker.py
@@ -31,7 +31,6 @@
     ReleaseOutcome,
     SlotCancel,
     SlotGrant,
-    SlotRefused,
     SlotRelease,
     SlotRequest,
     WitnessedGrant,
@@ -68,6 +67,7 @@
         self._witnessed = witnessed
         self._own_records = own_records
         self._core: Broker | None = None
+        self._epoch = -1
         self._outbox: Outbox | None = None
         self._client: SlotClient | None = None
         self._own_grants: list[SlotGrant] = []
@@ -156,13 +156,6 @@
     def _carry_out(self, effects: list[Send]) -> None:
         assert self._outbox is not None
         for effect in effects:
-            if isinstance(effect.message, SlotRefused):
-                self._ctx.events.emit(
-                    "slot_refused",
-                    str(effect.message.reason),
-                    request=effect.message.request_id,
-                    domain=effect.message.spill_to,
-                )
             if effect.to != self._ctx.instance_id:
                 self._outbox.send(effect.to, effect.message)
             elif isinstance(effect.message, SlotGrant):
@@ -220,7 +213,9 @@
         if not change.is_self or not change.settled:
             self._reset()
             return
-        if self._core is None:
+        if self._epoch != change.epoch:
+            self._reset()
+            self._epoch = change.epoch
             self._background.spawn(self._begin(change))
 
     async def _begin(self, change: LeadershipChange) -> None:
@@ -301,6 +296,7 @@
 
     def _reset(self) -> None:
         self._core = None
+        self._epoch = -1
         self._own_grants = []
         self._witnessed.reset()
         if self._timer is not None:
--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/slot_client.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/slot_client.py
@@ -22,6 +22,7 @@
 
 # Releases kept while no leader is known. Older ones are dropped; their slots expire.
 UNSENT_RELEASES = 10_000
+MS_PER_S = 1_000.0
 
 
 class SlotUser(Protocol):
@@ -110,6 +111,8 @@
         held = self._held.get(message.grant_id)
         if held is not None and message.outcome is ReleaseOutcome.ABANDONED:
             held.until_ms = self._ctx.clock.now_ms() + message.hold_ms
+            loop = asyncio.get_running_loop()
+            loop.call_later(message.hold_ms / MS_PER_S, self._held.pop, message.grant_id, None)
         else:
             self._held.pop(message.grant_id, None)
         leader = self._leader()
--- a/tests/functional/test_requests.py
+++ b/tests/functional/test_requests.py
@@ -272,8 +272,14 @@
     run_in_cell(test, {"a": 2, "b": 2}, {"b": 2})
 
 
-def test_requests_wait_for_a_new_leader_which_knows_the_slots_in_use() -> None:
-    """Guards G1 across a change of leader, for grants of a member and of the old leader."""
+@pytest.mark.parametrize("missing", [(), ("a0",)])
+def test_requests_wait_for_a_new_leader_which_knows_the_slots_in_use(
+    missing: tuple[str, ...],
+) -> None:
+    """Guards G1 across a change of leader, for grants of a member and of the old leader.
+
+    A missing former leader does not block the slots, because its witness answers.
+    """
 
     async def test(cell: Cell) -> None:
         running = [
@@ -287,7 +293,7 @@
             node.leadership.settle(2, None)
         waiting = [asyncio.create_task(cell.call("a1", X_Marker="new")) for _ in range(3)]
         await asyncio.sleep(0.05)
-        cell.lead("a1", 3, in_use=tuple(in_use))
+        cell.lead("a1", 3, in_use=tuple(in_use), unknown=missing)
         responses = await asyncio.gather(*running, *waiting)
         assert {outcome_of(response) for response in responses} == {(200, "answered", "")}
         assert cell.endpoints["a-ep0"].record.peak_running == SERVICE.slots
@@ -295,6 +301,19 @@
     run_in_cell(test, ONE, {"a": 1})
 
 
+def test_unreported_grants_hold_all_slots() -> None:
+    """Guards G1 when a missing instance may hold grants that nobody reported."""
+
+    async def test(cell: Cell) -> None:
+        cell.lead("a1", 2, unknown=("ghost",))
+        broker = cell.nodes["a1"].routing.broker
+        await eventually(lambda: broker.status()["leading"] is True)
+        services = broker.status()["services"]
+        assert services == {"shop": {"free_slots": 0, "usable_slots": 2, "queued": 0, "grants": 1}}
+
+    run_in_cell(test, ONE, {"a": 1})
+
+
 def test_drain_finishes_requests_in_flight() -> None:
     async def test(cell: Cell) -> None:
         calls = [asyncio.create_task(cell.call("a1", X_Run_Ms="200")) for _ in range(2)]
