--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/admission.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/admission.py
@@ -8,9 +8,9 @@
 from nutmeglb_formats.models.config import RequestClass
 
 CLASS_RANKS = {RequestClass.URGENT: 0, RequestClass.DEFERRED: 1}
-# Requests of one caller that are ranked by deadline alone before other callers go first. A value
-# of 1 delays the second request of a short burst and raises p99 waiting time at moderate load.
-CALLER_QUANTUM = 4
+# Requests of one caller per round. At 200 % of the slots, urgent p99.9 waiting time was 92 ms with
+# 1, 53 ms with 4, 30 ms with 16 and 29 ms without rounds. A caller's round takes 12 ms of 64 slots.
+CALLER_QUANTUM = 16
 CALLERS_KEPT_FACTOR = 2
 
 Rank = tuple[int, int, float, int]
