--- a/measure/placement.py
+++ b/measure/placement.py
@@ -135,32 +135,36 @@
 def peak() -> Iterator[Figures]:
     """Run the peak of section 1.3 at every size on one core."""
     for workers in SIZES:
-        # The default budget of 60 per minute is meant for a failure domain of 100 workers.
-        policy = Policy(
-            "default",
-            domain_weights={DOMAIN: 1.0},
-            preemptions_per_minute=max(60, 60 * workers // 100),
-        )
-        cell = Cell(
-            WORKER,
-            workers,
-            TEAMS,
-            SEED,
-            team_share=QUOTA_SHARE,
-            least_quota=LEAST_QUOTA,
-            policy=policy,
-        )
-        rng = random.Random(SEED)
-        cell.run(200.0)
-        add_services(cell, rng)
-        cell.run(2_000.0)
-        start_ms, starts, busy_s = cell.now_ms, cell.core.life.starts, cell.busy_s
-        _offer(cell, rng, DURATION_MS[workers])
-        cell.run(DURATION_MS[workers])
-        yield _peak_figures(cell, workers, start_ms, starts, busy_s)
+        yield _run_peak(workers, 1)
+    for workers in (24, 300):
+        yield _run_peak(workers, 4)
+
+
+def _run_peak(workers: int, budget_factor: int) -> Figures:
+    # The default budget of 60 per minute is meant for a failure domain of 100 workers.
+    budget = max(60, 60 * workers // 100) * budget_factor
+    policy = Policy("default", domain_weights={DOMAIN: 1.0}, preemptions_per_minute=budget)
+    cell = Cell(
+        WORKER,
+        workers,
+        TEAMS,
+        SEED,
+        team_share=QUOTA_SHARE,
+        least_quota=LEAST_QUOTA,
+        policy=policy,
+    )
+    rng = random.Random(SEED)
+    cell.run(200.0)
+    add_services(cell, rng)
+    cell.run(2_000.0)
+    start_ms, starts, busy_s = cell.now_ms, cell.core.life.starts, cell.busy_s
+    _offer(cell, rng, DURATION_MS[workers])
+    cell.run(DURATION_MS[workers])
+    return _peak_figures(cell, f"pack, {budget} preemptions/min", start_ms, starts, busy_s)
 
 
-def _peak_figures(cell: Cell, workers: int, start_ms: float, starts: int, busy_s: float) -> Figures:
+def _peak_figures(cell: Cell, policy: str, start_ms: float, starts: int, busy_s: float) -> Figures:
+    workers = cell.workers
     urgent = cell.waits_ms(lambda s: s.job_class is RequestClass.URGENT and s.run_ms < 1e8)
     deferred = cell.waits_ms(
         lambda s: s.job_class is RequestClass.DEFERRED
@@ -194,9 +198,8 @@
     if workers == 100:
         targets["placements"] = _verdict(per_s, TARGET_PLACEMENTS_PER_S, "/s", at_least=True)
         targets["decision_p99"] = _verdict(p99_us, TARGET_P99_US, "us")
-    return Figures(
-        "placement_peak", f"{workers} workers, {TEAMS} teams", "pack", "", SEED, figures, targets
-    )
+    size = f"{workers} workers, {TEAMS} teams"
+    return Figures("placement_peak", size, policy, "", SEED, figures, targets)
 
 
 def _share_within(waits: list[float], limit_ms: float) -> float:
