--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/dispatch.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/dispatch.py
@@ -4,21 +4,22 @@
 from collections.abc import Callable
 
 from nutmeglb_decisions.tasks.estimates import Estimates
-from nutmeglb_decisions.tasks.events import SendCommands
-from nutmeglb_decisions.tasks.gangs import MAX_HOLD_FACTOR, Hold, has_room, plan_hold, plan_members
+from nutmeglb_decisions.tasks.gangs import (
+    MAX_HOLD_FACTOR,
+    Hold,
+    could_fit,
+    has_room,
+    plan_hold,
+    plan_members,
+)
 from nutmeglb_decisions.tasks.history import History, job_key
 from nutmeglb_decisions.tasks.invariants import GANG_WHOLE, ensure
 from nutmeglb_decisions.tasks.ledger import Account
 from nutmeglb_decisions.tasks.lifecycle import Lifecycle
 from nutmeglb_decisions.tasks.placement import Score, pack_score, spread_score
-from nutmeglb_decisions.tasks.preemption import (
-    CHECKPOINT_LIMIT_MS,
-    PreemptionBudget,
-    choose_victims,
-    sample_workers,
-)
 from nutmeglb_decisions.tasks.ranking import CLASS_ORDER, Shape
-from nutmeglb_decisions.tasks.state import Attempt, Job, Phase
+from nutmeglb_decisions.tasks.room import RoomMaker
+from nutmeglb_decisions.tasks.state import Attempt, Job
 from nutmeglb_formats.models.config import Config, JobKind, PlacementPolicy, RequestClass
 from nutmeglb_formats.models.resources import Resources
 
@@ -35,8 +36,7 @@
 # Blocked gangs considered per check, which bounds its time.
 GANGS_PER_CHECK = 8
 GANG_CHECK_MS = 100.0
-PREEMPTION_CHECK_MS = 50.0
-PREEMPTED = "preempted"
+HOLDS_PER_CHECK = 8
 DEFAULT_PLACEMENT = {
     JobKind.SERVICE: PlacementPolicy.SPREAD,
     JobKind.BATCH: PlacementPolicy.PACK,
@@ -53,6 +53,7 @@
         config: Config,
         estimates: Estimates,
         history: History,
+        room: RoomMaker,
         rng: random.Random,
     ) -> None:
         self._life = life
@@ -62,12 +63,9 @@
         self._rng = rng
         self._hold: Hold | None = None
         self._next_hold_check_ms = 0.0
-        self._next_preemption_ms = 0.0
         self._next_gang_check_ms = 0.0
         self._gang_offset = 0
-        self._budget = PreemptionBudget()
-        self._preempted: dict[str, tuple[Attempt, float]] = {}
-        self.preemptions = 0
+        self._room = room
 
     def configure(self, config: Config) -> None:
         """Take over the policy of a configuration."""
@@ -82,7 +80,9 @@
     def has_work(self, now_ms: float) -> bool:
         """Return whether a job can be considered."""
         ranking = self._life.capacity.ranking
-        return self.may_start(now_ms) and any(ranking.next_job(name) for name in CLASS_ORDER)
+        if not self.may_start(now_ms):
+            return False
+        return any(ranking.next_job(name) or ranking.has_stale for name in CLASS_ORDER)
 
     # Placement
 
@@ -110,7 +110,9 @@
         else:
             workers = self._choose_members(job, shape, now_ms)
         if workers is None:
-            self._life.capacity.ranking.block(shape)
+            accounts = self._life.capacity.ledger.accounts().values()
+            unfit = not could_fit(shape.resources, accounts, shape.together)
+            self._life.capacity.ranking.block(shape, unfit=unfit)
             return 1
         self._start_all(job, shape, workers, now_ms)
         return len(workers)
@@ -177,6 +179,7 @@
         )
         if gang:
             self._life.assembling[job.job_id] = now_ms + self._config.policy.gang_hold_ms
+        self._room.placed(job)
         if self._hold is not None and self._hold.job_id == job.job_id:
             self._end_hold()
 
@@ -203,10 +206,7 @@
         if now_ms >= self._next_gang_check_ms:
             self._next_gang_check_ms = now_ms + GANG_CHECK_MS
             self._unblock_gangs()
-        if now_ms >= self._next_preemption_ms:
-            self._next_preemption_ms = now_ms + PREEMPTION_CHECK_MS
-            self._stop_slow_checkpoints(now_ms)
-            self._preempt(now_ms)
+        self._room.tick(now_ms)
 
     # Holds
 
@@ -221,9 +221,11 @@
         self._gang_offset += GANGS_PER_CHECK
 
     def _end_hold(self) -> None:
+        marks = self._life.capacity.engine.earmarks
+        for worker in [name for name, mark in marks.items() if mark.job_id in self._life.held_jobs]:
+            del marks[worker]
         self._hold = None
         self._life.held_jobs.clear()
-        self._life.capacity.engine.earmarks.clear()
         # Tasks that the hold kept away may fit now.
         for worker in self._life.capacity.engine.enabled():
             self._life.capacity.mark_freed(worker)
@@ -242,7 +244,8 @@
                 if shape.together > 1 or large:
                     turns = self._life.jobs[job_id].hold_turns
                     waiting.append((turns, sequence, job_id, shape))
-        for _, _, job_id, shape in sorted(waiting, key=lambda item: item[:2]):
+        waiting.sort(key=lambda item: item[:2])
+        for _, _, job_id, shape in waiting[:HOLDS_PER_CHECK]:
             if self._begin_hold(self._life.jobs[job_id], shape, now_ms):
                 return
 
@@ -289,84 +292,3 @@
             elif now_ms >= deadline_ms:
                 del self._life.assembling[job_id]
                 self._life.stop_later(list(job.live.values()), "gang_not_assembled")
-
-    # Preemption
-
-    def _preempt(self, now_ms: float) -> None:
-        policy = self._config.policy
-        left = self._budget.left(policy.preemptions_per_minute, now_ms)
-        for _, job_id, shape in self._life.capacity.ranking.oldest_blocked(RequestClass.URGENT):
-            job = self._life.jobs[job_id]
-            if left <= 0:
-                return
-            if shape.together > 1 or not job.waiting or now_ms < job.preempted_until_ms:
-                continue
-            if not self._life.capacity.quotas.admits(job.spec.team, shape.resources):
-                continue
-            left -= self._make_room(job, shape, left, now_ms)
-
-    def _make_room(self, job: Job, shape: Shape, limit: int, now_ms: float) -> int:
-        accounts = self._life.capacity.ledger.accounts()
-        names = sample_workers(list(self._life.capacity.engine.enabled()), self._rng)
-        workers = [(accounts[name], self._life.links[name]) for name in names]
-        victims = choose_victims(shape.resources, workers, self._is_preemptible, limit, now_ms)
-        for victim in victims:
-            self._checkpoint(victim, PREEMPTED, now_ms)
-            self._budget.spend(now_ms)
-            self.preemptions += 1
-        if victims:
-            # The victims need this long to end. Until then no more are taken for the same job.
-            job.preempted_until_ms = now_ms + CHECKPOINT_LIMIT_MS / max(1, job.waiting)
-        return len(victims)
-
-    def _is_preemptible(self, attempt: Attempt) -> bool:
-        spec = self._life.jobs[attempt.key.job_id].spec
-        deferred = spec.job_class is RequestClass.DEFERRED and spec.kind is JobKind.BATCH
-        return deferred and spec.preemptible
-
-    def _checkpoint(self, attempt: Attempt, cause: str, now_ms: float) -> None:
-        attempt.stop_cause = cause
-        self._life.links[attempt.worker].checkpoint[attempt.name] = None
-        self._preempted[attempt.name] = (attempt, now_ms + CHECKPOINT_LIMIT_MS)
-        self._life.outbox.add(SendCommands(attempt.worker))
-        self._life.outbox.decided("task_preempted", cause, task=attempt.name, worker=attempt.worker)
-
-    def _stop_slow_checkpoints(self, now_ms: float) -> None:
-        for name, (attempt, deadline_ms) in list(self._preempted.items()):
-            link = self._life.links.get(attempt.worker)
-            if link is None or link.attempts.get(name) is not attempt:
-                del self._preempted[name]
-            elif now_ms >= deadline_ms:
-                del self._preempted[name]
-                link.stop[name] = None
-                self._life.outbox.add(SendCommands(attempt.worker))
-
-    # Reclaimed resources
-
-    def relieve(self, worker: str, now_ms: float) -> None:
-        """Act when measured use exceeds a worker's capacity: throttle, then checkpoint tasks."""
-        account = self._life.capacity.ledger.account(worker)
-        link = self._life.links.get(worker)
-        if account is None or link is None or not self._config.policy.reclaim:
-            return
-        running = [a for a in link.attempts.values() if a.phase is Phase.RUNNING]
-        cpu = sum(a.used_cpu for a in running) - account.capacity.cpu_millis
-        memory = sum(a.used_memory for a in running) - account.capacity.memory_bytes
-        if cpu <= 0 and memory <= 0:
-            return
-        exceeding = [a for a in running if self._exceeds(a)]
-        for attempt in sorted(exceeding, key=lambda a: a.started_ms, reverse=True):
-            if cpu > 0 and not attempt.throttled and not attempt.stop_cause:
-                attempt.throttled = True
-                link.throttle[attempt.name] = attempt.charged.cpu_millis
-                cpu -= attempt.used_cpu - attempt.charged.cpu_millis
-            elif (memory > 0 or cpu > 0) and not attempt.stop_cause:
-                cpu -= attempt.used_cpu
-                memory -= attempt.used_memory
-                self._checkpoint(attempt, "reclaimed", now_ms)
-        self._life.outbox.add(SendCommands(worker))
-
-    def _exceeds(self, attempt: Attempt) -> bool:
-        over_cpu = attempt.used_cpu > attempt.charged.cpu_millis
-        over_memory = attempt.used_memory > attempt.charged.memory_bytes
-        return (over_cpu or over_memory) and self._is_preemptible(attempt)
