Do not take a ticket that the watch applied during a read for a gap

When the watch applied a ticket while the same ticket was being read, the read reported missing tickets, and filing answered 500 instead of a conflict. test_two_operators_file_tickets_for_the_same_service failed in 2 of 5 runs. A gap is now reported only when a read ticket could not be applied.

--- a/packages/nutmeglb/src/nutmeglb/_internal/configuration.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/configuration.py
@@ -160,16 +160,16 @@
                 if not batch.ok_value:
                     self._confirm(started_ms)
                     return Ok(None)
-                before = self._log.number
-                if batch.ok_value[0].number > before + 1:
+                if batch.ok_value[0].number > self._log.number + 1:
                     # Older tickets have been removed; the snapshot replaces them.
                     loaded = await self._load_snapshot()
                     if isinstance(loaded, Err):
                         return loaded
                 for item in batch.ok_value:
                     self.offer(item.value, item.data, "store")
-                if self._log.number == before:
-                    return Err(_gap(before, batch.ok_value[0].number))
+                # The watch may have applied the whole batch while it was read.
+                if batch.ok_value[-1].number > self._log.number:
+                    return Err(_gap(self._log.number, batch.ok_value[0].number))
                 # Long logs are applied in steps, so that other work gets its turn.
                 await asyncio.sleep(0)
         return Ok(None)
--- a/tests/functional/test_configuration.py
+++ b/tests/functional/test_configuration.py
@@ -193,6 +193,22 @@
     with_cell(test)
 
 
+def test_ticket_applied_by_the_watch_during_a_read_is_not_a_gap() -> None:
+    async def test(cell: Cell) -> None:
+        for name in "ab":
+            await (await cell.add(name)).wait_loaded()
+        await until(lambda: len(cell.server.watchers) == 2)
+        slow = {"kind": "delay", "delay_ms": 200, "instances": ["b"], "paths": ["/v3/kv/range"]}
+        cell.server.set_faults([slow])
+        reading = asyncio.create_task(cell.nodes["b"].catch_up())
+        await cell.file_many("a", 1, 1)
+        await until(lambda: cell.nodes["b"].current().number == 1)
+        assert not reading.done()
+        assert (await reading).is_ok()
+
+    with_cell(test)
+
+
 def test_startup_uses_the_snapshot_and_old_tickets_are_removed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
