--- a/tests/functional/test_requests.py
+++ b/tests/functional/test_requests.py
@@ -301,6 +301,21 @@
     run_in_cell(test, ONE, {"a": 1})
 
 
+def test_late_response_reaches_nobody_and_its_slot_stays_in_use() -> None:
+    """Guards G1 and G3 with a response that is ready after the caller's deadline."""
+
+    async def test(cell: Cell) -> None:
+        late = await cell.call("a1", X_Run_Ms="400", X_Request_Timeout_Ms="100", X_Marker="late")
+        assert outcome_of(late) == (504, "unknown", "too_late")
+        calls = [cell.call(f"a{n % 2}", X_Run_Ms="100", X_Marker=f"m{n}") for n in range(6)]
+        for number, response in enumerate(await asyncio.gather(*calls)):
+            assert outcome_of(response) == (200, "answered", "")
+            assert json.loads(response.body)["marker"] == f"m{number}"
+        assert cell.endpoints["a-ep0"].record.peak_running <= SERVICE.slots
+
+    run_in_cell(test, ONE, {"a": 1})
+
+
 def test_unreported_grants_hold_all_slots() -> None:
     """Guards G1 when a missing instance may hold grants that nobody reported."""
 
