Do not release a gang between the end of a member and the stop of the others

The gang_whole invariant fired in a longer run of the state machine (350 examples of 60 steps): a member was withdrawn, and another was reported as held before the stops were sent. The check now precedes the release; the test fails without it.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
@@ -392,6 +392,9 @@
             return
         if any(m.phase is not Phase.HELD or m.stop_cause for m in members):
             return
+        # A member has ended, and the others are about to be stopped.
+        if len(members) < members[0].gang:
+            return
         ensure(
             len(members) == members[0].gang,
             GANG_WHOLE,
--- a/tests/unit/test_task_protocol.py
+++ b/tests/unit/test_task_protocol.py
@@ -200,3 +200,22 @@
     live = [run for run in world.started() if run.end_ms is None]
     assert len(live) == 2
     assert all(run.attempt.endswith("/2") for run in live)
+
+
+def test_gang_with_a_withdrawn_member_is_not_released() -> None:
+    """Guards against the rest of a gang running between the end of a member and their stop."""
+    world = World(make_config(), workers=3, cpu_millis=1_000)
+    world.round()
+    world.submit(make_spec(kind=JobKind.GANG, tasks=3, command="run_ms=100"))
+    world.commit_all()
+    world.step()
+    world.commit_all()
+    world.lose_contact("w2")
+    for worker in ("w0", "w1", "w0", "w1"):
+        world.send(worker)
+        world.deliver_request(0)
+        world.deliver_response(0)
+    assert len(world.runs()) == 2 and not world.started()
+    for _ in range(8):
+        world.round(30.0)
+    assert len(world.started()) == 3
