--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/dispatch.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/dispatch.py
@@ -104,11 +104,7 @@
         if not self._life.capacity.quotas.admits(spec.team, shape.resources.scaled(shape.together)):
             self._over_quota(job, shape, now_ms)
             return 1
-        if shape.together == 1:
-            worker = self._choose(job, shape, now_ms)
-            workers = None if worker is None else [worker]
-        else:
-            workers = self._choose_members(job, shape, now_ms)
+        workers = self._find(job, shape, now_ms)
         if workers is None:
             accounts = self._life.capacity.ledger.accounts().values()
             unfit = not could_fit(shape.resources, accounts, shape.together)
@@ -117,6 +113,13 @@
         self._start_all(job, shape, workers, now_ms)
         return len(workers)
 
+    def _find(self, job: Job, shape: Shape, now_ms: float) -> list[str] | None:
+        """Return a worker for the next task, or for every member of a gang."""
+        if shape.together > 1:
+            return self._choose_members(job, shape, now_ms)
+        worker = self._choose(job, shape, now_ms)
+        return None if worker is None else [worker]
+
     def _over_quota(self, job: Job, shape: Shape, now_ms: float) -> None:
         limit = self._life.capacity.quotas.limit(job.spec.team)
         possible = limit is not None and shape.resources.scaled(shape.together).fits_in(limit)
@@ -234,6 +237,7 @@
         if self._hold is not None:
             job = self._life.jobs.get(self._hold.job_id)
             if job is not None and job.waiting and job.queued and now_ms < self._hold.until_ms:
+                self._place_held(job, now_ms)
                 return
             self._end_hold()
         waiting: list[tuple[int, int, str, Shape]] = []
@@ -249,6 +253,17 @@
             if self._begin_hold(self._life.jobs[job_id], shape, now_ms):
                 return
 
+    def _place_held(self, job: Job, now_ms: float) -> None:
+        """Place the job that workers are kept for, although others of its shape come first."""
+        shape = job.shape
+        needed = shape.resources.scaled(shape.together)
+        if not self.may_start(now_ms) or job.not_before_ms:
+            return
+        if self._life.capacity.quotas.admits(job.spec.team, needed):
+            workers = self._find(job, shape, now_ms)
+            if workers is not None:
+                self._start_all(job, shape, workers, now_ms)
+
     def _largest_worker(self) -> Resources:
         accounts = self._life.capacity.ledger.accounts().values()
         return max((a.capacity for a in accounts), key=lambda c: c.cpu_millis, default=Resources())
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/history.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/history.py
@@ -4,7 +4,11 @@
 
 from nutmeglb_decisions.tasks.estimates import Estimates, JobKey
 from nutmeglb_decisions.tasks.lifecycle import Lifecycle
-from nutmeglb_decisions.tasks.quarantine import EARLY_FAILURE_MS, Quarantine
+from nutmeglb_decisions.tasks.quarantine import (
+    EARLY_FAILURE_MS,
+    JOB_FAILING_WORKERS,
+    Quarantine,
+)
 from nutmeglb_decisions.tasks.state import Attempt, Job, Phase
 from nutmeglb_formats.models.agent import FinishedTask, TaskOutcome
 
@@ -91,7 +95,9 @@
         self._availability_changed(attempt.worker)
         backs_off = job.not_before_ms > now_ms
         usable = len(self._life.capacity.engine.enabled())
-        if not backs_off and self._quarantine.fails_everywhere(key, usable):
+        # Other jobs of the same name may succeed, so the job's own failures count too.
+        alone = len(job.failed_on) >= max(1, min(JOB_FAILING_WORKERS, usable))
+        if not backs_off and (alone or self._quarantine.fails_everywhere(key, usable)):
             delay_ms = self._quarantine.backoff_ms(job.backoff_rounds)
             job.backoff_rounds += 1
             self._life.delay(job, now_ms + delay_ms)
--- a/tests/unit/test_task_policies.py
+++ b/tests/unit/test_task_policies.py
@@ -237,6 +237,22 @@
     )
 
 
+def test_failing_job_backs_off_although_its_name_succeeds_elsewhere() -> None:
+    """Guards against a job that fails at once being retried without end before all others."""
+    world = World(make_config(), workers=3)
+    world.round()
+    large = Resources(3_000, GIB, 0)
+    world.submit(make_spec("bad", tasks=3, resources=large, command="run_ms=5 outcome=failed"))
+    for number in range(30):
+        world.submit(make_spec(f"good{number}", resources=large, command="run_ms=100"))
+    world.commit_all()
+    for _ in range(200):
+        world.round(100.0)
+    outcomes = [run.outcome for run in world.runs()]
+    assert outcomes.count("succeeded") == 30
+    assert outcomes.count("failed") < 30
+
+
 def test_ticket_job_is_created_once_per_ticket() -> None:
     """Guards against a second run of ticket work after a leader change or a repeated ticket."""
     job = JobDefinition("nightly", "labs", "a", JobKind.BATCH, 2, CORE, command="run_ms=10")
