Send requests to ready instances only, as the platform's balancer does

A planned stop is announced by readiness, and the balancer has its notice time to send new connections elsewhere. An instance that does not answer at all stays in use.

--- a/scripts/soak_checks.py
+++ b/scripts/soak_checks.py
@@ -285,7 +285,8 @@
         for record in callers:
             cut = record.entry == span.name and record.outcome == "closed"
             if cut and span.overlaps(record.sent_s, record.ended_s):
-                yield Violation("G7", f"{span.name} cut {record.marker}", record.ended_s)
+                cause = f"{span.name} cut {record.marker}, sent at {record.sent_s:.3f}"
+                yield Violation("G7", cause, record.ended_s)
 
 
 def check_tickets(
--- a/scripts/soak_load.py
+++ b/scripts/soak_load.py
@@ -28,6 +28,7 @@
 CALLERS = 40
 CALL_PAUSE_S = (0.0, 0.2)
 TRIES = 4
+BALANCER_PAUSE_S = 0.05
 JOB_PAUSE_S = (0.05, 0.5)
 TICKET_PAUSE_S = (1.0, 2.5)
 RETRY_PAUSE_S = (0.1, 0.5)
@@ -49,12 +50,13 @@
         self._records = records
         self._number = 0
         self._stopping = False
+        self._withdrawn: set[str] = set()
         self._workers: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Start callers, submitters and operators."""
         loops = [self._caller(f"caller-{n}") for n in range(CALLERS)]
-        loops += [self._submitter(), self._operators()]
+        loops += [self._submitter(), self._operators(), self._balance()]
         self._workers = [asyncio.create_task(loop) for loop in loops]
 
     async def stop(self) -> None:
@@ -62,6 +64,19 @@
         self._stopping = True
         await asyncio.gather(*self._workers)
 
+    async def _balance(self) -> None:
+        """Withdraw instances that report that they are not ready, as the platform's balancer does.
+
+        An instance that does not answer stays in use, so that callers meet its failure.
+        """
+        while not self._stopping:
+            entries = self._cluster.entries()
+            states = await asyncio.gather(*(self._cluster.readiness(e) for e in entries))
+            self._withdrawn = {
+                entry.name for entry, ready in zip(entries, states, strict=True) if ready is False
+            }
+            await asyncio.sleep(BALANCER_PAUSE_S)
+
     # Callers
 
     async def _caller(self, name: str) -> None:
@@ -87,7 +102,7 @@
                 name,
                 attempt,
             )
-            entry = self._rng.choice(self._cluster.entries())
+            entry = self._rng.choice(self._entries_in_use())
             record = await self._one(entry, request)
             if record.outcome == "answered":
                 return
@@ -95,6 +110,10 @@
             if not may_repeat or self._stopping:
                 return
 
+    def _entries_in_use(self) -> list[Node]:
+        entries = self._cluster.entries()
+        return [entry for entry in entries if entry.name not in self._withdrawn] or entries
+
     async def _one(self, entry: Node, request: Call) -> CallerRecord:
         result = await call(self._cluster, entry, request)
         record = CallerRecord(
