Measure control cost at the task peak, during a store outage and just after it

Cause: the cases covered rest and requests only, and left out the traffic with worker agents. Change: the agent stand-in counts bytes; two new cases; requests and task starts per second.

--- a/measure/control_cost.py
+++ b/measure/control_cost.py
@@ -10,7 +10,7 @@
 import os
 import random
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, replace
 from pathlib import Path
 
@@ -18,7 +18,7 @@
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.resources import Resources
 from scripts.soak_checks import Records
-from scripts.soak_load import Load
+from scripts.soak_load import TEAM, Load
 from standins.agent import AgentServer
 from standins.agent_state import AgentState
 from standins.endpoint import Behaviour, Endpoint
@@ -41,6 +41,12 @@
 CORE_SHARE_TARGET = 0.029
 MEMORY_MB_TARGET = 128.0
 PEER_KB_PER_S_TARGET = 7.0
+# 350 starts per second in 10 failure domains.
+STARTS_PER_S_PER_DOMAIN = 35
+TASK_RUN_MS = 500.0
+BYTES_PER_GIB = 1024**3
+
+Windows = list[tuple[str, dict[str, float]]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +72,8 @@
     "instances_4": replace(BASE, instances=4),
     "domains_1": replace(BASE, domains=1),
     "domains_3": replace(BASE, domains=3),
+    "task_peak": replace(BASE, workers=24),
+    "store_outage": BASE,
 }
 
 
@@ -75,6 +83,7 @@
 
     store_calls: Counter[str]
     peer_bytes: float
+    agent_bytes: float
     cpu_s: float
     memory_bytes: float
 
@@ -104,6 +113,14 @@
             address = f"127.0.0.1:{endpoint.port}"
             await cluster.put_into_list(_node(f"{domain}-endpoint", "endpoint", domain, address))
 
+    def agent_bytes(self) -> int:
+        """Return the bytes exchanged with all agents."""
+        return sum(agent.bytes for agent in self._agents)
+
+    def started(self) -> int:
+        """Return the number of tasks that agents started."""
+        return sum(len(agent.state.record) for agent in self._agents)
+
     async def stop(self) -> None:
         """Stop everything."""
         await asyncio.gather(*(agent.stop() for agent in self._agents))
@@ -114,7 +131,7 @@
     return Node(ManagedProcess(name, Path(), ()), role, domain, ports={role: address})
 
 
-async def read(cluster: Cluster) -> Reading:
+async def read(cluster: Cluster, standins: Standins) -> Reading:
     """Read all counters."""
     calls = await cluster.get_json(cluster.store_address, "/counts")
     peer_bytes = 0.0
@@ -126,16 +143,16 @@
     pids = [entry.process.pid for entry in cluster.entries()]
     cpu_s = sum(_cpu_s(pid) for pid in pids)
     memory_bytes = sum(_memory_bytes(pid) for pid in pids)
-    return Reading(Counter(calls), peer_bytes, cpu_s, memory_bytes)
+    return Reading(Counter(calls), peer_bytes, standins.agent_bytes(), cpu_s, memory_bytes)
 
 
-async def measure_window(cluster: Cluster) -> dict[str, float]:
+async def measure_window(cluster: Cluster, standins: Standins) -> dict[str, float]:
     """Return the figures of one window, per second and per node."""
     nodes = len(cluster.entries())
     loop = asyncio.get_running_loop()
-    before, started_s = await read(cluster), loop.time()
+    before, started_s = await read(cluster, standins), loop.time()
     await asyncio.sleep(WINDOW_S)
-    after, ended_s = await read(cluster), loop.time()
+    after, ended_s = await read(cluster, standins), loop.time()
     elapsed_s = ended_s - started_s
     calls = after.store_calls - before.store_calls
     figures = {
@@ -143,9 +160,11 @@
         for path, count in sorted(calls.items())
     }
     peer_bytes = after.peer_bytes - before.peer_bytes
+    agent_bytes = after.agent_bytes - before.agent_bytes
     return figures | {
         "store_calls_per_s": round(calls.total() / elapsed_s, 2),
         "peer_kb_per_s_per_node": round(peer_bytes / elapsed_s / nodes / BYTES_PER_KB, 3),
+        "agent_kb_per_s": round(agent_bytes / elapsed_s / BYTES_PER_KB, 3),
         "core_share_per_node": round((after.cpu_s - before.cpu_s) / elapsed_s / nodes, 4),
         "memory_mb_per_node": round(after.memory_bytes / nodes / BYTES_PER_MB, 1),
     }
@@ -162,32 +181,57 @@
     return number
 
 
-async def measure(size: Size) -> list[tuple[str, dict[str, float]]]:
-    """Measure one size at rest and under load."""
+async def load_tasks(cluster: Cluster, per_s: int, stop: asyncio.Event) -> None:
+    """Submit one job per second to every failure domain, together ``per_s`` tasks per second."""
+    domains = cluster.layout.domains
+    number = 0
+    while not stop.is_set():
+        number += 1
+        for domain in domains:
+            body = {
+                "submission_id": f"{domain}-{number}",
+                "name": "peak",
+                "team": TEAM,
+                "kind": "batch",
+                "tasks": per_s // len(domains),
+                "resources": {"cpu_millis": 500, "memory_bytes": BYTES_PER_GIB, "accelerators": 0},
+                "run_ms": TASK_RUN_MS,
+                "command": f"work run_ms={TASK_RUN_MS:.0f}",
+                "domain": domain,
+            }
+            entry = cluster.entries(domain)[0]
+            await cluster.post_json(entry.ports["admin"], "/v1/jobs", body)
+        await asyncio.sleep(1.0)
+
+
+async def measure(
+    size: Size, windows: Callable[[Cluster, Standins], Awaitable[Windows]]
+) -> Windows:
+    """Start a cell of one size, wait until it serves, and measure its windows."""
     names = ("east", "west", "north")[: size.domains]
     layout = Layout(domains=names, instances=size.instances, endpoints=0, workers=0, settings={})
     standins = Standins()
     try:
         async with Cluster(layout) as cluster:
             await standins.start(cluster, size)
-            return await measure_cluster(cluster)
+            for entry in cluster.entries():
+                await eventually(functools.partial(cluster.ready, entry), "the instance is ready")
+            await Load(cluster, random.Random(SEED), Records()).file_first_ticket()
+            await asyncio.sleep(SETTLE_S)
+            return await windows(cluster, standins)
     finally:
         await standins.stop()
 
 
-async def measure_cluster(cluster: Cluster) -> list[tuple[str, dict[str, float]]]:
+async def rest_and_requests(cluster: Cluster, standins: Standins) -> Windows:
     """Return the figures at rest and under a load of requests."""
-    for entry in cluster.entries():
-        await eventually(functools.partial(cluster.ready, entry), "the instance is ready")
-    await Load(cluster, random.Random(SEED), Records()).file_first_ticket()
-    await asyncio.sleep(SETTLE_S)
-    rest = await measure_window(cluster)
+    rest = await measure_window(cluster, standins)
     count = CALLERS_PER_DOMAIN * len(cluster.layout.domains)
     stop = asyncio.Event()
     loads = [load_requests(cluster, f"{SEED}-{n}", stop) for n in range(count)]
     callers = [asyncio.create_task(load) for load in loads]
     started_s = asyncio.get_running_loop().time()
-    load = await measure_window(cluster)
+    load = await measure_window(cluster, standins)
     stop.set()
     requests = sum(await asyncio.gather(*callers))
     elapsed_s = asyncio.get_running_loop().time() - started_s
@@ -195,12 +239,37 @@
     return [(AT_REST, rest), (f"{count} callers", load)]
 
 
+async def task_peak(cluster: Cluster, standins: Standins) -> Windows:
+    """Return the figures while tasks start at the peak rate of the design size per domain."""
+    stop = asyncio.Event()
+    per_s = STARTS_PER_S_PER_DOMAIN * len(cluster.layout.domains)
+    load = asyncio.create_task(load_tasks(cluster, per_s, stop))
+    await asyncio.sleep(SETTLE_S)
+    started, started_s = standins.started(), asyncio.get_running_loop().time()
+    figures = await measure_window(cluster, standins)
+    elapsed_s = asyncio.get_running_loop().time() - started_s
+    figures["starts_per_s"] = round((standins.started() - started) / elapsed_s, 1)
+    stop.set()
+    await load
+    return [(f"{per_s} starts per second offered", figures)]
+
+
+async def store_outage(cluster: Cluster, standins: Standins) -> Windows:
+    """Return the figures while the store refuses every call, and just after it is back."""
+    await cluster.store_faults({"kind": "refuse"})
+    await asyncio.sleep(SETTLE_S)
+    out = await measure_window(cluster, standins)
+    await cluster.store_faults()
+    back = await measure_window(cluster, standins)
+    return [("store out", out), ("store just back", back)]
+
+
 def run_size(name: str) -> Iterator[Figures]:
     """Measure one size and yield its figures."""
     size = SIZES[name]
     logging.getLogger("tornado.access").setLevel(logging.CRITICAL)
-    for policy, figures in asyncio.run(measure(size)):
-        # Requests are the work itself, so the budgets of control hold at rest only.
+    for policy, figures in asyncio.run(measure(size, WINDOWS.get(name, rest_and_requests))):
+        # Requests and tasks are the work itself, so the budgets of control hold at rest only.
         targets = _targets(figures) if policy == AT_REST else {}
         yield Figures(f"control_cost_{name}", size.text, policy, "", SEED, figures, targets)
 
@@ -227,6 +296,8 @@
     return float(pages * os.sysconf("SC_PAGE_SIZE"))
 
 
+WINDOWS = {"task_peak": task_peak, "store_outage": store_outage}
+
 CASES: dict[str, Case] = {
     f"control_cost_{name}": functools.partial(run_size, name) for name in SIZES
 }
--- a/standins/agent.py
+++ b/standins/agent.py
@@ -16,6 +16,7 @@
 
 from pydantic import ValidationError
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
@@ -25,6 +26,9 @@
 from standins.agent_state import AgentState, Faults
 
 MS_PER_S = 1_000.0
+START_LINE_BYTES = 28
+# Colon, space and line end of a header line.
+HEADER_EXTRA_BYTES = 4
 
 
 class AgentServer:
@@ -34,6 +38,7 @@
         self.state = state
         self.port = 0
         self.calls = 0
+        self.bytes = 0
         self._changed = asyncio.Condition()
         self._frozen_until_ms = 0.0
         self._server: HTTPServer | None = None
@@ -59,6 +64,13 @@
             self._server.stop()
             await self._server.close_all_connections()
 
+    def count_bytes(self, headers: HTTPHeaders, body: bytes) -> None:
+        """Count a request or response: start line, headers and body, without TCP and IP."""
+        lines = sum(
+            len(name) + len(value) + HEADER_EXTRA_BYTES for name, value in headers.get_all()
+        )
+        self.bytes += START_LINE_BYTES + lines + len(body)
+
     def freeze(self, duration_ms: float) -> None:
         """Answer nothing for a time."""
         self._frozen_until_ms = self.state.clock.now_ms() + duration_ms
@@ -116,6 +128,7 @@
             self.set_status(400)
             self.write({"error": f"{error.error_count()} invalid fields"})
             return
+        self.agent.count_bytes(self.request.headers, self.request.body)
         answer = await self.agent.sync(request)
         faults = self.agent.state.faults
         if faults.lose_responses > 0:
@@ -125,7 +138,9 @@
         if isinstance(answer, EpochRefusal):
             self.set_status(409)
         self.set_header("Content-Type", "application/json")
-        self.write(answer.model_dump_json())
+        body = answer.model_dump_json()
+        self.agent.count_bytes(self._headers, body.encode())
+        self.write(body)
 
 
 class _Record(_Handler):
