--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -10,6 +10,7 @@
 
 from tests.lib.callers import Call, CallResult, call
 from tests.lib.cluster import OPERATOR_TOKEN, ROOT, Cluster, Layout, Node, eventually, main_address
+from tests.lib.processes import exit_on_sigterm
 
 SEED = 1
 REQUESTS_PER_ENTRY = 100
@@ -177,6 +178,7 @@
 
 def main() -> int:
     """Run the demonstration; an interrupt ends it cleanly."""
+    exit_on_sigterm()
     try:
         return asyncio.run(run())
     except KeyboardInterrupt:
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -16,6 +16,7 @@
 from scripts.soak_load import MAX_RUN_MS, SLOTS, Load
 from scripts.soak_records import Recorder
 from tests.lib.cluster import Cluster, Layout, eventually
+from tests.lib.processes import exit_on_sigterm
 
 CONNECTIONS = 64
 WORKER_CPU_MILLIS = 4_000
@@ -161,6 +162,7 @@
 
 def main() -> int:
     """Parse the arguments and run."""
+    exit_on_sigterm()
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--duration_s", type=float, default=60.0)
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -15,6 +15,11 @@
 POLL_S = 0.02
 
 
+def exit_on_sigterm() -> None:
+    """Make SIGTERM raise ``SystemExit``, so that started processes are killed on the way out."""
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
+
+
 class ManagedProcess:
     """One child process with a log file and a file of the ports that it bound.
 
