Keep one check of invariants

Cause: three parts had written the same function under two names. Change: nutmeglb_decisions/invariants.py serves all; the names of the task invariants moved there.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/attempt.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/attempt.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from enum import StrEnum
 
+from nutmeglb_decisions.invariants import require
 from nutmeglb_decisions.routing.attempt_types import (
     AbortExchange,
     Answer,
@@ -18,7 +19,6 @@
     ReleaseSlot,
     RequestInfo,
 )
-from nutmeglb_decisions.routing.invariants import require
 from nutmeglb_decisions.routing.retry_budget import RetryBudget
 from nutmeglb_formats.wire.routing import (
     ClaimState,
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/endpoints.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/routing/endpoints.py
@@ -7,7 +7,7 @@
 
 from sortedcontainers import SortedSet
 
-from nutmeglb_decisions.routing.invariants import require
+from nutmeglb_decisions.invariants import require
 
 ERROR_WEIGHT = 0.2
 # Four failures in a row exceed this rate; an endpoint with one failure in five does not.
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/dispatch.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/dispatch.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 
+from nutmeglb_decisions.invariants import GANG_WHOLE, require
 from nutmeglb_decisions.tasks.estimates import Estimates
 from nutmeglb_decisions.tasks.gangs import (
     MAX_HOLD_FACTOR,
@@ -13,7 +14,6 @@
     plan_members,
 )
 from nutmeglb_decisions.tasks.history import History, job_key
-from nutmeglb_decisions.tasks.invariants import GANG_WHOLE, ensure
 from nutmeglb_decisions.tasks.ledger import Account
 from nutmeglb_decisions.tasks.lifecycle import Lifecycle
 from nutmeglb_decisions.tasks.placement import Score, pack_score, spread_score
@@ -174,7 +174,7 @@
             attempt = self._life.start(job, worker, shape.resources, now_ms, gang=gang)
             attempt.expected_end_ms = now_ms + run_ms
             self._history.placed(attempt, now_ms)
-        ensure(
+        require(
             not job.is_gang or len(job.live) == gang,
             GANG_WHOLE,
             "A gang was reserved in part",
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/ledger.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/ledger.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from nutmeglb_decisions.tasks.invariants import LEDGER_CAPACITY, ensure
+from nutmeglb_decisions.invariants import LEDGER_CAPACITY, require
 from nutmeglb_formats.models.resources import Resources
 
 NOTHING = Resources()
@@ -89,7 +89,7 @@
             The worker does not have them free, or the key is already in use.
         """
         account = self._accounts[worker]
-        ensure(
+        require(
             resources.fits_in(account.free) and key not in account.entries,
             LEDGER_CAPACITY,
             "A reservation exceeds the capacity of a worker",
@@ -134,7 +134,7 @@
         total = NOTHING
         for entry in account.entries.values():
             total = total + entry.resources
-        ensure(
+        require(
             total == account.allocated,
             LEDGER_CAPACITY,
             "The allocations of a worker do not add up",
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable, Iterator
 
-from nutmeglb_decisions.tasks.capacity import Capacity
-from nutmeglb_decisions.tasks.events import SendCommands
-from nutmeglb_decisions.tasks.invariants import (
+from nutmeglb_decisions.invariants import (
     GANG_WHOLE,
     SINGLE_COMPLETION,
     SINGLE_RUN,
-    ensure,
+    require,
 )
+from nutmeglb_decisions.tasks.capacity import Capacity
+from nutmeglb_decisions.tasks.events import SendCommands
 from nutmeglb_decisions.tasks.outbox import Outbox
 from nutmeglb_decisions.tasks.quarantine import JOB_FAILING_WORKERS
 from nutmeglb_decisions.tasks.state import Attempt, Job, Phase
@@ -188,7 +188,7 @@
         index = job.take_index()
         number = job.numbers.get(index, 0) + 1
         key = AttemptKey(job.job_id, index, number)
-        ensure(
+        require(
             index not in job.live and index not in job.completing and not job.is_done(index),
             SINGLE_RUN,
             "A task would run twice",
@@ -329,7 +329,7 @@
             self.outbox.add(SendCommands(worker))
 
     def _completed(self, job: Job, key: AttemptKey, now_ms: float) -> None:
-        ensure(
+        require(
             key.index in job.completing and not job.is_done(key.index),
             SINGLE_COMPLETION,
             "A task would complete twice",
@@ -395,7 +395,7 @@
         # A member has ended, and the others are about to be stopped.
         if len(members) < members[0].gang:
             return
-        ensure(
+        require(
             len(members) == members[0].gang,
             GANG_WHOLE,
             "A gang would start in part",
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/quotas.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/quotas.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from nutmeglb_decisions.tasks.invariants import QUOTA, ensure
+from nutmeglb_decisions.invariants import QUOTA, require
 from nutmeglb_formats.models.config import Config, Team
 from nutmeglb_formats.models.resources import Resources
 
@@ -65,7 +65,7 @@
         InvariantViolation
             The team would exceed its limit.
         """
-        ensure(self.admits(team, resources), QUOTA, "A start exceeds a team's quota", team=team)
+        require(self.admits(team, resources), QUOTA, "A start exceeds a team's quota", team=team)
         self.adopt(team, resources)
 
     def adopt(self, team: str, resources: Resources) -> None:
@@ -75,5 +75,5 @@
     def refund(self, team: str, resources: Resources) -> None:
         """Subtract from a team's use."""
         rest = self.used(team) - resources
-        ensure(rest.is_non_negative(), QUOTA, "A team's use is below zero", team=team)
+        require(rest.is_non_negative(), QUOTA, "A team's use is below zero", team=team)
         self._used[team] = rest
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/workers.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/workers.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from nutmeglb_decisions.tasks.invariants import JOURNAL_FIRST, ensure
+from nutmeglb_decisions.invariants import JOURNAL_FIRST, require
 from nutmeglb_decisions.tasks.state import Attempt, Phase
 from nutmeglb_formats.models.agent import (
     Amounts,
@@ -138,7 +138,7 @@
         for attempt in self.attempts.values():
             if not _needs_start(attempt):
                 continue
-            ensure(
+            require(
                 attempt.phase is not Phase.RESERVED,
                 JOURNAL_FIRST,
                 "An attempt would start before the journal holds it",
--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/exchange.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/exchange.py
@@ -10,8 +10,8 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
 
+from nutmeglb_decisions.invariants import require
 from nutmeglb_decisions.routing.attempt_types import Dispatch, ExchangeEnd, ExchangeResult
-from nutmeglb_decisions.routing.invariants import require
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.wire.routing import HeaderList, RefusalReason
 
--- a/tests/unit/test_task_policies.py
+++ b/tests/unit/test_task_policies.py
@@ -5,8 +5,8 @@
 
 import pytest
 
+from nutmeglb_decisions.invariants import require
 from nutmeglb_decisions.tasks.events import Configured, ListedWorker, WorkersListed
-from nutmeglb_decisions.tasks.invariants import ensure
 from nutmeglb_decisions.tasks.ledger import Ledger
 from nutmeglb_decisions.tasks.placement import PlacementEngine, pack_score, spread_score
 from nutmeglb_decisions.tasks.quarantine import Quarantine
@@ -65,7 +65,7 @@
 def test_ensure_names_the_invariant() -> None:
     """Guards against a counter without its label."""
     with pytest.raises(InvariantViolation) as caught:
-        ensure(False, "single_run", "text", task="t")
+        require(False, "single_run", "text", task="t")
     assert caught.value.context == {"invariant": "single_run", "task": "t"}
 
 
