Name refused and unresolved tickets as such in the time line

Cause: ticket_filed was also the event of a refused ticket. Change: the kinds ticket_filed, ticket_refused and ticket_outcome_unknown; the cause is the error kind.

--- a/packages/nutmeglb/src/nutmeglb/_internal/ticket_filing.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/ticket_filing.py
@@ -51,9 +51,12 @@
             result = await self._file(ticket)
         outcome = result.err_value.kind if isinstance(result, Err) else "accepted"
         self._filed.inc(outcome=outcome)
-        cause = str(result.err_value) if isinstance(result, Err) else "accepted"
         self._ctx.events.emit(
-            "ticket_filed", cause, ticket=result.ok(), id=ticket.ticket_id, author=ticket.author
+            _event_kind(result),
+            outcome,
+            ticket=result.ok(),
+            id=ticket.ticket_id,
+            author=ticket.author,
         )
         return result
 
@@ -167,3 +170,10 @@
         context={"id": ticket.ticket_id},
         hint="File the ticket again; other tickets are being filed at the same time",
     )
+
+
+def _event_kind(result: Result[int, NutmegError]) -> str:
+    if isinstance(result, Ok):
+        return "ticket_filed"
+    unknown = isinstance(result.err_value, StoreOutcomeUnknown)
+    return "ticket_outcome_unknown" if unknown else "ticket_refused"
