Report a job id without a known failure domain as not found

Cause: nutmegctl job show nope, tried on a running cell, said that no leader can be reached and to retry. Change: show and cancel check the failure domain in the id first. Result: the same command now ends with NotFound; the test fails without the change.

--- a/packages/nutmeglb/src/nutmeglb/_internal/jobs/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/jobs/service.py
@@ -158,6 +158,8 @@
     # Forwarding
 
     async def _job_call(self, call: JobCall) -> Result[JobView, NutmegError]:
+        if not isinstance(call, SubmitJob) and call.domain not in self._known_domains():
+            return Err(_unknown_job(call.job_id))
         reply = await self._route(call)
         if isinstance(reply, Err):
             return reply
@@ -166,8 +168,7 @@
         return Err(_error_of(reply.ok_value))
 
     async def _list_call(self, make: Any) -> Result[ListReplies, NutmegError]:
-        domains = {self._ctx.domain, *self._ctx.config.current().policy.domain_weights}
-        domains |= {member.domain for member in self._ctx.peers.members()}
+        domains = self._known_domains()
         results = await asyncio.gather(*(self._route(make(name)) for name in sorted(domains)))
         replies: ListReplies = []
         error: NutmegError | None = None
@@ -180,6 +181,11 @@
             self._ctx.events.emit("list_incomplete", error.kind, domain=domain)
         return Ok(replies) if replies or error is None else Err(error)
 
+    def _known_domains(self) -> set[str]:
+        weighted = self._ctx.config.current().policy.domain_weights
+        members = {member.domain for member in self._ctx.peers.members()}
+        return {self._ctx.domain, *weighted, *members}
+
     async def _route(self, call: JobCall | ListCall) -> Result[Reply, NutmegError]:
         if call.domain == self._ctx.domain and self._driver is not None:
             return Ok(await self._answer(call, self._driver))
--- a/tests/functional/test_job_service.py
+++ b/tests/functional/test_job_service.py
@@ -192,8 +192,10 @@
             )
             assert {w.state for w in (await service.workers()).unwrap()} == {"live"}
             assert [t.name for t in (await service.teams("labs")).unwrap()] == ["labs"]
-        missing = await cell.services[1].show("a.0")
-        assert missing.unwrap_err().kind == "NotFound"
+        # An id without a known failure domain was reported as a missing leader, to be retried.
+        for unknown in ("a.0", "nope", "z.0"):
+            missing = await cell.services[1].show(unknown)
+            assert missing.unwrap_err().kind == "NotFound"
         other = await cell.services[0].submit(make_spec("s3"), "b")
         assert other.unwrap_err().kind == "LeadershipLost"
 
