--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	touch $@
 
 run: venv
-	$(BIN)/python -m scripts.demo
+	$(BIN)/python -m scripts.demo $(if $(KEEP),--keep)
 
 test: venv
 	$(BIN)/python -m pytest
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,5 +1,6 @@
 """Runs a small cell on loopback: two failure domains, a ticket, urgent requests and jobs."""
 
+import argparse
 import asyncio
 import json
 import random
@@ -18,6 +19,7 @@
 RUN_MS = 20.0
 MS_PER_S = 1_000.0
 LIMIT_S = 55.0
+CLIENT_SETTINGS = ROOT / "var" / "nutmegctl.ini"
 TICKET = ROOT / "examples" / "demo" / "first-ticket.yaml"
 
 
@@ -157,16 +159,38 @@
     )
 
 
-async def run() -> int:
-    """Run the demonstration and return the exit status."""
+def write_client_settings(cluster: Cluster) -> None:
+    """Write the settings with which ``nutmegctl`` reaches the cell."""
+    CLIENT_SETTINGS.parent.mkdir(exist_ok=True)
+    token_file = CLIENT_SETTINGS.with_name("operator.token")
+    token_file.write_text(OPERATOR_TOKEN)
+    servers = ", ".join(entry.ports["admin"] for entry in cluster.entries())
+    CLIENT_SETTINGS.write_text(f"[client]\nservers = {servers}\ntoken_file = {token_file.name}\n")
+
+
+async def run(keep: bool) -> int:
+    """Run the demonstration and return the exit status.
+
+    Parameters
+    ----------
+    keep
+        Whether the cell goes on running afterwards until it is interrupted.
+    """
     try:
-        async with asyncio.timeout(LIMIT_S), Cluster(Layout()) as cluster:
+        async with Cluster(Layout()) as cluster:
             try:
-                await demonstrate(cluster)
+                async with asyncio.timeout(LIMIT_S):
+                    await demonstrate(cluster)
             except BaseException:
                 for entry in cluster.entries():
                     print(f"--- {entry.name}\n{entry.process.log_tail(10)}", file=sys.stderr)
                 raise
+            if keep:
+                write_client_settings(cluster)
+                print("\nThe cell is running. In another terminal:")
+                print(f"export NUTMEGCTL_CONFIG={CLIENT_SETTINGS.relative_to(ROOT)}")
+                print("Press Ctrl-C here to stop it.", flush=True)
+                await asyncio.Event().wait()
     except (DemoFailed, AssertionError, RuntimeError) as error:
         print(f"demo: {error}", file=sys.stderr)
         return 1
@@ -178,9 +202,12 @@
 
 def main() -> int:
     """Run the demonstration; an interrupt ends it cleanly."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--keep", action="store_true", help="Keep the cell until Ctrl-C.")
+    arguments = parser.parse_args()
     exit_on_sigterm()
     try:
-        return asyncio.run(run())
+        return asyncio.run(run(arguments.keep))
     except KeyboardInterrupt:
         return 130
 
