Tick the task scheduler five times a second and measure a domain of 100 workers

Cause: a leader of 100 workers at rest spent 4.9 % of a core, above the budget of 2.9 %; a tick visits every worker, 20 times a second. Ends, commits and commands do not wait for a tick. Change: 200 ms between ticks; cases control_cost_domain_100 and control_cost_domain_100_slow_sync.

--- a/measure/control_cost.py
+++ b/measure/control_cost.py
@@ -29,6 +29,7 @@
 SEED = 1
 WINDOW_S = 2.0
 SETTLE_S = 1.0
+LONG_WINDOW_S = 15.0
 CALLERS_PER_DOMAIN = 4
 RUN_MS = 20.0
 AT_REST = "at rest"
@@ -40,7 +41,7 @@
 # Budgets per node of section 1.3 of the design page.
 CORE_SHARE_TARGET = 0.029
 MEMORY_MB_TARGET = 128.0
-PEER_KB_PER_S_TARGET = 7.0
+KB_PER_S_TARGET = 7.0
 # 350 starts per second in 10 failure domains.
 STARTS_PER_S_PER_DOMAIN = 35
 TASK_RUN_MS = 500.0
@@ -56,6 +57,8 @@
     domains: int = 2
     instances: int = 2
     workers: int = 8
+    sync_wait_ms: float = 5_000.0
+    task_lease_ms: float = 15_000.0
 
     @property
     def text(self) -> str:
@@ -74,6 +77,8 @@
     "domains_3": replace(BASE, domains=3),
     "task_peak": replace(BASE, workers=24),
     "store_outage": BASE,
+    "domain_100": Size(1, 2, 100),
+    "domain_100_slow_sync": Size(1, 2, 100, 15_000.0, 45_000.0),
 }
 
 
@@ -84,7 +89,7 @@
     store_calls: Counter[str]
     peer_bytes: float
     agent_bytes: float
-    cpu_s: float
+    cpu_s: list[float]
     memory_bytes: float
 
 
@@ -141,17 +146,19 @@
             if line.startswith("nutmeglb_peer_bytes_total") and 'direction="sent"' in line:
                 peer_bytes += float(line.rpartition(" ")[2])
     pids = [entry.process.pid for entry in cluster.entries()]
-    cpu_s = sum(_cpu_s(pid) for pid in pids)
+    cpu_s = [_cpu_s(pid) for pid in pids]
     memory_bytes = sum(_memory_bytes(pid) for pid in pids)
     return Reading(Counter(calls), peer_bytes, standins.agent_bytes(), cpu_s, memory_bytes)
 
 
-async def measure_window(cluster: Cluster, standins: Standins) -> dict[str, float]:
+async def measure_window(
+    cluster: Cluster, standins: Standins, window_s: float = WINDOW_S
+) -> dict[str, float]:
     """Return the figures of one window, per second and per node."""
     nodes = len(cluster.entries())
     loop = asyncio.get_running_loop()
     before, started_s = await read(cluster, standins), loop.time()
-    await asyncio.sleep(WINDOW_S)
+    await asyncio.sleep(window_s)
     after, ended_s = await read(cluster, standins), loop.time()
     elapsed_s = ended_s - started_s
     calls = after.store_calls - before.store_calls
@@ -161,11 +168,16 @@
     }
     peer_bytes = after.peer_bytes - before.peer_bytes
     agent_bytes = after.agent_bytes - before.agent_bytes
+    cores = [
+        (end_s - begin_s) / elapsed_s
+        for begin_s, end_s in zip(before.cpu_s, after.cpu_s, strict=True)
+    ]
     return figures | {
         "store_calls_per_s": round(calls.total() / elapsed_s, 2),
         "peer_kb_per_s_per_node": round(peer_bytes / elapsed_s / nodes / BYTES_PER_KB, 3),
         "agent_kb_per_s": round(agent_bytes / elapsed_s / BYTES_PER_KB, 3),
-        "core_share_per_node": round((after.cpu_s - before.cpu_s) / elapsed_s / nodes, 4),
+        "core_share_per_node": round(sum(cores) / nodes, 4),
+        "core_share_busiest_node": round(max(cores), 4),
         "memory_mb_per_node": round(after.memory_bytes / nodes / BYTES_PER_MB, 1),
     }
 
@@ -209,7 +221,8 @@
 ) -> Windows:
     """Start a cell of one size, wait until it serves, and measure its windows."""
     names = ("east", "west", "north")[: size.domains]
-    layout = Layout(domains=names, instances=size.instances, endpoints=0, workers=0, settings={})
+    tasks = {"sync_wait_ms": size.sync_wait_ms, "task_lease_ms": size.task_lease_ms}
+    layout = Layout(names, size.instances, endpoints=0, workers=0, settings={"tasks": tasks})
     standins = Standins()
     try:
         async with Cluster(layout) as cluster:
@@ -239,6 +252,11 @@
     return [(AT_REST, rest), (f"{count} callers", load)]
 
 
+async def long_rest(cluster: Cluster, standins: Standins) -> Windows:
+    """Return the figures at rest over a window that holds several exchanges with each agent."""
+    return [(AT_REST, await measure_window(cluster, standins, LONG_WINDOW_S))]
+
+
 async def task_peak(cluster: Cluster, standins: Standins) -> Windows:
     """Return the figures while tasks start at the peak rate of the design size per domain."""
     stop = asyncio.Event()
@@ -276,9 +294,10 @@
 
 def _targets(figures: dict[str, float]) -> dict[str, str]:
     limits = {
-        "core_share_per_node": CORE_SHARE_TARGET,
+        "core_share_busiest_node": CORE_SHARE_TARGET,
+        "agent_kb_per_s": KB_PER_S_TARGET,
         "memory_mb_per_node": MEMORY_MB_TARGET,
-        "peer_kb_per_s_per_node": PEER_KB_PER_S_TARGET,
+        "peer_kb_per_s_per_node": KB_PER_S_TARGET,
     }
     return {
         f"{name} at most {limit}": "met" if figures[name] <= limit else "not met at this size"
@@ -296,7 +315,12 @@
     return float(pages * os.sysconf("SC_PAGE_SIZE"))
 
 
-WINDOWS = {"task_peak": task_peak, "store_outage": store_outage}
+WINDOWS = {
+    "task_peak": task_peak,
+    "store_outage": store_outage,
+    "domain_100": long_rest,
+    "domain_100_slow_sync": long_rest,
+}
 
 CASES: dict[str, Case] = {
     f"control_cost_{name}": functools.partial(run_size, name) for name in SIZES
--- a/packages/nutmeglb/src/nutmeglb/_internal/jobs/driver.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/jobs/driver.py
@@ -31,7 +31,9 @@
 from nutmeglb_formats.models.config import Config
 from nutmeglb_formats.models.instances import InstanceRole, InstanceState
 
-TICK_MS = 50.0
+# A tick visits every worker, and 20 ticks a second cost a leader of 100 workers more than the
+# budget of 2.9 % of a core. Ends, commits and commands do not wait for a tick.
+TICK_MS = 200.0
 MS_PER_S = 1_000.0
 
 
