Serve for the whole notice time after a pause during a planned stop

The notice time passed while the process was paused, so the listener closed in the first turn of the event loop after the pause and reset the connections that had arrived meanwhile, unread. Ruled out: the drain limit (20 s) and lost answers, since no request had reached the instance's code. Change: the notice time counts only time in which the process ran.

--- a/packages/nutmeglb/src/nutmeglb/_internal/lifecycle.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/lifecycle.py
@@ -12,6 +12,7 @@
 logger = get_logger("node")
 
 MS_PER_S = 1_000.0
+NOTICE_STEP_MS = 50.0
 # A component that does not stop in this time is abandoned, so that the process always ends.
 STOP_LIMIT_S = 5.0
 
@@ -76,11 +77,23 @@
         self._state = LifeState.DRAINING
         logger.info("draining", balancer_notice_ms=self._settings.balancer_notice_ms)
         self._on_draining()
-        await asyncio.sleep(self._settings.balancer_notice_ms / MS_PER_S)
+        await self._wait_for_balancer()
         deadline_ms = self._clock.now_ms() + self._settings.drain_limit_ms
         for component in self._drain_order:
             await self._drain_one(component, deadline_ms)
 
+    async def _wait_for_balancer(self) -> None:
+        """Serve for the notice time, counting only time in which the process ran.
+
+        A process that is paused during the notice shows nothing to the balancer, and connections
+        arrive meanwhile. Closing the listener at once after the pause would reset them unread.
+        """
+        remaining_ms = self._settings.balancer_notice_ms
+        while remaining_ms > 0:
+            step_ms = min(NOTICE_STEP_MS, remaining_ms)
+            await asyncio.sleep(step_ms / MS_PER_S)
+            remaining_ms -= step_ms
+
     async def stop(self) -> None:
         """Stop every started component in reverse order."""
         while self._started:
