Tell the operator to repeat a command that the store refused

Cause: with the store refusing, nutmegctl ticket file said that the call is repeated, although the command had ended. Change: the hint names the next step. Result: make check passes.

--- a/packages/nutmeglb/src/nutmeglb/_internal/store/gateway.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/store/gateway.py
@@ -19,7 +19,7 @@
 
 Json = dict[str, Any]
 
-HINT_UNAVAILABLE = "The call had no effect and is repeated; check that the store is reachable"
+HINT_UNAVAILABLE = "The call had no effect; repeat it when the store is reachable"
 HINT_UNKNOWN = "Read the key back before repeating the call"
 HINT_REFUSED = "Correct the call; repeating it unchanged cannot succeed"
 
