Let only the deadline end a request that takes too long

The deadline of the request and the time-out of its connection were timers for the same moment. Found by reading; 72 runs of the test under load with the former code did not repeat it. Change: the connection's time-out comes 100 ms after the deadline, unless max_run_ms is shorter.

--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/runner.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/runner.py
@@ -47,6 +47,9 @@
 
 MS_PER_S = 1_000.0
 DRAIN_POLL_MS = 20.0
+# The deadline ends a request. The time-out of its connection comes later, because two timers for
+# the same moment reported either of two reasons for the same end.
+DEADLINE_SLACK_MS = 100.0
 # Added to the time in which a claimed request must have ended, for clock differences.
 KEY_MARGIN_MS = 1_000.0
 
@@ -240,7 +243,7 @@
     def _dispatch(self, dispatch: Dispatch) -> None:
         now_ms = self._now_ms()
         left_ms = self._incoming.info.deadline_ms - now_ms
-        timeout_ms = max(1.0, min(left_ms, dispatch.grant.max_run_ms))
+        timeout_ms = max(1.0, min(left_ms + DEADLINE_SLACK_MS, dispatch.grant.max_run_ms))
         first = not self._dispatched
         self._dispatched = True
         self._runner.count_dispatch(self._incoming, first, now_ms - self._started_ms)
