Let the stand-ins write their ports file with the shipped function

Cause: four stand-ins repeated what nutmeglb/_internal/ports_file.py does. Change: they call write_ports_file.

--- a/standins/agent.py
+++ b/standins/agent.py
@@ -12,7 +12,6 @@
 import asyncio
 import json
 import math
-from pathlib import Path
 
 from pydantic import ValidationError
 from tornado.httpserver import HTTPServer
@@ -20,6 +19,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from nutmeglb._internal.ports_file import write_ports_file
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.agent import SYNC_LIMIT_BYTES, EpochRefusal, SyncRequest, SyncResponse
 from nutmeglb_formats.models.resources import Resources
@@ -177,10 +177,7 @@
     agent = AgentServer(AgentState(options.worker, capacity, clock, options.rack, boot))
     port = agent.start(options.port)
     if options.ports_file:
-        path = Path(options.ports_file)
-        partial = path.with_name(path.name + ".part")
-        partial.write_text(json.dumps({"agent": f"127.0.0.1:{port}"}))
-        partial.rename(path)
+        write_ports_file(options.ports_file, {"agent": f"127.0.0.1:{port}"})
     await asyncio.Event().wait()
 
 
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -28,9 +28,10 @@
 import math
 import random
 from dataclasses import asdict, dataclass, field
-from pathlib import Path
 from typing import Any
 
+from nutmeglb._internal.ports_file import write_ports_file
+
 MS_PER_S = 1_000.0
 FAULTS = (
     "",
@@ -287,10 +288,7 @@
     endpoint = Endpoint(behaviour, options.slots, options.seed)
     await endpoint.start(options.port)
     if options.ports_file:
-        path = Path(options.ports_file)
-        partial = path.with_name(path.name + ".part")
-        partial.write_text(json.dumps({"endpoint": f"127.0.0.1:{endpoint.port}"}))
-        partial.rename(path)
+        write_ports_file(options.ports_file, {"endpoint": f"127.0.0.1:{endpoint.port}"})
     await asyncio.Event().wait()
 
 
--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -12,7 +12,6 @@
 import hashlib
 import json
 import signal
-from pathlib import Path
 from typing import Any
 
 import fire
@@ -20,6 +19,8 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from nutmeglb._internal.ports_file import write_ports_file
+
 Entry = dict[str, Any]
 CLIENT_HEADER = "X-Client-Instance"
 
@@ -110,9 +111,7 @@
     server.add_sockets(sockets)
     address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
     if ports_file:
-        partial = Path(ports_file + ".partial")
-        partial.write_text(json.dumps({"list": address}))
-        partial.rename(ports_file)
+        write_ports_file(ports_file, {"list": address})
     stopped = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopped.set)
     await stopped.wait()
--- a/standins/store.py
+++ b/standins/store.py
@@ -16,7 +16,6 @@
 import json
 from collections import Counter
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Any
 
 from tornado.httpserver import HTTPServer
@@ -26,6 +25,7 @@
 from tornado.options import define, options, parse_command_line
 from tornado.web import Application, RequestHandler
 
+from nutmeglb._internal.ports_file import write_ports_file
 from nutmeglb_formats.clock import Clock
 from standins.store_data import Json, StoreData, StoreFault, from_text
 
@@ -303,9 +303,7 @@
     server = StoreServer(port)
     server.start()
     if ports_file:
-        partial = Path(ports_file + ".partial")
-        partial.write_text(json.dumps({"store": server.address}))
-        partial.rename(ports_file)
+        write_ports_file(ports_file, {"store": server.address})
     await asyncio.Event().wait()
 
 
