--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/admission.py
@@ -0,0 +1,53 @@
+"""Which queues refuse new jobs, and when their callers may return.
+
+Load pattern answered: a sustained overload. A job is refused at once only when the work that is
+accepted before it fills all room until after the last time at which its end is of use, so that no
+refusal happens with room free and no accepted job waits without hope.
+"""
+
+from collections import defaultdict
+
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.ranking import LATE_FACTOR, objective_ms
+from nutmeglb_decisions.queues.state import Job
+
+# The drain estimate is off by about the spread of the run times.
+RETRY_AFTER_BOUNDS_MS = (500.0, 5_000.0)
+
+
+def refusals(cell: Cell, now_ms: float) -> dict[str, float]:
+    """Return the queues that refuse, with the expected time in milliseconds until they accept."""
+    room = sum(
+        w.info.capacity.cpu_millis for w in cell.workers.values() if w.listed and not w.info.draining
+    )
+    if not room:
+        return {}
+    backlog: dict[int, float] = defaultdict(float)
+    objectives: dict[str, list[float]] = defaultdict(list)
+    priorities: dict[str, int] = {}
+    for job in cell.active.values():
+        queue = cell.policy_of(job)
+        priorities[queue.name] = queue.priority
+        objectives[queue.name].append(objective_ms(job, cell.estimates))
+        backlog[queue.priority] += _work(cell, job)
+    refusing = {}
+    for name, priority in priorities.items():
+        drain_ms = sum(work for other, work in backlog.items() if other <= priority) / room
+        typical = sorted(objectives[name])[len(objectives[name]) // 2]
+        excess_ms = drain_ms - LATE_FACTOR * typical
+        if excess_ms > 0:
+            lowest, highest = RETRY_AFTER_BOUNDS_MS
+            refusing[name] = min(highest, max(lowest, excess_ms))
+    return refusing
+
+
+def _work(cell: Cell, job: Job) -> float:
+    """Return the remaining work in thousandths of a core times milliseconds."""
+    queue = job.record.queue.name
+    return sum(
+        step.remaining
+        * step.spec.charged.cpu_millis
+        * cell.estimates.run_ms(queue, step.spec.estimate_ms)
+        for step in job.steps
+        if not step.spec.lasting
+    )
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -0,0 +1,173 @@
+"""When to ask for placement advice, about which workers.
+
+Load pattern answered: a burst of steps whose advice takes most of a second each. The first steps in
+rank order are asked for first and their tickets are renewed before they run out, so that room that
+becomes free is used at once; the calls outstanding are bounded by what the callers can do, so that
+urgent steps do not wait behind a queue of others.
+"""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.effects import AskAdvice
+from nutmeglb_decisions.queues.fitting import fits_empty, slots_on
+from nutmeglb_decisions.queues.state import Step, Worker
+from nutmeglb_formats.models.queues import AdviceTerms
+
+# Workers named in a first call. The users' objective counts one call on 30 workers a step.
+FIRST_NAMES = 30
+# Most workers that one call may name (from the platform's protocol).
+MAX_NAMES = 100
+# A ticket is not used in the last part of its validity: the order takes a round trip.
+TICKET_MARGIN_MS = 120.0
+# Renewals are asked for this long before the call has to be on its way.
+RENEW_AHEAD_MS = 150.0
+# An answer that is later than its cost by this factor and time counts as lost.
+LOST_FACTOR = 3.0
+LOST_MS = 1_500.0
+REFUSED_RETRY_MS = 200.0
+# Outstanding work per calling instance: a second call waits at the service while the first runs.
+BUSY_MS_PER_CALLER = 1_000.0
+
+
+@dataclass(slots=True)
+class AdviceBudget:
+    """Outstanding duration of calls that one pass may still add to."""
+
+    left_ms: float
+
+    @classmethod
+    def of(cls, cell: Cell, callers: int, now_ms: float) -> "AdviceBudget":
+        """Return what the callers can still take."""
+        busy_ms = 0.0
+        for job in cell.active.values():
+            terms = cell.policy_of(job).advice
+            if terms is None:
+                continue
+            for step in job.steps:
+                if step.advice.call_until_ms > now_ms:
+                    busy_ms += terms.decide_ms
+        return cls(callers * BUSY_MS_PER_CALLER - busy_ms)
+
+
+def usable(step: Step, worker: Worker) -> bool:
+    """Return whether a step may run on a worker as far as its labels and state tell."""
+    label = step.spec.required_label
+    return (
+        worker.listed
+        and not worker.info.draining
+        and (not label or label in worker.info.labels)
+    )
+
+
+def eligible(cell: Cell, step: Step) -> list[Worker]:
+    """Return the workers of the step's service that may run it, advice aside."""
+    service = cell.policy_of(step.job).service
+    return [w for w in cell.workers.values() if w.info.service == service and usable(step, w)]
+
+
+def with_ticket(step: Step, workers: Sequence[Worker], now_ms: float) -> list[Worker]:
+    """Return the workers for whose present incarnation a valid ticket is at hand."""
+    tickets, asked = step.advice.tickets, step.advice.asked
+    return [
+        worker
+        for worker in workers
+        if worker.worker_id in tickets
+        and asked.get(worker.worker_id) == worker.info.started_ms
+        and now_ms < tickets[worker.worker_id][1] - TICKET_MARGIN_MS
+    ]
+
+
+def ask(
+    cell: Cell,
+    step: Step,
+    workers: Sequence[Worker],
+    budget: AdviceBudget,
+    rng: random.Random,
+    now_ms: float,
+) -> None:
+    """Ask about a step when its answer is missing, too narrow, or about to run out."""
+    terms = cell.policy_of(step.job).advice
+    state = step.advice
+    if terms is None or budget.left_ms <= 0 or now_ms < max(
+        state.call_until_ms, state.not_before_ms
+    ):
+        return
+    names = _names(step, workers, terms, rng, now_ms)
+    if not names:
+        return
+    cost_ms = terms.call_ms(len(names))
+    state.call_until_ms = now_ms + cost_ms * LOST_FACTOR + LOST_MS
+    state.calls += 1
+    budget.left_ms -= cost_ms
+    for worker in names:
+        state.asked[worker.worker_id] = worker.info.started_ms
+    ids = tuple(worker.worker_id for worker in names)
+    cell.effects.append(AskAdvice(step.name, ids, cost_ms))
+    cell.decide(
+        "advice_asked", "no valid ticket", job=step.job.job_id, step=step.name, workers=len(ids)
+    )
+
+
+def _names(
+    step: Step,
+    workers: Sequence[Worker],
+    terms: AdviceTerms,
+    rng: random.Random,
+    now_ms: float,
+) -> list[Worker]:
+    """Return the workers to name; none when the tickets at hand last long enough."""
+    state = step.advice
+    good = [worker for worker in workers if worker.worker_id in state.good]
+    fresh = [w for w in workers if state.asked.get(w.worker_id) != w.info.started_ms]
+    if fresh and not (good and fits_empty(step, good)):
+        missing = FIRST_NAMES
+        if good:
+            # The good ones so far do not hold the whole gang: a wider call is needed.
+            missing = min(MAX_NAMES, 2 * len(state.asked))
+        return good[: MAX_NAMES - 1] + _most_room(step, fresh, missing, rng)
+    if not good:
+        return []
+    ahead_ms = terms.call_ms(len(good)) + RENEW_AHEAD_MS + TICKET_MARGIN_MS
+    lasting = sum(
+        1
+        for worker in good
+        if state.tickets.get(worker.worker_id, ("", 0.0))[1] > now_ms + ahead_ms
+    )
+    return [] if lasting == len(good) else good[:MAX_NAMES]
+
+
+def _most_room(
+    step: Step, workers: Sequence[Worker], count: int, rng: random.Random
+) -> list[Worker]:
+    """Return the workers with most room, so that an answer is of use at once."""
+    shuffled = list(workers)
+    rng.shuffle(shuffled)
+    return sorted(shuffled, key=lambda w: -slots_on(w.free, step, 0))[:count]
+
+
+def answered(
+    cell: Cell,
+    step: Step,
+    tickets: Sequence[tuple[str, str]],
+    valid_until_ms: float,
+    refused: bool,
+    now_ms: float,
+) -> None:
+    """Apply an answer. The workers in it must be durable before a task is sent to them."""
+    state = step.advice
+    state.call_until_ms = 0.0
+    if refused:
+        state.not_before_ms = now_ms + REFUSED_RETRY_MS
+        return
+    for worker_id, ticket in tickets:
+        state.tickets[worker_id] = (ticket, valid_until_ms)
+        state.good.add(worker_id)
+    if not state.good <= step.wanted:
+        step.wanted |= state.good
+        cell.mark_dirty(step.job)
+    cell.decide(
+        "advice_answered", "good workers", job=step.job.job_id, step=step.name, good=len(tickets)
+    )
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/fitting.py
@@ -0,0 +1,224 @@
+"""Choice of workers for tasks and gangs.
+
+Load pattern answered: many small urgent tasks beside wide gangs. Small tasks fill the fullest
+worker that still has room, so that whole workers stay free for gangs; a gang that does not fit yet
+reserves its workers for a bounded number of ranks, and smaller work runs there only when it is
+expected to end before the gang starts.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from nutmeglb_decisions.queues.state import Step, Worker
+from nutmeglb_formats.models.resources import Resources
+
+UNLIMITED = 1_000_000
+
+
+@dataclass(slots=True)
+class Reservation:
+    """Room of one worker kept for a gang.
+
+    Attributes
+    ----------
+    at_ms
+        Expected start of the gang.
+    surplus
+        What other work that lasts beyond ``at_ms`` may still take.
+    """
+
+    at_ms: float
+    surplus: Resources
+
+
+@dataclass(slots=True)
+class Reservations:
+    """All reservations of one scheduling pass, by worker."""
+
+    by_worker: dict[str, list[Reservation]] = field(default_factory=dict)
+
+    def permits(self, worker_id: str, charged: Resources, end_ms: float) -> bool:
+        """Return whether a run until ``end_ms`` leaves every reserved amount in place."""
+        return all(
+            end_ms <= reservation.at_ms or charged.fits_in(reservation.surplus)
+            for reservation in self.by_worker.get(worker_id, ())
+        )
+
+    def charge(self, worker_id: str, charged: Resources, end_ms: float) -> None:
+        """Take a placed run from the surplus."""
+        for reservation in self.by_worker.get(worker_id, ()):
+            if end_ms > reservation.at_ms:
+                reservation.surplus = reservation.surplus - charged
+
+    def add(self, worker_id: str, reservation: Reservation) -> None:
+        """Keep room of a worker."""
+        self.by_worker.setdefault(worker_id, []).append(reservation)
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Workers for the tasks of a step, in the order of the task indices given."""
+
+    worker_ids: tuple[str, ...]
+
+
+def slots_on(free: Resources, step: Step, used_by_step: int) -> int:
+    """Return how many tasks of a step fit into ``free`` on one worker."""
+    charged = step.spec.charged
+    counts = [
+        free_amount // amount if free_amount >= 0 else 0
+        for free_amount, amount in (
+            (free.cpu_millis, charged.cpu_millis),
+            (free.memory_bytes, charged.memory_bytes),
+            (free.accelerators, charged.accelerators),
+        )
+        if amount
+    ]
+    fitting = min(counts, default=UNLIMITED)
+    if step.spec.max_per_worker:
+        fitting = min(fitting, step.spec.max_per_worker - used_by_step)
+    return max(0, fitting)
+
+
+def tasks_per_worker(step: Step) -> Counter[str]:
+    """Return the number of live runs of a step on each worker."""
+    return Counter(run.worker_id for run in step.live_runs)
+
+
+def fullness(worker: Worker) -> float:
+    """Return the largest used share of a worker's resources, 0 to 1."""
+    return worker.used.dominant_share(worker.info.capacity)
+
+
+def choose_single(
+    step: Step,
+    candidates: Iterable[Worker],
+    reservations: Reservations,
+    now_ms: float,
+    run_ms: float,
+) -> Worker | None:
+    """Return the best worker for one task: its data's rack, then fast, then the fullest."""
+    present = tasks_per_worker(step)
+    best: tuple[float, ...] | None = None
+    chosen: Worker | None = None
+    for worker in candidates:
+        if not slots_on(worker.free, step, present[worker.worker_id]):
+            continue
+        end_ms = now_ms + run_ms * worker.slowness
+        if not reservations.permits(worker.worker_id, step.spec.charged, end_ms):
+            continue
+        score = (
+            float(_is_remote(step, worker)),
+            round(worker.slowness, 1),
+            -fullness(worker),
+        )
+        if best is None or score < best:
+            best, chosen = score, worker
+    return chosen
+
+
+def choose_gang(
+    step: Step,
+    candidates: Sequence[Worker],
+    reservations: Reservations,
+    now_ms: float,
+    run_ms: float,
+) -> Choice | None:
+    """Return workers for all tasks of a gang, or ``None`` when they do not fit together."""
+    groups: list[Sequence[Worker]] = [candidates]
+    if step.spec.same_rack:
+        racks = sorted({worker.info.rack for worker in candidates})
+        groups = [[w for w in candidates if w.info.rack == rack] for rack in racks] + groups
+    for group in groups:
+        choice = _gang_in(step, group, reservations, now_ms, run_ms)
+        if choice is not None:
+            return choice
+    return None
+
+
+def _gang_in(
+    step: Step,
+    group: Sequence[Worker],
+    reservations: Reservations,
+    now_ms: float,
+    run_ms: float,
+) -> Choice | None:
+    """Fill the fastest workers first: a gang advances at the speed of its slowest member."""
+    ordered = sorted(
+        group, key=lambda w: (_is_remote(step, w), round(w.slowness, 1), -fullness(w))
+    )
+    chosen: list[str] = []
+    for worker in ordered:
+        free = worker.free
+        end_ms = now_ms + run_ms * worker.slowness
+        for reservation in reservations.by_worker.get(worker.worker_id, ()):
+            if end_ms > reservation.at_ms:
+                free = _smaller(free, reservation.surplus)
+        room = min(slots_on(free, step, 0), step.spec.count - len(chosen))
+        chosen.extend([worker.worker_id] * room)
+        if len(chosen) == step.spec.count:
+            return Choice(tuple(chosen))
+    return None
+
+
+def reserve_gang(
+    step: Step, candidates: Sequence[Worker], reservations: Reservations, now_ms: float
+) -> float | None:
+    """Keep room for a gang on its workers from its expected start on.
+
+    Returns the expected start, or ``None`` when the gang never fits on these workers.
+    """
+    at_ms = _expected_start_ms(step, candidates, now_ms)
+    if at_ms is None:
+        return None
+    missing = step.spec.count
+    for worker in sorted(candidates, key=lambda w: -_slots_at(w, step, at_ms)):
+        count = min(missing, _slots_at(worker, step, at_ms))
+        if count <= 0:
+            break
+        amount = step.spec.charged.scaled(count)
+        reservations.add(
+            worker.worker_id, Reservation(at_ms, _free_at(worker, at_ms) - amount)
+        )
+        missing -= count
+    return at_ms
+
+
+def fits_empty(step: Step, candidates: Iterable[Worker]) -> bool:
+    """Return whether a step could start on these workers if nothing ran there."""
+    slots = sum(slots_on(worker.info.capacity, step, 0) for worker in candidates)
+    return slots >= (step.spec.count if step.spec.gang else 1)
+
+
+def _expected_start_ms(step: Step, candidates: Sequence[Worker], now_ms: float) -> float | None:
+    ends = {run.expected_end_ms for worker in candidates for run in worker.runs.values()}
+    for at_ms in sorted({now_ms, *(max(now_ms, end) for end in ends)}):
+        if sum(_slots_at(worker, step, at_ms) for worker in candidates) >= step.spec.count:
+            return at_ms
+    return None
+
+
+def _slots_at(worker: Worker, step: Step, at_ms: float) -> int:
+    return slots_on(_free_at(worker, at_ms), step, 0)
+
+
+def _free_at(worker: Worker, at_ms: float) -> Resources:
+    free = worker.free
+    for run in worker.runs.values():
+        if run.expected_end_ms <= at_ms:
+            free = free + run.charged
+    return free
+
+
+def _smaller(first: Resources, second: Resources) -> Resources:
+    return Resources(
+        min(first.cpu_millis, second.cpu_millis),
+        min(first.memory_bytes, second.memory_bytes),
+        min(first.accelerators, second.accelerators),
+    )
+
+
+def _is_remote(step: Step, worker: Worker) -> bool:
+    rack = step.spec.preferred_rack
+    return bool(rack) and worker.info.rack != rack
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
@@ -0,0 +1,165 @@
+"""Ends of runs, and what follows for tasks, steps and jobs."""
+
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.effects import StopTask
+from nutmeglb_decisions.queues.state import Job, JobState, Run, RunState, Step, Task
+from nutmeglb_formats.models.queues import QueueJob
+
+DONE = "done"
+FAILED = "failed"
+# A task that failed or whose start was refused waits this long, so that it does not loop.
+RETRY_MS = 100.0
+# Longest delay between restarts of a lasting task that keeps failing.
+LASTING_RETRY_MAX_MS = 2_000.0
+
+
+def add_job(cell: Cell, record: QueueJob, now_ms: float, accepted_ms: float | None = None) -> bool:
+    """Take up an accepted job. Return false when it is known already."""
+    if record.job_id in cell.jobs or record.job_id in cell.finished:
+        return False
+    job = Job(record, now_ms if accepted_ms is None else accepted_ms)
+    cell.jobs[record.job_id] = job
+    cell.active[record.job_id] = job
+    if not record.repeats:
+        job.next_occurrence = 1
+        job.add_occurrence(0)
+    return True
+
+
+def open_due_occurrences(cell: Cell, wall_ms: float) -> None:
+    """Create the occurrences whose time has come."""
+    for job in cell.active.values():
+        record = job.record
+        while job.next_occurrence < record.repeats:
+            number = job.next_occurrence
+            if wall_ms < record.first_ms + number * record.interval_ms:
+                break
+            job.next_occurrence += 1
+            if number not in job.completed and number not in job.occurrences:
+                job.add_occurrence(number)
+
+
+def cancel_job(cell: Cell, job_id: str, wall_ms: float) -> bool:
+    """Cancel a job whose cancellation is durable. Return whether it was unfinished."""
+    job = cell.active.get(job_id)
+    if job is None:
+        return False
+    cell.decide("job_cancelled", "the caller asked for it", job=job_id)
+    finish_job(cell, job, JobState.CANCELLED, wall_ms)
+    return True
+
+
+def finish_job(cell: Cell, job: Job, final: JobState, wall_ms: float) -> None:
+    """Set the final state and stop what still runs."""
+    if job.final is not None:
+        return
+    job.final = final
+    job.finished_wall_ms = wall_ms
+    cell.active.pop(job.job_id, None)
+    cell.mark_dirty(job)
+    for step in job.steps:
+        for run in step.live_runs:
+            stop_run(cell, run)
+
+
+def stop_run(cell: Cell, run: Run) -> None:
+    """Order the end of a run. Its room stays charged until the end is known."""
+    if run.state == RunState.STOPPING:
+        return
+    run.state = RunState.STOPPING
+    run.confirmed_ms = None
+    cell.effects.append(StopTask(run.worker_id, run.task, run.number))
+
+
+def end_run(
+    cell: Cell, run: Run, outcome: str, checkpoint: str, now_ms: float, wall_ms: float
+) -> None:
+    """Apply the end of a run that took room on a worker."""
+    cell.release(run)
+    note_end(cell, run.step, run.index, run.number, outcome, checkpoint, now_ms, wall_ms)
+
+
+def note_end(
+    cell: Cell,
+    step: Step,
+    index: int,
+    number: int,
+    outcome: str,
+    checkpoint: str,
+    now_ms: float,
+    wall_ms: float,
+) -> None:
+    """Apply the outcome of a run, also of one that this leader did not know."""
+    job, task = step.job, step.tasks[index]
+    task.last_run = max(task.last_run, number)
+    if job.final is not None or task.done:
+        return
+    _keep_checkpoint(step, task, checkpoint)
+    if step.spec.lasting:
+        failures = len(task.failed_runs) + 1 if outcome == FAILED else 0
+        task.failed_runs = set(range(failures))
+        task.not_before_ms = now_ms + min(LASTING_RETRY_MAX_MS, RETRY_MS * (1 + failures))
+        return
+    if outcome == DONE:
+        _complete(cell, step, task, wall_ms)
+    elif outcome == FAILED:
+        _fail(cell, step, task, number, now_ms, wall_ms)
+    else:
+        task.not_before_ms = now_ms
+    if step.spec.gang and not step.done:
+        for other in step.live_runs:
+            if other.number <= number:
+                stop_run(cell, other)
+
+
+def _keep_checkpoint(step: Step, task: Task, checkpoint: str) -> None:
+    if not checkpoint:
+        return
+    task.checkpoint = checkpoint
+    if step.spec.gang:
+        newest = max(checkpoint, *(other.checkpoint for other in step.tasks))
+        for other in step.tasks:
+            other.checkpoint = newest
+
+
+def _complete(cell: Cell, step: Step, task: Task, wall_ms: float) -> None:
+    """Complete a task. One completed member completes its gang."""
+    completed = step.tasks if step.spec.gang else [task]
+    for each in completed:
+        if not each.done:
+            each.done = True
+            step.remaining -= 1
+    cell.mark_dirty(step.job)
+    if step.done:
+        _complete_step(cell, step, wall_ms)
+
+
+def _complete_step(cell: Cell, step: Step, wall_ms: float) -> None:
+    job = step.job
+    cell.decide("step_completed", "all tasks ended done", job=job.job_id, step=step.name)
+    if not all(other.done for other in job.occurrences[step.occurrence]):
+        return
+    job.completed.add(step.occurrence)
+    if len(job.completed) == job.total_occurrences:
+        cell.decide("job_completed", "all steps are done", job=job.job_id)
+        finish_job(cell, job, JobState.COMPLETED, wall_ms)
+
+
+def _fail(
+    cell: Cell, step: Step, task: Task, number: int, now_ms: float, wall_ms: float
+) -> None:
+    failed_runs = step.failed_runs if step.spec.gang else task.failed_runs
+    failed_runs.add(number)
+    task.not_before_ms = now_ms + RETRY_MS
+    step.job.begun = True
+    cell.mark_dirty(step.job)
+    attempts = cell.policy_of(step.job).attempts
+    if len(failed_runs) >= attempts:
+        cell.decide(
+            "job_failed",
+            "a task failed in all its attempts",
+            job=step.job.job_id,
+            task=step.task_name(task.index),
+            attempts=attempts,
+        )
+        finish_job(cell, step.job, JobState.FAILED, wall_ms)
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -0,0 +1,127 @@
+"""Answers of workers to orders, and runs that make no progress."""
+
+from enum import StrEnum
+
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.effects import StopTask
+from nutmeglb_decisions.queues.lifecycle import RETRY_MS, end_run, stop_run
+from nutmeglb_decisions.queues.reports import note_bad
+from nutmeglb_decisions.queues.state import Run, RunState, Worker
+
+# After a refusal for a reason of its own a worker gets no new task for this long.
+REFUSED_AVOID_MS = 500.0
+# A run that takes this many times its expected duration, and this long beyond it, counts as stuck.
+# Sizes spread by a half around their mean; a slow worker takes up to six times as long.
+STUCK_FACTOR = 5.0
+STUCK_EXTRA_MS = 4_000.0
+# A run without any processor in use for this long counts as stuck.
+IDLE_MS = 2_500.0
+
+
+class StartOutcome(StrEnum):
+    """Answer of a worker to the order to start a run."""
+
+    STARTED = "started"
+    NO_ROOM = "room"
+    TICKET = "ticket"
+    OLD_RUN = "old"
+    LATE = "late"
+    UNHEALTHY = "unhealthy"
+    OTHER_INCARNATION = "incarnation"
+    INVALID = "invalid"
+    UNKNOWN = "unknown"
+
+
+def start_answered(
+    cell: Cell,
+    worker_id: str,
+    task: str,
+    number: int,
+    outcome: StartOutcome,
+    certain: bool,
+    now_ms: float,
+    wall_ms: float,
+) -> None:
+    """Apply the answer to an order.
+
+    Parameters
+    ----------
+    certain
+        Whether no earlier copy of the order is unanswered, so that a refusal shows that the run
+        never starts.
+    """
+    worker = cell.workers.get(worker_id)
+    run = worker.runs.get((task, number)) if worker else None
+    if worker is None or run is None or run.state == RunState.STOPPING:
+        return
+    if outcome in (StartOutcome.STARTED, StartOutcome.OLD_RUN):
+        run.confirmed_ms = now_ms
+        if outcome == StartOutcome.STARTED:
+            run.state = RunState.RUNNING
+        return
+    cell.decide("start_refused", outcome, task=task, worker=worker_id, run=number)
+    _avoid(run, worker, outcome, now_ms)
+    if outcome == StartOutcome.UNKNOWN or not certain:
+        # A stop that is answered makes a late execution of the order impossible.
+        stop_run(cell, run)
+        return
+    end_run(cell, run, outcome, "", now_ms, wall_ms)
+    run.step.tasks[run.index].not_before_ms = now_ms + RETRY_MS
+
+
+def _avoid(run: Run, worker: Worker, outcome: StartOutcome, now_ms: float) -> None:
+    if outcome == StartOutcome.TICKET:
+        run.step.advice.tickets.pop(worker.worker_id, None)
+    else:
+        worker.suspect_until_ms = max(worker.suspect_until_ms, now_ms + REFUSED_AVOID_MS)
+
+
+def stop_answered(cell: Cell, worker_id: str, task: str, number: int, now_ms: float) -> None:
+    """Note that a worker has taken a stop: the run ends, or can never start."""
+    worker = cell.workers.get(worker_id)
+    run = worker.runs.get((task, number)) if worker else None
+    if run is not None:
+        run.confirmed_ms = now_ms
+
+
+def renewal_sent(worker: Worker, lapse_ms: float) -> None:
+    """Note the latest time until which an order or renewal keeps runs alive."""
+    worker.lapse_ms = max(worker.lapse_ms, lapse_ms)
+
+
+def unanswered(cell: Cell, worker: Worker, now_ms: float) -> None:
+    """Note that a worker did not answer. Nothing new is placed until it does."""
+    if worker.unanswered_since_ms is None:
+        worker.unanswered_since_ms = now_ms
+        cell.decide("worker_silent", "no answer", worker=worker.worker_id, runs=len(worker.runs))
+
+
+def stop_stuck_runs(cell: Cell, now_ms: float) -> None:
+    """Stop runs without progress, so that their tasks start elsewhere."""
+    for worker in cell.workers.values():
+        if worker.unanswered_since_ms is not None:
+            continue
+        for run in list(worker.runs.values()):
+            cause = _stuck(run, now_ms)
+            if cause:
+                cell.decide("run_stuck", cause, task=run.task, worker=worker.worker_id)
+                note_bad(cell, worker, cause, now_ms)
+                stop_run(cell, run)
+
+
+def _stuck(run: Run, now_ms: float) -> str:
+    if run.state != RunState.RUNNING or run.step.spec.lasting:
+        return ""
+    if run.idle_since_ms is not None and now_ms - run.idle_since_ms >= IDLE_MS:
+        return "no processor in use"
+    expected_ms = run.expected_end_ms - run.ordered_ms
+    if now_ms - run.ordered_ms > STUCK_FACTOR * expected_ms + STUCK_EXTRA_MS:
+        return "far beyond its expected duration"
+    return ""
+
+
+def repeat_stops(cell: Cell, worker: Worker) -> None:
+    """Order the stops again that the worker has not answered."""
+    for run in worker.runs.values():
+        if run.state == RunState.STOPPING and run.confirmed_ms is None:
+            cell.effects.append(StopTask(worker.worker_id, run.task, run.number))
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -0,0 +1,204 @@
+"""One scheduling pass: ranks the waiting steps, asks for advice and starts what fits."""
+
+import random
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from nutmeglb_decisions.invariants import LEDGER_CAPACITY, require
+from nutmeglb_decisions.queues import advice
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.effects import StartTask
+from nutmeglb_decisions.queues.fitting import (
+    Reservations,
+    choose_gang,
+    choose_single,
+    reserve_gang,
+    slots_on,
+)
+from nutmeglb_decisions.queues.ranking import Rank, Tier, rank_of
+from nutmeglb_decisions.queues.state import Job, Run, Step, Task, Worker
+
+# Gangs that hold room in one pass. More would leave too little for work that ends before.
+MAX_RESERVING_GANGS = 4
+# A gang whose start is further away does not reserve yet.
+RESERVE_AHEAD_MS = 6_000.0
+# Steps of one pass, so that a pass is bounded while thousands wait.
+STEPS_PER_PASS = 300
+# Workers recorded for a step without advice; more follow when these have no room.
+RECORD_WORKERS = 30
+
+
+@dataclass(slots=True)
+class Pass:
+    """Inputs of one scheduling pass."""
+
+    cell: Cell
+    rng: random.Random
+    now_ms: float
+    wall_ms: float
+    budget: advice.AdviceBudget
+    reservations: Reservations
+    reserving: int = 0
+
+
+def schedule(
+    cell: Cell, callers: int, rng: random.Random, now_ms: float, wall_ms: float
+) -> None:
+    """Run one pass. Orders and questions are added to the cell's effects."""
+    state = Pass(
+        cell, rng, now_ms, wall_ms, advice.AdviceBudget.of(cell, callers, now_ms), Reservations()
+    )
+    for _, step in ranked_steps(cell, now_ms, wall_ms)[:STEPS_PER_PASS]:
+        _place_step(state, step)
+
+
+def ranked_steps(cell: Cell, now_ms: float, wall_ms: float) -> list[tuple[Rank, Step]]:
+    """Return the steps with a task that may start, best rank first."""
+    ranked = []
+    for job in cell.active.values():
+        for step in _open_steps(job):
+            if _waiting(step, now_ms):
+                if step.opened_ms is None:
+                    step.opened_ms = now_ms
+                start_ms = _due_ms(job, step, now_ms, wall_ms)
+                ranked.append((rank_of(step, start_ms, now_ms, cell.estimates), step))
+    ranked.sort(key=lambda item: item[0].key)
+    return ranked
+
+
+def _due_ms(job: Job, step: Step, now_ms: float, wall_ms: float) -> float:
+    """Return the monotonic time from which the objective of a step's occurrence counts."""
+    if not job.record.repeats:
+        return job.accepted_ms
+    due_wall_ms = job.record.first_ms + step.occurrence * job.record.interval_ms
+    return now_ms - max(0.0, wall_ms - due_wall_ms)
+
+
+def _open_steps(job: Job) -> Iterator[Step]:
+    for steps in job.occurrences.values():
+        for step in steps:
+            if not step.done and all(steps[before].done for before in step.spec.after):
+                yield step
+
+
+def _waiting(step: Step, now_ms: float) -> list[Task]:
+    """Return the tasks that may start now: all or none of a gang."""
+    if step.unsettled or now_ms < step.not_before_ms:
+        return []
+    if step.spec.gang:
+        if any(task.run or now_ms < task.not_before_ms for task in step.tasks):
+            return []
+        return step.tasks
+    return [
+        task
+        for task in step.tasks
+        if not task.done and task.run is None and now_ms >= task.not_before_ms
+    ]
+
+
+def _place_step(state: Pass, step: Step) -> None:
+    cell, now_ms = state.cell, state.now_ms
+    workers = advice.eligible(cell, step)
+    advice.ask(cell, step, workers, state.budget, state.rng, now_ms)
+    if cell.policy_of(step.job).advice is None:
+        _record_workers(cell, step, workers)
+        candidates = workers
+    else:
+        candidates = advice.with_ticket(step, workers, now_ms)
+    ready = [worker for worker in candidates if _ready(step, worker, now_ms)]
+    if step.spec.gang:
+        _place_gang(state, step, ready, workers)
+    else:
+        _place_singles(state, step, ready)
+
+
+def _ready(step: Step, worker: Worker, now_ms: float) -> bool:
+    return (
+        worker.worker_id in step.recorded
+        and worker.settled
+        and not worker.strays
+        and now_ms >= worker.suspect_until_ms
+        and worker.unanswered_since_ms is None
+    )
+
+
+def _record_workers(cell: Cell, step: Step, workers: Sequence[Worker]) -> None:
+    """Make workers durable for a step without advice, before a task is sent to them."""
+    if any(slots_on(w.free, step, 0) for w in workers if w.worker_id in step.wanted):
+        return
+    missing = [w for w in workers if w.worker_id not in step.wanted]
+    missing.sort(key=lambda worker: -slots_on(worker.free, step, 0))
+    if missing:
+        step.wanted.update(worker.worker_id for worker in missing[:RECORD_WORKERS])
+        cell.mark_dirty(step.job)
+
+
+def _run_ms(state: Pass, step: Step) -> float:
+    queue = step.job.record.queue.name
+    return state.cell.estimates.run_ms(queue, step.spec.estimate_ms)
+
+
+def _place_singles(state: Pass, step: Step, ready: Sequence[Worker]) -> None:
+    run_ms = _run_ms(state, step)
+    for task in _waiting(step, state.now_ms):
+        worker = choose_single(step, ready, state.reservations, state.now_ms, run_ms)
+        if worker is None:
+            return
+        number = state.cell.next_run(task.last_run)
+        _start(state, step, task, worker, number, run_ms)
+
+
+def _place_gang(
+    state: Pass, step: Step, ready: Sequence[Worker], workers: Sequence[Worker]
+) -> None:
+    run_ms = _run_ms(state, step)
+    choice = choose_gang(step, ready, state.reservations, state.now_ms, run_ms)
+    if choice is None:
+        _reserve(state, step, workers)
+        return
+    number = state.cell.next_run(max(task.last_run for task in step.tasks))
+    for task, worker_id in zip(step.tasks, choice.worker_ids, strict=True):
+        _start(state, step, task, state.cell.workers[worker_id], number, run_ms)
+
+
+def _reserve(state: Pass, step: Step, workers: Sequence[Worker]) -> None:
+    rank = rank_of(step, step.job.accepted_ms, state.now_ms, state.cell.estimates)
+    if state.reserving >= MAX_RESERVING_GANGS or rank.tier == Tier.TOO_LATE:
+        return
+    good = [
+        worker
+        for worker in workers
+        if worker.worker_id in step.advice.good and worker.settled
+    ]
+    at_ms = reserve_gang(step, good, state.reservations, state.now_ms) if good else None
+    if at_ms is not None and at_ms < state.now_ms + RESERVE_AHEAD_MS:
+        state.reserving += 1
+
+
+def _start(
+    state: Pass, step: Step, task: Task, worker: Worker, number: int, run_ms: float
+) -> None:
+    cell, now_ms = state.cell, state.now_ms
+    expected_ms = now_ms + run_ms * worker.slowness
+    charged = step.spec.charged
+    run = Run(step, task.index, number, worker.worker_id, charged, now_ms, expected_ms)
+    run.resumed = bool(task.checkpoint)
+    used = worker.used + charged
+    require(
+        used.fits_in(worker.info.capacity),
+        LEDGER_CAPACITY,
+        "A start exceeds the capacity of a worker",
+        worker=worker.worker_id,
+        task=run.task,
+    )
+    worker.used = used
+    worker.runs[(run.task, number)] = run
+    state.reservations.charge(worker.worker_id, charged, expected_ms)
+    task.run = run
+    task.last_run = number
+    step.job.begun = True
+    ticket = step.advice.tickets.get(worker.worker_id, ("", 0.0))[0]
+    body = step.job.record.body
+    cell.effects.append(
+        StartTask(worker.worker_id, run.task, number, body, task.checkpoint, ticket)
+    )
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
@@ -0,0 +1,105 @@
+"""Durable form of a job's progress, and how a new leader restores it."""
+
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.lifecycle import add_job
+from nutmeglb_decisions.queues.state import FINAL_STATES, FinishedJob, Job, JobState, Step
+from nutmeglb_formats.models.queue_records import JobProgress
+from nutmeglb_formats.models.queues import QueueJob, StepProgress
+
+
+def encode(job: Job) -> JobProgress:
+    """Return the progress to store. A finished job keeps only its final state."""
+    name = job.record.queue.name
+    if job.final is not None:
+        return JobProgress(name, job.final.value, job.finished_wall_ms, [], [])
+    steps = [_encode_step(step) for step in job.steps if step.occurrence not in job.completed]
+    steps = [step for step in steps if step.workers or step.done or step.failures]
+    return JobProgress(name, "", 0.0, sorted(job.completed), steps)
+
+
+def committed(cell: Cell, job: Job, progress: JobProgress) -> None:
+    """Note that a progress is stored."""
+    if progress.final:
+        cell.jobs.pop(job.job_id, None)
+        restore_final(cell, job.job_id, progress)
+        return
+    for stored in progress.steps:
+        steps = job.occurrences.get(stored.occurrence)
+        if steps:
+            steps[stored.step].recorded.update(stored.workers)
+    for number in progress.completed:
+        steps = job.occurrences.get(number, [])
+        if not any(step.live_runs for step in steps):
+            job.occurrences.pop(number, None)
+
+
+def restore(
+    cell: Cell, record: QueueJob, progress: JobProgress | None, now_ms: float, wall_ms: float
+) -> None:
+    """Take up a job found in the store, with the progress that a former leader stored.
+
+    A step waits for every worker to which the former leader may have sent one of its tasks.
+    """
+    # The wall clock may have jumped; an age beyond the run of the cell only lowers the rank.
+    age_ms = max(0.0, wall_ms - record.accepted_ms)
+    if not add_job(cell, record, now_ms, now_ms - age_ms) or progress is None:
+        return
+    job = cell.jobs[record.job_id]
+    job.completed = set(progress.completed)
+    for stored in progress.steps:
+        steps = job.occurrences.get(stored.occurrence) or job.add_occurrence(stored.occurrence)
+        if stored.step < len(steps):
+            _restore_step(steps[stored.step], stored)
+    if progress.steps:
+        job.begun = any(step.recorded for step in job.steps)
+
+
+def restore_final(cell: Cell, job_id: str, progress: JobProgress) -> None:
+    """Keep the final state of a finished job, so that it can be told."""
+    state = JobState(progress.final)
+    cell.finished[job_id] = FinishedJob(progress.queue, state, progress.finished_ms)
+
+
+def forget_finished(cell: Cell, before_wall_ms: float, limit: int) -> list[str]:
+    """Drop at most ``limit`` jobs that ended before a time. Return their ids."""
+    # Jobs are added in the order of their ends, but for those of former leaders.
+    old: list[str] = []
+    for job_id, finished in cell.finished.items():
+        if finished.finished_ms >= before_wall_ms or len(old) == limit:
+            break
+        old.append(job_id)
+    for job_id in old:
+        del cell.finished[job_id]
+    return old
+
+
+def is_final(progress: JobProgress) -> bool:
+    """Return whether a stored progress is that of a finished job."""
+    return progress.final in {state.value for state in FINAL_STATES}
+
+
+def _encode_step(step: Step) -> StepProgress:
+    if step.spec.gang:
+        failures = [[0, number] for number in sorted(step.failed_runs)]
+    else:
+        failures = [[t.index, n] for t in step.tasks for n in sorted(t.failed_runs)]
+    done = [task.index for task in step.tasks if task.done]
+    workers = sorted(step.wanted | step.recorded)
+    if step.spec.lasting:
+        failures = []
+    return StepProgress(step.occurrence, step.number, workers, done, failures)
+
+
+def _restore_step(step: Step, stored: StepProgress) -> None:
+    step.recorded = set(stored.workers)
+    step.wanted = set(stored.workers)
+    step.unsettled = set(stored.workers)
+    step.advice.good = set(stored.workers)
+    for index in stored.done:
+        if index < len(step.tasks) and not step.tasks[index].done:
+            step.tasks[index].done = True
+            step.remaining -= 1
+    for index, number in stored.failures:
+        if index < len(step.tasks):
+            failed = step.failed_runs if step.spec.gang else step.tasks[index].failed_runs
+            failed.add(number)
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/queries.py
@@ -0,0 +1,36 @@
+"""Questions about jobs that change nothing."""
+
+from dataclasses import dataclass
+
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.state import JobState
+
+
+@dataclass(frozen=True, slots=True)
+class JobStatus:
+    """State of a job and the name of its queue."""
+
+    state: JobState
+    queue: str
+
+
+def status_of(cell: Cell, job_id: str) -> JobStatus | None:
+    """Return the state of a job as far as it is durable, or ``None`` for an unknown job."""
+    finished = cell.finished.get(job_id)
+    if finished is not None:
+        return JobStatus(finished.state, finished.queue)
+    job = cell.jobs.get(job_id)
+    if job is None:
+        return None
+    state = JobState.RUNNING if job.begun else JobState.QUEUED
+    if job.final == JobState.CANCELLED:
+        # The cancellation itself is durable before the scheduler hears of it.
+        state = JobState.CANCELLED
+    return JobStatus(state, job.record.queue.name)
+
+
+def pending(cell: Cell, queue: str) -> int:
+    """Return the number of a queue's accepted jobs for which no task has started."""
+    return sum(
+        1 for job in cell.active.values() if not job.begun and job.record.queue.name == queue
+    )
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ranking.py
@@ -0,0 +1,87 @@
+"""Order of waiting steps.
+
+Load pattern answered: bursts far above capacity. Work that can still meet its objective goes before
+work that can only be late, and that before work that is too late to matter to the caller; within a
+tier the queue's priority decides, then small remaining work, so that a burst delays few callers.
+"""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+from nutmeglb_decisions.queues.estimates import Estimates
+from nutmeglb_decisions.queues.state import Job, Step
+
+# A job that ends after this many times its objective is of no use to its caller (from the
+# users' rules on credit).
+LATE_FACTOR = 3.0
+# Number of workers that the objective's advice call counts (from the users' rules on credit).
+ADVICE_WORKERS = 30
+# Every waiting step gains a tier after this many objectives, so that no order starves wide work.
+AGING_OBJECTIVES = 12.0
+
+
+class Tier(IntEnum):
+    """What can still be achieved for a job, best first."""
+
+    IN_TIME = 0
+    LATE = 1
+    TOO_LATE = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Rank:
+    """Sort key of a waiting step; lower goes first."""
+
+    tier: int
+    priority: int
+    work: float
+    accepted_ms: float
+
+    @property
+    def key(self) -> tuple[float, ...]:
+        """Return the sort key."""
+        return (self.tier == Tier.TOO_LATE, self.priority, self.tier, self.work, self.accepted_ms)
+
+
+def chain_ms(job: Job, estimates: Estimates, first: int = 0) -> float:
+    """Return the longest chain of expected run times in milliseconds from step ``first`` on."""
+    queue = job.record.queue
+    advice_ms = queue.advice.call_ms(ADVICE_WORKERS) if queue.advice else 0.0
+    longest: dict[int, float] = {}
+    for number in reversed(range(len(job.record.steps))):
+        step = job.record.steps[number]
+        followers = [
+            longest[later]
+            for later in range(number + 1, len(job.record.steps))
+            if number in job.record.steps[later].after
+        ]
+        own_ms = estimates.run_ms(queue.name, step.estimate_ms) + advice_ms
+        longest[number] = own_ms + max(followers, default=0.0)
+    if first:
+        return longest[first]
+    return max(longest.values(), default=0.0)
+
+
+def objective_ms(job: Job, estimates: Estimates) -> float:
+    """Return the time in milliseconds within which the job's caller expects the end."""
+    queue = job.record.queue
+    return queue.stretch * chain_ms(job, estimates) + queue.slack_ms
+
+
+def rank_of(step: Step, start_ms: float, now_ms: float, estimates: Estimates) -> Rank:
+    """Return the rank of a waiting step of an occurrence that was due at ``start_ms``."""
+    job = step.job
+    objective = objective_ms(job, estimates)
+    remaining = chain_ms(job, estimates, step.number) if step.number else chain_ms(job, estimates)
+    end_ms = now_ms + remaining
+    if end_ms <= start_ms + objective:
+        tier = Tier.IN_TIME
+    elif end_ms <= start_ms + LATE_FACTOR * objective:
+        tier = Tier.LATE
+    else:
+        tier = Tier.TOO_LATE
+    if tier and now_ms - start_ms > AGING_OBJECTIVES * objective:
+        tier = Tier(tier - 1)
+    waiting = sum(1 for task in step.tasks if not task.done and task.run is None)
+    work = remaining * (0.3 + waiting * step.spec.needs.cpu_millis)
+    return Rank(tier, job.record.queue.priority, work, job.accepted_ms)
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -0,0 +1,248 @@
+"""What workers say: their entries in the store and their answers to renewals."""
+
+from collections.abc import Iterable
+
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.effects import StopTask
+from nutmeglb_decisions.queues.lifecycle import DONE, FAILED, end_run, note_end
+from nutmeglb_decisions.queues.names import TaskName, parse_task
+from nutmeglb_decisions.queues.state import Run, RunState, Task, Worker
+from nutmeglb_formats.models.queues import EndedTask, QueueWorker, RunningTask, WorkerReport
+
+# A worker returns at most this many ends at once (from the platform's protocol); then the
+# absence of a run from the answer shows nothing.
+ENDS_PER_ANSWER = 500
+# Failed or stuck runs in a row after which a worker is avoided: a queue whose tasks fail by
+# themselves in one run of twenty gets there by chance once in 8,000 runs.
+BAD_ENDS = 3
+AVOID_MS = 2_500.0
+# A run that is stopped takes its room until the worker lists the end; lost ones wait for this.
+CRASHED = "crashed"
+LAPSED = "lapsed"
+LOST = "lost"
+
+
+def list_workers(
+    cell: Cell, listed: Iterable[QueueWorker], now_ms: float, wall_ms: float
+) -> None:
+    """Apply the workers' entries in the store, which may lag."""
+    present = {info.worker_id: info for info in listed}
+    for worker_id, info in present.items():
+        worker = cell.workers.get(worker_id)
+        if worker is None:
+            cell.workers[worker_id] = Worker(info, listed_ms=now_ms)
+            cell.decide("worker_listed", "new entry", worker=worker_id, service=info.service)
+        elif info.started_ms >= worker.info.started_ms:
+            _update(cell, worker, info, now_ms, wall_ms)
+    for worker_id, worker in list(cell.workers.items()):
+        if worker_id in present:
+            continue
+        if worker.listed:
+            worker.listed = False
+            cell.decide("worker_unlisted", "no entry", worker=worker_id, runs=len(worker.runs))
+        if not worker.runs and (worker.settled or not cell.settle_until_ms):
+            del cell.workers[worker_id]
+
+
+def _update(cell: Cell, worker: Worker, info: QueueWorker, now_ms: float, wall_ms: float) -> None:
+    if info.started_ms > worker.info.started_ms:
+        new_incarnation(cell, worker, info.started_ms, now_ms, wall_ms)
+    if info.draining and not worker.info.draining:
+        cell.decide("worker_draining", "its entry says so", worker=worker.worker_id)
+    worker.info = info
+    worker.listed = True
+    worker.listed_ms = now_ms
+
+
+def new_incarnation(
+    cell: Cell, worker: Worker, started_ms: int, now_ms: float, wall_ms: float
+) -> None:
+    """Forget everything of a former incarnation: it ended with its process."""
+    cell.decide(
+        "worker_restarted",
+        "a later start time",
+        worker=worker.worker_id,
+        former_ms=worker.info.started_ms,
+        started_ms=started_ms,
+        runs=len(worker.runs),
+    )
+    end_all(cell, worker, CRASHED, now_ms, wall_ms)
+    worker.seen_end = 0
+    worker.strays.clear()
+    worker.lapse_ms = 0.0
+    worker.unanswered_since_ms = None
+
+
+def end_all(cell: Cell, worker: Worker, outcome: str, now_ms: float, wall_ms: float) -> None:
+    """End every run on a worker."""
+    for run in list(worker.runs.values()):
+        cell.decide("run_ended", outcome, task=run.task, worker=worker.worker_id, run=run.number)
+        end_run(cell, run, outcome, "", now_ms, wall_ms)
+
+
+def lapse_workers(cell: Cell, now_ms: float, wall_ms: float) -> None:
+    """End the runs of workers whose leases have certainly lapsed."""
+    for worker in cell.workers.values():
+        if worker.runs and now_ms >= worker.lapse_ms:
+            end_all(cell, worker, LAPSED, now_ms, wall_ms)
+    if cell.settle_until_ms and now_ms >= cell.settle_until_ms:
+        cell.settle_until_ms = 0.0
+        for job in cell.active.values():
+            for step in job.steps:
+                step.unsettled.clear()
+
+
+def apply_report(
+    cell: Cell,
+    worker: Worker,
+    report: WorkerReport,
+    sent_ms: float,
+    now_ms: float,
+    wall_ms: float,
+) -> None:
+    """Apply a worker's answer to a renewal that was sent at ``sent_ms``."""
+    if report.started_ms < worker.info.started_ms:
+        return
+    if report.started_ms > worker.info.started_ms:
+        new_incarnation(cell, worker, report.started_ms, now_ms, wall_ms)
+        worker.settled = False
+        return
+    worker.unanswered_since_ms = None
+    for ended in report.ended:
+        if ended.number > worker.seen_end:
+            worker.seen_end = ended.number
+            _apply_end(cell, worker, ended, now_ms, wall_ms)
+    present = {(running.task, running.run): running for running in report.running}
+    for key, running in present.items():
+        _apply_running(cell, worker, key, running, now_ms)
+    worker.strays.intersection_update(present)
+    if len(report.ended) < ENDS_PER_ANSWER:
+        _end_absent(cell, worker, present, sent_ms, now_ms, wall_ms)
+    if not worker.settled:
+        _settle(cell, worker)
+
+
+def _settle(cell: Cell, worker: Worker) -> None:
+    worker.settled = True
+    for job in cell.active.values():
+        for step in job.steps:
+            step.unsettled.discard(worker.worker_id)
+
+
+def _apply_end(
+    cell: Cell, worker: Worker, ended: EndedTask, now_ms: float, wall_ms: float
+) -> None:
+    cell.decide(
+        "run_ended", ended.outcome, task=ended.task, worker=worker.worker_id, run=ended.run
+    )
+    run = worker.runs.get((ended.task, ended.run))
+    if run is not None:
+        _learn(cell, worker, run, ended.outcome, now_ms)
+        end_run(cell, run, ended.outcome, ended.checkpoint, now_ms, wall_ms)
+        return
+    name = parse_task(ended.task)
+    step = cell.find_step(name.job_id, name.occurrence, name.step) if name else None
+    if name is not None and step is not None and name.index < len(step.tasks):
+        note_end(
+            cell, step, name.index, ended.run, ended.outcome, ended.checkpoint, now_ms, wall_ms
+        )
+
+
+def _learn(cell: Cell, worker: Worker, run: Run, outcome: str, now_ms: float) -> None:
+    step = run.step
+    if outcome == DONE:
+        worker.bad_ends = 0
+        if not step.spec.lasting and run.confirmed_ms is not None and not run.resumed:
+            worker.slowness = cell.estimates.observe(
+                step.job.record.queue.name,
+                step.spec.estimate_ms,
+                now_ms - run.ordered_ms,
+                worker.slowness,
+            )
+    elif outcome == FAILED and run.state != RunState.STOPPING:
+        note_bad(cell, worker, FAILED, now_ms)
+
+
+def note_bad(cell: Cell, worker: Worker, cause: str, now_ms: float) -> None:
+    """Count a failed or stuck run. A worker with several in a row is avoided for a while."""
+    worker.bad_ends += 1
+    if worker.bad_ends >= BAD_ENDS:
+        worker.suspect_until_ms = now_ms + AVOID_MS
+        cell.decide(
+            "worker_avoided", cause, worker=worker.worker_id, in_a_row=worker.bad_ends
+        )
+
+
+def _apply_running(
+    cell: Cell, worker: Worker, key: tuple[str, int], running: RunningTask, now_ms: float
+) -> None:
+    run = worker.runs.get(key) or _adopt(cell, worker, running, now_ms)
+    if run is None:
+        if key not in worker.strays:
+            worker.strays.add(key)
+            cell.decide("stray_run", "no unfinished task", task=key[0], worker=worker.worker_id)
+        cell.effects.append(StopTask(worker.worker_id, key[0], key[1]))
+        return
+    if run.state == RunState.ORDERED:
+        run.state = RunState.RUNNING
+        run.confirmed_ms = now_ms
+    if running.checkpoint:
+        run.step.tasks[run.index].checkpoint = running.checkpoint
+    run.percent = running.percent
+    run.activity = running.activity
+    _track_activity(run, now_ms)
+
+
+def _track_activity(run: Run, now_ms: float) -> None:
+    if run.activity == 0 and not run.step.spec.lasting:
+        if run.idle_since_ms is None:
+            run.idle_since_ms = now_ms
+    else:
+        run.idle_since_ms = None
+
+
+def _adopt(cell: Cell, worker: Worker, running: RunningTask, now_ms: float) -> Run | None:
+    """Take over a run that a former leader started, unless its task needs it no more."""
+    name = parse_task(running.task)
+    step = cell.find_step(name.job_id, name.occurrence, name.step) if name else None
+    if name is None or step is None or not _adoptable(step.tasks, name, running.run):
+        return None
+    task = step.tasks[name.index]
+    expected_ms = cell.estimates.run_ms(
+        step.job.record.queue.name, step.spec.estimate_ms, worker.slowness
+    )
+    run = Run(
+        step, name.index, running.run, worker.worker_id, step.spec.charged, now_ms,
+        now_ms + expected_ms, RunState.RUNNING, now_ms, resumed=True,
+    )  # fmt: skip
+    worker.runs[(running.task, running.run)] = run
+    worker.used = worker.used + run.charged
+    worker.lapse_ms = max(worker.lapse_ms, cell.settle_until_ms)
+    task.run = run
+    task.last_run = max(task.last_run, running.run)
+    step.job.begun = True
+    cell.decide("run_adopted", "found on its worker", task=run.task, worker=worker.worker_id)
+    return run
+
+
+def _adoptable(tasks: list[Task], name: TaskName, number: int) -> bool:
+    if name.index >= len(tasks):
+        return False
+    task = tasks[name.index]
+    return not task.done and task.run is None and number >= task.last_run
+
+
+def _end_absent(
+    cell: Cell,
+    worker: Worker,
+    present: dict[tuple[str, int], RunningTask],
+    sent_ms: float,
+    now_ms: float,
+    wall_ms: float,
+) -> None:
+    """End runs that the worker does not have: their order was refused or is void by a stop."""
+    for key, run in list(worker.runs.items()):
+        known = run.confirmed_ms is not None and run.confirmed_ms < sent_ms
+        if known and key not in present:
+            cell.decide("run_ended", LOST, task=run.task, worker=worker.worker_id, run=run.number)
+            end_run(cell, run, LOST, "", now_ms, wall_ms)
--- /dev/null
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/wire/queues.py
@@ -0,0 +1,95 @@
+"""Messages between the leader of the queues and the other instances."""
+
+from dataclasses import dataclass
+
+from nutmeglb_formats.models.queues import QueueJob
+from nutmeglb_formats.wire.registry import message
+
+
+@message(600, 1)
+@dataclass(frozen=True, slots=True)
+class JobOffered:
+    """Request: schedule an accepted job. Replied to with ``Noted``."""
+
+    job: QueueJob
+
+
+@message(601, 1)
+@dataclass(frozen=True, slots=True)
+class JobCancelled:
+    """Request: stop a job whose cancellation is stored. Replied to with ``Noted``."""
+
+    job_id: str
+
+
+@message(602, 1)
+@dataclass(frozen=True, slots=True)
+class Noted:
+    """Reply: the leader has taken the change into account."""
+
+
+@message(603, 1)
+@dataclass(frozen=True, slots=True)
+class StateQuery:
+    """Request: state of a job."""
+
+    job_id: str
+
+
+@message(604, 1)
+@dataclass(frozen=True, slots=True)
+class StateReply:
+    """State of a job; empty when the leader does not know the job."""
+
+    state: str
+    queue: str
+
+
+@message(605, 1)
+@dataclass(frozen=True, slots=True)
+class PendingQuery:
+    """Request: number of jobs of a queue that have not begun."""
+
+    queue: str
+
+
+@message(606, 1)
+@dataclass(frozen=True, slots=True)
+class PendingReply:
+    """Number of jobs that have not begun."""
+
+    count: int
+
+
+@message(607, 1)
+@dataclass(frozen=True, slots=True)
+class AdviseCall:
+    """Request to a follower: ask the advice service about a step."""
+
+    step: str
+    workers: list[str]
+    timeout_ms: float
+
+
+@message(608, 1)
+@dataclass(frozen=True, slots=True)
+class AdviseResult:
+    """Workers that may run the step, with their tickets. ``refused``: ask again later."""
+
+    tickets: list[tuple[str, str]]
+    valid_ms: float
+    refused: bool
+
+
+@message(609, 1, latest_wins=True)
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Queues that refuse jobs at the moment, with the time in milliseconds until they may not."""
+
+    refusing: list[tuple[str, float]]
+
+
+@message(610, 1)
+@dataclass(frozen=True, slots=True)
+class LeaderResigned:
+    """The leader has given up its lease."""
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/advisers.py
@@ -0,0 +1,83 @@
+"""Spreads calls for placement advice over the instances.
+
+The service handles one call at a time for each calling instance. Calls that take long therefore
+never use every caller, so that short ones do not wait behind them.
+"""
+
+from collections.abc import Sequence
+
+from result import Err, Ok, Result
+
+from nutmeglb._internal.queues.links import Links
+from nutmeglb._internal.queues.ports import Advice, AdviceClient
+from nutmeglb_formats.exceptions import NutmegError
+from nutmeglb_formats.wire.queues import AdviseCall, AdviseResult
+
+# A call beyond this duration counts as long.
+LONG_CALL_MS = 150.0
+# Share of the callers that long calls leave alone, at least one of several.
+SHORT_SHARE = 0.25
+# Time for the path to the caller and the service, beyond the call's own duration.
+PATH_MS = 400.0
+OWN = ""
+
+
+class Advisers:
+    """Chooses the caller with the least outstanding work for each call."""
+
+    def __init__(self, client: AdviceClient | None, links: Links) -> None:
+        self._client = client
+        self._links = links
+        self._busy_ms: dict[str, float] = {}
+        links.on(AdviseCall, self._answer)
+
+    @property
+    def callers(self) -> int:
+        """Return how many instances can call."""
+        return 1 + len(self._links.followers)
+
+    async def ask(
+        self, step: str, workers: Sequence[str], cost_ms: float
+    ) -> Result[Advice, NutmegError]:
+        """Ask through one of the instances."""
+        caller = self._choose(cost_ms)
+        queued_ms = self._busy_ms.get(caller, 0.0)
+        self._busy_ms[caller] = queued_ms + cost_ms
+        timeout_ms = queued_ms + 1.5 * cost_ms + PATH_MS
+        try:
+            if caller == OWN:
+                return await self._ask_here(step, workers, timeout_ms)
+            return await self._ask_peer(caller, step, workers, timeout_ms)
+        finally:
+            self._busy_ms[caller] -= cost_ms
+
+    def _choose(self, cost_ms: float) -> str:
+        callers = [*sorted(self._links.followers), OWN]
+        spared = max(1, round(SHORT_SHARE * len(callers))) if len(callers) > 1 else 0
+        if cost_ms > LONG_CALL_MS:
+            callers = callers[: len(callers) - spared]
+        return min(callers, key=lambda caller: self._busy_ms.get(caller, 0.0))
+
+    async def _ask_peer(
+        self, peer: str, step: str, workers: Sequence[str], timeout_ms: float
+    ) -> Result[Advice, NutmegError]:
+        message = AdviseCall(step, list(workers), timeout_ms)
+        reply = await self._links.request(peer, message, timeout_ms)
+        if isinstance(reply, Err):
+            return Err(reply.err_value)
+        result: AdviseResult = reply.ok_value
+        return Ok(Advice(tuple(result.tickets), result.valid_ms, result.refused))
+
+    async def _ask_here(
+        self, step: str, workers: Sequence[str], timeout_ms: float
+    ) -> Result[Advice, NutmegError]:
+        if self._client is None:
+            return Ok(Advice((), 0.0, refused=True))
+        return await self._client.ask(step, workers, timeout_ms)
+
+    async def _answer(self, sender: str, call: AdviseCall) -> AdviseResult:
+        answer = await self._ask_here(call.step, call.workers, call.timeout_ms)
+        if isinstance(answer, Err):
+            return AdviseResult([], 0.0, refused=True)
+        advice = answer.ok_value
+        return AdviseResult(list(advice.tickets), advice.valid_ms, advice.refused)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -0,0 +1,105 @@
+"""Follows the operators' configuration in the platform's store."""
+
+import asyncio
+from collections.abc import Callable
+
+from result import Err
+
+from nutmeglb._internal.queues.ports import Platform, Removal, StoredItem
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.models.queues import Queue, QueueConfig
+
+logger = get_logger("configuration")
+
+# Each answered wait also shows that the store is reached. Waits are therefore short.
+WAIT_MS = 1_500
+RETRY_MS = 150.0
+MS_PER_S = 1_000.0
+
+
+class ConfigWatch:
+    """Newest configuration known to this instance; it never goes back to an older revision."""
+
+    def __init__(
+        self, platform: Platform, clock: Clock, on_change: Callable[[QueueConfig], None]
+    ) -> None:
+        self._platform = platform
+        self._clock = clock
+        self._on_change = on_change
+        self._revision = 0
+        self.current: QueueConfig | None = None
+        self.contact_ms: float | None = None
+        self.reachable = False
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix that the path begins with."""
+        if self.current is None:
+            return None
+        matching = [
+            queue
+            for queue in self.current.queues
+            if queue.host == host and path.startswith(queue.prefix)
+        ]
+        return max(matching, key=lambda queue: len(queue.prefix), default=None)
+
+    def is_stale(self, limit_ms: float) -> bool:
+        """Return whether the store has not confirmed the configuration for a time."""
+        return self.contact_ms is None or self._clock.now_ms() - self.contact_ms > limit_ms
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            answered = await (self._wait() if self.current else self._read())
+            self._note_contact(answered)
+            if not answered:
+                await asyncio.sleep(RETRY_MS / MS_PER_S)
+
+    def _note_contact(self, answered: bool) -> None:
+        if answered:
+            self.contact_ms = self._clock.now_ms()
+        if answered != self.reachable:
+            self.reachable = answered
+            logger.info("the store is reached" if answered else "the store does not answer")
+
+    async def _read(self) -> bool:
+        found = await self._platform.store.get(self._platform.config_key)
+        if isinstance(found, Err):
+            return False
+        if found.ok_value is None:
+            await asyncio.sleep(RETRY_MS / MS_PER_S)
+            return True
+        self._apply(found.ok_value)
+        return True
+
+    async def _wait(self) -> bool:
+        found = await self._platform.store.changes(
+            self._platform.config_key, self._revision, WAIT_MS
+        )
+        if isinstance(found, Err):
+            return False
+        if found.ok_value.history_lost:
+            return await self._read()
+        for change in found.ok_value.changes:
+            if not isinstance(change, Removal) and change.key == self._platform.config_key:
+                self._apply(change)
+        self._revision = max(self._revision, found.ok_value.revision)
+        return True
+
+    def _apply(self, item: StoredItem) -> None:
+        if self.current is not None and item.revision <= self.current.revision:
+            return
+        decoded = self._platform.decode_config(item)
+        self._revision = max(self._revision, item.revision)
+        if isinstance(decoded, Err):
+            logger.error("the configuration is malformed", cause=str(decoded.err_value))
+            return
+        config = decoded.ok_value
+        self.current = config
+        logger.info(
+            "configuration applied",
+            version=config.version,
+            revision=config.revision,
+            queues=len(config.queues),
+        )
+        self._on_change(config)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
@@ -0,0 +1,74 @@
+"""Writes the decisions of the scheduler as log lines, bounded per second and per kind."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from nutmeglb._internal.context import Metrics
+from nutmeglb._internal.telemetry.logs import Level, current_output
+from nutmeglb_decisions.queues.effects import Decision
+from nutmeglb_formats.clock import Clock
+
+MS_PER_S = 1_000.0
+DECISION_TYPE = "decision"
+# Lines of these kinds are never left out: they explain a failure.
+ALWAYS = frozenset(
+    {"job_failed", "job_refused", "worker_avoided", "worker_silent", "run_stuck", "start_refused"}
+)
+
+
+class DecisionLog:
+    """Log of decisions.
+
+    Parameters
+    ----------
+    lines_per_s
+        Limit of the lines of each second; the number of lines left out follows.
+    """
+
+    def __init__(self, clock: Clock, metrics: Metrics, lines_per_s: int) -> None:
+        self._clock = clock
+        self._limit = lines_per_s
+        self._second = 0
+        self._written = 0
+        self._left_out: Counter[str] = Counter()
+        self._decisions = metrics.counter(
+            "nutmeglb_queue_decisions_total", "Decisions of the scheduler of queues by kind."
+        )
+
+    def write(self, decisions: Iterable[Decision]) -> None:
+        """Write decisions."""
+        for decision in decisions:
+            self._decisions.inc(kind=decision.kind)
+            if self._admit(decision.kind):
+                self._line(decision)
+
+    def defect(self, part: str, error: Exception) -> None:
+        """Write a line about a defect of nutmeglb."""
+        fields = (("error", repr(error)),)
+        self.write([Decision("defect", part, fields=fields)])
+
+    def _admit(self, kind: str) -> bool:
+        second = int(self._clock.now_ms() / MS_PER_S)
+        if second != self._second:
+            left_out, self._left_out = self._left_out, Counter()
+            self._second, self._written = second, 0
+            if left_out:
+                self._line(Decision("left_out", "line limit", fields=tuple(left_out.items())))
+        if kind not in ALWAYS and self._written >= self._limit:
+            self._left_out[kind] += 1
+            return False
+        self._written += 1
+        return True
+
+    def _line(self, decision: Decision) -> None:
+        output = current_output()
+        if not output.enabled(Level.INFO):
+            return
+        line: dict[str, object] = {"kind": decision.kind, "cause": decision.cause}
+        for name in ("job", "task", "worker"):
+            value = getattr(decision, name)
+            if value:
+                line[name] = value
+        line.update(decision.fields)
+        line["at_ms"] = round(self._clock.now_ms())
+        output.write_raw(line, DECISION_TYPE)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
@@ -0,0 +1,247 @@
+"""Election of the leader of the queues by a leased key in the store.
+
+Safety does not rest on the lease: workers refuse a lower fence token, and each commit names the
+leader key's revision. The lease only tells when a silent leader may be replaced.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from result import Err
+
+from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.queues import keys
+from nutmeglb._internal.queues.links import Links
+from nutmeglb._internal.queues.ports import Commit, QueueStore, StoredItem, StoredPut
+from nutmeglb._internal.queues.settings import QueueSection
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.exceptions import StoreOutcomeUnknown
+from nutmeglb_formats.models.queue_records import Counter, LeaderRecord, dump, load
+
+logger = get_logger("election")
+
+# Instances that find no leader campaign after a random part of this, so that one usually wins.
+CAMPAIGN_JITTER_MS = 120.0
+# Between two looks at the leader key while this instance has no leader.
+LOOK_MS = 250.0
+# While connected to the leader, the key is looked at this seldom.
+IDLE_LOOK_MS = 5_000.0
+RETRY_MS = 100.0
+# A leader that cannot be reached by one instance alone must not be replaced again and again.
+REPLACE_EVERY_MS = 5_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    """A leadership of this instance.
+
+    Attributes
+    ----------
+    fence
+        Token of all orders; it rises with each leader.
+    key_revision
+        Revision of the leader key, a condition of every commit.
+    lease
+        Lease of the leader key.
+    """
+
+    number: int
+    fence: int
+    key_revision: int
+    lease: int
+
+
+class Election:
+    """Campaigns, renews and follows.
+
+    Parameters
+    ----------
+    on_elected
+        Starts the work of a leader.
+    on_deposed
+        Ends it. Called with the cause.
+    """
+
+    def __init__(
+        self,
+        settings: QueueSection,
+        clock: Clock,
+        rng: random.Random,
+        store: QueueStore,
+        links: Links,
+        own: Callable[[], LeaderRecord],
+        on_elected: Callable[[Term], Awaitable[None]],
+        on_deposed: Callable[[str], Awaitable[None]],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._store = store
+        self._links = links
+        self._own = own
+        self._on_elected = on_elected
+        self._on_deposed = on_deposed
+        self._background = BackgroundTasks()
+        self._wake = asyncio.Event()
+        self._term: Term | None = None
+        self._confirmed_ms = 0.0
+        self._gone = ""
+        self._replaced_ms = -REPLACE_EVERY_MS
+        self._known: LeaderRecord | None = None
+        self._resigned = False
+
+    @property
+    def term(self) -> Term | None:
+        """Return the present leadership of this instance."""
+        return self._term
+
+    def start(self) -> None:
+        """Start looking for a leader."""
+        self._background.spawn(self._run())
+
+    async def stop(self) -> None:
+        """End the loop without giving up the lease."""
+        await self._background.cancel()
+
+    def leader_lost(self, process_gone: bool) -> None:
+        """Look at the leader key at once, since the connection to the leader ended."""
+        if process_gone and self._known:
+            self._gone = self._known.incarnation
+        self._wake.set()
+
+    async def resign(self) -> None:
+        """Give up the lease for good, so that another instance takes over at once."""
+        self._resigned = True
+        term = self._term
+        if term is not None:
+            await self.depose("planned stop")
+            ended = await self._store.lease_end(term.lease)
+            if isinstance(ended, Err):
+                logger.warning("the lease was not ended", cause=str(ended.err_value))
+
+    async def depose(self, cause: str) -> None:
+        """End the work as leader."""
+        if self._term is None:
+            return
+        logger.warning("leadership lost", term=self._term.number, cause=cause)
+        self._term = None
+        await self._on_deposed(cause)
+        self._wake.set()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                delay_ms = await (self._renew() if self._term else self._look())
+            except Exception as error:
+                logger.error("the election loop failed", cause=repr(error))
+                delay_ms = LOOK_MS
+            self._wake.clear()
+            try:
+                await asyncio.wait_for(self._wake.wait(), delay_ms / 1_000)
+            except TimeoutError:
+                continue
+
+    async def _renew(self) -> float:
+        term = self._term
+        assert term is not None
+        sent_ms = self._clock.now_ms()
+        kept = await self._store.lease_keep(term.lease)
+        if self._term is not term:
+            return 0.0
+        if isinstance(kept, Err):
+            if self._clock.now_ms() - self._confirmed_ms > self._settings.authority_ms:
+                await self.depose("the store was not reached for the time of the authority")
+            return RETRY_MS
+        if not kept.ok_value:
+            await self.depose("the lease had ended")
+            return 0.0
+        self._confirmed_ms = sent_ms
+        return self._settings.renew_ms
+
+    async def _look(self) -> float:
+        found = await self._store.get(keys.LEADER)
+        if isinstance(found, Err):
+            return LOOK_MS
+        item = found.ok_value
+        if item is None:
+            self._links.follow(None)
+            return await self._campaign(None)
+        loaded = load(item.value, item.key)
+        if isinstance(loaded, Err):
+            logger.error("the leader record is malformed", cause=str(loaded.err_value))
+            return LOOK_MS
+        record: LeaderRecord = loaded.ok_value
+        self._known = record
+        if self._is_replaceable(record):
+            return await self._campaign(item)
+        self._links.follow(record)
+        return IDLE_LOOK_MS if self._links.leader_id else LOOK_MS
+
+    def _is_replaceable(self, record: LeaderRecord) -> bool:
+        """Return whether the leader's process is gone although its lease has not ended."""
+        own = self._own()
+        if record.instance_id == own.instance_id and record.incarnation != own.incarnation:
+            return True
+        now_ms = self._clock.now_ms()
+        gone = self._gone == record.incarnation
+        return gone and now_ms - self._replaced_ms >= REPLACE_EVERY_MS
+
+    async def _campaign(self, former: StoredItem | None) -> float:
+        if self._resigned:
+            return LOOK_MS
+        await asyncio.sleep(self._rng.uniform(0, CAMPAIGN_JITTER_MS) / 1_000)
+        counter = await self._store.get(keys.TERM)
+        if isinstance(counter, Err):
+            return LOOK_MS
+        item = counter.ok_value
+        number = 0
+        if item is not None:
+            loaded = load(item.value, item.key)
+            if isinstance(loaded, Err):
+                logger.error("the term is malformed", cause=str(loaded.err_value))
+                return LOOK_MS
+            number = loaded.ok_value.number + 1
+        return await self._claim(former, item.revision if item else 0, number)
+
+    async def _claim(self, former: StoredItem | None, term_revision: int, number: int) -> float:
+        sent_ms = self._clock.now_ms()
+        granted = await self._store.lease_grant(self._settings.leader_lease_ms)
+        if isinstance(granted, Err):
+            return LOOK_MS
+        own = self._own()
+        record = LeaderRecord(own.instance_id, own.incarnation, own.address, number, own.secret)
+        committed = await self._store.commit(
+            {keys.LEADER: former.revision if former else 0, keys.TERM: term_revision},
+            [
+                StoredPut(keys.LEADER, dump(record), granted.ok_value),
+                StoredPut(keys.TERM, dump(Counter(number, own.incarnation))),
+            ],
+        )
+        if isinstance(committed, Err):
+            if not isinstance(committed.err_value, StoreOutcomeUnknown):
+                return LOOK_MS
+            commit = await self._read_back(record)
+        else:
+            commit = committed.ok_value
+        if commit is None or not commit.applied:
+            return RETRY_MS
+        if former is not None:
+            self._replaced_ms = sent_ms
+        self._links.follow(None)
+        self._confirmed_ms = sent_ms
+        self._term = Term(number, commit.revision, commit.revision, granted.ok_value)
+        logger.info("leadership gained", term=number, fence=commit.revision)
+        await self._on_elected(self._term)
+        return self._settings.renew_ms
+
+    async def _read_back(self, record: LeaderRecord) -> Commit | None:
+        """Return the outcome of a claim whose answer was lost, if it can be told."""
+        found = await self._store.get(keys.LEADER)
+        if isinstance(found, Err) or found.ok_value is None:
+            return None
+        item = found.ok_value
+        applied = item.value == dump(record)
+        return Commit(applied, item.revision)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/keys.py
@@ -0,0 +1,24 @@
+"""Keys of the queues in the platform's store. A version number stands in each value."""
+
+PREFIX = "nutmeglb/"
+LEADER = PREFIX + "leader"
+TERM = PREFIX + "term"
+COMMIT = PREFIX + "commit"
+ACCEPTED = PREFIX + "in/"
+PROGRESS = PREFIX + "st/"
+CANCEL_SUFFIX = ".cancel"
+
+
+def accepted(job_id: str) -> str:
+    """Return the key of an accepted job."""
+    return ACCEPTED + job_id
+
+
+def cancelled(job_id: str) -> str:
+    """Return the key whose presence cancels a job."""
+    return ACCEPTED + job_id + CANCEL_SUFFIX
+
+
+def progress(job_id: str) -> str:
+    """Return the key of a job's progress, written by the leader only."""
+    return PROGRESS + job_id
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -0,0 +1,374 @@
+"""Work of the leader: one term of scheduling from taking over until the leadership ends."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.queues import keys
+from nutmeglb._internal.queues.advisers import Advisers
+from nutmeglb._internal.queues.commits import Committer
+from nutmeglb._internal.queues.decision_log import DecisionLog
+from nutmeglb._internal.queues.election import Term
+from nutmeglb._internal.queues.links import Links
+from nutmeglb._internal.queues.ports import Listing, Platform, Removal, StoredItem
+from nutmeglb._internal.queues.settings import QueueSection
+from nutmeglb._internal.queues.worker_link import (
+    CLOCK_ERROR,
+    LAPSE_MARGIN_MS,
+    LinkHooks,
+    WorkerLink,
+)
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_decisions.queues import (
+    admission,
+    advice,
+    lifecycle,
+    orders,
+    placing,
+    progress,
+    reports,
+)
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.effects import AskAdvice, Effect, PaceTask, StartTask, StopTask
+from nutmeglb_decisions.queues.names import parse_task
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.exceptions import StoreError
+from nutmeglb_formats.models.queue_records import AcceptedJob, JobProgress, load
+from nutmeglb_formats.models.queues import QueueConfig, QueueJob, QueueWorker
+from nutmeglb_formats.wire.queues import LoadReport
+
+logger = get_logger("leader")
+
+MS_PER_S = 1_000.0
+# Changes within this time are answered by one scheduling pass.
+PASS_MS = 8.0
+TICK_MS = 100.0
+LOAD_REPORT_MS = 250.0
+RETRY_MS = 100.0
+
+
+class Leader:
+    """Schedules all queues during one term.
+
+    Parameters
+    ----------
+    on_lost
+        Called with the cause when another leader shows itself.
+    """
+
+    def __init__(
+        self,
+        settings: QueueSection,
+        clock: Clock,
+        rng: random.Random,
+        platform: Platform,
+        links: Links,
+        advisers: Advisers,
+        log: DecisionLog,
+        term: Term,
+        incarnation: str,
+        on_lost: Callable[[str], None],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._platform = platform
+        self._links = links
+        self._advisers = advisers
+        self._log = log
+        self._term = term
+        self._on_lost = on_lost
+        self.cell = Cell(term.number)
+        self._committer = Committer(
+            self.cell,
+            platform.store,
+            clock,
+            term,
+            incarnation,
+            settings.commit_ms,
+            on_lost,
+            self._changed,
+        )
+        self._hooks = LinkHooks(self._changed, self._committer.flushed, self._fenced)
+        self._worker_links: dict[str, WorkerLink] = {}
+        self._worker_tasks: dict[str, asyncio.Task[Any]] = {}
+        self._background = BackgroundTasks()
+        self._wake = asyncio.Event()
+        self._revision = 0
+        self.loaded = False
+        self.refusing: dict[str, float] = {}
+
+    async def start(self, config: QueueConfig) -> None:
+        """Take over: read everything from the store, then hold every worker."""
+        self.cell.configure(config)
+        self._background.spawn(self._take_over())
+
+    async def stop(self) -> None:
+        """End all work. Orders on their way are fenced off by the next leader."""
+        await self._background.cancel()
+
+    async def flushed(self, timeout_ms: float) -> None:
+        """Store what is dirty, before a planned hand-over."""
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                await self._committer.flushed()
+        except TimeoutError:
+            logger.warning("not all progress was stored before the hand-over")
+
+    def configure(self, config: QueueConfig) -> None:
+        """Use a new configuration."""
+        self.cell.configure(config)
+        self._changed()
+
+    def offer(self, job: QueueJob) -> None:
+        """Take up an accepted job."""
+        if lifecycle.add_job(self.cell, job, self._clock.now_ms()):
+            self.cell.decide("job_taken_up", "accepted", job=job.job_id, queue=job.queue.name)
+            self._changed()
+
+    def cancel(self, job_id: str) -> None:
+        """Cancel a job whose cancellation is stored."""
+        if lifecycle.cancel_job(self.cell, job_id, self._clock.wall_ms()):
+            self._changed()
+
+    async def _take_over(self) -> None:
+        while not await self._load():
+            await asyncio.sleep(RETRY_MS / MS_PER_S)
+        lease_ms = self._settings.lease_of_runs_ms / (1 - CLOCK_ERROR)
+        now_ms = self._clock.now_ms()
+        self.cell.settle_until_ms = (
+            now_ms + self._settings.authority_ms + lease_ms + LAPSE_MARGIN_MS
+        )
+        self.loaded = True
+        logger.info(
+            "took over",
+            term=self._term.number,
+            jobs=len(self.cell.active),
+            finished=len(self.cell.finished),
+            workers=len(self.cell.workers),
+        )
+        for loop in (
+            self._committer.run(),
+            self._workers_loop(),
+            self._inbox_loop(),
+            self._pass_loop(),
+            self._tick_loop(),
+            self._load_loop(),
+        ):
+            self._background.spawn(self._guarded(loop))
+        self._changed()
+
+    async def _guarded(self, loop: Any) -> None:
+        try:
+            await loop
+        except Exception as error:
+            self._log.defect("leader", error)
+            self._on_lost(f"a loop of the leader failed: {error!r}")
+
+    async def _load(self) -> bool:
+        """Read accepted jobs and progress. Return whether everything was read."""
+        if not await self._committer.begin():
+            return False
+        stored = await self._platform.store.range(keys.PROGRESS)
+        accepted = await self._platform.store.range(keys.ACCEPTED)
+        workers = await self._read_workers()
+        if isinstance(stored, Err) or isinstance(accepted, Err) or isinstance(workers, Err):
+            return False
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        found = self._progress_of(stored.ok_value)
+        cancelled = []
+        for item in accepted.ok_value.items:
+            job_id = item.key.removeprefix(keys.ACCEPTED)
+            if job_id.endswith(keys.CANCEL_SUFFIX):
+                cancelled.append(job_id.removesuffix(keys.CANCEL_SUFFIX))
+                continue
+            job = self._decode_job(item)
+            if job is not None and job_id not in self.cell.finished:
+                progress.restore(self.cell, job, found.get(job_id), now_ms, wall_ms)
+        for job_id in cancelled:
+            lifecycle.cancel_job(self.cell, job_id, wall_ms)
+        self._revision = accepted.ok_value.revision
+        reports.list_workers(self.cell, workers.ok_value, now_ms, wall_ms)
+        self._link_workers()
+        return True
+
+    def _progress_of(self, listing: Listing) -> dict[str, JobProgress]:
+        found: dict[str, JobProgress] = {}
+        for item in listing.items:
+            job_id = item.key.removeprefix(keys.PROGRESS)
+            loaded = load(item.value, item.key)
+            if isinstance(loaded, Err) or not isinstance(loaded.ok_value, JobProgress):
+                logger.error("a progress record is malformed", key=item.key)
+            elif progress.is_final(loaded.ok_value):
+                progress.restore_final(self.cell, job_id, loaded.ok_value)
+            else:
+                found[job_id] = loaded.ok_value
+        return found
+
+    def _decode_job(self, item: StoredItem) -> QueueJob | None:
+        loaded = load(item.value, item.key)
+        if isinstance(loaded, Err):
+            logger.error("an accepted job is malformed", key=item.key, cause=loaded.err_value)
+            return None
+        record = loaded.ok_value
+        return record.job if isinstance(record, AcceptedJob) else None
+
+    async def _read_workers(self) -> Result[list[QueueWorker], StoreError]:
+        listing = await self._platform.store.range(self._platform.workers_prefix)
+        if isinstance(listing, Err):
+            return Err(listing.err_value)
+        workers = []
+        for item in listing.ok_value.items:
+            decoded = self._platform.decode_worker(item)
+            if isinstance(decoded, Err):
+                logger.warning("a worker's entry is ignored", cause=str(decoded.err_value))
+            else:
+                workers.append(decoded.ok_value)
+        return Ok(workers)
+
+    async def _workers_loop(self) -> None:
+        while True:
+            await asyncio.sleep(self._settings.list_ms / MS_PER_S)
+            workers = await self._read_workers()
+            if isinstance(workers, Ok):
+                now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+                reports.list_workers(self.cell, workers.ok_value, now_ms, wall_ms)
+                self._link_workers()
+                self._changed()
+
+    def _link_workers(self) -> None:
+        for worker_id, worker in self.cell.workers.items():
+            known = self._worker_links.get(worker_id)
+            if known is not None and known.worker is worker:
+                if not worker.settled:
+                    known.wake()
+                continue
+            self._unlink(worker_id)
+            link = WorkerLink(
+                self.cell,
+                worker,
+                self._platform.workers,
+                self._clock,
+                self._term.fence,
+                self._settings.lease_of_runs_ms,
+                self._hooks,
+            )
+            self._worker_links[worker_id] = link
+            self._worker_tasks[worker_id] = self._background.spawn(self._guarded(link.run()))
+        for worker_id in list(self._worker_links):
+            if worker_id not in self.cell.workers:
+                self._unlink(worker_id)
+
+    def _unlink(self, worker_id: str) -> None:
+        self._worker_links.pop(worker_id, None)
+        task = self._worker_tasks.pop(worker_id, None)
+        if task is not None:
+            task.cancel()
+
+    async def _inbox_loop(self) -> None:
+        """Find jobs and cancellations whose instance could not tell this one."""
+        while True:
+            await asyncio.sleep(self._settings.inbox_ms / MS_PER_S)
+            found = await self._platform.store.changes(keys.ACCEPTED, self._revision, 0)
+            if isinstance(found, Err):
+                continue
+            if found.ok_value.history_lost:
+                await self._read_inbox()
+                continue
+            self._revision = max(self._revision, found.ok_value.revision)
+            for change in found.ok_value.changes:
+                if not isinstance(change, Removal):
+                    self._take_in(change)
+
+    async def _read_inbox(self) -> None:
+        listing = await self._platform.store.range(keys.ACCEPTED)
+        if isinstance(listing, Err):
+            return
+        logger.info("read all accepted jobs, since the store's history is gone")
+        for item in listing.ok_value.items:
+            self._take_in(item)
+        self._revision = listing.ok_value.revision
+
+    def _take_in(self, item: StoredItem) -> None:
+        job_id = item.key.removeprefix(keys.ACCEPTED)
+        if job_id.endswith(keys.CANCEL_SUFFIX):
+            self.cancel(job_id.removesuffix(keys.CANCEL_SUFFIX))
+            return
+        if job_id not in self.cell.jobs:
+            job = self._decode_job(item)
+            if job is not None:
+                self.offer(job)
+
+    async def _tick_loop(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_MS / MS_PER_S)
+            now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+            reports.lapse_workers(self.cell, now_ms, wall_ms)
+            orders.stop_stuck_runs(self.cell, now_ms)
+            lifecycle.open_due_occurrences(self.cell, wall_ms)
+            self._changed()
+
+    async def _load_loop(self) -> None:
+        while True:
+            self.refusing = admission.refusals(self.cell, self._clock.now_ms())
+            self._links.broadcast(LoadReport(sorted(self.refusing.items())))
+            await asyncio.sleep(LOAD_REPORT_MS / MS_PER_S)
+
+    async def _pass_loop(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            placing.schedule(
+                self.cell,
+                self._advisers.callers,
+                self._rng,
+                self._clock.now_ms(),
+                self._clock.wall_ms(),
+            )
+            for effect in self.cell.take_effects():
+                self._carry_out(effect)
+            self._log.write(self.cell.take_decisions())
+            self._committer.poke()
+            await asyncio.sleep(PASS_MS / MS_PER_S)
+
+    def _carry_out(self, effect: Effect) -> None:
+        if isinstance(effect, AskAdvice):
+            self._background.spawn(self._ask(effect))
+            return
+        link = self._worker_links.get(effect.worker_id)
+        if link is None:
+            return
+        match effect:
+            case StartTask():
+                self._background.spawn(link.start(effect))
+            case StopTask():
+                self._background.spawn(link.stop(effect))
+            case PaceTask():
+                self._background.spawn(link.pace(effect))
+
+    async def _ask(self, effect: AskAdvice) -> None:
+        answer = await self._advisers.ask(effect.step, effect.workers, effect.cost_ms)
+        now_ms = self._clock.now_ms()
+        name = parse_task(f"{effect.step}.0")
+        step = self.cell.find_step(name.job_id, name.occurrence, name.step) if name else None
+        if step is None:
+            return
+        if isinstance(answer, Err):
+            logger.warning("no advice", step=effect.step, cause=str(answer.err_value))
+            advice.answered(self.cell, step, (), 0.0, True, now_ms)
+        else:
+            given = answer.ok_value
+            advice.answered(
+                self.cell, step, given.tickets, now_ms + given.valid_ms, given.refused, now_ms
+            )
+        self._changed()
+
+    def _changed(self) -> None:
+        self._wake.set()
+
+    def _fenced(self, worker_id: str) -> None:
+        self._on_lost(f"worker {worker_id} obeys a higher fence token")
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/links.py
@@ -0,0 +1,215 @@
+"""Connections between the leader of the queues and all other instances."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+
+from result import Err, Ok, Result
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import ServerConnection
+from websockets.exceptions import InvalidStatus, WebSocketException
+
+from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.context import Handler
+from nutmeglb._internal.peers.correlation import Correlator, peer_error
+from nutmeglb._internal.peers.dispatch import MessageDispatcher
+from nutmeglb._internal.peers.handshake import PEER_PATH, PeerName, headers_for
+from nutmeglb._internal.peers.link import Link, LinkCallbacks
+from nutmeglb._internal.peers.server import PeerServer
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.exceptions import PeerError
+from nutmeglb_formats.models.queue_records import LeaderRecord
+from nutmeglb_formats.wire.envelope import BATCH_LIMIT_BYTES
+from nutmeglb_formats.wire.membership import Reply, Request
+from nutmeglb_formats.wire.registry import MESSAGES
+
+logger = get_logger("links")
+
+QUEUE_MESSAGES = 5_000
+# A round trip between failure domains takes milliseconds; a dead path must not hold a caller.
+OPEN_TIMEOUT_S = 0.7
+# A silent connection is noticed by pings after twice this time at most, before a lease ends.
+PING_S = 0.8
+SECRET_BYTES = 16
+
+
+class Links:
+    """Accepts followers while this instance leads, and keeps one connection to the leader.
+
+    Parameters
+    ----------
+    on_lost
+        Called with whether the leader's process is certainly gone, when its connection ends.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        instance_id: str,
+        domain: str,
+        address: str,
+        on_lost: Callable[[bool], None],
+    ) -> None:
+        self._clock = clock
+        self._instance_id = instance_id
+        self._domain = domain
+        self._on_lost = on_lost
+        self._background = BackgroundTasks()
+        self._correlator = Correlator()
+        self._dispatcher = MessageDispatcher(self._send, self._background)
+        self._links: dict[str, Link] = {}
+        self._leader: LeaderRecord | None = None
+        self._dialing: asyncio.Task[None] | None = None
+        # Followers learn the secret from the leader's record in the store.
+        self.secret = secrets.token_hex(SECRET_BYTES)
+        self._server = PeerServer(
+            address, self.secret, instance_id, self._accepted, lambda: None
+        )
+        self._callbacks = LinkCallbacks(
+            self._received,
+            lambda peer, direction, size: None,
+            lambda peer, cause: logger.warning("bad frame", peer=peer, cause=cause),
+            lambda link: False,
+            clock.wall_ms,
+            lambda sent_ms: None,
+        )
+
+    @property
+    def followers(self) -> list[str]:
+        """Return the instances that are connected to this one as their leader."""
+        return [peer for peer, link in self._links.items() if not link.outgoing]
+
+    @property
+    def leader_id(self) -> str:
+        """Return the leader that this instance is connected to, or an empty text."""
+        if self._leader and self._leader.instance_id in self._links:
+            return self._leader.instance_id
+        return ""
+
+    @property
+    def bound_address(self) -> str:
+        """Return ``ip:port`` of the listener."""
+        return self._server.bound_address
+
+    def on(self, message_type: type[Any], handler: Handler) -> None:
+        """Set the handler of a message type."""
+        self._dispatcher.on(message_type, handler)
+
+    async def start(self) -> None:
+        """Bind the listener."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self._background.cancel()
+        await self._server.stop()
+
+    def follow(self, leader: LeaderRecord | None) -> None:
+        """Keep a connection to a leader; ``None`` closes the present one."""
+        if leader == self._leader:
+            if leader and not self.leader_id:
+                self._dial(leader)
+            return
+        if self._dialing is not None:
+            self._dialing.cancel()
+            self._dialing = None
+        self._leader = leader
+        if leader is not None:
+            self._dial(leader)
+
+    def broadcast(self, message: object) -> None:
+        """Send a message to every follower."""
+        for peer in self.followers:
+            self._send(peer, message)
+
+    async def request(
+        self, peer: str, message: object, timeout_ms: float
+    ) -> Result[Any, PeerError]:
+        """Send a message and wait for its reply."""
+        if peer not in self._links:
+            return Err(peer_error(peer, "not connected", sent=False))
+        correlation, future = self._correlator.open(peer)
+        self._send(peer, Request(correlation, MESSAGES.to_items(message)))
+        try:
+            return await asyncio.wait_for(future, timeout_ms / 1_000)
+        except TimeoutError:
+            return Err(peer_error(peer, f"no reply within {timeout_ms:.0f} ms"))
+        finally:
+            self._correlator.close(correlation)
+
+    def _send(self, peer: str, message: object) -> None:
+        link = self._links.get(peer)
+        if link is not None and not link.put(message):
+            logger.warning("the send queue is full", peer=peer, type=type(message).__name__)
+
+    def _received(self, link: Link, message: Any) -> None:
+        if isinstance(message, Reply):
+            self._correlator.resolve(link.peer_id, message)
+        else:
+            self._dispatcher.deliver(link.peer_id, message)
+
+    async def _accepted(self, connection: ServerConnection, name: PeerName) -> None:
+        await self._run(connection, name.instance_id, name.domain, outgoing=False)
+
+    def _dial(self, leader: LeaderRecord) -> None:
+        if self._dialing is None or self._dialing.done():
+            self._dialing = self._background.spawn(self._connect(leader))
+
+    async def _connect(self, leader: LeaderRecord) -> None:
+        opened = await self._open(leader)
+        if isinstance(opened, Err):
+            logger.info("cannot connect to the leader", leader=leader.instance_id)
+            self._on_lost(opened.err_value)
+            return
+        logger.info("connected to the leader", leader=leader.instance_id, term=leader.term)
+        await self._run(opened.ok_value, leader.instance_id, "", outgoing=True)
+        logger.warning("the connection to the leader ended", leader=leader.instance_id)
+        self._on_lost(False)
+
+    async def _open(self, leader: LeaderRecord) -> Result[Connection, bool]:
+        """Return the connection, or whether the leader's process is certainly gone."""
+        try:
+            connection = await connect(
+                f"ws://{leader.address}{PEER_PATH}",
+                additional_headers=headers_for(leader.secret, self._instance_id, self._domain),
+                user_agent_header=None,
+                compression=None,
+                ping_interval=PING_S,
+                ping_timeout=PING_S,
+                open_timeout=OPEN_TIMEOUT_S,
+                max_size=BATCH_LIMIT_BYTES,
+                proxy=None,
+            )
+        except ConnectionRefusedError:
+            return Err(True)
+        except InvalidStatus as error:
+            # Another process listens there: it does not know the secret of the leader's process.
+            return Err(error.response.status_code == HTTPStatus.UNAUTHORIZED)
+        except (OSError, TimeoutError, WebSocketException):
+            return Err(False)
+        return Ok(connection)
+
+    async def _run(
+        self, connection: Connection, peer: str, domain: str, *, outgoing: bool
+    ) -> None:
+        link = Link(
+            connection,
+            peer,
+            domain,
+            outgoing=outgoing,
+            header=lambda: (self._instance_id, 0),
+            queue_limit=QUEUE_MESSAGES,
+            callbacks=self._callbacks,
+            now_ms=self._clock.now_ms(),
+        )
+        self._links[peer] = link
+        try:
+            await link.run()
+        finally:
+            if self._links.get(peer) is link:
+                del self._links[peer]
+                self._correlator.fail(peer)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -0,0 +1,207 @@
+"""Assembly of an entry instance that serves queues, and its life from start to planned stop."""
+
+import asyncio
+import random
+import secrets
+import signal
+from collections.abc import Callable
+from typing import Protocol
+
+from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.context import Metrics
+from nutmeglb._internal.queues.advisers import Advisers
+from nutmeglb._internal.queues.config_watch import ConfigWatch
+from nutmeglb._internal.queues.decision_log import DecisionLog
+from nutmeglb._internal.queues.election import Election, Term
+from nutmeglb._internal.queues.leader import Leader
+from nutmeglb._internal.queues.links import Links
+from nutmeglb._internal.queues.ports import Platform
+from nutmeglb._internal.queues.service import QueueService
+from nutmeglb._internal.queues.settings import QueueSettings
+from nutmeglb._internal.queues.submissions import Submissions
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.exit_status import ExitStatus
+from nutmeglb_formats.models.queue_records import LeaderRecord
+from nutmeglb_formats.models.queues import QueueConfig
+from nutmeglb_formats.wire.queues import LeaderResigned
+
+logger = get_logger("node")
+
+SEED_BITS = 64
+INCARNATION_BYTES = 8
+MS_PER_S = 1_000.0
+# Time to store progress before the lease is given up.
+HAND_OVER_MS = 500.0
+# An instance whose store contact is older than this sends callers elsewhere.
+CONTACT_MAX_AGE_MS = 2_500.0
+STEP_S = 0.05
+
+
+class Frontend(Protocol):
+    """Listeners for callers, the balancer and metrics."""
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that are being answered."""
+
+    async def start(self) -> None:
+        """Bind the listeners."""
+
+    def begin_drain(self) -> None:
+        """Ask callers to close their connections."""
+
+    async def stop(self) -> None:
+        """Close the listeners."""
+
+
+class QueueNode:
+    """All parts of one entry instance.
+
+    Attributes
+    ----------
+    service, config
+        What the frontend needs.
+    """
+
+    def __init__(
+        self, settings: QueueSettings, platform: Platform, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._settings = settings
+        self._platform = platform
+        self._clock = clock
+        self._rng = random.Random(secrets.randbits(SEED_BITS))
+        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._log = DecisionLog(clock, metrics, settings.log.lines_per_s)
+        self._background = BackgroundTasks()
+        self._draining = False
+        self._leader: Leader | None = None
+        instance = settings.instance
+        self._links = Links(
+            clock,
+            instance.id,
+            instance.failure_domain,
+            settings.listen.peer,
+            lambda gone: self._election.leader_lost(gone),
+        )
+        self._links.on(LeaderResigned, lambda sender, _: self._election.leader_lost(False))
+        self._advisers = Advisers(platform.advice, self._links)
+        self.config = ConfigWatch(platform, clock, self._configured)
+        self.service = QueueService(
+            clock,
+            self._links,
+            Submissions(platform.store, clock),
+            self._log,
+            lambda: self._leader,
+        )
+        self._election = Election(
+            settings.queues,
+            clock,
+            self._rng,
+            platform.store,
+            self._links,
+            self._own_record,
+            self._elected,
+            self._deposed,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the balancer may send callers here."""
+        return (
+            not self._draining
+            and self.config.current is not None
+            and self.config.reachable
+            and not self.config.is_stale(CONTACT_MAX_AGE_MS)
+        )
+
+    @property
+    def draining(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self._draining
+
+    async def run(self, frontend: Frontend, reload: Callable[[], None]) -> ExitStatus:
+        """Serve until SIGTERM or SIGINT, then stop as planned."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, reload)
+        await self._links.start()
+        await frontend.start()
+        self._background.spawn(self.config.run())
+        self._background.spawn(self._begin_election())
+        logger.info("started", incarnation=self._incarnation)
+        await stop.wait()
+        await self._drain(frontend)
+        await self._stop(frontend)
+        logger.info("stopped")
+        return ExitStatus.OK
+
+    async def _begin_election(self) -> None:
+        # A leader needs a configuration before it can schedule.
+        while self.config.current is None:
+            await asyncio.sleep(STEP_S)
+        self._election.start()
+
+    async def _drain(self, frontend: Frontend) -> None:
+        self._draining = True
+        logger.info("draining", balancer_notice_ms=self._settings.stop.balancer_notice_ms)
+        frontend.begin_drain()
+        if self._leader is not None:
+            await self._leader.flushed(HAND_OVER_MS)
+        self._links.broadcast(LeaderResigned())
+        await self._election.resign()
+        self._links.broadcast(LeaderResigned())
+        # Counts only time in which the process ran: a paused one shows nothing to the balancer.
+        for _ in range(int(self._settings.stop.balancer_notice_ms / MS_PER_S / STEP_S)):
+            await asyncio.sleep(STEP_S)
+        deadline_ms = self._clock.now_ms() + self._settings.stop.drain_limit_ms
+        while frontend.in_flight and self._clock.now_ms() < deadline_ms:
+            await asyncio.sleep(STEP_S)
+
+    async def _stop(self, frontend: Frontend) -> None:
+        await frontend.stop()
+        await self._election.stop()
+        await self._deposed("stop")
+        await self.service.stop()
+        await self._background.cancel()
+        await self._links.stop()
+
+    def _own_record(self) -> LeaderRecord:
+        return LeaderRecord(
+            self._settings.instance.id,
+            self._incarnation,
+            self._links.bound_address,
+            0,
+            self._links.secret,
+        )
+
+    async def _elected(self, term: Term) -> None:
+        config = self.config.current
+        assert config is not None
+        self._leader = Leader(
+            self._settings.queues,
+            self._clock,
+            self._rng,
+            self._platform,
+            self._links,
+            self._advisers,
+            self._log,
+            term,
+            self._incarnation,
+            self._leadership_ended,
+        )
+        await self._leader.start(config)
+
+    def _leadership_ended(self, cause: str) -> None:
+        self._background.spawn(self._election.depose(cause))
+
+    async def _deposed(self, cause: str) -> None:
+        leader, self._leader = self._leader, None
+        if leader is not None:
+            await leader.stop()
+
+    def _configured(self, config: QueueConfig) -> None:
+        if self._leader is not None:
+            self._leader.configure(config)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -0,0 +1,211 @@
+"""Callers' commands and queries on jobs, answered by any instance."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.queues.decision_log import DecisionLog
+from nutmeglb._internal.queues.leader import Leader
+from nutmeglb._internal.queues.links import Links
+from nutmeglb._internal.queues.submissions import Submission, Submissions
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_decisions.queues import queries
+from nutmeglb_decisions.queues.effects import Decision
+from nutmeglb_decisions.queues.queries import JobStatus
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.exceptions import NotReady, NutmegError
+from nutmeglb_formats.models.queues import QueueJob
+from nutmeglb_formats.wire.queues import (
+    JobCancelled,
+    JobOffered,
+    LoadReport,
+    Noted,
+    PendingQuery,
+    PendingReply,
+    StateQuery,
+    StateReply,
+)
+
+logger = get_logger("service")
+
+# The leader answers in a round trip; beyond this the store is asked.
+LEADER_TIMEOUT_MS = 350.0
+# A count of waiting jobs may be this old (from the platform's protocol).
+PENDING_MAX_AGE_MS = 2_000.0
+# A leader's report of refusals holds this long without a newer one.
+LOAD_MAX_AGE_MS = 2_000.0
+# Hint for callers whose job could not be stored: a leader change or a store outage is short.
+UNAVAILABLE_RETRY_MS = 1_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitAnswer:
+    """Answer to a submission. ``retry_ms`` is set when the job was not accepted."""
+
+    outcome: Submission
+    retry_ms: float = 0.0
+
+
+class QueueService:
+    """Accepts and cancels jobs durably and tells their states.
+
+    Parameters
+    ----------
+    leader
+        Returns the leader's work while this instance leads.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        links: Links,
+        submissions: Submissions,
+        log: DecisionLog,
+        leader: Callable[[], Leader | None],
+    ) -> None:
+        self._clock = clock
+        self._links = links
+        self._submissions = submissions
+        self._log = log
+        self._leader = leader
+        self._background = BackgroundTasks()
+        self._pending: dict[str, tuple[int, float]] = {}
+        self._refusing: dict[str, float] = {}
+        self._refusing_ms = 0.0
+        links.on(JobOffered, self._on_offered)
+        links.on(JobCancelled, self._on_cancelled)
+        links.on(StateQuery, self._on_state_query)
+        links.on(PendingQuery, self._on_pending_query)
+        links.on(LoadReport, self._on_load)
+
+    async def stop(self) -> None:
+        """End background work."""
+        await self._background.cancel()
+
+    async def submit(self, job: QueueJob, until_ms: float) -> SubmitAnswer:
+        """Accept a job, or say that it is not accepted and never runs."""
+        retry_ms = self._refusals().get(job.queue.name)
+        if retry_ms is not None:
+            self._decide("job_refused", "no room in time", job, retry_ms=round(retry_ms))
+            return SubmitAnswer(Submission.NOT_ACCEPTED, retry_ms)
+        outcome = await self._submissions.submit(job, until_ms)
+        if outcome == Submission.ACCEPTED:
+            self._decide("job_accepted", "stored", job, leader=self._links.leader_id)
+            self._background.spawn(self._offer(job))
+        elif outcome != Submission.REPEATED:
+            self._decide("job_refused", "the store did not take it", job, outcome=outcome.value)
+        return SubmitAnswer(outcome, UNAVAILABLE_RETRY_MS)
+
+    async def cancel(self, job_id: str, until_ms: float) -> Result[bool, NutmegError]:
+        """Cancel a job durably. Return whether it exists."""
+        cancelled = await self._submissions.cancel(job_id, until_ms)
+        if isinstance(cancelled, Err):
+            return Err(cancelled.err_value)
+        if cancelled.ok_value:
+            self._log.write([Decision("cancel_stored", "the caller asked for it", job=job_id)])
+            self._background.spawn(self._tell_cancelled(job_id))
+        return Ok(cancelled.ok_value)
+
+    async def status(self, job_id: str) -> Result[JobStatus | None, NutmegError]:
+        """Return the state of a job, or ``None`` for an unknown one."""
+        known = await self._status_at_leader(job_id)
+        if known is not None:
+            return Ok(known)
+        found = await self._submissions.status(job_id)
+        if isinstance(found, Err):
+            return Err(found.err_value)
+        return Ok(found.ok_value)
+
+    async def pending(self, queue: str) -> Result[int, NutmegError]:
+        """Return the number of a queue's jobs that have not begun."""
+        leader = self._leader()
+        now_ms = self._clock.now_ms()
+        if leader is not None and leader.loaded:
+            return Ok(queries.pending(leader.cell, queue))
+        peer = self._links.leader_id
+        if peer:
+            reply = await self._links.request(peer, PendingQuery(queue), LEADER_TIMEOUT_MS)
+            if isinstance(reply, Ok):
+                self._pending[queue] = (reply.ok_value.count, now_ms)
+                return Ok(reply.ok_value.count)
+        count, read_ms = self._pending.get(queue, (0, -PENDING_MAX_AGE_MS))
+        if now_ms - read_ms < PENDING_MAX_AGE_MS:
+            return Ok(count)
+        hint = "Ask again in a second"
+        return Err(NotReady("The leader of the queues is not known", hint=hint))
+
+    def _refusals(self) -> dict[str, float]:
+        leader = self._leader()
+        if leader is not None:
+            return leader.refusing
+        if self._clock.now_ms() - self._refusing_ms > LOAD_MAX_AGE_MS:
+            return {}
+        return self._refusing
+
+    async def _offer(self, job: QueueJob) -> None:
+        leader = self._leader()
+        if leader is not None:
+            leader.offer(job)
+            return
+        # A leader that is not told finds the job in the store.
+        if self._links.leader_id:
+            await self._links.request(
+                self._links.leader_id, JobOffered(job), LEADER_TIMEOUT_MS
+            )
+
+    async def _tell_cancelled(self, job_id: str) -> None:
+        leader = self._leader()
+        if leader is not None:
+            leader.cancel(job_id)
+        elif self._links.leader_id:
+            await self._links.request(
+                self._links.leader_id, JobCancelled(job_id), LEADER_TIMEOUT_MS
+            )
+
+    async def _status_at_leader(self, job_id: str) -> JobStatus | None:
+        leader = self._leader()
+        if leader is not None:
+            return queries.status_of(leader.cell, job_id) if leader.loaded else None
+        if not self._links.leader_id:
+            return None
+        reply = await self._links.request(
+            self._links.leader_id, StateQuery(job_id), LEADER_TIMEOUT_MS
+        )
+        if isinstance(reply, Err) or not reply.ok_value.state:
+            return None
+        return JobStatus(reply.ok_value.state, reply.ok_value.queue)
+
+    def _on_offered(self, sender: str, message: JobOffered) -> Noted:
+        leader = self._leader()
+        if leader is not None:
+            leader.offer(message.job)
+        return Noted()
+
+    def _on_cancelled(self, sender: str, message: JobCancelled) -> Noted:
+        leader = self._leader()
+        if leader is not None:
+            leader.cancel(message.job_id)
+        return Noted()
+
+    def _on_state_query(self, sender: str, message: StateQuery) -> StateReply:
+        leader = self._leader()
+        status = None
+        if leader is not None and leader.loaded:
+            status = queries.status_of(leader.cell, message.job_id)
+        return StateReply(status.state.value, status.queue) if status else StateReply("", "")
+
+    def _on_pending_query(self, sender: str, message: PendingQuery) -> PendingReply | None:
+        leader = self._leader()
+        if leader is None or not leader.loaded:
+            raise NotReady("This instance does not lead", hint="Ask the leader")
+        return PendingReply(queries.pending(leader.cell, message.queue))
+
+    def _on_load(self, sender: str, message: LoadReport) -> None:
+        self._refusing = dict(message.refusing)
+        self._refusing_ms = self._clock.now_ms()
+
+    def _decide(self, kind: str, cause: str, job: QueueJob, **fields: object) -> None:
+        fields["queue"] = job.queue.name
+        self._log.write([Decision(kind, cause, job=job.job_id, fields=tuple(fields.items()))])
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
@@ -0,0 +1,103 @@
+"""Settings of an entry instance that serves queues on the platform."""
+
+from pydantic import Field, model_validator
+
+from nutmeglb._internal.settings.models import InstanceSection, Section
+from nutmeglb_formats.addresses import Address, settings_fault
+
+
+class QueueListenSection(Section):
+    """Addresses as ``ip:port``."""
+
+    caller: Address = Field(description="Listener for callers.")
+    health: Address = Field(description="Listener for the balancer's readiness checks.")
+    peer: Address = Field(description="Listener for other entry instances.")
+
+
+class QueueStoreSection(Section):
+    """The platform's key-value store."""
+
+    address: Address = Field(description="``ip:port`` of the store.")
+    # A healthy store answers in milliseconds; a slow one took 350 ms in the users' examples.
+    call_timeout_ms: float = Field(900, ge=50, le=30_000, description="Timeout of one call.")
+    value_bytes: int = Field(1_048_576, ge=1_000, description="Largest value.")
+    min_lease_ms: int = Field(1_000, ge=1, description="Shortest lease.")
+
+
+class AdviceSection(Section):
+    """The platform's placement advice service."""
+
+    address: str = Field("", description="``ip:port``; empty when there is none.")
+
+
+class QueueSection(Section):
+    """Scheduling of queues."""
+
+    # Two renewals may be lost before the lease ends.
+    leader_lease_ms: int = Field(2_000, ge=500, le=60_000, description="Lease of the leader.")
+    renew_ms: float = Field(600, ge=50, le=20_000, description="Interval between renewals.")
+    # Covers store outages of some seconds, which the users' sheets name.
+    authority_ms: float = Field(
+        5_000, ge=500, le=60_000, description="Without the store, a leader commands this long."
+    )
+    # Covers the loss of a leader: its lease, the election and the first renewals.
+    run_lease_ms: int = Field(6_000, ge=1_000, le=600_000, description="Lease of tasks.")
+    max_run_lease_ms: int = Field(
+        600_000, ge=1_000, description="Longest lease that workers grant; shortens run_lease_ms."
+    )
+    worker_timeout_ms: float = Field(400, ge=20, le=30_000, description="Timeout of an order.")
+    list_ms: float = Field(500, ge=50, le=10_000, description="Between reads of the workers.")
+    inbox_ms: float = Field(1_000, ge=50, le=10_000, description="Between reads of new jobs.")
+    commit_ms: float = Field(30, ge=1, le=1_000, description="Between two commits.")
+    status_s: float = Field(120, ge=1, le=86_400, description="A finished job is kept this long.")
+
+    @property
+    def lease_of_runs_ms(self) -> int:
+        """Return the lease of runs that workers accept."""
+        return min(self.run_lease_ms, self.max_run_lease_ms)
+
+
+class QueueLogSection(Section):
+    """Logs on standard output."""
+
+    level: str = Field("info", pattern="^(debug|info|warning|error)$", description="Lowest level.")
+    lines_per_s: int = Field(400, ge=10, le=100_000, description="Lines of decisions per second.")
+
+
+class QueueStopSection(Section):
+    """Planned stop."""
+
+    # The balancer looks once a second and needs two misses.
+    balancer_notice_ms: float = Field(2_500, ge=0, le=60_000, description="Not ready, serving.")
+    drain_limit_ms: float = Field(1_500, ge=0, le=600_000, description="Limit to finish requests.")
+
+
+class QueueSettings(Section):
+    """All settings of an entry instance on the platform."""
+
+    instance: InstanceSection
+    listen: QueueListenSection
+    store: QueueStoreSection
+    advice: AdviceSection = AdviceSection()
+    queues: QueueSection = QueueSection()
+    log: QueueLogSection = QueueLogSection()
+    stop: QueueStopSection = QueueStopSection()
+
+    @model_validator(mode="after")
+    def _lease_outlasts_renewals(self) -> "QueueSettings":
+        queues = self.queues
+        if queues.leader_lease_ms < 2 * queues.renew_ms:
+            raise settings_fault(
+                "queues.leader_lease_ms must be at least twice queues.renew_ms",
+                f"Raise it to at least {2 * queues.renew_ms:g} ms, or lower renew_ms",
+                section="queues",
+                key="leader_lease_ms",
+            )
+        if queues.authority_ms < queues.leader_lease_ms:
+            raise settings_fault(
+                "queues.authority_ms must be at least queues.leader_lease_ms",
+                f"Raise it to at least {queues.leader_lease_ms} ms",
+                section="queues",
+                key="authority_ms",
+            )
+        return self
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
@@ -0,0 +1,170 @@
+"""Durable acceptance and cancellation of jobs by any instance, without the leader."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from result import Err, Ok, Result
+
+from nutmeglb._internal.queues import keys
+from nutmeglb._internal.queues.ports import Commit, QueueStore, StoredItem, StoredPut
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_decisions.queues.queries import JobStatus
+from nutmeglb_decisions.queues.state import JobState
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.exceptions import StoreError, StoreOutcomeUnknown
+from nutmeglb_formats.models.queue_records import (
+    AcceptedJob,
+    JobProgress,
+    WithdrawnJob,
+    dump,
+    load,
+)
+from nutmeglb_formats.models.queues import QueueJob
+
+logger = get_logger("submissions")
+
+
+class Submission(StrEnum):
+    """Outcome of a submission.
+
+    ``UNKNOWN``: the job may be accepted now or later, so the caller must ask again with its id.
+    """
+
+    ACCEPTED = "accepted"
+    REPEATED = "repeated"
+    NOT_ACCEPTED = "not_accepted"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class _Present:
+    """What the store has under a job's id."""
+
+    accepted: StoredItem | None
+    cancelled: bool
+    progress: JobProgress | None
+
+
+class Submissions:
+    """Writes accepted jobs and cancellations."""
+
+    def __init__(self, store: QueueStore, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+
+    async def submit(self, job: QueueJob, until_ms: float) -> Submission:
+        """Store a job unless its id is known already.
+
+        Parameters
+        ----------
+        until_ms
+            Monotonic time until which an outcome in doubt is resolved.
+        """
+        key = keys.accepted(job.job_id)
+        value = dump(AcceptedJob(job))
+        revision = 0
+        while True:
+            expected = {key: revision, keys.progress(job.job_id): 0}
+            committed = await self._store.commit(expected, [StoredPut(key, value)])
+            if isinstance(committed, Err):
+                if not isinstance(committed.err_value, StoreOutcomeUnknown):
+                    return Submission.NOT_ACCEPTED
+                return await self._resolve(job, revision, until_ms)
+            commit = committed.ok_value
+            if commit.applied:
+                return Submission.ACCEPTED
+            found = (commit.found or {}).get(key)
+            if found is None or not _is_withdrawn(found):
+                return Submission.REPEATED
+            revision = found.revision
+
+    async def _resolve(self, job: QueueJob, revision: int, until_ms: float) -> Submission:
+        """Learn whether a job was stored, and make sure that it cannot be stored later.
+
+        The unanswered write names the revision that it expects. Writing the key once more voids it.
+        """
+        key = keys.accepted(job.job_id)
+        withdrawn = StoredPut(key, dump(WithdrawnJob(job.nonce)))
+        while self._clock.now_ms() < until_ms:
+            expected = {key: revision, keys.progress(job.job_id): 0}
+            committed = await self._store.commit(expected, [withdrawn])
+            if isinstance(committed, Err):
+                continue
+            commit: Commit = committed.ok_value
+            if commit.applied:
+                logger.info("a submission in doubt is withdrawn", job=job.job_id)
+                return Submission.NOT_ACCEPTED
+            found = (commit.found or {}).get(key)
+            if found is not None and _is_withdrawn(found):
+                return Submission.NOT_ACCEPTED
+            return Submission.ACCEPTED
+        return Submission.UNKNOWN
+
+    async def cancel(self, job_id: str, until_ms: float) -> Result[bool, StoreError]:
+        """Store a cancellation. Return whether such a job exists."""
+        while True:
+            found = await self._present(job_id)
+            if isinstance(found, Err):
+                if self._clock.now_ms() < until_ms:
+                    continue
+                return Err(found.err_value)
+            present = found.ok_value
+            if present.accepted is None:
+                return Ok(present.progress is not None)
+            if present.cancelled:
+                return Ok(True)
+            key = keys.cancelled(job_id)
+            committed = await self._store.commit(
+                {key: 0, present.accepted.key: present.accepted.revision},
+                [StoredPut(key, b"1")],
+            )
+            if isinstance(committed, Ok) and committed.ok_value.applied:
+                return Ok(True)
+            if isinstance(committed, Err) and self._clock.now_ms() >= until_ms:
+                return Err(committed.err_value)
+
+    async def status(self, job_id: str) -> Result[JobStatus | None, StoreError]:
+        """Return the state of a job as the store tells it."""
+        found = await self._present(job_id)
+        if isinstance(found, Err):
+            return Err(found.err_value)
+        present = found.ok_value
+        if present.accepted is None:
+            if present.progress is None:
+                return Ok(None)
+            return Ok(JobStatus(JobState(present.progress.final), present.progress.queue))
+        record = load(present.accepted.value, present.accepted.key)
+        if isinstance(record, Err):
+            return Ok(None)
+        state = JobState.RUNNING if present.progress else JobState.QUEUED
+        if present.cancelled:
+            state = JobState.CANCELLED
+        return Ok(JobStatus(state, record.ok_value.job.queue.name))
+
+    async def _present(self, job_id: str) -> Result[_Present, StoreError]:
+        """Read a job's keys. The progress is read last: a finished job is only there."""
+        listing = await self._store.range(keys.accepted(job_id))
+        if isinstance(listing, Err):
+            return Err(listing.err_value)
+        items = {item.key: item for item in listing.ok_value.items}
+        accepted = items.get(keys.accepted(job_id))
+        if accepted is not None and _is_withdrawn(accepted):
+            accepted = None
+        stored = await self._store.get(keys.progress(job_id))
+        if isinstance(stored, Err):
+            return Err(stored.err_value)
+        progress = None
+        if stored.ok_value is not None:
+            loaded = load(stored.ok_value.value, stored.ok_value.key)
+            if isinstance(loaded, Err):
+                logger.error("a progress record is malformed", key=stored.ok_value.key)
+            else:
+                progress = loaded.ok_value
+        if accepted is None and progress is not None and not progress.final:
+            progress = None
+        return Ok(_Present(accepted, keys.cancelled(job_id) in items, progress))
+
+
+def _is_withdrawn(item: StoredItem) -> bool:
+    loaded = load(item.value, item.key)
+    return isinstance(loaded, Ok) and isinstance(loaded.ok_value, WithdrawnJob)
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -0,0 +1,227 @@
+"""One worker's lease and orders, for the leader."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from result import Err
+
+from nutmeglb._internal.queues.ports import StartOrder, WorkerGateway
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_decisions.queues import orders, reports
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.effects import PaceTask, StartTask, StopTask
+from nutmeglb_decisions.queues.orders import StartOutcome
+from nutmeglb_decisions.queues.state import Worker
+from nutmeglb_formats.clock import Clock
+
+logger = get_logger("workers")
+
+# Longest wait for an end that a worker accepts in one call (from the platform's protocol).
+LONG_POLL_MS = 2_000
+# A worker's clock may be this much slow, and as much fast (from the platform's protocol).
+CLOCK_ERROR = 0.02
+# Added to every lapse for the path of the last renewal.
+LAPSE_MARGIN_MS = 150.0
+# Copies of an order before a stop makes sure that it is not carried out.
+START_COPIES = 2
+RETRY_MS = 100.0
+RETRY_MAX_MS = 1_000.0
+# Between renewals while ends wait to be stored: the worker answers at once then.
+UNSTORED_MS = 400.0
+MS_PER_S = 1_000.0
+
+
+@dataclass(slots=True)
+class LinkHooks:
+    """What a worker link needs of the leader.
+
+    Attributes
+    ----------
+    changed
+        Called after a change of the cell.
+    flushed
+        Waits until everything dirty is stored.
+    fenced
+        Called when a worker obeys a higher token.
+    """
+
+    changed: Callable[[], None]
+    flushed: Callable[[], Awaitable[None]]
+    fenced: Callable[[str], None]
+
+
+class WorkerLink:
+    """Renews the lease of a worker's runs and carries out orders."""
+
+    def __init__(
+        self,
+        cell: Cell,
+        worker: Worker,
+        gateway: WorkerGateway,
+        clock: Clock,
+        fence: int,
+        lease_ms: int,
+        hooks: LinkHooks,
+    ) -> None:
+        self.worker = worker
+        self._cell = cell
+        self._gateway = gateway
+        self._clock = clock
+        self._fence = fence
+        self._lease_ms = lease_ms
+        self._hooks = hooks
+        self._wake = asyncio.Event()
+        self._stored_end = 0
+        self._started_ms = worker.info.started_ms
+        self._clock_ms = 0.0
+        self._clock_read_ms: float | None = None
+        self._silences = 0
+
+    def wake(self) -> None:
+        """Renew the lease soon: the worker has got a run."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Renew while runs or unsettled questions exist, until cancelled."""
+        while True:
+            worker = self.worker
+            if not worker.runs and not worker.strays and worker.settled:
+                self._wake.clear()
+                await self._wake.wait()
+            await self._hold()
+
+    async def _hold(self) -> None:
+        worker = self.worker
+        self._reset_on_restart()
+        sent_ms = self._clock.now_ms()
+        wait_ms = LONG_POLL_MS if worker.settled and worker.runs and not worker.strays else 0
+        deadline_ms = self._deadline_ms() if worker.settled else None
+        unstored = worker.seen_end > self._stored_end
+        if unstored:
+            wait_ms = 0
+        answer = await self._gateway.hold(
+            worker.info, self._fence, self._stored_end, deadline_ms, wait_ms
+        )
+        now_ms = self._clock.now_ms()
+        if isinstance(answer, Err):
+            if answer.err_value.context.get("fenced"):
+                self._hooks.fenced(worker.worker_id)
+                await asyncio.sleep(RETRY_MAX_MS / MS_PER_S)
+                return
+            await self._silence(now_ms)
+            return
+        self._silences = 0
+        report = answer.ok_value
+        self._note_clock(report.clock_ms, now_ms)
+        reports.apply_report(
+            self._cell, worker, report, sent_ms, now_ms, self._clock.wall_ms()
+        )
+        orders.repeat_stops(self._cell, worker)
+        self._hooks.changed()
+        await self._store_ends()
+
+    async def _silence(self, now_ms: float) -> None:
+        self._silences += 1
+        if self._silences > 1:
+            orders.unanswered(self._cell, self.worker, now_ms)
+        delay_ms = min(RETRY_MAX_MS, RETRY_MS * 2**self._silences)
+        await asyncio.sleep(delay_ms / MS_PER_S)
+
+    async def _store_ends(self) -> None:
+        """Let the worker forget its ends only after what follows from them is stored."""
+        worker = self.worker
+        seen = worker.seen_end
+        if seen == self._stored_end:
+            return
+        try:
+            async with asyncio.timeout(UNSTORED_MS / MS_PER_S):
+                await self._hooks.flushed()
+        except TimeoutError:
+            return
+        if worker.info.started_ms == self._started_ms:
+            self._stored_end = max(self._stored_end, seen)
+
+    def _reset_on_restart(self) -> None:
+        if self.worker.info.started_ms != self._started_ms:
+            self._started_ms = self.worker.info.started_ms
+            self._stored_end = 0
+            self._clock_read_ms = None
+
+    def _note_clock(self, clock_ms: float, now_ms: float) -> None:
+        self._clock_ms = clock_ms
+        self._clock_read_ms = now_ms
+
+    def _deadline_ms(self) -> int | None:
+        """Return the end of a new lease on the worker's clock, and note when it lapses here."""
+        if self._clock_read_ms is None:
+            return None
+        now_ms = self._clock.now_ms()
+        age_ms = now_ms - self._clock_read_ms
+        remaining_ms = (self._lease_ms + CLOCK_ERROR * age_ms) / (1 - CLOCK_ERROR)
+        orders.renewal_sent(self.worker, now_ms + remaining_ms + LAPSE_MARGIN_MS)
+        return int(self._clock_ms + age_ms + self._lease_ms)
+
+    async def start(self, effect: StartTask) -> None:
+        """Order a start, again when it is not answered."""
+        outcome = StartOutcome.UNKNOWN
+        certain = True
+        for _ in range(START_COPIES):
+            deadline_ms = self._deadline_ms()
+            if deadline_ms is None:
+                outcome = StartOutcome.OTHER_INCARNATION
+                break
+            order = StartOrder(
+                effect.task,
+                effect.run,
+                effect.body,
+                effect.checkpoint,
+                effect.ticket,
+                deadline_ms,
+                self._fence,
+            )
+            answer = await self._gateway.start(self.worker.info, order)
+            if answer.fenced:
+                self._hooks.fenced(self.worker.worker_id)
+                return
+            outcome = answer.outcome
+            if outcome != StartOutcome.UNKNOWN:
+                break
+            certain = False
+        orders.start_answered(
+            self._cell,
+            self.worker.worker_id,
+            effect.task,
+            effect.run,
+            outcome,
+            certain,
+            self._clock.now_ms(),
+            self._clock.wall_ms(),
+        )
+        self.wake()
+        self._hooks.changed()
+
+    async def stop(self, effect: StopTask) -> None:
+        """Order a stop. An unanswered one is ordered again after the next renewal."""
+        answer = await self._gateway.stop(
+            self.worker.info, effect.task, effect.run, self._fence
+        )
+        if answer.fenced:
+            self._hooks.fenced(self.worker.worker_id)
+        elif answer.outcome != StartOutcome.UNKNOWN:
+            orders.stop_answered(
+                self._cell,
+                self.worker.worker_id,
+                effect.task,
+                effect.run,
+                self._clock.now_ms(),
+            )
+        self.wake()
+
+    async def pace(self, effect: PaceTask) -> None:
+        """Order a pace. The next report shows whether it applies."""
+        answer = await self._gateway.pace(
+            self.worker.info, effect.task, effect.run, effect.percent, self._fence
+        )
+        if answer.fenced:
+            self._hooks.fenced(self.worker.worker_id)
--- a/packages/nutmeglb/src/nutmeglb/_internal/telemetry/logs.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/telemetry/logs.py
@@ -12,10 +12,11 @@
 from dataclasses import dataclass
 from enum import IntEnum
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import eliot
 
+from nutmeglb._internal.telemetry.standard_output import StandardOutput
 from nutmeglb_formats.clock import Clock
 
 REDACTED = "[secret]"
@@ -176,16 +177,23 @@
 
 
 def configure(
-    *, clock: Clock, level: str, file: str, instance_id: str, secrets: Iterable[str]
+    *,
+    clock: Clock,
+    level: str,
+    file: str,
+    instance_id: str,
+    secrets: Iterable[str],
+    stream: IO[bytes] | StandardOutput | None = None,
 ) -> LogOutput:
-    """Send the process's log to a file, or to standard error when ``file`` is empty.
+    """Send the process's log to a stream, a file, or standard error when neither is given.
 
     Raises
     ------
     OSError
         When the file cannot be opened for appending.
     """
-    stream = Path(file).open("ab") if file else sys.stderr  # noqa: SIM115
+    if stream is None:
+        stream = Path(file).open("ab") if file else sys.stderr  # type: ignore[assignment]  # noqa: SIM115
     eliot.to_file(stream)
     eliot.add_global_fields(instance=instance_id)
     use_output(LogOutput(clock, Level[level.upper()], secrets))
