Treat connection errors as results, and repeat failed calls for advice

Cause: the HTTP client raises connection errors even when errors are not asked for, which ended the leader's and the configuration's loops; a failed call for advice counted as asked, so the step waited for good.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -102,8 +102,6 @@
     state.call_until_ms = now_ms + cost_ms * LOST_FACTOR + LOST_MS
     state.calls += 1
     budget.left_ms -= cost_ms
-    for worker in names:
-        state.asked[worker.worker_id] = worker.info.started_ms
     ids = tuple(worker.worker_id for worker in names)
     cell.effects.append(AskAdvice(step.name, ids, cost_ms))
     cell.decide(
@@ -151,17 +149,16 @@
 def answered(
     cell: Cell,
     step: Step,
+    named: Sequence[str],
     tickets: Sequence[tuple[str, str]],
     valid_until_ms: float,
-    refused: bool,
-    now_ms: float,
 ) -> None:
     """Apply an answer. The workers in it must be durable before a task is sent to them."""
     state = step.advice
     state.call_until_ms = 0.0
-    if refused:
-        state.not_before_ms = now_ms + REFUSED_RETRY_MS
-        return
+    for worker_id in named:
+        if worker_id in cell.workers:
+            state.asked[worker_id] = cell.workers[worker_id].info.started_ms
     for worker_id, ticket in tickets:
         state.tickets[worker_id] = (ticket, valid_until_ms)
         state.good.add(worker_id)
@@ -171,3 +168,9 @@
     cell.decide(
         "advice_answered", "good workers", job=step.job.job_id, step=step.name, good=len(tickets)
     )
+
+
+def failed(step: Step, now_ms: float) -> None:
+    """Note that a call was refused or not answered. It is made again after a pause."""
+    step.advice.call_until_ms = 0.0
+    step.advice.not_before_ms = now_ms + REFUSED_RETRY_MS
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/advisers.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/advisers.py
@@ -17,8 +17,9 @@
 LONG_CALL_MS = 150.0
 # Share of the callers that long calls leave alone, at least one of several.
 SHORT_SHARE = 0.25
-# Time for the path to the caller and the service, beyond the call's own duration.
-PATH_MS = 400.0
+# Time for the path to the caller and the service, and for calls of a former leader that the
+# service still has from this caller, beyond the call's own duration.
+PATH_MS = 1_000.0
 OWN = ""
 
 
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -50,7 +50,12 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            answered = await (self._wait() if self.current else self._read())
+            try:
+                answered = await (self._wait() if self.current else self._read())
+            except Exception as error:
+                # An instance that no longer follows the configuration would serve an old one.
+                logger.error("following the configuration failed", cause=repr(error))
+                answered = False
             self._note_contact(answered)
             if not answered:
                 await asyncio.sleep(RETRY_MS / MS_PER_S)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -359,12 +359,13 @@
             return
         if isinstance(answer, Err):
             logger.warning("no advice", step=effect.step, cause=str(answer.err_value))
-            advice.answered(self.cell, step, (), 0.0, True, now_ms)
+            advice.failed(step, now_ms)
+        elif answer.ok_value.refused:
+            advice.failed(step, now_ms)
         else:
             given = answer.ok_value
-            advice.answered(
-                self.cell, step, given.tickets, now_ms + given.valid_ms, given.refused, now_ms
-            )
+            valid_until_ms = now_ms + given.valid_ms
+            advice.answered(self.cell, step, effect.workers, given.tickets, valid_until_ms)
         self._changed()
 
     def _changed(self) -> None:
