Charge a worker's lease to a run when it is placed

Cause: a run's lapse time was set when its order was sent, one turn of the loop after it was placed. Also rename the package of the instance list to discovery, so that platform means the adapter only.

--- a/Makefile
+++ b/Makefile
@@ -2,14 +2,14 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 PACKAGES := nutmeglb-formats nutmeglb-decisions nutmeglb nutmegctl
-SOURCES := packages standins scripts measure tests
-EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
+SOURCES := packages platform standins scripts measure tests
+EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 
 .PHONY: run test measure soak check format venv
 
 venv: $(VENV)/.installed
 
-$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet -r requirements-dev.txt -c constraints.txt
 	$(BIN)/pip install --quiet --no-build-isolation -c constraints.txt $(EDITABLE)
@@ -37,6 +37,6 @@
 check: venv
 	$(BIN)/black --quiet --check --diff $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
-	$(BIN)/mypy $(foreach package,$(PACKAGES),-p $(subst -,_,$(package)))
+	$(BIN)/mypy $(foreach package,$(PACKAGES) nutmeglb-platform,-p $(subst -,_,$(package)))
 	$(BIN)/python -m scripts.check_imports
 	$(BIN)/python -m scripts.check_settings_docs
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/admission.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/admission.py
@@ -18,7 +18,9 @@
 def refusals(cell: Cell, now_ms: float) -> dict[str, float]:
     """Return the queues that refuse, with the expected time in milliseconds until they accept."""
     room = sum(
-        w.info.capacity.cpu_millis for w in cell.workers.values() if w.listed and not w.info.draining
+        w.info.capacity.cpu_millis
+        for w in cell.workers.values()
+        if w.listed and not w.info.draining
     )
     if not room:
         return {}
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -55,11 +55,7 @@
 def usable(step: Step, worker: Worker) -> bool:
     """Return whether a step may run on a worker as far as its labels and state tell."""
     label = step.spec.required_label
-    return (
-        worker.listed
-        and not worker.info.draining
-        and (not label or label in worker.info.labels)
-    )
+    return worker.listed and not worker.info.draining and (not label or label in worker.info.labels)
 
 
 def eligible(cell: Cell, step: Step) -> list[Worker]:
@@ -91,8 +87,10 @@
     """Ask about a step when its answer is missing, too narrow, or about to run out."""
     terms = cell.policy_of(step.job).advice
     state = step.advice
-    if terms is None or budget.left_ms <= 0 or now_ms < max(
-        state.call_until_ms, state.not_before_ms
+    if (
+        terms is None
+        or budget.left_ms <= 0
+        or now_ms < max(state.call_until_ms, state.not_before_ms)
     ):
         return
     names = _names(step, workers, terms, rng, now_ms)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -24,11 +24,14 @@
         Number of this leadership, from 0.
     dirty
         Jobs whose durable progress has changed, in order.
+    lapse_after_ms
+        Time after which a run has certainly ended, counted from its last order or renewal.
     settle_until_ms
         Time at which everything that a former leader ordered has ended.
     """
 
     term: int
+    lapse_after_ms: float
     settle_until_ms: float = 0.0
     config: QueueConfig | None = None
     jobs: dict[str, Job] = field(default_factory=dict)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/fitting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/fitting.py
@@ -145,9 +145,7 @@
     run_ms: float,
 ) -> Choice | None:
     """Fill the fastest workers first: a gang advances at the speed of its slowest member."""
-    ordered = sorted(
-        group, key=lambda w: (_is_remote(step, w), round(w.slowness, 1), -fullness(w))
-    )
+    ordered = sorted(group, key=lambda w: (_is_remote(step, w), round(w.slowness, 1), -fullness(w)))
     chosen: list[str] = []
     for worker in ordered:
         free = worker.free
@@ -178,9 +176,7 @@
         if count <= 0:
             break
         amount = step.spec.charged.scaled(count)
-        reservations.add(
-            worker.worker_id, Reservation(at_ms, _free_at(worker, at_ms) - amount)
-        )
+        reservations.add(worker.worker_id, Reservation(at_ms, _free_at(worker, at_ms) - amount))
         missing -= count
     return at_ms
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
@@ -145,9 +145,7 @@
         finish_job(cell, job, JobState.COMPLETED, wall_ms)
 
 
-def _fail(
-    cell: Cell, step: Step, task: Task, number: int, now_ms: float, wall_ms: float
-) -> None:
+def _fail(cell: Cell, step: Step, task: Task, number: int, now_ms: float, wall_ms: float) -> None:
     failed_runs = step.failed_runs if step.spec.gang else task.failed_runs
     failed_runs.add(number)
     task.not_before_ms = now_ms + RETRY_MS
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -41,9 +41,7 @@
     reserving: int = 0
 
 
-def schedule(
-    cell: Cell, callers: int, rng: random.Random, now_ms: float, wall_ms: float
-) -> None:
+def schedule(cell: Cell, callers: int, rng: random.Random, now_ms: float, wall_ms: float) -> None:
     """Run one pass. Orders and questions are added to the cell's effects."""
     state = Pass(
         cell, rng, now_ms, wall_ms, advice.AdviceBudget.of(cell, callers, now_ms), Reservations()
@@ -165,19 +163,13 @@
     rank = rank_of(step, step.job.accepted_ms, state.now_ms, state.cell.estimates)
     if state.reserving >= MAX_RESERVING_GANGS or rank.tier == Tier.TOO_LATE:
         return
-    good = [
-        worker
-        for worker in workers
-        if worker.worker_id in step.advice.good and worker.settled
-    ]
+    good = [worker for worker in workers if worker.worker_id in step.advice.good and worker.settled]
     at_ms = reserve_gang(step, good, state.reservations, state.now_ms) if good else None
     if at_ms is not None and at_ms < state.now_ms + RESERVE_AHEAD_MS:
         state.reserving += 1
 
 
-def _start(
-    state: Pass, step: Step, task: Task, worker: Worker, number: int, run_ms: float
-) -> None:
+def _start(state: Pass, step: Step, task: Task, worker: Worker, number: int, run_ms: float) -> None:
     cell, now_ms = state.cell, state.now_ms
     expected_ms = now_ms + run_ms * worker.slowness
     charged = step.spec.charged
@@ -192,6 +184,8 @@
         task=run.task,
     )
     worker.used = used
+    # The order is sent after this pass and may be the first renewal in a long time.
+    worker.lapse_ms = max(worker.lapse_ms, now_ms + cell.lapse_after_ms)
     worker.runs[(run.task, number)] = run
     state.reservations.charge(worker.worker_id, charged, expected_ms)
     task.run = run
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -22,9 +22,7 @@
 LOST = "lost"
 
 
-def list_workers(
-    cell: Cell, listed: Iterable[QueueWorker], now_ms: float, wall_ms: float
-) -> None:
+def list_workers(cell: Cell, listed: Iterable[QueueWorker], now_ms: float, wall_ms: float) -> None:
     """Apply the workers' entries in the store, which may lag."""
     present = {info.worker_id: info for info in listed}
     for worker_id, info in present.items():
@@ -129,12 +127,8 @@
             step.unsettled.discard(worker.worker_id)
 
 
-def _apply_end(
-    cell: Cell, worker: Worker, ended: EndedTask, now_ms: float, wall_ms: float
-) -> None:
-    cell.decide(
-        "run_ended", ended.outcome, task=ended.task, worker=worker.worker_id, run=ended.run
-    )
+def _apply_end(cell: Cell, worker: Worker, ended: EndedTask, now_ms: float, wall_ms: float) -> None:
+    cell.decide("run_ended", ended.outcome, task=ended.task, worker=worker.worker_id, run=ended.run)
     run = worker.runs.get((ended.task, ended.run))
     if run is not None:
         _learn(cell, worker, run, ended.outcome, now_ms)
@@ -168,9 +162,7 @@
     worker.bad_ends += 1
     if worker.bad_ends >= BAD_ENDS:
         worker.suspect_until_ms = now_ms + AVOID_MS
-        cell.decide(
-            "worker_avoided", cause, worker=worker.worker_id, in_a_row=worker.bad_ends
-        )
+        cell.decide("worker_avoided", cause, worker=worker.worker_id, in_a_row=worker.bad_ends)
 
 
 def _apply_running(
@@ -217,7 +209,8 @@
     )  # fmt: skip
     worker.runs[(running.task, running.run)] = run
     worker.used = worker.used + run.charged
-    worker.lapse_ms = max(worker.lapse_ms, cell.settle_until_ms)
+    lapse_ms = now_ms + cell.lapse_after_ms
+    worker.lapse_ms = max(worker.lapse_ms, cell.settle_until_ms, lapse_ms)
     task.run = run
     task.last_run = max(task.last_run, running.run)
     step.job.begun = True
--- a/packages/nutmeglb/src/nutmeglb/_internal/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/node.py
@@ -17,7 +17,7 @@
 from nutmeglb._internal.lifecycle import Lifecycle, LifeState
 from nutmeglb._internal.node_status import NodeStatus
 from nutmeglb._internal.peers.bus import Bus, LocalState
-from nutmeglb._internal.platform.instance_list import PolledInstanceList
+from nutmeglb._internal.discovery.instance_list import PolledInstanceList
 from nutmeglb._internal.ports_file import write_ports_file
 from nutmeglb._internal.routing.assembly import create_routing
 from nutmeglb._internal.settings.models import Settings
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -82,7 +82,8 @@
         self._log = log
         self._term = term
         self._on_lost = on_lost
-        self.cell = Cell(term.number)
+        lease_ms = settings.lease_of_runs_ms / (1 - CLOCK_ERROR)
+        self.cell = Cell(term.number, lease_ms + LAPSE_MARGIN_MS)
         self._committer = Committer(
             self.cell,
             platform.store,
@@ -138,10 +139,8 @@
     async def _take_over(self) -> None:
         while not await self._load():
             await asyncio.sleep(RETRY_MS / MS_PER_S)
-        lease_ms = self._settings.lease_of_runs_ms / (1 - CLOCK_ERROR)
-        now_ms = self._clock.now_ms()
         self.cell.settle_until_ms = (
-            now_ms + self._settings.authority_ms + lease_ms + LAPSE_MARGIN_MS
+            self._clock.now_ms() + self._settings.authority_ms + self.cell.lapse_after_ms
         )
         self.loaded = True
         logger.info(
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/links.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/links.py
@@ -66,9 +66,7 @@
         self._dialing: asyncio.Task[None] | None = None
         # Followers learn the secret from the leader's record in the store.
         self.secret = secrets.token_hex(SECRET_BYTES)
-        self._server = PeerServer(
-            address, self.secret, instance_id, self._accepted, lambda: None
-        )
+        self._server = PeerServer(address, self.secret, instance_id, self._accepted, lambda: None)
         self._callbacks = LinkCallbacks(
             self._received,
             lambda peer, direction, size: None,
@@ -193,9 +191,7 @@
             return Err(False)
         return Ok(connection)
 
-    async def _run(
-        self, connection: Connection, peer: str, domain: str, *, outgoing: bool
-    ) -> None:
+    async def _run(self, connection: Connection, peer: str, domain: str, *, outgoing: bool) -> None:
         link = Link(
             connection,
             peer,
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/ports.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/ports.py
@@ -7,7 +7,7 @@
 from result import Result
 
 from nutmeglb_decisions.queues.orders import StartOutcome
-from nutmeglb_formats.exceptions import AgentError, NutmegError, StoreError, StoredValueError
+from nutmeglb_formats.exceptions import AgentError, NutmegError, StoredValueError, StoreError
 from nutmeglb_formats.models.queues import QueueConfig, QueueWorker, WorkerReport
 
 
@@ -82,9 +82,7 @@
     async def range(self, prefix: str) -> Result[Listing, StoreError]:
         """Return all values under a prefix."""
 
-    async def changes(
-        self, prefix: str, after: int, wait_ms: int
-    ) -> Result[Changes, StoreError]:
+    async def changes(self, prefix: str, after: int, wait_ms: int) -> Result[Changes, StoreError]:
         """Return the changes after a revision, waiting up to ``wait_ms`` for the first."""
 
     async def commit(
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -151,9 +151,7 @@
             return
         # A leader that is not told finds the job in the store.
         if self._links.leader_id:
-            await self._links.request(
-                self._links.leader_id, JobOffered(job), LEADER_TIMEOUT_MS
-            )
+            await self._links.request(self._links.leader_id, JobOffered(job), LEADER_TIMEOUT_MS)
 
     async def _tell_cancelled(self, job_id: str) -> None:
         leader = self._leader()
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -114,9 +114,7 @@
         self._silences = 0
         report = answer.ok_value
         self._note_clock(report.clock_ms, now_ms)
-        reports.apply_report(
-            self._cell, worker, report, sent_ms, now_ms, self._clock.wall_ms()
-        )
+        reports.apply_report(self._cell, worker, report, sent_ms, now_ms, self._clock.wall_ms())
         orders.repeat_stops(self._cell, worker)
         self._hooks.changed()
         await self._store_ends()
@@ -203,9 +201,7 @@
 
     async def stop(self, effect: StopTask) -> None:
         """Order a stop. An unanswered one is ordered again after the next renewal."""
-        answer = await self._gateway.stop(
-            self.worker.info, effect.task, effect.run, self._fence
-        )
+        answer = await self._gateway.stop(self.worker.info, effect.task, effect.run, self._fence)
         if answer.fenced:
             self._hooks.fenced(self.worker.worker_id)
         elif answer.outcome != StartOutcome.UNKNOWN:
--- a/scripts/check_imports.py
+++ b/scripts/check_imports.py
@@ -6,12 +6,18 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-PROJECT = {"nutmeglb_formats", "nutmeglb_decisions", "nutmeglb", "nutmegctl"}
+PROJECT = {"nutmeglb_formats", "nutmeglb_decisions", "nutmeglb", "nutmegctl", "nutmeglb_platform"}
 ALLOWED = {
     "nutmeglb_formats": {"nutmeglb_formats"},
     "nutmeglb_decisions": {"nutmeglb_formats", "nutmeglb_decisions"},
     "nutmeglb": {"nutmeglb_formats", "nutmeglb_decisions", "nutmeglb"},
     "nutmegctl": {"nutmeglb_formats", "nutmegctl"},
+    "nutmeglb_platform": {
+        "nutmeglb_formats",
+        "nutmeglb_decisions",
+        "nutmeglb",
+        "nutmeglb_platform",
+    },
 }
 IO_MODULES = {"asyncio", "tornado", "websockets", "socket", "pycurl", "eliot", "aioprometheus"}
 
@@ -38,7 +44,8 @@
     faults = [
         fault
         for package in ALLOWED
-        for path in sorted(ROOT.glob(f"packages/*/src/{package}/**/*.py"))
+        for root in ("packages/*", "platform")
+        for path in sorted(ROOT.glob(f"{root}/src/{package}/**/*.py"))
         for fault in _faults(package, path)
     ]
     print("\n".join(faults) or "import direction: ok")
--- a/tests/unit/test_instance_list.py
+++ b/tests/unit/test_instance_list.py
@@ -10,7 +10,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from nutmeglb._internal.platform.instance_list import PolledInstanceList, parse_list
+from nutmeglb._internal.discovery.instance_list import PolledInstanceList, parse_list
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.instances import Instance, InstanceRole, InstanceState
 from standins.instance_list import ListState, make_app
