--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/admission.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/admission.py
@@ -8,11 +8,29 @@
 from collections import defaultdict
 
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.ranking import LATE_FACTOR, objective_ms
+from nutmeglb_decisions.queues.estimates import Estimates
+from nutmeglb_decisions.queues.ranking import LATE_FACTOR, chain_ms, objective_ms
 from nutmeglb_decisions.queues.state import Job
+from nutmeglb_formats.models.queues import QueueJob
 
 # The drain estimate is off by about the spread of the run times.
 RETRY_AFTER_BOUNDS_MS = (500.0, 5_000.0)
+# A caller comes back a few times; the time that a job can lose is spread over these attempts.
+ATTEMPTS = 3
+OUTAGE_RETRY_BOUNDS_MS = (1_000.0, 4_000.0)
+
+
+def outage_retry_ms(record: QueueJob) -> float:
+    """Return when the caller of a job that cannot be stored now should come back.
+
+    Load pattern answered: a store outage of unknown length. A job with time to lose comes back
+    seldom and outlasts the outage; an urgent one comes back soon.
+    """
+    job = Job(record, 0.0)
+    estimates = Estimates()
+    spare_ms = objective_ms(job, estimates) - chain_ms(job, estimates)
+    lowest, highest = OUTAGE_RETRY_BOUNDS_MS
+    return min(highest, max(lowest, spare_ms / ATTEMPTS))
 
 
 def refusals(cell: Cell, now_ms: float) -> dict[str, float]:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -116,7 +116,7 @@
 ) -> list[Worker]:
     """Return the workers to name; none when the tickets at hand last long enough."""
     state = step.advice
-    good = [worker for worker in workers if worker.worker_id in state.good]
+    good = [w for w in workers if w.worker_id in state.good and w.unanswered_since_ms is None]
     fresh = [w for w in workers if state.asked.get(w.worker_id) != w.info.started_ms]
     if fresh and not (good and fits_empty(step, good)):
         missing = FIRST_NAMES
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -163,7 +163,9 @@
     rank = rank_of(step, step.job.accepted_ms, state.now_ms, state.cell.estimates)
     if state.reserving >= MAX_RESERVING_GANGS or rank.tier == Tier.TOO_LATE:
         return
-    good = [worker for worker in workers if worker.worker_id in step.advice.good and worker.settled]
+    terms = state.cell.policy_of(step.job).advice
+    allowed = step.recorded if terms is None else step.advice.good
+    good = [w for w in workers if w.worker_id in allowed and w.settled]
     at_ms = reserve_gang(step, good, state.reservations, state.now_ms) if good else None
     if at_ms is not None and at_ms < state.now_ms + RESERVE_AHEAD_MS:
         state.reserving += 1
@@ -191,6 +193,15 @@
     task.run = run
     task.last_run = number
     step.job.begun = True
+    cell.decide(
+        "task_placed",
+        "room and rank",
+        task=run.task,
+        worker=worker.worker_id,
+        run=number,
+        waited_ms=round(now_ms - (step.opened_ms or now_ms)),
+        free_cpu=worker.free.cpu_millis,
+    )
     ticket = step.advice.tickets.get(worker.worker_id, ("", 0.0))[0]
     body = step.job.record.body
     cell.effects.append(
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -82,6 +82,7 @@
     """End the runs of workers whose leases have certainly lapsed."""
     for worker in cell.workers.values():
         if worker.runs and now_ms >= worker.lapse_ms:
+            worker.unanswered_since_ms = worker.unanswered_since_ms or now_ms
             end_all(cell, worker, LAPSED, now_ms, wall_ms)
     if cell.settle_until_ms and now_ms >= cell.settle_until_ms:
         cell.settle_until_ms = 0.0
--- a/packages/nutmeglb/src/nutmeglb/_internal/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/node.py
@@ -11,13 +11,13 @@
 from nutmeglb._internal.admin.services import AdminServices
 from nutmeglb._internal.configuration import TicketConfiguration
 from nutmeglb._internal.context import Component, Context
+from nutmeglb._internal.discovery.instance_list import PolledInstanceList
 from nutmeglb._internal.jobs.service import JobService
 from nutmeglb._internal.journal import DomainJournal
 from nutmeglb._internal.leadership import DomainLeadership
 from nutmeglb._internal.lifecycle import Lifecycle, LifeState
 from nutmeglb._internal.node_status import NodeStatus
 from nutmeglb._internal.peers.bus import Bus, LocalState
-from nutmeglb._internal.discovery.instance_list import PolledInstanceList
 from nutmeglb._internal.ports_file import write_ports_file
 from nutmeglb._internal.routing.assembly import create_routing
 from nutmeglb._internal.settings.models import Settings
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/advisers.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/advisers.py
@@ -10,6 +10,7 @@
 
 from nutmeglb._internal.queues.links import Links
 from nutmeglb._internal.queues.ports import Advice, AdviceClient
+from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.exceptions import NutmegError
 from nutmeglb_formats.wire.queues import AdviseCall, AdviseResult
 
@@ -17,19 +18,25 @@
 LONG_CALL_MS = 150.0
 # Share of the callers that long calls leave alone, at least one of several.
 SHORT_SHARE = 0.25
-# Time for the path to the caller and the service, and for calls of a former leader that the
-# service still has from this caller, beyond the call's own duration.
-PATH_MS = 1_000.0
+# Time for the path to the caller and the service, beyond the expected duration. A first call that
+# takes longer is made again through another instance, since its caller may be cut off.
+FIRST_PATH_MS = 250.0
+# Time of the second call, which also covers calls of a former leader that the service still has.
+SECOND_PATH_MS = 1_200.0
+# A caller that did not answer in time is left alone for this long.
+AVOID_MS = 1_500.0
 OWN = ""
 
 
 class Advisers:
     """Chooses the caller with the least outstanding work for each call."""
 
-    def __init__(self, client: AdviceClient | None, links: Links) -> None:
+    def __init__(self, client: AdviceClient | None, links: Links, clock: Clock) -> None:
         self._client = client
         self._links = links
+        self._clock = clock
         self._busy_ms: dict[str, float] = {}
+        self._avoid_until_ms: dict[str, float] = {}
         links.on(AdviseCall, self._answer)
 
     @property
@@ -40,11 +47,21 @@
     async def ask(
         self, step: str, workers: Sequence[str], cost_ms: float
     ) -> Result[Advice, NutmegError]:
-        """Ask through one of the instances."""
-        caller = self._choose(cost_ms)
+        """Ask through one of the instances, and through a second one when it does not answer."""
+        first = self._choose(cost_ms)
+        answer = await self._ask_through(first, step, workers, cost_ms, FIRST_PATH_MS)
+        if isinstance(answer, Ok):
+            return answer
+        self._avoid_until_ms[first] = self._clock.now_ms() + AVOID_MS
+        second = self._choose(cost_ms)
+        return await self._ask_through(second, step, workers, cost_ms, SECOND_PATH_MS)
+
+    async def _ask_through(
+        self, caller: str, step: str, workers: Sequence[str], cost_ms: float, path_ms: float
+    ) -> Result[Advice, NutmegError]:
         queued_ms = self._busy_ms.get(caller, 0.0)
         self._busy_ms[caller] = queued_ms + cost_ms
-        timeout_ms = queued_ms + 1.5 * cost_ms + PATH_MS
+        timeout_ms = queued_ms + cost_ms + path_ms
         try:
             if caller == OWN:
                 return await self._ask_here(step, workers, timeout_ms)
@@ -53,7 +70,10 @@
             self._busy_ms[caller] -= cost_ms
 
     def _choose(self, cost_ms: float) -> str:
+        now_ms = self._clock.now_ms()
         callers = [*sorted(self._links.followers), OWN]
+        sound = [c for c in callers if now_ms >= self._avoid_until_ms.get(c, 0.0)]
+        callers = sound or callers
         spared = max(1, round(SHORT_SHARE * len(callers))) if len(callers) > 1 else 0
         if cost_ms > LONG_CALL_MS:
             callers = callers[: len(callers) - spared]
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
@@ -145,21 +145,24 @@
                 continue
 
     async def _renew(self) -> float:
+        """Send a renewal without waiting for the former one, whose answer may be lost."""
         term = self._term
         assert term is not None
+        if self._clock.now_ms() - self._confirmed_ms > self._settings.authority_ms:
+            await self.depose("the store was not reached for the time of the authority")
+            return 0.0
+        self._background.spawn(self._keep(term))
+        return self._settings.renew_ms
+
+    async def _keep(self, term: Term) -> None:
         sent_ms = self._clock.now_ms()
         kept = await self._store.lease_keep(term.lease)
-        if self._term is not term:
-            return 0.0
-        if isinstance(kept, Err):
-            if self._clock.now_ms() - self._confirmed_ms > self._settings.authority_ms:
-                await self.depose("the store was not reached for the time of the authority")
-            return RETRY_MS
-        if not kept.ok_value:
+        if self._term is not term or isinstance(kept, Err):
+            return
+        if kept.ok_value:
+            self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+        else:
             await self.depose("the lease had ended")
-            return 0.0
-        self._confirmed_ms = sent_ms
-        return self._settings.renew_ms
 
     async def _look(self) -> float:
         found = await self._store.get(keys.LEADER)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -18,8 +18,10 @@
 from nutmeglb._internal.queues.ports import Platform
 from nutmeglb._internal.queues.service import QueueService
 from nutmeglb._internal.queues.settings import QueueSettings
+from nutmeglb._internal.queues.store_gate import StoreGate
 from nutmeglb._internal.queues.submissions import Submissions
 from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_decisions.queues.effects import Decision
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.exit_status import ExitStatus
 from nutmeglb_formats.models.queue_records import LeaderRecord
@@ -85,12 +87,13 @@
             lambda gone: self._election.leader_lost(gone),
         )
         self._links.on(LeaderResigned, lambda sender, _: self._election.leader_lost(False))
-        self._advisers = Advisers(platform.advice, self._links)
+        self._advisers = Advisers(platform.advice, self._links, clock)
+        self._gate = StoreGate(platform.store, self._store_changed)
         self.config = ConfigWatch(platform, clock, self._configured)
         self.service = QueueService(
             clock,
             self._links,
-            Submissions(platform.store, clock),
+            Submissions(platform.store, clock, self._gate),
             self._log,
             lambda: self._leader,
         )
@@ -105,6 +108,11 @@
             self._deposed,
         )
 
+    @property
+    def leads(self) -> bool:
+        """Return whether this instance leads and has taken over."""
+        return self._leader is not None and self._leader.loaded
+
     @property
     def ready(self) -> bool:
         """Return whether the balancer may send callers here."""
@@ -112,6 +120,7 @@
             not self._draining
             and self.config.current is not None
             and self.config.reachable
+            and self._gate.is_open
             and not self.config.is_stale(CONTACT_MAX_AGE_MS)
         )
 
@@ -127,16 +136,19 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
         loop.add_signal_handler(signal.SIGHUP, reload)
+        await self.start(frontend)
+        await stop.wait()
+        await self.drain(frontend)
+        await self.stop(frontend)
+        return ExitStatus.OK
+
+    async def start(self, frontend: Frontend) -> None:
+        """Bind the listeners and look for the configuration and a leader."""
         await self._links.start()
         await frontend.start()
         self._background.spawn(self.config.run())
         self._background.spawn(self._begin_election())
         logger.info("started", incarnation=self._incarnation)
-        await stop.wait()
-        await self._drain(frontend)
-        await self._stop(frontend)
-        logger.info("stopped")
-        return ExitStatus.OK
 
     async def _begin_election(self) -> None:
         # A leader needs a configuration before it can schedule.
@@ -144,13 +156,13 @@
             await asyncio.sleep(STEP_S)
         self._election.start()
 
-    async def _drain(self, frontend: Frontend) -> None:
+    async def drain(self, frontend: Frontend) -> None:
+        """Hand over the leadership, and serve until the balancer sends nobody any more."""
         self._draining = True
         logger.info("draining", balancer_notice_ms=self._settings.stop.balancer_notice_ms)
         frontend.begin_drain()
         if self._leader is not None:
             await self._leader.flushed(HAND_OVER_MS)
-        self._links.broadcast(LeaderResigned())
         await self._election.resign()
         self._links.broadcast(LeaderResigned())
         # Counts only time in which the process ran: a paused one shows nothing to the balancer.
@@ -160,13 +172,16 @@
         while frontend.in_flight and self._clock.now_ms() < deadline_ms:
             await asyncio.sleep(STEP_S)
 
-    async def _stop(self, frontend: Frontend) -> None:
+    async def stop(self, frontend: Frontend) -> None:
+        """Close everything."""
         await frontend.stop()
         await self._election.stop()
         await self._deposed("stop")
         await self.service.stop()
+        await self._gate.stop()
         await self._background.cancel()
         await self._links.stop()
+        logger.info("stopped")
 
     def _own_record(self) -> LeaderRecord:
         return LeaderRecord(
@@ -202,6 +217,10 @@
         if leader is not None:
             await leader.stop()
 
+    def _store_changed(self, answers: bool) -> None:
+        kind = "store_regained" if answers else "store_lost"
+        self._log.write([Decision(kind, "a call of a submission or a probe")])
+
     def _configured(self, config: QueueConfig) -> None:
         if self._leader is not None:
             self._leader.configure(config)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -11,7 +11,7 @@
 from nutmeglb._internal.queues.links import Links
 from nutmeglb._internal.queues.submissions import Submission, Submissions
 from nutmeglb._internal.telemetry.logs import get_logger
-from nutmeglb_decisions.queues import queries
+from nutmeglb_decisions.queues import admission, queries
 from nutmeglb_decisions.queues.effects import Decision
 from nutmeglb_decisions.queues.queries import JobStatus
 from nutmeglb_formats.clock import Clock
@@ -36,8 +36,6 @@
 PENDING_MAX_AGE_MS = 2_000.0
 # A leader's report of refusals holds this long without a newer one.
 LOAD_MAX_AGE_MS = 2_000.0
-# Hint for callers whose job could not be stored: a leader change or a store outage is short.
-UNAVAILABLE_RETRY_MS = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +94,7 @@
             self._background.spawn(self._offer(job))
         elif outcome != Submission.REPEATED:
             self._decide("job_refused", "the store did not take it", job, outcome=outcome.value)
-        return SubmitAnswer(outcome, UNAVAILABLE_RETRY_MS)
+        return SubmitAnswer(outcome, admission.outage_retry_ms(job))
 
     async def cancel(self, job_id: str, until_ms: float) -> Result[bool, NutmegError]:
         """Cancel a job durably. Return whether it exists."""
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
@@ -19,7 +19,7 @@
 
     address: Address = Field(description="``ip:port`` of the store.")
     # A healthy store answers in milliseconds; a slow one took 350 ms in the users' examples.
-    call_timeout_ms: float = Field(900, ge=50, le=30_000, description="Timeout of one call.")
+    call_timeout_ms: float = Field(700, ge=50, le=30_000, description="Timeout of one call.")
     value_bytes: int = Field(1_048_576, ge=1_000, description="Largest value.")
     min_lease_ms: int = Field(1_000, ge=1, description="Shortest lease.")
 
@@ -33,9 +33,9 @@
 class QueueSection(Section):
     """Scheduling of queues."""
 
-    # Two renewals may be lost before the lease ends.
+    # Three renewals may be lost before the lease ends.
     leader_lease_ms: int = Field(2_000, ge=500, le=60_000, description="Lease of the leader.")
-    renew_ms: float = Field(600, ge=50, le=20_000, description="Interval between renewals.")
+    renew_ms: float = Field(450, ge=50, le=20_000, description="Interval between renewals.")
     # Covers store outages of some seconds, which the users' sheets name.
     authority_ms: float = Field(
         5_000, ge=500, le=60_000, description="Without the store, a leader commands this long."
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
@@ -1,5 +1,6 @@
 """Durable acceptance and cancellation of jobs by any instance, without the leader."""
 
+import asyncio
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -7,6 +8,7 @@
 
 from nutmeglb._internal.queues import keys
 from nutmeglb._internal.queues.ports import Commit, QueueStore, StoredItem, StoredPut
+from nutmeglb._internal.queues.store_gate import StoreGate
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues.queries import JobStatus
 from nutmeglb_decisions.queues.state import JobState
@@ -23,6 +25,11 @@
 
 logger = get_logger("submissions")
 
+# A submission in doubt is resolved for at most this long. Then the caller asks again with its id.
+RESOLVE_MS = 1_500.0
+RETRY_MS = 60.0
+MS_PER_S = 1_000.0
+
 
 class Submission(StrEnum):
     """Outcome of a submission.
@@ -48,9 +55,10 @@
 class Submissions:
     """Writes accepted jobs and cancellations."""
 
-    def __init__(self, store: QueueStore, clock: Clock) -> None:
+    def __init__(self, store: QueueStore, clock: Clock, gate: StoreGate) -> None:
         self._store = store
         self._clock = clock
+        self._gate = gate
 
     async def submit(self, job: QueueJob, until_ms: float) -> Submission:
         """Store a job unless its id is known already.
@@ -60,6 +68,8 @@
         until_ms
             Monotonic time until which an outcome in doubt is resolved.
         """
+        if not self._gate.is_open:
+            return Submission.NOT_ACCEPTED
         key = keys.accepted(job.job_id)
         value = dump(AcceptedJob(job))
         revision = 0
@@ -67,6 +77,7 @@
             expected = {key: revision, keys.progress(job.job_id): 0}
             committed = await self._store.commit(expected, [StoredPut(key, value)])
             if isinstance(committed, Err):
+                self._gate.note_failure()
                 if not isinstance(committed.err_value, StoreOutcomeUnknown):
                     return Submission.NOT_ACCEPTED
                 return await self._resolve(job, revision, until_ms)
@@ -85,10 +96,15 @@
         """
         key = keys.accepted(job.job_id)
         withdrawn = StoredPut(key, dump(WithdrawnJob(job.nonce)))
+        until_ms = min(until_ms, self._clock.now_ms() + RESOLVE_MS)
         while self._clock.now_ms() < until_ms:
+            if not self._gate.is_open:
+                await asyncio.sleep(RETRY_MS / MS_PER_S)
+                continue
             expected = {key: revision, keys.progress(job.job_id): 0}
             committed = await self._store.commit(expected, [withdrawn])
             if isinstance(committed, Err):
+                self._gate.note_failure()
                 continue
             commit: Commit = committed.ok_value
             if commit.applied:
@@ -106,6 +122,7 @@
             found = await self._present(job_id)
             if isinstance(found, Err):
                 if self._clock.now_ms() < until_ms:
+                    await asyncio.sleep(RETRY_MS / MS_PER_S)
                     continue
                 return Err(found.err_value)
             present = found.ok_value
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -95,8 +95,10 @@
         worker = self.worker
         self._reset_on_restart()
         sent_ms = self._clock.now_ms()
-        wait_ms = LONG_POLL_MS if worker.settled and worker.runs and not worker.strays else 0
-        deadline_ms = self._deadline_ms() if worker.settled else None
+        # An unanswered renewal may still extend the lease, so a silent worker is only asked.
+        renews = worker.settled and not self._silences
+        wait_ms = LONG_POLL_MS if renews and worker.runs and not worker.strays else 0
+        deadline_ms = self._deadline_ms() if renews else None
         unstored = worker.seen_end > self._stored_end
         if unstored:
             wait_ms = 0
--- /dev/null
+++ b/standins/runner.py
@@ -0,0 +1,206 @@
+"""Stand-ins for the platform's runners and its advice service, over HTTP, with faults on request."""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+MS_PER_S = 1_000.0
+POLL_S = 0.005
+VALID_MS = 2_000.0
+
+
+@dataclass
+class RunnerData:
+    """What one runner runs.
+
+    Attributes
+    ----------
+    run_ms
+        Duration of every run.
+    failing
+        Whether runs end as failed.
+    silent
+        Orders and renewals get no answer and have no effect.
+    lose_starts
+        Number of starts to carry out without an answer.
+    started
+        All runs that began, in order.
+    """
+
+    run_ms: float = 30.0
+    failing: bool = False
+    silent: bool = False
+    lose_starts: int = 0
+    born: int = 1_000
+    fence: int = 0
+    deadline_s: float | None = None
+    running: dict[tuple[str, int], float] = field(default_factory=dict)
+    finished: list[list[Any]] = field(default_factory=list)
+    ended: int = 0
+    started: list[tuple[str, int]] = field(default_factory=list)
+    bodies: dict[str, str] = field(default_factory=dict)
+
+    def advance(self, now_s: float) -> None:
+        """End the runs whose time has passed, and all when the lease has lapsed."""
+        lapsed = self.deadline_s is not None and now_s > self.deadline_s
+        for key, until_s in list(self.running.items()):
+            if lapsed or now_s >= until_s:
+                how = "lapsed" if lapsed else "failed" if self.failing else "done"
+                self.end(key, how)
+
+    def end(self, key: tuple[str, int], how: str) -> None:
+        """End a run."""
+        del self.running[key]
+        self.ended += 1
+        self.finished.append([self.ended, key[0], key[1], how, ""])
+
+    def highest(self, task: str) -> int:
+        """Return the highest number of an ended run of a task."""
+        return max((row[2] for row in self.finished if row[1] == task), default=0)
+
+
+class RunnerStandin:
+    """Serves ``RunnerData`` on a free port of the loopback interface."""
+
+    def __init__(self) -> None:
+        self.data = RunnerData()
+        self.address = ""
+        self._server: HTTPServer | None = None
+
+    async def start(self) -> None:
+        """Bind the listener."""
+        handlers = [(r"/v1/([a-z-]+)", _RunnerHandler, {"data": self.data})]
+        self._server, self.address = _listen(handlers)
+
+    def entry(self, backend: str, state: str = "ready") -> bytes:
+        """Return the runner's entry in the store."""
+        return orjson.dumps(
+            {
+                "backend": backend,
+                "address": self.address,
+                "zone": "z1",
+                "version": "v1",
+                "slots": 8,
+                "state": state,
+                "cold_remaining_ms": 0,
+                "capacity": {"cpu": 16_000, "mem_mb": 65_536, "gpu": 0},
+                "labels": ["a", "r1-1"],
+                "born": self.data.born,
+                "seq": 1,
+            }
+        )
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        await _close(self._server)
+
+
+class AdviceStandin:
+    """Names every worker as good, unless told otherwise."""
+
+    def __init__(self) -> None:
+        self.address = ""
+        self.calls = 0
+        self.silent_calls = 0
+        self._server: HTTPServer | None = None
+
+    async def start(self) -> None:
+        """Bind the listener."""
+        self._server, self.address = _listen([(r"/v1/advise", _AdviceHandler, {"standin": self})])
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        await _close(self._server)
+
+
+def _listen(handlers: list[Any]) -> tuple[HTTPServer, str]:
+    server = HTTPServer(Application(handlers, log_function=lambda _: None))
+    server.listen(0, "127.0.0.1")
+    (listener,) = server._sockets.values()
+    return server, f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+async def _close(server: HTTPServer | None) -> None:
+    if server is not None:
+        server.stop()
+        await server.close_all_connections()
+
+
+class _RunnerHandler(RequestHandler):
+    def initialize(self, data: RunnerData) -> None:
+        self._data = data
+
+    async def post(self, call: str) -> None:
+        data = self._data
+        body = orjson.loads(self.request.body)
+        if data.silent:
+            await asyncio.Event().wait()
+        now_s = asyncio.get_running_loop().time()
+        data.advance(now_s)
+        if body["fence_token"] < data.fence:
+            self._send(409, reason="fence")
+            return
+        data.fence = body["fence_token"]
+        if "deadline_ms" in body:
+            data.deadline_s = max(data.deadline_s or 0.0, body["deadline_ms"] / MS_PER_S)
+        if call == "run-start":
+            await self._start(body, now_s)
+        elif call == "run-stop":
+            key = (body["task"], body["run"])
+            if key in data.running:
+                data.end(key, "stopped")
+            else:
+                data.ended += 1
+                data.finished.append([data.ended, *key, "stopped", ""])
+            self._send(200)
+        else:
+            await self._hold(body)
+
+    async def _start(self, body: dict[str, Any], now_s: float) -> None:
+        data = self._data
+        key = (body["task"], body["run"])
+        if key not in data.running and body["run"] <= data.highest(body["task"]):
+            self._send(409, reason="old")
+            return
+        if key not in data.running:
+            data.running[key] = now_s + data.run_ms / MS_PER_S
+            data.started.append(key)
+            data.bodies[body["task"]] = body["spec"]
+        if data.lose_starts:
+            data.lose_starts -= 1
+            await asyncio.Event().wait()
+        self._send(200)
+
+    async def _hold(self, body: dict[str, Any]) -> None:
+        data = self._data
+        loop = asyncio.get_running_loop()
+        data.finished = [row for row in data.finished if row[0] > body["last_seen"]]
+        until_s = loop.time() + body.get("wait_ms", 0) / MS_PER_S
+        while not data.finished and loop.time() < until_s:
+            await asyncio.sleep(POLL_S)
+            data.advance(loop.time())
+        running = [[task, run, "", 100, 500] for task, run in data.running]
+        self._send(200, running=running, finished=data.finished)
+
+    def _send(self, status: int, **fields: Any) -> None:
+        clock_ms = asyncio.get_running_loop().time() * MS_PER_S
+        self.set_status(status)
+        self.finish(orjson.dumps({"clock_ms": clock_ms, "born": self._data.born, **fields}))
+
+
+class _AdviceHandler(RequestHandler):
+    def initialize(self, standin: AdviceStandin) -> None:
+        self._standin = standin
+
+    async def post(self) -> None:
+        self._standin.calls += 1
+        if self._standin.silent_calls:
+            self._standin.silent_calls -= 1
+            await asyncio.Event().wait()
+        workers = orjson.loads(self.request.body)["workers"]
+        good = [[worker, f"ticket-{worker}"] for worker in workers]
+        self.finish(orjson.dumps({"good": good, "valid_ms": VALID_MS}))
--- /dev/null
+++ b/tests/functional/test_queue_path.py
@@ -0,0 +1,238 @@
+"""The whole path on the platform's wire: acceptance, advice, runs, states, and each trouble."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from standins.metadata_store import Fault
+from tests.lib.queue_path import QueuePath, job_body
+
+JOB = "00000000000000aa"
+
+
+def played(scenario, **sizes):
+    """Run a scenario against a fresh path."""
+
+    async def main():
+        path = QueuePath()
+        try:
+            await path.start(**sizes)
+            await scenario(path)
+        finally:
+            await path.stop()
+
+    asyncio.run(main())
+
+
+def test_job_runs_once_and_every_instance_tells_its_state():
+    async def scenario(path):
+        assert (await path.call("POST", JOB, job_body()))[0] == 200
+        for entry in (0, 1):
+            await path.until_state(JOB, "completed", entry)
+        assert Counter(path.starts) == {
+            (f"{JOB}.0.0.0", 1): 1,
+            (f"{JOB}.0.0.1", 1): 1,
+            (f"{JOB}.0.1.0", 1): 1,
+        }
+        assert (await path.call("GET", ""))[1] == {"pending": 0}
+
+    played(scenario)
+
+
+@pytest.mark.parametrize(
+    ("method", "path_", "host", "body", "status"),
+    [
+        ("POST", JOB, "other.example", {}, 404),
+        ("POST", JOB, "q.example", {"steps": []}, 400),
+        ("POST", JOB, "q.example", {"steps": [{"after": [0]}]}, 400),
+        ("POST", "not-an-id", "q.example", None, 400),
+        ("GET", JOB, "q.example", None, 410),
+        ("GET", "not-an-id", "q.example", None, 410),
+        ("DELETE", JOB, "q.example", None, 410),
+    ],
+)
+def test_calls_without_effect(method, path_, host, body, status):
+    async def scenario(path):
+        assert (await path.call(method, path_, body, host=host))[0] == status
+        assert not path.starts
+
+    played(scenario, entries=1)
+
+
+def test_repeated_submission_is_one_job_also_after_its_end():
+    async def scenario(path):
+        for entry in (0, 1):
+            assert (await path.call("POST", JOB, job_body(), entry))[0] == 200
+        await path.until_state(JOB, "completed")
+        assert (await path.call("POST", JOB, job_body()))[0] == 200
+        await asyncio.sleep(0.3)
+        assert len(path.starts) == 3
+
+    played(scenario)
+
+
+def test_cancelled_job_stops_and_stays_cancelled():
+    async def scenario(path):
+        for runner in path.runners:
+            runner.data.run_ms = 60_000.0
+        await path.call("POST", JOB, job_body())
+        await path.until(lambda: len(path.starts) == 2)
+        assert (await path.call("DELETE", JOB, entry=1))[0] == 200
+        await path.until(lambda: not any(runner.data.running for runner in path.runners))
+        await path.until_state(JOB, "cancelled", 1)
+
+    played(scenario)
+
+
+def test_job_whose_task_fails_in_all_attempts_is_failed():
+    async def scenario(path):
+        for runner in path.runners:
+            runner.data.failing = True
+        await path.call("POST", JOB, job_body())
+        await path.until_state(JOB, "failed")
+        assert max(Counter(task for task, _ in path.starts).values()) == 2
+
+    played(scenario)
+
+
+def test_lost_answer_of_a_start_does_not_start_the_task_twice():
+    async def scenario(path):
+        path.runners[0].data.lose_starts = 1
+        path.runners[0].data.run_ms = 400.0
+        await path.call("POST", JOB, job_body())
+        await path.until_state(JOB, "completed")
+        assert max(Counter(path.starts).values()) == 1
+
+    played(scenario, runners=1)
+
+
+def test_silent_worker_loses_its_tasks_after_the_lease():
+    """Guards against renewals that extend the lease of a worker that never answers again."""
+
+    async def scenario(path):
+        path.runners[0].data.run_ms = 60_000.0
+        await path.call("POST", JOB, {"steps": [{"count": 1, "cpu": 100}]})
+        await path.until(lambda: len(path.starts) == 1)
+        path.runners[0].data.silent = True
+        path.store.data.put("servers/w1", path.runners[1].entry("pool"))
+        await path.until_state(JOB, "completed")
+        assert path.runners[1].data.started == [(f"{JOB}.0.0.0", 2)]
+
+    async def with_one_listed(path):
+        path.store.data.remove("servers/w1")
+        await asyncio.sleep(0.3)
+        await scenario(path)
+
+    played(with_one_listed)
+
+
+def test_lost_call_for_advice_is_repeated():
+    async def scenario(path):
+        path.advice.silent_calls = 1
+        await path.call("POST", JOB, job_body())
+        await path.until_state(JOB, "completed")
+        assert path.advice.calls > 1
+
+    played(scenario)
+
+
+@pytest.mark.parametrize("fault", [Fault.REFUSE, Fault.SILENT, Fault.LATE])
+def test_refused_submission_never_runs(fault):
+    """Guards against an untrue refusal: the write may still be carried out late."""
+
+    async def scenario(path):
+        path.store.fault = fault
+        status, _ = await path.call("POST", JOB, job_body())
+        assert status in (503, 504)
+        path.store.heal()
+        await path.until_async(path.ready)
+        await asyncio.sleep(0.5)
+        state, _ = await path.call("GET", JOB)
+        assert bool(path.starts) == (state == 200)
+        if status == 503:
+            assert state == 410
+            assert (await path.call("POST", JOB, job_body()))[0] == 200
+            await path.until_state(JOB, "completed")
+
+    played(scenario)
+
+
+def test_submission_whose_write_was_not_answered_is_resolved():
+    async def scenario(path):
+        path.store.fault = Fault.LOSE_ANSWERS
+        call = asyncio.create_task(path.call("POST", JOB, job_body()))
+        await path.until(lambda: path.store.data.value(f"nutmeglb/in/{JOB}") is not None)
+        path.store.fault = Fault.NONE
+        assert (await call)[0] == 200
+        await path.until_state(JOB, "completed")
+        assert max(Counter(path.starts).values()) == 1
+
+    played(scenario)
+
+
+def test_store_outage_makes_instances_unready_and_passes():
+    async def scenario(path):
+        await path.until_async(path.ready)
+        path.store.fault = Fault.REFUSE
+        await path.call("POST", JOB, job_body())
+        assert not await path.ready()
+        path.store.heal()
+        await path.until_async(path.ready)
+
+    played(scenario)
+
+
+def test_next_leader_finishes_what_the_former_one_began():
+    async def scenario(path):
+        for runner in path.runners:
+            runner.data.run_ms = 700.0
+        await path.call("POST", JOB, job_body())
+        await path.until(lambda: len(path.starts) == 2)
+        former = path.leader
+        await former.node.drain(former.frontend)
+        other = next(n for n, entry in enumerate(path.entries) if entry is not former)
+        await path.until(lambda: path.entries[other].node.leads)
+        await path.until_state(JOB, "completed", other)
+        assert max(Counter(task for task, _ in path.starts).values()) == 1
+
+    played(scenario)
+
+
+def test_job_accepted_without_a_leader_runs_later():
+    """Guards against an accepted job that nobody was told of."""
+
+    async def scenario(path):
+        former = path.leader
+        other = next(n for n, entry in enumerate(path.entries) if entry is not former)
+        await former.node.drain(former.frontend)
+        assert (await path.call("POST", JOB, job_body(), entry=other))[0] == 200
+        await path.until_state(JOB, "completed", other)
+
+    played(scenario)
+
+
+def test_forgotten_history_does_not_hide_a_configuration():
+    async def scenario(path):
+        path.store.data.put("op/config", b'{"version": 2, "routes": []}')
+        path.store.data.forget_history()
+
+        async def dropped():
+            return (await path.call("GET", JOB))[0] == 404
+
+        await path.until_async(dropped)
+
+    played(scenario)
+
+
+@pytest.mark.parametrize(
+    "value", [b"\xff\xfe", b"{}", b'{"backend": 1}', b'{"backend": "pool", "state": "odd"}']
+)
+def test_entry_by_another_writer_is_ignored(value):
+    async def scenario(path):
+        path.store.data.put("servers/odd", value)
+        await asyncio.sleep(0.3)
+        await path.call("POST", JOB, job_body())
+        await path.until_state(JOB, "completed")
+
+    played(scenario)
--- /dev/null
+++ b/tests/lib/queue_path.py
@@ -0,0 +1,175 @@
+"""Entry instances on the platform's wire, in one process, against stand-ins."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from nutmeglb._internal.queues.node import QueueNode
+from nutmeglb._internal.queues.settings import QueueSettings
+from nutmeglb._internal.telemetry.metrics import MetricsRegistry
+from nutmeglb_formats.clock import Clock
+from nutmeglb_platform.adapter import PlatformAdapter
+from nutmeglb_platform.frontend import HttpFrontend
+from standins.metadata_store import MetadataStoreStandin
+from standins.runner import AdviceStandin, RunnerStandin
+
+HOST = "q.example"
+PREFIX = "/jobs/"
+WAIT_S = 15.0
+STEP_S = 0.02
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": HOST,
+            "prefix": PREFIX,
+            "priority": 0,
+            "backend": "pool",
+            "attempts": 2,
+            "stretch": 2.0,
+            "target_duration_ms": 1_000,
+            "advice": {"decide_ms": 5.0, "each_ms": 0.1, "valid_ms": 2_000},
+        }
+    ],
+    "backends": [{"name": "pool"}],
+    "limits": {"max_body_bytes": 262_144},
+}
+
+
+@dataclass
+class Entry:
+    """One entry instance and its listeners."""
+
+    node: QueueNode
+    frontend: HttpFrontend
+    address: str
+    health: str
+
+
+@dataclass
+class QueuePath:
+    """Stand-ins and entry instances."""
+
+    store: MetadataStoreStandin = field(default_factory=MetadataStoreStandin)
+    advice: AdviceStandin = field(default_factory=AdviceStandin)
+    runners: list[RunnerStandin] = field(default_factory=list)
+    entries: list[Entry] = field(default_factory=list)
+
+    async def start(self, entries: int = 2, runners: int = 2) -> None:
+        """Start everything and wait for a leader."""
+        await self.store.start()
+        await self.advice.start()
+        for number in range(runners):
+            runner = RunnerStandin()
+            await runner.start()
+            self.runners.append(runner)
+            self.store.data.put(f"servers/w{number}", runner.entry("pool"))
+        self.store.data.put("op/config", json.dumps(CONFIG).encode())
+        for number in range(entries):
+            await self.add_entry(f"e{number}")
+        await self.until(lambda: any(entry.node.leads for entry in self.entries))
+
+    async def add_entry(self, name: str) -> Entry:
+        """Start an entry instance."""
+        settings = QueueSettings.model_validate(
+            {
+                "instance": {"id": name, "failure_domain": "z1"},
+                "listen": {
+                    "caller": "127.0.0.1:0",
+                    "health": "127.0.0.1:0",
+                    "peer": "127.0.0.1:0",
+                },
+                "store": {"address": self.store.address, "call_timeout_ms": 200},
+                "advice": {"address": self.advice.address},
+                "queues": {
+                    "leader_lease_ms": 600,
+                    "renew_ms": 100,
+                    "authority_ms": 600,
+                    "run_lease_ms": 1_000,
+                    "inbox_ms": 100,
+                    "list_ms": 100,
+                    "worker_timeout_ms": 150,
+                },
+                "stop": {"balancer_notice_ms": 50},
+            }
+        )
+        clock, metrics = Clock(), MetricsRegistry()
+        node = QueueNode(settings, PlatformAdapter(settings), clock, metrics)
+        frontend = HttpFrontend(settings.listen, node, clock, metrics)
+        await node.start(frontend)
+        entry = Entry(node, frontend, *frontend.bound_addresses)
+        self.entries.append(entry)
+        return entry
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        self.store.heal()
+        for entry in self.entries:
+            await entry.node.stop(entry.frontend)
+        for runner in self.runners:
+            await runner.stop()
+        await self.advice.stop()
+        await self.store.stop()
+
+    @property
+    def leader(self) -> Entry:
+        """Return the leading instance."""
+        return next(entry for entry in self.entries if entry.node.leads)
+
+    @property
+    def starts(self) -> list[tuple[str, int]]:
+        """Return all runs that began on the runners."""
+        return [start for runner in self.runners for start in runner.data.started]
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait for a condition."""
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(STEP_S)
+
+    async def until_state(self, job_id: str, state: str, entry: int = 0) -> None:
+        """Wait until an instance tells a state of a job."""
+
+        async def reached() -> bool:
+            status, body = await self.call("GET", job_id, entry=entry)
+            return status == 200 and body["state"] == state
+
+        await self.until_async(reached)
+
+    async def until_async(self, condition: Callable[[], Awaitable[bool]]) -> None:
+        """Wait for a condition that takes calls."""
+        async with asyncio.timeout(WAIT_S):
+            while not await condition():
+                await asyncio.sleep(STEP_S)
+
+    async def call(
+        self, method: str, path: str, body: Any = None, entry: int = 0, host: str = HOST
+    ) -> tuple[int, Any]:
+        """Call an instance as a caller and return status and body."""
+        request = HTTPRequest(
+            f"http://{self.entries[entry].address}{PREFIX}{path}",
+            method=method,
+            headers={"Host": host, "Deadline-Ms": "3000"},
+            body=json.dumps(body) if body is not None else None,
+            allow_nonstandard_methods=True,
+            request_timeout=WAIT_S,
+        )
+        response = await AsyncHTTPClient().fetch(request, raise_error=False)
+        return response.code, json.loads(response.body or b"null")
+
+    async def ready(self, entry: int = 0) -> bool:
+        """Return what the balancer sees."""
+        url = f"http://{self.entries[entry].health}/v1/readyz"
+        response = await AsyncHTTPClient().fetch(url, raise_error=False)
+        return response.code == 200
+
+
+def job_body(**changes: Any) -> dict[str, Any]:
+    """Return a submission of two tasks and one that follows."""
+    steps = [{"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 30}]
+    return {"spec": "text", "steps": [*steps, {"count": 1, "after": [0]}], **changes}
--- /dev/null
+++ b/tests/unit/test_queue_placing.py
@@ -0,0 +1,239 @@
+"""Order and placement of queue work under replayed load patterns."""
+
+import random
+
+import pytest
+
+from nutmeglb_decisions.queues import admission, placing
+from nutmeglb_decisions.queues.advice import FIRST_NAMES
+from nutmeglb_decisions.queues.orders import StartOutcome
+from nutmeglb_decisions.queues.placing import ranked_steps
+from nutmeglb_decisions.queues.ranking import Tier, objective_ms
+from tests.lib.queues import ADVISED, BATCH, URGENT, CellWorld, job, step, worker_info
+
+
+def names(world):
+    return [ranked.job.job_id for _, ranked in ranked_steps(world.cell, world.now_ms, 0.0)]
+
+
+def test_burst_serves_urgent_and_timely_work_first():
+    """A burst beyond capacity: late work must not delay work that can still be in time."""
+    world = CellWorld()
+    world.add(job("old-urgent", step(), queue=URGENT))
+    world.now_ms += 15_000.0
+    world.add(job("batch", step(), queue=BATCH))
+    world.add(job("urgent", step(), queue=URGENT))
+    assert names(world) == ["urgent", "batch", "old-urgent"]
+
+
+def test_small_work_goes_first_within_a_queue():
+    world = CellWorld()
+    world.add(job("wide", step(20), queue=BATCH))
+    world.add(job("small", step(2), queue=BATCH))
+    assert names(world) == ["small", "wide"]
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "tier"),
+    [(0.0, Tier.IN_TIME), (3_000.0, Tier.LATE), (9_000.0, Tier.TOO_LATE), (60_000.0, Tier.LATE)],
+)
+def test_tier_of_a_waiting_step(age_ms, tier):
+    """The last row: work that waits very long gains a tier, so that no order starves it."""
+    world = CellWorld()
+    added = world.add(job("a", step(), queue=BATCH))
+    assert objective_ms(added, world.cell.estimates) == pytest.approx(3_200.0)
+    world.now_ms += age_ms
+    ((rank, _),) = ranked_steps(world.cell, world.now_ms, 0.0)
+    assert rank.tier == tier
+
+
+def test_step_waits_for_earlier_steps():
+    world = CellWorld()
+    world.show(worker_info("w1"))
+    world.add(job("a", step(), step(after=(0,))))
+    world.schedule()
+    (first,) = world.answer_starts()
+    assert first.task == "a.0.0.0"
+    world.end(first)
+    world.schedule()
+    assert [start.task for start in world.started] == ["a.0.1.0"]
+
+
+@pytest.mark.parametrize(
+    ("spec", "workers", "placed"),
+    [
+        (step(5, cpu=4_000), 1, 4),
+        (step(5, cpu=4_000), 2, 5),
+        (step(4, max_per_worker=1), 2, 2),
+        (step(4, cpu=4_000, fills=True), 1, 4),
+        (step(8, cpu=4_000, gang=True), 1, 0),
+        (step(8, cpu=4_000, gang=True), 2, 8),
+        (step(1, required_label="gpu"), 2, 0),
+    ],
+)
+def test_placed_tasks_fit(spec, workers, placed):
+    """Guards against an overcommitted worker, and against a partly started gang."""
+    world = CellWorld()
+    world.show(*(worker_info(f"w{n}") for n in range(workers)))
+    world.add(job("a", spec))
+    world.schedule()
+    assert len(world.started) == placed
+    for worker in world.cell.workers.values():
+        assert worker.used.fits_in(worker.info.capacity)
+
+
+def test_waiting_gang_is_not_starved_by_small_tasks():
+    """A stream of small tasks of a lower priority must not keep a gang from ever starting."""
+    world = CellWorld()
+    world.show(worker_info("w1", cpu=4_000))
+    world.add(job("running", step(2, cpu=1_000, estimate_ms=800.0), queue=URGENT))
+    world.schedule()
+    running = world.answer_starts()
+    world.add(job("gang", step(4, cpu=1_000, gang=True), queue=URGENT))
+    world.add(job("late", step(2, cpu=1_000, estimate_ms=5_000.0), queue=BATCH))
+    world.add(job("brief", step(1, cpu=1_000, estimate_ms=300.0), queue=BATCH))
+    world.schedule()
+    backfilled = world.answer_starts()
+    assert [start.task for start in backfilled] == ["brief.0.0.0"]
+    for start in [*running, *backfilled]:
+        world.end(start)
+    world.schedule()
+    assert {start.task.split(".")[0] for start in world.started} == {"gang"}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_replayed_burst_keeps_capacity_and_finishes(seed):
+    """Random mix of gangs and single tasks at twice the capacity: all end, no worker overflows."""
+    rng = random.Random(seed)
+    world = CellWorld()
+    world.show(*(worker_info(f"w{n}") for n in range(4)))
+    for number in range(60):
+        gang = rng.random() < 0.4
+        count = rng.choice([1, 2, 4, 8]) if gang else rng.choice([1, 3, 10])
+        queue = rng.choice([URGENT, BATCH])
+        spec = step(count, cpu=rng.choice([800, 1_400, 4_500]), gang=gang)
+        world.add(job(f"j{number}", spec, queue=queue))
+    for _ in range(400):
+        world.schedule()
+        for order in world.answer_starts():
+            assert world.worker(order.worker_id).used.fits_in(
+                world.worker(order.worker_id).info.capacity
+            )
+        runs = [run for worker in world.cell.workers.values() for run in worker.runs.values()]
+        if not runs:
+            break
+        run = min(runs, key=lambda r: r.expected_end_ms)
+        world.now_ms = max(world.now_ms, run.expected_end_ms) + rng.random()
+        world.report(run.worker_id, ((run.task, run.number, "done", ""),))
+        if run.step.spec.gang:
+            for other in run.step.live_runs:
+                world.report(other.worker_id, ((other.task, other.number, "done", ""),))
+    assert not world.cell.active
+
+
+def advised_world(workers=40):
+    world = CellWorld()
+    world.show(*(worker_info(f"w{n}") for n in range(workers)))
+    return world
+
+
+def test_advice_is_asked_before_a_start_and_only_good_workers_are_used():
+    world = advised_world()
+    world.add(job("a", step(2), queue=ADVISED))
+    world.schedule()
+    (call,) = world.asked
+    assert len(call.workers) == FIRST_NAMES
+    assert not world.started
+    good = call.workers[3]
+    world.advise(call, good)
+    world.schedule()
+    assert {start.worker_id for start in world.started} == {good}
+    assert {start.ticket for start in world.started} == {f"t-{good}"}
+
+
+def test_lost_call_for_advice_is_asked_again():
+    """Guards against a step that waits for good after one lost answer."""
+    world = advised_world()
+    world.add(job("a", step(), queue=ADVISED))
+    world.schedule()
+    world.asked.clear()
+    world.now_ms += 60_000.0
+    world.schedule()
+    assert len(world.asked) == 1
+
+
+def test_expired_tickets_are_renewed_and_not_used():
+    world = advised_world(2)
+    world.add(job("a", step(1, cpu=16_000), queue=ADVISED))
+    world.schedule()
+    (call,) = world.asked
+    for worker in world.cell.workers.values():
+        worker.suspect_until_ms = world.now_ms + 10_000.0
+    world.advise(call, *call.workers)
+    world.asked.clear()
+    world.now_ms += 11_000.0
+    world.schedule()
+    assert not world.started
+    assert len(world.asked) == 1
+
+
+def test_ticket_of_a_former_incarnation_is_not_used():
+    world = advised_world(1)
+    world.add(job("a", step(), queue=ADVISED))
+    world.schedule()
+    (call,) = world.asked
+    world.advise(call, "w0")
+    world.show(worker_info("w0", started_ms=2_000))
+    world.report("w0", running=())
+    world.schedule()
+    assert not world.started
+
+
+def test_calls_outstanding_are_bounded():
+    """A burst of steps with dear advice must not queue calls for minutes."""
+    world = advised_world()
+    for number in range(100):
+        world.add(job(f"j{number}", step(), queue=ADVISED))
+    placing.schedule(world.cell, 4, world.rng, world.now_ms, world.now_ms)
+    assert sum(effect.cost_ms for effect in world.cell.take_effects()) <= 5_000.0
+
+
+def test_refused_start_is_placed_on_another_worker():
+    world = CellWorld()
+    world.show(worker_info("w1"), worker_info("w2"))
+    world.add(job("a", step()))
+    world.schedule()
+    (order,) = world.answer_starts(StartOutcome.UNHEALTHY)
+    world.now_ms += 200.0
+    world.schedule()
+    assert [start.worker_id for start in world.started] != [order.worker_id]
+
+
+def test_nothing_is_refused_with_room_free():
+    world = CellWorld()
+    world.show(worker_info("w1"))
+    world.add(job("a", step(4), queue=BATCH))
+    assert admission.refusals(world.cell, world.now_ms) == {}
+
+
+def test_overload_refuses_the_queue_that_cannot_be_served():
+    """Sustained overload: accepted work fills all room beyond the last useful end."""
+    world = CellWorld()
+    world.show(worker_info("w1"))
+    for number in range(20):
+        world.add(job(f"j{number}", step(16), queue=BATCH))
+    refusing = admission.refusals(world.cell, world.now_ms)
+    assert set(refusing) == {BATCH.name}
+    assert 500.0 <= refusing[BATCH.name] <= 5_000.0
+
+
+@pytest.mark.parametrize(
+    ("record", "retry_ms"),
+    [
+        (job("a", step(), queue=URGENT), 1_000.0),
+        (job("b", step(1, estimate_ms=8_000.0), queue=BATCH), 3_533.3),
+        (job("c", step(1, estimate_ms=60_000.0), queue=BATCH), 4_000.0),
+    ],
+)
+def test_caller_returns_as_its_job_can_wait(record, retry_ms):
+    assert admission.outage_retry_ms(record) == pytest.approx(retry_ms, abs=1.0)
--- /dev/null
+++ b/tests/unit/test_queue_runs.py
@@ -0,0 +1,240 @@
+"""Runs of queue tasks: never two at once, never lost, whatever workers answer or do not answer."""
+
+import pytest
+
+from nutmeglb_decisions.queues import orders, progress, queries, reports
+from nutmeglb_decisions.queues.orders import StartOutcome
+from nutmeglb_decisions.queues.state import JobState
+from nutmeglb_formats.models.queues import RunningTask
+from tests.lib.queues import BATCH, CellWorld, job, step, worker_info
+
+JOB = "00000000000000aa"
+
+
+def world_with(*steps, workers=1, **changes):
+    world = CellWorld()
+    world.show(*(worker_info(f"w{n + 1}") for n in range(workers)))
+    world.add(job(JOB, *steps, **changes))
+    world.schedule()
+    return world
+
+
+def test_run_on_a_long_idle_worker_does_not_lapse_before_its_order_is_sent():
+    """Guards against a second run while the first order is still on its way."""
+    world = world_with(step())
+    world.tick(0.0)
+    world.schedule()
+    assert len(world.started) == 1
+    assert world.worker("w1").runs
+
+
+def test_run_lapses_after_its_lease_and_restarts():
+    world = world_with(step(), workers=2)
+    first = world.answer_starts()[0]
+    world.worker(first.worker_id).unanswered_since_ms = world.now_ms
+    world.tick(6_400.0)
+    world.schedule()
+    (second,) = world.started
+    assert (second.task, second.run) == (first.task, first.run + 1)
+    assert second.worker_id != first.worker_id
+
+
+@pytest.mark.parametrize(
+    ("outcome", "certain", "stops", "restarts"),
+    [
+        (StartOutcome.NO_ROOM, True, 0, 1),
+        (StartOutcome.TICKET, True, 0, 1),
+        (StartOutcome.UNHEALTHY, True, 0, 1),
+        (StartOutcome.LATE, True, 0, 1),
+        (StartOutcome.OTHER_INCARNATION, True, 0, 1),
+        # An earlier copy of the order may still be carried out, so the run has to be voided first.
+        (StartOutcome.NO_ROOM, False, 1, 0),
+        (StartOutcome.UNKNOWN, False, 1, 0),
+        # The worker had the run already; its lists tell how it goes on.
+        (StartOutcome.OLD_RUN, True, 0, 0),
+    ],
+)
+def test_answer_to_a_start(outcome, certain, stops, restarts):
+    """Guards against a restart while the former order may still take effect."""
+    world = world_with(step(), workers=2)
+    (order,) = world.started
+    world.started.clear()
+    world.answer(order, outcome, certain)
+    world.now_ms += 1_000.0
+    world.schedule()
+    assert (len(world.stopped), len(world.started)) == (stops, restarts)
+
+
+def test_order_voided_by_a_stop_restarts_once_the_worker_shows_no_run():
+    world = world_with(step(), workers=2)
+    (order,) = world.started
+    world.started.clear()
+    world.answer(order, StartOutcome.UNKNOWN, certain=False)
+    orders.stop_answered(world.cell, order.worker_id, order.task, order.run, world.now_ms)
+    world.now_ms += 10.0
+    world.report(order.worker_id, running=())
+    world.now_ms += 1_000.0
+    world.schedule()
+    assert [start.run for start in world.started] == [order.run + 1]
+
+
+def test_report_sent_before_the_answer_does_not_end_a_run():
+    """Guards against a stale answer that overtakes the answer to a start."""
+    world = world_with(step())
+    (order,) = world.answer_starts()
+    worker = world.worker("w1")
+    report = reports.WorkerReport(world.now_ms, 1_000, (), ())
+    sent_ms = world.now_ms - 5.0
+    reports.apply_report(world.cell, worker, report, sent_ms, world.now_ms, world.now_ms)
+    assert (order.task, order.run) in worker.runs
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "final"),
+    [
+        (["done"], JobState.COMPLETED),
+        (["failed", "done"], JobState.COMPLETED),
+        (["failed", "failed"], JobState.FAILED),
+        (["stopped", "lapsed", "failed", "done"], JobState.COMPLETED),
+    ],
+)
+def test_outcomes_of_a_task(outcomes, final):
+    """Only ends by failure count as attempts."""
+    world = world_with(step())
+    for outcome in outcomes:
+        (order,) = world.answer_starts()
+        world.end(order, outcome)
+        world.now_ms += 3_000.0
+        world.schedule()
+    status = queries.status_of(world.cell, JOB)
+    assert status is not None and status.state == final
+    assert world.worker("w1").used.cpu_millis == 0
+
+
+def test_restart_carries_the_last_checkpoint():
+    world = world_with(step(checkpoints=True))
+    (order,) = world.answer_starts()
+    world.end(order, "stopped", "0001")
+    world.schedule()
+    assert [start.checkpoint for start in world.started] == ["0001"]
+
+
+def test_completed_job_is_not_shown_before_it_is_stored():
+    """Guards against a completed job that a new leader runs again."""
+    world = world_with(step())
+    (order,) = world.answer_starts()
+    worker = world.worker("w1")
+    end = reports.EndedTask(1, order.task, order.run, "done", "")
+    report = reports.WorkerReport(world.now_ms, 1_000, (), (end,))
+    reports.apply_report(world.cell, worker, report, world.now_ms, world.now_ms, world.now_ms)
+    status = queries.status_of(world.cell, JOB)
+    assert status is not None and status.state == JobState.RUNNING
+    world.store()
+    status = queries.status_of(world.cell, JOB)
+    assert status is not None and status.state == JobState.COMPLETED
+
+
+def test_gang_restarts_as_a_whole_after_all_members_ended():
+    world = world_with(step(3, gang=True), workers=2)
+    first = world.answer_starts()
+    assert len(first) == 3
+    world.end(first[0], "stopped")
+    world.schedule()
+    assert not world.started
+    assert len(world.stopped) == 2
+    world.end(first[1], "stopped")
+    world.end(first[2], "broken")
+    world.schedule()
+    assert {start.run for start in world.started} == {first[0].run + 1}
+    assert len(world.started) == 3
+
+
+def test_one_completed_member_completes_its_gang():
+    world = world_with(step(3, gang=True))
+    orders_ = world.answer_starts()
+    world.end(orders_[1], "done")
+    world.end(orders_[0], "broken")
+    status = queries.status_of(world.cell, JOB)
+    assert status is not None and status.state == JobState.COMPLETED
+
+
+def test_new_incarnation_ends_the_runs_of_the_former_one():
+    world = world_with(step())
+    (order,) = world.answer_starts()
+    world.show(worker_info("w1", started_ms=2_000))
+    world.report("w1", running=())
+    world.schedule()
+    assert [start.run for start in world.started] == [order.run + 1]
+
+
+def restored(world, found=()):
+    """Return the world of a next leader after the present one's progress was stored."""
+    following = CellWorld(now_ms=world.now_ms)
+    following.cell.term = 1
+    following.cell.settle_until_ms = world.now_ms + 11_000.0
+    for former in world.cell.active.values():
+        stored = progress.encode(former)
+        progress.restore(following.cell, former.record, stored, following.now_ms, 0.0)
+    infos = [worker.info for worker in world.cell.workers.values()]
+    reports.list_workers(following.cell, infos, following.now_ms, following.now_ms)
+    return following
+
+
+def test_next_leader_waits_for_workers_that_may_run_the_task():
+    """Guards against a second run on a reachable worker while another one still has the first."""
+    world = world_with(step(), workers=2)
+    (order,) = world.answer_starts()
+    other = next(w for w in ("w1", "w2") if w != order.worker_id)
+    following = restored(world)
+    following.report(other, running=())
+    following.schedule()
+    assert not following.started
+    following.tick(11_100.0)
+    following.schedule()
+    assert [start.worker_id for start in following.started] == [other]
+
+
+def test_next_leader_adopts_runs_and_starts_the_rest():
+    world = world_with(step(2))
+    first, second = world.answer_starts()
+    following = restored(world)
+    following.report("w1", running=(RunningTask(first.task, first.run, "", 100),))
+    following.schedule()
+    assert [start.task for start in following.started] == [second.task]
+    assert following.started[0].run > second.run
+
+
+def test_job_that_was_never_started_need_not_wait():
+    """A step has to name its workers durably before a start, so this one cannot be running."""
+    world = CellWorld()
+    world.show(worker_info("w1"), worker_info("w2"))
+    world.add(job(JOB, step()))
+    following = restored(world)
+    following.report("w2", running=())
+    following.schedule()
+    assert [start.worker_id for start in following.started] == ["w2"]
+
+
+def test_run_of_an_unknown_job_is_stopped_and_nothing_is_placed_beside_it():
+    """Guards against an overcommitted worker: the size of such a run is unknown."""
+    world = CellWorld()
+    world.show(worker_info("w1"))
+    world.report("w1", running=(RunningTask("00000000000000bb.0.0.0", 1, "", 100),))
+    world.add(job(JOB, step()))
+    world.schedule()
+    assert [stop.task for stop in world.stopped] == ["00000000000000bb.0.0.0"]
+    assert not world.started
+    world.report("w1", (("00000000000000bb.0.0.0", 1, "stopped", ""),), ())
+    world.schedule()
+    assert len(world.started) == 1
+
+
+def test_failures_that_are_listed_again_count_once():
+    """Guards against a job that fails early, since ends are listed until they are stored."""
+    world = world_with(step(), queue=BATCH)
+    (order,) = world.answer_starts()
+    world.end(order, "failed")
+    following = restored(world)
+    following.report("w1", ((order.task, order.run, "failed", ""),), ())
+    status = queries.status_of(following.cell, JOB)
+    assert status is not None and status.state == JobState.RUNNING
