--- a/standins/runner.py
+++ b/standins/runner.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the platform's runners and its advice service, over HTTP, with faults on request."""
+"""Stand-ins for the platform's runners and advice service, over HTTP, with faults on request."""
 
 import asyncio
 from dataclasses import dataclass, field
