Silence also the open calls of a silent runner stand-in

The test of a silent worker failed in half of the runs beside load: the stand-in still answered the long poll that was open when it fell silent, so the worker was rightly used once more.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -183,6 +183,8 @@
         while not data.finished and loop.time() < until_s:
             await asyncio.sleep(POLL_S)
             data.advance(loop.time())
+        if data.silent:
+            await asyncio.Event().wait()
         running = [[task, run, "", 100, 500] for task, run in data.running]
         self._send(200, running=running, finished=data.finished)
 
