--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -6,18 +6,25 @@
 urgent steps do not wait behind a queue of others.
 """
 
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import AskAdvice
-from nutmeglb_decisions.queues.fitting import fits_empty, slots_on
+from nutmeglb_decisions.queues.fitting import slots_on
 from nutmeglb_decisions.queues.state import Step, Worker
 from nutmeglb_formats.models.queues import AdviceTerms
 
 # Workers named in a first call. The users' objective counts one call on 30 workers a step.
 FIRST_NAMES = 30
+# A gang needs room on all its workers at once, so its good workers hold it this many times when
+# they are empty.
+GANG_ROOM_FACTOR = 2.5
+# Share of good workers that is assumed before a queue's first answer, and the weight of a new one.
+DEFAULT_GOOD_SHARE = 0.3
+SHARE_WEIGHT = 0.1
 # Most workers that one call may name (from the platform's protocol).
 MAX_NAMES = 100
 # A ticket is not used in the last part of its validity: the order takes a round trip.
@@ -93,7 +100,7 @@
         or now_ms < max(state.call_until_ms, state.not_before_ms)
     ):
         return
-    names = _names(step, workers, terms, rng, now_ms)
+    names = _names(cell, step, workers, terms, rng, now_ms)
     if not names:
         return
     cost_ms = terms.call_ms(len(names))
@@ -108,6 +115,7 @@
 
 
 def _names(
+    cell: Cell,
     step: Step,
     workers: Sequence[Worker],
     terms: AdviceTerms,
@@ -118,12 +126,10 @@
     state = step.advice
     good = [w for w in workers if w.worker_id in state.good and w.unanswered_since_ms is None]
     fresh = [w for w in workers if state.asked.get(w.worker_id) != w.info.started_ms]
-    if fresh and not (good and fits_empty(step, good)):
-        missing = FIRST_NAMES
-        if good:
-            # The good ones so far do not hold the whole gang: a wider call is needed.
-            missing = min(MAX_NAMES, 2 * len(state.asked))
-        return good[: MAX_NAMES - 1] + _most_room(step, fresh, missing, rng)
+    if fresh:
+        missing = _missing_names(cell, step, workers, good)
+        if missing:
+            return (good + _most_room(step, fresh, missing, rng))[:MAX_NAMES]
     if not good:
         return []
     ahead_ms = terms.call_ms(len(good)) + RENEW_AHEAD_MS + TICKET_MARGIN_MS
@@ -135,6 +141,20 @@
     return [] if lasting == len(good) else good[:MAX_NAMES]
 
 
+def _missing_names(
+    cell: Cell, step: Step, workers: Sequence[Worker], good: Sequence[Worker]
+) -> int:
+    """Return how many more workers to name, so that the good ones hold the step beside others."""
+    wanted = (GANG_ROOM_FACTOR if step.spec.gang else 1.0) * step.spec.count
+    missing = wanted - sum(slots_on(worker.info.capacity, step, 0) for worker in good)
+    if missing <= 0:
+        return 0
+    slots = sum(slots_on(worker.info.capacity, step, 0) for worker in workers)
+    share = cell.good_shares.get(step.job.record.queue.name, DEFAULT_GOOD_SHARE)
+    expected = share * slots / len(workers)
+    return max(FIRST_NAMES, math.ceil(missing / expected)) if expected else 0
+
+
 def _most_room(
     step: Step, workers: Sequence[Worker], count: int, rng: random.Random
 ) -> list[Worker]:
@@ -157,6 +177,10 @@
     for worker_id in named:
         if worker_id in cell.workers:
             state.asked[worker_id] = cell.workers[worker_id].info.started_ms
+    if named:
+        queue = step.job.record.queue.name
+        former = cell.good_shares.get(queue, DEFAULT_GOOD_SHARE)
+        cell.good_shares[queue] = former + SHARE_WEIGHT * (len(tickets) / len(named) - former)
     for worker_id, ticket in tickets:
         state.tickets[worker_id] = (ticket, valid_until_ms)
         state.good.add(worker_id)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -22,6 +22,8 @@
         Jobs until their end is stored; those that have not ended; those whose end is stored.
     term
         Number of this leadership, from 0.
+    good_shares
+        Per queue: share of the named workers that placement advice calls good.
     dirty
         Jobs whose durable progress has changed, in order.
     lapse_after_ms
@@ -43,6 +45,7 @@
     decisions: list[Decision] = field(default_factory=list)
     dirty: dict[str, Job] = field(default_factory=dict)
     queues: dict[str, Queue] = field(default_factory=dict)
+    good_shares: dict[str, float] = field(default_factory=dict)
 
     def configure(self, config: QueueConfig) -> None:
         """Use a configuration."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/fitting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/fitting.py
@@ -181,12 +181,6 @@
     return at_ms
 
 
-def fits_empty(step: Step, candidates: Iterable[Worker]) -> bool:
-    """Return whether a step could start on these workers if nothing ran there."""
-    slots = sum(slots_on(worker.info.capacity, step, 0) for worker in candidates)
-    return slots >= (step.spec.count if step.spec.gang else 1)
-
-
 def _expected_start_ms(step: Step, candidates: Sequence[Worker], now_ms: float) -> float | None:
     ends = {run.expected_end_ms for worker in candidates for run in worker.runs.values()}
     for at_ms in sorted({now_ms, *(max(now_ms, end) for end in ends)}):
--- a/tests/unit/test_queue_placing.py
+++ b/tests/unit/test_queue_placing.py
@@ -237,3 +237,32 @@
 )
 def test_caller_returns_as_its_job_can_wait(record, retry_ms):
     assert admission.outage_retry_ms(record) == pytest.approx(retry_ms, abs=1.0)
+
+
+def test_wide_gang_gets_more_good_workers_than_it_fills():
+    """Guards against a gang whose few good workers are never all empty at once."""
+    world = advised_world(100)
+    world.add(job("a", step(40, cpu=2_450, gang=True), queue=ADVISED))
+    for _ in range(4):
+        world.asked.clear()
+        world.schedule()
+        for call in world.asked:
+            world.advise(call, *call.workers[::4])
+        world.now_ms += 300.0
+    good = world.cell.active["a"].steps[0].advice.good
+    assert len(good) * 6 >= 2 * 40
+
+
+def test_renewal_keeps_naming_the_good_workers():
+    """The share of good workers is learned from questions, so a renewal must not ask for more."""
+    world = advised_world(100)
+    world.add(job("a", step(4, cpu=2_450, gang=True), queue=ADVISED))
+    world.schedule()
+    (call,) = world.asked
+    world.advise(call, *call.workers[:8])
+    for worker in world.cell.workers.values():
+        worker.suspect_until_ms = world.now_ms + 60_000.0
+    world.asked.clear()
+    world.now_ms += 2_000.0
+    world.schedule()
+    assert [set(again.workers) for again in world.asked] == [set(call.workers[:8])]
