Replace a leader at once when it alone misses the store

The lease ran out after 2.75 s, and two followers stayed connected to the former leader for 2 s more, so that calls for advice lacked callers.

--- a/packages/nutmeglb-formats/src/nutmeglb_formats/wire/queues.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/wire/queues.py
@@ -92,4 +92,20 @@
 @message(610, 1)
 @dataclass(frozen=True, slots=True)
 class LeaderResigned:
-    """The leader has given up its lease."""
+    """The leader has ended its work, though its lease may not have ended."""
+
+    incarnation: str
+
+
+@message(611, 1)
+@dataclass(frozen=True, slots=True)
+class StoreProbe:
+    """Request: try whether the store answers."""
+
+
+@message(612, 1)
+@dataclass(frozen=True, slots=True)
+class StoreProbeResult:
+    """Whether the store answered the asked instance."""
+
+    answered: bool
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
@@ -8,8 +8,9 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Any
 
-from result import Err
+from result import Err, Ok, Result
 
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.queues import keys
@@ -18,8 +19,9 @@
 from nutmeglb._internal.queues.settings import QueueSection
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_formats.clock import Clock
-from nutmeglb_formats.exceptions import StoreOutcomeUnknown
+from nutmeglb_formats.exceptions import PeerError, StoreOutcomeUnknown
 from nutmeglb_formats.models.queue_records import Counter, LeaderRecord, dump, load
+from nutmeglb_formats.wire.queues import LeaderResigned, StoreProbe, StoreProbeResult
 
 logger = get_logger("election")
 
@@ -34,6 +36,10 @@
 REPLACE_EVERY_MS = 5_000.0
 
 
+# A follower tries a read of the store in this time, which a slow store takes 350 ms for.
+PROBE_TIMEOUT_MS = 500.0
+
+
 @dataclass(frozen=True, slots=True)
 class Term:
     """A leadership of this instance.
@@ -92,6 +98,9 @@
         self._replaced_ms = -REPLACE_EVERY_MS
         self._known: LeaderRecord | None = None
         self._resigned = False
+        self._asking = False
+        links.on(LeaderResigned, self._on_resigned)
+        links.on(StoreProbe, self._on_probe)
 
     @property
     def term(self) -> Term | None:
@@ -117,10 +126,10 @@
         self._resigned = True
         term = self._term
         if term is not None:
-            await self.depose("planned stop")
             ended = await self._store.lease_end(term.lease)
             if isinstance(ended, Err):
                 logger.warning("the lease was not ended", cause=str(ended.err_value))
+            await self.depose("planned stop")
 
     async def depose(self, cause: str) -> None:
         """End the work as leader."""
@@ -128,6 +137,8 @@
             return
         logger.warning("leadership lost", term=self._term.number, cause=cause)
         self._term = None
+        # Followers whose connection stays open would wait for this instance otherwise.
+        self._links.broadcast(LeaderResigned(self._own().incarnation))
         await self._on_deposed(cause)
         self._wake.set()
 
@@ -157,13 +168,40 @@
     async def _keep(self, term: Term) -> None:
         sent_ms = self._clock.now_ms()
         kept = await self._store.lease_keep(term.lease)
-        if self._term is not term or isinstance(kept, Err):
+        if self._term is not term:
+            return
+        if isinstance(kept, Err):
+            await self._ask_followers(term)
             return
         if kept.ok_value:
             self._confirmed_ms = max(self._confirmed_ms, sent_ms)
         else:
             await self.depose("the lease had ended")
 
+    async def _ask_followers(self, term: Term) -> None:
+        """Step down when the store answers another instance but not this one."""
+        if self._asking:
+            return
+        self._asking = True
+        try:
+            answers = await asyncio.gather(
+                *(
+                    self._links.request(peer, StoreProbe(), PROBE_TIMEOUT_MS)
+                    for peer in self._links.followers
+                )
+            )
+        finally:
+            self._asking = False
+        if self._term is term and any(_store_answered(answer) for answer in answers):
+            await self.depose("the store answers another instance, but not this one")
+
+    def _on_resigned(self, sender: str, message: LeaderResigned) -> None:
+        self._gone = message.incarnation
+        self._wake.set()
+
+    async def _on_probe(self, sender: str, message: StoreProbe) -> StoreProbeResult:
+        return StoreProbeResult(isinstance(await self._store.get(keys.LEADER), Ok))
+
     async def _look(self) -> float:
         found = await self._store.get(keys.LEADER)
         if isinstance(found, Err):
@@ -248,3 +286,7 @@
         item = found.ok_value
         applied = item.value == dump(record)
         return Commit(applied, item.revision)
+
+
+def _store_answered(answer: Result[Any, PeerError]) -> bool:
+    return isinstance(answer, Ok) and bool(answer.ok_value.answered)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -26,7 +26,6 @@
 from nutmeglb_formats.exit_status import ExitStatus
 from nutmeglb_formats.models.queue_records import LeaderRecord
 from nutmeglb_formats.models.queues import QueueConfig
-from nutmeglb_formats.wire.queues import LeaderResigned
 
 logger = get_logger("node")
 
@@ -86,7 +85,6 @@
             settings.listen.peer,
             lambda gone: self._election.leader_lost(gone),
         )
-        self._links.on(LeaderResigned, lambda sender, _: self._election.leader_lost(False))
         self._advisers = Advisers(platform.advice, self._links, clock)
         self._gate = StoreGate(platform.store, self._store_changed)
         self.config = ConfigWatch(platform, clock, self._configured)
@@ -113,6 +111,11 @@
         """Return whether this instance leads and has taken over."""
         return self._leader is not None and self._leader.loaded
 
+    @property
+    def followers(self) -> int:
+        """Return the number of instances that follow this one."""
+        return len(self._links.followers)
+
     @property
     def ready(self) -> bool:
         """Return whether the balancer may send callers here."""
@@ -164,7 +167,6 @@
         if self._leader is not None:
             await self._leader.flushed(HAND_OVER_MS)
         await self._election.resign()
-        self._links.broadcast(LeaderResigned())
         # Counts only time in which the process ran: a paused one shows nothing to the balancer.
         for _ in range(int(self._settings.stop.balancer_notice_ms / MS_PER_S / STEP_S)):
             await asyncio.sleep(STEP_S)
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -95,10 +95,16 @@
 
 
 class MetadataStoreStandin:
-    """Serves ``StoreData`` on a free port of the loopback interface."""
+    """Serves ``StoreData`` on a free port of the loopback interface.
 
-    def __init__(self) -> None:
-        self.data = StoreData()
+    Parameters
+    ----------
+    data
+        Data shared with another stand-in, whose callers may be treated differently.
+    """
+
+    def __init__(self, data: StoreData | None = None) -> None:
+        self.data = data or StoreData()
         self.fault = Fault.NONE
         self.late: list[dict[str, Any]] = []
         self.calls = 0
--- a/tests/functional/test_queue_path.py
+++ b/tests/functional/test_queue_path.py
@@ -142,10 +142,10 @@
     """Guards against an untrue refusal: the write may still be carried out late."""
 
     async def scenario(path):
-        path.store.fault = fault
+        path.break_store(fault)
         status, _ = await path.call("POST", JOB, job_body())
         assert status in (503, 504)
-        path.store.heal()
+        path.heal()
         await path.until_async(path.ready)
         await asyncio.sleep(0.5)
         state, _ = await path.call("GET", JOB)
@@ -160,10 +160,10 @@
 
 def test_submission_whose_write_was_not_answered_is_resolved():
     async def scenario(path):
-        path.store.fault = Fault.LOSE_ANSWERS
+        path.break_store(Fault.LOSE_ANSWERS)
         call = asyncio.create_task(path.call("POST", JOB, job_body()))
         await path.until(lambda: path.store.data.value(f"nutmeglb/in/{JOB}") is not None)
-        path.store.fault = Fault.NONE
+        path.heal()
         assert (await call)[0] == 200
         await path.until_state(JOB, "completed")
         assert max(Counter(path.starts).values()) == 1
@@ -174,10 +174,10 @@
 def test_store_outage_makes_instances_unready_and_passes():
     async def scenario(path):
         await path.until_async(path.ready)
-        path.store.fault = Fault.REFUSE
+        path.break_store(Fault.REFUSE)
         await path.call("POST", JOB, job_body())
         assert not await path.ready()
-        path.store.heal()
+        path.heal()
         await path.until_async(path.ready)
 
     played(scenario)
@@ -236,3 +236,20 @@
         await path.until_state(JOB, "completed")
 
     played(scenario)
+
+
+def test_leader_that_alone_misses_the_store_gives_way_at_once():
+    """Guards against seconds without a leader while its lease runs out."""
+
+    async def scenario(path):
+        former = path.leader
+        number = path.entries.index(former)
+        await path.until(lambda: former.node.followers == 1)
+        path.own_stores[number].fault = Fault.REFUSE
+        path.store.data.leases = {
+            lease: (60.0, until_s + 60.0) for lease, (_, until_s) in path.store.data.leases.items()
+        }
+        await path.until(lambda: path.entries[1 - number].node.leads)
+        assert not former.node.leads
+
+    played(scenario)
--- a/tests/lib/queue_path.py
+++ b/tests/lib/queue_path.py
@@ -14,7 +14,7 @@
 from nutmeglb_formats.clock import Clock
 from nutmeglb_platform.adapter import PlatformAdapter
 from nutmeglb_platform.frontend import HttpFrontend
-from standins.metadata_store import MetadataStoreStandin
+from standins.metadata_store import Fault, MetadataStoreStandin
 from standins.runner import AdviceStandin, RunnerStandin
 
 HOST = "q.example"
@@ -59,6 +59,7 @@
     advice: AdviceStandin = field(default_factory=AdviceStandin)
     runners: list[RunnerStandin] = field(default_factory=list)
     entries: list[Entry] = field(default_factory=list)
+    own_stores: list[MetadataStoreStandin] = field(default_factory=list)
 
     async def start(self, entries: int = 2, runners: int = 2) -> None:
         """Start everything and wait for a leader."""
@@ -75,7 +76,10 @@
         await self.until(lambda: any(entry.node.leads for entry in self.entries))
 
     async def add_entry(self, name: str) -> Entry:
-        """Start an entry instance."""
+        """Start an entry instance. It reaches the store through a listener of its own."""
+        own_store = MetadataStoreStandin(self.store.data)
+        await own_store.start()
+        self.own_stores.append(own_store)
         settings = QueueSettings.model_validate(
             {
                 "instance": {"id": name, "failure_domain": "z1"},
@@ -84,7 +88,7 @@
                     "health": "127.0.0.1:0",
                     "peer": "127.0.0.1:0",
                 },
-                "store": {"address": self.store.address, "call_timeout_ms": 200},
+                "store": {"address": own_store.address, "call_timeout_ms": 200},
                 "advice": {"address": self.advice.address},
                 "queues": {
                     "leader_lease_ms": 600,
@@ -108,14 +112,26 @@
 
     async def stop(self) -> None:
         """Stop everything."""
-        self.store.heal()
+        self.heal()
         for entry in self.entries:
             await entry.node.stop(entry.frontend)
         for runner in self.runners:
             await runner.stop()
         await self.advice.stop()
+        for own_store in self.own_stores:
+            await own_store.stop()
         await self.store.stop()
 
+    def break_store(self, fault: Fault) -> None:
+        """Let the store treat all instances badly."""
+        for own_store in self.own_stores:
+            own_store.fault = fault
+
+    def heal(self) -> None:
+        """End the faults of the store."""
+        for own_store in self.own_stores:
+            own_store.heal()
+
     @property
     def leader(self) -> Entry:
         """Return the leading instance."""
