--- a/scripts/check_settings_docs.py
+++ b/scripts/check_settings_docs.py
@@ -1,4 +1,4 @@
-"""Checks that docs/settings.md describes every settings key; ``--write`` generates it."""
+"""Checks that the settings pages describe every key; ``--write`` generates them."""
 
 import sys
 from collections.abc import Iterator
@@ -8,10 +8,28 @@
 from pydantic import BaseModel
 from pydantic.fields import FieldInfo
 
+from nutmeglb._internal.queues.settings import QueueSettings
 from nutmeglb._internal.settings.models import Settings
 from nutmeglb_formats.ini import unit_of
 
-PAGE = Path(__file__).resolve().parent.parent / "docs" / "settings.md"
+DOCS = Path(__file__).resolve().parent.parent / "docs"
+PLATFORM_INTRODUCTION = """\
+# Settings of an entry instance on the users' platform
+
+`deploy/settings.ini` is the template from which the platform renders the file that
+`NUTMEGLB_BOOT` names. `python -m nutmeglb_platform --check FILE` checks a rendered file. Settings
+are read at the start; after SIGHUP, or a change of the file without a signal, the log says that a
+restart is needed.
+
+This page is generated from the models by `python -m scripts.check_settings_docs --write`;
+`make check` compares them.
+
+These rules relate several keys to each other:
+
+- `queues.leader_lease_ms` is at least twice `queues.renew_ms`.
+- `queues.authority_ms` is at least `queues.leader_lease_ms`.
+- `queues.max_run_lease_ms` shortens `queues.run_lease_ms`.
+"""
 INTRODUCTION = """\
 # Settings of an entry instance
 
@@ -43,6 +61,7 @@
     "listen.ports_file": "path",
     "log.level": "word",
     "routing.retry_budget": "share",
+    "advice.address": "`ip:port`",
 }
 
 
@@ -100,10 +119,16 @@
         yield TEAM_TOKEN_ROW
 
 
-def page() -> str:
-    """Return the text of the page."""
-    lines = [INTRODUCTION.rstrip("\n")]
-    for name, field in Settings.model_fields.items():
+PAGES: dict[str, tuple[str, type[BaseModel]]] = {
+    "settings.md": (INTRODUCTION, Settings),
+    "settings-platform.md": (PLATFORM_INTRODUCTION, QueueSettings),
+}
+
+
+def page(introduction: str, settings: type[BaseModel]) -> str:
+    """Return the text of a page."""
+    lines = [introduction.rstrip("\n")]
+    for name, field in settings.model_fields.items():
         model = field.annotation
         assert isinstance(model, type) and issubclass(model, BaseModel)
         lines.extend(_section(name, model))
@@ -111,16 +136,19 @@
 
 
 def main(arguments: list[str]) -> int:
-    """Compare or write the page and return the exit status."""
-    if arguments == ["--write"]:
-        PAGE.write_text(page())
-        return 0
-    current = PAGE.read_text() if PAGE.exists() else ""
-    if current == page():
-        print("docs/settings.md: ok")
-        return 0
-    print("docs/settings.md is out of date; run python -m scripts.check_settings_docs --write")
-    return 1
+    """Compare or write the pages and return the exit status."""
+    outdated = []
+    for name, (introduction, settings) in PAGES.items():
+        path, text = DOCS / name, page(introduction, settings)
+        if arguments == ["--write"]:
+            path.write_text(text)
+        elif not path.exists() or path.read_text() != text:
+            outdated.append(name)
+    for name in outdated:
+        print(f"docs/{name} is out of date; run python -m scripts.check_settings_docs --write")
+    if not outdated:
+        print("settings pages: ok")
+    return 1 if outdated else 0
 
 
 if __name__ == "__main__":
