--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -35,28 +35,55 @@
 LOST_FACTOR = 3.0
 LOST_MS = 1_500.0
 REFUSED_RETRY_MS = 200.0
-# Outstanding work per calling instance: a second call waits at the service while the first runs.
-BUSY_MS_PER_CALLER = 1_000.0
+# A call beyond this duration counts as long.
+LONG_CALL_MS = 150.0
+# Share of the callers that long calls leave alone, at least one of several.
+SHORT_SHARE = 0.25
+# Outstanding work per calling instance: another call waits at the service while the first runs.
+LONG_MS_PER_CALLER = 1_000.0
+SHORT_MS_PER_CALLER = 300.0
+# A new leader is alone until its followers have connected. Until then long calls wait.
+CONNECT_MS = 400.0
+
+
+def callers_for_long_calls(callers: int) -> int:
+    """Return how many of the callers take long calls, so that short ones do not wait for them."""
+    if callers == 1:
+        return 1
+    return callers - max(1, round(SHORT_SHARE * callers))
 
 
 @dataclass(slots=True)
 class AdviceBudget:
-    """Outstanding duration of calls that one pass may still add to."""
+    """Outstanding duration of long and of short calls that one pass may still add to."""
 
-    left_ms: float
+    long_ms: float
+    short_ms: float
 
     @classmethod
     def of(cls, cell: Cell, callers: int, now_ms: float) -> "AdviceBudget":
         """Return what the callers can still take."""
-        busy_ms = 0.0
+        budget = cls(
+            callers_for_long_calls(callers) * LONG_MS_PER_CALLER, callers * SHORT_MS_PER_CALLER
+        )
+        if callers == 1 and now_ms < cell.started_ms + CONNECT_MS:
+            budget.long_ms = 0.0
         for job in cell.active.values():
-            terms = cell.policy_of(job).advice
-            if terms is None:
-                continue
             for step in job.steps:
                 if step.advice.call_until_ms > now_ms:
-                    busy_ms += terms.decide_ms
-        return cls(callers * BUSY_MS_PER_CALLER - busy_ms)
+                    budget.charge(step.advice.call_cost_ms)
+        return budget
+
+    def left_ms(self, cost_ms: float) -> float:
+        """Return what is left for calls of a duration."""
+        return self.long_ms if cost_ms > LONG_CALL_MS else self.short_ms
+
+    def charge(self, cost_ms: float) -> None:
+        """Take a call from what is left."""
+        if cost_ms > LONG_CALL_MS:
+            self.long_ms -= cost_ms
+        else:
+            self.short_ms -= cost_ms
 
 
 def usable(step: Step, worker: Worker) -> bool:
@@ -94,19 +121,17 @@
     """Ask about a step when its answer is missing, too narrow, or about to run out."""
     terms = cell.policy_of(step.job).advice
     state = step.advice
-    if (
-        terms is None
-        or budget.left_ms <= 0
-        or now_ms < max(state.call_until_ms, state.not_before_ms)
-    ):
+    if terms is None or now_ms < max(state.call_until_ms, state.not_before_ms):
+        return
+    if budget.left_ms(terms.call_ms(1)) <= 0:
         return
     names = _names(cell, step, workers, terms, rng, now_ms)
     if not names:
         return
     cost_ms = terms.call_ms(len(names))
     state.call_until_ms = now_ms + cost_ms * LOST_FACTOR + LOST_MS
-    state.calls += 1
-    budget.left_ms -= cost_ms
+    state.call_cost_ms = cost_ms
+    budget.charge(cost_ms)
     ids = tuple(worker.worker_id for worker in names)
     cell.effects.append(AskAdvice(step.name, ids, cost_ms))
     cell.decide(
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -28,12 +28,15 @@
         Jobs whose durable progress has changed, in order.
     lapse_after_ms
         Time after which a run has certainly ended, counted from its last order or renewal.
+    started_ms
+        Time at which this leader began.
     settle_until_ms
         Time at which everything that a former leader ordered has ended.
     """
 
     term: int
     lapse_after_ms: float
+    started_ms: float = 0.0
     settle_until_ms: float = 0.0
     config: QueueConfig | None = None
     jobs: dict[str, Job] = field(default_factory=dict)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -100,14 +100,16 @@
         Per worker: ticket and the time until which it is valid.
     call_until_ms
         An unanswered call counts as lost at this time; 0 when there is none.
+    call_cost_ms
+        Expected duration of the last call.
     """
 
     asked: dict[str, int] = field(default_factory=dict)
     good: set[str] = field(default_factory=set)
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
     call_until_ms: float = 0.0
+    call_cost_ms: float = 0.0
     not_before_ms: float = 0.0
-    calls: int = 0
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/advisers.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/advisers.py
@@ -10,14 +10,11 @@
 
 from nutmeglb._internal.queues.links import Links
 from nutmeglb._internal.queues.ports import Advice, AdviceClient
+from nutmeglb_decisions.queues.advice import LONG_CALL_MS, callers_for_long_calls
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.exceptions import NutmegError
 from nutmeglb_formats.wire.queues import AdviseCall, AdviseResult
 
-# A call beyond this duration counts as long.
-LONG_CALL_MS = 150.0
-# Share of the callers that long calls leave alone, at least one of several.
-SHORT_SHARE = 0.25
 # Time for the path to the caller and the service, beyond the expected duration. A first call that
 # takes longer is made again through another instance, since its caller may be cut off.
 FIRST_PATH_MS = 250.0
@@ -74,9 +71,8 @@
         callers = [*sorted(self._links.followers), OWN]
         sound = [c for c in callers if now_ms >= self._avoid_until_ms.get(c, 0.0)]
         callers = sound or callers
-        spared = max(1, round(SHORT_SHARE * len(callers))) if len(callers) > 1 else 0
         if cost_ms > LONG_CALL_MS:
-            callers = callers[: len(callers) - spared]
+            callers = callers[: callers_for_long_calls(len(callers))]
         return min(callers, key=lambda caller: self._busy_ms.get(caller, 0.0))
 
     async def _ask_peer(
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -139,8 +139,9 @@
     async def _take_over(self) -> None:
         while not await self._load():
             await asyncio.sleep(RETRY_MS / MS_PER_S)
+        self.cell.started_ms = self._clock.now_ms()
         self.cell.settle_until_ms = (
-            self._clock.now_ms() + self._settings.authority_ms + self.cell.lapse_after_ms
+            self.cell.started_ms + self._settings.authority_ms + self.cell.lapse_after_ms
         )
         self.loaded = True
         logger.info(
--- a/tests/unit/test_queue_placing.py
+++ b/tests/unit/test_queue_placing.py
@@ -1,14 +1,17 @@
 """Order and placement of queue work under replayed load patterns."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
 from nutmeglb_decisions.queues import admission, placing
 from nutmeglb_decisions.queues.advice import FIRST_NAMES
+from nutmeglb_decisions.queues.effects import AskAdvice
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_decisions.queues.placing import ranked_steps
 from nutmeglb_decisions.queues.ranking import Tier, objective_ms
+from nutmeglb_formats.models.queues import AdviceTerms
 from tests.lib.queues import ADVISED, BATCH, URGENT, CellWorld, job, step, worker_info
 
 
@@ -195,7 +198,31 @@
     for number in range(100):
         world.add(job(f"j{number}", step(), queue=ADVISED))
     placing.schedule(world.cell, 4, world.rng, world.now_ms, world.now_ms)
-    assert sum(effect.cost_ms for effect in world.cell.take_effects()) <= 5_000.0
+    assert sum(effect.cost_ms for effect in world.cell.take_effects()) <= 4_000.0
+
+
+def test_short_calls_do_not_wait_for_long_ones():
+    """After a loss of all instances many steps ask at once; urgent ones must not queue for them."""
+    world = advised_world()
+    quick = replace(URGENT, name="quick", advice=AdviceTerms(12.0, 0.2, 1_500.0))
+    for number in range(30):
+        world.add(job(f"dear{number}", step(), queue=ADVISED))
+    placing.schedule(world.cell, 4, world.rng, world.now_ms, world.now_ms)
+    world.cell.take_effects()
+    world.add(job("quick", step(), queue=quick))
+    placing.schedule(world.cell, 4, world.rng, world.now_ms, world.now_ms)
+    asked = [e.step for e in world.cell.take_effects() if isinstance(e, AskAdvice)]
+    assert asked == ["quick.0.0"]
+
+
+def test_lone_new_leader_makes_no_long_call_before_its_followers_connect():
+    world = advised_world()
+    world.cell.started_ms = world.now_ms
+    world.add(job("a", step(), queue=ADVISED))
+    placing.schedule(world.cell, 1, world.rng, world.now_ms, world.now_ms)
+    assert not world.cell.take_effects()
+    placing.schedule(world.cell, 3, world.rng, world.now_ms, world.now_ms)
+    assert len(world.cell.take_effects()) == 1
 
 
 def test_refused_start_is_placed_on_another_worker():
