Notice a leader without power at once: watch its key and close dead connections

The followers' connections waited for a closing handshake after the lost pings, and the leader key was looked at only every 5 s, so the next leader came at 7.9 s.

--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/server.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/server.py
@@ -12,6 +12,8 @@
 logger = get_logger("peers")
 
 OPEN_TIMEOUT_S = 5.0
+# A peer that answers no ping answers no closing frame either.
+CLOSE_TIMEOUT_S = 1.0
 
 
 class PeerServer:
@@ -23,6 +25,8 @@
         ``ip:port``; port 0 picks a free port.
     on_connection
         Runs a connection until it closes.
+    ping_s
+        Interval and timeout of keep-alive pings in seconds; ``None`` sends none.
     """
 
     def __init__(
@@ -32,6 +36,7 @@
         own_id: str,
         on_connection: Callable[[ServerConnection, PeerName], Awaitable[None]],
         on_refused: Callable[[], None],
+        ping_s: float | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._host = host
@@ -40,6 +45,7 @@
         self._own_id = own_id
         self._on_connection = on_connection
         self._on_refused = on_refused
+        self._ping_s = ping_s
         self._server: Server | None = None
 
     @property
@@ -58,7 +64,9 @@
             self._port,
             process_request=self._check,
             compression=None,
-            ping_interval=None,
+            ping_interval=self._ping_s,
+            ping_timeout=self._ping_s,
+            close_timeout=CLOSE_TIMEOUT_S,
             open_timeout=OPEN_TIMEOUT_S,
             max_size=BATCH_LIMIT_BYTES,
             server_header=None,
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
@@ -29,8 +29,9 @@
 CAMPAIGN_JITTER_MS = 120.0
 # Between two looks at the leader key while this instance has no leader.
 LOOK_MS = 250.0
-# While connected to the leader, the key is looked at this seldom.
-IDLE_LOOK_MS = 5_000.0
+# While connected to the leader, the key is looked at this seldom; a watch tells of its removal.
+IDLE_LOOK_MS = 10_000.0
+WATCH_MS = 10_000
 RETRY_MS = 100.0
 # A leader that cannot be reached by one instance alone must not be replaced again and again.
 REPLACE_EVERY_MS = 5_000.0
@@ -99,6 +100,7 @@
         self._known: LeaderRecord | None = None
         self._resigned = False
         self._asking = False
+        self._watch: asyncio.Task[None] | None = None
         links.on(LeaderResigned, self._on_resigned)
         links.on(StoreProbe, self._on_probe)
 
@@ -219,8 +221,18 @@
         if self._is_replaceable(record):
             return await self._campaign(item)
         self._links.follow(record)
+        if self._watch is None or self._watch.done():
+            self._watch = self._background.spawn(self._watch_key(item.revision))
         return IDLE_LOOK_MS if self._links.leader_id else LOOK_MS
 
+    async def _watch_key(self, revision: int) -> None:
+        """Look at once when the leader key changes or is removed."""
+        found = await self._store.changes(keys.LEADER, revision, WATCH_MS)
+        if isinstance(found, Err):
+            return
+        if found.ok_value.changes or found.ok_value.history_lost:
+            self._wake.set()
+
     def _is_replaceable(self, record: LeaderRecord) -> bool:
         """Return whether the leader's process is gone although its lease has not ended."""
         own = self._own()
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/links.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/links.py
@@ -34,6 +34,8 @@
 OPEN_TIMEOUT_S = 0.7
 # A silent connection is noticed by pings after twice this time at most, before a lease ends.
 PING_S = 0.8
+# A leader that answers no ping answers no closing frame either.
+CLOSE_TIMEOUT_S = 0.3
 SECRET_BYTES = 16
 
 
@@ -66,7 +68,9 @@
         self._dialing: asyncio.Task[None] | None = None
         # Followers learn the secret from the leader's record in the store.
         self.secret = secrets.token_hex(SECRET_BYTES)
-        self._server = PeerServer(address, self.secret, instance_id, self._accepted, lambda: None)
+        self._server = PeerServer(
+            address, self.secret, instance_id, self._accepted, lambda: None, PING_S
+        )
         self._callbacks = LinkCallbacks(
             self._received,
             lambda peer, direction, size: None,
@@ -178,6 +182,7 @@
                 compression=None,
                 ping_interval=PING_S,
                 ping_timeout=PING_S,
+                close_timeout=CLOSE_TIMEOUT_S,
                 open_timeout=OPEN_TIMEOUT_S,
                 max_size=BATCH_LIMIT_BYTES,
                 proxy=None,
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
@@ -33,9 +33,9 @@
 class QueueSection(Section):
     """Scheduling of queues."""
 
-    # Three renewals may be lost before the lease ends.
-    leader_lease_ms: int = Field(2_000, ge=500, le=60_000, description="Lease of the leader.")
-    renew_ms: float = Field(450, ge=50, le=20_000, description="Interval between renewals.")
+    # Four renewals may be lost before the lease ends.
+    leader_lease_ms: int = Field(1_500, ge=500, le=60_000, description="Lease of the leader.")
+    renew_ms: float = Field(300, ge=50, le=20_000, description="Interval between renewals.")
     # Covers store outages of some seconds, which the users' sheets name.
     authority_ms: float = Field(
         5_000, ge=500, le=60_000, description="Without the store, a leader commands this long."
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -205,6 +205,7 @@
         loop = asyncio.get_running_loop()
         until_s = loop.time() + wait_ms / MS_PER_S
         while True:
+            self._data.expire(loop.time())
             if after < self._data.forgotten:
                 self.send(410, {})
                 return
--- a/tests/functional/test_queue_path.py
+++ b/tests/functional/test_queue_path.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from nutmeglb._internal.queues import election
 from standins.metadata_store import Fault
 from tests.lib.queue_path import QueuePath, job_body
 
@@ -253,3 +254,18 @@
         assert not former.node.leads
 
     played(scenario)
+
+
+def test_followers_replace_a_leader_that_falls_silent(monkeypatch):
+    """Guards against followers that keep a dead leader while their connection to it stays open."""
+    monkeypatch.setattr(election, "IDLE_LOOK_MS", 60_000.0)
+
+    async def scenario(path):
+        former = path.leader
+        number = path.entries.index(former)
+        await path.until(lambda: former.node.followers == 1)
+        former.node._links._callbacks.is_cut = lambda link: True
+        path.own_stores[number].fault = Fault.SILENT
+        await path.until(lambda: path.entries[1 - number].node.leads)
+
+    played(scenario)
