Refuse no job that the leader knows as accepted

A repeated submission could be answered with 503 while the store was away or its queue refused, which says that the job never runs.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -92,6 +92,7 @@
             clock,
             self._links,
             Submissions(platform.store, clock, self._gate),
+            self._gate,
             self._log,
             lambda: self._leader,
         )
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -9,6 +9,7 @@
 from nutmeglb._internal.queues.decision_log import DecisionLog
 from nutmeglb._internal.queues.leader import Leader
 from nutmeglb._internal.queues.links import Links
+from nutmeglb._internal.queues.store_gate import StoreGate
 from nutmeglb._internal.queues.submissions import Submission, Submissions
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import admission, queries
@@ -60,12 +61,14 @@
         clock: Clock,
         links: Links,
         submissions: Submissions,
+        gate: StoreGate,
         log: DecisionLog,
         leader: Callable[[], Leader | None],
     ) -> None:
         self._clock = clock
         self._links = links
         self._submissions = submissions
+        self._gate = gate
         self._log = log
         self._leader = leader
         self._background = BackgroundTasks()
@@ -85,6 +88,10 @@
     async def submit(self, job: QueueJob, until_ms: float) -> SubmitAnswer:
         """Accept a job, or say that it is not accepted and never runs."""
         retry_ms = self._refusals().get(job.queue.name)
+        refuses = retry_ms is not None or not self._gate.is_open
+        # A refusal says that the job never runs, so it must not be a repeated submission.
+        if refuses and await self._status_at_leader(job.job_id) is not None:
+            return SubmitAnswer(Submission.REPEATED)
         if retry_ms is not None:
             self._decide("job_refused", "no room in time", job, retry_ms=round(retry_ms))
             return SubmitAnswer(Submission.NOT_ACCEPTED, retry_ms)
--- a/tests/functional/test_queue_path.py
+++ b/tests/functional/test_queue_path.py
@@ -269,3 +269,16 @@
         await path.until(lambda: path.entries[1 - number].node.leads)
 
     played(scenario)
+
+
+def test_repeated_submission_is_not_refused_while_the_store_is_away():
+    """Guards against telling the caller of an accepted job that it never runs."""
+
+    async def scenario(path):
+        number = path.entries.index(path.leader)
+        assert (await path.call("POST", JOB, job_body(), number))[0] == 200
+        path.break_store(Fault.REFUSE)
+        assert (await path.call("POST", "00000000000000bb", job_body(), number))[0] == 503
+        assert (await path.call("POST", JOB, job_body(), number))[0] == 200
+
+    played(scenario)
