--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/fitting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/fitting.py
@@ -171,8 +171,9 @@
     if at_ms is None:
         return None
     missing = step.spec.count
-    for worker in sorted(candidates, key=lambda w: -_slots_at(w, step, at_ms)):
-        count = min(missing, _slots_at(worker, step, at_ms))
+    slots = {worker.worker_id: _slots_at(worker, step, at_ms) for worker in candidates}
+    for worker in sorted(candidates, key=lambda w: -slots[w.worker_id]):
+        count = min(missing, slots[worker.worker_id])
         if count <= 0:
             break
         amount = step.spec.charged.scaled(count)
@@ -182,10 +183,20 @@
 
 
 def _expected_start_ms(step: Step, candidates: Sequence[Worker], now_ms: float) -> float | None:
-    ends = {run.expected_end_ms for worker in candidates for run in worker.runs.values()}
-    for at_ms in sorted({now_ms, *(max(now_ms, end) for end in ends)}):
-        if sum(_slots_at(worker, step, at_ms) for worker in candidates) >= step.spec.count:
-            return at_ms
+    """Return when enough runs are expected to have ended; each end changes one worker only."""
+    free = {worker.worker_id: worker.free for worker in candidates}
+    slots = {worker_id: slots_on(room, step, 0) for worker_id, room in free.items()}
+    total = sum(slots.values())
+    if total >= step.spec.count:
+        return now_ms
+    runs = [run for worker in candidates for run in worker.runs.values()]
+    for run in sorted(runs, key=lambda run: run.expected_end_ms):
+        worker_id = run.worker_id
+        free[worker_id] = free[worker_id] + run.charged
+        former, slots[worker_id] = slots[worker_id], slots_on(free[worker_id], step, 0)
+        total += slots[worker_id] - former
+        if total >= step.spec.count:
+            return max(now_ms, run.expected_end_ms)
     return None
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -1,13 +1,14 @@
 """One scheduling pass: ranks the waiting steps, asks for advice and starts what fits."""
 
 import random
-from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
 
 from nutmeglb_decisions.invariants import LEDGER_CAPACITY, require
 from nutmeglb_decisions.queues import advice
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StartTask
+from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.fitting import (
     Reservations,
     choose_gang,
@@ -20,13 +21,20 @@
 
 # Gangs that hold room in one pass. More would leave too little for work that ends before.
 MAX_RESERVING_GANGS = 4
+# Gangs whose expected start is computed in one pass.
+MAX_RESERVE_ATTEMPTS = 8
 # A gang whose start is further away does not reserve yet.
 RESERVE_AHEAD_MS = 6_000.0
 # Steps of one pass, so that a pass is bounded while thousands wait.
 STEPS_PER_PASS = 300
+# Steps without room after which a pass ends: with so many of them first in rank there is hardly
+# any room left, and the pass has to stay short while thousands wait.
+MAX_MISSES = 60
 # Workers recorded for a step without advice; more follow when these have no room.
 RECORD_WORKERS = 30
 
+RankFunction = Callable[[Step, float, float, Estimates], Rank]
+
 
 @dataclass(slots=True)
 class Pass:
@@ -39,18 +47,32 @@
     budget: advice.AdviceBudget
     reservations: Reservations
     reserving: int = 0
-
-
-def schedule(cell: Cell, callers: int, rng: random.Random, now_ms: float, wall_ms: float) -> None:
+    reserve_attempts: int = 0
+    misses: int = 0
+    eligible: dict[tuple[str, str], list[Worker]] = field(default_factory=dict)
+
+
+def schedule(
+    cell: Cell,
+    callers: int,
+    rng: random.Random,
+    now_ms: float,
+    wall_ms: float,
+    rank: RankFunction = rank_of,
+) -> None:
     """Run one pass. Orders and questions are added to the cell's effects."""
     state = Pass(
         cell, rng, now_ms, wall_ms, advice.AdviceBudget.of(cell, callers, now_ms), Reservations()
     )
-    for _, step in ranked_steps(cell, now_ms, wall_ms)[:STEPS_PER_PASS]:
+    for _, step in ranked_steps(cell, now_ms, wall_ms, rank)[:STEPS_PER_PASS]:
         _place_step(state, step)
+        if state.misses >= MAX_MISSES:
+            break
 
 
-def ranked_steps(cell: Cell, now_ms: float, wall_ms: float) -> list[tuple[Rank, Step]]:
+def ranked_steps(
+    cell: Cell, now_ms: float, wall_ms: float, rank: RankFunction = rank_of
+) -> list[tuple[Rank, Step]]:
     """Return the steps with a task that may start, best rank first."""
     ranked = []
     for job in cell.active.values():
@@ -59,7 +81,7 @@
                 if step.opened_ms is None:
                     step.opened_ms = now_ms
                 start_ms = _due_ms(job, step, now_ms, wall_ms)
-                ranked.append((rank_of(step, start_ms, now_ms, cell.estimates), step))
+                ranked.append((rank(step, start_ms, now_ms, cell.estimates), step))
     ranked.sort(key=lambda item: item[0].key)
     return ranked
 
@@ -96,7 +118,7 @@
 
 def _place_step(state: Pass, step: Step) -> None:
     cell, now_ms = state.cell, state.now_ms
-    workers = advice.eligible(cell, step)
+    workers = _eligible(state, step)
     advice.ask(cell, step, workers, state.budget, state.rng, now_ms)
     if cell.policy_of(step.job).advice is None:
         _record_workers(cell, step, workers)
@@ -110,6 +132,15 @@
         _place_singles(state, step, ready)
 
 
+def _eligible(state: Pass, step: Step) -> list[Worker]:
+    """Return the workers that may run a step, computed once per pass, service and label."""
+    service = state.cell.policy_of(step.job).service
+    key = (service, step.spec.required_label)
+    if key not in state.eligible:
+        state.eligible[key] = advice.eligible(state.cell, step)
+    return state.eligible[key]
+
+
 def _ready(step: Step, worker: Worker, now_ms: float) -> bool:
     return (
         worker.worker_id in step.recorded
@@ -141,6 +172,7 @@
     for task in _waiting(step, state.now_ms):
         worker = choose_single(step, ready, state.reservations, state.now_ms, run_ms)
         if worker is None:
+            state.misses += 1
             return
         number = state.cell.next_run(task.last_run)
         _start(state, step, task, worker, number, run_ms)
@@ -152,6 +184,7 @@
     run_ms = _run_ms(state, step)
     choice = choose_gang(step, ready, state.reservations, state.now_ms, run_ms)
     if choice is None:
+        state.misses += 1
         _reserve(state, step, workers)
         return
     number = state.cell.next_run(max(task.last_run for task in step.tasks))
@@ -163,6 +196,9 @@
     rank = rank_of(step, step.job.accepted_ms, state.now_ms, state.cell.estimates)
     if state.reserving >= MAX_RESERVING_GANGS or rank.tier == Tier.TOO_LATE:
         return
+    if state.reserve_attempts >= MAX_RESERVE_ATTEMPTS:
+        return
+    state.reserve_attempts += 1
     terms = state.cell.policy_of(step.job).advice
     allowed = step.recorded if terms is None else step.advice.good
     good = [w for w in workers if w.worker_id in allowed and w.settled]
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
@@ -205,10 +205,10 @@
         return StoreProbeResult(isinstance(await self._store.get(keys.LEADER), Ok))
 
     async def _look(self) -> float:
-        found = await self._store.get(keys.LEADER)
+        found = await self._store.range(keys.LEADER)
         if isinstance(found, Err):
             return LOOK_MS
-        item = found.ok_value
+        item = next((i for i in found.ok_value.items if i.key == keys.LEADER), None)
         if item is None:
             self._links.follow(None)
             return await self._campaign(None)
@@ -222,7 +222,7 @@
             return await self._campaign(item)
         self._links.follow(record)
         if self._watch is None or self._watch.done():
-            self._watch = self._background.spawn(self._watch_key(item.revision))
+            self._watch = self._background.spawn(self._watch_key(found.ok_value.revision))
         return IDLE_LOOK_MS if self._links.leader_id else LOOK_MS
 
     async def _watch_key(self, revision: int) -> None:
