--- /dev/null
+++ b/tests/unit/test_platform_wire.py
@@ -0,0 +1,163 @@
+"""Decoding of the platform's words: guards against crashes and half applied values on bad input."""
+
+import base64
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from nutmeglb._internal.queues.ports import StoredItem
+from nutmeglb_formats.models.queue_records import (
+    AcceptedJob,
+    Counter,
+    JobProgress,
+    LeaderRecord,
+    WithdrawnJob,
+    dump,
+    load,
+)
+from nutmeglb_formats.models.queues import StepProgress
+from nutmeglb_platform import wire
+from nutmeglb_platform.store import _checked, _found
+from tests.lib.queues import ADVISED, job, step
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=12,
+)
+SERVER = {
+    "backend": "pool",
+    "address": "10.0.0.1:1",
+    "zone": "z1",
+    "state": "ready",
+    "capacity": {"cpu": 16_000, "mem_mb": 32, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "born": 5,
+    "unheard_of": 1,
+}
+
+
+def item(value):
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return StoredItem("servers/w1", data, 7)
+
+
+def test_worker_entry():
+    worker = wire.decode_worker("servers/", item(SERVER)).unwrap()
+    assert (worker.worker_id, worker.service, worker.domain) == ("w1", "pool", "z1")
+    assert (worker.rack, worker.labels) == ("r1-3", frozenset({"a", "r1-3"}))
+    assert (worker.capacity.cpu_millis, worker.capacity.memory_bytes) == (16_000, 32 << 20)
+    assert (worker.started_ms, worker.draining) == (5, False)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"backend": 3},
+        {"state": "asleep"},
+        {"capacity": None},
+        {"capacity": {"cpu": "many"}},
+        {"labels": "a"},
+        {"address": None},
+        {"born": "yesterday"},
+    ],
+)
+def test_worker_entry_by_another_writer_is_an_error(change):
+    decoded = wire.decode_worker("servers/", item({**SERVER, **change}))
+    assert isinstance(decoded, Err)
+    assert decoded.err_value.hint
+
+
+def test_configuration():
+    advice = {"decide_ms": 10.5, "each_ms": 0.5, "valid_ms": 900}
+    route = {"name": "r", "host": "h", "prefix": "/p/", "backend": "pool", "advice": advice}
+    config = wire.decode_config(
+        item({"version": 4, "routes": [route], "backends": [{"name": "pool"}], "limits": {}})
+    ).unwrap()
+    (queue,) = config.queues
+    assert (config.version, config.revision, queue.service) == (4, 7, "pool")
+    assert queue.advice is not None and queue.advice.call_ms(10) == 15.5
+
+
+@pytest.mark.parametrize(
+    ("body", "accepted"),
+    [
+        ({"steps": [{}]}, True),
+        ({"steps": [{"count": 2, "cpu": 5, "gang": True}, {"after": [0]}], "spec": "x"}, True),
+        ({"steps": []}, False),
+        ({"steps": [{"count": 0}]}, False),
+        ({"steps": [{"after": [0]}]}, False),
+        ({"steps": [{"cpu": -1}]}, False),
+        ({"spec": "x" * 4_001, "steps": [{}]}, False),
+        ([], False),
+    ],
+)
+def test_submission(body, accepted):
+    assert isinstance(wire.decode_job(json.dumps(body).encode()), Ok) == accepted
+
+
+def test_report():
+    report = wire.decode_report(
+        {
+            "clock_ms": 5,
+            "born": 2,
+            "running": [["a.0.0.0", 1, "c", 40, 700], ["a.0.0.1", 1, "", 100]],
+            "finished": [[3, "a.0.0.2", 1, "done", ""]],
+        }
+    )
+    assert report is not None
+    assert [run.activity for run in report.running] == [700, None]
+    assert [end.number for end in report.ended] == [3]
+
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(JSON)
+def test_no_decoder_raises_on_json(value):
+    data = json.dumps(value).encode()
+    wire.decode_worker("servers/", item(data))
+    wire.decode_config(item(data))
+    wire.decode_job(data)
+    wire.decode_report(value)
+    _checked("kv-txn", lambda: _found(value))
+
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(st.binary(max_size=200))
+def test_no_decoder_raises_on_bytes(data):
+    wire.decode_worker("servers/", item(data))
+    wire.decode_config(item(data))
+    wire.decode_job(data)
+    load(data, "key")
+
+
+RECORDS = [
+    AcceptedJob(job("00000000000000aa", step(3, after=(), gang=True), queue=ADVISED)),
+    WithdrawnJob("n"),
+    JobProgress("q", "", 0.0, [1], [StepProgress(0, 1, ["w1"], [0], [[0, 3]])]),
+    LeaderRecord("e1", "i", "127.0.0.1:1", 3, "s"),
+    Counter(4, "w"),
+]
+
+
+@pytest.mark.parametrize("record", RECORDS, ids=lambda record: type(record).__name__)
+def test_stored_records_are_read_back(record):
+    assert load(dump(record), "key").unwrap() == record
+
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(st.sampled_from(RECORDS), st.integers(0, 400), st.integers(0, 255))
+def test_damaged_record_is_read_or_an_error(record, position, value):
+    data = bytearray(dump(record))
+    data[position % len(data)] = value
+    load(bytes(data), "key")
+
+
+def test_item_of_a_condition_that_is_absent_is_left_out():
+    value = base64.b64encode(b"x").decode()
+    found = _found(
+        {"items": [{"key": "a", "revision": 0}, {"key": "b", "revision": 3, "value": value}]}
+    )
+    assert list(found) == ["b"]
