Keep scheduling passes short at 175 workers, and start wide gangs without advice

Cause: a pass over a saturated cell computed the free room of every worker for every waiting step, by subtraction, and sorted all workers for every gang. Wide gangs of queues without advice never started: 30 recorded workers could not hold them, and others were recorded only when these were full.

Change: a worker keeps its free room; a step without room is skipped when a smaller one found none in the same pass; gangs sort only workers that have a slot; the recorded workers of a step hold all its tasks when they are empty.

The two new rows of test_placed_tasks_fit failed before.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -98,16 +98,22 @@
     return [w for w in cell.workers.values() if w.info.service == service and usable(step, w)]
 
 
-def with_ticket(step: Step, workers: Sequence[Worker], now_ms: float) -> list[Worker]:
+def with_ticket(cell: Cell, step: Step, now_ms: float) -> list[Worker]:
     """Return the workers for whose present incarnation a valid ticket is at hand."""
-    tickets, asked = step.advice.tickets, step.advice.asked
-    return [
-        worker
-        for worker in workers
-        if worker.worker_id in tickets
-        and asked.get(worker.worker_id) == worker.info.started_ms
-        and now_ms < tickets[worker.worker_id][1] - TICKET_MARGIN_MS
-    ]
+    asked = step.advice.asked
+    service = cell.policy_of(step.job).service
+    found = []
+    for worker_id, (_, until_ms) in step.advice.tickets.items():
+        worker = cell.workers.get(worker_id)
+        if (
+            worker is not None
+            and now_ms < until_ms - TICKET_MARGIN_MS
+            and asked.get(worker_id) == worker.info.started_ms
+            and worker.info.service == service
+            and usable(step, worker)
+        ):
+            found.append(worker)
+    return found
 
 
 def ask(
@@ -166,12 +172,17 @@
     return [] if lasting == len(good) else good[:MAX_NAMES]
 
 
+def missing_slots(step: Step, workers: Sequence[Worker]) -> float:
+    """Return how many more slots a step should have beside those of the given workers."""
+    wanted = (GANG_ROOM_FACTOR if step.spec.gang else 1.0) * step.spec.count
+    return wanted - sum(slots_on(worker.info.capacity, step, 0) for worker in workers)
+
+
 def _missing_names(
     cell: Cell, step: Step, workers: Sequence[Worker], good: Sequence[Worker]
 ) -> int:
     """Return how many more workers to name, so that the good ones hold the step beside others."""
-    wanted = (GANG_ROOM_FACTOR if step.spec.gang else 1.0) * step.spec.count
-    missing = wanted - sum(slots_on(worker.info.capacity, step, 0) for worker in good)
+    missing = missing_slots(step, good)
     if missing <= 0:
         return 0
     slots = sum(slots_on(worker.info.capacity, step, 0) for worker in workers)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -100,7 +100,7 @@
         """Give back what a run charged."""
         worker = self.workers.get(run.worker_id)
         if worker and worker.runs.pop((run.task, run.number), None) is run:
-            worker.used = worker.used - run.charged
+            worker.give_back(run.charged)
         task = run.step.tasks[run.index]
         if task.run is run:
             task.run = None
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/fitting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/fitting.py
@@ -14,6 +14,7 @@
 from nutmeglb_formats.models.resources import Resources
 
 UNLIMITED = 1_000_000
+NONE_PRESENT: Counter[str] = Counter()
 
 
 @dataclass(slots=True)
@@ -65,19 +66,19 @@
 
 def slots_on(free: Resources, step: Step, used_by_step: int) -> int:
     """Return how many tasks of a step fit into ``free`` on one worker."""
-    charged = step.spec.charged
-    counts = [
-        free_amount // amount if free_amount >= 0 else 0
-        for free_amount, amount in (
-            (free.cpu_millis, charged.cpu_millis),
-            (free.memory_bytes, charged.memory_bytes),
-            (free.accelerators, charged.accelerators),
-        )
-        if amount
-    ]
-    fitting = min(counts, default=UNLIMITED)
-    if step.spec.max_per_worker:
-        fitting = min(fitting, step.spec.max_per_worker - used_by_step)
+    spec = step.spec
+    charged = spec.charged
+    if not charged.fits_in(free):
+        return 0
+    fitting = UNLIMITED
+    if charged.cpu_millis:
+        fitting = free.cpu_millis // charged.cpu_millis
+    if charged.memory_bytes:
+        fitting = min(fitting, free.memory_bytes // charged.memory_bytes)
+    if charged.accelerators:
+        fitting = min(fitting, free.accelerators // charged.accelerators)
+    if spec.max_per_worker:
+        fitting = min(fitting, spec.max_per_worker - used_by_step)
     return max(0, fitting)
 
 
@@ -99,7 +100,7 @@
     run_ms: float,
 ) -> Worker | None:
     """Return the best worker for one task: its data's rack, then fast, then the fullest."""
-    present = tasks_per_worker(step)
+    present = tasks_per_worker(step) if step.spec.max_per_worker else NONE_PRESENT
     best: tuple[float, ...] | None = None
     chosen: Worker | None = None
     for worker in candidates:
@@ -145,19 +146,30 @@
     run_ms: float,
 ) -> Choice | None:
     """Fill the fastest workers first: a gang advances at the speed of its slowest member."""
-    ordered = sorted(group, key=lambda w: (_is_remote(step, w), round(w.slowness, 1), -fullness(w)))
+    count = step.spec.count
+    slots = {}
+    for worker in group:
+        fitting = _unreserved_slots(step, worker, reservations, now_ms + run_ms * worker.slowness)
+        if fitting:
+            slots[worker.worker_id] = (worker, fitting)
+    if sum(fitting for _, fitting in slots.values()) < count:
+        return None
     chosen: list[str] = []
-    for worker in ordered:
-        free = worker.free
-        end_ms = now_ms + run_ms * worker.slowness
-        for reservation in reservations.by_worker.get(worker.worker_id, ()):
-            if end_ms > reservation.at_ms:
-                free = _smaller(free, reservation.surplus)
-        room = min(slots_on(free, step, 0), step.spec.count - len(chosen))
-        chosen.extend([worker.worker_id] * room)
-        if len(chosen) == step.spec.count:
-            return Choice(tuple(chosen))
-    return None
+    for worker, fitting in sorted(slots.values(), key=lambda item: _gang_score(step, item[0])):
+        chosen.extend([worker.worker_id] * min(fitting, count - len(chosen)))
+    return Choice(tuple(chosen))
+
+
+def _gang_score(step: Step, worker: Worker) -> tuple[float, ...]:
+    return (float(_is_remote(step, worker)), round(worker.slowness, 1), -fullness(worker))
+
+
+def _unreserved_slots(step: Step, worker: Worker, reservations: Reservations, end_ms: float) -> int:
+    free = worker.free
+    for reservation in reservations.by_worker.get(worker.worker_id, ()):
+        if end_ms > reservation.at_ms:
+            free = _smaller(free, reservation.surplus)
+    return slots_on(free, step, 0)
 
 
 def reserve_gang(
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -18,6 +18,7 @@
 )
 from nutmeglb_decisions.queues.ranking import Rank, Tier, rank_of
 from nutmeglb_decisions.queues.state import Job, Run, Step, Task, Worker
+from nutmeglb_formats.models.resources import Resources
 
 # Gangs that hold room in one pass. More would leave too little for work that ends before.
 MAX_RESERVING_GANGS = 4
@@ -30,15 +31,26 @@
 # Steps without room after which a pass ends: with so many of them first in rank there is hardly
 # any room left, and the pass has to stay short while thousands wait.
 MAX_MISSES = 60
-# Workers recorded for a step without advice; more follow when these have no room.
+# Workers recorded at once for a step without advice, unless it needs more to hold all its tasks.
 RECORD_WORKERS = 30
+# Between two looks at whether the recorded workers can hold a step; workers come and go slower.
+RECORD_CHECK_MS = 500.0
 
 RankFunction = Callable[[Step, float, float, Estimates], Rank]
 
 
 @dataclass(slots=True)
 class Pass:
-    """Inputs of one scheduling pass."""
+    """Inputs of one scheduling pass, and what it has found so far.
+
+    Attributes
+    ----------
+    eligible
+        Per service and label: the workers that may be used.
+    without_room
+        Per service and label: sizes of tasks for which no worker has room. Room only shrinks
+        during a pass, so larger tasks need not be tried.
+    """
 
     cell: Cell
     rng: random.Random
@@ -50,6 +62,7 @@
     reserve_attempts: int = 0
     misses: int = 0
     eligible: dict[tuple[str, str], list[Worker]] = field(default_factory=dict)
+    without_room: dict[tuple[str, str], list[Resources]] = field(default_factory=dict)
 
 
 def schedule(
@@ -121,10 +134,10 @@
     workers = _eligible(state, step)
     advice.ask(cell, step, workers, state.budget, state.rng, now_ms)
     if cell.policy_of(step.job).advice is None:
-        _record_workers(cell, step, workers)
-        candidates = workers
+        candidates = _with_room(state, step, workers)
+        _record_workers(cell, step, workers, candidates, now_ms)
     else:
-        candidates = advice.with_ticket(step, workers, now_ms)
+        candidates = advice.with_ticket(cell, step, now_ms)
     ready = [worker for worker in candidates if _ready(step, worker, now_ms)]
     if step.spec.gang:
         _place_gang(state, step, ready, workers)
@@ -141,9 +154,23 @@
     return state.eligible[key]
 
 
+def _with_room(state: Pass, step: Step, workers: Sequence[Worker]) -> list[Worker]:
+    """Return the workers with room for a task, at once when a smaller task found none before."""
+    charged = step.spec.charged
+    key = (state.cell.policy_of(step.job).service, step.spec.required_label)
+    without_room = state.without_room.setdefault(key, [])
+    if any(smaller.fits_in(charged) for smaller in without_room):
+        return []
+    found = [worker for worker in workers if charged.fits_in(worker.free)]
+    if not found:
+        without_room.append(charged)
+    return found
+
+
 def _ready(step: Step, worker: Worker, now_ms: float) -> bool:
     return (
-        worker.worker_id in step.recorded
+        step.spec.charged.fits_in(worker.free)
+        and worker.worker_id in step.recorded
         and worker.settled
         and not worker.strays
         and now_ms >= worker.suspect_until_ms
@@ -151,15 +178,35 @@
     )
 
 
-def _record_workers(cell: Cell, step: Step, workers: Sequence[Worker]) -> None:
-    """Make workers durable for a step without advice, before a task is sent to them."""
-    if any(slots_on(w.free, step, 0) for w in workers if w.worker_id in step.wanted):
+def _record_workers(
+    cell: Cell, step: Step, workers: Sequence[Worker], with_room: Sequence[Worker], now_ms: float
+) -> None:
+    """Make workers durable for a step without advice, before a task is sent to them.
+
+    The recorded workers can hold the whole step when they are empty. Others follow when the
+    recorded ones are full and these have room.
+    """
+    wanted = step.wanted
+    missing = 0.0
+    if now_ms >= step.record_check_ms:
+        step.record_check_ms = now_ms + RECORD_CHECK_MS
+        missing = advice.missing_slots(step, [w for w in workers if w.worker_id in wanted])
+    if missing > 0:
+        others = [w for w in workers if w.worker_id not in wanted]
+    elif any(worker.worker_id in wanted for worker in with_room):
+        return
+    else:
+        others = list(with_room)
+    if not others:
         return
-    missing = [w for w in workers if w.worker_id not in step.wanted]
-    missing.sort(key=lambda worker: -slots_on(worker.free, step, 0))
-    if missing:
-        step.wanted.update(worker.worker_id for worker in missing[:RECORD_WORKERS])
-        cell.mark_dirty(step.job)
+    others.sort(key=lambda worker: -slots_on(worker.free, step, 0))
+    held = 0
+    for number, worker in enumerate(others):
+        if number >= RECORD_WORKERS and held >= missing:
+            break
+        wanted.add(worker.worker_id)
+        held += slots_on(worker.info.capacity, step, 0)
+    cell.mark_dirty(step.job)
 
 
 def _run_ms(state: Pass, step: Step) -> float:
@@ -213,15 +260,14 @@
     charged = step.spec.charged
     run = Run(step, task.index, number, worker.worker_id, charged, now_ms, expected_ms)
     run.resumed = bool(task.checkpoint)
-    used = worker.used + charged
     require(
-        used.fits_in(worker.info.capacity),
+        charged.fits_in(worker.free),
         LEDGER_CAPACITY,
         "A start exceeds the capacity of a worker",
         worker=worker.worker_id,
         task=run.task,
     )
-    worker.used = used
+    worker.charge(charged)
     # The order is sent after this pass and may be the first renewal in a long time.
     worker.lapse_ms = max(worker.lapse_ms, now_ms + cell.lapse_after_ms)
     worker.runs[(run.task, number)] = run
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -47,7 +47,7 @@
         new_incarnation(cell, worker, info.started_ms, now_ms, wall_ms)
     if info.draining and not worker.info.draining:
         cell.decide("worker_draining", "its entry says so", worker=worker.worker_id)
-    worker.info = info
+    worker.describe(info)
     worker.listed = True
     worker.listed_ms = now_ms
 
@@ -209,7 +209,7 @@
         now_ms + expected_ms, RunState.RUNNING, now_ms, resumed=True,
     )  # fmt: skip
     worker.runs[(running.task, running.run)] = run
-    worker.used = worker.used + run.charged
+    worker.charge(run.charged)
     lapse_ms = now_ms + cell.lapse_after_ms
     worker.lapse_ms = max(worker.lapse_ms, cell.settle_until_ms, lapse_ms)
     task.run = run
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -122,6 +122,8 @@
         Workers whose possible use is durable. A task starts only on these.
     unsettled
         Workers that may hold runs ordered by a former leader. The step waits for them.
+    record_check_ms
+        Time of the next look at whether the recorded workers can hold all tasks.
     failed_runs
         Numbers of the failed runs of a gang.
     """
@@ -134,6 +136,7 @@
     recorded: set[str] = field(default_factory=set)
     wanted: set[str] = field(default_factory=set)
     unsettled: set[str] = field(default_factory=set)
+    record_check_ms: float = 0.0
     advice: AdviceState = field(default_factory=AdviceState)
     remaining: int = 0
     failed_runs: set[int] = field(default_factory=set)
@@ -223,8 +226,9 @@
 
     Attributes
     ----------
-    used
-        Sum of what all runs charge; asserted to stay within the capacity.
+    used, free
+        Sum of what all runs charge, asserted to stay within the capacity; and what is left of it.
+        Both are kept, since a pass reads them far more often than they change.
     seen_end
         Highest number of an end that was applied.
     lapse_ms
@@ -253,13 +257,24 @@
     bad_ends: int = 0
     slowness: float = 1.0
     strays: set[tuple[str, int]] = field(default_factory=set)
-
-    @property
-    def worker_id(self) -> str:
-        """Return the id."""
-        return self.info.worker_id
-
-    @property
-    def free(self) -> Resources:
-        """Return the capacity that no run charges."""
-        return self.info.capacity - self.used
+    worker_id: str = field(init=False)
+    free: Resources = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.worker_id = self.info.worker_id
+        self.free = self.info.capacity - self.used
+
+    def describe(self, info: QueueWorker) -> None:
+        """Take over a newer entry of the worker."""
+        self.info = info
+        self.free = info.capacity - self.used
+
+    def charge(self, amount: Resources) -> None:
+        """Take room for a run."""
+        self.used = self.used + amount
+        self.free = self.free - amount
+
+    def give_back(self, amount: Resources) -> None:
+        """Return the room of a run that has ended."""
+        self.used = self.used - amount
+        self.free = self.free + amount
--- a/tests/unit/test_queue_placing.py
+++ b/tests/unit/test_queue_placing.py
@@ -71,6 +71,8 @@
         (step(4, cpu=4_000, fills=True), 1, 4),
         (step(8, cpu=4_000, gang=True), 1, 0),
         (step(8, cpu=4_000, gang=True), 2, 8),
+        (step(150, cpu=4_500, gang=True), 60, 150),
+        (step(60, max_per_worker=1), 60, 60),
         (step(1, required_label="gpu"), 2, 0),
     ],
 )
