Do not take a gang member that has done its share for a stuck run

Members that finish before the slowest one report no processor in use until the gang ends, and counted as stuck after 2.5 s; one job was stopped twice and never completed. A single report of zero was also enough when no other followed in 2.5 s.

Change: a gang is stuck when all of its members are idle, and the member that has been idle longest is blamed. Idle time is the time between agreeing reports.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -1,21 +1,14 @@
-"""Answers of workers to orders, and runs that make no progress."""
+"""Answers of workers to orders."""
 
 from enum import StrEnum
 
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StopTask
 from nutmeglb_decisions.queues.lifecycle import RETRY_MS, end_run, stop_run
-from nutmeglb_decisions.queues.reports import note_bad
 from nutmeglb_decisions.queues.state import Run, RunState, Worker
 
 # After a refusal for a reason of its own a worker gets no new task for this long.
 REFUSED_AVOID_MS = 500.0
-# A run that takes this many times its expected duration, and this long beyond it, counts as stuck.
-# Sizes spread by a half around their mean; a slow worker takes up to six times as long.
-STUCK_FACTOR = 5.0
-STUCK_EXTRA_MS = 4_000.0
-# A run without any processor in use for this long counts as stuck.
-IDLE_MS = 2_500.0
 
 
 class StartOutcome(StrEnum):
@@ -96,30 +89,6 @@
         cell.decide("worker_silent", "no answer", worker=worker.worker_id, runs=len(worker.runs))
 
 
-def stop_stuck_runs(cell: Cell, now_ms: float) -> None:
-    """Stop runs without progress, so that their tasks start elsewhere."""
-    for worker in cell.workers.values():
-        if worker.unanswered_since_ms is not None:
-            continue
-        for run in list(worker.runs.values()):
-            cause = _stuck(run, now_ms)
-            if cause:
-                cell.decide("run_stuck", cause, task=run.task, worker=worker.worker_id)
-                note_bad(cell, worker, cause, now_ms)
-                stop_run(cell, run)
-
-
-def _stuck(run: Run, now_ms: float) -> str:
-    if run.state != RunState.RUNNING or run.step.spec.lasting:
-        return ""
-    if run.idle_since_ms is not None and now_ms - run.idle_since_ms >= IDLE_MS:
-        return "no processor in use"
-    expected_ms = run.expected_end_ms - run.ordered_ms
-    if now_ms - run.ordered_ms > STUCK_FACTOR * expected_ms + STUCK_EXTRA_MS:
-        return "far beyond its expected duration"
-    return ""
-
-
 def repeat_stops(cell: Cell, worker: Worker) -> None:
     """Order the stops again that the worker has not answered."""
     for run in worker.runs.values():
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -187,11 +187,14 @@
 
 
 def _track_activity(run: Run, now_ms: float) -> None:
-    if run.activity == 0 and not run.step.spec.lasting:
-        if run.idle_since_ms is None:
-            run.idle_since_ms = now_ms
-    else:
+    """Note how long all reports agree that a run uses no processor."""
+    if run.activity != 0 or run.step.spec.lasting:
         run.idle_since_ms = None
+        run.idle_ms = 0.0
+    elif run.idle_since_ms is None:
+        run.idle_since_ms = now_ms
+    else:
+        run.idle_ms = now_ms - run.idle_since_ms
 
 
 def _adopt(cell: Cell, worker: Worker, running: RunningTask, now_ms: float) -> Run | None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -40,6 +40,9 @@
         whether the worker has or may still get the run.
     expected_end_ms
         Estimated end, for reservations.
+    idle_since_ms, idle_ms
+        Time of the first of the latest reports that show no processor in use, and the time between
+        the first and the last of them.
     """
 
     step: "Step"
@@ -55,6 +58,7 @@
     wanted_percent: int = 100
     activity: int | None = None
     idle_since_ms: float | None = None
+    idle_ms: float = 0.0
     resumed: bool = False
 
     @property
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -27,10 +27,10 @@
     admission,
     advice,
     lifecycle,
-    orders,
     placing,
     progress,
     reports,
+    stalls,
 )
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import AskAdvice, Effect, PaceTask, StartTask, StopTask
@@ -308,7 +308,7 @@
             await asyncio.sleep(TICK_MS / MS_PER_S)
             now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
             reports.lapse_workers(self.cell, now_ms, wall_ms)
-            orders.stop_stuck_runs(self.cell, now_ms)
+            stalls.stop_stuck_runs(self.cell, now_ms)
             lifecycle.open_due_occurrences(self.cell, wall_ms)
             self._changed()
 
--- a/tests/unit/test_queue_runs.py
+++ b/tests/unit/test_queue_runs.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from nutmeglb_decisions.queues import orders, progress, queries, reports
+from nutmeglb_decisions.queues import orders, progress, queries, reports, stalls
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_decisions.queues.state import JobState
 from nutmeglb_formats.models.queues import RunningTask
@@ -238,3 +238,34 @@
     following.report("w1", ((order.task, order.run, "failed", ""),), ())
     status = queries.status_of(following.cell, JOB)
     assert status is not None and status.state == JobState.RUNNING
+
+
+@pytest.mark.parametrize(
+    ("gang", "reports_of_w1", "reports_of_w2", "stopped"),
+    [
+        # A member of a gang that has done its share waits for the slowest one.
+        (True, (0, 0, 0), (900, 900, 900), set()),
+        # The gang as a whole stands still: the member that stopped first is to blame.
+        (True, (0, 0, 0), (900, 0, 0), set()),
+        (True, (0, 0, 0, 0), (900, 0, 0, 0), {"w1"}),
+        (False, (0, 0, 0), (900, 900, 900), {"w1"}),
+        # One figure of a run that has just begun, not confirmed by a later one.
+        (False, (0,), (900,), set()),
+        (False, (0, 0, 900), (900, 900, 900), set()),
+    ],
+)
+def test_stuck_runs(gang, reports_of_w1, reports_of_w2, stopped):
+    """Guards against sound gangs being stopped when their first member is done."""
+    world = world_with(step(2, cpu=9_000, gang=gang, estimate_ms=60_000.0), workers=2)
+    runs = {order.worker_id: order for order in world.answer_starts()}
+    for figures in zip(reports_of_w1, reports_of_w2, strict=True):
+        for worker_id, activity in zip(("w1", "w2"), figures, strict=True):
+            order = runs[worker_id]
+            shown = RunningTask(order.task, order.run, "", 100, activity)
+            world.report(worker_id, running=(shown,))
+        stalls.stop_stuck_runs(world.cell, world.now_ms)
+        world.now_ms += 1_400.0
+    world.now_ms += 2_000.0
+    stalls.stop_stuck_runs(world.cell, world.now_ms)
+    world.schedule()
+    assert {stop.worker_id for stop in world.stopped} == stopped
