Let no waiting step use up a scheduling pass without using room

A few hundred of them at the head of the order starved all others.

Change: a pass is bounded by the number of workers that it looks at. Steps without eligible workers cost nothing, and steps with sound advice are looked at again after 60 ms.

The rows of test_steps_that_cannot_start_do_not_hold_up_others failed before.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -30,7 +30,9 @@
 # A ticket is not used in the last part of its validity: the order takes a round trip.
 TICKET_MARGIN_MS = 120.0
 # Renewals are asked for this long before the call has to be on its way.
-RENEW_AHEAD_MS = 150.0
+RENEW_AHEAD_MS = 200.0
+# While nothing is missing, a step's advice is looked at this seldom.
+LOOK_AGAIN_MS = 60.0
 # An answer that is later than its cost by this factor and time counts as lost.
 LOST_FACTOR = 3.0
 LOST_MS = 1_500.0
@@ -127,12 +129,13 @@
     """Ask about a step when its answer is missing, too narrow, or about to run out."""
     terms = cell.policy_of(step.job).advice
     state = step.advice
-    if terms is None or now_ms < max(state.call_until_ms, state.not_before_ms):
+    if terms is None or not is_due(step, now_ms):
         return
     if budget.left_ms(terms.call_ms(1)) <= 0:
         return
     names = _names(cell, step, workers, terms, rng, now_ms)
     if not names:
+        state.not_before_ms = now_ms + LOOK_AGAIN_MS
         return
     cost_ms = terms.call_ms(len(names))
     state.call_until_ms = now_ms + cost_ms * LOST_FACTOR + LOST_MS
@@ -145,6 +148,11 @@
     )
 
 
+def is_due(step: Step, now_ms: float) -> bool:
+    """Return whether it is time to look at what is missing of a step's advice."""
+    return now_ms >= max(step.advice.call_until_ms, step.advice.not_before_ms)
+
+
 def _names(
     cell: Cell,
     step: Step,
@@ -210,6 +218,7 @@
     """Apply an answer. The workers in it must be durable before a task is sent to them."""
     state = step.advice
     state.call_until_ms = 0.0
+    state.not_before_ms = 0.0
     for worker_id in named:
         if worker_id in cell.workers:
             state.asked[worker_id] = cell.workers[worker_id].info.started_ms
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -65,6 +65,7 @@
 def _avoid(run: Run, worker: Worker, outcome: StartOutcome, now_ms: float) -> None:
     if outcome == StartOutcome.TICKET:
         run.step.advice.tickets.pop(worker.worker_id, None)
+        run.step.advice.not_before_ms = now_ms
     else:
         worker.suspect_until_ms = max(worker.suspect_until_ms, now_ms + REFUSED_AVOID_MS)
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -26,11 +26,9 @@
 MAX_RESERVE_ATTEMPTS = 8
 # A gang whose start is further away does not reserve yet.
 RESERVE_AHEAD_MS = 6_000.0
-# Steps of one pass, so that a pass is bounded while thousands wait.
-STEPS_PER_PASS = 300
-# Steps without room after which a pass ends: with so many of them first in rank there is hardly
-# any room left, and the pass has to stay short while thousands wait.
-MAX_MISSES = 60
+# Workers looked at in one pass, so that it takes some 10 ms at most while thousands of steps wait.
+# A step that waits for advice or has no worker takes no part of it.
+LOOKS_PER_PASS = 20_000
 # Workers recorded at once for a step without advice, unless it needs more to hold all its tasks.
 RECORD_WORKERS = 30
 # Between two looks at whether the recorded workers can hold a step; workers come and go slower.
@@ -47,6 +45,8 @@
     ----------
     eligible
         Per service and label: the workers that may be used.
+    looks
+        Workers looked at.
     without_room
         Per service and label: sizes of tasks for which no worker has room. Room only shrinks
         during a pass, so larger tasks need not be tried.
@@ -60,7 +60,7 @@
     reservations: Reservations
     reserving: int = 0
     reserve_attempts: int = 0
-    misses: int = 0
+    looks: int = 0
     eligible: dict[tuple[str, str], list[Worker]] = field(default_factory=dict)
     without_room: dict[tuple[str, str], list[Resources]] = field(default_factory=dict)
 
@@ -77,9 +77,9 @@
     state = Pass(
         cell, rng, now_ms, wall_ms, advice.AdviceBudget.of(cell, callers, now_ms), Reservations()
     )
-    for _, step in ranked_steps(cell, now_ms, wall_ms, rank)[:STEPS_PER_PASS]:
+    for _, step in ranked_steps(cell, now_ms, wall_ms, rank):
         _place_step(state, step)
-        if state.misses >= MAX_MISSES:
+        if state.looks >= LOOKS_PER_PASS:
             break
 
 
@@ -132,12 +132,17 @@
 def _place_step(state: Pass, step: Step) -> None:
     cell, now_ms = state.cell, state.now_ms
     workers = _eligible(state, step)
+    if not workers:
+        return
+    if advice.is_due(step, now_ms):
+        state.looks += len(workers)
     advice.ask(cell, step, workers, state.budget, state.rng, now_ms)
     if cell.policy_of(step.job).advice is None:
         candidates = _with_room(state, step, workers)
         _record_workers(cell, step, workers, candidates, now_ms)
     else:
         candidates = advice.with_ticket(cell, step, now_ms)
+    state.looks += 1 + len(candidates)
     ready = [worker for worker in candidates if _ready(step, worker, now_ms)]
     if step.spec.gang:
         _place_gang(state, step, ready, workers)
@@ -161,6 +166,7 @@
     without_room = state.without_room.setdefault(key, [])
     if any(smaller.fits_in(charged) for smaller in without_room):
         return []
+    state.looks += len(workers)
     found = [worker for worker in workers if charged.fits_in(worker.free)]
     if not found:
         without_room.append(charged)
@@ -219,7 +225,6 @@
     for task in _waiting(step, state.now_ms):
         worker = choose_single(step, ready, state.reservations, state.now_ms, run_ms)
         if worker is None:
-            state.misses += 1
             return
         number = state.cell.next_run(task.last_run)
         _start(state, step, task, worker, number, run_ms)
@@ -231,7 +236,6 @@
     run_ms = _run_ms(state, step)
     choice = choose_gang(step, ready, state.reservations, state.now_ms, run_ms)
     if choice is None:
-        state.misses += 1
         _reserve(state, step, workers)
         return
     number = state.cell.next_run(max(task.last_run for task in step.tasks))
--- a/tests/unit/test_queue_placing.py
+++ b/tests/unit/test_queue_placing.py
@@ -295,3 +295,18 @@
     world.now_ms += 2_000.0
     world.schedule()
     assert [set(again.workers) for again in world.asked] == [set(call.workers[:8])]
+
+
+@pytest.mark.parametrize(
+    ("queue", "spec"),
+    [(URGENT, step(required_label="gpu")), (URGENT, step(cpu=64_000)), (ADVISED, step())],
+)
+def test_steps_that_cannot_start_do_not_hold_up_others(queue, spec):
+    """A burst of jobs without a worker, too large, or waiting for advice, ahead of ordinary ones."""
+    world = CellWorld()
+    world.show(worker_info("w1"))
+    for number in range(400):
+        world.add(job(f"stuck-{number}", spec, queue=replace(queue, priority=0)))
+    world.add(job("ordinary", step(), queue=replace(BATCH, priority=2)))
+    world.schedule()
+    assert [start.task for start in world.started] == ["ordinary.0.0.0"]
