Log placements and ends by step, and show decisions in the time line

Change: one line for the tasks of a step that are placed together, one for the ends of a step in a report; they carry the tier, the expected run time and the age of the workers' reports. Acceptance and refusal carry the version and age of the configuration, and the age of the leader's report. Lines carry a sequence number and a hybrid clock that follows peer frames, and nutmegctl timeline reads them, also behind the text of a log collector.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -45,6 +45,8 @@
     ----------
     eligible
         Per service and label: the workers that may be used.
+    placed
+        Runs of the present step.
     looks
         Workers looked at.
     without_room
@@ -63,6 +65,7 @@
     looks: int = 0
     eligible: dict[tuple[str, str], list[Worker]] = field(default_factory=dict)
     without_room: dict[tuple[str, str], list[Resources]] = field(default_factory=dict)
+    placed: list[Run] = field(default_factory=list)
 
 
 def schedule(
@@ -77,8 +80,9 @@
     state = Pass(
         cell, rng, now_ms, wall_ms, advice.AdviceBudget.of(cell, callers, now_ms), Reservations()
     )
-    for _, step in ranked_steps(cell, now_ms, wall_ms, rank):
+    for step_rank, step in ranked_steps(cell, now_ms, wall_ms, rank):
         _place_step(state, step)
+        _log_placed(state, step, step_rank)
         if state.looks >= LOOKS_PER_PASS:
             break
 
@@ -150,6 +154,25 @@
         _place_singles(state, step, ready)
 
 
+def _log_placed(state: Pass, step: Step, rank: Rank) -> None:
+    """Log the starts of a step in one line: ``INDEX@WORKER:RUN`` each."""
+    placed, state.placed = state.placed, []
+    if not placed:
+        return
+    now_ms, workers = state.now_ms, state.cell.workers
+    state.cell.decide(
+        "tasks_placed",
+        "room and rank",
+        job=step.job.job_id,
+        step=step.name,
+        runs=" ".join(f"{run.index}@{run.worker_id}:{run.number}" for run in placed),
+        tier=Tier(rank.tier).name.lower(),
+        waited_ms=round(now_ms - (step.opened_ms or now_ms)),
+        expected_ms=round(_run_ms(state, step)),
+        reports_age_ms=round(now_ms - min(workers[run.worker_id].reported_ms for run in placed)),
+    )
+
+
 def _eligible(state: Pass, step: Step) -> list[Worker]:
     """Return the workers that may run a step, computed once per pass, service and label."""
     service = state.cell.policy_of(step.job).service
@@ -279,15 +302,7 @@
     task.run = run
     task.last_run = number
     step.job.begun = True
-    cell.decide(
-        "task_placed",
-        "room and rank",
-        task=run.task,
-        worker=worker.worker_id,
-        run=number,
-        waited_ms=round(now_ms - (step.opened_ms or now_ms)),
-        free_cpu=worker.free.cpu_millis,
-    )
+    state.placed.append(run)
     ticket = step.advice.tickets.get(worker.worker_id, ("", 0.0))[0]
     body = step.job.record.body
     cell.effects.append(
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -71,10 +71,28 @@
     worker.unanswered_since_ms = None
 
 
+def log_ends(cell: Cell, worker: Worker, ends: Iterable[tuple[str, int, str]]) -> None:
+    """Log ends, a line for each step and outcome: ``INDEX:RUN`` each."""
+    groups: dict[tuple[str, str], list[str]] = {}
+    for task, number, outcome in ends:
+        step, _, index = task.rpartition(".")
+        groups.setdefault((step, outcome), []).append(f"{index}:{number}")
+    for (step, outcome), runs in groups.items():
+        cell.decide(
+            "runs_ended",
+            outcome,
+            job=step.partition(".")[0],
+            step=step,
+            worker=worker.worker_id,
+            runs=" ".join(runs),
+        )
+
+
 def end_all(cell: Cell, worker: Worker, outcome: str, now_ms: float, wall_ms: float) -> None:
     """End every run on a worker."""
-    for run in list(worker.runs.values()):
-        cell.decide("run_ended", outcome, task=run.task, worker=worker.worker_id, run=run.number)
+    runs = list(worker.runs.values())
+    log_ends(cell, worker, [(run.task, run.number, outcome) for run in runs])
+    for run in runs:
         end_run(cell, run, outcome, "", now_ms, wall_ms)
 
 
@@ -107,10 +125,12 @@
         worker.settled = False
         return
     worker.unanswered_since_ms = None
-    for ended in report.ended:
-        if ended.number > worker.seen_end:
-            worker.seen_end = ended.number
-            _apply_end(cell, worker, ended, now_ms, wall_ms)
+    worker.reported_ms = now_ms
+    fresh = [ended for ended in report.ended if ended.number > worker.seen_end]
+    log_ends(cell, worker, [(ended.task, ended.run, ended.outcome) for ended in fresh])
+    for ended in fresh:
+        worker.seen_end = max(worker.seen_end, ended.number)
+        _apply_end(cell, worker, ended, now_ms, wall_ms)
     present = {(running.task, running.run): running for running in report.running}
     for key, running in present.items():
         _apply_running(cell, worker, key, running, now_ms)
@@ -129,7 +149,6 @@
 
 
 def _apply_end(cell: Cell, worker: Worker, ended: EndedTask, now_ms: float, wall_ms: float) -> None:
-    cell.decide("run_ended", ended.outcome, task=ended.task, worker=worker.worker_id, run=ended.run)
     run = worker.runs.get((ended.task, ended.run))
     if run is not None:
         _learn(cell, worker, run, ended.outcome, now_ms)
@@ -238,8 +257,11 @@
     wall_ms: float,
 ) -> None:
     """End runs that the worker does not have: their order was refused or is void by a stop."""
-    for key, run in list(worker.runs.items()):
-        known = run.confirmed_ms is not None and run.confirmed_ms < sent_ms
-        if known and key not in present:
-            cell.decide("run_ended", LOST, task=run.task, worker=worker.worker_id, run=run.number)
-            end_run(cell, run, LOST, "", now_ms, wall_ms)
+    absent = [
+        run
+        for key, run in worker.runs.items()
+        if run.confirmed_ms is not None and run.confirmed_ms < sent_ms and key not in present
+    ]
+    log_ends(cell, worker, [(run.task, run.number, LOST) for run in absent])
+    for run in absent:
+        end_run(cell, run, LOST, "", now_ms, wall_ms)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -244,6 +244,8 @@
         Whether this leader's token was accepted by the present incarnation.
     suspect_until_ms
         No task is placed before this time.
+    reported_ms
+        Time of the last report.
     bad_ends
         Failed or stuck runs since the last completed one.
     strays
@@ -261,6 +263,7 @@
     settled: bool = False
     suspect_until_ms: float = 0.0
     unanswered_since_ms: float | None = None
+    reported_ms: float = 0.0
     bad_ends: int = 0
     slowness: float = 1.0
     strays: set[tuple[str, int]] = field(default_factory=set)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/events.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/events.py
@@ -12,6 +12,7 @@
 
 EVENT_VERSION = 1
 EVENT_MESSAGE_TYPE = "event"
+DECISION_MESSAGE_TYPE = "decision"
 Scalar = str | int | float | bool | None
 
 
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/timeline.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/timeline.py
@@ -10,17 +10,22 @@
 import json
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 
 from result import Err
 
 from nutmeglb_formats.models.events import (
+    DECISION_MESSAGE_TYPE,
     EVENT_MESSAGE_TYPE,
+    EVENT_VERSION,
     Event,
     EventFilter,
     event_from_items,
 )
 
 LINE_LIMIT_CHARACTERS = 100_000
+LINE_TIMES = ("at_ms", "order_ms", "timestamp", "message_type")
+MS_PER_S = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,11 +50,14 @@
 
 
 def read_log(lines: Iterable[str]) -> LogEvents:
-    """Return the events among log lines. Truncated and foreign lines are skipped."""
+    """Return the events and decisions among log lines. Truncated and foreign lines are skipped.
+
+    A line may have text before its JSON object, such as the time and machine of a log collector.
+    """
     events = []
     damaged = 0
     for line in lines:
-        if EVENT_MESSAGE_TYPE not in line:
+        if EVENT_MESSAGE_TYPE not in line and DECISION_MESSAGE_TYPE not in line:
             continue
         items = _event_items(line)
         if items is None:
@@ -66,14 +74,43 @@
     if len(line) > LINE_LIMIT_CHARACTERS:
         return "oversized"
     try:
-        message = json.loads(line)
+        message = json.loads(line[max(0, line.find("{")) :])
     except (ValueError, RecursionError):
         return "truncated"
-    if isinstance(message, dict) and message.get("message_type") == EVENT_MESSAGE_TYPE:
+    if not isinstance(message, dict):
+        return None
+    if message.get("message_type") == EVENT_MESSAGE_TYPE:
         event: object = message.get("event", "absent")
         return event
+    if message.get("message_type") == DECISION_MESSAGE_TYPE:
+        return _decision_items(message)
     return None
 
 
+def _decision_items(line: dict[str, Any]) -> dict[str, Any]:
+    """Return the items of an event for a line of a scheduler's decision log."""
+    task = line.get("task")
+    known = {"kind", "cause", "job", "task", "worker", "instance", "sequence", *LINE_TIMES}
+    return {
+        "version": EVENT_VERSION,
+        "instance": line.get("instance"),
+        "sequence": line.get("sequence"),
+        "monotonic_ms": line.get("at_ms"),
+        "wall_ms": line["timestamp"] * MS_PER_S if _is_number(line.get("timestamp")) else None,
+        "order_ms": line.get("order_ms"),
+        "epoch": 0,
+        "kind": line.get("kind"),
+        "cause": line.get("cause"),
+        "job": line.get("job") or (str(task).partition(".")[0] if task else None),
+        "task": task,
+        "worker": line.get("worker"),
+        "fields": {name: value for name, value in line.items() if name not in known},
+    }
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, int | float)
+
+
 def _order(event: Event) -> tuple[float, str, int]:
     return event.order_ms, event.instance, event.sequence
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
@@ -5,14 +5,23 @@
 
 from nutmeglb._internal.context import Metrics
 from nutmeglb._internal.telemetry.logs import Level, current_output
+from nutmeglb._internal.telemetry.order import OrderClock
 from nutmeglb_decisions.queues.effects import Decision
 from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.models.events import DECISION_MESSAGE_TYPE
 
 MS_PER_S = 1_000.0
-DECISION_TYPE = "decision"
 # Lines of these kinds are never left out: they explain a failure.
 ALWAYS = frozenset(
-    {"job_failed", "job_refused", "worker_avoided", "worker_silent", "run_stuck", "start_refused"}
+    {
+        "job_failed",
+        "job_refused",
+        "worker_avoided",
+        "worker_silent",
+        "run_stuck",
+        "start_refused",
+        "step_waiting",
+    }
 )
 
 
@@ -25,8 +34,10 @@
         Limit of the lines of each second; the number of lines left out follows.
     """
 
-    def __init__(self, clock: Clock, metrics: Metrics, lines_per_s: int) -> None:
+    def __init__(self, clock: Clock, order: OrderClock, metrics: Metrics, lines_per_s: int) -> None:
         self._clock = clock
+        self._order = order
+        self._sequence = 0
         self._limit = lines_per_s
         self._second = 0
         self._written = 0
@@ -70,5 +81,8 @@
             if value:
                 line[name] = value
         line.update(decision.fields)
-        line["at_ms"] = round(self._clock.now_ms())
-        output.write_raw(line, DECISION_TYPE)
+        self._sequence += 1
+        line["sequence"] = self._sequence
+        line["at_ms"] = round(self._clock.now_ms(), 3)
+        line["order_ms"] = round(self._order.advance(), 3)
+        output.write_raw(line, DECISION_MESSAGE_TYPE)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/links.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/links.py
@@ -20,6 +20,7 @@
 from nutmeglb._internal.peers.link import Link, LinkCallbacks
 from nutmeglb._internal.peers.server import PeerServer
 from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb._internal.telemetry.order import OrderClock
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.exceptions import PeerError
 from nutmeglb_formats.models.queue_records import LeaderRecord
@@ -54,6 +55,7 @@
         instance_id: str,
         domain: str,
         address: str,
+        order: OrderClock,
         on_lost: Callable[[bool], None],
     ) -> None:
         self._clock = clock
@@ -76,8 +78,8 @@
             lambda peer, direction, size: None,
             lambda peer, cause: logger.warning("bad frame", peer=peer, cause=cause),
             lambda link: False,
-            clock.wall_ms,
-            lambda sent_ms: None,
+            order.stamp_ms,
+            order.observe,
         )
 
     @property
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -21,6 +21,7 @@
 from nutmeglb._internal.queues.store_gate import StoreGate
 from nutmeglb._internal.queues.submissions import Submissions
 from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb._internal.telemetry.order import OrderClock
 from nutmeglb_decisions.queues.effects import Decision
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.exit_status import ExitStatus
@@ -73,7 +74,8 @@
         self._clock = clock
         self._rng = random.Random(secrets.randbits(SEED_BITS))
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
-        self._log = DecisionLog(clock, metrics, settings.log.lines_per_s)
+        order = OrderClock(clock)
+        self._log = DecisionLog(clock, order, metrics, settings.log.lines_per_s)
         self._background = BackgroundTasks()
         self._draining = False
         self._leader: Leader | None = None
@@ -83,6 +85,7 @@
             instance.id,
             instance.failure_domain,
             settings.listen.peer,
+            order,
             lambda gone: self._election.leader_lost(gone),
         )
         self._advisers = Advisers(platform.advice, self._links, clock)
@@ -93,6 +96,7 @@
             self._links,
             Submissions(platform.store, clock, self._gate),
             self._gate,
+            self.config,
             self._log,
             lambda: self._leader,
         )
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.queues.config_watch import ConfigWatch
 from nutmeglb._internal.queues.decision_log import DecisionLog
 from nutmeglb._internal.queues.leader import Leader
 from nutmeglb._internal.queues.links import Links
@@ -62,10 +63,12 @@
         links: Links,
         submissions: Submissions,
         gate: StoreGate,
+        config: ConfigWatch,
         log: DecisionLog,
         leader: Callable[[], Leader | None],
     ) -> None:
         self._clock = clock
+        self._config = config
         self._links = links
         self._submissions = submissions
         self._gate = gate
@@ -93,7 +96,14 @@
         if refuses and await self._status_at_leader(job.job_id) is not None:
             return SubmitAnswer(Submission.REPEATED)
         if retry_ms is not None:
-            self._decide("job_refused", "no room in time", job, retry_ms=round(retry_ms))
+            age_ms = round(self._clock.now_ms() - self._refusing_ms) if self._refusing_ms else 0
+            self._decide(
+                "job_refused",
+                "no room in time",
+                job,
+                retry_ms=round(retry_ms),
+                load_report_age_ms=age_ms,
+            )
             return SubmitAnswer(Submission.NOT_ACCEPTED, retry_ms)
         outcome = await self._submissions.submit(job, until_ms)
         if outcome == Submission.ACCEPTED:
@@ -211,4 +221,8 @@
 
     def _decide(self, kind: str, cause: str, job: QueueJob, **fields: object) -> None:
         fields["queue"] = job.queue.name
+        config = self._config.current
+        if config is not None and self._config.contact_ms is not None:
+            fields["config_version"] = config.version
+            fields["config_age_ms"] = round(self._clock.now_ms() - self._config.contact_ms)
         self._log.write([Decision(kind, cause, job=job.job_id, fields=tuple(fields.items()))])
--- a/packages/nutmeglb/src/nutmeglb/_internal/telemetry/events.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/telemetry/events.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from nutmeglb._internal.telemetry.logs import Level, LogOutput, current_output
+from nutmeglb._internal.telemetry.order import OrderClock
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.events import (
     EVENT_MESSAGE_TYPE,
@@ -13,13 +14,6 @@
     event_to_items,
 )
 
-# Smallest step between two events of one instance. Wall-clock times in milliseconds have a
-# resolution of about 0.0002 ms as a float.
-STEP_MS = 0.001
-# A peer whose clock is further ahead is not followed, so that one bad clock cannot move the time
-# line of the whole cell.
-MAX_AHEAD_MS = 60_000.0
-
 
 class EventRing:
     """Implements ``EventLog`` and ``EventQuery``.
@@ -48,7 +42,7 @@
         self._output = output
         self._events: deque[Event] = deque(maxlen=capacity)
         self._sequence = 0
-        self._order_ms = 0.0
+        self._order = OrderClock(clock)
 
     def set_epoch_source(self, epoch: Callable[[], int]) -> None:
         """Set the source of the epoch after leadership has been created."""
@@ -56,12 +50,11 @@
 
     def stamp_ms(self) -> float:
         """Return the time to put on an outgoing peer frame, in milliseconds."""
-        return max(self._order_ms, self._clock.wall_ms())
+        return self._order.stamp_ms()
 
     def observe(self, sent_ms: float) -> None:
         """Note the time on an incoming peer frame. Later events sort after it."""
-        if self._order_ms < sent_ms <= self._clock.wall_ms() + MAX_AHEAD_MS:
-            self._order_ms = sent_ms
+        self._order.observe(sent_ms)
 
     def emit(
         self,
@@ -80,13 +73,12 @@
         output = self._output or current_output()
         wall_ms = self._clock.wall_ms()
         self._sequence += 1
-        self._order_ms = max(wall_ms, self._order_ms + STEP_MS)
         event = Event(
             self._instance_id,
             self._sequence,
             self._clock.now_ms(),
             wall_ms,
-            self._order_ms,
+            self._order.advance(),
             self._epoch(),
             kind,
             cause,
--- a/tests/functional/test_nutmegctl.py
+++ b/tests/functional/test_nutmegctl.py
@@ -30,6 +30,20 @@
         "event": event_to_items(fixture.events.query(EventFilter(), 1)[0]),
     }
     (directory / "e1.log").write_text(json.dumps(line) + "\n{half")
+    (directory / "day.txt").write_text("  1.2 e1 " + json.dumps(DECISION))
+
+
+DECISION = {
+    "kind": "tasks_placed",
+    "cause": "room and rank",
+    "job": "00aa",
+    "sequence": 4,
+    "at_ms": 12.5,
+    "order_ms": 1_000.0,
+    "message_type": "decision",
+    "timestamp": 1.0,
+    "instance": "e1",
+}
 
 
 def run(directory: Path, *lines: str) -> list[Finished]:
@@ -66,6 +80,7 @@
         ("teams", "counters"),
         ("timeline --job=a.1 --logs=DIR/e1.log", "job.accepted"),
         ("timeline --live=false --logs=DIR/e1.log", "job.accepted"),
+        ("timeline --live=false --job=00aa --logs=DIR/day.txt", "tasks_placed"),
         ("settings check DIR/ctl.ini", "valid; 1 servers"),
     ],
 )
--- a/tests/unit/test_queue_placing.py
+++ b/tests/unit/test_queue_placing.py
@@ -302,7 +302,7 @@
     [(URGENT, step(required_label="gpu")), (URGENT, step(cpu=64_000)), (ADVISED, step())],
 )
 def test_steps_that_cannot_start_do_not_hold_up_others(queue, spec):
-    """A burst of jobs without a worker, too large, or waiting for advice, ahead of ordinary ones."""
+    """A burst of jobs without a worker, too large, or waiting for advice, ahead of others."""
     world = CellWorld()
     world.show(worker_info("w1"))
     for number in range(400):
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -8,10 +8,13 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from nutmeglb._internal.queues.decision_log import DecisionLog
 from nutmeglb._internal.telemetry import logs
 from nutmeglb._internal.telemetry.bridge import BridgeHandler
-from nutmeglb._internal.telemetry.events import MAX_AHEAD_MS, EventRing
+from nutmeglb._internal.telemetry.events import EventRing
 from nutmeglb._internal.telemetry.metrics import MAX_LABEL_SETS, MetricsRegistry
+from nutmeglb._internal.telemetry.order import MAX_AHEAD_MS, OrderClock
+from nutmeglb_decisions.queues.effects import Decision
 from nutmeglb_formats.clock import ManualClock
 from nutmeglb_formats.models.events import EventFilter, event_from_items, event_to_items
 from nutmeglb_formats.timeline import merge, read_log
@@ -178,3 +181,73 @@
     assert output.lines[0]["text"] == "store: Call 0"
     assert output.lines[0]["lease"] == logs.REDACTED
     assert output.lines[0]["level"] == "warning"
+
+
+def decision_line(**changes: Any) -> str:
+    """Return a line as a decision log writes it, behind what a log collector puts before it."""
+    line = {
+        "kind": "tasks_placed",
+        "cause": "room and rank",
+        "job": "00aa",
+        "step": "00aa.0.0",
+        "sequence": 4,
+        "at_ms": 12.5,
+        "order_ms": 1_000.0,
+        "message_type": "decision",
+        "timestamp": 1.0,
+        "instance": "e1",
+    }
+    return "  12.98 e1 " + json.dumps({**line, **changes})
+
+
+@pytest.mark.parametrize(
+    ("line", "job", "damaged"),
+    [
+        (decision_line(), "00aa", 0),
+        (decision_line(job=None, task="00aa.0.0.3"), "00aa", 0),
+        (decision_line(job=None), None, 0),
+        (decision_line()[:-9], None, 1),
+        (decision_line(sequence="x"), None, 1),
+        (decision_line(timestamp="x"), None, 1),
+        (decision_line(kind=None), None, 1),
+    ],
+)
+def test_time_line_reads_the_decisions_of_a_log(line: str, job: str | None, damaged: int) -> None:
+    """Guards against decisions on queues that the time line does not show."""
+    found = read_log([line])
+    assert found.damaged == damaged
+    assert [event.job for event in found.events] == ([] if damaged else [job])
+
+
+def test_decisions_sort_after_what_caused_them_despite_a_slow_clock() -> None:
+    lines: list[dict[str, Any]] = []
+    fast, slow = ManualClock(20_000), ManualClock(1_000)
+    sender, receiver = OrderClock(fast), OrderClock(slow)
+    for clock, order in ((fast, sender), (slow, receiver)):
+        output = RecordingOutput(clock)
+        former = logs.use_output(output)
+        try:
+            receiver.observe(sender.stamp_ms())
+            log = DecisionLog(clock, order, MetricsRegistry(), 10)
+            log.write([Decision("job_accepted", "stored", job="00aa")])
+        finally:
+            logs.use_output(former)
+        lines += output.lines
+    assert lines[0]["order_ms"] < lines[1]["order_ms"]
+
+
+def test_decision_log_is_bounded_and_keeps_what_explains_failures() -> None:
+    clock = ManualClock(1_000)
+    output = RecordingOutput(clock)
+    former = logs.use_output(output)
+    try:
+        log = DecisionLog(clock, OrderClock(clock), MetricsRegistry(), 2)
+        log.write([Decision("tasks_placed", "room and rank")] * 5)
+        log.write([Decision("job_refused", "no room in time")])
+        clock.advance(1_000)
+        log.write([Decision("tasks_placed", "room and rank")])
+    finally:
+        logs.use_output(former)
+    kinds = [line["kind"] for line in output.lines]
+    assert kinds == ["tasks_placed"] * 2 + ["job_refused", "left_out", "tasks_placed"]
+    assert output.lines[3]["tasks_placed"] == 3
