--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -5,17 +5,18 @@
 from collections.abc import Callable
 from typing import Any
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from nutmeglb._internal.background import BackgroundTasks
-from nutmeglb._internal.queues import keys
+from nutmeglb._internal.queues import keys, stored_jobs
 from nutmeglb._internal.queues.advisers import Advisers
 from nutmeglb._internal.queues.commits import Committer
 from nutmeglb._internal.queues.decision_log import DecisionLog
 from nutmeglb._internal.queues.election import TAKE_OVER_FAILED, Term
 from nutmeglb._internal.queues.links import Links
-from nutmeglb._internal.queues.ports import Listing, Platform, Removal, StoredItem
+from nutmeglb._internal.queues.ports import Platform, Removal
 from nutmeglb._internal.queues.settings import QueueSection
+from nutmeglb._internal.queues.stored_jobs import Inbox
 from nutmeglb._internal.queues.worker_link import (
     CLOCK_ERROR,
     LAPSE_MARGIN_MS,
@@ -37,9 +38,7 @@
 from nutmeglb_decisions.queues.effects import AskAdvice, Effect, PaceTask, StartTask, StopTask
 from nutmeglb_decisions.queues.names import parse_task
 from nutmeglb_formats.clock import Clock
-from nutmeglb_formats.exceptions import StoreError
-from nutmeglb_formats.models.queue_records import AcceptedJob, JobProgress, load
-from nutmeglb_formats.models.queues import QueueConfig, QueueJob, QueueWorker
+from nutmeglb_formats.models.queues import QueueConfig, QueueJob
 from nutmeglb_formats.wire.queues import LoadReport
 
 logger = get_logger("leader")
@@ -187,47 +186,29 @@
         """Read accepted jobs and progress. Return whether everything was read."""
         if not await self._committer.begin():
             return False
-        stored, accepted, workers = await asyncio.gather(
-            self._platform.store.range(keys.PROGRESS, large=True),
-            self._platform.store.range(keys.ACCEPTED, large=True),
-            self._read_workers(),
-        )
-        if isinstance(stored, Err) or isinstance(accepted, Err) or isinstance(workers, Err):
+        stored = await stored_jobs.read_state(self._platform)
+        if isinstance(stored, Err):
+            logger.warning("what has to be scheduled is not read", cause=str(stored.err_value))
             return False
         now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
-        found = self._progress_of(stored.ok_value, keys.PROGRESS)
-        cancelled = []
-        for item in accepted.ok_value.items:
-            job_id = item.key.removeprefix(keys.ACCEPTED)
-            if job_id.endswith(keys.CANCEL_SUFFIX):
-                cancelled.append(job_id.removesuffix(keys.CANCEL_SUFFIX))
-                continue
-            job = self._decode_job(item)
-            if job is not None:
-                progress.restore(self.cell, job, found.get(job_id), now_ms, wall_ms)
-        for job_id in cancelled:
+        state = stored.ok_value
+        for job in state.inbox.jobs:
+            found = state.progress.get(job.job_id)
+            progress.restore(self.cell, job, found, now_ms, wall_ms)
+        for job_id in state.inbox.cancelled:
             lifecycle.cancel_job(self.cell, job_id, wall_ms)
-        self._revision = accepted.ok_value.revision
-        reports.list_workers(self.cell, workers.ok_value, now_ms, wall_ms)
+        self._revision = state.inbox.revision
+        reports.list_workers(self.cell, state.workers, now_ms, wall_ms)
         self._link_workers()
         return True
 
-    def _progress_of(self, listing: Listing, prefix: str) -> dict[str, JobProgress]:
-        found: dict[str, JobProgress] = {}
-        for item in listing.items:
-            job_id = item.key.removeprefix(prefix)
-            loaded = load(item.value, item.key)
-            if isinstance(loaded, Err) or not isinstance(loaded.ok_value, JobProgress):
-                logger.error("a progress record is malformed", key=item.key)
-            else:
-                found[job_id] = loaded.ok_value
-        return found
-
     async def _finished_loop(self) -> None:
         """Read the states of finished jobs, then remove those that are old enough."""
-        while isinstance(listing := await self._platform.store.range(keys.FINAL, large=True), Err):
+        while isinstance(
+            finished := await stored_jobs.read_progress(self._platform.store, keys.FINAL), Err
+        ):
             await asyncio.sleep(RETRY_MS / MS_PER_S)
-        for job_id, found in self._progress_of(listing.ok_value, keys.FINAL).items():
+        for job_id, found in finished.ok_value.items():
             progress.restore_final(self.cell, job_id, found)
         keep_ms = self._settings.status_s * MS_PER_S + WALL_CLOCK_ERROR_MS
         while True:
@@ -236,31 +217,10 @@
             self._committer.remove([keys.final(job_id) for job_id in old])
             await asyncio.sleep(FORGET_EVERY_MS / MS_PER_S)
 
-    def _decode_job(self, item: StoredItem) -> QueueJob | None:
-        loaded = load(item.value, item.key)
-        if isinstance(loaded, Err):
-            logger.error("an accepted job is malformed", key=item.key, cause=loaded.err_value)
-            return None
-        record = loaded.ok_value
-        return record.job if isinstance(record, AcceptedJob) else None
-
-    async def _read_workers(self) -> Result[list[QueueWorker], StoreError]:
-        listing = await self._platform.store.range(self._platform.workers_prefix, large=True)
-        if isinstance(listing, Err):
-            return Err(listing.err_value)
-        workers = []
-        for item in listing.ok_value.items:
-            decoded = self._platform.decode_worker(item)
-            if isinstance(decoded, Err):
-                logger.warning("a worker's entry is ignored", cause=str(decoded.err_value))
-            else:
-                workers.append(decoded.ok_value)
-        return Ok(workers)
-
     async def _workers_loop(self) -> None:
         while True:
             await asyncio.sleep(self._settings.list_ms / MS_PER_S)
-            workers = await self._read_workers()
+            workers = await stored_jobs.read_workers(self._platform)
             if isinstance(workers, Ok):
                 now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
                 reports.list_workers(self.cell, workers.ok_value, now_ms, wall_ms)
@@ -307,28 +267,26 @@
                 await self._read_inbox()
                 continue
             self._revision = max(self._revision, found.ok_value.revision)
-            for change in found.ok_value.changes:
-                if not isinstance(change, Removal):
-                    self._take_in(change)
+            unknown = [
+                change
+                for change in found.ok_value.changes
+                if not isinstance(change, Removal)
+                and change.key.removeprefix(keys.ACCEPTED) not in self.cell.jobs
+            ]
+            self._take_in(stored_jobs.decode_inbox(unknown, self._revision))
 
     async def _read_inbox(self) -> None:
-        listing = await self._platform.store.range(keys.ACCEPTED, large=True)
-        if isinstance(listing, Err):
-            return
-        logger.info("read all accepted jobs, since the store's history is gone")
-        for item in listing.ok_value.items:
-            self._take_in(item)
-        self._revision = listing.ok_value.revision
-
-    def _take_in(self, item: StoredItem) -> None:
-        job_id = item.key.removeprefix(keys.ACCEPTED)
-        if job_id.endswith(keys.CANCEL_SUFFIX):
-            self.cancel(job_id.removesuffix(keys.CANCEL_SUFFIX))
-            return
-        if job_id not in self.cell.jobs:
-            job = self._decode_job(item)
-            if job is not None:
-                self.offer(job)
+        inbox = await stored_jobs.read_inbox(self._platform.store)
+        if isinstance(inbox, Ok):
+            logger.info("read all accepted jobs, since the store's history is gone")
+            self._take_in(inbox.ok_value)
+            self._revision = inbox.ok_value.revision
+
+    def _take_in(self, inbox: Inbox) -> None:
+        for job in inbox.jobs:
+            self.offer(job)
+        for job_id in inbox.cancelled:
+            self.cancel(job_id)
 
     async def _tick_loop(self) -> None:
         while True:
