--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/stored_jobs.py
@@ -0,0 +1,105 @@
+"""What the store holds for the scheduler of queues, decoded. Malformed records are left out."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from nutmeglb._internal.queues import keys
+from nutmeglb._internal.queues.ports import Platform, QueueStore, StoredItem
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_formats.exceptions import StoreError
+from nutmeglb_formats.models.queue_records import AcceptedJob, JobProgress, load
+from nutmeglb_formats.models.queues import QueueJob, QueueWorker
+
+logger = get_logger("stored jobs")
+
+
+@dataclass(frozen=True, slots=True)
+class Inbox:
+    """Accepted jobs and ids of cancelled ones. Changes after ``revision`` may be missing."""
+
+    jobs: tuple[QueueJob, ...]
+    cancelled: tuple[str, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoredState:
+    """All that a new leader schedules."""
+
+    inbox: Inbox
+    progress: dict[str, JobProgress]
+    workers: tuple[QueueWorker, ...]
+
+
+async def read_state(platform: Platform) -> Result[StoredState, StoreError]:
+    """Read what a new leader schedules, side by side."""
+    store = platform.store
+    progress, inbox, workers = await asyncio.gather(
+        read_progress(store, keys.PROGRESS), read_inbox(store), read_workers(platform)
+    )
+    if isinstance(progress, Err):
+        return Err(progress.err_value)
+    if isinstance(inbox, Err):
+        return Err(inbox.err_value)
+    if isinstance(workers, Err):
+        return Err(workers.err_value)
+    return Ok(StoredState(inbox.ok_value, progress.ok_value, tuple(workers.ok_value)))
+
+
+async def read_progress(
+    store: QueueStore, prefix: str
+) -> Result[dict[str, JobProgress], StoreError]:
+    """Read the progress of unfinished jobs, or the states of finished ones, by job id."""
+    listing = await store.range(prefix, large=True)
+    if isinstance(listing, Err):
+        return Err(listing.err_value)
+    found: dict[str, JobProgress] = {}
+    for item in listing.ok_value.items:
+        loaded = load(item.value, item.key)
+        if isinstance(loaded, Err) or not isinstance(loaded.ok_value, JobProgress):
+            logger.error("a progress record is malformed", key=item.key)
+        else:
+            found[item.key.removeprefix(prefix)] = loaded.ok_value
+    return Ok(found)
+
+
+async def read_inbox(store: QueueStore) -> Result[Inbox, StoreError]:
+    """Read all accepted jobs and cancellations."""
+    listing = await store.range(keys.ACCEPTED, large=True)
+    if isinstance(listing, Err):
+        return Err(listing.err_value)
+    return Ok(decode_inbox(listing.ok_value.items, listing.ok_value.revision))
+
+
+def decode_inbox(items: Iterable[StoredItem], revision: int) -> Inbox:
+    """Return the jobs and cancellations among the items."""
+    jobs, cancelled = [], []
+    for item in items:
+        job_id = item.key.removeprefix(keys.ACCEPTED)
+        if job_id.endswith(keys.CANCEL_SUFFIX):
+            cancelled.append(job_id.removesuffix(keys.CANCEL_SUFFIX))
+            continue
+        loaded = load(item.value, item.key)
+        if isinstance(loaded, Err):
+            logger.error("an accepted job is malformed", key=item.key, cause=str(loaded.err_value))
+        elif isinstance(loaded.ok_value, AcceptedJob):
+            jobs.append(loaded.ok_value.job)
+    return Inbox(tuple(jobs), tuple(cancelled), revision)
+
+
+async def read_workers(platform: Platform) -> Result[list[QueueWorker], StoreError]:
+    """Read the entries of all workers."""
+    listing = await platform.store.range(platform.workers_prefix, large=True)
+    if isinstance(listing, Err):
+        return Err(listing.err_value)
+    workers = []
+    for item in listing.ok_value.items:
+        decoded = platform.decode_worker(item)
+        if isinstance(decoded, Err):
+            logger.warning("a worker's entry is ignored", cause=str(decoded.err_value))
+        else:
+            workers.append(decoded.ok_value)
+    return Ok(workers)
--- /dev/null
+++ b/tests/functional/test_http_caller.py
@@ -0,0 +1,83 @@
+"""The platform's HTTP client: connections that go silent, and connections that are kept."""
+
+import asyncio
+
+from result import Ok
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from nutmeglb_platform.http import HttpCaller
+
+CALLS = 6
+
+
+class Server:
+    """Answers every call, but on connections that were silenced."""
+
+    def __init__(self):
+        self.silent = set()
+        self.connections = set()
+        self._server = HTTPServer(Application([(r"/.*", _Handler, {"server": self})]))
+
+    def start(self):
+        self._server.listen(0, "127.0.0.1")
+        (listener,) = self._server._sockets.values()
+        return f"http://127.0.0.1:{listener.getsockname()[1]}/"
+
+    def stop(self):
+        self._server.stop()
+
+
+class _Handler(RequestHandler):
+    def initialize(self, server):
+        self._owner = server
+
+    async def get(self):
+        self._owner.connections.add(self.request.connection.stream)
+        if self.request.connection.stream in self._owner.silent:
+            await asyncio.Event().wait()
+        # Calls side by side use a connection each.
+        await asyncio.sleep(0.02)
+        self.finish({})
+
+
+def played(scenario):
+    async def main():
+        server, caller = Server(), HttpCaller()
+        url = server.start()
+
+        async def calls(count):
+            return await asyncio.gather(*(caller.call("GET", url, 300.0) for _ in range(count)))
+
+        try:
+            await scenario(server, calls)
+        finally:
+            caller.close()
+            server.stop()
+
+    asyncio.run(main())
+
+
+def test_connections_that_go_silent_cost_one_timeout():
+    """Guards against a timeout for each idle connection that has died unnoticed."""
+
+    async def scenario(server, calls):
+        await calls(CALLS)
+        server.silent = set(server.connections)
+        assert not isinstance((await calls(1))[0], Ok)
+        for _ in range(3):
+            assert isinstance((await calls(1))[0], Ok)
+
+    played(scenario)
+
+
+def test_connections_of_a_burst_are_kept_for_the_next_one():
+    """Guards against opening connections anew for the orders of each gang."""
+
+    async def scenario(server, calls):
+        await calls(CALLS)
+        await calls(1)
+        await calls(CALLS)
+        assert len(server.connections) == CALLS
+
+    played(scenario)
