Apply changed settings while the process runs

Change: the file is read again at SIGHUP and within 2 s of a change. Intervals, log and stop settings apply at once; the log names what waits for a restart. A faulty file changes nothing.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
@@ -1,7 +1,7 @@
 """Writes the decisions of the scheduler as log lines, bounded per second and per kind."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from nutmeglb._internal.context import Metrics
 from nutmeglb._internal.telemetry.logs import Level, current_output
@@ -31,14 +31,16 @@
     Parameters
     ----------
     lines_per_s
-        Limit of the lines of each second; the number of lines left out follows.
+        Returns the limit of the lines of each second; the number of lines left out follows.
     """
 
-    def __init__(self, clock: Clock, order: OrderClock, metrics: Metrics, lines_per_s: int) -> None:
+    def __init__(
+        self, clock: Clock, order: OrderClock, metrics: Metrics, lines_per_s: Callable[[], int]
+    ) -> None:
         self._clock = clock
         self._order = order
         self._sequence = 0
-        self._limit = lines_per_s
+        self._lines_per_s = lines_per_s
         self._second = 0
         self._written = 0
         self._left_out: Counter[str] = Counter()
@@ -65,7 +67,7 @@
             self._second, self._written = second, 0
             if left_out:
                 self._line(Decision("left_out", "line limit", fields=tuple(left_out.items())))
-        if kind not in ALWAYS and self._written >= self._limit:
+        if kind not in ALWAYS and self._written >= self._lines_per_s():
             self._left_out[kind] += 1
             return False
         self._written += 1
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
@@ -15,6 +15,7 @@
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.queues import keys
 from nutmeglb._internal.queues.links import Links
+from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.ports import Commit, QueueStore, StoredItem, StoredPut
 from nutmeglb._internal.queues.settings import MachineSection, QueueSection
 from nutmeglb._internal.telemetry.logs import get_logger
@@ -84,8 +85,7 @@
 
     def __init__(
         self,
-        settings: QueueSection,
-        machine: MachineSection,
+        live: LiveSettings,
         clock: Clock,
         rng: random.Random,
         store: QueueStore,
@@ -94,8 +94,7 @@
         on_elected: Callable[[Term], Awaitable[None]],
         on_deposed: Callable[[str], Awaitable[None]],
     ) -> None:
-        self._settings = settings
-        self._machine = machine
+        self._live = live
         self._clock = clock
         self._rng = rng
         self._store = store
@@ -117,6 +116,10 @@
         links.on(LeaderResigned, self._on_resigned)
         links.on(StoreProbe, self._on_probe)
 
+    @property
+    def _settings(self) -> QueueSection:
+        return self._live.current.queues
+
     @property
     def term(self) -> Term | None:
         """Return the present leadership of this instance."""
@@ -260,7 +263,7 @@
     async def _campaign(self, former: StoredItem | None) -> float:
         if self._resigned or self._clock.now_ms() < self._hold_back_until_ms:
             return LOOK_MS
-        delay_ms = self._rng.uniform(0, CAMPAIGN_JITTER_MS) + weakness(self._machine)
+        delay_ms = self._rng.uniform(0, CAMPAIGN_JITTER_MS) + weakness(self._live.current.machine)
         await asyncio.sleep(delay_ms / 1_000)
         counter = await self._store.get(keys.TERM)
         if isinstance(counter, Err):
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -14,6 +14,7 @@
 from nutmeglb._internal.queues.decision_log import DecisionLog
 from nutmeglb._internal.queues.election import TAKE_OVER_FAILED, Term
 from nutmeglb._internal.queues.links import Links
+from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.ports import Platform, Removal
 from nutmeglb._internal.queues.settings import QueueSection
 from nutmeglb._internal.queues.stored_jobs import Inbox
@@ -70,7 +71,7 @@
 
     def __init__(
         self,
-        settings: QueueSection,
+        live: LiveSettings,
         clock: Clock,
         rng: random.Random,
         platform: Platform,
@@ -81,7 +82,7 @@
         incarnation: str,
         on_lost: Callable[[str], None],
     ) -> None:
-        self._settings = settings
+        self._live = live
         self._clock = clock
         self._rng = rng
         self._platform = platform
@@ -90,6 +91,8 @@
         self._log = log
         self._term = term
         self._on_lost = on_lost
+        settings = live.current.queues
+        self._run_lease_ms = settings.lease_of_runs_ms
         lease_ms = settings.lease_of_runs_ms / (1 - CLOCK_ERROR)
         self.cell = Cell(term.number, lease_ms + LAPSE_MARGIN_MS)
         self._committer = Committer(
@@ -111,6 +114,10 @@
         self.loaded = False
         self.refusing: dict[str, float] = {}
 
+    @property
+    def _settings(self) -> QueueSection:
+        return self._live.current.queues
+
     async def start(self, config: QueueConfig) -> None:
         """Take over: read everything from the store, then hold every worker."""
         self.cell.configure(config)
@@ -241,7 +248,7 @@
                 self._platform.workers,
                 self._clock,
                 self._term.fence,
-                self._settings.lease_of_runs_ms,
+                self._run_lease_ms,
                 self._hooks,
             )
             self._worker_links[worker_id] = link
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/live_settings.py
@@ -0,0 +1,111 @@
+"""Settings that follow their file while the process runs."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+from result import Err, Result
+
+from nutmeglb._internal.queues.settings import QueueSettings
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_formats.exceptions import SettingsError
+
+logger = get_logger("settings")
+
+Load = Callable[[Path], Result[QueueSettings, tuple[SettingsError, ...]]]
+
+# Keys that take effect while the process runs. Leases and addresses are part of what other
+# processes rely on, and are related to each other, so they change with a restart.
+LIVE_KEYS = frozenset(
+    {
+        "queues.list_ms",
+        "queues.inbox_ms",
+        "queues.status_s",
+        "log.lines_per_s",
+        "stop.balancer_notice_ms",
+        "stop.drain_limit_ms",
+    }
+)
+# A file that changes without a signal is noticed after this time.
+LOOK_MS = 2_000.0
+MS_PER_S = 1_000.0
+
+
+class LiveSettings:
+    """The settings in force.
+
+    Parameters
+    ----------
+    path, load
+        File and how it is read; without a file the settings never change.
+    """
+
+    def __init__(
+        self, settings: QueueSettings, path: Path | None = None, load: Load | None = None
+    ) -> None:
+        self._current = settings
+        self._path = path
+        self._load = load
+        self._seen: tuple[int, int] | None = None
+        self._seen = self._stamp()
+
+    @property
+    def current(self) -> QueueSettings:
+        """Return the settings in force."""
+        return self._current
+
+    def reload(self) -> None:
+        """Read the file again, and use what can change while the process runs."""
+        if self._path is None or self._load is None:
+            logger.info("there is no settings file to read again")
+            return
+        self._seen = self._stamp()
+        loaded = self._load(self._path)
+        if isinstance(loaded, Err):
+            for error in loaded.err_value:
+                logger.error("the changed settings are not used", cause=str(error))
+            return
+        changed = _changed_keys(self._current, loaded.ok_value)
+        live = [key for key in changed if key in LIVE_KEYS]
+        self._current = _with_live(self._current, loaded.ok_value, live)
+        waiting = [key for key in changed if key not in LIVE_KEYS]
+        logger.info("settings read again", applied=live, after_restart=waiting)
+
+    async def follow(self) -> None:
+        """Read the file again when it changes without a signal, until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_MS / MS_PER_S)
+            if self._stamp() != self._seen:
+                self.reload()
+
+    def _stamp(self) -> tuple[int, int] | None:
+        if self._path is None:
+            return None
+        try:
+            status = self._path.stat()
+        except OSError:
+            # A file that is being replaced is looked at again next time.
+            return self._seen
+        return status.st_mtime_ns, status.st_size
+
+
+def _values(settings: QueueSettings) -> dict[str, object]:
+    return {
+        f"{section}.{key}": value
+        for section, keys in settings.model_dump().items()
+        for key, value in keys.items()
+    }
+
+
+def _changed_keys(former: QueueSettings, latter: QueueSettings) -> list[str]:
+    values = _values(latter)
+    return [key for key, value in _values(former).items() if values[key] != value]
+
+
+def _with_live(former: QueueSettings, latter: QueueSettings, keys: list[str]) -> QueueSettings:
+    """Return the former settings with some keys of the latter."""
+    values, given = former.model_dump(), latter.model_dump()
+    for name in keys:
+        section, _, key = name.partition(".")
+        values[section][key] = given[section][key]
+    return QueueSettings.model_validate(values)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 import signal
-from collections.abc import Callable
 from typing import Protocol
 
 from nutmeglb._internal.background import BackgroundTasks
@@ -15,9 +14,9 @@
 from nutmeglb._internal.queues.election import Election, Term
 from nutmeglb._internal.queues.leader import Leader
 from nutmeglb._internal.queues.links import Links
+from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.ports import Platform
 from nutmeglb._internal.queues.service import QueueService
-from nutmeglb._internal.queues.settings import QueueSettings
 from nutmeglb._internal.queues.store_gate import StoreGate
 from nutmeglb._internal.queues.submissions import Submissions
 from nutmeglb._internal.telemetry.logs import get_logger
@@ -67,15 +66,16 @@
     """
 
     def __init__(
-        self, settings: QueueSettings, platform: Platform, clock: Clock, metrics: Metrics
+        self, live: LiveSettings, platform: Platform, clock: Clock, metrics: Metrics
     ) -> None:
-        self._settings = settings
+        settings = live.current
+        self._live = live
         self._platform = platform
         self._clock = clock
         self._rng = random.Random(secrets.randbits(SEED_BITS))
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
         order = OrderClock(clock)
-        self._log = DecisionLog(clock, order, metrics, settings.log.lines_per_s)
+        self._log = DecisionLog(clock, order, metrics, lambda: live.current.log.lines_per_s)
         self._background = BackgroundTasks()
         self._draining = False
         self._leader: Leader | None = None
@@ -101,8 +101,7 @@
             lambda: self._leader,
         )
         self._election = Election(
-            settings.queues,
-            settings.machine,
+            live,
             clock,
             self._rng,
             platform.store,
@@ -138,13 +137,13 @@
         """Return whether a planned stop has begun."""
         return self._draining
 
-    async def run(self, frontend: Frontend, reload: Callable[[], None]) -> ExitStatus:
+    async def run(self, frontend: Frontend) -> ExitStatus:
         """Serve until SIGTERM or SIGINT, then stop as planned."""
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stop.set)
-        loop.add_signal_handler(signal.SIGHUP, reload)
+        loop.add_signal_handler(signal.SIGHUP, self._live.reload)
         await self.start(frontend)
         await stop.wait()
         await self.drain(frontend)
@@ -156,6 +155,7 @@
         await self._links.start()
         await frontend.start()
         self._background.spawn(self.config.run())
+        self._background.spawn(self._live.follow())
         self._background.spawn(self._begin_election())
         logger.info("started", incarnation=self._incarnation)
 
@@ -168,15 +168,16 @@
     async def drain(self, frontend: Frontend) -> None:
         """Hand over the leadership, and serve until the balancer sends nobody any more."""
         self._draining = True
-        logger.info("draining", balancer_notice_ms=self._settings.stop.balancer_notice_ms)
+        limits = self._live.current.stop
+        logger.info("draining", balancer_notice_ms=limits.balancer_notice_ms)
         frontend.begin_drain()
         if self._leader is not None:
             await self._leader.flushed(HAND_OVER_MS)
         await self._election.resign()
         # Counts only time in which the process ran: a paused one shows nothing to the balancer.
-        for _ in range(int(self._settings.stop.balancer_notice_ms / MS_PER_S / STEP_S)):
+        for _ in range(int(limits.balancer_notice_ms / MS_PER_S / STEP_S)):
             await asyncio.sleep(STEP_S)
-        deadline_ms = self._clock.now_ms() + self._settings.stop.drain_limit_ms
+        deadline_ms = self._clock.now_ms() + limits.drain_limit_ms
         while frontend.in_flight and self._clock.now_ms() < deadline_ms:
             await asyncio.sleep(STEP_S)
 
@@ -193,7 +194,7 @@
 
     def _own_record(self) -> LeaderRecord:
         return LeaderRecord(
-            self._settings.instance.id,
+            self._live.current.instance.id,
             self._incarnation,
             self._links.bound_address,
             0,
@@ -204,7 +205,7 @@
         config = self.config.current
         assert config is not None
         self._leader = Leader(
-            self._settings.queues,
+            self._live,
             self._clock,
             self._rng,
             self._platform,
--- a/scripts/check_settings_docs.py
+++ b/scripts/check_settings_docs.py
@@ -17,9 +17,13 @@
 # Settings of an entry instance on the users' platform
 
 `deploy/settings.ini` is the template from which the platform renders the file that
-`NUTMEGLB_BOOT` names. `python -m nutmeglb_platform --check FILE` checks a rendered file. Settings
-are read at the start; after SIGHUP, or a change of the file without a signal, the log says that a
-restart is needed.
+`NUTMEGLB_BOOT` names. `python -m nutmeglb_platform --check FILE` checks a rendered file.
+
+The file is read at the start, at SIGHUP, and within 2 s of a change without a signal. These keys
+then take effect at once: `queues.list_ms`, `queues.inbox_ms`, `queues.status_s`,
+`log.lines_per_s`, `stop.balancer_notice_ms`, `stop.drain_limit_ms`. The log line `settings read
+again` names them under `applied`, and under `after_restart` the changed keys that wait for the next
+start. A file with errors changes nothing; the errors are logged.
 
 This page is generated from the models by `python -m scripts.check_settings_docs --write`;
 `make check` compares them.
--- a/tests/lib/queue_path.py
+++ b/tests/lib/queue_path.py
@@ -8,6 +8,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
+from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.node import QueueNode
 from nutmeglb._internal.queues.settings import QueueSettings
 from nutmeglb._internal.telemetry.metrics import MetricsRegistry
@@ -105,7 +106,7 @@
             }
         )
         clock, metrics = Clock(), MetricsRegistry()
-        node = QueueNode(settings, PlatformAdapter(settings), clock, metrics)
+        node = QueueNode(LiveSettings(settings), PlatformAdapter(settings), clock, metrics)
         frontend = HttpFrontend(settings.listen, node, clock, metrics)
         await node.start(frontend)
         entry = Entry(node, frontend, *frontend.bound_addresses)
--- /dev/null
+++ b/tests/unit/test_live_settings.py
@@ -0,0 +1,58 @@
+"""Settings that change while an instance runs: what applies at once, and what is refused."""
+
+from pathlib import Path
+
+import pytest
+
+from nutmeglb._internal.queues.live_settings import LIVE_KEYS, LiveSettings
+from nutmeglb_platform.__main__ import _load
+
+TEXT = """
+[instance]
+id = e1
+failure_domain = z1
+[listen]
+caller = 127.0.0.1:1
+health = 127.0.0.1:2
+peer = 127.0.0.1:3
+[store]
+address = 127.0.0.1:4
+"""
+
+
+@pytest.mark.parametrize(
+    ("added", "list_ms", "run_lease_ms"),
+    [
+        ("[queues]\nlist_ms = 250\n", 250, 6_000),
+        ("[queues]\nlist_ms = 250\nrun_lease_ms = 4000\n", 250, 6_000),
+        ("[queues]\nlist_ms = fast\n", 500, 6_000),
+        ("[queues]\nodd = 1\n", 500, 6_000),
+    ],
+)
+def test_reload(added: str, list_ms: int, run_lease_ms: int, tmp_path: Path) -> None:
+    """Guards against a faulty file that ends a process, and leases that differ within a term."""
+    path = tmp_path / "settings.ini"
+    path.write_text(TEXT)
+    live = LiveSettings(_load(path).unwrap(), path, _load)
+    path.write_text(TEXT + added)
+    live.reload()
+    assert live.current.queues.list_ms == list_ms
+    assert live.current.queues.run_lease_ms == run_lease_ms
+
+
+def test_live_keys_exist(tmp_path: Path) -> None:
+    path = tmp_path / "settings.ini"
+    path.write_text(TEXT)
+    sections = _load(path).unwrap().model_dump()
+    for name in LIVE_KEYS:
+        section, _, key = name.partition(".")
+        assert key in sections[section]
+
+
+def test_file_that_vanishes_changes_nothing(tmp_path: Path) -> None:
+    path = tmp_path / "settings.ini"
+    path.write_text(TEXT)
+    live = LiveSettings(_load(path).unwrap(), path, _load)
+    path.unlink()
+    live.reload()
+    assert live.current.queues.list_ms == 500
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -228,7 +228,7 @@
         former = logs.use_output(output)
         try:
             receiver.observe(sender.stamp_ms())
-            log = DecisionLog(clock, order, MetricsRegistry(), 10)
+            log = DecisionLog(clock, order, MetricsRegistry(), lambda: 10)
             log.write([Decision("job_accepted", "stored", job="00aa")])
         finally:
             logs.use_output(former)
@@ -241,7 +241,7 @@
     output = RecordingOutput(clock)
     former = logs.use_output(output)
     try:
-        log = DecisionLog(clock, OrderClock(clock), MetricsRegistry(), 2)
+        log = DecisionLog(clock, OrderClock(clock), MetricsRegistry(), lambda: 2)
         log.write([Decision("tasks_placed", "room and rank")] * 5)
         log.write([Decision("job_refused", "no room in time")])
         clock.advance(1_000)
