Count a job as pending until a worker shows a start

Cause: a new leader took every job whose steps name workers for one that has begun, but workers are named before the first order.

Change: a job has begun when a worker confirms a start, lists a run, or lists an end, also after a take-over.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -49,6 +49,7 @@
         return
     if outcome in (StartOutcome.STARTED, StartOutcome.OLD_RUN):
         run.confirmed_ms = now_ms
+        run.step.job.begun = True
         if outcome == StartOutcome.STARTED:
             run.state = RunState.RUNNING
         return
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -301,7 +301,6 @@
     state.reservations.charge(worker.worker_id, charged, expected_ms)
     task.run = run
     task.last_run = number
-    step.job.begun = True
     state.placed.append(run)
     ticket = step.advice.tickets.get(worker.worker_id, ("", 0.0))[0]
     body = step.job.record.body
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
@@ -50,8 +50,9 @@
         steps = job.occurrences.get(stored.occurrence) or job.add_occurrence(stored.occurrence)
         if stored.step < len(steps):
             _restore_step(steps[stored.step], stored)
-    if progress.steps:
-        job.begun = any(step.recorded for step in job.steps)
+    # A step names its workers before it starts on them, so this shows no start; runs that go on
+    # and ends show it when their workers answer.
+    job.begun = bool(job.completed) or any(s.done or s.failures for s in progress.steps)
 
 
 def restore_final(cell: Cell, job_id: str, progress: JobProgress) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -151,12 +151,14 @@
 def _apply_end(cell: Cell, worker: Worker, ended: EndedTask, now_ms: float, wall_ms: float) -> None:
     run = worker.runs.get((ended.task, ended.run))
     if run is not None:
+        run.step.job.begun = True
         _learn(cell, worker, run, ended.outcome, now_ms)
         end_run(cell, run, ended.outcome, ended.checkpoint, now_ms, wall_ms)
         return
     name = parse_task(ended.task)
     step = cell.find_step(name.job_id, name.occurrence, name.step) if name else None
     if name is not None and step is not None and name.index < len(step.tasks):
+        step.job.begun = True
         note_end(
             cell, step, name.index, ended.run, ended.outcome, ended.checkpoint, now_ms, wall_ms
         )
@@ -198,6 +200,7 @@
     if run.state == RunState.ORDERED:
         run.state = RunState.RUNNING
         run.confirmed_ms = now_ms
+        run.step.job.begun = True
     if running.checkpoint:
         run.step.tasks[run.index].checkpoint = running.checkpoint
     run.percent = running.percent
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -179,7 +179,7 @@
     completed
         Numbers of the completed occurrences.
     begun
-        Whether a task has started.
+        Whether a worker has shown that a task has started.
     final
         Final state. Callers see it once it is stored.
     """
--- a/tests/unit/test_queue_runs.py
+++ b/tests/unit/test_queue_runs.py
@@ -215,6 +215,31 @@
     assert [start.worker_id for start in following.started] == ["w2"]
 
 
+@pytest.mark.parametrize(
+    ("answer", "ended", "pending"),
+    [
+        (None, None, 1),
+        (StartOutcome.UNHEALTHY, None, 1),
+        (StartOutcome.STARTED, None, 0),
+        (StartOutcome.STARTED, "failed", 0),
+    ],
+)
+def test_job_is_pending_until_a_worker_shows_a_start(answer, ended, pending):
+    """Guards against a queue that is told to be empty, also by the next leader."""
+    world = world_with(step(2), queue=BATCH)
+    order = world.started[0]
+    if answer is not None:
+        world.answer(order, answer)
+    if ended is not None:
+        world.end(order, ended)
+    assert queries.pending(world.cell, BATCH.name) == pending
+    following = restored(world)
+    assert queries.pending(following.cell, BATCH.name) == (0 if ended else 1)
+    if answer == StartOutcome.STARTED and not ended:
+        following.report("w1", running=(RunningTask(order.task, order.run, "", 100),))
+        assert queries.pending(following.cell, BATCH.name) == 0
+
+
 def test_run_of_an_unknown_job_is_stopped_and_nothing_is_placed_beside_it():
     """Guards against an overcommitted worker: the size of such a run is unknown."""
     world = CellWorld()
