Refuse at once what no worker can run, and tell the truth to repeated submissions

A refusal for overload asked only the leader whether the job was accepted before, and a leader hears of a job up to a second after its acceptance when the accepting instance is lost.

Refusals ask the store too. Unchanged reports of the leader go out once a second instead of four times.

--- a/packages/nutmeglb-formats/src/nutmeglb_formats/wire/queues.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/wire/queues.py
@@ -89,6 +89,14 @@
     refusing: list[tuple[str, float]]
 
 
+@message(613, 1, latest_wins=True)
+@dataclass(frozen=True, slots=True)
+class PoolsReport:
+    """What workers can run: rows of service, label, and the largest amount of each resource."""
+
+    pools: list[tuple[str, str, int, int, int]]
+
+
 @message(610, 1)
 @dataclass(frozen=True, slots=True)
 class LeaderResigned:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -15,6 +15,7 @@
 from nutmeglb._internal.queues.election import TAKE_OVER_FAILED, Term
 from nutmeglb._internal.queues.links import Links
 from nutmeglb._internal.queues.live_settings import LiveSettings
+from nutmeglb._internal.queues.pool_reports import pools_report
 from nutmeglb._internal.queues.ports import Platform, Removal
 from nutmeglb._internal.queues.settings import QueueSection
 from nutmeglb._internal.queues.stored_jobs import Inbox
@@ -38,9 +39,10 @@
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import AskAdvice, Effect, PaceTask, StartTask, StopTask
 from nutmeglb_decisions.queues.names import parse_task
+from nutmeglb_decisions.queues.pools import Pool, Pools
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.queues import QueueConfig, QueueJob
-from nutmeglb_formats.wire.queues import LoadReport
+from nutmeglb_formats.wire.queues import LoadReport, PoolsReport
 
 logger = get_logger("leader")
 
@@ -49,6 +51,8 @@
 PASS_MS = 8.0
 TICK_MS = 100.0
 LOAD_REPORT_MS = 250.0
+# An unchanged report is sent again after this time, well before followers forget it.
+LOAD_REPEAT_MS = 1_000.0
 RETRY_MS = 100.0
 # A leader that cannot read what it has to schedule gives way. Reading takes a second on the slowest
 # link of the users' sheets; a store outage ends the authority of a leader in the same time.
@@ -113,6 +117,7 @@
         self._revision = 0
         self.loaded = False
         self.refusing: dict[str, float] = {}
+        self.pools: list[Pool] = []
 
     @property
     def _settings(self) -> QueueSection:
@@ -306,9 +311,19 @@
             self._changed()
 
     async def _load_loop(self) -> None:
+        pools = Pools.begin(self._clock.now_ms())
+        sent: tuple[LoadReport, PoolsReport] | None = None
+        sent_ms = 0.0
         while True:
-            self.refusing = admission.refusals(self.cell, self._clock.now_ms())
-            self._links.broadcast(LoadReport(sorted(self.refusing.items())))
+            now_ms = self._clock.now_ms()
+            pools.look(self.cell, now_ms)
+            self.pools = pools.judged(now_ms)
+            self.refusing = admission.refusals(self.cell, now_ms)
+            reports_now = LoadReport(sorted(self.refusing.items())), pools_report(self.pools)
+            if reports_now != sent or now_ms - sent_ms >= LOAD_REPEAT_MS:
+                for report in reports_now:
+                    self._links.broadcast(report)
+                sent, sent_ms = reports_now, now_ms
             await asyncio.sleep(LOAD_REPORT_MS / MS_PER_S)
 
     async def _pass_loop(self) -> None:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -10,11 +10,13 @@
 from nutmeglb._internal.queues.decision_log import DecisionLog
 from nutmeglb._internal.queues.leader import Leader
 from nutmeglb._internal.queues.links import Links
+from nutmeglb._internal.queues.pool_reports import pools_from
 from nutmeglb._internal.queues.store_gate import StoreGate
 from nutmeglb._internal.queues.submissions import Submission, Submissions
 from nutmeglb._internal.telemetry.logs import get_logger
-from nutmeglb_decisions.queues import admission, queries
+from nutmeglb_decisions.queues import admission, pools, queries
 from nutmeglb_decisions.queues.effects import Decision
+from nutmeglb_decisions.queues.pools import Pool
 from nutmeglb_decisions.queues.queries import JobStatus
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.exceptions import NotReady, NutmegError
@@ -26,6 +28,7 @@
     Noted,
     PendingQuery,
     PendingReply,
+    PoolsReport,
     StateQuery,
     StateReply,
 )
@@ -78,11 +81,13 @@
         self._pending: dict[str, tuple[int, float]] = {}
         self._refusing: dict[str, float] = {}
         self._refusing_ms = 0.0
+        self._pools: list[Pool] = []
         links.on(JobOffered, self._on_offered)
         links.on(JobCancelled, self._on_cancelled)
         links.on(StateQuery, self._on_state_query)
         links.on(PendingQuery, self._on_pending_query)
         links.on(LoadReport, self._on_load)
+        links.on(PoolsReport, self._on_pools)
 
     async def stop(self) -> None:
         """End background work."""
@@ -91,15 +96,18 @@
     async def submit(self, job: QueueJob, until_ms: float) -> SubmitAnswer:
         """Accept a job, or say that it is not accepted and never runs."""
         retry_ms = self._refusals().get(job.queue.name)
+        cause = "no room in time"
+        unservable = pools.unservable_step(job, self._known_pools())
+        if unservable:
+            retry_ms, cause = pools.RETRY_MS, unservable
         refuses = retry_ms is not None or not self._gate.is_open
-        # A refusal says that the job never runs, so it must not be a repeated submission.
-        if refuses and await self._status_at_leader(job.job_id) is not None:
+        if refuses and await self._is_known(job.job_id):
             return SubmitAnswer(Submission.REPEATED)
         if retry_ms is not None:
             age_ms = round(self._clock.now_ms() - self._refusing_ms) if self._refusing_ms else 0
             self._decide(
                 "job_refused",
-                "no room in time",
+                cause,
                 job,
                 retry_ms=round(retry_ms),
                 load_report_age_ms=age_ms,
@@ -159,6 +167,26 @@
             return {}
         return self._refusing
 
+    async def _is_known(self, job_id: str) -> bool:
+        """Return whether a job is accepted already, as far as it can be told now.
+
+        A refusal says that the job never runs, so it must not answer a repeated submission. The
+        leader hears of a job some time after its acceptance, so the store is asked too.
+        """
+        if await self._status_at_leader(job_id) is not None:
+            return True
+        if not self._gate.is_open:
+            return False
+        found = await self._submissions.status(job_id)
+        return isinstance(found, Ok) and found.ok_value is not None
+
+    def _known_pools(self) -> list[Pool]:
+        leader = self._leader()
+        if leader is not None:
+            return leader.pools
+        fresh = self._clock.now_ms() - self._refusing_ms <= LOAD_MAX_AGE_MS
+        return self._pools if fresh else []
+
     async def _offer(self, job: QueueJob) -> None:
         leader = self._leader()
         if leader is not None:
@@ -219,6 +247,9 @@
         self._refusing = dict(message.refusing)
         self._refusing_ms = self._clock.now_ms()
 
+    def _on_pools(self, sender: str, message: PoolsReport) -> None:
+        self._pools = pools_from(message)
+
     def _decide(self, kind: str, cause: str, job: QueueJob, **fields: object) -> None:
         fields["queue"] = job.queue.name
         config = self._config.current
--- a/tests/functional/test_queue_path.py
+++ b/tests/functional/test_queue_path.py
@@ -6,6 +6,7 @@
 import pytest
 
 from nutmeglb._internal.queues import election
+from nutmeglb_decisions.queues import pools
 from standins.metadata_store import Fault
 from tests.lib.queue_path import job_body, played
 
@@ -268,3 +269,33 @@
         assert (await path.call("POST", JOB, job_body(), number))[0] == 200
 
     played(scenario)
+
+
+def test_repeated_submission_is_not_refused_before_the_leader_knows_the_job():
+    """Guards against a refusal of an accepted job whose instance was lost after its acceptance."""
+
+    async def scenario(path):
+        other = path.entries[path.entries.index(path.leader) ^ 1].node.service
+        other._offer = lambda job: asyncio.sleep(0)
+        number = path.entries.index(path.leader) ^ 1
+        assert (await path.call("POST", JOB, job_body(), number))[0] == 200
+        other._refusals = lambda: {"r-1": 1_000.0}
+        assert (await path.call("POST", JOB, job_body(), number))[0] == 200
+        assert (await path.call("POST", "00000000000000bb", job_body(), number))[0] == 503
+
+    played(scenario)
+
+
+def test_job_that_no_worker_can_run_is_refused_at_once(monkeypatch):
+    monkeypatch.setattr(pools, "KEEP_MS", 200.0)
+
+    async def scenario(path):
+        await asyncio.sleep(1.5)
+        for entry in (0, 1):
+            body = job_body(steps=[{"count": 1, "requires": "absent"}])
+            assert (await path.call("POST", f"00000000000000a{entry}", body, entry))[0] == 503
+            body = job_body(steps=[{"count": 1, "cpu": 900_000}])
+            assert (await path.call("POST", f"00000000000000b{entry}", body, entry))[0] == 503
+            assert (await path.call("POST", f"00000000000000c{entry}", job_body(), entry))[0] == 200
+
+    played(scenario)
--- a/tests/unit/test_queue_placing.py
+++ b/tests/unit/test_queue_placing.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from nutmeglb_decisions.queues import admission, placing
+from nutmeglb_decisions.queues import admission, placing, pools
 from nutmeglb_decisions.queues.advice import FIRST_NAMES
 from nutmeglb_decisions.queues.effects import AskAdvice
 from nutmeglb_decisions.queues.orders import StartOutcome
@@ -256,6 +256,35 @@
     assert 500.0 <= refusing[BATCH.name] <= 5_000.0
 
 
+@pytest.mark.parametrize(
+    ("spec", "refused"),
+    [
+        (step(), False),
+        (step(required_label="k"), False),
+        (step(required_label="gpu"), True),
+        (step(cpu=16_000), False),
+        (step(cpu=17_000), True),
+        (step(cpu=17_000, fills=True), False),
+    ],
+)
+def test_job_that_no_worker_can_run_is_refused(spec, refused):
+    """A burst of such jobs, each of which would only wait for its deadline."""
+    world = CellWorld()
+    world.show(worker_info("w1"), worker_info("small", cpu=2_000))
+    seen = pools.Pools.begin(world.now_ms)
+    seen.look(world.cell, world.now_ms)
+    assert not pools.unservable_step(job("a", spec), seen.judged(world.now_ms))
+    world.show(worker_info("small", cpu=2_000))
+    later_ms = world.now_ms + pools.KEEP_MS
+    seen.look(world.cell, later_ms)
+    assert bool(pools.unservable_step(job("a", spec), seen.judged(later_ms))) == refused
+    # The large worker has been away for too long to be waited for.
+    gone_ms = later_ms + 1.0
+    seen.look(world.cell, gone_ms)
+    assert pools.unservable_step(job("a", step(cpu=3_000)), seen.judged(gone_ms))
+    assert not pools.unservable_step(job("a", spec), [])
+
+
 @pytest.mark.parametrize(
     ("record", "retry_ms"),
     [
