Renew dear advice only when the step is about to find room

The calls of the callers were used up, later gangs never got a first answer (step_waiting: 554 times no valid ticket), and lower classes took their room.

Change: calls of more than 150 ms are repeated only when room is expected about when the answer arrives; the good workers of a step do not change.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -1,9 +1,10 @@
 """When to ask for placement advice, about which workers.
 
 Load pattern answered: a burst of steps whose advice takes most of a second each. The first steps in
-rank order are asked for first and their tickets are renewed before they run out, so that room that
-becomes free is used at once; the calls outstanding are bounded by what the callers can do, so that
-urgent steps do not wait behind a queue of others.
+rank order are asked for first. Tickets of short calls are renewed before they run out, so that room
+that becomes free is used at once; those of long calls only when the step is about to find room, so
+that many waiting gangs do not use up all calls. The calls outstanding are bounded by what the
+callers can do, so that urgent steps do not wait behind a queue of others.
 """
 
 import math
@@ -125,15 +126,23 @@
     budget: AdviceBudget,
     rng: random.Random,
     now_ms: float,
+    start_ms: float,
 ) -> None:
-    """Ask about a step when its answer is missing, too narrow, or about to run out."""
+    """Ask about a step when its answer is missing, too narrow, or about to run out.
+
+    Parameters
+    ----------
+    start_ms
+        Expected time at which the step finds room. A long call is made again only to be answered
+        about then: the good workers do not change, and the call may serve another step.
+    """
     terms = cell.policy_of(step.job).advice
     state = step.advice
     if terms is None or not is_due(step, now_ms):
         return
     if budget.left_ms(terms.call_ms(1)) <= 0:
         return
-    names = _names(cell, step, workers, terms, rng, now_ms)
+    names = _names(cell, step, workers, terms, rng, now_ms, start_ms)
     if not names:
         state.not_before_ms = now_ms + LOOK_AGAIN_MS
         return
@@ -160,6 +169,7 @@
     terms: AdviceTerms,
     rng: random.Random,
     now_ms: float,
+    start_ms: float,
 ) -> list[Worker]:
     """Return the workers to name; none when the tickets at hand last long enough."""
     state = step.advice
@@ -171,7 +181,10 @@
             return (good + _most_room(step, fresh, missing, rng))[:MAX_NAMES]
     if not good:
         return []
-    ahead_ms = terms.call_ms(len(good)) + RENEW_AHEAD_MS + TICKET_MARGIN_MS
+    cost_ms = terms.call_ms(len(good))
+    ahead_ms = cost_ms + RENEW_AHEAD_MS + TICKET_MARGIN_MS
+    if cost_ms > LONG_CALL_MS and start_ms > now_ms + ahead_ms:
+        return []
     lasting = sum(
         1
         for worker in good
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -1,5 +1,6 @@
 """One scheduling pass: ranks the waiting steps, asks for advice and starts what fits."""
 
+import math
 import random
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
@@ -138,9 +139,6 @@
     workers = _eligible(state, step)
     if not workers:
         return
-    if advice.is_due(step, now_ms):
-        state.looks += len(workers)
-    advice.ask(cell, step, workers, state.budget, state.rng, now_ms)
     if cell.policy_of(step.job).advice is None:
         candidates = _with_room(state, step, workers)
         _record_workers(cell, step, workers, candidates, now_ms)
@@ -149,9 +147,12 @@
     state.looks += 1 + len(candidates)
     ready = [worker for worker in candidates if _ready(step, worker, now_ms)]
     if step.spec.gang:
-        _place_gang(state, step, ready, workers)
+        start_ms = _place_gang(state, step, ready, workers)
     else:
-        _place_singles(state, step, ready)
+        start_ms = _place_singles(state, step, ready, workers)
+    if start_ms is not None and advice.is_due(step, now_ms):
+        state.looks += len(workers)
+        advice.ask(cell, step, workers, state.budget, state.rng, now_ms, start_ms)
 
 
 def _log_placed(state: Pass, step: Step, rank: Rank) -> None:
@@ -243,42 +244,69 @@
     return state.cell.estimates.run_ms(queue, step.spec.estimate_ms)
 
 
-def _place_singles(state: Pass, step: Step, ready: Sequence[Worker]) -> None:
+def _place_singles(
+    state: Pass, step: Step, ready: Sequence[Worker], workers: Sequence[Worker]
+) -> float | None:
+    """Start what fits. Return when others may start, or ``None`` when none is left."""
     run_ms = _run_ms(state, step)
     for task in _waiting(step, state.now_ms):
         worker = choose_single(step, ready, state.reservations, state.now_ms, run_ms)
         if worker is None:
-            return
+            return _next_room_ms(state, step, workers, run_ms)
         number = state.cell.next_run(task.last_run)
         _start(state, step, task, worker, number, run_ms)
+    return None
+
+
+def _next_room_ms(state: Pass, step: Step, workers: Sequence[Worker], run_ms: float) -> float:
+    """Return when one of a step's good workers is expected to have room for a task."""
+    good = _good(step, workers)
+    if choose_single(step, good, state.reservations, state.now_ms, run_ms) is not None:
+        return state.now_ms
+    ends = [run.expected_end_ms for worker in good for run in worker.runs.values()]
+    return max(state.now_ms, min(ends, default=math.inf))
+
+
+def _good(step: Step, workers: Sequence[Worker]) -> list[Worker]:
+    """Return the workers that may run an advised step, whether a ticket is at hand or not."""
+    good = step.advice.good
+    return [w for w in workers if w.worker_id in good and w.unanswered_since_ms is None]
 
 
 def _place_gang(
     state: Pass, step: Step, ready: Sequence[Worker], workers: Sequence[Worker]
-) -> None:
+) -> float | None:
+    """Start a gang if it fits. Return when it may otherwise, or ``None`` when it was started."""
     run_ms = _run_ms(state, step)
     choice = choose_gang(step, ready, state.reservations, state.now_ms, run_ms)
     if choice is None:
-        _reserve(state, step, workers)
-        return
+        good = _good(step, workers)
+        fits = choose_gang(step, good, state.reservations, state.now_ms, run_ms) is not None
+        at_ms = _reserve(state, step, workers)
+        return state.now_ms if fits else at_ms
     number = state.cell.next_run(max(task.last_run for task in step.tasks))
     for task, worker_id in zip(step.tasks, choice.worker_ids, strict=True):
         _start(state, step, task, state.cell.workers[worker_id], number, run_ms)
+    return None
 
 
-def _reserve(state: Pass, step: Step, workers: Sequence[Worker]) -> None:
+def _reserve(state: Pass, step: Step, workers: Sequence[Worker]) -> float:
+    """Keep room for a gang. Return its expected start, infinite when nothing is kept."""
     rank = rank_of(step, step.job.accepted_ms, state.now_ms, state.cell.estimates)
     if state.reserving >= MAX_RESERVING_GANGS or rank.tier == Tier.TOO_LATE:
-        return
+        return math.inf
     if state.reserve_attempts >= MAX_RESERVE_ATTEMPTS:
-        return
+        return math.inf
     state.reserve_attempts += 1
     terms = state.cell.policy_of(step.job).advice
     allowed = step.recorded if terms is None else step.advice.good
     good = [w for w in workers if w.worker_id in allowed and w.settled]
     at_ms = reserve_gang(step, good, state.reservations, state.now_ms) if good else None
-    if at_ms is not None and at_ms < state.now_ms + RESERVE_AHEAD_MS:
+    if at_ms is None:
+        return math.inf
+    if at_ms < state.now_ms + RESERVE_AHEAD_MS:
         state.reserving += 1
+    return at_ms
 
 
 def _start(state: Pass, step: Step, task: Task, worker: Worker, number: int, run_ms: float) -> None:
--- a/tests/unit/test_queue_placing.py
+++ b/tests/unit/test_queue_placing.py
@@ -339,3 +339,34 @@
     world.add(job("ordinary", step(), queue=replace(BATCH, priority=2)))
     world.schedule()
     assert [start.task for start in world.started] == ["ordinary.0.0.0"]
+
+
+def test_waiting_gangs_do_not_use_up_the_calls_for_advice():
+    """A burst of gangs on full workers: each is asked about once, and again when room is near."""
+    world = advised_world(24)
+    for number in range(24):
+        world.add(job(f"full-{number}", step(1, cpu=16_000, estimate_ms=20_000.0), queue=URGENT))
+    world.schedule()
+    orders = world.answer_starts()
+    assert len(orders) == 24
+    gangs = [f"gang-{number}" for number in range(12)]
+    for name in gangs:
+        world.add(job(name, step(8, cpu=4_000, gang=True, estimate_ms=9_000.0), queue=ADVISED))
+    calls = []
+    for _ in range(100):
+        world.schedule()
+        calls += world.asked
+        answered, world.asked = world.asked, []
+        world.now_ms += 100.0
+        for call in answered:
+            world.advise(call, *sorted(call.workers)[:6])
+    assert len({call.step for call in calls}) == len(gangs)
+    assert len(calls) == len(gangs)
+    for order in orders:
+        world.end(order)
+    world.schedule()
+    assert world.asked
+    for call in world.asked:
+        world.advise(call, *call.workers)
+    world.schedule()
+    assert world.started
