Let gangs keep the workers they wait for, and leave room for better classes

Cause: under a saturating load gangs hardly ever started. Each pass chose the workers of a waiting gang anew, so room never added up; urgent tasks took what had added up, since lower work held all other room.

Change: a gang keeps its planned workers from pass to pass, few and whole ones; better-ranked tasks use them last, those of the first gang last of all; while gangs wait, lower work leaves the room that better classes used lately. Waiting gangs may keep 0.3 of a service.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -4,6 +4,7 @@
 
 from nutmeglb_decisions.queues.effects import Decision, Effect
 from nutmeglb_decisions.queues.estimates import Estimates
+from nutmeglb_decisions.queues.headroom import ClassUse
 from nutmeglb_decisions.queues.state import FinishedJob, Job, Run, Step, Worker
 from nutmeglb_formats.models.queues import Queue, QueueConfig
 
@@ -49,6 +50,7 @@
     dirty: dict[str, Job] = field(default_factory=dict)
     queues: dict[str, Queue] = field(default_factory=dict)
     good_shares: dict[str, float] = field(default_factory=dict)
+    class_use: ClassUse = field(default_factory=ClassUse)
 
     def configure(self, config: QueueConfig) -> None:
         """Use a configuration."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/fitting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/fitting.py
@@ -27,10 +27,13 @@
         Expected start of the gang.
     surplus
         What other work that lasts beyond ``at_ms`` may still take.
+    place
+        Position of the gang in the order of waiting steps, from 0.
     """
 
     at_ms: float
     surplus: Resources
+    place: int = 0
 
 
 @dataclass(slots=True)
@@ -46,6 +49,15 @@
             for reservation in self.by_worker.get(worker_id, ())
         )
 
+    def harm(self, worker_id: str, charged: Resources, end_ms: float) -> float:
+        """Return how much a run until ``end_ms`` harms the gangs: 0 not at all, 1 the first one."""
+        harmed = [
+            reservation.place
+            for reservation in self.by_worker.get(worker_id, ())
+            if end_ms > reservation.at_ms and not charged.fits_in(reservation.surplus)
+        ]
+        return 1.0 / (1.0 + min(harmed)) if harmed else 0.0
+
     def charge(self, worker_id: str, charged: Resources, end_ms: float) -> None:
         """Take a placed run from the surplus."""
         for reservation in self.by_worker.get(worker_id, ()):
@@ -98,8 +110,16 @@
     reservations: Reservations,
     now_ms: float,
     run_ms: float,
+    planned: Reservations | None = None,
 ) -> Worker | None:
-    """Return the best worker for one task: its data's rack, then fast, then the fullest."""
+    """Return the best worker for one task: its data's rack, then fast, then the fullest.
+
+    Parameters
+    ----------
+    reservations, planned
+        Room that the task must leave, and room that it takes only where no other is left, first
+        that of the gangs that come last.
+    """
     present = tasks_per_worker(step) if step.spec.max_per_worker else NONE_PRESENT
     best: tuple[float, ...] | None = None
     chosen: Worker | None = None
@@ -111,6 +131,7 @@
             continue
         score = (
             float(_is_remote(step, worker)),
+            planned.harm(worker.worker_id, step.spec.charged, end_ms) if planned else 0.0,
             round(worker.slowness, 1),
             -fullness(worker),
         )
@@ -172,58 +193,6 @@
     return slots_on(free, step, 0)
 
 
-def reserve_gang(
-    step: Step, candidates: Sequence[Worker], reservations: Reservations, now_ms: float
-) -> float | None:
-    """Keep room for a gang on its workers from its expected start on.
-
-    Returns the expected start, or ``None`` when the gang never fits on these workers.
-    """
-    at_ms = _expected_start_ms(step, candidates, now_ms)
-    if at_ms is None:
-        return None
-    missing = step.spec.count
-    slots = {worker.worker_id: _slots_at(worker, step, at_ms) for worker in candidates}
-    for worker in sorted(candidates, key=lambda w: -slots[w.worker_id]):
-        count = min(missing, slots[worker.worker_id])
-        if count <= 0:
-            break
-        amount = step.spec.charged.scaled(count)
-        reservations.add(worker.worker_id, Reservation(at_ms, _free_at(worker, at_ms) - amount))
-        missing -= count
-    return at_ms
-
-
-def _expected_start_ms(step: Step, candidates: Sequence[Worker], now_ms: float) -> float | None:
-    """Return when enough runs are expected to have ended; each end changes one worker only."""
-    free = {worker.worker_id: worker.free for worker in candidates}
-    slots = {worker_id: slots_on(room, step, 0) for worker_id, room in free.items()}
-    total = sum(slots.values())
-    if total >= step.spec.count:
-        return now_ms
-    runs = [run for worker in candidates for run in worker.runs.values()]
-    for run in sorted(runs, key=lambda run: run.expected_end_ms):
-        worker_id = run.worker_id
-        free[worker_id] = free[worker_id] + run.charged
-        former, slots[worker_id] = slots[worker_id], slots_on(free[worker_id], step, 0)
-        total += slots[worker_id] - former
-        if total >= step.spec.count:
-            return max(now_ms, run.expected_end_ms)
-    return None
-
-
-def _slots_at(worker: Worker, step: Step, at_ms: float) -> int:
-    return slots_on(_free_at(worker, at_ms), step, 0)
-
-
-def _free_at(worker: Worker, at_ms: float) -> Resources:
-    free = worker.free
-    for run in worker.runs.values():
-        if run.expected_end_ms <= at_ms:
-            free = free + run.charged
-    return free
-
-
 def _smaller(first: Resources, second: Resources) -> Resources:
     return Resources(
         min(first.cpu_millis, second.cpu_millis),
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/gang_plans.py
@@ -0,0 +1,130 @@
+"""Workers on which a gang waits for room, and when it is expected to start.
+
+Load pattern answered: gangs that are wider than what is free, beside a stream of smaller work. A
+gang keeps its workers from pass to pass, so that the room on them adds up; work that is expected to
+end before the gang starts may still use it.
+"""
+
+from collections.abc import Mapping, Sequence
+
+from nutmeglb_decisions.queues.fitting import Reservation, Reservations, slots_on
+from nutmeglb_decisions.queues.state import GangPlan, Run, Step, Worker
+from nutmeglb_formats.models.resources import Resources
+
+# A run beyond its expected end is expected to take this share of its age longer; run times spread
+# by a half around their mean.
+OVERDUE_SHARE = 0.15
+# Between two looks for a better plan, and the gain in time that is worth giving up a plan and the
+# room that has added up for it.
+REPLAN_MS = 500.0
+REPLAN_GAIN_MS = 1_500.0
+
+
+def expected_end_ms(run: Run, now_ms: float) -> float:
+    """Return when a run is expected to end, which is later than now."""
+    if run.expected_end_ms > now_ms:
+        return run.expected_end_ms
+    return now_ms + OVERDUE_SHARE * (now_ms - run.ordered_ms)
+
+
+def keep_plan(step: Step, good: Sequence[Worker], now_ms: float) -> float | None:
+    """Make or keep the plan of a gang. Return its expected start, ``None`` when it fits nowhere."""
+    by_id = {worker.worker_id: worker for worker in good}
+    plan = step.plan
+    if plan is not None and not plan.counts.keys() <= by_id.keys():
+        plan = step.plan = None
+    start_ms = None if plan is None else _start_ms(step, plan, by_id, now_ms)
+    if plan is not None and start_ms is not None:
+        plan.start_ms = start_ms
+        if now_ms < plan.review_ms:
+            return start_ms
+    other = _plan(step, good, now_ms)
+    if other is None:
+        return start_ms
+    other_ms = _start_ms(step, other, by_id, now_ms)
+    if other_ms is None:
+        return start_ms
+    if plan is not None and start_ms is not None and start_ms <= other_ms + REPLAN_GAIN_MS:
+        plan.review_ms = now_ms + REPLAN_MS
+        return start_ms
+    step.plan = other
+    return other_ms
+
+
+def reserve(
+    step: Step,
+    workers: Mapping[str, Worker],
+    reservations: Reservations,
+    now_ms: float,
+    place: int = 0,
+) -> None:
+    """Keep the planned room from the expected start on, for the step at a place in the order."""
+    plan = step.plan
+    if plan is None:
+        return
+    for worker_id, count in plan.counts.items():
+        worker = workers.get(worker_id)
+        if worker is None:
+            continue
+        amount = step.spec.charged.scaled(count)
+        left = _free_at(worker, plan.start_ms, now_ms) - amount
+        reservations.add(worker_id, Reservation(plan.start_ms, left, place))
+
+
+def _plan(step: Step, good: Sequence[Worker], now_ms: float) -> GangPlan | None:
+    """Return few workers that are free of other work first.
+
+    A gang on few workers leaves the others to the stream of urgent work.
+    """
+    whole = []
+    for worker in good:
+        slots = slots_on(worker.info.capacity, step, 0)
+        if slots:
+            count = min(slots, step.spec.count)
+            ready_ms = _ready_ms(step, worker, count, now_ms)
+            if ready_ms is not None:
+                whole.append((ready_ms, worker.worker_id, count))
+    whole.sort()
+    missing = step.spec.count
+    counts: dict[str, int] = {}
+    start_ms = now_ms
+    for ready_ms, worker_id, count in whole:
+        counts[worker_id] = min(count, missing)
+        missing -= counts[worker_id]
+        start_ms = ready_ms
+        if not missing:
+            return GangPlan(counts, now_ms + REPLAN_MS, start_ms)
+    return None
+
+
+def _ready_ms(step: Step, worker: Worker, count: int, now_ms: float) -> float | None:
+    """Return when a worker is expected to have room for some tasks of a step, if ever."""
+    free = worker.free
+    if slots_on(free, step, 0) >= count:
+        return now_ms
+    for run in sorted(worker.runs.values(), key=lambda run: expected_end_ms(run, now_ms)):
+        free = free + run.charged
+        if slots_on(free, step, 0) >= count:
+            return expected_end_ms(run, now_ms)
+    return None
+
+
+def _start_ms(
+    step: Step, plan: GangPlan, workers: Mapping[str, Worker], now_ms: float
+) -> float | None:
+    """Return when all planned workers are expected to have room; ``None`` when one never has."""
+    start_ms = now_ms
+    for worker_id, count in plan.counts.items():
+        ready_ms = _ready_ms(step, workers[worker_id], count, now_ms)
+        if ready_ms is None:
+            return None
+        start_ms = max(start_ms, ready_ms)
+    return start_ms
+
+
+def _free_at(worker: Worker, at_ms: float, now_ms: float) -> Resources:
+    free = worker.free
+    for run in worker.runs.values():
+        if expected_end_ms(run, now_ms) <= at_ms:
+            free = free + run.charged
+    return free
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/headroom.py
@@ -0,0 +1,91 @@
+"""Room that work of a lower priority leaves while gangs wait.
+
+Load pattern answered: a saturated service with a steady stream of short urgent tasks. Without this,
+lower work takes the room of each urgent task that ends, and the next urgent task takes the room
+that adds up for a gang, so that no gang ever starts.
+"""
+
+from collections import defaultdict
+from collections.abc import Container, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from nutmeglb_decisions.queues.state import Worker
+
+# The highest use of a class fades by half in this time; urgent tasks last about a second.
+HALF_LIFE_MS = 2_000.0
+
+
+@dataclass(slots=True)
+class ClassUse:
+    """Processors in use, now and at most lately, per service and priority.
+
+    Attributes
+    ----------
+    elsewhere
+        Thousandths of a core in use on workers that no gang waits for.
+    largest
+        Thousandths of a core of the largest task seen.
+    """
+
+    elsewhere: dict[tuple[str, int], int] = field(default_factory=dict)
+    largest: dict[tuple[str, int], int] = field(default_factory=dict)
+    _peaks: dict[tuple[str, int], float] = field(default_factory=dict)
+    _looked_ms: float = 0.0
+
+    def look(self, workers: Iterable[Worker], planned: Container[str], now_ms: float) -> None:
+        """Sum up what runs use. ``planned`` has the workers that gangs wait for."""
+        use: dict[tuple[str, int], int] = defaultdict(int)
+        elsewhere: dict[tuple[str, int], int] = defaultdict(int)
+        for worker in workers:
+            for run in worker.runs.values():
+                queue = run.step.job.record.queue
+                key, cpu = (queue.service, queue.priority), run.charged.cpu_millis
+                use[key] += cpu
+                if worker.worker_id not in planned:
+                    elsewhere[key] += cpu
+                self.largest[key] = max(self.largest.get(key, 0), cpu)
+        fade = 0.5 ** ((now_ms - self._looked_ms) / HALF_LIFE_MS)
+        self._looked_ms = now_ms
+        self.elsewhere = dict(elsewhere)
+        faded = {key: peak * fade for key, peak in self._peaks.items()}
+        self._peaks = {
+            key: max(use.get(key, 0), faded.get(key, 0.0)) for key in use.keys() | faded.keys()
+        }
+
+    def headroom(self, service: str, priority: int) -> float:
+        """Return what classes better than a priority used lately and do not use elsewhere.
+
+        What they use on workers that gangs wait for has to find room elsewhere, too.
+        """
+        return sum(
+            peak - self.elsewhere.get(key, 0)
+            for key, peak in self._peaks.items()
+            if key[0] == service and key[1] < priority
+        )
+
+    def unit(self, service: str, priority: int) -> int:
+        """Return the size of the largest task of the classes better than a priority."""
+        return max(
+            (cpu for key, cpu in self.largest.items() if key[0] == service and key[1] < priority),
+            default=0,
+        )
+
+
+def spare_cpu(
+    workers: Iterable[Worker], service: str, planned: Mapping[str, int], unit: int
+) -> int:
+    """Return the free processors of a service beyond what adds up for gangs.
+
+    Parameters
+    ----------
+    planned
+        Thousandths of a core that gangs wait for, per worker.
+    unit
+        Less than this on a worker is of no use, and does not count.
+    """
+    spare = (
+        worker.free.cpu_millis - planned.get(worker.worker_id, 0)
+        for worker in workers
+        if worker.info.service == service
+    )
+    return sum(amount for amount in spare if amount >= max(1, unit))
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -14,19 +14,19 @@
     Reservations,
     choose_gang,
     choose_single,
-    reserve_gang,
     slots_on,
 )
+from nutmeglb_decisions.queues.gang_plans import keep_plan, reserve
+from nutmeglb_decisions.queues.headroom import spare_cpu
 from nutmeglb_decisions.queues.ranking import Rank, Tier, rank_of
 from nutmeglb_decisions.queues.state import Job, Run, Step, Task, Worker
 from nutmeglb_formats.models.resources import Resources
 
-# Gangs that hold room in one pass. More would leave too little for work that ends before.
-MAX_RESERVING_GANGS = 4
-# Gangs whose expected start is computed in one pass.
-MAX_RESERVE_ATTEMPTS = 8
-# A gang whose start is further away does not reserve yet.
-RESERVE_AHEAD_MS = 6_000.0
+# Share of a service's processors that waiting gangs may keep; more would leave too little for work
+# that ends before they start.
+RESERVED_SHARE = 0.3
+# Gangs whose expected start is computed in one pass, so that it stays short.
+MAX_RESERVE_ATTEMPTS = 16
 # Workers looked at in one pass, so that it takes some 10 ms at most while thousands of steps wait.
 # A step that waits for advice or has no worker takes no part of it.
 LOOKS_PER_PASS = 20_000
@@ -44,10 +44,17 @@
 
     Attributes
     ----------
+    reservations, planned
+        Room kept for gangs that were tried in this pass, which binds all that follow; and for all
+        gangs as of the former pass, which better-ranked work avoids where it can.
     eligible
         Per service and label: the workers that may be used.
     placed
         Runs of the present step.
+    planned_cpu
+        Thousandths of a core that gangs wait for, per worker.
+    gang_priority
+        Best priority of the gangs for which room is kept in this pass.
     looks
         Workers looked at.
     without_room
@@ -61,12 +68,15 @@
     wall_ms: float
     budget: advice.AdviceBudget
     reservations: Reservations
-    reserving: int = 0
+    planned: Reservations
+    reserved_cpu: int = 0
     reserve_attempts: int = 0
     looks: int = 0
     eligible: dict[tuple[str, str], list[Worker]] = field(default_factory=dict)
     without_room: dict[tuple[str, str], list[Resources]] = field(default_factory=dict)
     placed: list[Run] = field(default_factory=list)
+    planned_cpu: dict[str, int] = field(default_factory=dict)
+    gang_priority: int | None = None
 
 
 def schedule(
@@ -79,9 +89,23 @@
 ) -> None:
     """Run one pass. Orders and questions are added to the cell's effects."""
     state = Pass(
-        cell, rng, now_ms, wall_ms, advice.AdviceBudget.of(cell, callers, now_ms), Reservations()
+        cell,
+        rng,
+        now_ms,
+        wall_ms,
+        advice.AdviceBudget.of(cell, callers, now_ms),
+        Reservations(),
+        Reservations(),
     )
-    for step_rank, step in ranked_steps(cell, now_ms, wall_ms, rank):
+    ranked = ranked_steps(cell, now_ms, wall_ms, rank)
+    for place, (_, step) in enumerate(ranked):
+        if step.plan is not None:
+            reserve(step, cell.workers, state.planned, now_ms, place)
+            for worker_id, count in step.plan.counts.items():
+                amount = count * step.spec.charged.cpu_millis
+                state.planned_cpu[worker_id] = state.planned_cpu.get(worker_id, 0) + amount
+    cell.class_use.look(cell.workers.values(), state.planned_cpu, now_ms)
+    for step_rank, step in ranked:
         _place_step(state, step)
         _log_placed(state, step, step_rank)
         if state.looks >= LOOKS_PER_PASS:
@@ -250,7 +274,9 @@
     """Start what fits. Return when others may start, or ``None`` when none is left."""
     run_ms = _run_ms(state, step)
     for task in _waiting(step, state.now_ms):
-        worker = choose_single(step, ready, state.reservations, state.now_ms, run_ms)
+        if not _leaves_headroom(state, step):
+            return math.inf
+        worker = choose_single(step, ready, state.reservations, state.now_ms, run_ms, state.planned)
         if worker is None:
             return _next_room_ms(state, step, workers, run_ms)
         number = state.cell.next_run(task.last_run)
@@ -258,6 +284,20 @@
     return None
 
 
+def _leaves_headroom(state: Pass, step: Step) -> bool:
+    """Return whether a task leaves room for the classes better than that of a waiting gang."""
+    service, priority = step.job.record.queue.service, state.gang_priority
+    if priority is None or step.job.record.queue.priority < priority:
+        return True
+    use = state.cell.class_use
+    headroom = use.headroom(service, priority)
+    if not headroom:
+        return True
+    workers = state.cell.workers.values()
+    spare = spare_cpu(workers, service, state.planned_cpu, use.unit(service, priority))
+    return spare - step.spec.charged.cpu_millis >= headroom
+
+
 def _next_room_ms(state: Pass, step: Step, workers: Sequence[Worker], run_ms: float) -> float:
     """Return when one of a step's good workers is expected to have room for a task."""
     good = _good(step, workers)
@@ -284,6 +324,7 @@
         fits = choose_gang(step, good, state.reservations, state.now_ms, run_ms) is not None
         at_ms = _reserve(state, step, workers)
         return state.now_ms if fits else at_ms
+    step.plan = None
     number = state.cell.next_run(max(task.last_run for task in step.tasks))
     for task, worker_id in zip(step.tasks, choice.worker_ids, strict=True):
         _start(state, step, task, state.cell.workers[worker_id], number, run_ms)
@@ -292,20 +333,28 @@
 
 def _reserve(state: Pass, step: Step, workers: Sequence[Worker]) -> float:
     """Keep room for a gang. Return its expected start, infinite when nothing is kept."""
-    rank = rank_of(step, step.job.accepted_ms, state.now_ms, state.cell.estimates)
-    if state.reserving >= MAX_RESERVING_GANGS or rank.tier == Tier.TOO_LATE:
-        return math.inf
-    if state.reserve_attempts >= MAX_RESERVE_ATTEMPTS:
+    cell, now_ms = state.cell, state.now_ms
+    rank = rank_of(step, step.job.accepted_ms, now_ms, cell.estimates)
+    if rank.tier == Tier.TOO_LATE or state.reserve_attempts >= MAX_RESERVE_ATTEMPTS:
+        step.plan = None
         return math.inf
     state.reserve_attempts += 1
-    terms = state.cell.policy_of(step.job).advice
+    terms = cell.policy_of(step.job).advice
     allowed = step.recorded if terms is None else step.advice.good
     good = [w for w in workers if w.worker_id in allowed and w.settled]
-    at_ms = reserve_gang(step, good, state.reservations, state.now_ms) if good else None
+    wanted = step.spec.charged.cpu_millis * step.spec.count
+    room = RESERVED_SHARE * sum(worker.info.capacity.cpu_millis for worker in workers)
+    if not good or (state.reserved_cpu and state.reserved_cpu + wanted > room):
+        step.plan = None
+        return math.inf
+    at_ms = keep_plan(step, good, now_ms)
     if at_ms is None:
         return math.inf
-    if at_ms < state.now_ms + RESERVE_AHEAD_MS:
-        state.reserving += 1
+    state.reserved_cpu += wanted
+    reserve(step, cell.workers, state.reservations, now_ms)
+    priority = step.job.record.queue.priority
+    if state.gang_priority is None or priority < state.gang_priority:
+        state.gang_priority = priority
     return at_ms
 
 
@@ -327,6 +376,7 @@
     worker.lapse_ms = max(worker.lapse_ms, now_ms + cell.lapse_after_ms)
     worker.runs[(run.task, number)] = run
     state.reservations.charge(worker.worker_id, charged, expected_ms)
+    state.planned.charge(worker.worker_id, charged, expected_ms)
     task.run = run
     task.last_run = number
     state.placed.append(run)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -116,6 +116,25 @@
     not_before_ms: float = 0.0
 
 
+@dataclass(slots=True, eq=False)
+class GangPlan:
+    """Workers on which a gang waits for room.
+
+    Attributes
+    ----------
+    counts
+        Tasks per worker.
+    review_ms
+        Time of the next look for better workers.
+    start_ms
+        Expected start, as of the last look.
+    """
+
+    counts: dict[str, int]
+    review_ms: float
+    start_ms: float
+
+
 @dataclass(slots=True, eq=False)
 class Step:
     """One step of one occurrence of a job.
@@ -149,6 +168,7 @@
     not_before_ms: float = 0.0
     opened_ms: float | None = None
     explained_ms: float = 0.0
+    plan: GangPlan | None = None
 
     @property
     def name(self) -> str:
--- /dev/null
+++ b/tests/unit/test_queue_overload.py
@@ -0,0 +1,80 @@
+"""Gangs beside a saturating stream of smaller work: they start while they can still be in time."""
+
+import heapq
+import random
+from dataclasses import replace
+
+import pytest
+
+from nutmeglb_decisions.queues.ranking import chain_ms, objective_ms
+from tests.lib.queues import BATCH, CONFIG, URGENT, CellWorld, job, step, worker_info
+
+LOWEST = replace(BATCH, name="lowest", prefix="/l/", priority=2, stretch=4.0)
+STEP_MS = 50.0
+WORKERS = 8
+
+
+class Stream:
+    """Keeps workers full: urgent pairs at a rate, and more of the lowest work than fits."""
+
+    def __init__(self, seed: int, urgent_every_ms: float) -> None:
+        self.world = CellWorld()
+        queues = (*CONFIG.queues, LOWEST)
+        self.world.cell.configure(replace(CONFIG, queues=queues))
+        self.world.show(*(worker_info(f"w{n}") for n in range(WORKERS)))
+        self._rng = random.Random(seed)
+        self._urgent_every_ms = urgent_every_ms
+        self._urgent_ms = 0.0
+        self._jobs = 0
+        self._starts = 0
+        self._ends: list[tuple[float, int, object]] = []
+        self.placed: dict[str, float] = {}
+
+    def advance(self, until_ms: float) -> None:
+        """Let time pass."""
+        world = self.world
+        while world.now_ms < until_ms:
+            world.now_ms += STEP_MS
+            self._arrive()
+            while self._ends and self._ends[0][0] <= world.now_ms:
+                world.end(heapq.heappop(self._ends)[2])
+            world.schedule()
+            for order in world.answer_starts():
+                self.placed.setdefault(order.task.split(".")[0], world.now_ms)
+                run = world.worker(order.worker_id).runs[order.task, order.run]
+                estimate_ms = run.step.spec.estimate_ms
+                end_ms = world.now_ms + estimate_ms * self._rng.uniform(0.7, 1.4)
+                self._starts += 1
+                heapq.heappush(self._ends, (end_ms, self._starts, order))
+
+    def _arrive(self) -> None:
+        world = self.world
+        while self._urgent_ms <= world.now_ms:
+            self._urgent_ms += self._urgent_every_ms
+            self._add(step(2, cpu=1_400), URGENT)
+        waiting = [
+            job
+            for job in world.cell.active.values()
+            if job.record.queue.name == LOWEST.name and not job.begun
+        ]
+        for _ in range(6 - len(waiting)):
+            self._add(step(8, cpu=1_000, estimate_ms=3_400.0), LOWEST)
+
+    def _add(self, spec, queue) -> None:
+        self._jobs += 1
+        self.world.add(job(f"j{self._jobs}", spec, queue=queue))
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(("count", "cpu"), [(4, 4_500), (8, 4_500), (12, 3_000)])
+@pytest.mark.parametrize("urgent_every_ms", [200.0, 80.0])
+def test_gang_starts_in_time_beside_a_saturating_stream(seed, count, cpu, urgent_every_ms):
+    """Guards against room that adds up for a gang and is taken by urgent tasks, because lower work
+    holds all other room."""
+    stream = Stream(seed, urgent_every_ms)
+    stream.advance(8_000.0)
+    gang = stream.world.add(job("gang", step(count, cpu=cpu, gang=True, estimate_ms=6_200.0)))
+    estimates = stream.world.cell.estimates
+    latest_ms = 8_000.0 + objective_ms(gang, estimates) - chain_ms(gang, estimates)
+    stream.advance(latest_ms + STEP_MS)
+    assert stream.placed.get("gang", float("inf")) <= latest_ms + STEP_MS
