Ask a worker whose runs have lapsed until it answers

Cause: when the runs of a silent worker lapsed, its link had nothing left to renew and waited to be woken, but nothing is placed on a worker that has not answered.

Change: such a worker counts as unsettled, so it is asked until it answers. The runner stand-in ends runs in the order of time.

test_worker_is_asked_after_its_runs_have_lapsed failed before.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -102,6 +102,8 @@
         if worker.runs and now_ms >= worker.lapse_ms:
             worker.unanswered_since_ms = worker.unanswered_since_ms or now_ms
             end_all(cell, worker, LAPSED, now_ms, wall_ms)
+            # It is asked until it answers: runs may have ended before, and it can be used again.
+            worker.settled = False
     if cell.settle_until_ms and now_ms >= cell.settle_until_ms:
         cell.settle_until_ms = 0.0
         for job in cell.active.values():
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -46,11 +46,12 @@
 
     def advance(self, now_s: float) -> None:
         """End the runs whose time has passed, and all when the lease has lapsed."""
-        lapsed = self.deadline_s is not None and now_s > self.deadline_s
-        for key, until_s in list(self.running.items()):
-            if lapsed or now_s >= until_s:
-                how = "lapsed" if lapsed else "failed" if self.failing else "done"
-                self.end(key, how)
+        for key, until_s in sorted(self.running.items(), key=lambda item: item[1]):
+            if until_s <= min(now_s, self.deadline_s or now_s):
+                self.end(key, "failed" if self.failing else "done")
+        if self.deadline_s is not None and now_s > self.deadline_s:
+            for key in list(self.running):
+                self.end(key, "lapsed")
 
     def end(self, key: tuple[str, int], how: str) -> None:
         """End a run."""
--- a/tests/functional/test_queue_path.py
+++ b/tests/functional/test_queue_path.py
@@ -115,6 +115,25 @@
     played(with_one_listed)
 
 
+def test_worker_is_asked_after_its_runs_have_lapsed():
+    """Guards against a second run of a task that ended while its worker was out of reach, and
+    against a worker that is never used again."""
+
+    async def scenario(path):
+        (runner,) = path.runners
+        runner.data.run_ms = 100.0
+        body = job_body(steps=[{"count": 1, "cpu": 500, "estimate_ms": 100}])
+        await path.call("POST", JOB, body)
+        await path.until(lambda: len(path.starts) == 1)
+        runner.data.silent = True
+        await path.until(lambda: not path.leader.node._leader.cell.workers["w0"].runs)
+        runner.data.silent = False
+        await path.until_state(JOB, "completed")
+        assert len(path.starts) == 1
+
+    played(scenario, entries=1, runners=1)
+
+
 def test_lost_call_for_advice_is_repeated():
     async def scenario(path):
         path.advice.silent_calls = 1
