Keep room for gangs service by service

Cause: read in the diff: a waiting gang of one service made lower work of all services leave headroom, and the reserved room of all services was one sum. test_gang_of_one_service_does_not_hold_up_another failed before.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -53,8 +53,8 @@
         Runs of the present step.
     planned_cpu
         Thousandths of a core that gangs wait for, per worker.
-    gang_priority
-        Best priority of the gangs for which room is kept in this pass.
+    reserved_cpu, gang_priorities
+        Per service: thousandths of a core kept for gangs in this pass, and their best priority.
     looks
         Workers looked at.
     without_room
@@ -69,14 +69,14 @@
     budget: advice.AdviceBudget
     reservations: Reservations
     planned: Reservations
-    reserved_cpu: int = 0
+    reserved_cpu: dict[str, int] = field(default_factory=dict)
     reserve_attempts: int = 0
     looks: int = 0
     eligible: dict[tuple[str, str], list[Worker]] = field(default_factory=dict)
     without_room: dict[tuple[str, str], list[Resources]] = field(default_factory=dict)
     placed: list[Run] = field(default_factory=list)
     planned_cpu: dict[str, int] = field(default_factory=dict)
-    gang_priority: int | None = None
+    gang_priorities: dict[str, int] = field(default_factory=dict)
 
 
 def schedule(
@@ -286,7 +286,8 @@
 
 def _leaves_headroom(state: Pass, step: Step) -> bool:
     """Return whether a task leaves room for the classes better than that of a waiting gang."""
-    service, priority = step.job.record.queue.service, state.gang_priority
+    service = step.job.record.queue.service
+    priority = state.gang_priorities.get(service)
     if priority is None or step.job.record.queue.priority < priority:
         return True
     use = state.cell.class_use
@@ -294,6 +295,7 @@
     if not headroom:
         return True
     workers = state.cell.workers.values()
+    state.looks += len(workers)
     spare = spare_cpu(workers, service, state.planned_cpu, use.unit(service, priority))
     return spare - step.spec.charged.cpu_millis >= headroom
 
@@ -342,19 +344,20 @@
     terms = cell.policy_of(step.job).advice
     allowed = step.recorded if terms is None else step.advice.good
     good = [w for w in workers if w.worker_id in allowed and w.settled]
+    queue = step.job.record.queue
+    reserved = state.reserved_cpu.get(queue.service, 0)
     wanted = step.spec.charged.cpu_millis * step.spec.count
     room = RESERVED_SHARE * sum(worker.info.capacity.cpu_millis for worker in workers)
-    if not good or (state.reserved_cpu and state.reserved_cpu + wanted > room):
+    if not good or (reserved and reserved + wanted > room):
         step.plan = None
         return math.inf
     at_ms = keep_plan(step, good, now_ms)
     if at_ms is None:
         return math.inf
-    state.reserved_cpu += wanted
     reserve(step, cell.workers, state.reservations, now_ms)
-    priority = step.job.record.queue.priority
-    if state.gang_priority is None or priority < state.gang_priority:
-        state.gang_priority = priority
+    state.reserved_cpu[queue.service] = reserved + wanted
+    former = state.gang_priorities.get(queue.service, queue.priority)
+    state.gang_priorities[queue.service] = min(former, queue.priority)
     return at_ms
 
 
--- a/tests/unit/test_queue_overload.py
+++ b/tests/unit/test_queue_overload.py
@@ -78,3 +78,23 @@
     latest_ms = 8_000.0 + objective_ms(gang, estimates) - chain_ms(gang, estimates)
     stream.advance(latest_ms + STEP_MS)
     assert stream.placed.get("gang", float("inf")) <= latest_ms + STEP_MS
+
+
+def test_gang_of_one_service_does_not_hold_up_another():
+    """Guards against room that is kept on workers which the waiting gang cannot use."""
+    stream = Stream(0, 200.0)
+    world = stream.world
+    elsewhere = replace(LOWEST, name="elsewhere", prefix="/e/", service="second")
+    urgent = replace(URGENT, name="quick", prefix="/q/", service="second")
+    queues = (*CONFIG.queues, LOWEST, elsewhere, urgent)
+    world.cell.configure(replace(CONFIG, queues=queues))
+    infos = [worker.info for worker in world.cell.workers.values()]
+    world.show(*infos, worker_info("second", cpu=4_000, service="second"))
+    world.add(job("quick", step(3, cpu=1_000), queue=urgent))
+    stream.advance(8_000.0)
+    world.add(job("gang", step(12, cpu=4_500, gang=True, estimate_ms=6_200.0)))
+    world.add(job("filler", step(4, cpu=1_000), queue=elsewhere))
+    stream.advance(8_000.0 + STEP_MS)
+    assert "gang" not in stream.placed
+    filler = [run for run in world.worker("second").runs.values() if run.task.startswith("filler")]
+    assert len(filler) == 4
