--- a/packages/nutmeglb-formats/src/nutmeglb_formats/timeline.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/timeline.py
@@ -50,14 +50,14 @@
 
 
 def read_log(lines: Iterable[str]) -> LogEvents:
-    """Return the events and decisions among log lines. Truncated and foreign lines are skipped.
+    """Return events, decisions and lines of components. Truncated and foreign lines are skipped.
 
     A line may have text before its JSON object, such as the time and machine of a log collector.
     """
     events = []
     damaged = 0
     for line in lines:
-        if EVENT_MESSAGE_TYPE not in line and DECISION_MESSAGE_TYPE not in line:
+        if "message_type" not in line:
             continue
         items = _event_items(line)
         if items is None:
@@ -84,7 +84,7 @@
         return event
     if message.get("message_type") == DECISION_MESSAGE_TYPE:
         return _decision_items(message)
-    return None
+    return _text_items(message)
 
 
 def _decision_items(line: dict[str, Any]) -> dict[str, Any]:
@@ -108,6 +108,27 @@
     }
 
 
+def _text_items(line: dict[str, Any]) -> dict[str, Any] | None:
+    """Return the items of an event for a line of one of the components, such as an election."""
+    if not _is_number(line.get("timestamp")) or not isinstance(line.get("text"), str):
+        return None
+    known = {"text", "instance", "level", *LINE_TIMES}
+    wall_ms = line["timestamp"] * MS_PER_S
+    prefix, _, cause = line["text"].partition(": ")
+    return {
+        "version": EVENT_VERSION,
+        "instance": line.get("instance"),
+        "sequence": 0,
+        "monotonic_ms": wall_ms,
+        "wall_ms": wall_ms,
+        "order_ms": wall_ms,
+        "epoch": 0,
+        "kind": prefix,
+        "cause": cause,
+        "fields": {name: value for name, value in line.items() if name not in known},
+    }
+
+
 def _is_number(value: object) -> bool:
     return isinstance(value, int | float)
 
--- /dev/null
+++ b/scripts/report_series.py
@@ -0,0 +1,122 @@
+"""Series over time for a report, from the events of all instances."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+from nutmeglb_formats.models.events import Event
+
+MS_PER_S = 1_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Span:
+    """A state of an instance from ``begin_s`` to ``end_s``."""
+
+    instance: str
+    begin_s: float
+    end_s: float
+
+
+@dataclass(slots=True)
+class Series:
+    """What a report draws. Lists by second begin with second 0.
+
+    Attributes
+    ----------
+    accepted, refused
+        Submissions by second; refused ones by cause.
+    waits_s
+        Per queue and second of acceptance: times until the first task was placed.
+    running
+        Runs placed and not ended, at the end of each second.
+    ended
+        Jobs by second and final state.
+    leaders, without_store
+        Times in which an instance led, or missed the store.
+    """
+
+    seconds: int
+    accepted: Counter[int] = field(default_factory=Counter)
+    refused: dict[str, Counter[int]] = field(default_factory=lambda: defaultdict(Counter))
+    waits_s: dict[str, dict[int, list[float]]] = field(
+        default_factory=lambda: defaultdict(lambda: defaultdict(list))
+    )
+    running: list[int] = field(default_factory=list)
+    ended: dict[str, Counter[int]] = field(default_factory=lambda: defaultdict(Counter))
+    leaders: list[Span] = field(default_factory=list)
+    without_store: list[Span] = field(default_factory=list)
+
+
+def series_of(events: Sequence[Event]) -> Series:
+    """Return the series of events in causal order."""
+    if not events:
+        return Series(0)
+    begin_ms = min(event.wall_ms for event in events)
+    last_s = (max(event.wall_ms for event in events) - begin_ms) / MS_PER_S
+    series = Series(int(last_s) + 1)
+    accepted: dict[str, tuple[float, str]] = {}
+    changes: Counter[int] = Counter()
+    for event in events:
+        at_s = (event.wall_ms - begin_ms) / MS_PER_S
+        _count(series, event, int(at_s))
+        if event.kind == "job_accepted" and event.job:
+            accepted[event.job] = (at_s, str(event.fields.get("queue", "")))
+        elif event.kind == "tasks_placed" and event.job:
+            changes[int(at_s)] += len(str(event.fields.get("runs", "")).split())
+            found = accepted.pop(event.job, None)
+            if found is not None:
+                series.waits_s[found[1]][int(found[0])].append(at_s - found[0])
+        elif event.kind == "runs_ended":
+            changes[int(at_s)] -= len(str(event.fields.get("runs", "")).split())
+    total = 0
+    for second in range(series.seconds):
+        total += changes[second]
+        series.running.append(max(0, total))
+    series.leaders = _spans(events, begin_ms, last_s, _leads)
+    series.without_store = _spans(events, begin_ms, last_s, _misses_store)
+    return series
+
+
+def _count(series: Series, event: Event, second: int) -> None:
+    if event.kind == "job_accepted":
+        series.accepted[second] += 1
+    elif event.kind == "job_refused":
+        series.refused[event.cause][second] += 1
+    elif event.kind in ("job_completed", "job_failed", "job_cancelled"):
+        series.ended[event.kind.removeprefix("job_")][second] += 1
+
+
+def _leads(event: Event) -> bool | None:
+    if event.kind == "leader" and event.cause == "took over":
+        return True
+    gone = event.kind == "election" and event.cause == "leadership lost"
+    started = event.kind == "node" and event.cause == "started"
+    return False if gone or started else None
+
+
+def _misses_store(event: Event) -> bool | None:
+    if event.kind == "store_lost":
+        return True
+    started = event.kind == "node" and event.cause == "started"
+    return False if event.kind == "store_regained" or started else None
+
+
+def _spans(
+    events: Iterable[Event],
+    begin_ms: float,
+    last_s: float,
+    state: Callable[[Event], bool | None],
+) -> list[Span]:
+    """Return the times in which a state held; an instance that is killed ends it at its restart."""
+    since: dict[str, float] = {}
+    spans = []
+    for event in events:
+        holds = state(event)
+        at_s = (event.wall_ms - begin_ms) / MS_PER_S
+        if holds:
+            since.setdefault(event.instance, at_s)
+        elif holds is False and event.instance in since:
+            spans.append(Span(event.instance, since.pop(event.instance), at_s))
+    spans += [Span(instance, begin_s, last_s) for instance, begin_s in since.items()]
+    return spans
