--- /dev/null
+++ b/measure/queue_leader.py
@@ -0,0 +1,94 @@
+"""Processor time of a leader's decisions per started task, with placement advice for all queues."""
+
+import heapq
+import random
+import time
+from collections.abc import Iterator
+from dataclasses import replace
+
+from measure import queue_passes
+from measure.figures import Figures
+from measure.queue_passes import BATCH, GANGS, SEED, SERVICE, URGENT, Replay
+from nutmeglb_decisions.queues import advice, placing
+from nutmeglb_decisions.queues.effects import AskAdvice, StartTask
+from nutmeglb_decisions.queues.ranking import rank_of
+from nutmeglb_formats.models.queues import AdviceTerms, QueueConfig
+
+# Costs and shares of good workers of the users' largest sheet.
+ADVISED = {
+    URGENT.name: (AdviceTerms(16.9, 0.234, 1_500.0), 0.7),
+    GANGS.name: (AdviceTerms(507.0, 7.28, 1_500.0), 0.25),
+    BATCH.name: (AdviceTerms(182.0, 2.6, 1_500.0), 0.45),
+}
+QUEUES = tuple(replace(queue, advice=ADVISED[queue.name][0]) for queue in (URGENT, GANGS, BATCH))
+CONFIG = QueueConfig(1, 1, QUEUES, frozenset({SERVICE}), 1)
+WORKERS = (24, 175, 270, 1_000)
+LOADS = (0.8, 1.6)
+# Instances that can call the advice service: about one for three workers on the users' sheets.
+CALLERS_SHARE = 0.33
+
+
+class AdvisedReplay(Replay):
+    """A replay in which each step needs advice, answered after its cost."""
+
+    def __init__(self, workers: int) -> None:
+        super().__init__(workers)
+        self.cell.configure(CONFIG)
+        self.starts = 0
+        self.spent_ms = 0.0
+        self._callers = max(2, round(workers * CALLERS_SHARE))
+        self._calls: list[tuple[float, int, AskAdvice]] = []
+        self._asked = 0
+
+    @property
+    def busy(self) -> bool:
+        """Return whether anything is still to happen."""
+        return bool(self._calls) or super().busy
+
+    def step(self, now_ms: float, rng: random.Random, rank: placing.RankFunction) -> None:
+        """Answer calls, run a pass, and carry out what it decides."""
+        begun_s = time.process_time()
+        while self._calls and self._calls[0][0] <= now_ms:
+            self._answer(heapq.heappop(self._calls)[2], now_ms, rng)
+        placing.schedule(self.cell, self._callers, rng, now_ms, now_ms, rank)
+        self.pass_ms.append((time.process_time() - begun_s) * 1_000)
+        self.spent_ms += self.pass_ms[-1]
+        for effect in self.settle(now_ms, rng):
+            if isinstance(effect, StartTask):
+                self.starts += 1
+            elif isinstance(effect, AskAdvice):
+                self._asked += 1
+                heapq.heappush(self._calls, (now_ms + effect.cost_ms, self._asked, effect))
+
+    def _answer(self, call: AskAdvice, now_ms: float, rng: random.Random) -> None:
+        job_id, occurrence, number = call.step.split(".")
+        step = self.cell.find_step(job_id, int(occurrence), int(number))
+        if step is None:
+            return
+        share = ADVISED[step.job.record.queue.name][1]
+        good = [
+            (worker_id, "ticket")
+            for worker_id in call.workers
+            if worker_id in step.advice.good or rng.random() < share
+        ]
+        advice.answered(self.cell, step, call.workers, good, now_ms + 1_500.0)
+
+
+def queue_leader_cost() -> Iterator[Figures]:
+    """Time of all passes by started task, below and above the capacity."""
+    for workers in WORKERS:
+        for load in LOADS:
+            replay = AdvisedReplay(workers)
+            arrivals = queue_passes.arrivals(workers, load, random.Random(SEED), QUEUES)
+            replay.run(arrivals, rank_of)
+            ordered = sorted(replay.pass_ms)
+            figures = {
+                "pass_mean_ms": round(replay.spent_ms / len(ordered), 2),
+                "pass_p99_ms": round(ordered[int(len(ordered) * 0.99)], 2),
+                "ms_per_start": round(replay.spent_ms / max(1, replay.starts), 3),
+            }
+            size = f"{workers} workers, load {load}"
+            yield Figures("queue_leader_cost", size, "passes", "", SEED, figures)
+
+
+CASES = {"queue_leader_cost": queue_leader_cost}
--- a/measure/queue_passes.py
+++ b/measure/queue_passes.py
@@ -8,7 +8,7 @@
 from measure.figures import Figures
 from nutmeglb_decisions.queues import lifecycle, placing, progress, reports
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.effects import StartTask
+from nutmeglb_decisions.queues.effects import Effect, StartTask
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.orders import StartOutcome, start_answered
 from nutmeglb_decisions.queues.ranking import Rank, Tier, objective_ms, rank_of
@@ -46,28 +46,33 @@
     return Rank(Tier.IN_TIME, 0, 0.0, step.job.accepted_ms)
 
 
-def _arrivals(workers: int, load: float, rng: random.Random) -> list[tuple[float, QueueJob]]:
+def arrivals(
+    workers: int, load: float, rng: random.Random, queues: tuple[Queue, ...] | None = None
+) -> list[tuple[float, QueueJob]]:
     """Return a mix of urgent pairs, gangs and wide batches, with a work of ``load``."""
+    queues = queues or CONFIG.queues
     budget = load * workers * WORKER_CPU * BURST_MS
-    arrivals: list[tuple[float, QueueJob]] = []
+    found: list[tuple[float, QueueJob]] = []
     while budget > 0:
-        queue = rng.choices((URGENT, GANGS, BATCH), (0.84, 0.04, 0.12))[0]
+        queue = rng.choices(queues, (0.84, 0.04, 0.12))[0]
         count, cpu, mean_ms = {
             URGENT.name: (rng.randint(1, 3), 1_400, 1_000.0),
             GANGS.name: (rng.randint(4, 16), 4_500, 6_200.0),
             BATCH.name: (rng.randint(4, 20), 980, 3_400.0),
         }[queue.name]
         estimate_ms = mean_ms * rng.uniform(0.5, 1.6)
-        spec = StepSpec(count, Resources(cpu, GB, 0), estimate_ms, gang=queue is GANGS)
+        spec = StepSpec(count, Resources(cpu, GB, 0), estimate_ms, gang=queue.name == GANGS.name)
         at_ms = rng.uniform(0.0, BURST_MS)
-        name = f"{len(arrivals):016x}"
+        name = f"{len(found):016x}"
         job = QueueJob(name, queue, "", (spec,), 0, 0.0, 0.0, 0.0, "")
-        arrivals.append((at_ms, job))
+        found.append((at_ms, job))
         budget -= count * cpu * estimate_ms
-    return sorted(arrivals, key=lambda item: item[0])
+    return sorted(found, key=lambda item: item[0])
 
 
-class _Replay:
+class Replay:
+    """A cell under a load that is known in advance, without I/O."""
+
     def __init__(self, workers: int) -> None:
         self.cell = Cell(0, LAPSE_MS)
         self.cell.configure(CONFIG)
@@ -86,25 +91,41 @@
         for info in infos:
             self._report(info.worker_id, (), 0.0)
 
-    def run(self, arrivals: list[tuple[float, QueueJob]], rank: placing.RankFunction) -> None:
+    @property
+    def busy(self) -> bool:
+        """Return whether anything is still to happen."""
+        return bool(self._ends)
+
+    def run(self, arriving: list[tuple[float, QueueJob]], rank: placing.RankFunction) -> None:
+        """Play until all work has ended."""
         rng = random.Random(SEED)
         now_ms = 0.0
-        waiting = list(reversed(arrivals))
-        while waiting or self._ends:
+        waiting = list(reversed(arriving))
+        while waiting or self.busy:
             now_ms += PASS_EVERY_MS
             while waiting and waiting[-1][0] <= now_ms:
                 lifecycle.add_job(self.cell, waiting.pop()[1], now_ms)
             while self._ends and self._ends[0][0] <= now_ms:
                 _, _, worker, task, number = heapq.heappop(self._ends)
                 self._report(worker, ((task, number),), now_ms)
-            begun_s = time.perf_counter()
-            placing.schedule(self.cell, 8, rng, now_ms, now_ms, rank)
-            self.pass_ms.append((time.perf_counter() - begun_s) * 1_000)
-            self._store(now_ms)
-            for effect in self.cell.take_effects():
-                if isinstance(effect, StartTask):
-                    self._start(effect, now_ms, rng)
-            self.cell.take_decisions()
+            self.step(now_ms, rng, rank)
+
+    def step(self, now_ms: float, rng: random.Random, rank: placing.RankFunction) -> None:
+        """Run a pass and carry out what it decides."""
+        begun_s = time.perf_counter()
+        placing.schedule(self.cell, 8, rng, now_ms, now_ms, rank)
+        self.pass_ms.append((time.perf_counter() - begun_s) * 1_000)
+        self.settle(now_ms, rng)
+
+    def settle(self, now_ms: float, rng: random.Random) -> list[Effect]:
+        """Store progress and begin the starts. Return all effects of the pass."""
+        self._store(now_ms)
+        effects = self.cell.take_effects()
+        for effect in effects:
+            if isinstance(effect, StartTask):
+                self._start(effect, now_ms, rng)
+        self.cell.take_decisions()
+        return effects
 
     def _store(self, now_ms: float) -> None:
         for job in list(self.cell.dirty.values()):
@@ -142,20 +163,20 @@
 def queue_burst() -> Iterator[Figures]:
     """Share of jobs that end within their objective, per queue."""
     for load in LOADS:
-        arrivals = _arrivals(WORKERS[0], load, random.Random(SEED))
+        arriving = arrivals(WORKERS[0], load, random.Random(SEED))
         for name, rank in (("first come", first_come), ("tier, priority, work", rank_of)):
-            replay = _Replay(WORKERS[0])
-            replay.run(arrivals, rank)
+            replay = Replay(WORKERS[0])
+            replay.run(arriving, rank)
             shares = {
-                f"{queue.name}_in_time_share": _share(replay, arrivals, queue)
+                f"{queue.name}_in_time_share": _share(replay, arriving, queue)
                 for queue in CONFIG.queues
             }
             size = f"{WORKERS[0]} workers, load {load}"
             yield Figures("queue_burst", size, name, "first come", SEED, shares)
 
 
-def _share(replay: _Replay, arrivals: list[tuple[float, QueueJob]], queue: Queue) -> float:
-    own = [(at_ms, job) for at_ms, job in arrivals if job.queue is queue]
+def _share(replay: Replay, arriving: list[tuple[float, QueueJob]], queue: Queue) -> float:
+    own = [(at_ms, job) for at_ms, job in arriving if job.queue is queue]
     in_time = 0
     for at_ms, record in own:
         probe = Cell(0, LAPSE_MS)
@@ -168,8 +189,8 @@
 def queue_pass_cost() -> Iterator[Figures]:
     """Duration of a scheduling pass while more work waits than fits."""
     for workers in WORKERS:
-        replay = _Replay(workers)
-        replay.run(_arrivals(workers, LOADS[-1], random.Random(SEED)), rank_of)
+        replay = Replay(workers)
+        replay.run(arrivals(workers, LOADS[-1], random.Random(SEED)), rank_of)
         ordered = sorted(replay.pass_ms)
         figures = {
             "pass_p50_ms": round(ordered[len(ordered) // 2], 2),
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/admission.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/admission.py
@@ -66,7 +66,7 @@
     queue = job.record.queue.name
     return sum(
         step.remaining
-        * step.spec.charged.cpu_millis
+        * step.charged.cpu_millis
         * cell.estimates.run_ms(queue, step.spec.estimate_ms)
         for step in job.steps
         if not step.spec.lasting
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -9,6 +9,7 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -17,6 +18,7 @@
 from nutmeglb_decisions.queues.fitting import slots_on
 from nutmeglb_decisions.queues.state import Step, Worker
 from nutmeglb_formats.models.queues import AdviceTerms
+from nutmeglb_formats.models.resources import Resources
 
 # Workers named in a first call. The users' objective counts one call on 30 workers a step.
 FIRST_NAMES = 30
@@ -71,10 +73,11 @@
         )
         if callers == 1 and now_ms < cell.started_ms + CONNECT_MS:
             budget.long_ms = 0.0
-        for job in cell.active.values():
-            for step in job.steps:
-                if step.advice.call_until_ms > now_ms:
-                    budget.charge(step.advice.call_cost_ms)
+        for name, (until_ms, cost_ms) in list(cell.advice_calls.items()):
+            if until_ms > now_ms:
+                budget.charge(cost_ms)
+            else:
+                del cell.advice_calls[name]
         return budget
 
     def left_ms(self, cost_ms: float) -> float:
@@ -89,6 +92,29 @@
             self.short_ms -= cost_ms
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerGroup:
+    """Workers that a step may use, advice aside.
+
+    Attributes
+    ----------
+    capacities
+        Number of workers of each capacity, which few kinds of workers have.
+    """
+
+    workers: Sequence[Worker]
+    capacities: Counter[Resources]
+
+    @classmethod
+    def of(cls, workers: Sequence[Worker]) -> "WorkerGroup":
+        """Count the capacities of workers."""
+        return cls(workers, Counter(worker.info.capacity for worker in workers))
+
+    def slots(self, step: Step) -> int:
+        """Return how many tasks of a step the workers hold when they are empty."""
+        return sum(slots_on(size, step, 0) * count for size, count in self.capacities.items())
+
+
 def usable(step: Step, worker: Worker) -> bool:
     """Return whether a step may run on a worker as far as its labels and state tell."""
     label = step.spec.required_label
@@ -101,6 +127,20 @@
     return [w for w in cell.workers.values() if w.info.service == service and usable(step, w)]
 
 
+def good_workers(cell: Cell, step: Step) -> list[Worker]:
+    """Return the workers that advice allows and that answer, whether a ticket is at hand or not."""
+    service = cell.policy_of(step.job).service
+    found = (cell.workers.get(worker_id) for worker_id in sorted(step.advice.good))
+    return [
+        worker
+        for worker in found
+        if worker is not None
+        and worker.unanswered_since_ms is None
+        and worker.info.service == service
+        and usable(step, worker)
+    ]
+
+
 def with_ticket(cell: Cell, step: Step, now_ms: float) -> list[Worker]:
     """Return the workers for whose present incarnation a valid ticket is at hand."""
     asked = step.advice.asked
@@ -122,7 +162,7 @@
 def ask(
     cell: Cell,
     step: Step,
-    workers: Sequence[Worker],
+    group: WorkerGroup,
     budget: AdviceBudget,
     rng: random.Random,
     now_ms: float,
@@ -142,13 +182,13 @@
         return
     if budget.left_ms(terms.call_ms(1)) <= 0:
         return
-    names = _names(cell, step, workers, terms, rng, now_ms, start_ms)
+    names = _names(cell, step, group, terms, rng, now_ms, start_ms)
     if not names:
         state.not_before_ms = now_ms + LOOK_AGAIN_MS
         return
     cost_ms = terms.call_ms(len(names))
     state.call_until_ms = now_ms + cost_ms * LOST_FACTOR + LOST_MS
-    state.call_cost_ms = cost_ms
+    cell.advice_calls[step.name] = (state.call_until_ms, cost_ms)
     budget.charge(cost_ms)
     ids = tuple(worker.worker_id for worker in names)
     cell.effects.append(AskAdvice(step.name, ids, cost_ms))
@@ -165,7 +205,7 @@
 def _names(
     cell: Cell,
     step: Step,
-    workers: Sequence[Worker],
+    group: WorkerGroup,
     terms: AdviceTerms,
     rng: random.Random,
     now_ms: float,
@@ -173,11 +213,12 @@
 ) -> list[Worker]:
     """Return the workers to name; none when the tickets at hand last long enough."""
     state = step.advice
-    good = [w for w in workers if w.worker_id in state.good and w.unanswered_since_ms is None]
-    fresh = [w for w in workers if state.asked.get(w.worker_id) != w.info.started_ms]
-    if fresh:
-        missing = _missing_names(cell, step, workers, good)
-        if missing:
+    good = good_workers(cell, step)
+    missing = _missing_names(cell, step, group, good)
+    if missing:
+        asked = state.asked
+        fresh = [w for w in group.workers if asked.get(w.worker_id) != w.info.started_ms]
+        if fresh:
             return (good + _most_room(step, fresh, missing, rng))[:MAX_NAMES]
     if not good:
         return []
@@ -199,16 +240,13 @@
     return wanted - sum(slots_on(worker.info.capacity, step, 0) for worker in workers)
 
 
-def _missing_names(
-    cell: Cell, step: Step, workers: Sequence[Worker], good: Sequence[Worker]
-) -> int:
+def _missing_names(cell: Cell, step: Step, group: WorkerGroup, good: Sequence[Worker]) -> int:
     """Return how many more workers to name, so that the good ones hold the step beside others."""
     missing = missing_slots(step, good)
     if missing <= 0:
         return 0
-    slots = sum(slots_on(worker.info.capacity, step, 0) for worker in workers)
     share = cell.good_shares.get(step.job.record.queue.name, DEFAULT_GOOD_SHARE)
-    expected = share * slots / len(workers)
+    expected = share * group.slots(step) / len(group.workers)
     return max(FIRST_NAMES, math.ceil(missing / expected)) if expected else 0
 
 
@@ -216,9 +254,9 @@
     step: Step, workers: Sequence[Worker], count: int, rng: random.Random
 ) -> list[Worker]:
     """Return the workers with most room, so that an answer is of use at once."""
-    shuffled = list(workers)
-    rng.shuffle(shuffled)
-    return sorted(shuffled, key=lambda w: -slots_on(w.free, step, 0))[:count]
+    drawn = [(-slots_on(worker.free, step, 0), rng.random()) for worker in workers]
+    order = sorted(range(len(workers)), key=drawn.__getitem__)
+    return [workers[place] for place in order[:count]]
 
 
 def answered(
@@ -230,6 +268,7 @@
 ) -> None:
     """Apply an answer. The workers in it must be durable before a task is sent to them."""
     state = step.advice
+    cell.advice_calls.pop(step.name, None)
     state.call_until_ms = 0.0
     state.not_before_ms = 0.0
     for worker_id in named:
@@ -250,7 +289,8 @@
     )
 
 
-def failed(step: Step, now_ms: float) -> None:
+def failed(cell: Cell, step: Step, now_ms: float) -> None:
     """Note that a call was refused or not answered. It is made again after a pause."""
+    cell.advice_calls.pop(step.name, None)
     step.advice.call_until_ms = 0.0
     step.advice.not_before_ms = now_ms + REFUSED_RETRY_MS
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -25,6 +25,8 @@
         Number of this leadership, from 0.
     good_shares
         Per queue: share of the named workers that placement advice calls good.
+    advice_calls
+        Per step with an outstanding call for advice: when it counts as lost, and its duration.
     dirty
         Jobs whose durable progress has changed, in order.
     lapse_after_ms
@@ -50,6 +52,7 @@
     dirty: dict[str, Job] = field(default_factory=dict)
     queues: dict[str, Queue] = field(default_factory=dict)
     good_shares: dict[str, float] = field(default_factory=dict)
+    advice_calls: dict[str, tuple[float, float]] = field(default_factory=dict)
     class_use: ClassUse = field(default_factory=ClassUse)
 
     def configure(self, config: QueueConfig) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/effects.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/effects.py
@@ -5,7 +5,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StartTask:
-    """Order a worker to start a run."""
+    """Order a worker to start a run.
+
+    Attributes
+    ----------
+    ticket, ticket_until_ms
+        Advice for the worker, and the monotonic time until which it is valid. Empty without advice.
+    """
 
     worker_id: str
     task: str
@@ -13,6 +19,7 @@
     body: str
     checkpoint: str
     ticket: str
+    ticket_until_ms: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/fitting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/fitting.py
@@ -78,19 +78,17 @@
 
 def slots_on(free: Resources, step: Step, used_by_step: int) -> int:
     """Return how many tasks of a step fit into ``free`` on one worker."""
-    spec = step.spec
-    charged = spec.charged
-    if not charged.fits_in(free):
+    charged = step.charged
+    cpu, memory, accelerators = charged.cpu_millis, charged.memory_bytes, charged.accelerators
+    if cpu > free.cpu_millis or memory > free.memory_bytes or accelerators > free.accelerators:
         return 0
-    fitting = UNLIMITED
-    if charged.cpu_millis:
-        fitting = free.cpu_millis // charged.cpu_millis
-    if charged.memory_bytes:
-        fitting = min(fitting, free.memory_bytes // charged.memory_bytes)
-    if charged.accelerators:
-        fitting = min(fitting, free.accelerators // charged.accelerators)
-    if spec.max_per_worker:
-        fitting = min(fitting, spec.max_per_worker - used_by_step)
+    fitting = free.cpu_millis // cpu if cpu else UNLIMITED
+    if memory:
+        fitting = min(fitting, free.memory_bytes // memory)
+    if accelerators:
+        fitting = min(fitting, free.accelerators // accelerators)
+    if step.spec.max_per_worker:
+        fitting = min(fitting, step.spec.max_per_worker - used_by_step)
     return max(0, fitting)
 
 
@@ -99,11 +97,6 @@
     return Counter(run.worker_id for run in step.live_runs)
 
 
-def fullness(worker: Worker) -> float:
-    """Return the largest used share of a worker's resources, 0 to 1."""
-    return worker.used.dominant_share(worker.info.capacity)
-
-
 def choose_single(
     step: Step,
     candidates: Iterable[Worker],
@@ -127,13 +120,13 @@
         if not slots_on(worker.free, step, present[worker.worker_id]):
             continue
         end_ms = now_ms + run_ms * worker.slowness
-        if not reservations.permits(worker.worker_id, step.spec.charged, end_ms):
+        if not reservations.permits(worker.worker_id, step.charged, end_ms):
             continue
         score = (
             float(_is_remote(step, worker)),
-            planned.harm(worker.worker_id, step.spec.charged, end_ms) if planned else 0.0,
+            planned.harm(worker.worker_id, step.charged, end_ms) if planned else 0.0,
             round(worker.slowness, 1),
-            -fullness(worker),
+            -worker.fullness,
         )
         if best is None or score < best:
             best, chosen = score, worker
@@ -182,7 +175,7 @@
 
 
 def _gang_score(step: Step, worker: Worker) -> tuple[float, ...]:
-    return (float(_is_remote(step, worker)), round(worker.slowness, 1), -fullness(worker))
+    return (float(_is_remote(step, worker)), round(worker.slowness, 1), -worker.fullness)
 
 
 def _unreserved_slots(step: Step, worker: Worker, reservations: Reservations, end_ms: float) -> int:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/gang_plans.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/gang_plans.py
@@ -66,7 +66,7 @@
         worker = workers.get(worker_id)
         if worker is None:
             continue
-        amount = step.spec.charged.scaled(count)
+        amount = step.charged.scaled(count)
         left = _free_at(worker, plan.start_ms, now_ms) - amount
         reservations.add(worker_id, Reservation(plan.start_ms, left, place))
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/headroom.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/headroom.py
@@ -13,6 +13,8 @@
 
 # The highest use of a class fades by half in this time; urgent tasks last about a second.
 HALF_LIFE_MS = 2_000.0
+# The sum takes time with thousands of runs, and a peak that is missed for this long fades by 2 %.
+LOOK_EVERY_MS = 50.0
 
 
 @dataclass(slots=True)
@@ -30,10 +32,12 @@
     elsewhere: dict[tuple[str, int], int] = field(default_factory=dict)
     largest: dict[tuple[str, int], int] = field(default_factory=dict)
     _peaks: dict[tuple[str, int], float] = field(default_factory=dict)
-    _looked_ms: float = 0.0
+    _looked_ms: float = -LOOK_EVERY_MS
 
     def look(self, workers: Iterable[Worker], planned: Container[str], now_ms: float) -> None:
         """Sum up what runs use. ``planned`` has the workers that gangs wait for."""
+        if now_ms - self._looked_ms < LOOK_EVERY_MS:
+            return
         use: dict[tuple[str, int], int] = defaultdict(int)
         elsewhere: dict[tuple[str, int], int] = defaultdict(int)
         for worker in workers:
@@ -83,9 +87,13 @@
     unit
         Less than this on a worker is of no use, and does not count.
     """
-    spare = (
-        worker.free.cpu_millis - planned.get(worker.worker_id, 0)
+    return sum(
+        spare_of(worker.free.cpu_millis - planned.get(worker.worker_id, 0), unit)
         for worker in workers
         if worker.info.service == service
     )
-    return sum(amount for amount in spare if amount >= max(1, unit))
+
+
+def spare_of(amount: int, unit: int) -> int:
+    """Return the free processors of one worker that are of use to tasks of the size of a unit."""
+    return amount if amount >= max(1, unit) else 0
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -3,12 +3,9 @@
 import math
 import random
 from collections.abc import Callable, Iterator, Sequence
-from dataclasses import dataclass, field
 
-from nutmeglb_decisions.invariants import LEDGER_CAPACITY, require
 from nutmeglb_decisions.queues import advice
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.effects import StartTask
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.fitting import (
     Reservations,
@@ -19,8 +16,9 @@
 from nutmeglb_decisions.queues.gang_plans import keep_plan, reserve
 from nutmeglb_decisions.queues.headroom import spare_cpu
 from nutmeglb_decisions.queues.ranking import Rank, Tier, rank_of
-from nutmeglb_decisions.queues.state import Job, Run, Step, Task, Worker
-from nutmeglb_formats.models.resources import Resources
+from nutmeglb_decisions.queues.scheduling_pass import Pass, start_task
+from nutmeglb_decisions.queues.state import Job, Step, Task, Worker
+from nutmeglb_formats.exceptions import InvariantViolation
 
 # Share of a service's processors that waiting gangs may keep; more would leave too little for work
 # that ends before they start.
@@ -35,48 +33,10 @@
 # Between two looks at whether the recorded workers can hold a step; workers come and go slower.
 RECORD_CHECK_MS = 500.0
 
-RankFunction = Callable[[Step, float, float, Estimates], Rank]
-
-
-@dataclass(slots=True)
-class Pass:
-    """Inputs of one scheduling pass, and what it has found so far.
-
-    Attributes
-    ----------
-    reservations, planned
-        Room kept for gangs that were tried in this pass, which binds all that follow; and for all
-        gangs as of the former pass, which better-ranked work avoids where it can.
-    eligible
-        Per service and label: the workers that may be used.
-    placed
-        Runs of the present step.
-    planned_cpu
-        Thousandths of a core that gangs wait for, per worker.
-    reserved_cpu, gang_priorities
-        Per service: thousandths of a core kept for gangs in this pass, and their best priority.
-    looks
-        Workers looked at.
-    without_room
-        Per service and label: sizes of tasks for which no worker has room. Room only shrinks
-        during a pass, so larger tasks need not be tried.
-    """
+# A step whose placement fails by a defect is tried again this late.
+DEFECT_PAUSE_MS = 5_000.0
 
-    cell: Cell
-    rng: random.Random
-    now_ms: float
-    wall_ms: float
-    budget: advice.AdviceBudget
-    reservations: Reservations
-    planned: Reservations
-    reserved_cpu: dict[str, int] = field(default_factory=dict)
-    reserve_attempts: int = 0
-    looks: int = 0
-    eligible: dict[tuple[str, str], list[Worker]] = field(default_factory=dict)
-    without_room: dict[tuple[str, str], list[Resources]] = field(default_factory=dict)
-    placed: list[Run] = field(default_factory=list)
-    planned_cpu: dict[str, int] = field(default_factory=dict)
-    gang_priorities: dict[str, int] = field(default_factory=dict)
+RankFunction = Callable[[Step, float, float, Estimates], Rank]
 
 
 def schedule(
@@ -102,16 +62,27 @@
         if step.plan is not None:
             reserve(step, cell.workers, state.planned, now_ms, place)
             for worker_id, count in step.plan.counts.items():
-                amount = count * step.spec.charged.cpu_millis
+                amount = count * step.charged.cpu_millis
                 state.planned_cpu[worker_id] = state.planned_cpu.get(worker_id, 0) + amount
     cell.class_use.look(cell.workers.values(), state.planned_cpu, now_ms)
     for step_rank, step in ranked:
-        _place_step(state, step)
+        try:
+            _place_step(state, step)
+        except InvariantViolation:
+            raise
+        except Exception as error:
+            _set_aside(cell, step, error, now_ms)
         _log_placed(state, step, step_rank)
         if state.looks >= LOOKS_PER_PASS:
             break
 
 
+def _set_aside(cell: Cell, step: Step, error: Exception, now_ms: float) -> None:
+    """Leave a step alone whose placement fails by a defect, so that all others go on."""
+    step.not_before_ms = now_ms + DEFECT_PAUSE_MS
+    cell.decide("step_defect", repr(error), job=step.job.job_id, step=step.name)
+
+
 def ranked_steps(
     cell: Cell, now_ms: float, wall_ms: float, rank: RankFunction = rank_of
 ) -> list[tuple[Rank, Step]]:
@@ -160,23 +131,25 @@
 
 def _place_step(state: Pass, step: Step) -> None:
     cell, now_ms = state.cell, state.now_ms
-    workers = _eligible(state, step)
-    if not workers:
+    group = _eligible(state, step)
+    if not group.workers:
         return
-    if cell.policy_of(step.job).advice is None:
-        candidates = _with_room(state, step, workers)
-        _record_workers(cell, step, workers, candidates, now_ms)
-    else:
+    advised = cell.policy_of(step.job).advice is not None
+    if advised:
         candidates = advice.with_ticket(cell, step, now_ms)
+    else:
+        candidates = _with_room(state, step, group.workers)
+        _record_workers(cell, step, group.workers, candidates, now_ms)
     state.looks += 1 + len(candidates)
     ready = [worker for worker in candidates if _ready(step, worker, now_ms)]
+    asks = advised and advice.is_due(step, now_ms)
     if step.spec.gang:
-        start_ms = _place_gang(state, step, ready, workers)
+        start_ms = _place_gang(state, step, ready, group, asks)
     else:
-        start_ms = _place_singles(state, step, ready, workers)
-    if start_ms is not None and advice.is_due(step, now_ms):
-        state.looks += len(workers)
-        advice.ask(cell, step, workers, state.budget, state.rng, now_ms, start_ms)
+        start_ms = _place_singles(state, step, ready, asks)
+    if start_ms is not None and asks:
+        state.looks += len(group.workers)
+        advice.ask(cell, step, group, state.budget, state.rng, now_ms, start_ms)
 
 
 def _log_placed(state: Pass, step: Step, rank: Rank) -> None:
@@ -198,18 +171,18 @@
     )
 
 
-def _eligible(state: Pass, step: Step) -> list[Worker]:
+def _eligible(state: Pass, step: Step) -> advice.WorkerGroup:
     """Return the workers that may run a step, computed once per pass, service and label."""
     service = state.cell.policy_of(step.job).service
     key = (service, step.spec.required_label)
     if key not in state.eligible:
-        state.eligible[key] = advice.eligible(state.cell, step)
+        state.eligible[key] = advice.WorkerGroup.of(advice.eligible(state.cell, step))
     return state.eligible[key]
 
 
 def _with_room(state: Pass, step: Step, workers: Sequence[Worker]) -> list[Worker]:
     """Return the workers with room for a task, at once when a smaller task found none before."""
-    charged = step.spec.charged
+    charged = step.charged
     key = (state.cell.policy_of(step.job).service, step.spec.required_label)
     without_room = state.without_room.setdefault(key, [])
     if any(smaller.fits_in(charged) for smaller in without_room):
@@ -223,7 +196,7 @@
 
 def _ready(step: Step, worker: Worker, now_ms: float) -> bool:
     return (
-        step.spec.charged.fits_in(worker.free)
+        step.charged.fits_in(worker.free)
         and worker.worker_id in step.recorded
         and worker.settled
         and not worker.strays
@@ -268,19 +241,23 @@
     return state.cell.estimates.run_ms(queue, step.spec.estimate_ms)
 
 
-def _place_singles(
-    state: Pass, step: Step, ready: Sequence[Worker], workers: Sequence[Worker]
-) -> float | None:
-    """Start what fits. Return when others may start, or ``None`` when none is left."""
+def _place_singles(state: Pass, step: Step, ready: Sequence[Worker], asks: bool) -> float | None:
+    """Start what fits. Return when others may start, or ``None`` when none is left.
+
+    Parameters
+    ----------
+    asks
+        Whether advice is due. Otherwise the time is of no use, and infinite.
+    """
     run_ms = _run_ms(state, step)
     for task in _waiting(step, state.now_ms):
         if not _leaves_headroom(state, step):
             return math.inf
         worker = choose_single(step, ready, state.reservations, state.now_ms, run_ms, state.planned)
         if worker is None:
-            return _next_room_ms(state, step, workers, run_ms)
+            return _next_room_ms(state, step, run_ms) if asks else math.inf
         number = state.cell.next_run(task.last_run)
-        _start(state, step, task, worker, number, run_ms)
+        start_task(state, step, task, worker, number, run_ms)
     return None
 
 
@@ -294,60 +271,57 @@
     headroom = use.headroom(service, priority)
     if not headroom:
         return True
-    workers = state.cell.workers.values()
-    state.looks += len(workers)
-    spare = spare_cpu(workers, service, state.planned_cpu, use.unit(service, priority))
-    return spare - step.spec.charged.cpu_millis >= headroom
+    key = (service, use.unit(service, priority))
+    if key not in state.spare:
+        workers = state.cell.workers.values()
+        state.looks += len(workers)
+        state.spare[key] = spare_cpu(workers, service, state.planned_cpu, key[1])
+    return state.spare[key] - step.charged.cpu_millis >= headroom
 
 
-def _next_room_ms(state: Pass, step: Step, workers: Sequence[Worker], run_ms: float) -> float:
+def _next_room_ms(state: Pass, step: Step, run_ms: float) -> float:
     """Return when one of a step's good workers is expected to have room for a task."""
-    good = _good(step, workers)
+    good = advice.good_workers(state.cell, step)
     if choose_single(step, good, state.reservations, state.now_ms, run_ms) is not None:
         return state.now_ms
     ends = [run.expected_end_ms for worker in good for run in worker.runs.values()]
     return max(state.now_ms, min(ends, default=math.inf))
 
 
-def _good(step: Step, workers: Sequence[Worker]) -> list[Worker]:
-    """Return the workers that may run an advised step, whether a ticket is at hand or not."""
-    good = step.advice.good
-    return [w for w in workers if w.worker_id in good and w.unanswered_since_ms is None]
-
-
 def _place_gang(
-    state: Pass, step: Step, ready: Sequence[Worker], workers: Sequence[Worker]
+    state: Pass, step: Step, ready: Sequence[Worker], group: advice.WorkerGroup, asks: bool
 ) -> float | None:
     """Start a gang if it fits. Return when it may otherwise, or ``None`` when it was started."""
     run_ms = _run_ms(state, step)
     choice = choose_gang(step, ready, state.reservations, state.now_ms, run_ms)
     if choice is None:
-        good = _good(step, workers)
+        good = advice.good_workers(state.cell, step) if asks else []
         fits = choose_gang(step, good, state.reservations, state.now_ms, run_ms) is not None
-        at_ms = _reserve(state, step, workers)
+        at_ms = _reserve(state, step, group)
         return state.now_ms if fits else at_ms
     step.plan = None
     number = state.cell.next_run(max(task.last_run for task in step.tasks))
     for task, worker_id in zip(step.tasks, choice.worker_ids, strict=True):
-        _start(state, step, task, state.cell.workers[worker_id], number, run_ms)
+        start_task(state, step, task, state.cell.workers[worker_id], number, run_ms)
     return None
 
 
-def _reserve(state: Pass, step: Step, workers: Sequence[Worker]) -> float:
+def _reserve(state: Pass, step: Step, group: advice.WorkerGroup) -> float:
     """Keep room for a gang. Return its expected start, infinite when nothing is kept."""
     cell, now_ms = state.cell, state.now_ms
+    terms = cell.policy_of(step.job).advice
+    allowed = step.recorded if terms is None else step.advice.good
     rank = rank_of(step, step.job.accepted_ms, now_ms, cell.estimates)
-    if rank.tier == Tier.TOO_LATE or state.reserve_attempts >= MAX_RESERVE_ATTEMPTS:
+    hopeless = rank.tier == Tier.TOO_LATE or not allowed
+    if hopeless or state.reserve_attempts >= MAX_RESERVE_ATTEMPTS:
         step.plan = None
         return math.inf
     state.reserve_attempts += 1
-    terms = cell.policy_of(step.job).advice
-    allowed = step.recorded if terms is None else step.advice.good
-    good = [w for w in workers if w.worker_id in allowed and w.settled]
+    good = [w for w in group.workers if w.worker_id in allowed and w.settled]
     queue = step.job.record.queue
     reserved = state.reserved_cpu.get(queue.service, 0)
-    wanted = step.spec.charged.cpu_millis * step.spec.count
-    room = RESERVED_SHARE * sum(worker.info.capacity.cpu_millis for worker in workers)
+    wanted = step.charged.cpu_millis * step.spec.count
+    room = RESERVED_SHARE * sum(n * size.cpu_millis for size, n in group.capacities.items())
     if not good or (reserved and reserved + wanted > room):
         step.plan = None
         return math.inf
@@ -359,32 +333,3 @@
     former = state.gang_priorities.get(queue.service, queue.priority)
     state.gang_priorities[queue.service] = min(former, queue.priority)
     return at_ms
-
-
-def _start(state: Pass, step: Step, task: Task, worker: Worker, number: int, run_ms: float) -> None:
-    cell, now_ms = state.cell, state.now_ms
-    expected_ms = now_ms + run_ms * worker.slowness
-    charged = step.spec.charged
-    run = Run(step, task.index, number, worker.worker_id, charged, now_ms, expected_ms)
-    run.resumed = bool(task.checkpoint)
-    require(
-        charged.fits_in(worker.free),
-        LEDGER_CAPACITY,
-        "A start exceeds the capacity of a worker",
-        worker=worker.worker_id,
-        task=run.task,
-    )
-    worker.charge(charged)
-    # The order is sent after this pass and may be the first renewal in a long time.
-    worker.lapse_ms = max(worker.lapse_ms, now_ms + cell.lapse_after_ms)
-    worker.runs[(run.task, number)] = run
-    state.reservations.charge(worker.worker_id, charged, expected_ms)
-    state.planned.charge(worker.worker_id, charged, expected_ms)
-    task.run = run
-    task.last_run = number
-    state.placed.append(run)
-    ticket = step.advice.tickets.get(worker.worker_id, ("", 0.0))[0]
-    body = step.job.record.body
-    cell.effects.append(
-        StartTask(worker.worker_id, run.task, number, body, task.checkpoint, ticket)
-    )
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ranking.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ranking.py
@@ -9,7 +9,7 @@
 from enum import IntEnum
 
 from nutmeglb_decisions.queues.estimates import Estimates
-from nutmeglb_decisions.queues.state import Job, Step
+from nutmeglb_decisions.queues.state import Job, Outlook, Step
 
 # A job that ends after this many times its objective is of no use to its caller (from the
 # users' rules on credit).
@@ -18,6 +18,8 @@
 ADVICE_WORKERS = 30
 # Every waiting step gains a tier after this many objectives, so that no order starves wide work.
 AGING_OBJECTIVES = 12.0
+# Estimates move by a few percent in this time, and thousands of steps may wait.
+OUTLOOK_MS = 100.0
 
 
 class Tier(IntEnum):
@@ -71,8 +73,8 @@
 def rank_of(step: Step, start_ms: float, now_ms: float, estimates: Estimates) -> Rank:
     """Return the rank of a waiting step of an occurrence that was due at ``start_ms``."""
     job = step.job
-    objective = objective_ms(job, estimates)
-    remaining = chain_ms(job, estimates, step.number) if step.number else chain_ms(job, estimates)
+    outlook = _outlook(step, now_ms, estimates)
+    objective, remaining = outlook.objective_ms, outlook.remaining_ms
     end_ms = now_ms + remaining
     if end_ms <= start_ms + objective:
         tier = Tier.IN_TIME
@@ -85,3 +87,13 @@
     waiting = sum(1 for task in step.tasks if not task.done and task.run is None)
     work = remaining * (0.3 + waiting * step.spec.needs.cpu_millis)
     return Rank(tier, job.record.queue.priority, work, job.accepted_ms)
+
+
+def _outlook(step: Step, now_ms: float, estimates: Estimates) -> Outlook:
+    """Return the expected times of a step, computed anew when they are old."""
+    outlook = step.outlook
+    if outlook is None or now_ms >= outlook.until_ms:
+        remaining_ms = chain_ms(step.job, estimates, step.number)
+        outlook = Outlook(remaining_ms, objective_ms(step.job, estimates), now_ms + OUTLOOK_MS)
+        step.outlook = outlook
+    return outlook
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
@@ -0,0 +1,101 @@
+"""State of one scheduling pass, and what a start changes in it."""
+
+import random
+from dataclasses import dataclass, field
+
+from nutmeglb_decisions.invariants import LEDGER_CAPACITY, require
+from nutmeglb_decisions.queues import advice
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.effects import StartTask
+from nutmeglb_decisions.queues.fitting import Reservations
+from nutmeglb_decisions.queues.headroom import spare_of
+from nutmeglb_decisions.queues.state import Run, Step, Task, Worker
+from nutmeglb_formats.models.resources import Resources
+
+
+@dataclass(slots=True)
+class Pass:
+    """Inputs of one scheduling pass, and what it has found so far.
+
+    Attributes
+    ----------
+    reservations, planned
+        Room kept for gangs that were tried in this pass, which binds all that follow; and for all
+        gangs as of the former pass, which better-ranked work avoids where it can.
+    eligible
+        Per service and label: the workers that may be used.
+    placed
+        Runs of the present step.
+    planned_cpu
+        Thousandths of a core that gangs wait for, per worker.
+    reserved_cpu, gang_priorities
+        Per service: thousandths of a core kept for gangs in this pass, and their best priority.
+    looks
+        Workers looked at.
+    spare
+        Per service and size of a unit: free processors that no gang waits for, kept up to date.
+    without_room
+        Per service and label: sizes of tasks for which no worker has room. Room only shrinks
+        during a pass, so larger tasks need not be tried.
+    """
+
+    cell: Cell
+    rng: random.Random
+    now_ms: float
+    wall_ms: float
+    budget: advice.AdviceBudget
+    reservations: Reservations
+    planned: Reservations
+    reserved_cpu: dict[str, int] = field(default_factory=dict)
+    reserve_attempts: int = 0
+    looks: int = 0
+    eligible: dict[tuple[str, str], advice.WorkerGroup] = field(default_factory=dict)
+    without_room: dict[tuple[str, str], list[Resources]] = field(default_factory=dict)
+    placed: list[Run] = field(default_factory=list)
+    planned_cpu: dict[str, int] = field(default_factory=dict)
+    gang_priorities: dict[str, int] = field(default_factory=dict)
+    spare: dict[tuple[str, int], int] = field(default_factory=dict)
+
+
+def start_task(
+    state: Pass, step: Step, task: Task, worker: Worker, number: int, run_ms: float
+) -> None:
+    """Charge a run and order its start."""
+    cell, now_ms = state.cell, state.now_ms
+    expected_ms = now_ms + run_ms * worker.slowness
+    charged = step.charged
+    run = Run(step, task.index, number, worker.worker_id, charged, now_ms, expected_ms)
+    run.resumed = bool(task.checkpoint)
+    require(
+        charged.fits_in(worker.free),
+        LEDGER_CAPACITY,
+        "A start exceeds the capacity of a worker",
+        worker=worker.worker_id,
+        task=run.task,
+    )
+    _take_spare(state, worker, charged.cpu_millis)
+    worker.charge(charged)
+    # The order is sent after this pass and may be the first renewal in a long time.
+    worker.lapse_ms = max(worker.lapse_ms, now_ms + cell.lapse_after_ms)
+    worker.runs[(run.task, number)] = run
+    state.reservations.charge(worker.worker_id, charged, expected_ms)
+    state.planned.charge(worker.worker_id, charged, expected_ms)
+    task.run = run
+    task.last_run = number
+    state.placed.append(run)
+    ticket, until_ms = step.advice.tickets.get(worker.worker_id, ("", 0.0))
+    body = step.job.record.body
+    cell.effects.append(
+        StartTask(worker.worker_id, run.task, number, body, task.checkpoint, ticket, until_ms)
+    )
+
+
+def _take_spare(state: Pass, worker: Worker, cpu_millis: int) -> None:
+    """Take what a start uses from the sums of free processors, before it is charged."""
+    planned = state.planned_cpu.get(worker.worker_id, 0)
+    for key in state.spare:
+        service, unit = key
+        if service == worker.info.service:
+            before = worker.free.cpu_millis - planned
+            taken = spare_of(before, unit) - spare_of(before - cpu_millis, unit)
+            state.spare[key] -= taken
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -104,15 +104,12 @@
         Per worker: ticket and the time until which it is valid.
     call_until_ms
         An unanswered call counts as lost at this time; 0 when there is none.
-    call_cost_ms
-        Expected duration of the last call.
     """
 
     asked: dict[str, int] = field(default_factory=dict)
     good: set[str] = field(default_factory=set)
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
     call_until_ms: float = 0.0
-    call_cost_ms: float = 0.0
     not_before_ms: float = 0.0
 
 
@@ -135,6 +132,25 @@
     start_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Outlook:
+    """Expected times of a step, as of the latest estimates.
+
+    Attributes
+    ----------
+    remaining_ms
+        Longest chain of work from the step on.
+    objective_ms
+        Time within which the caller expects the end of the whole job.
+    until_ms
+        Time at which they are computed again.
+    """
+
+    remaining_ms: float
+    objective_ms: float
+    until_ms: float
+
+
 @dataclass(slots=True, eq=False)
 class Step:
     """One step of one occurrence of a job.
@@ -151,6 +167,10 @@
         Numbers of the failed runs of a gang.
     opened_ms, explained_ms
         Time from which the step could start; time of the last log line on why it has not.
+    outlook
+        Expected times that its rank is made of, once they have been computed.
+    charged
+        What one task takes of a worker's capacity. Kept, since a pass reads it for each worker.
     """
 
     job: "Job"
@@ -169,6 +189,11 @@
     opened_ms: float | None = None
     explained_ms: float = 0.0
     plan: GangPlan | None = None
+    outlook: Outlook | None = None
+    charged: Resources = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.charged = self.spec.charged
 
     @property
     def name(self) -> str:
@@ -253,9 +278,10 @@
 
     Attributes
     ----------
-    used, free
-        Sum of what all runs charge, asserted to stay within the capacity; and what is left of it.
-        Both are kept, since a pass reads them far more often than they change.
+    used, free, fullness
+        Sum of what all runs charge, asserted to stay within the capacity; what is left of it; and
+        the largest used share of a resource. They are kept, since a pass reads them far more often
+        than they change.
     seen_end
         Highest number of an end that was applied.
     lapse_ms
@@ -289,22 +315,27 @@
     strays: set[tuple[str, int]] = field(default_factory=set)
     worker_id: str = field(init=False)
     free: Resources = field(init=False)
+    fullness: float = field(init=False)
 
     def __post_init__(self) -> None:
         self.worker_id = self.info.worker_id
-        self.free = self.info.capacity - self.used
+        self._account()
 
     def describe(self, info: QueueWorker) -> None:
         """Take over a newer entry of the worker."""
         self.info = info
-        self.free = info.capacity - self.used
+        self._account()
 
     def charge(self, amount: Resources) -> None:
         """Take room for a run."""
         self.used = self.used + amount
-        self.free = self.free - amount
+        self._account()
 
     def give_back(self, amount: Resources) -> None:
         """Return the room of a run that has ended."""
         self.used = self.used - amount
-        self.free = self.free + amount
+        self._account()
+
+    def _account(self) -> None:
+        self.free = self.info.capacity - self.used
+        self.fullness = self.used.dominant_share(self.info.capacity)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/codec.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/codec.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 ValueT = TypeVar("ValueT")
+_PLAIN_TYPES = frozenset({str, int, float, bool, bytes, type(None)})
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +40,7 @@
     def __init__(self) -> None:
         self._by_code: dict[int, RegisteredType] = {}
         self._by_class: dict[type[Any], RegisteredType] = {}
+        self._latest: tuple[object, list[Any]] | None = None
 
     def register(
         self, code: int, version: int, *, latest_wins: bool = False
@@ -63,9 +65,16 @@
         return self._by_class[type(value)]
 
     def to_items(self, value: object) -> list[Any]:
-        """Return ``[type code, version, fields]`` of a registered value."""
+        """Return ``[type code, version, fields]`` of a registered value, which is shared.
+
+        The items of the latest value are kept: a broadcast encodes one value for every peer.
+        """
+        if self._latest is not None and self._latest[0] is value:
+            return self._latest[1]
         entry = self.entry_of(value)
-        return [entry.code, entry.version, [_plain(getattr(value, n)) for n in entry.names]]
+        items = [entry.code, entry.version, [_plain(getattr(value, n)) for n in entry.names]]
+        self._latest = (value, items)
+        return items
 
     def from_items(self, items: object) -> Result[Any, str]:
         """Return the value of ``[type code, version, fields]``, or what is wrong with it."""
@@ -94,6 +103,8 @@
 
 
 def _plain(value: Any) -> Any:
+    if type(value) in _PLAIN_TYPES:
+        return value
     if is_dataclass(value) and not isinstance(value, type):
         return {field.name: _plain(getattr(value, field.name)) for field in fields(value)}
     if isinstance(value, list | tuple):
--- /dev/null
+++ b/tests/unit/test_queue_pass_cost.py
@@ -0,0 +1,112 @@
+"""Load of a large fleet: what a scheduling pass looks at while hundreds of steps wait."""
+
+import random
+
+import pytest
+
+from nutmeglb_decisions.queues import advice, fitting, placing, scheduling_pass
+from nutmeglb_decisions.queues.effects import AskAdvice
+from nutmeglb_decisions.queues.headroom import spare_cpu
+from tests.lib.queues import ADVISED, BATCH, URGENT, CellWorld, job, step, worker_info
+
+WORKERS = 270
+
+
+@pytest.fixture
+def fleet():
+    world = CellWorld()
+    world.show(*(worker_info(f"w{n:03}") for n in range(WORKERS)))
+    return world
+
+
+@pytest.fixture
+def looks(monkeypatch):
+    """Count how often a pass computes what fits on a worker."""
+    counted = []
+
+    def slots_on(*arguments):
+        counted.append(arguments)
+        return original(*arguments)
+
+    original = fitting.slots_on
+    for module in (fitting, placing, advice):
+        monkeypatch.setattr(module, "slots_on", slots_on)
+    return counted
+
+
+@pytest.mark.parametrize("gang", [False, True])
+@pytest.mark.parametrize("steps", [50, 400])
+def test_steps_that_wait_for_advice_cost_no_look_at_workers(fleet, looks, gang, steps):
+    """A burst whose calls for advice are outstanding must not slow down the passes after it."""
+    for number in range(steps):
+        fleet.add(job(f"j{number}", step(20, cpu=4_500, gang=gang), queue=ADVISED))
+    fleet.schedule()
+    asked = [effect.step for effect in fleet.asked]
+    for name in asked:
+        found = fleet.cell.find_step(*_parts(name))
+        assert found.advice.call_until_ms > fleet.now_ms
+    waiting = steps - len(asked)
+    looks.clear()
+    fleet.now_ms += 10.0
+    placing.schedule(fleet.cell, 4, fleet.rng, fleet.now_ms, fleet.now_ms)
+    assert not fleet.cell.take_effects()
+    # Steps that are not asked about yet find no budget for calls before anything is looked at.
+    assert len(looks) <= waiting
+
+
+def _parts(name):
+    job_id, occurrence, number = name.split(".")
+    return job_id, int(occurrence), int(number)
+
+
+def test_answered_and_lost_calls_free_the_budget(fleet):
+    """Guards against a budget that counts calls of jobs that have ended."""
+    for number in range(60):
+        fleet.add(job(f"j{number}", step(2), queue=ADVISED))
+    fleet.schedule()
+    calls = [effect for effect in fleet.asked if isinstance(effect, AskAdvice)]
+    assert fleet.cell.advice_calls.keys() == {call.step for call in calls}
+    fleet.advise(calls[0], "w000")
+    assert calls[0].step not in fleet.cell.advice_calls
+    fleet.now_ms += 60_000.0
+    budget = advice.AdviceBudget.of(fleet.cell, 4, fleet.now_ms)
+    assert not fleet.cell.advice_calls
+    assert budget.long_ms == advice.callers_for_long_calls(4) * advice.LONG_MS_PER_CALLER
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_spare_processors_are_kept_up_to_date_during_a_pass(seed):
+    """The sum that lower work must leave is right after each start, without a look at the fleet."""
+    rng = random.Random(seed)
+    world = CellWorld()
+    world.show(*(worker_info(f"w{n}", cpu=rng.choice((8_000, 16_000))) for n in range(12)))
+    planned = {f"w{n}": rng.choice((0, 4_000)) for n in range(12)}
+    keys = [("pool", unit) for unit in (0, 1_400, 5_000)]
+    workers = world.cell.workers
+    found = world.add(job("a", step(30, cpu=1_100), queue=BATCH)).steps[0]
+    state = scheduling_pass.Pass(
+        world.cell,
+        rng,
+        world.now_ms,
+        world.now_ms,
+        advice.AdviceBudget(0.0, 0.0),
+        fitting.Reservations(),
+        fitting.Reservations(),
+    )
+    state.planned_cpu = planned
+    state.spare = {key: spare_cpu(workers.values(), key[0], planned, key[1]) for key in keys}
+    for task in found.tasks:
+        worker = rng.choice([w for w in workers.values() if w.free.cpu_millis >= 1_100])
+        scheduling_pass.start_task(state, found, task, worker, 1, 1_000.0)
+    for key in keys:
+        assert state.spare[key] == spare_cpu(workers.values(), key[0], planned, key[1])
+
+
+def test_rank_follows_the_estimates_within_its_validity(fleet):
+    """Expected times are kept for a short time only, so that learned run times count."""
+    waiting = fleet.add(job("a", step(estimate_ms=1_000.0), queue=URGENT))
+    rank = placing.rank_of(waiting.steps[0], 0.0, 0.0, fleet.cell.estimates)
+    for _ in range(50):
+        fleet.cell.estimates.observe(URGENT.name, 1_000.0, 4_000.0, 1.0)
+    later = placing.rank_of(waiting.steps[0], 0.0, 200.0, fleet.cell.estimates)
+    assert later.work > 3 * rank.work
