Let calls to the store never wait behind those to workers

Cause: all calls shared 400 handles. At 270 workers up to 270 of them hold long polls, so the orders of a gang of 120 tasks made renewals of the leader's lease wait. Every instance made all 400 at its start, though only the leader needs them.

Handles are made when calls need them, up to a limit that follows from the descriptors of the machine (machine.max_descriptors).

--- a/tests/functional/test_http_caller.py
+++ b/tests/functional/test_http_caller.py
@@ -2,13 +2,15 @@
 
 import asyncio
 
+import pytest
 from result import Ok
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
-from nutmeglb_platform.http import HttpCaller
+from nutmeglb_platform.http import FIRST_HANDLES, HttpCaller, worker_calls
 
 CALLS = 6
+MAX_CALLS = 40
 
 
 class Server:
@@ -43,7 +45,7 @@
 
 def played(scenario):
     async def main():
-        server, caller = Server(), HttpCaller()
+        server, caller = Server(), HttpCaller(MAX_CALLS)
         url = server.start()
 
         async def calls(count):
@@ -71,6 +73,23 @@
     played(scenario)
 
 
+@pytest.mark.parametrize("calls_at_once", [FIRST_HANDLES, MAX_CALLS, 2 * MAX_CALLS])
+def test_handles_are_made_up_to_the_limit(calls_at_once):
+    """Long polls to hundreds of workers must not let orders, or the store, wait for a handle."""
+
+    async def scenario(server, calls):
+        answers = await calls(calls_at_once)
+        assert all(isinstance(answer, Ok) for answer in answers)
+        assert len(server.connections) == min(calls_at_once, MAX_CALLS)
+
+    played(scenario)
+
+
+@pytest.mark.parametrize(("descriptors", "calls"), [(4_100, 1_550), (8_192, 3_596), (256, 8)])
+def test_calls_to_workers_fit_the_descriptors(descriptors, calls):
+    assert worker_calls(descriptors) == calls
+
+
 def test_connections_of_a_burst_are_kept_for_the_next_one():
     """Guards against opening connections anew for the orders of each gang."""
 
