Check a leader's permission when it acts, and judge silence by time in which it ran

Tickets were counted as valid from when the leader got to the answer, so a late leader sent expired ones, asked again and became later. Orders queued before a pause went out after it. A lost answer to a renewal, or one unexpected report, ended a term.

Change: a term has an authority that is checked when an order leaves. Runs lapse only while no other instance can lead, and only on workers that were asked and found silent. A missing answer counts only if this process ran (loop lag, with a metric and a log line). Advice is valid from its answer at the calling instance, and orders with an expired ticket are not sent. The leader gives way only if a read of its own is not answered either. A defect in one worker's report or order costs that worker's link or that order.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -22,6 +22,8 @@
     UNHEALTHY = "unhealthy"
     OTHER_INCARNATION = "incarnation"
     INVALID = "invalid"
+    # The order was not sent: the permission of this leader has run out.
+    WITHHELD = "withheld"
     UNKNOWN = "unknown"
 
 
@@ -64,6 +66,8 @@
 
 
 def _avoid(run: Run, worker: Worker, outcome: StartOutcome, now_ms: float) -> None:
+    if outcome == StartOutcome.WITHHELD:
+        return
     if outcome == StartOutcome.TICKET:
         run.step.advice.tickets.pop(worker.worker_id, None)
         run.step.advice.not_before_ms = now_ms
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -97,10 +97,15 @@
 
 
 def lapse_workers(cell: Cell, now_ms: float, wall_ms: float) -> None:
-    """End the runs of workers whose leases have certainly lapsed."""
+    """End the runs of silent workers whose leases have certainly lapsed.
+
+    To be called only while no other instance can lead, since a successor may have renewed a lease.
+    A worker that has not been found silent is asked first: this process may have been paused, and
+    the worker's answer tells what has ended and how.
+    """
     for worker in cell.workers.values():
-        if worker.runs and now_ms >= worker.lapse_ms:
-            worker.unanswered_since_ms = worker.unanswered_since_ms or now_ms
+        silent = worker.unanswered_since_ms is not None
+        if worker.runs and silent and now_ms >= worker.lapse_ms:
             end_all(cell, worker, LAPSED, now_ms, wall_ms)
             # It is asked until it answers: runs may have ended before, and it can be used again.
             worker.settled = False
@@ -232,7 +237,7 @@
         step.job.record.queue.name, step.spec.estimate_ms, worker.slowness
     )
     run = Run(
-        step, name.index, running.run, worker.worker_id, step.spec.charged, now_ms,
+        step, name.index, running.run, worker.worker_id, step.charged, now_ms,
         now_ms + expected_ms, RunState.RUNNING, now_ms, resumed=True,
     )  # fmt: skip
     worker.runs[(running.task, running.run)] = run
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/wire/queues.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/wire/queues.py
@@ -74,7 +74,10 @@
 @message(608, 1)
 @dataclass(frozen=True, slots=True)
 class AdviseResult:
-    """Workers that may run the step, with their tickets. ``refused``: ask again later."""
+    """Workers that may run the step, with their tickets. ``refused``: ask again later.
+
+    ``valid_ms`` counts from the arrival of the call at the instance that answers.
+    """
 
     tickets: list[tuple[str, str]]
     valid_ms: float
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/advisers.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/advisers.py
@@ -5,10 +5,12 @@
 """
 
 from collections.abc import Sequence
+from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
 
 from nutmeglb._internal.queues.links import Links
+from nutmeglb._internal.queues.loop_lag import LoopLag
 from nutmeglb._internal.queues.ports import Advice, AdviceClient
 from nutmeglb_decisions.queues.advice import LONG_CALL_MS, callers_for_long_calls
 from nutmeglb_formats.clock import Clock
@@ -25,11 +27,27 @@
 OWN = ""
 
 
+@dataclass(frozen=True, slots=True)
+class GivenAdvice:
+    """Answer to a call, and the monotonic time until which its tickets are certainly valid.
+
+    The time counts from the sending of the call and its duration at the calling instance, so that
+    it does not depend on when this process gets to the answer.
+    """
+
+    tickets: tuple[tuple[str, str], ...]
+    valid_until_ms: float
+    refused: bool
+
+
 class Advisers:
     """Chooses the caller with the least outstanding work for each call."""
 
-    def __init__(self, client: AdviceClient | None, links: Links, clock: Clock) -> None:
+    def __init__(
+        self, client: AdviceClient | None, links: Links, clock: Clock, lag: LoopLag
+    ) -> None:
         self._client = client
+        self._lag = lag
         self._links = links
         self._clock = clock
         self._busy_ms: dict[str, float] = {}
@@ -43,7 +61,7 @@
 
     async def ask(
         self, step: str, workers: Sequence[str], cost_ms: float
-    ) -> Result[Advice, NutmegError]:
+    ) -> Result[GivenAdvice, NutmegError]:
         """Ask through one of the instances, and through a second one when it does not answer."""
         first = self._choose(cost_ms)
         answer = await self._ask_through(first, step, workers, cost_ms, FIRST_PATH_MS)
@@ -55,14 +73,19 @@
 
     async def _ask_through(
         self, caller: str, step: str, workers: Sequence[str], cost_ms: float, path_ms: float
-    ) -> Result[Advice, NutmegError]:
+    ) -> Result[GivenAdvice, NutmegError]:
+        sent_ms = self._clock.now_ms()
         queued_ms = self._busy_ms.get(caller, 0.0)
         self._busy_ms[caller] = queued_ms + cost_ms
         timeout_ms = queued_ms + cost_ms + path_ms
         try:
             if caller == OWN:
-                return await self._ask_here(step, workers, timeout_ms)
-            return await self._ask_peer(caller, step, workers, timeout_ms)
+                answer = await self._ask_here(step, workers, timeout_ms)
+            else:
+                answer = await self._ask_peer(caller, step, workers, timeout_ms)
+            return answer.map(
+                lambda given: GivenAdvice(given.tickets, sent_ms + given.valid_ms, given.refused)
+            )
         finally:
             self._busy_ms[caller] -= cost_ms
 
@@ -88,9 +111,13 @@
     async def _ask_here(
         self, step: str, workers: Sequence[str], timeout_ms: float
     ) -> Result[Advice, NutmegError]:
+        """Ask from this instance. The validity in the answer counts from now."""
         if self._client is None:
             return Ok(Advice((), 0.0, refused=True))
-        return await self._client.ask(step, workers, timeout_ms)
+        begun_ms = self._clock.now_ms()
+        answer = await self._client.ask(step, workers, timeout_ms)
+        took_ms = self._clock.now_ms() - begun_ms - self._lag.stalled_ms(begun_ms)
+        return answer.map(lambda given: replace(given, valid_ms=took_ms + given.valid_ms))
 
     async def _answer(self, sender: str, call: AdviseCall) -> AdviseResult:
         answer = await self._ask_here(call.step, call.workers, call.timeout_ms)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
@@ -20,6 +20,8 @@
         "worker_silent",
         "run_stuck",
         "start_refused",
+        "step_defect",
+        "defect",
         "step_waiting",
     }
 )
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
@@ -14,6 +14,7 @@
 
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.queues import keys
+from nutmeglb._internal.queues.authority import Authority
 from nutmeglb._internal.queues.links import Links
 from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.ports import Commit, QueueStore, StoredItem, StoredPut
@@ -50,6 +51,12 @@
 
 # A follower tries a read of the store in this time, which a slow store takes 350 ms for.
 PROBE_TIMEOUT_MS = 500.0
+# The leader's own read takes this long at most, so that its successor can begin before the lease
+# ends.
+OWN_PROBE_MS = 350.0
+# Followers that are asked. With a third of the instances cut off from the store, one of these
+# reaches it but for one time in 700.
+PROBED_FOLLOWERS = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,12 +71,15 @@
         Revision of the leader key, a condition of every commit.
     lease
         Lease of the leader key.
+    authority
+        Permission to command workers.
     """
 
     number: int
     fence: int
     key_revision: int
     lease: int
+    authority: Authority
 
 
 class Election:
@@ -105,7 +115,6 @@
         self._background = BackgroundTasks()
         self._wake = asyncio.Event()
         self._term: Term | None = None
-        self._confirmed_ms = 0.0
         self._gone = ""
         self._replaced_ms = -REPLACE_EVERY_MS
         self._known: LeaderRecord | None = None
@@ -154,6 +163,7 @@
         if self._term is None:
             return
         logger.warning("leadership lost", term=self._term.number, cause=cause)
+        self._term.authority.end()
         self._term = None
         if cause == TAKE_OVER_FAILED:
             self._hold_back_until_ms = self._clock.now_ms() + HOLD_BACK_MS
@@ -179,7 +189,7 @@
         """Send a renewal without waiting for the former one, whose answer may be lost."""
         term = self._term
         assert term is not None
-        if self._clock.now_ms() - self._confirmed_ms > self._settings.authority_ms:
+        if not term.authority.may_act:
             await self.depose("the store was not reached for the time of the authority")
             return 0.0
         self._background.spawn(self._keep(term))
@@ -191,30 +201,47 @@
         if self._term is not term:
             return
         if isinstance(kept, Err):
-            await self._ask_followers(term)
+            await self._find_cause(term)
             return
         if kept.ok_value:
-            self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+            term.authority.confirm(sent_ms)
         else:
             await self.depose("the lease had ended")
 
-    async def _ask_followers(self, term: Term) -> None:
-        """Step down when the store answers another instance but not this one."""
+    async def _find_cause(self, term: Term) -> None:
+        """Step down when the store answers another instance but not this one.
+
+        An unanswered renewal alone does not show that. When a read is answered here, the store has
+        lost the answer, and a successor would fare no better; the next renewals are on their way.
+        """
         if self._asking:
             return
         self._asking = True
         try:
-            answers = await asyncio.gather(
-                *(
-                    self._links.request(peer, StoreProbe(), PROBE_TIMEOUT_MS)
-                    for peer in self._links.followers
-                )
+            own, others = await asyncio.gather(
+                self._store_answers_here(), self._store_answers_a_follower()
             )
         finally:
             self._asking = False
-        if self._term is term and any(_store_answered(answer) for answer in answers):
+        if self._term is term and others and not own:
             await self.depose("the store answers another instance, but not this one")
 
+    async def _store_answers_here(self) -> bool:
+        try:
+            async with asyncio.timeout(OWN_PROBE_MS / 1_000):
+                return isinstance(await self._store.get(keys.LEADER), Ok)
+        except TimeoutError:
+            return False
+
+    async def _store_answers_a_follower(self) -> bool:
+        """Ask some of the followers, of which the network may have cut off some."""
+        followers = self._links.followers
+        asked = self._rng.sample(followers, min(PROBED_FOLLOWERS, len(followers)))
+        answers = await asyncio.gather(
+            *(self._links.request(peer, StoreProbe(), PROBE_TIMEOUT_MS) for peer in asked)
+        )
+        return any(_store_answered(answer) for answer in answers)
+
     def _on_resigned(self, sender: str, message: LeaderResigned) -> None:
         self._gone = message.incarnation
         self._wake.set()
@@ -303,8 +330,9 @@
         if former is not None:
             self._replaced_ms = sent_ms
         self._links.follow(None)
-        self._confirmed_ms = sent_ms
-        self._term = Term(number, commit.revision, commit.revision, granted.ok_value)
+        settings = self._settings
+        authority = Authority(self._clock, settings.leader_lease_ms, settings.authority_ms, sent_ms)
+        self._term = Term(number, commit.revision, commit.revision, granted.ok_value, authority)
         logger.info("leadership gained", term=number, fence=commit.revision)
         await self._on_elected(self._term)
         return self._settings.renew_ms
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/inbox_reader.py
@@ -0,0 +1,69 @@
+"""Finds accepted jobs and cancellations in the store whose instance could not tell the leader."""
+
+import asyncio
+from collections.abc import Callable, Container
+
+from result import Err, Ok
+
+from nutmeglb._internal.queues import keys, stored_jobs
+from nutmeglb._internal.queues.ports import QueueStore, Removal
+from nutmeglb._internal.queues.stored_jobs import Inbox
+from nutmeglb._internal.telemetry.logs import get_logger
+
+logger = get_logger("inbox")
+
+MS_PER_S = 1_000.0
+
+
+class InboxReader:
+    """Reads what was accepted since a revision, again and again.
+
+    Parameters
+    ----------
+    known
+        Ids of the jobs that need not be decoded again.
+    interval_ms
+        Returns the time between two reads.
+    take_in
+        Receives the jobs and cancellations that were found.
+    """
+
+    def __init__(
+        self,
+        store: QueueStore,
+        known: Container[str],
+        interval_ms: Callable[[], float],
+        take_in: Callable[[Inbox], None],
+    ) -> None:
+        self._store = store
+        self._known = known
+        self._interval_ms = interval_ms
+        self._take_in = take_in
+
+    async def run(self, revision: int) -> None:
+        """Read the changes after a revision until cancelled."""
+        while True:
+            await asyncio.sleep(self._interval_ms() / MS_PER_S)
+            found = await self._store.changes(keys.ACCEPTED, revision, 0)
+            if isinstance(found, Err):
+                continue
+            if found.ok_value.history_lost:
+                revision = await self._read_all(revision)
+                continue
+            revision = max(revision, found.ok_value.revision)
+            unknown = [
+                change
+                for change in found.ok_value.changes
+                if not isinstance(change, Removal)
+                and change.key.removeprefix(keys.ACCEPTED) not in self._known
+            ]
+            self._take_in(stored_jobs.decode_inbox(unknown, revision))
+
+    async def _read_all(self, revision: int) -> int:
+        """Read everything. Return the revision to go on from."""
+        inbox = await stored_jobs.read_inbox(self._store)
+        if not isinstance(inbox, Ok):
+            return revision
+        logger.info("read all accepted jobs, since the store's history is gone")
+        self._take_in(inbox.ok_value)
+        return inbox.ok_value.revision
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -10,21 +10,20 @@
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.queues import keys, stored_jobs
 from nutmeglb._internal.queues.advisers import Advisers
+from nutmeglb._internal.queues.authority import CLOCK_ERROR
 from nutmeglb._internal.queues.commits import Committer
 from nutmeglb._internal.queues.decision_log import DecisionLog
 from nutmeglb._internal.queues.election import TAKE_OVER_FAILED, Term
+from nutmeglb._internal.queues.inbox_reader import InboxReader
 from nutmeglb._internal.queues.links import Links
 from nutmeglb._internal.queues.live_settings import LiveSettings
+from nutmeglb._internal.queues.loop_lag import LoopLag
 from nutmeglb._internal.queues.pool_reports import pools_report
-from nutmeglb._internal.queues.ports import Platform, Removal
+from nutmeglb._internal.queues.ports import Platform
 from nutmeglb._internal.queues.settings import QueueSection
 from nutmeglb._internal.queues.stored_jobs import Inbox
-from nutmeglb._internal.queues.worker_link import (
-    CLOCK_ERROR,
-    LAPSE_MARGIN_MS,
-    LinkHooks,
-    WorkerLink,
-)
+from nutmeglb._internal.queues.worker_link import LAPSE_MARGIN_MS, LinkHooks
+from nutmeglb._internal.queues.worker_links import WorkerLinks
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import (
     admission,
@@ -37,7 +36,7 @@
     waiting,
 )
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.effects import AskAdvice, Effect, PaceTask, StartTask, StopTask
+from nutmeglb_decisions.queues.effects import AskAdvice, Effect
 from nutmeglb_decisions.queues.names import parse_task
 from nutmeglb_decisions.queues.pools import Pool, Pools
 from nutmeglb_formats.clock import Clock
@@ -82,6 +81,7 @@
         links: Links,
         advisers: Advisers,
         log: DecisionLog,
+        lag: LoopLag,
         term: Term,
         incarnation: str,
         on_lost: Callable[[str], None],
@@ -96,9 +96,8 @@
         self._term = term
         self._on_lost = on_lost
         settings = live.current.queues
-        self._run_lease_ms = settings.lease_of_runs_ms
-        lease_ms = settings.lease_of_runs_ms / (1 - CLOCK_ERROR)
-        self.cell = Cell(term.number, lease_ms + LAPSE_MARGIN_MS)
+        run_lease_ms = settings.lease_of_runs_ms
+        self.cell = Cell(term.number, run_lease_ms / (1 - CLOCK_ERROR) + LAPSE_MARGIN_MS)
         self._committer = Committer(
             self.cell,
             platform.store,
@@ -109,9 +108,17 @@
             on_lost,
             self._changed,
         )
-        self._hooks = LinkHooks(self._changed, self._committer.flushed, self._fenced)
-        self._worker_links: dict[str, WorkerLink] = {}
-        self._worker_tasks: dict[str, asyncio.Task[Any]] = {}
+        hooks = LinkHooks(
+            self._changed,
+            self._committer.flushed,
+            self._fenced,
+            on_lost,
+            lambda: term.authority.may_act,
+            lag.explains_silence,
+        )
+        self._workers = WorkerLinks(
+            self.cell, platform.workers, clock, log, term.fence, run_lease_ms, hooks
+        )
         self._background = BackgroundTasks()
         self._wake = asyncio.Event()
         self._revision = 0
@@ -126,11 +133,12 @@
     async def start(self, config: QueueConfig) -> None:
         """Take over: read everything from the store, then hold every worker."""
         self.cell.configure(config)
-        self._background.spawn(self._take_over())
+        self._background.spawn(self._guarded(self._take_over()))
 
     async def stop(self) -> None:
         """End all work. Orders on their way are fenced off by the next leader."""
         await self._background.cancel()
+        await self._workers.stop()
 
     async def flushed(self, timeout_ms: float) -> None:
         """Store what is dirty, before a planned hand-over."""
@@ -178,7 +186,12 @@
         for loop in (
             self._committer.run(),
             self._workers_loop(),
-            self._inbox_loop(),
+            InboxReader(
+                self._platform.store,
+                self.cell.jobs,
+                lambda: self._settings.inbox_ms,
+                self._take_in,
+            ).run(self._revision),
             self._pass_loop(),
             self._tick_loop(),
             self._load_loop(),
@@ -211,7 +224,7 @@
             lifecycle.cancel_job(self.cell, job_id, wall_ms)
         self._revision = state.inbox.revision
         reports.list_workers(self.cell, state.workers, now_ms, wall_ms)
-        self._link_workers()
+        self._workers.refresh()
         return True
 
     async def _finished_loop(self) -> None:
@@ -236,64 +249,9 @@
             if isinstance(workers, Ok):
                 now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
                 reports.list_workers(self.cell, workers.ok_value, now_ms, wall_ms)
-                self._link_workers()
+                self._workers.refresh()
                 self._changed()
 
-    def _link_workers(self) -> None:
-        for worker_id, worker in self.cell.workers.items():
-            known = self._worker_links.get(worker_id)
-            if known is not None and known.worker is worker:
-                if not worker.settled:
-                    known.wake()
-                continue
-            self._unlink(worker_id)
-            link = WorkerLink(
-                self.cell,
-                worker,
-                self._platform.workers,
-                self._clock,
-                self._term.fence,
-                self._run_lease_ms,
-                self._hooks,
-            )
-            self._worker_links[worker_id] = link
-            self._worker_tasks[worker_id] = self._background.spawn(self._guarded(link.run()))
-        for worker_id in list(self._worker_links):
-            if worker_id not in self.cell.workers:
-                self._unlink(worker_id)
-
-    def _unlink(self, worker_id: str) -> None:
-        self._worker_links.pop(worker_id, None)
-        task = self._worker_tasks.pop(worker_id, None)
-        if task is not None:
-            task.cancel()
-
-    async def _inbox_loop(self) -> None:
-        """Find jobs and cancellations whose instance could not tell this one."""
-        while True:
-            await asyncio.sleep(self._settings.inbox_ms / MS_PER_S)
-            found = await self._platform.store.changes(keys.ACCEPTED, self._revision, 0)
-            if isinstance(found, Err):
-                continue
-            if found.ok_value.history_lost:
-                await self._read_inbox()
-                continue
-            self._revision = max(self._revision, found.ok_value.revision)
-            unknown = [
-                change
-                for change in found.ok_value.changes
-                if not isinstance(change, Removal)
-                and change.key.removeprefix(keys.ACCEPTED) not in self.cell.jobs
-            ]
-            self._take_in(stored_jobs.decode_inbox(unknown, self._revision))
-
-    async def _read_inbox(self) -> None:
-        inbox = await stored_jobs.read_inbox(self._platform.store)
-        if isinstance(inbox, Ok):
-            logger.info("read all accepted jobs, since the store's history is gone")
-            self._take_in(inbox.ok_value)
-            self._revision = inbox.ok_value.revision
-
     def _take_in(self, inbox: Inbox) -> None:
         for job in inbox.jobs:
             self.offer(job)
@@ -304,7 +262,8 @@
         while True:
             await asyncio.sleep(TICK_MS / MS_PER_S)
             now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
-            reports.lapse_workers(self.cell, now_ms, wall_ms)
+            if self._term.authority.excludes_others:
+                reports.lapse_workers(self.cell, now_ms, wall_ms)
             stalls.stop_stuck_runs(self.cell, now_ms)
             waiting.explain_waiting(self.cell, now_ms)
             lifecycle.open_due_occurrences(self.cell, wall_ms)
@@ -330,6 +289,7 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
+            begun_ms = self._clock.now_ms()
             placing.schedule(
                 self.cell,
                 self._advisers.callers,
@@ -341,22 +301,15 @@
                 self._carry_out(effect)
             self._log.write(self.cell.take_decisions())
             self._committer.poke()
-            await asyncio.sleep(PASS_MS / MS_PER_S)
+            # A pass that takes long leaves as much time to reports, orders and renewals.
+            took_ms = self._clock.now_ms() - begun_ms
+            await asyncio.sleep(max(PASS_MS, took_ms) / MS_PER_S)
 
     def _carry_out(self, effect: Effect) -> None:
         if isinstance(effect, AskAdvice):
             self._background.spawn(self._ask(effect))
-            return
-        link = self._worker_links.get(effect.worker_id)
-        if link is None:
-            return
-        match effect:
-            case StartTask():
-                self._background.spawn(link.start(effect))
-            case StopTask():
-                self._background.spawn(link.stop(effect))
-            case PaceTask():
-                self._background.spawn(link.pace(effect))
+        else:
+            self._workers.carry_out(effect)
 
     async def _ask(self, effect: AskAdvice) -> None:
         answer = await self._advisers.ask(effect.step, effect.workers, effect.cost_ms)
@@ -364,16 +317,16 @@
         name = parse_task(f"{effect.step}.0")
         step = self.cell.find_step(name.job_id, name.occurrence, name.step) if name else None
         if step is None:
+            self.cell.advice_calls.pop(effect.step, None)
             return
         if isinstance(answer, Err):
             logger.warning("no advice", step=effect.step, cause=str(answer.err_value))
-            advice.failed(step, now_ms)
+            advice.failed(self.cell, step, now_ms)
         elif answer.ok_value.refused:
-            advice.failed(step, now_ms)
+            advice.failed(self.cell, step, now_ms)
         else:
             given = answer.ok_value
-            valid_until_ms = now_ms + given.valid_ms
-            advice.answered(self.cell, step, effect.workers, given.tickets, valid_until_ms)
+            advice.answered(self.cell, step, effect.workers, given.tickets, given.valid_until_ms)
         self._changed()
 
     def _changed(self) -> None:
--- /dev/null
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/loop_lag.py
@@ -0,0 +1,94 @@
+"""How late this process runs, so that its own delays are not taken for the silence of others."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.context import Metrics
+from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_formats.clock import Clock
+
+logger = get_logger("loop")
+
+# Between two looks at the clock. A stall is noticed to this accuracy.
+STEP_MS = 50.0
+# A wake-up that is later than this counts; ordinary timers are a few milliseconds late.
+NOISE_MS = 10.0
+# Stalls are kept for longer than any call to a worker takes.
+KEEP_MS = 10_000.0
+# A stall of this length delays urgent work by a fifth of its usual objective.
+LOGGED_STALL_MS = 250.0
+# A share of the wait for an answer in which this process did not run. Beyond it the answer may
+# have arrived in time without being read.
+STALLED_SHARE = 0.5
+MS_PER_S = 1_000.0
+
+
+class LoopLag:
+    """Records the time in which the event loop, or the whole process, stood still.
+
+    Parameters
+    ----------
+    clock
+        A clock that also counts the time in which the machine was suspended.
+    sleep
+        Waits for a number of seconds; replaced by tests.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        sleep: Callable[[float], asyncio.Future[None]] | None = None,
+    ) -> None:
+        self._clock = clock
+        self._sleep = sleep or asyncio.sleep
+        self._background = BackgroundTasks()
+        self._due_ms = float("inf")
+        self._stalls: deque[tuple[float, float]] = deque()
+        self._stalled = metrics.counter(
+            "nutmeglb_loop_stalled_ms_total", "Milliseconds by which the event loop was late."
+        )
+
+    @property
+    def _overdue_ms(self) -> float:
+        overdue_ms = self._clock.now_ms() - self._due_ms
+        return overdue_ms if overdue_ms > NOISE_MS else 0.0
+
+    def stalled_ms(self, since_ms: float) -> float:
+        """Return for how long the process did not run since a time, at most ``KEEP_MS`` ago."""
+        now_ms = self._clock.now_ms()
+        total_ms = min(self._overdue_ms, now_ms - since_ms)
+        for end_ms, length_ms in self._stalls:
+            total_ms += max(0.0, end_ms - max(since_ms, end_ms - length_ms))
+        return total_ms
+
+    def explains_silence(self, sent_ms: float) -> bool:
+        """Return whether a call that was sent at a time may lack its answer only because of us."""
+        waited_ms = self._clock.now_ms() - sent_ms
+        return self.stalled_ms(sent_ms) > STALLED_SHARE * waited_ms
+
+    def start(self) -> None:
+        """Start looking at the clock."""
+        self._background.spawn(self._run())
+
+    async def stop(self) -> None:
+        """Stop looking."""
+        await self._background.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            self._due_ms = self._clock.now_ms() + STEP_MS
+            await self._sleep(STEP_MS / MS_PER_S)
+            self._note()
+
+    def _note(self) -> None:
+        now_ms, late_ms = self._clock.now_ms(), self._overdue_ms
+        if late_ms:
+            self._stalls.append((now_ms, late_ms))
+            self._stalled.inc(late_ms)
+        if late_ms > LOGGED_STALL_MS:
+            logger.warning("the process did not run for a while", stalled_ms=round(late_ms))
+        while self._stalls and self._stalls[0][0] < now_ms - KEEP_MS:
+            self._stalls.popleft()
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -15,6 +15,7 @@
 from nutmeglb._internal.queues.leader import Leader
 from nutmeglb._internal.queues.links import Links
 from nutmeglb._internal.queues.live_settings import LiveSettings
+from nutmeglb._internal.queues.loop_lag import LoopLag
 from nutmeglb._internal.queues.ports import Platform
 from nutmeglb._internal.queues.service import QueueService
 from nutmeglb._internal.queues.store_gate import StoreGate
@@ -88,7 +89,8 @@
             order,
             lambda gone: self._election.leader_lost(gone),
         )
-        self._advisers = Advisers(platform.advice, self._links, clock)
+        self._lag = LoopLag(clock, metrics)
+        self._advisers = Advisers(platform.advice, self._links, clock, self._lag)
         self._gate = StoreGate(platform.store, self._store_changed)
         self.config = ConfigWatch(platform, clock, self._configured)
         self.service = QueueService(
@@ -152,6 +154,7 @@
 
     async def start(self, frontend: Frontend) -> None:
         """Bind the listeners and look for the configuration and a leader."""
+        self._lag.start()
         await self._links.start()
         await frontend.start()
         self._background.spawn(self.config.run())
@@ -188,6 +191,7 @@
         await self._deposed("stop")
         await self.service.stop()
         await self._gate.stop()
+        await self._lag.stop()
         await self._background.cancel()
         await self._links.stop()
         logger.info("stopped")
@@ -212,6 +216,7 @@
             self._links,
             self._advisers,
             self._log,
+            self._lag,
             term,
             self._incarnation,
             self._leadership_ended,
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -6,6 +6,7 @@
 
 from result import Err
 
+from nutmeglb._internal.queues.authority import CLOCK_ERROR
 from nutmeglb._internal.queues.ports import StartOrder, WorkerGateway
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import orders, reports
@@ -19,12 +20,13 @@
 
 # Longest wait for an end that a worker accepts in one call (from the platform's protocol).
 LONG_POLL_MS = 2_000
-# A worker's clock may be this much slow, and as much fast (from the platform's protocol).
-CLOCK_ERROR = 0.02
 # Added to every lapse for the path of the last renewal.
 LAPSE_MARGIN_MS = 150.0
 # Copies of an order before a stop makes sure that it is not carried out.
 START_COPIES = 2
+# Calls in a row whose missing answer is put down to a pause of this process. A worker that is
+# really gone is found silent after these.
+MAX_EXCUSED = 3
 RETRY_MS = 100.0
 RETRY_MAX_MS = 1_000.0
 # Between renewals while ends wait to be stored: the worker answers at once then.
@@ -44,11 +46,21 @@
         Waits until everything dirty is stored.
     fenced
         Called when a worker obeys a higher token.
+    broken
+        Called with the cause when a guarantee does not hold.
+    may_act
+        Returns whether this leader may command workers now.
+    explains_silence
+        Returns whether the answer to a call that was sent at a time may be missing only because
+        this process did not run.
     """
 
     changed: Callable[[], None]
     flushed: Callable[[], Awaitable[None]]
     fenced: Callable[[str], None]
+    broken: Callable[[str], None]
+    may_act: Callable[[], bool]
+    explains_silence: Callable[[float], bool]
 
 
 class WorkerLink:
@@ -77,6 +89,7 @@
         self._clock_ms = 0.0
         self._clock_read_ms: float | None = None
         self._silences = 0
+        self._excused = 0
 
     def wake(self) -> None:
         """Renew the lease soon: the worker has got a run."""
@@ -94,6 +107,10 @@
     async def _hold(self) -> None:
         worker = self.worker
         self._reset_on_restart()
+        if not self._hooks.may_act():
+            # A renewal would keep runs alive that a successor takes for ended.
+            await asyncio.sleep(RETRY_MS / MS_PER_S)
+            return
         sent_ms = self._clock.now_ms()
         # An unanswered renewal may still extend the lease, so a silent worker is only asked.
         renews = worker.settled and not self._silences
@@ -111,9 +128,11 @@
                 self._hooks.fenced(worker.worker_id)
                 await asyncio.sleep(RETRY_MAX_MS / MS_PER_S)
                 return
-            await self._silence(now_ms)
+            if not self._is_excused(sent_ms):
+                await self._silence(now_ms)
             return
         self._silences = 0
+        self._excused = 0
         report = answer.ok_value
         self._note_clock(report.clock_ms, now_ms)
         reports.apply_report(self._cell, worker, report, sent_ms, now_ms, self._clock.wall_ms())
@@ -121,6 +140,13 @@
         self._hooks.changed()
         await self._store_ends()
 
+    def _is_excused(self, sent_ms: float) -> bool:
+        """Return whether a missing answer shows nothing, since this process did not run."""
+        if self._excused >= MAX_EXCUSED or not self._hooks.explains_silence(sent_ms):
+            return False
+        self._excused += 1
+        return True
+
     async def _silence(self, now_ms: float) -> None:
         self._silences += 1
         if self._silences > 1:
@@ -166,7 +192,15 @@
         """Order a start, again when it is not answered."""
         outcome = StartOutcome.UNKNOWN
         certain = True
-        for _ in range(START_COPIES):
+        copies = 0
+        while copies < START_COPIES:
+            sent_ms = self._clock.now_ms()
+            if not self._hooks.may_act():
+                outcome = StartOutcome.WITHHELD
+                break
+            if effect.ticket and sent_ms >= effect.ticket_until_ms:
+                outcome = StartOutcome.TICKET
+                break
             deadline_ms = self._deadline_ms()
             if deadline_ms is None:
                 outcome = StartOutcome.OTHER_INCARNATION
@@ -188,6 +222,8 @@
             if outcome != StartOutcome.UNKNOWN:
                 break
             certain = False
+            if not self._is_excused(sent_ms):
+                copies += 1
         orders.start_answered(
             self._cell,
             self.worker.worker_id,
@@ -203,6 +239,8 @@
 
     async def stop(self, effect: StopTask) -> None:
         """Order a stop. An unanswered one is ordered again after the next renewal."""
+        if not self._hooks.may_act():
+            return
         answer = await self._gateway.stop(self.worker.info, effect.task, effect.run, self._fence)
         if answer.fenced:
             self._hooks.fenced(self.worker.worker_id)
@@ -218,6 +256,8 @@
 
     async def pace(self, effect: PaceTask) -> None:
         """Order a pace. The next report shows whether it applies."""
+        if not self._hooks.may_act():
+            return
         answer = await self._gateway.pace(
             self.worker.info, effect.task, effect.run, effect.percent, self._fence
         )
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -20,7 +20,7 @@
     NONE = "none"
     REFUSE = "refuse"
     SILENT = "silent"
-    # Writes take effect, and their answers are lost.
+    # Writes and renewals of leases take effect, and their answers are lost.
     LOSE_ANSWERS = "lose_answers"
     # Writes are not answered, and take effect when the fault ends.
     LATE = "late"
@@ -175,6 +175,8 @@
                 return
             ttl_s = data.leases[lease][0]
             data.leases[lease] = (ttl_s, now_s + ttl_s)
+            if standin.fault == Fault.LOSE_ANSWERS:
+                await self._never()
             self.send(200, {"ttl_ms": ttl_s * MS_PER_S})
         elif standin.fault == Fault.LATE:
             standin.late.append(body)
--- /dev/null
+++ b/tests/functional/test_queue_defects.py
@@ -0,0 +1,127 @@
+"""One malformed answer, defect or lost answer costs one call, and not the leadership."""
+
+import asyncio
+from dataclasses import replace
+
+from nutmeglb._internal.queues import worker_link
+from nutmeglb_decisions.queues import placing, reports
+from standins.metadata_store import Fault
+from tests.lib.queue_path import job_body, played
+
+JOB = "00000000000000aa"
+OTHER = "00000000000000bb"
+
+
+async def completes_under_one_leader(path, act):
+    """Run two jobs while something fails. Return the number of leaders since the start."""
+    leader = path.leader
+    term = leader.node._election.term
+    await act()
+    await path.call("POST", JOB, job_body())
+    await path.until_state(JOB, "completed")
+    return leader.node._election.term is term
+
+
+def test_lost_answers_of_writes_do_not_change_the_leader():
+    """While the store loses the answers to all instances alike, no successor does better."""
+
+    async def scenario(path):
+        leader = path.leader
+        await path.until(lambda: leader.node.followers == 1)
+        term = leader.node._election.term
+        for _ in range(4):
+            path.break_store(Fault.LOSE_ANSWERS)
+            await asyncio.sleep(0.35)
+            path.heal()
+            await asyncio.sleep(0.25)
+        assert leader.node._election.term is term
+
+    played(scenario)
+
+
+def test_defect_in_the_report_of_one_worker_costs_this_worker_alone(monkeypatch):
+    """Guards against a leader that gives way, and whose successor meets the same report."""
+    apply_report = reports.apply_report
+    failures = []
+
+    def failing(cell, worker, *arguments):
+        if worker.runs and len(failures) < 3:
+            failures.append(worker.worker_id)
+            raise ValueError("a report that nobody thought of")
+        apply_report(cell, worker, *arguments)
+
+    monkeypatch.setattr(worker_link.reports, "apply_report", failing)
+
+    async def scenario(path):
+        assert await completes_under_one_leader(path, _nothing)
+        assert failures
+
+    played(scenario)
+
+
+def test_defect_in_an_order_does_not_lose_the_task():
+    async def scenario(path):
+        gateway = path.leader.node._platform.workers
+        start = gateway.start
+        failures = []
+
+        async def failing(worker, order):
+            if not failures:
+                failures.append(order.task)
+                raise ValueError("an answer that nobody thought of")
+            return await start(worker, order)
+
+        gateway.start = failing
+        assert await completes_under_one_leader(path, _nothing)
+        assert failures
+
+    played(scenario)
+
+
+def test_defect_in_the_placement_of_one_step_holds_up_no_other(monkeypatch):
+    """Guards against a job that ends the term of every leader that tries to place it."""
+    place = placing._place_step
+
+    def failing(state, step):
+        if step.job.job_id == OTHER:
+            raise ValueError("a step that nobody thought of")
+        place(state, step)
+
+    monkeypatch.setattr(placing, "_place_step", failing)
+
+    async def scenario(path):
+        async def submit():
+            await path.call("POST", OTHER, job_body())
+
+        assert await completes_under_one_leader(path, submit)
+
+    played(scenario)
+
+
+def test_advice_is_valid_from_its_answer_at_the_calling_instance(monkeypatch):
+    """A leader that gets to an answer late must not use tickets that have run out by then."""
+
+    async def scenario(path):
+        leader = path.leader.node
+        await path.until(lambda: leader.followers == 1)
+        deliver = leader._links._received
+        late_s = 0.4
+
+        def received(link, message):
+            asyncio.get_running_loop().call_later(late_s, deliver, link, message)
+
+        leader._links._callbacks = replace(leader._links._callbacks, on_message=received)
+        for link in leader._links._links.values():
+            link._callbacks = leader._links._callbacks
+        begun_ms = leader._clock.now_ms()
+        answer = await leader._advisers.ask(f"{JOB}.0.0", ["w0"], 5.0)
+        spent_ms = leader._clock.now_ms() - begun_ms
+        assert spent_ms >= late_s * 1_000
+        assert answer.ok_value.valid_until_ms <= begun_ms + spent_ms - late_s * 900 + 2_000.0
+
+    monkeypatch.setattr("nutmeglb._internal.queues.advisers.FIRST_PATH_MS", 2_000.0)
+    played(scenario)
+
+
+async def _nothing():
+    return None
--- /dev/null
+++ b/tests/unit/test_queue_authority.py
@@ -0,0 +1,240 @@
+"""Permissions of a leader, checked when it acts, and silence judged by the time in which it ran."""
+
+import asyncio
+
+import pytest
+from result import Err, Ok
+
+from nutmeglb._internal.queues.authority import Authority
+from nutmeglb._internal.queues.loop_lag import KEEP_MS, STEP_MS, LoopLag
+from nutmeglb._internal.queues.ports import OrderAnswer
+from nutmeglb._internal.queues.worker_link import MAX_EXCUSED, START_COPIES, LinkHooks, WorkerLink
+from nutmeglb._internal.telemetry.metrics import MetricsRegistry
+from nutmeglb_decisions.queues.orders import StartOutcome
+from nutmeglb_formats.clock import ManualClock
+from nutmeglb_formats.exceptions import AgentError
+from nutmeglb_formats.models.queues import WorkerReport
+from tests.lib.queues import BATCH, CellWorld, job, step, worker_info
+
+LEASE_MS = 1_500.0
+LIMIT_MS = 5_000.0
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "ended", "may_act", "excludes_others"),
+    [
+        (0.0, False, True, True),
+        (1_400.0, False, True, True),
+        # The store's clock may be faster, so the lease may end before 1,500 ms.
+        (1_480.0, False, True, False),
+        (4_900.0, False, True, False),
+        (5_100.0, False, False, False),
+        (0.0, True, False, False),
+    ],
+)
+def test_authority_of_a_leader(age_ms, ended, may_act, excludes_others):
+    clock = ManualClock(10_000.0)
+    authority = Authority(clock, LEASE_MS, LIMIT_MS, clock.now_ms())
+    clock.advance(age_ms)
+    if ended:
+        authority.end()
+    assert (authority.may_act, authority.excludes_others) == (may_act, excludes_others)
+
+
+def test_late_confirmation_of_an_early_renewal_does_not_shorten_authority():
+    clock = ManualClock()
+    authority = Authority(clock, LEASE_MS, LIMIT_MS, 0.0)
+    authority.confirm(2_000.0)
+    authority.confirm(1_000.0)
+    clock.advance(6_500.0)
+    assert authority.may_act
+
+
+class Link:
+    """A worker link on a manual clock, whose worker does what a script says."""
+
+    def __init__(self, answers=(), silent_for_ms=0.0):
+        self.world = CellWorld()
+        self.clock = ManualClock(self.world.now_ms)
+        self.world.show(worker_info())
+        self.world.add(job("a", step(), queue=BATCH))
+        self.world.schedule()
+        (self.order,) = self.world.started
+        self.worker = self.world.worker("w1")
+        self.may_act = True
+        self.excused = False
+        self.sent = []
+        self.answers = list(answers)
+        self.silent_for_ms = silent_for_ms
+        hooks = LinkHooks(
+            lambda: None,
+            _nothing,
+            lambda worker_id: None,
+            lambda cause: None,
+            lambda: self.may_act,
+            lambda sent_ms: self.excused,
+        )
+        self.link = WorkerLink(self.world.cell, self.worker, self, self.clock, 7, 6_000, hooks)
+        self.link._note_clock(0.0, self.clock.now_ms())
+
+    async def start(self, worker, order):
+        self.sent.append(order)
+        outcome = self.answers.pop(0) if self.answers else StartOutcome.STARTED
+        self.clock.advance(self.silent_for_ms)
+        return OrderAnswer(outcome)
+
+    async def stop(self, worker, task, run, fence):
+        self.sent.append((task, run))
+        return OrderAnswer(StartOutcome.STARTED)
+
+    async def hold(self, worker, fence, last_seen, deadline_ms, wait_ms):
+        self.sent.append(deadline_ms)
+        if self.answers and self.answers.pop(0) == StartOutcome.UNKNOWN:
+            return Err(AgentError("no answer", context={}, hint="none"))
+        return Ok(WorkerReport(0.0, worker.started_ms, (), ()))
+
+
+async def _nothing():
+    return None
+
+
+@pytest.fixture(autouse=True)
+def no_pauses(monkeypatch):
+    """Let retries follow at once."""
+    real = asyncio.sleep
+    monkeypatch.setattr(asyncio, "sleep", lambda delay, result=None: real(0))
+
+
+@pytest.mark.parametrize("call", ["start", "stop", "_hold"])
+def test_nothing_is_sent_after_the_permission_has_run_out(call):
+    """A leader that was paused wakes with orders queued, while its successor commands already."""
+    link = Link()
+    link.may_act = False
+    arguments = () if call == "_hold" else (link.order,)
+    asyncio.run(getattr(link.link, call)(*arguments))
+    assert link.sent == []
+
+
+def test_withheld_order_gives_its_room_back():
+    link = Link()
+    link.may_act = False
+    asyncio.run(link.link.start(link.order))
+    assert not link.worker.runs
+    assert link.worker.suspect_until_ms == 0.0
+
+
+def test_permission_that_ends_between_two_copies_leaves_the_outcome_in_doubt():
+    link = Link(answers=[StartOutcome.UNKNOWN])
+    original = link.start
+
+    async def start(worker, order):
+        link.may_act = False
+        return await original(worker, order)
+
+    link.link._gateway.start = start
+    asyncio.run(link.link.start(link.order))
+    assert len(link.sent) == 1
+    assert len(link.worker.runs) == 1
+
+
+@pytest.mark.parametrize(("valid_for_ms", "sent"), [(100.0, 1), (-1.0, 0)])
+def test_order_with_an_expired_ticket_is_not_sent(valid_for_ms, sent):
+    """A burst at a late leader: its orders wait longer than their advice is valid."""
+    link = Link()
+    until_ms = link.clock.now_ms() + valid_for_ms
+    order = _with(link.order, ticket="t", ticket_until_ms=until_ms)
+    asyncio.run(link.link.start(order))
+    assert len(link.sent) == sent
+
+
+def _with(order, **changes):
+    import dataclasses
+
+    return dataclasses.replace(order, **changes)
+
+
+@pytest.mark.parametrize(
+    ("excused", "unanswered", "copies", "stops"),
+    [
+        (False, START_COPIES, START_COPIES, True),
+        (True, 1, 2, False),
+        (True, MAX_EXCUSED, MAX_EXCUSED + 1, False),
+        (True, MAX_EXCUSED + START_COPIES, MAX_EXCUSED + START_COPIES, True),
+    ],
+)
+def test_orders_unanswered_during_a_pause_of_the_leader(excused, unanswered, copies, stops):
+    """A leader that was late itself does not give up work that a sound worker has begun."""
+    link = Link(answers=[StartOutcome.UNKNOWN] * unanswered)
+    link.excused = excused
+    asyncio.run(link.link.start(link.order))
+    assert len(link.sent) == copies
+    assert bool([e for e in link.world.cell.take_effects() if hasattr(e, "run")]) == stops
+
+
+@pytest.mark.parametrize(
+    ("excused", "calls", "silent"), [(False, 2, True), (True, 3, False), (True, 5, True)]
+)
+def test_worker_is_not_silent_because_the_leader_was_paused(excused, calls, silent):
+    link = Link(answers=[StartOutcome.UNKNOWN] * calls)
+    link.excused = excused
+
+    async def hold():
+        for _ in range(calls):
+            await link.link._hold()
+
+    asyncio.run(hold())
+    assert (link.worker.unanswered_since_ms is not None) == silent
+
+
+class Stalls:
+    """A loop watch whose sleeps take what a script says."""
+
+    def __init__(self, *late_ms):
+        self.clock = ManualClock()
+        self.late_ms = list(late_ms)
+        self.lag = LoopLag(self.clock, MetricsRegistry(), self._sleep)
+
+    def run(self):
+        async def until_script_ends():
+            try:
+                await self.lag._run()
+            except EOFError:
+                return
+
+        asyncio.run(until_script_ends())
+
+    async def _sleep(self, duration_s):
+        if not self.late_ms:
+            raise EOFError
+        self.clock.advance(duration_s * 1_000.0 + self.late_ms.pop(0))
+
+
+@pytest.mark.parametrize(
+    ("late_ms", "waited_ms", "explains"),
+    [
+        ([0.0] * 10, 400.0, False),
+        ([5.0] * 10, 400.0, False),
+        ([0.0, 0.0, 900.0], 1_000.0, True),
+        ([0.0, 0.0, 100.0], 400.0, False),
+        ([60.0] * 10, 400.0, True),
+        ([900.0] + [0.0] * 20, 400.0, False),
+    ],
+)
+def test_pause_of_this_process_explains_silence(late_ms, waited_ms, explains):
+    stalls = Stalls(*late_ms)
+    stalls.run()
+    assert stalls.lag.explains_silence(stalls.clock.now_ms() - waited_ms) == explains
+
+
+def test_pause_is_noticed_before_the_watch_wakes():
+    """Timeouts of calls may be handled before the watch gets its turn."""
+    stalls = Stalls()
+    stalls.run()
+    stalls.clock.advance(STEP_MS + 800.0)
+    assert stalls.lag.explains_silence(stalls.clock.now_ms() - 850.0)
+
+
+def test_old_pauses_are_forgotten():
+    stalls = Stalls(200.0, *[0.0] * int(KEEP_MS / STEP_MS + 1))
+    stalls.run()
+    assert stalls.lag.stalled_ms(0.0) == 0.0
--- a/tests/unit/test_queue_runs.py
+++ b/tests/unit/test_queue_runs.py
@@ -39,6 +39,17 @@
     assert second.worker_id != first.worker_id
 
 
+def test_worker_is_asked_before_its_runs_count_as_lapsed():
+    """A leader that was paused for longer than a lease learns first what has ended, and how."""
+    world = world_with(step(), workers=2)
+    first = world.answer_starts()[0]
+    world.tick(60_000.0)
+    world.schedule()
+    assert not world.started
+    world.end(first)
+    assert world.cell.jobs["a"].steps[0].done
+
+
 @pytest.mark.parametrize(
     ("outcome", "certain", "stops", "restarts"),
     [
