--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/stored_jobs.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/stored_jobs.py
@@ -9,6 +9,7 @@
 from nutmeglb._internal.queues import keys
 from nutmeglb._internal.queues.ports import Platform, QueueStore, StoredItem
 from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_decisions.queues.state import FINAL_STATES
 from nutmeglb_formats.exceptions import StoreError
 from nutmeglb_formats.models.queue_records import AcceptedJob, JobProgress, load
 from nutmeglb_formats.models.queues import QueueJob, QueueWorker
@@ -59,13 +60,30 @@
     found: dict[str, JobProgress] = {}
     for item in listing.ok_value.items:
         loaded = load(item.value, item.key)
-        if isinstance(loaded, Err) or not isinstance(loaded.ok_value, JobProgress):
-            logger.error("a progress record is malformed", key=item.key)
+        progress = loaded.ok_value if isinstance(loaded, Ok) else None
+        if isinstance(progress, JobProgress) and _is_sound(progress):
+            found[item.key.removeprefix(prefix)] = progress
         else:
-            found[item.key.removeprefix(prefix)] = loaded.ok_value
+            logger.error("a progress record is malformed", key=item.key)
     return Ok(found)
 
 
+def _is_sound(progress: JobProgress) -> bool:
+    """Return whether a record names a known state and no step or task before the first."""
+    steps_are_sound = all(
+        step.step >= 0 and min(step.done, default=0) >= 0 for step in progress.steps
+    )
+    return progress.final in ("", *FINAL_STATES) and steps_are_sound
+
+
+def _runs_in_order(job: QueueJob) -> bool:
+    """Return whether every step has tasks, and waits only for earlier steps."""
+    return all(
+        step.count > 0 and all(0 <= before < number for before in step.after)
+        for number, step in enumerate(job.steps)
+    )
+
+
 async def read_inbox(store: QueueStore) -> Result[Inbox, StoreError]:
     """Read all accepted jobs and cancellations."""
     listing = await store.range(keys.ACCEPTED, large=True)
@@ -86,7 +104,11 @@
         if isinstance(loaded, Err):
             logger.error("an accepted job is malformed", key=item.key, cause=str(loaded.err_value))
         elif isinstance(loaded.ok_value, AcceptedJob):
-            jobs.append(loaded.ok_value.job)
+            job = loaded.ok_value.job
+            if _runs_in_order(job):
+                jobs.append(job)
+            else:
+                logger.error("the steps of an accepted job are malformed", key=item.key)
     return Inbox(tuple(jobs), tuple(cancelled), revision)
 
 
--- a/tests/functional/test_queue_takeover.py
+++ b/tests/functional/test_queue_takeover.py
@@ -6,7 +6,10 @@
 
 from nutmeglb._internal.queues import election, leader
 from nutmeglb._internal.queues.election import WEAK_DELAY_MS, weakness
-from nutmeglb._internal.queues.settings import MachineSection
+from nutmeglb._internal.queues.settings import MachineSection, QueueSettings
+from nutmeglb_formats.models.queue_records import AcceptedJob, JobProgress, dump
+from nutmeglb_formats.models.queues import Queue, QueueJob, StepProgress, StepSpec
+from nutmeglb_formats.models.resources import Resources
 from tests.lib.queue_path import job_body, played
 
 JOB = "00000000000000aa"
@@ -81,6 +84,62 @@
     played(scenario)
 
 
+SPEC = StepSpec(1, Resources(100, 1, 0), after=(3,))
+QUEUE = Queue("r-1", "q.example", "/jobs/", "pool", 0, 1, 1.0, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("nutmeglb/fin/00000000000000ff", dump(JobProgress("r-1", "odd", 0.0, [], []))),
+        ("nutmeglb/fin/00000000000000ff", b"\xff"),
+        ("nutmeglb/st/00000000000000ff", dump(JobProgress("r-1", "odd", 0.0, [], []))),
+        (
+            "nutmeglb/st/00000000000000ff",
+            dump(JobProgress("r-1", "", 0.0, [], [StepProgress(0, -7, [], [-1], [])])),
+        ),
+        (
+            "nutmeglb/in/00000000000000ff",
+            dump(
+                AcceptedJob(QueueJob("00000000000000ff", QUEUE, "", (SPEC,), 0, 0.0, 0.0, 0.0, "n"))
+            ),
+        ),
+    ],
+)
+def test_malformed_record_does_not_end_every_term(key, value):
+    """Guards against one record that each new leader fails on."""
+
+    async def scenario(path):
+        path.store.data.put(key, value)
+        other = await hand_over(path)
+        await path.until(lambda: path.entries[other].node.leads)
+        term = path.entries[other].node._election.term
+        await path.call("POST", JOB, job_body(), other)
+        await path.until_state(JOB, "completed", other)
+        assert path.entries[other].node._election.term is term
+
+    played(scenario)
+
+
+@pytest.mark.parametrize("changed_s", [1.0, 3_600.0])
+def test_changed_time_of_states_applies_at_once(monkeypatch, changed_s):
+    monkeypatch.setattr(leader, "WALL_CLOCK_ERROR_MS", -1_000.0)
+    monkeypatch.setattr(leader, "FORGET_EVERY_MS", 50.0)
+
+    async def scenario(path):
+        live = path.leader.node._live
+        settings = live.current.model_dump()
+        settings["queues"]["status_s"] = changed_s
+        await path.call("POST", JOB, job_body())
+        await path.until(lambda: f"nutmeglb/fin/{JOB}" in path.store.data.items)
+        live._current = QueueSettings.model_validate(settings)
+        await asyncio.sleep(0.4)
+        kept = f"nutmeglb/fin/{JOB}" in path.store.data.items
+        assert kept == (changed_s > 1.0)
+
+    played(scenario)
+
+
 @pytest.mark.parametrize(
     ("machine", "share"),
     [
