--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -93,6 +93,7 @@
         self._links = links
         self._advisers = advisers
         self._log = log
+        self._lag = lag
         self._term = term
         self._on_lost = on_lost
         settings = live.current.queues
@@ -133,6 +134,7 @@
     async def start(self, config: QueueConfig) -> None:
         """Take over: read everything from the store, then hold every worker."""
         self.cell.configure(config)
+        self._background.spawn(self._lag.run())
         self._background.spawn(self._guarded(self._take_over()))
 
     async def stop(self) -> None:
@@ -289,7 +291,6 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            begun_ms = self._clock.now_ms()
             placing.schedule(
                 self.cell,
                 self._advisers.callers,
@@ -301,9 +302,7 @@
                 self._carry_out(effect)
             self._log.write(self.cell.take_decisions())
             self._committer.poke()
-            # A pass that takes long leaves as much time to reports, orders and renewals.
-            took_ms = self._clock.now_ms() - begun_ms
-            await asyncio.sleep(max(PASS_MS, took_ms) / MS_PER_S)
+            await asyncio.sleep(PASS_MS / MS_PER_S)
 
     def _carry_out(self, effect: Effect) -> None:
         if isinstance(effect, AskAdvice):
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/loop_lag.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/loop_lag.py
@@ -4,7 +4,6 @@
 from collections import deque
 from collections.abc import Callable
 
-from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.context import Metrics
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_formats.clock import Clock
@@ -44,7 +43,6 @@
     ) -> None:
         self._clock = clock
         self._sleep = sleep or asyncio.sleep
-        self._background = BackgroundTasks()
         self._due_ms = float("inf")
         self._stalls: deque[tuple[float, float]] = deque()
         self._stalled = metrics.counter(
@@ -69,19 +67,15 @@
         waited_ms = self._clock.now_ms() - sent_ms
         return self.stalled_ms(sent_ms) > STALLED_SHARE * waited_ms
 
-    def start(self) -> None:
-        """Start looking at the clock."""
-        self._background.spawn(self._run())
-
-    async def stop(self) -> None:
-        """Stop looking."""
-        await self._background.cancel()
-
-    async def _run(self) -> None:
-        while True:
-            self._due_ms = self._clock.now_ms() + STEP_MS
-            await self._sleep(STEP_MS / MS_PER_S)
-            self._note()
+    async def run(self) -> None:
+        """Look at the clock until cancelled. Only a leader needs it, so that others may rest."""
+        try:
+            while True:
+                self._due_ms = self._clock.now_ms() + STEP_MS
+                await self._sleep(STEP_MS / MS_PER_S)
+                self._note()
+        finally:
+            self._due_ms = float("inf")
 
     def _note(self) -> None:
         now_ms, late_ms = self._clock.now_ms(), self._overdue_ms
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -154,7 +154,6 @@
 
     async def start(self, frontend: Frontend) -> None:
         """Bind the listeners and look for the configuration and a leader."""
-        self._lag.start()
         await self._links.start()
         await frontend.start()
         self._background.spawn(self.config.run())
@@ -191,7 +190,6 @@
         await self._deposed("stop")
         await self.service.stop()
         await self._gate.stop()
-        await self._lag.stop()
         await self._background.cancel()
         await self._links.stop()
         logger.info("stopped")
--- a/tests/unit/test_queue_authority.py
+++ b/tests/unit/test_queue_authority.py
@@ -197,7 +197,7 @@
     def run(self):
         async def until_script_ends():
             try:
-                await self.lag._run()
+                await self.lag.run()
             except EOFError:
                 return
 
@@ -228,10 +228,18 @@
 
 def test_pause_is_noticed_before_the_watch_wakes():
     """Timeouts of calls may be handled before the watch gets its turn."""
-    stalls = Stalls()
-    stalls.run()
-    stalls.clock.advance(STEP_MS + 800.0)
-    assert stalls.lag.explains_silence(stalls.clock.now_ms() - 850.0)
+
+    async def scenario():
+        stalls = Stalls()
+        stalls.lag._sleep = lambda duration_s: asyncio.Event().wait()
+        watch = asyncio.create_task(stalls.lag.run())
+        await asyncio.wait([watch], timeout=0)
+        stalls.clock.advance(STEP_MS + 800.0)
+        explains = stalls.lag.explains_silence(stalls.clock.now_ms() - 850.0)
+        watch.cancel()
+        return explains
+
+    assert asyncio.run(scenario())
 
 
 def test_old_pauses_are_forgotten():
