Start first what can wait least, and ask for gangs on more workers at once

Change: within a tier and a priority the latest useful start decides, then the work; a first call names workers that hold a gang six times when empty.

--- a/measure/queue_passes.py
+++ b/measure/queue_passes.py
@@ -43,7 +43,7 @@
 
 def first_come(step: Step, start_ms: float, now_ms: float, estimates: Estimates) -> Rank:
     """Rank by the time of acceptance alone."""
-    return Rank(Tier.IN_TIME, 0, 0.0, step.job.accepted_ms)
+    return Rank(Tier.IN_TIME, 0, 0.0, 0.0, step.job.accepted_ms)
 
 
 def arrivals(
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -22,9 +22,10 @@
 
 # Workers named in a first call. The users' objective counts one call on 30 workers a step.
 FIRST_NAMES = 30
-# A gang needs room on all its workers at once, so its good workers hold it this many times when
-# they are empty.
-GANG_ROOM_FACTOR = 2.5
+# A gang needs room on all its workers at once. A busy cell leaves a sixth of its room free, so the
+# good workers of a gang hold it this many times when they are empty. One call on many workers takes
+# less time than two calls.
+GANG_ROOM_FACTOR = 6.0
 # Share of good workers that is assumed before a queue's first answer, and the weight of a new one.
 DEFAULT_GOOD_SHARE = 0.3
 SHARE_WEIGHT = 0.1
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ranking.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ranking.py
@@ -1,8 +1,10 @@
 """Order of waiting steps.
 
-Load pattern answered: bursts far above capacity. Work that can still meet its objective goes before
-work that can only be late, and that before work that is too late to matter to the caller; within a
-tier the queue's priority decides, then small remaining work, so that a burst delays few callers.
+Load pattern answered: bursts far above capacity, and wide gangs beside small ones in a busy cell.
+Work that can still meet its objective goes before work that can only be late, and that before work
+that is too late to matter to the caller. Within a tier the queue's priority decides, then the
+latest time at which the work can start and stay in its tier: short work has less time to lose, and
+wide work is not overtaken for ever. Then small work goes first, so that a burst delays few callers.
 """
 
 from dataclasses import dataclass
@@ -30,19 +32,33 @@
     TOO_LATE = 2
 
 
+# A job of a tier has to end within this many times its objective.
+LIMIT_FACTORS = {Tier.IN_TIME: 1.0, Tier.LATE: LATE_FACTOR, Tier.TOO_LATE: float("inf")}
+
+
 @dataclass(frozen=True, slots=True)
 class Rank:
-    """Sort key of a waiting step; lower goes first."""
+    """Sort key of a waiting step; lower goes first.
+
+    Attributes
+    ----------
+    latest_ms
+        Latest start in the tier in milliseconds; infinite for what is too late.
+    work
+        Remaining work in thousandths of a core times milliseconds.
+    """
 
     tier: int
     priority: int
+    latest_ms: float
     work: float
     accepted_ms: float
 
     @property
     def key(self) -> tuple[float, ...]:
         """Return the sort key."""
-        return (self.tier == Tier.TOO_LATE, self.priority, self.tier, self.work, self.accepted_ms)
+        too_late = self.tier == Tier.TOO_LATE
+        return (too_late, self.priority, self.tier, self.latest_ms, self.work, self.accepted_ms)
 
 
 def chain_ms(job: Job, estimates: Estimates, first: int = 0) -> float:
@@ -84,9 +100,10 @@
         tier = Tier.TOO_LATE
     if tier and now_ms - start_ms > AGING_OBJECTIVES * objective:
         tier = Tier(tier - 1)
+    latest_ms = start_ms + LIMIT_FACTORS[tier] * objective - remaining
     waiting = sum(1 for task in step.tasks if not task.done and task.run is None)
-    work = remaining * (0.3 + waiting * step.spec.needs.cpu_millis)
-    return Rank(tier, job.record.queue.priority, work, job.accepted_ms)
+    work = remaining * (1 + waiting * step.spec.needs.cpu_millis)
+    return Rank(tier, job.record.queue.priority, latest_ms, work, job.accepted_ms)
 
 
 def _outlook(step: Step, now_ms: float, estimates: Estimates) -> Outlook:
--- a/tests/unit/test_queue_pass_cost.py
+++ b/tests/unit/test_queue_pass_cost.py
@@ -104,9 +104,10 @@
 
 def test_rank_follows_the_estimates_within_its_validity(fleet):
     """Expected times are kept for a short time only, so that learned run times count."""
-    waiting = fleet.add(job("a", step(estimate_ms=1_000.0), queue=URGENT))
-    rank = placing.rank_of(waiting.steps[0], 0.0, 0.0, fleet.cell.estimates)
+    (waiting,) = fleet.add(job("a", step(estimate_ms=1_000.0), queue=URGENT)).steps
+    rank = placing.rank_of(waiting, 0.0, 0.0, fleet.cell.estimates)
     for _ in range(50):
         fleet.cell.estimates.observe(URGENT.name, 1_000.0, 4_000.0, 1.0)
-    later = placing.rank_of(waiting.steps[0], 0.0, 200.0, fleet.cell.estimates)
+    assert placing.rank_of(waiting, 0.0, 50.0, fleet.cell.estimates) == rank
+    later = placing.rank_of(waiting, 0.0, 200.0, fleet.cell.estimates)
     assert later.work > 3 * rank.work
--- a/tests/unit/test_queue_placing.py
+++ b/tests/unit/test_queue_placing.py
@@ -36,6 +36,26 @@
     assert names(world) == ["small", "wide"]
 
 
+@pytest.mark.parametrize(
+    ("waiting_ms", "wide_first"),
+    [(0.0, False), (500.0, True), (2_000.0, True)],
+)
+def test_wide_work_is_not_overtaken_for_ever(waiting_ms, wide_first):
+    """A stream of small gangs beside a wide one: the one that can wait least goes first."""
+    world = CellWorld()
+    world.add(job("wide", step(40, gang=True, estimate_ms=1_000.0), queue=BATCH))
+    world.now_ms += waiting_ms
+    world.add(job("small", step(2, gang=True, estimate_ms=1_000.0), queue=BATCH))
+    assert (names(world)[0] == "wide") == wide_first
+
+
+def test_short_work_goes_before_long_work_of_the_same_age():
+    world = CellWorld()
+    world.add(job("long", step(2, estimate_ms=4_000.0), queue=BATCH))
+    world.add(job("short", step(2, estimate_ms=500.0), queue=BATCH))
+    assert names(world) == ["short", "long"]
+
+
 @pytest.mark.parametrize(
     ("age_ms", "tier"),
     [(0.0, Tier.IN_TIME), (3_000.0, Tier.LATE), (9_000.0, Tier.TOO_LATE), (60_000.0, Tier.LATE)],
