Learn the share of good workers from first questions only

Cause: all workers of a renewed call are good, so that each renewal raised the learned share, and later steps were asked about on too few workers. A call whose answer this process reads late was made again through another instance.

Change: only workers that are named for the first time count; the time allowed for a call grows by the time in which the process did not run lately.

Measured: test_renewals_do_not_raise_the_learned_share_of_good_workers.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -272,13 +272,10 @@
     cell.advice_calls.pop(step.name, None)
     state.call_until_ms = 0.0
     state.not_before_ms = 0.0
+    _learn_share(cell, step, named, tickets)
     for worker_id in named:
         if worker_id in cell.workers:
             state.asked[worker_id] = cell.workers[worker_id].info.started_ms
-    if named:
-        queue = step.job.record.queue.name
-        former = cell.good_shares.get(queue, DEFAULT_GOOD_SHARE)
-        cell.good_shares[queue] = former + SHARE_WEIGHT * (len(tickets) / len(named) - former)
     for worker_id, ticket in tickets:
         state.tickets[worker_id] = (ticket, valid_until_ms)
         state.good.add(worker_id)
@@ -290,6 +287,20 @@
     )
 
 
+def _learn_share(
+    cell: Cell, step: Step, named: Sequence[str], tickets: Sequence[tuple[str, str]]
+) -> None:
+    """Learn the share of good workers from those that were named for the first time."""
+    fresh = [worker_id for worker_id in named if worker_id not in step.advice.asked]
+    if not fresh:
+        return
+    given = {worker_id for worker_id, _ in tickets}
+    found = sum(1 for worker_id in fresh if worker_id in given) / len(fresh)
+    queue = step.job.record.queue.name
+    former = cell.good_shares.get(queue, DEFAULT_GOOD_SHARE)
+    cell.good_shares[queue] = former + SHARE_WEIGHT * (found - former)
+
+
 def failed(cell: Cell, step: Step, now_ms: float) -> None:
     """Note that a call was refused or not answered. It is made again after a pause."""
     cell.advice_calls.pop(step.name, None)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/advisers.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/advisers.py
@@ -24,6 +24,8 @@
 SECOND_PATH_MS = 1_200.0
 # A caller that did not answer in time is left alone for this long.
 AVOID_MS = 1_500.0
+# The time in which this process did not run lately is expected to recur.
+LAG_WINDOW_MS = 1_000.0
 OWN = ""
 
 
@@ -77,7 +79,9 @@
         sent_ms = self._clock.now_ms()
         queued_ms = self._busy_ms.get(caller, 0.0)
         self._busy_ms[caller] = queued_ms + cost_ms
-        timeout_ms = queued_ms + cost_ms + path_ms
+        # An answer that this process reads late must not count as missing, and be asked for again.
+        late_ms = self._lag.stalled_ms(sent_ms - LAG_WINDOW_MS)
+        timeout_ms = queued_ms + cost_ms + path_ms + late_ms
         try:
             if caller == OWN:
                 answer = await self._ask_here(step, workers, timeout_ms)
--- a/tests/unit/test_queue_pass_cost.py
+++ b/tests/unit/test_queue_pass_cost.py
@@ -111,3 +111,16 @@
     assert placing.rank_of(waiting, 0.0, 50.0, fleet.cell.estimates) == rank
     later = placing.rank_of(waiting, 0.0, 200.0, fleet.cell.estimates)
     assert later.work > 3 * rank.work
+
+
+@pytest.mark.parametrize("renewals", [0, 30])
+def test_renewals_do_not_raise_the_learned_share_of_good_workers(fleet, renewals):
+    """All workers of a renewal are good. Gangs would be asked about on too few workers."""
+    for number in range(20):
+        found = fleet.add(job(f"j{number}", step(2), queue=ADVISED)).steps[0]
+        named = [f"w{n:03}" for n in range(40)]
+        good = [(worker_id, "t") for worker_id in named[:10]]
+        advice.answered(fleet.cell, found, named, good, fleet.now_ms)
+        for _ in range(renewals):
+            advice.answered(fleet.cell, found, named[:10], good, fleet.now_ms)
+    assert fleet.cell.good_shares[ADVISED.name] == pytest.approx(0.25, abs=0.02)
