Test what a successor and a restart may find: lapses, workers that left, cancellations

The step that follows from time alone is a method of its own, so that the rule for lapses is tested without surroundings. The two tests of hand-overs pass on the former code too: that part could not happen here.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -263,13 +263,17 @@
     async def _tick_loop(self) -> None:
         while True:
             await asyncio.sleep(TICK_MS / MS_PER_S)
-            now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
-            if self._term.authority.excludes_others:
-                reports.lapse_workers(self.cell, now_ms, wall_ms)
-            stalls.stop_stuck_runs(self.cell, now_ms)
-            waiting.explain_waiting(self.cell, now_ms)
-            lifecycle.open_due_occurrences(self.cell, wall_ms)
-            self._changed()
+            self.tick()
+
+    def tick(self) -> None:
+        """Apply what follows from the passage of time alone."""
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        if self._term.authority.excludes_others:
+            reports.lapse_workers(self.cell, now_ms, wall_ms)
+        stalls.stop_stuck_runs(self.cell, now_ms)
+        waiting.explain_waiting(self.cell, now_ms)
+        lifecycle.open_due_occurrences(self.cell, wall_ms)
+        self._changed()
 
     async def _load_loop(self) -> None:
         pools = Pools.begin(self._clock.now_ms())
--- a/tests/functional/test_queue_takeover.py
+++ b/tests/functional/test_queue_takeover.py
@@ -51,6 +51,44 @@
     played(scenario)
 
 
+@pytest.mark.parametrize("left", ["removed", "draining"])
+def test_worker_that_has_left_is_not_used_after_a_hand_over(left):
+    """Guards against a view of the workers that is older than the new leader's term."""
+
+    async def scenario(path):
+        gone, stays = path.runners
+        if left == "removed":
+            path.store.data.remove("servers/w0")
+        else:
+            path.store.data.put("servers/w0", gone.entry("pool", "draining"))
+        other = await hand_over(path)
+        await path.until(lambda: path.entries[other].node.leads)
+        await path.call("POST", JOB, job_body(), other)
+        await path.until_state(JOB, "completed", other)
+        assert not gone.data.started
+        assert stays.data.started
+
+    played(scenario)
+
+
+def test_cancelled_job_does_not_run_after_a_hand_over():
+    """Guards against a cancellation that only the former leader knew."""
+
+    async def scenario(path):
+        for runner in path.runners:
+            runner.data.run_ms = 60_000.0
+        assert (await path.call("POST", JOB, job_body()))[0] == 200
+        await path.until(lambda: len(path.starts) == 2)
+        assert (await path.call("DELETE", JOB))[0] == 200
+        other = await hand_over(path)
+        await path.until(lambda: path.entries[other].node.leads)
+        await path.until_state(JOB, "cancelled", other)
+        await path.until(lambda: not any(runner.data.running for runner in path.runners))
+        assert len(path.starts) == 2
+
+    played(scenario)
+
+
 def test_new_leader_tells_the_state_of_jobs_that_ended_before():
     async def scenario(path):
         await path.call("POST", JOB, job_body())
--- a/tests/unit/test_queue_authority.py
+++ b/tests/unit/test_queue_authority.py
@@ -1,13 +1,20 @@
 """Permissions of a leader, checked when it acts, and silence judged by the time in which it ran."""
 
 import asyncio
+import random
+from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from result import Err, Ok
 
 from nutmeglb._internal.queues.authority import Authority
+from nutmeglb._internal.queues.election import Term
+from nutmeglb._internal.queues.leader import Leader
+from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.loop_lag import KEEP_MS, STEP_MS, LoopLag
 from nutmeglb._internal.queues.ports import OrderAnswer
+from nutmeglb._internal.queues.settings import QueueSettings
 from nutmeglb._internal.queues.worker_link import MAX_EXCUSED, START_COPIES, LinkHooks, WorkerLink
 from nutmeglb._internal.telemetry.metrics import MetricsRegistry
 from nutmeglb_decisions.queues.orders import StartOutcome
@@ -98,6 +105,45 @@
     return None
 
 
+def _leader(clock, authority):
+    """Return a leader without surroundings."""
+    sections = {
+        "instance": {"id": "e1", "failure_domain": "z1"},
+        "listen": dict.fromkeys(("caller", "health", "peer"), "127.0.0.1:0"),
+        "store": {"address": "127.0.0.1:1"},
+    }
+    return Leader(
+        LiveSettings(QueueSettings.model_validate(sections)),
+        clock,
+        random.Random(1),
+        SimpleNamespace(store=None, workers=None),
+        None,
+        None,
+        None,
+        SimpleNamespace(explains_silence=lambda sent_ms: False),
+        Term(0, 7, 7, 1, authority),
+        "incarnation",
+        lambda cause: None,
+    )
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "lapses"), [(1_000.0, True), (1_600.0, False), (4_900.0, False), (9_000.0, False)]
+)
+def test_runs_lapse_only_while_no_successor_can_have_renewed_them(age_ms, lapses):
+    """Around a hand-over a successor may hold a worker that the former leader finds silent."""
+    clock = ManualClock(10_000.0)
+    leader = _leader(clock, Authority(clock, LEASE_MS, LIMIT_MS, clock.now_ms() - age_ms))
+    world = CellWorld(now_ms=clock.now_ms(), cell=leader.cell)
+    world.show(worker_info())
+    world.add(job("a", step(), queue=BATCH))
+    world.schedule()
+    worker = world.worker("w1")
+    worker.unanswered_since_ms, worker.lapse_ms = clock.now_ms(), clock.now_ms() - 1.0
+    leader.tick()
+    assert bool(worker.runs) == (not lapses)
+
+
 @pytest.fixture(autouse=True)
 def no_pauses(monkeypatch):
     """Let retries follow at once."""
@@ -142,17 +188,11 @@
     """A burst at a late leader: its orders wait longer than their advice is valid."""
     link = Link()
     until_ms = link.clock.now_ms() + valid_for_ms
-    order = _with(link.order, ticket="t", ticket_until_ms=until_ms)
+    order = replace(link.order, ticket="t", ticket_until_ms=until_ms)
     asyncio.run(link.link.start(order))
     assert len(link.sent) == sent
 
 
-def _with(order, **changes):
-    import dataclasses
-
-    return dataclasses.replace(order, **changes)
-
-
 @pytest.mark.parametrize(
     ("excused", "unanswered", "copies", "stops"),
     [
