Wait for the configuration from the revision of the read, not of the item

Cause: after the store had dropped its history, an instance waited from the revision of the configuration, which was older than the history, was told so at once, read it again and so on without pause.

Change: the read is a listing, whose revision the next wait begins from.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -68,13 +68,21 @@
             logger.info("the store is reached" if answered else "the store does not answer")
 
     async def _read(self) -> bool:
-        found = await self._platform.store.get(self._platform.config_key)
+        """Read the configuration, and the revision from which to wait for the next one.
+
+        The configuration may be far older than the store's history, so its own revision is of no
+        use for that.
+        """
+        key = self._platform.config_key
+        found = await self._platform.store.range(key)
         if isinstance(found, Err):
             return False
-        if found.ok_value is None:
+        item = next((item for item in found.ok_value.items if item.key == key), None)
+        if item is None:
             await asyncio.sleep(RETRY_MS / MS_PER_S)
             return True
-        self._apply(found.ok_value)
+        self._apply(item)
+        self._revision = max(self._revision, found.ok_value.revision)
         return True
 
     async def _wait(self) -> bool:
--- a/tests/functional/test_queue_path.py
+++ b/tests/functional/test_queue_path.py
@@ -232,6 +232,21 @@
     played(scenario)
 
 
+def test_forgotten_history_does_not_flood_the_store():
+    """Guards against a watch that begins before the history again and again."""
+
+    async def scenario(path):
+        path.store.data.put("nutmeglb/other", b"1")
+        path.store.data.forget_history()
+        await asyncio.sleep(0.2)
+        calls = sum(own_store.calls for own_store in path.own_stores)
+        await asyncio.sleep(0.5)
+        # At rest two instances make some 25 calls in this time.
+        assert sum(own_store.calls for own_store in path.own_stores) - calls < 60
+
+    played(scenario)
+
+
 @pytest.mark.parametrize(
     "value", [b"\xff\xfe", b"{}", b'{"backend": 1}', b'{"backend": "pool", "state": "odd"}']
 )
