--- a/tests/functional/test_http_caller.py
+++ b/tests/functional/test_http_caller.py
@@ -43,9 +43,9 @@
         self.finish({})
 
 
-def played(scenario):
+def played(scenario, host_connections=0):
     async def main():
-        server, caller = Server(), HttpCaller(MAX_CALLS)
+        server, caller = Server(), HttpCaller(MAX_CALLS, host_connections)
         url = server.start()
 
         async def calls(count):
@@ -85,6 +85,18 @@
     played(scenario)
 
 
+@pytest.mark.parametrize("host_connections", [1, 4])
+def test_one_address_gets_few_connections(host_connections):
+    """A worker refuses calls beyond its number of connections, as if it did not answer."""
+
+    async def scenario(server, calls):
+        for _ in range(3):
+            assert all(isinstance(answer, Ok) for answer in await calls(12))
+        assert len(server.connections) <= host_connections
+
+    played(scenario, host_connections)
+
+
 @pytest.mark.parametrize(("descriptors", "calls"), [(4_100, 1_550), (8_192, 3_596), (256, 8)])
 def test_calls_to_workers_fit_the_descriptors(descriptors, calls):
     assert worker_calls(descriptors) == calls
