Accept a submission in doubt once the store answers again

Cause: a write of a submission that was not answered was voided for at most 1.5 s, and its caller told to come back, or told nothing.

Change: until the deadline of its caller the acceptance is written again under the same condition. It takes effect once, also if the first write is late.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
@@ -25,8 +25,6 @@
 
 logger = get_logger("submissions")
 
-# A submission in doubt is resolved for at most this long. Then the caller asks again with its id.
-RESOLVE_MS = 1_500.0
 RETRY_MS = 60.0
 MS_PER_S = 1_000.0
 
@@ -90,29 +88,30 @@
             revision = found.revision
 
     async def _resolve(self, job: QueueJob, revision: int, until_ms: float) -> Submission:
-        """Learn whether a job was stored, and make sure that it cannot be stored later.
+        """Store a job whose first write was not answered, or learn that it is stored.
 
-        The unanswered write names the revision that it expects. Writing the key once more voids it.
+        Both writes name the revision that they expect, so only one of them takes effect, also when
+        the first one is carried out late.
+
+        Load pattern answered: a store outage of a few seconds in the middle of a burst. The caller
+        is still waiting, and with an answer in doubt it could not ask again.
         """
         key = keys.accepted(job.job_id)
-        withdrawn = StoredPut(key, dump(WithdrawnJob(job.nonce)))
-        until_ms = min(until_ms, self._clock.now_ms() + RESOLVE_MS)
+        put = StoredPut(key, dump(AcceptedJob(job)))
         while self._clock.now_ms() < until_ms:
             if not self._gate.is_open:
                 await asyncio.sleep(RETRY_MS / MS_PER_S)
                 continue
             expected = {key: revision, keys.final(job.job_id): 0}
-            committed = await self._store.commit(expected, [withdrawn])
+            committed = await self._store.commit(expected, [put])
             if isinstance(committed, Err):
                 self._gate.note_failure()
                 continue
             commit: Commit = committed.ok_value
-            if commit.applied:
-                logger.info("a submission in doubt is withdrawn", job=job.job_id)
-                return Submission.NOT_ACCEPTED
             found = (commit.found or {}).get(key)
-            if found is not None and _is_withdrawn(found):
+            if not commit.applied and found is not None and _is_withdrawn(found):
                 return Submission.NOT_ACCEPTED
+            logger.info("a submission in doubt is accepted", job=job.job_id)
             return Submission.ACCEPTED
         return Submission.UNKNOWN
 
--- a/tests/functional/test_queue_path.py
+++ b/tests/functional/test_queue_path.py
@@ -178,6 +178,22 @@
     played(scenario)
 
 
+@pytest.mark.parametrize("fault", [Fault.LOSE_ANSWERS, Fault.SILENT, Fault.LATE])
+def test_submission_in_doubt_is_resolved_within_the_deadline_of_its_caller(fault):
+    """An outage of two seconds: the job is accepted once, and its caller need not come back."""
+
+    async def scenario(path):
+        path.break_store(fault)
+        call = asyncio.create_task(path.call("POST", JOB, job_body()))
+        await asyncio.sleep(1.9)
+        path.heal()
+        assert (await call)[0] == 200
+        await path.until_state(JOB, "completed")
+        assert max(Counter(path.starts).values()) == 1
+
+    played(scenario)
+
+
 def test_store_outage_makes_instances_unready_and_passes():
     async def scenario(path):
         await path.until_async(path.ready)
