--- a/measure/queue_leader.py
+++ b/measure/queue_leader.py
@@ -3,7 +3,7 @@
 import heapq
 import random
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import replace
 
 from measure import queue_passes
@@ -31,9 +31,10 @@
 class AdvisedReplay(Replay):
     """A replay in which each step needs advice, answered after its cost."""
 
-    def __init__(self, workers: int) -> None:
+    def __init__(self, workers: int, config: QueueConfig, good_shares: Mapping[str, float]) -> None:
         super().__init__(workers)
-        self.cell.configure(CONFIG)
+        self.cell.configure(config)
+        self._good_shares = good_shares
         self.starts = 0
         self.spent_ms = 0.0
         self._callers = max(2, round(workers * CALLERS_SHARE))
@@ -65,7 +66,7 @@
         step = self.cell.find_step(job_id, int(occurrence), int(number))
         if step is None:
             return
-        share = ADVISED[step.job.record.queue.name][1]
+        share = self._good_shares[step.job.record.queue.name]
         good = [
             (worker_id, "ticket")
             for worker_id in call.workers
@@ -78,7 +79,8 @@
     """Time of all passes by started task, below and above the capacity."""
     for workers in WORKERS:
         for load in LOADS:
-            replay = AdvisedReplay(workers)
+            shares = {name: share for name, (_, share) in ADVISED.items()}
+            replay = AdvisedReplay(workers, CONFIG, shares)
             arrivals = queue_passes.arrivals(workers, load, random.Random(SEED), QUEUES)
             replay.run(arrivals, rank_of)
             ordered = sorted(replay.pass_ms)
