Offer a job to a leader only once, and after it has read what is stored of it

A task that had ended at 27.8 s was started again at 33.9 s by a new leader, 0.5 s after an outage of the store. A submission that a caller had repeated was in doubt during the outage, was then reported as accepted though the store held the earlier attempt, and was offered to the new leader. While that one was reading its jobs it took the offer for a new job, and left out the stored progress. Read from the code; the tests below reproduce both halves.

Change: a submission in doubt whose id is stored by another attempt is a repeated one, which is not offered. An offer waits until the leader has read its jobs.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -124,6 +124,7 @@
         self._wake = asyncio.Event()
         self._revision = 0
         self.loaded = False
+        self._offered: list[QueueJob] = []
         self.refusing: dict[str, float] = {}
         self.pools: list[Pool] = []
 
@@ -156,7 +157,13 @@
         self._changed()
 
     def offer(self, job: QueueJob) -> None:
-        """Take up an accepted job."""
+        """Take up an accepted job, once it is known what is stored of it.
+
+        A job may be offered again after a part of it has run.
+        """
+        if not self.loaded:
+            self._offered.append(job)
+            return
         if lifecycle.add_job(self.cell, job, self._clock.now_ms()):
             self.cell.decide("job_taken_up", "accepted", job=job.job_id, queue=job.queue.name)
             self._changed()
@@ -185,6 +192,8 @@
             workers=len(self.cell.workers),
             took_ms=round(self.cell.started_ms - begun_ms),
         )
+        for job in self._offered:
+            self.offer(job)
         for loop in (
             self._committer.run(),
             self._workers_loop(),
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
@@ -109,10 +109,13 @@
                 continue
             commit: Commit = committed.ok_value
             found = (commit.found or {}).get(key)
-            if not commit.applied and found is not None and _is_withdrawn(found):
+            if commit.applied or (found is not None and found.value == put.value):
+                logger.info("a submission in doubt is accepted", job=job.job_id)
+                return Submission.ACCEPTED
+            if found is not None and _is_withdrawn(found):
                 return Submission.NOT_ACCEPTED
-            logger.info("a submission in doubt is accepted", job=job.job_id)
-            return Submission.ACCEPTED
+            # Another attempt was accepted, and the job may have run or ended already.
+            return Submission.REPEATED
         return Submission.UNKNOWN
 
     async def cancel(self, job_id: str, until_ms: float) -> Result[bool, StoreError]:
--- a/tests/functional/test_queue_path.py
+++ b/tests/functional/test_queue_path.py
@@ -194,6 +194,33 @@
     played(scenario)
 
 
+@pytest.mark.parametrize("finished", [True, False])
+def test_repeated_submission_in_doubt_is_not_offered_again(finished):
+    """Guards against a job that runs twice, since a leader takes its repetition for a new job."""
+
+    async def scenario(path):
+        offered = []
+        for runner in path.runners:
+            runner.data.run_ms = 30.0 if finished else 60_000.0
+        await path.call("POST", JOB, job_body())
+        await path.until_state(JOB, "completed" if finished else "running")
+        for entry in path.entries:
+            entry.node.service._offer = lambda job: _noted(offered, job)
+        path.break_store(Fault.LOSE_ANSWERS)
+        path.leader.node.service._is_known = lambda job_id: asyncio.sleep(0, False)
+        call = asyncio.create_task(path.call("POST", JOB, job_body()))
+        await asyncio.sleep(0.4)
+        path.heal()
+        assert (await call)[0] == 200
+        assert not offered
+
+    played(scenario)
+
+
+async def _noted(offered, job):
+    offered.append(job)
+
+
 def test_store_outage_makes_instances_unready_and_passes():
     async def scenario(path):
         await path.until_async(path.ready)
--- a/tests/functional/test_queue_takeover.py
+++ b/tests/functional/test_queue_takeover.py
@@ -89,6 +89,31 @@
     played(scenario)
 
 
+def test_job_that_is_offered_during_a_take_over_goes_on_where_it_was():
+    """Guards against a job that starts anew: a new leader hears of it before it has read it."""
+
+    async def scenario(path):
+        first, second = path.runners
+        first.data.run_ms, second.data.run_ms = 30.0, 30.0
+        steps = [{"count": 1, "cpu": 100}, {"count": 1, "cpu": 100, "after": [0]}]
+        await path.call("POST", JOB, job_body(steps=steps))
+        await path.until(lambda: len(path.starts) == 1)
+        first.data.run_ms = second.data.run_ms = 1_500.0
+        await path.until(lambda: len(path.starts) == 2)
+        record = path.leader.node._leader.cell.jobs[JOB].record
+        other = path.entries.index(path.leader) ^ 1
+        for own_store in path.own_stores:
+            own_store.listing_s = {"nutmeglb/in/": 0.4}
+        await hand_over(path)
+        node = path.entries[other].node
+        await path.until(lambda: node._leader is not None)
+        node._leader.offer(record)
+        await path.until_state(JOB, "completed", other)
+        assert len(path.starts) == 2
+
+    played(scenario, link_mbps=20.0)
+
+
 def test_new_leader_tells_the_state_of_jobs_that_ended_before():
     async def scenario(path):
         await path.call("POST", JOB, job_body())
