Log reports that contradict the inferred end of a run

Callers saw tasks with two runs at once although one leader ordered both. A run is released without a reported end when its order is refused, when a report lacks it or when its lease has expired; the logs could not tell which of these was wrong, nor that one was.

No decision changes.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -5,7 +5,7 @@
 from nutmeglb_decisions.queues.effects import Decision, Effect
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.headroom import ClassUsage
-from nutmeglb_decisions.queues.state import FinishedJob, Job, Run, Step, Worker
+from nutmeglb_decisions.queues.state import FinishedJob, Job, PresumedEnd, Run, Step, Worker
 from nutmeglb_formats.models.queues import Queue, QueueConfig
 
 # The run numbers of a term start at the term times this number, so that they increase from leader
@@ -40,6 +40,8 @@
         passed.
     wait_deadlines_ms
         The same per worker, for workers that have not answered this leader.
+    presumed_ends
+        Per task and run number: runs whose end was inferred without a report of it.
     """
 
     term: int
@@ -60,6 +62,7 @@
     approval_rates: dict[str, float] = field(default_factory=dict)
     advice_calls: dict[str, tuple[float, float]] = field(default_factory=dict)
     class_usage: ClassUsage = field(default_factory=ClassUsage)
+    presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
 
     def configure(self, config: QueueConfig) -> None:
         """Replace the queue configuration."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -2,6 +2,7 @@
 
 from enum import StrEnum
 
+from nutmeglb_decisions.queues import presumed_ends
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StopTask
 from nutmeglb_decisions.queues.lifecycle import RETRY_DELAY_MS, end_run, stop_run
@@ -57,12 +58,22 @@
         if outcome == StartOutcome.STARTED:
             run.state = RunState.RUNNING
         return
-    cell.log_decision("start_refused", outcome, task=task, worker=worker_id, run=number)
+    cell.log_decision(
+        "start_refused",
+        outcome,
+        task=task,
+        worker=worker_id,
+        run=number,
+        state=run.state,
+        is_conclusive=is_conclusive,
+        ordered_ms_ago=round(now_ms - run.ordered_ms),
+    )
     _avoid_worker(run, worker, outcome, now_ms)
     if outcome == StartOutcome.UNKNOWN or not is_conclusive:
         # Once the worker has answered the stop, a delayed copy of the order can no longer start.
         stop_run(cell, run)
         return
+    presumed_ends.record(cell, run, outcome, now_ms)
     end_run(cell, run, outcome, "", now_ms, wall_ms)
     run.step.tasks[run.index].not_before_ms = now_ms + RETRY_DELAY_MS
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from nutmeglb_decisions.queues import takeover_wait
+from nutmeglb_decisions.queues import presumed_ends, takeover_wait
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StopTask
 from nutmeglb_decisions.queues.lifecycle import DONE, FAILED, apply_end, end_run
@@ -111,6 +111,7 @@
     runs = list(worker.runs.values())
     log_ends(cell, worker, [(run.task, run.number, outcome) for run in runs])
     for run in runs:
+        presumed_ends.record(cell, run, outcome, now_ms)
         end_run(cell, run, outcome, "", now_ms, wall_ms)
 
 
@@ -164,6 +165,9 @@
     log_ends(cell, worker, [(ended.task, ended.run, ended.outcome) for ended in new_ends])
     for ended in new_ends:
         worker.last_applied_end = max(worker.last_applied_end, ended.number)
+        presumed_ends.check_reported(
+            cell, worker.worker_id, (ended.task, ended.run), ended.outcome, now_ms
+        )
         _apply_end(cell, worker, ended, now_ms, wall_ms)
     running_by_key = {(running.task, running.run): running for running in report.running}
     for key, running in running_by_key.items():
@@ -226,6 +230,7 @@
 def _apply_running(
     cell: Cell, worker: Worker, key: tuple[str, int], running: RunningTask, now_ms: float
 ) -> None:
+    presumed_ends.check_reported(cell, worker.worker_id, key, "running", now_ms)
     run = worker.runs.get(key) or _adopt(cell, worker, running, now_ms)
     if run is None:
         if key not in worker.stray_runs:
@@ -312,4 +317,5 @@
     ]
     log_ends(cell, worker, [(run.task, run.number, LOST) for run in absent])
     for run in absent:
+        presumed_ends.record(cell, run, LOST, now_ms)
         end_run(cell, run, LOST, "", now_ms, wall_ms)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -70,6 +70,34 @@
         return self.step.task_name(self.index)
 
 
+@dataclass(frozen=True, slots=True)
+class PresumedEnd:
+    """A run that counts as ended although no worker has reported its end.
+
+    Attributes
+    ----------
+    cause
+        The observation from which the end was inferred.
+    at_ms
+        Time of the inference.
+    state
+        Stage of the run at that time.
+    confirmed_for_ms, silent_for_ms
+        Time since the run was confirmed, and since its worker became silent; ``None`` if neither
+        had happened.
+    lease_left_ms
+        Remaining lease of the worker's runs, negative if it had expired.
+    """
+
+    worker_id: str
+    cause: str
+    at_ms: float
+    state: str
+    confirmed_for_ms: float | None
+    lease_left_ms: float
+    silent_for_ms: float | None
+
+
 @dataclass(slots=True, eq=False)
 class Task:
     """One task of a step.
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
@@ -26,6 +26,7 @@
         "step_waiting",
         "job_idle",
         "run_unresolved",
+        "presumed_end_contradicted",
     }
 )
 
--- a/tests/unit/test_queue_runs.py
+++ b/tests/unit/test_queue_runs.py
@@ -306,3 +306,33 @@
     stuck_runs.stop_stuck_runs(world.cell, world.now_ms)
     world.schedule()
     assert {stop.worker_id for stop in world.stopped} == stopped
+
+
+@pytest.mark.parametrize(
+    ("presume", "cause"),
+    [
+        (lambda world, order: world.answer(order, StartOutcome.UNHEALTHY), "unhealthy"),
+        (lambda world, order: silent_until_lease_expiry(world, order), "lapsed"),
+    ],
+)
+@pytest.mark.parametrize(
+    ("shown_as", "is_logged"), [("running", True), ("done", True), ("lapsed", False)]
+)
+def test_report_that_contradicts_a_presumed_end_is_logged(presume, cause, shown_as, is_logged):
+    """Guards against a task with two runs that no log explains."""
+    world = world_with_scheduled_job(step())
+    (order,) = world.started
+    presume(world, order)
+    world.cell.take_decisions()
+    if shown_as == "running":
+        world.report("w1", running=(RunningTask(order.task, order.run, "", 100),))
+    else:
+        world.report("w1", ((order.task, order.run, shown_as, ""),), running=())
+    logged = [d.cause for d in world.cell.take_decisions() if d.kind == "presumed_end_contradicted"]
+    assert logged == ([cause] if is_logged else [])
+
+
+def silent_until_lease_expiry(world, order):
+    world.answer(order, StartOutcome.STARTED)
+    world.worker(order.worker_id).unanswered_since_ms = world.now_ms
+    world.tick(6_400.0)
