Keep a run that a report shows when the answers to its order are lost

Callers saw work that was stopped and run a second time although its worker had it all along. Cause: apply_start_answer ordered a stop after an unknown outcome, or released the run after a refusal, also when a report had shown the run since the order was sent. A report is the stronger evidence: it names the run.

test_run_that_a_report_shows_continues_when_the_answers_to_its_order_are_lost failed in its 4 cases before the change and passes with it.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -52,6 +52,9 @@
     run = worker.runs.get((task, number)) if worker else None
     if worker is None or run is None or run.state == RunState.STOPPING:
         return
+    if run.state == RunState.RUNNING:
+        # A report has shown the run, which proves more than any answer to its order.
+        return
     if outcome in (StartOutcome.STARTED, StartOutcome.STALE_RUN):
         run.confirmed_ms = now_ms
         run.step.job.has_started = True
--- a/tests/unit/test_queue_runs.py
+++ b/tests/unit/test_queue_runs.py
@@ -336,3 +336,26 @@
     world.answer(order, StartOutcome.STARTED)
     world.worker(order.worker_id).unanswered_since_ms = world.now_ms
     world.tick(6_400.0)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "certain"),
+    [
+        (StartOutcome.UNKNOWN, False),
+        (StartOutcome.UNHEALTHY, False),
+        (StartOutcome.UNHEALTHY, True),
+        (StartOutcome.TICKET, False),
+    ],
+)
+def test_run_that_a_report_shows_continues_when_the_answers_to_its_order_are_lost(outcome, certain):
+    """Guards against work that runs a second time since its worker's answers were lost."""
+    world = world_with_scheduled_job(step(), workers=2)
+    (order,) = world.started
+    world.started.clear()
+    world.report(order.worker_id, running=(RunningTask(order.task, order.run, "", 100),))
+    world.answer(order, outcome, certain)
+    world.now_ms += 1_000.0
+    world.schedule()
+    assert (world.stopped, world.started) == ([], [])
+    world.end(order)
+    assert not world.cell.active
