Do not take a run's absence from a report as its end

Callers saw tasks with two runs at once, and workers used beyond their capacity, under one leader and without a lost machine.

Cause: a report that did not contain a confirmed run ended the run, so that its task was started elsewhere and its capacity given away. A worker lists a stopped run's end when its capacity is free, up to max_stop_ms after it answered the stop, and may list it nowhere until then. The class of fault: a fact learned from an absent entry.

A report without a run now ends it only when the worker has restarted since it was confirmed and no copy of the order is unanswered, when the worker has refused its number for good, or max_stop_ms (with clock drift and margin) after it answered a stop. An active run that is absent is stopped first. A restarted worker is barred from an order of which a copy is unanswered. The next report is requested when it can prove the end, so a stop costs no further wait.

A start order is not sent once its run has been ended or stopped meanwhile.

--- a/measure/queue_mix.py
+++ b/measure/queue_mix.py
@@ -150,7 +150,7 @@
 
 
 def _earned_fraction(record: QueueJob, took_ms: float) -> float:
-    scratch_cell = Cell(0, math.inf)
+    scratch_cell = Cell(0, math.inf, math.inf)
     lifecycle.add_job(scratch_cell, record, 0.0)
     limit_ms = objective_ms(scratch_cell.jobs[record.job_id], scratch_cell.estimates)
     if took_ms <= limit_ms:
--- a/measure/queue_passes.py
+++ b/measure/queue_passes.py
@@ -34,6 +34,7 @@
 CONFIG = QueueConfig(1, 1, (URGENT, GANGS, BATCH), frozenset({SERVICE}), 1)
 WORKER_CPU_MILLIS = 16_000
 LEASE_EXPIRY_AFTER_MS = 1e9
+STOP_ENDS_AFTER_MS = 1e9
 # Work that arrives in the burst, as a multiple of the capacity.
 LOADS = (0.8, 2.0)
 BURST_MS = 6_000.0
@@ -74,7 +75,7 @@
     """Simulation of a cell under a given list of jobs, without I/O."""
 
     def __init__(self, workers: int) -> None:
-        self.cell = Cell(0, LEASE_EXPIRY_AFTER_MS)
+        self.cell = Cell(0, LEASE_EXPIRY_AFTER_MS, STOP_ENDS_AFTER_MS)
         self.cell.configure(CONFIG)
         self.pass_ms: list[float] = []
         self.done: dict[str, float] = {}
@@ -181,7 +182,7 @@
     own = [(at_ms, job) for at_ms, job in timed_jobs if job.queue is queue]
     in_time = 0
     for at_ms, record in own:
-        scratch_cell = Cell(0, LEASE_EXPIRY_AFTER_MS)
+        scratch_cell = Cell(0, LEASE_EXPIRY_AFTER_MS, STOP_ENDS_AFTER_MS)
         lifecycle.add_job(scratch_cell, record, 0.0)
         limit_ms = objective_ms(scratch_cell.jobs[record.job_id], scratch_cell.estimates)
         in_time += replay.done.get(record.job_id, float("inf")) - at_ms <= limit_ms
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -33,6 +33,8 @@
         Jobs whose progress has changed since it was stored, in order of the change.
     lease_expiry_after_ms
         Time from the last order or renewal after which the lease of a run has certainly expired.
+    stop_ends_after_ms
+        Time after the answer to a stop order after which the stopped run has certainly ended.
     started_ms
         Time at which this leader finished its takeover.
     takeover_wait_deadline_ms
@@ -46,6 +48,7 @@
 
     term: int
     lease_expiry_after_ms: float
+    stop_ends_after_ms: float
     started_ms: float = 0.0
     takeover_wait_deadline_ms: float = 0.0
     wait_deadlines_ms: dict[str, float] = field(default_factory=dict)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
@@ -64,8 +64,12 @@
 
 def stop_run(cell: Cell, run: Run) -> None:
     """Order a run to stop. Its capacity stays charged until its end is known."""
-    if run.state == RunState.STOPPING:
-        return
+    if run.state != RunState.STOPPING:
+        repeat_stop(cell, run)
+
+
+def repeat_stop(cell: Cell, run: Run) -> None:
+    """Order a stop, even if an earlier one was answered by a former incarnation of the worker."""
     run.state = RunState.STOPPING
     run.confirmed_ms = None
     cell.effects.append(StopTask(run.worker_id, run.task, run.number))
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -91,6 +91,21 @@
         worker.avoided_until_ms = max(worker.avoided_until_ms, now_ms + REFUSAL_AVOID_MS)
 
 
+def is_start_wanted(cell: Cell, worker_id: str, task: str, number: int) -> bool:
+    """Return whether a start order may be sent: its run has neither been ended nor stopped."""
+    worker = cell.workers.get(worker_id)
+    run = worker.runs.get((task, number)) if worker else None
+    return run is not None and run.state != RunState.STOPPING
+
+
+def record_start_sent(cell: Cell, worker_id: str, task: str, number: int, sent: int) -> None:
+    """Count copies of a start order: 1 when a copy is sent, -1 when it is answered."""
+    worker = cell.workers.get(worker_id)
+    run = worker.runs.get((task, number)) if worker else None
+    if run is not None:
+        run.unanswered_orders += sent
+
+
 def apply_stop_answer(cell: Cell, worker_id: str, task: str, number: int, now_ms: float) -> None:
     """Record that a worker accepted a stop order: the run ends, or can never start."""
     worker = cell.workers.get(worker_id)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from nutmeglb_decisions.queues import presumed_ends, takeover_wait
+from nutmeglb_decisions.queues.absent_runs import LOST, apply_absence
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StopTask
 from nutmeglb_decisions.queues.lifecycle import DONE, FAILED, apply_end, end_run
@@ -17,10 +18,8 @@
 # one run of twenty by themselves, this happens by chance once in 8,000 runs.
 AVOID_AFTER_BAD_RUNS = 3
 AVOID_MS = 2_500.0
-# Outcomes of runs whose end no worker has reported. A stopped run uses its capacity until the
-# worker reports the end, its lease expires, or a report no longer contains it.
+# Outcome of a run whose lease has expired without a report of its end.
 LEASE_EXPIRED = "lapsed"
-LOST = "lost"
 
 
 def apply_worker_list(cell: Cell, listed: Iterable[QueueWorker], now_ms: float) -> None:
@@ -159,6 +158,7 @@
     """
     if report.started_ms != worker.started_ms:
         _change_incarnation(cell, worker, report.started_ms, "its report")
+    has_restarted = worker.reported_started_ms != report.started_ms
     worker.unanswered_since_ms = None
     worker.last_report_ms = now_ms
     new_ends = [ended for ended in report.ended if ended.number > worker.last_applied_end]
@@ -174,7 +174,11 @@
         _apply_running(cell, worker, key, running, now_ms)
     worker.stray_runs.intersection_update(running_by_key)
     if len(report.ended) < MAX_ENDS_PER_REPORT:
-        _end_absent_runs(cell, worker, running_by_key, sent_ms, now_ms, wall_ms)
+        ended_runs = apply_absence(
+            cell, worker, running_by_key, sent_ms, has_restarted, now_ms, wall_ms
+        )
+        log_ends(cell, worker, [(run.task, run.number, LOST) for run in ended_runs])
+        worker.reported_started_ms = report.started_ms
     if not worker.settled:
         _mark_settled(cell, worker)
 
@@ -296,26 +300,3 @@
         return False
     task = tasks[name.index]
     return not task.done and task.run is None and number >= task.last_run
-
-
-def _end_absent_runs(
-    cell: Cell,
-    worker: Worker,
-    running_by_key: dict[tuple[str, int], RunningTask],
-    sent_ms: float,
-    now_ms: float,
-    wall_ms: float,
-) -> None:
-    """End confirmed runs that a worker does not have.
-
-    Their start order was refused or superseded by a stop order.
-    """
-    absent = [
-        run
-        for key, run in worker.runs.items()
-        if run.confirmed_ms is not None and run.confirmed_ms < sent_ms and key not in running_by_key
-    ]
-    log_ends(cell, worker, [(run.task, run.number, LOST) for run in absent])
-    for run in absent:
-        presumed_ends.record(cell, run, LOST, now_ms)
-        end_run(cell, run, LOST, "", now_ms, wall_ms)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -38,6 +38,8 @@
     confirmed_ms
         Time of the worker's answer to the start order or to the stop order; ``None`` while it is
         unknown whether the worker has the run or may still receive it.
+    unanswered_orders
+        Number of copies of the start order that are not answered. Each may still be carried out.
     expected_end_ms
         Estimated end, used for reservations.
     idle_since_ms, idle_ms
@@ -57,6 +59,7 @@
     expected_end_ms: float
     state: RunState = RunState.ORDERED
     confirmed_ms: float | None = None
+    unanswered_orders: int = 0
     percent: int = 100
     wanted_percent: int = 100
     activity: int | None = None
@@ -352,6 +355,8 @@
         Highest number of an end that was applied.
     lease_expires_at_ms
         Time at which all runs on the worker have certainly ended if no renewal arrives.
+    reported_started_ms
+        Start time of the incarnation that sent the last report; ``None`` before the first one.
     settled
         Whether the current incarnation has accepted the fencing token of this leader.
     avoided_until_ms
@@ -374,6 +379,7 @@
     last_listed_ms: float = 0.0
     last_applied_end: int = 0
     lease_expires_at_ms: float = 0.0
+    reported_started_ms: int | None = None
     settled: bool = False
     avoided_until_ms: float = 0.0
     unanswered_since_ms: float | None = None
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -101,7 +101,11 @@
         self._on_lost = on_lost
         settings = live.current.queues
         run_lease_ms = settings.lease_of_runs_ms
-        self.cell = Cell(term.number, run_lease_ms / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS)
+        self.cell = Cell(
+            term.number,
+            run_lease_ms / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS,
+            settings.max_stop_ms / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS,
+        )
         self._committer = Committer(
             self.cell,
             platform.store,
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
@@ -59,6 +59,9 @@
     max_run_lease_ms: int = Field(
         600_000, ge=1_000, description="Longest lease that workers grant; shortens run_lease_ms."
     )
+    max_stop_ms: float = Field(
+        200, ge=0, le=60_000, description="Longest time from the answer to a stop to its end."
+    )
     worker_timeout_ms: float = Field(400, ge=20, le=30_000, description="Timeout of an order.")
     list_ms: float = Field(500, ge=50, le=10_000, description="Between reads of the workers.")
     inbox_ms: float = Field(1_000, ge=50, le=10_000, description="Between reads of new jobs.")
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -1,6 +1,7 @@
 """Lease renewals and orders of the leader for one worker."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -9,7 +10,7 @@
 from nutmeglb._internal.queues.authority import MAX_CLOCK_DRIFT
 from nutmeglb._internal.queues.ports import StartOrder, WorkerGateway
 from nutmeglb._internal.telemetry.logs import get_logger
-from nutmeglb_decisions.queues import orders, reports
+from nutmeglb_decisions.queues import absent_runs, orders, reports
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import PaceTask, StartTask, StopTask
 from nutmeglb_decisions.queues.orders import StartOutcome
@@ -137,7 +138,9 @@
         # An unanswered renewal may still have extended the lease. A worker that did not answer is
         # therefore only queried, without a renewal.
         is_renewal = worker.settled and not self._unanswered_calls
-        wait_ms = LONG_POLL_MS if is_renewal and worker.runs and not worker.stray_runs else 0
+        wait_ms = 0
+        if is_renewal and worker.runs and not worker.stray_runs:
+            wait_ms = self._poll_wait_ms(sent_ms)
         deadline_ms = self._extend_lease() if is_renewal else None
         has_unstored_ends = worker.last_applied_end > self._last_stored_end
         if has_unstored_ends:
@@ -167,6 +170,17 @@
         self._callbacks.changed()
         await self._store_ends()
 
+    def _poll_wait_ms(self, now_ms: float) -> int:
+        """Return how long the worker may wait for an end before it answers.
+
+        While a stopped run has no reported end, the next report is requested as soon as it can
+        prove the end.
+        """
+        proof_ms = absent_runs.next_proof_ms(self._cell, self.worker)
+        if proof_ms is None:
+            return LONG_POLL_MS
+        return min(LONG_POLL_MS, max(0, math.ceil(proof_ms - now_ms)))
+
     def _is_excused(self, sent_ms: float) -> bool:
         """Return whether to ignore a missing answer, since this process was stalled."""
         if self._excused_calls >= MAX_EXCUSED_CALLS or not self._callbacks.explains_missing_answer(
@@ -239,7 +253,11 @@
         outcome = StartOutcome.UNKNOWN
         is_conclusive = True
         copies = 0
+        run = (self._cell, self.worker.worker_id, effect.task, effect.run)
         while copies < MAX_START_ATTEMPTS:
+            if not orders.is_start_wanted(*run):
+                # A stop bars the run, or its end is known.
+                return
             sent_ms = self._clock.now_ms()
             if not self._callbacks.may_command():
                 outcome = StartOutcome.WITHHELD
@@ -260,7 +278,10 @@
                 deadline_ms,
                 self._fence,
             )
+            orders.record_start_sent(*run, 1)
             answer = await self._gateway.start(self.worker.info, order)
+            if answer.outcome != StartOutcome.UNKNOWN:
+                orders.record_start_sent(*run, -1)
             if answer.fenced:
                 self._callbacks.fenced(self.worker.worker_id)
                 return
@@ -271,10 +292,7 @@
             if not self._is_excused(sent_ms):
                 copies += 1
         orders.apply_start_answer(
-            self._cell,
-            self.worker.worker_id,
-            effect.task,
-            effect.run,
+            *run,
             outcome,
             is_conclusive,
             self._clock.now_ms(),
