--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
@@ -74,13 +74,17 @@
     return sent_ms >= run.confirmed_ms + cell.stop_ends_after_ms
 
 
-def next_proof_ms(cell: Cell, worker: Worker) -> float | None:
-    """Return when a report may first prove the end of a stopped run, or ``None`` if none waits."""
-    return min(
-        (
-            run.confirmed_ms + cell.stop_ends_after_ms
-            for run in worker.runs.values()
-            if run.state == RunState.STOPPING and run.confirmed_ms is not None
-        ),
-        default=None,
+def next_proof_ms(cell: Cell, worker: Worker, since_ms: float) -> float | None:
+    """Return when a report may first prove the end of a stopped run, or ``None`` if none waits.
+
+    Parameters
+    ----------
+    since_ms
+        Time at which the last report was requested. What it could prove is not waited for again.
+    """
+    proofs_ms = (
+        run.confirmed_ms + cell.stop_ends_after_ms
+        for run in worker.runs.values()
+        if run.state == RunState.STOPPING and run.confirmed_ms is not None
     )
+    return min((proof_ms for proof_ms in proofs_ms if proof_ms > since_ms), default=None)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -98,6 +98,7 @@
         self._worker_clock_ms = 0.0
         self._worker_clock_read_ms: float | None = None
         self._last_call_answered = False
+        self._last_report_sent_ms = 0.0
         self._restarted = asyncio.Event()
         self._unanswered_calls = 0
         self._excused_calls = 0
@@ -164,6 +165,7 @@
         self._reset_after_restart()
         self._record_clock(report.clock_ms, now_ms)
         self._last_call_answered = True
+        self._last_report_sent_ms = sent_ms
         self._unanswered_calls = 0
         self._excused_calls = 0
         orders.resend_stops(self._cell, worker)
@@ -176,7 +178,7 @@
         While a stopped run has no reported end, the next report is requested as soon as it can
         prove the end.
         """
-        proof_ms = absent_runs.next_proof_ms(self._cell, self.worker)
+        proof_ms = absent_runs.next_proof_ms(self._cell, self.worker, self._last_report_sent_ms)
         if proof_ms is None:
             return LONG_POLL_MS
         return min(LONG_POLL_MS, max(0, math.ceil(proof_ms - now_ms)))
--- a/tests/lib/worker_link.py
+++ b/tests/lib/worker_link.py
@@ -20,6 +20,8 @@
         Start orders, stop orders and deadlines of renewals, in the order sent.
     last_seen_sent
         ``last_seen`` of each renewal: the worker may discard ends up to this number.
+    waits_sent
+        Time of each renewal for which the worker may wait for an end.
     next_report
         Report with which the worker answers renewals.
     """
@@ -39,6 +41,7 @@
         self.response_delay_ms = response_delay_ms
         self.next_report = WorkerReport(0.0, self.worker.info.started_ms, (), ())
         self.last_seen_sent = []
+        self.waits_sent = []
         callbacks = LeaderCallbacks(
             lambda: None,
             _no_operation,
@@ -63,6 +66,7 @@
     async def hold(self, worker, fence, last_seen, deadline_ms, wait_ms):
         self.sent.append(deadline_ms)
         self.last_seen_sent.append(last_seen)
+        self.waits_sent.append(wait_ms)
         if self.answers and self.answers.pop(0) == StartOutcome.UNKNOWN:
             return Err(AgentError("no answer", context={}, hint="none"))
         return Ok(self.next_report)
--- a/tests/unit/test_queue_links.py
+++ b/tests/unit/test_queue_links.py
@@ -5,13 +5,14 @@
 
 import pytest
 
-from nutmeglb._internal.queues.worker_link import LeaderCallbacks
+from nutmeglb._internal.queues.worker_link import LONG_POLL_MS, LeaderCallbacks
 from nutmeglb._internal.queues.worker_links import WorkerLinks
 from nutmeglb_decisions.queues import lifecycle, orders
 from nutmeglb_decisions.queues.effects import PaceTask, StopTask
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_formats.clock import ManualClock
-from tests.lib.queues import CellWorld, job, step, worker_info
+from nutmeglb_formats.models.queues import RunningTask, WorkerReport
+from tests.lib.queues import STOP_ENDS_AFTER_MS, CellWorld, job, step, worker_info
 from tests.lib.worker_link import Link
 
 JOB = "00000000000000aa"
@@ -130,6 +131,28 @@
     assert link.world.cell.take_effects() == ([] if is_resolved else [order])
 
 
+@pytest.mark.parametrize(
+    ("ages_ms", "waits_ms"),
+    [
+        # The report at the time of the proof still lists the run, so only its end matters.
+        ([10.0, STOP_ENDS_AFTER_MS, STOP_ENDS_AFTER_MS + 1.0], [350, 0, LONG_POLL_MS]),
+        ([STOP_ENDS_AFTER_MS + 500.0, STOP_ENDS_AFTER_MS + 501.0], [0, LONG_POLL_MS]),
+    ],
+)
+def test_report_that_can_prove_the_end_of_a_stopped_run_is_requested_once(ages_ms, waits_ms):
+    """Guards against a task that waits for a long poll, and a worker that is polled endlessly."""
+    link = Link()
+    (run,) = link.worker.runs.values()
+    lifecycle.stop_run(link.world.cell, run)
+    stopped_ms = link.clock.now_ms()
+    link.next_report = WorkerReport(0.0, 1_000, (RunningTask(run.task, run.number, "", 100),), ())
+    orders.apply_stop_answer(link.world.cell, "w1", run.task, run.number, stopped_ms)
+    for age_ms in ages_ms:
+        link.clock.advance(stopped_ms + age_ms - link.clock.now_ms())
+        asyncio.run(link.link._renew())
+    assert link.waits_sent == waits_ms
+
+
 def test_idle_worker_that_does_not_answer_is_polled_until_it_does():
     """Guards against a worker that stays unused after a short network partition."""
 
