Keep a stray run until its end is reported or certain

Callers saw workers used beyond their capacity. Cause: a run that belongs to no unfinished job blocks its worker, and it was forgotten with the first report that did not list it, though its stop may be in progress for max_stop_ms.

A stray run now counts until its end is listed, or until a report requested max_stop_ms after its worker accepted the stop lacks it. The stop is repeated only until it is accepted, and the worker is no longer polled without pause meanwhile.

test_nothing_is_placed_beside_a_stray_run_while_its_stop_is_in_progress fails without the change.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
@@ -82,9 +82,11 @@
     since_ms
         Time at which the last report was requested. What it could prove is not waited for again.
     """
-    proofs_ms = (
-        run.confirmed_ms + cell.stop_ends_after_ms
-        for run in worker.runs.values()
-        if run.state == RunState.STOPPING and run.confirmed_ms is not None
-    )
+    stopped_ms = [run.confirmed_ms for run in worker.runs.values() if _is_stopping(run)]
+    stopped_ms += worker.stray_runs.values()
+    proofs_ms = [ms + cell.stop_ends_after_ms for ms in stopped_ms if ms is not None]
     return min((proof_ms for proof_ms in proofs_ms if proof_ms > since_ms), default=None)
+
+
+def _is_stopping(run: Run) -> bool:
+    return run.state == RunState.STOPPING
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -109,9 +109,14 @@
 def apply_stop_answer(cell: Cell, worker_id: str, task: str, number: int, now_ms: float) -> None:
     """Record that a worker accepted a stop order: the run ends, or can never start."""
     worker = cell.workers.get(worker_id)
-    run = worker.runs.get((task, number)) if worker else None
+    if worker is None:
+        return
+    key = (task, number)
+    run = worker.runs.get(key)
     if run is not None:
         run.confirmed_ms = now_ms
+    elif key in worker.stray_runs:
+        worker.stray_runs[key] = now_ms
 
 
 def extend_lease(worker: Worker, lease_expires_at_ms: float) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Iterable
 
-from nutmeglb_decisions.queues import presumed_ends, takeover_wait
+from nutmeglb_decisions.queues import presumed_ends, stray_runs, takeover_wait
 from nutmeglb_decisions.queues.absent_runs import LOST, apply_absence
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.effects import StopTask
 from nutmeglb_decisions.queues.lifecycle import DONE, FAILED, apply_end, end_run
 from nutmeglb_decisions.queues.names import TaskName, parse_task
 from nutmeglb_decisions.queues.state import Run, RunState, Task, Worker
@@ -172,7 +171,8 @@
     running_by_key = {(running.task, running.run): running for running in report.running}
     for key, running in running_by_key.items():
         _apply_running(cell, worker, key, running, now_ms)
-    worker.stray_runs.intersection_update(running_by_key)
+    ended_keys = [(ended.task, ended.run) for ended in report.ended]
+    stray_runs.forget_ended(cell, worker, ended_keys, running_by_key, sent_ms)
     if len(report.ended) < MAX_ENDS_PER_REPORT:
         ended_runs = apply_absence(
             cell, worker, running_by_key, sent_ms, has_restarted, now_ms, wall_ms
@@ -237,12 +237,7 @@
     presumed_ends.check_reported(cell, worker.worker_id, key, "running", now_ms)
     run = worker.runs.get(key) or _adopt(cell, worker, running, now_ms)
     if run is None:
-        if key not in worker.stray_runs:
-            worker.stray_runs.add(key)
-            cell.log_decision(
-                "stray_run", "no unfinished task", task=key[0], worker=worker.worker_id
-            )
-        cell.effects.append(StopTask(worker.worker_id, key[0], key[1]))
+        stray_runs.track(cell, worker, key, now_ms)
         return
     if run.state == RunState.ORDERED:
         run.state = RunState.RUNNING
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -368,8 +368,8 @@
     slowness
         Learned ratio of the run times on the worker to those on an average one.
     stray_runs
-        Runs on the worker that belong to no unfinished job. Their size may be unknown, so no task
-        is placed beside them.
+        Runs on the worker that belong to no unfinished job, and the time at which it accepted their
+        stop, or ``None``. Their size may be unknown, so no task is placed beside them.
     """
 
     info: QueueWorker
@@ -386,7 +386,7 @@
     last_report_ms: float = 0.0
     consecutive_bad_runs: int = 0
     slowness: float = 1.0
-    stray_runs: set[tuple[str, int]] = field(default_factory=set)
+    stray_runs: dict[tuple[str, int], float | None] = field(default_factory=dict)
     worker_id: str = field(init=False)
     started_ms: int = field(init=False)
     free: Resources = field(init=False)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -21,6 +21,9 @@
 
 # Longest time that a worker waits in one call for the end of a run (from the platform's protocol).
 LONG_POLL_MS = 2_000
+# Longest wait while the stop of a run that no job needs is not accepted. It is repeated after each
+# report.
+STRAY_POLL_MS = 100
 # Added to every lease expiry for the network path of the last renewal.
 EXPIRY_MARGIN_MS = 150.0
 # Attempts to order a start without an answer. The run is stopped after them, so that an order that
@@ -139,9 +142,8 @@
         # An unanswered renewal may still have extended the lease. A worker that did not answer is
         # therefore only queried, without a renewal.
         is_renewal = worker.settled and not self._unanswered_calls
-        wait_ms = 0
-        if is_renewal and worker.runs and not worker.stray_runs:
-            wait_ms = self._poll_wait_ms(sent_ms)
+        has_runs = bool(worker.runs or worker.stray_runs)
+        wait_ms = self._poll_wait_ms(sent_ms) if is_renewal and has_runs else 0
         deadline_ms = self._extend_lease() if is_renewal else None
         has_unstored_ends = worker.last_applied_end > self._last_stored_end
         if has_unstored_ends:
@@ -179,9 +181,9 @@
         prove the end.
         """
         proof_ms = absent_runs.next_proof_ms(self._cell, self.worker, self._last_report_sent_ms)
-        if proof_ms is None:
-            return LONG_POLL_MS
-        return min(LONG_POLL_MS, max(0, math.ceil(proof_ms - now_ms)))
+        wait_ms = LONG_POLL_MS if proof_ms is None else max(0, math.ceil(proof_ms - now_ms))
+        has_unstopped_strays = None in self.worker.stray_runs.values()
+        return min(wait_ms, STRAY_POLL_MS if has_unstopped_strays else LONG_POLL_MS)
 
     def _is_excused(self, sent_ms: float) -> bool:
         """Return whether to ignore a missing answer, since this process was stalled."""
--- a/tests/unit/test_queue_runs.py
+++ b/tests/unit/test_queue_runs.py
@@ -266,6 +266,28 @@
     assert len(world.started) == 1
 
 
+@pytest.mark.parametrize("is_stop_answered", [True, False])
+def test_nothing_is_placed_beside_a_stray_run_while_its_stop_is_in_progress(is_stop_answered):
+    """Guards against an over-committed worker: a run that is being stopped may be in no list."""
+    stray = ("00000000000000bb.0.0.0", 1)
+    world = CellWorld()
+    world.show(worker_info("w1"))
+    world.report("w1", running=(RunningTask(*stray, "", 100),))
+    world.add(job(JOB, step()))
+    if is_stop_answered:
+        orders.apply_stop_answer(world.cell, "w1", *stray, world.now_ms)
+    world.now_ms += STOP_ENDS_AFTER_MS - 1.0
+    world.report("w1", running=())
+    world.schedule()
+    assert not world.started
+    world.now_ms += 1.0
+    world.report("w1", running=())
+    world.schedule()
+    assert len(world.started) == is_stop_answered
+    # An unanswered stop is repeated although no report shows the run any more.
+    assert len(world.stopped) == (1 if is_stop_answered else 3)
+
+
 def test_repeatedly_reported_failures_count_once():
     """Guards against a job that fails too early: ends are reported again until they are stored."""
     world = world_with_scheduled_job(step(), queue=BATCH)
