Place no task by the capacity of a worker's former incarnation

Callers saw workers used beyond their capacity. Cause: a report shows that a worker has restarted, perhaps as another kind, but its capacity and labels came from its entry in the store, which may still be that of the former incarnation for a while.

Tasks are placed only on workers whose entry has the start time of their last report. test_tasks_are_not_placed_by_the_capacity_of_a_former_incarnation fails without the change. Two tests that restart a task on a returned worker now also let the leader read its new entry first.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -402,6 +402,17 @@
         self.info = info
         self._update_free()
 
+    @property
+    def has_current_info(self) -> bool:
+        """Return whether the entry is that of the incarnation whose reports are applied.
+
+        Capacity and labels may change with an incarnation. An entry or a report without a start
+        time, shown as 0, does not tell.
+        """
+        return self.info.started_ms == self.started_ms or not (
+            self.info.started_ms and self.started_ms
+        )
+
     def charge(self, amount: Resources) -> None:
         """Charge the capacity of a run."""
         self.used = self.used + amount
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
@@ -56,6 +56,7 @@
         worker
         for worker in durable
         if worker.settled
+        and worker.has_current_info
         and not worker.stray_runs
         and worker.unanswered_since_ms is None
         and now_ms >= worker.avoided_until_ms
--- a/tests/unit/test_queue_lives.py
+++ b/tests/unit/test_queue_lives.py
@@ -30,9 +30,13 @@
     world.now_ms += 10.0
     world.ends.clear()
     if listed:
-        infos = [worker.info for worker in world.cell.workers.values()]
-        changed = [replace(i, started_ms=started_ms) if i.worker_id == "w1" else i for i in infos]
-        reports.apply_worker_list(world.cell, changed, world.now_ms)
+        read_entry_of_w1(world, started_ms)
+
+
+def read_entry_of_w1(world, started_ms):
+    infos = [worker.info for worker in world.cell.workers.values()]
+    changed = [replace(i, started_ms=started_ms) if i.worker_id == "w1" else i for i in infos]
+    reports.apply_worker_list(world.cell, changed, world.now_ms)
 
 
 def world_with_runs_on_w1(count, workers=1):
@@ -68,6 +72,7 @@
     world, (order,) = world_with_runs_on_w1(1)
     restart_w1(world, started_ms, listed)
     world.report("w1", running=(), started_ms=started_ms)
+    read_entry_of_w1(world, started_ms)
     world.schedule()
     assert [start.run for start in world.started] == [order.run + 1]
 
@@ -89,6 +94,7 @@
     orders.apply_stop_answer(world.cell, "w1", order.task, order.run, world.now_ms)
     world.now_ms += 1_000.0
     world.report("w1", running=(), started_ms=LATER_START_MS)
+    read_entry_of_w1(world, LATER_START_MS)
     world.schedule()
     assert [start.run for start in world.started] == [order.run + 1]
 
@@ -243,3 +249,16 @@
 
     asyncio.run(scenario())
     assert link.last_seen_sent == [0, 0, 0]
+
+
+@pytest.mark.parametrize(("entry_is_read", "started"), [(False, 0), (True, 4)])
+def test_tasks_are_not_placed_by_the_capacity_of_a_former_incarnation(entry_is_read, started):
+    """Guards against an over-committed worker that returned with less capacity."""
+    world = CellWorld()
+    world.show(worker_info("w1", cpu=16_000))
+    world.report("w1", running=(), started_ms=LATER_START_MS)
+    if entry_is_read:
+        world.show(worker_info("w1", cpu=4_000, started_ms=LATER_START_MS))
+    world.add(job(JOB, step(16)))
+    world.schedule()
+    assert len(world.started) == started
