Step down when the leader key has been replaced while its lease goes on

Callers saw tasks with two runs at once around a change of leader. Cause: an instance that finds the leader's port closed replaces the leader key before the lease has ended. The former leader, if it lives, kept its authority: renewals of its lease were still answered, and only a commit or a worker with the newer token stopped it. With nothing to commit it went on for ever, declared leases expired, and placed tasks that its successor had finished on workers that the successor had not reached. The class of fault: a permission inferred from something that outlasts it.

Each renewal now also reads the leader key; without its own revision the leader steps down, and only both answers renew the authority. Leases of runs, and waits for former leaders, are judged at the last time at which leadership was confirmed in this way rather than now, so a successor elected in between cannot have renewed them.

test_leader_whose_key_was_replaced_before_its_lease_ended_steps_down and a new row of test_runs_expire_only_while_no_successor_can_have_renewed_them fail without the change; the other rows of the latter now state the lease's end relative to the confirmation.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -113,18 +113,20 @@
         end_run(cell, run, outcome, "", now_ms, wall_ms)
 
 
-def expire_silent_workers(cell: Cell, now_ms: float, wall_ms: float) -> None:
+def expire_silent_workers(cell: Cell, confirmed_ms: float, wall_ms: float) -> None:
     """End the runs of silent workers whose leases have certainly expired.
 
-    Call this only while no other instance can lead, because a successor may have renewed a lease.
-    A worker not yet marked as silent is called first: this process may have been paused, and the
-    answer shows which runs have ended and how.
+    Times are compared with ``confirmed_ms``, until when certainly no other instance was leader: a
+    successor may have renewed a lease that had not expired by then. A worker not yet marked as
+    silent is called first: this process may have been paused, and the answer shows which runs have
+    ended and how.
     """
     lapsed = set()
     for worker in cell.workers.values():
         silent = worker.unanswered_since_ms is not None
-        if (worker.runs or worker.stray_runs) and silent and now_ms >= worker.lease_expires_at_ms:
-            end_all_runs(cell, worker, LEASE_EXPIRED, now_ms, wall_ms)
+        has_expired = confirmed_ms >= worker.lease_expires_at_ms
+        if (worker.runs or worker.stray_runs) and silent and has_expired:
+            end_all_runs(cell, worker, LEASE_EXPIRED, confirmed_ms, wall_ms)
             worker.stray_runs.clear()
             # The worker is called until it answers, because it may report earlier ends and can
             # then be used again.
@@ -132,13 +134,13 @@
             lapsed.add(worker.worker_id)
     if lapsed:
         _forget_workers(cell, lapsed)
-    expired_waits = takeover_wait.expired_waits(cell, now_ms)
+    expired_waits = takeover_wait.expired_waits(cell, confirmed_ms)
     if expired_waits:
         cell.log_decision(
             "workers_waited_out", "no answer in this term", workers=len(expired_waits)
         )
         _forget_workers(cell, expired_waits)
-    if now_ms >= cell.takeover_wait_deadline_ms:
+    if confirmed_ms >= cell.takeover_wait_deadline_ms:
         cell.takeover_wait_deadline_ms = 0.0
 
 
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/authority.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/authority.py
@@ -22,7 +22,7 @@
         How long a leader may command workers without a confirmed renewal. It may exceed the lease,
         since nobody can be elected while the store is down.
     confirmed_ms
-        Monotonic time at which the latest confirmed renewal was sent.
+        Monotonic time at which the claim, or the latest confirmed renewal, was sent.
     """
 
     def __init__(self, clock: Clock, lease_ms: float, limit_ms: float, confirmed_ms: float) -> None:
@@ -42,12 +42,17 @@
         """Return whether no other instance can be leader now."""
         return not self._is_revoked and self._age_ms <= self._lease_ms * (1 - MAX_CLOCK_DRIFT)
 
+    @property
+    def confirmed_ms(self) -> float:
+        """Return the latest time at which certainly no other instance was leader."""
+        return self._confirmed_ms
+
     @property
     def _age_ms(self) -> float:
         return self._clock.now_ms() - self._confirmed_ms
 
     def record_renewal(self, sent_ms: float) -> None:
-        """Record that the store confirmed a renewal that was sent at ``sent_ms``."""
+        """Record that the store confirmed the lease and the leader key after ``sent_ms``."""
         self._confirmed_ms = max(self._confirmed_ms, sent_ms)
 
     def revoke(self) -> None:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
@@ -234,17 +234,24 @@
         return self._settings.renew_ms
 
     async def _send_renewal(self, term: Term) -> None:
+        """Renew the lease and read the leader key, which a successor replaces before a lease ends.
+
+        The lease alone proves nothing: it may outlast its key.
+        """
         sent_ms = self._clock.now_ms()
-        renewed = await self._store.lease_keep_alive(term.lease)
+        renewed, found = await asyncio.gather(
+            self._store.lease_keep_alive(term.lease), self._store.get(keys.LEADER)
+        )
         if self._term is not term or self._is_releasing:
             return
-        if isinstance(renewed, Err):
+        if isinstance(renewed, Err) or isinstance(found, Err):
             await self._probe_store(term)
-            return
-        if renewed.ok_value:
-            term.authority.record_renewal(sent_ms)
-        else:
+        elif not renewed.ok_value:
             await self.step_down("the lease of the leader key has expired")
+        elif found.ok_value is None or found.ok_value.revision != term.key_revision:
+            await self.step_down("the leader key has been removed or replaced")
+        else:
+            term.authority.record_renewal(sent_ms)
 
     async def _probe_store(self, term: Term) -> None:
         """Step down when the store answers another instance but not this one.
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -317,7 +317,7 @@
         """Apply time-based changes, such as lease expiry and due occurrences of jobs."""
         now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
         if self._term.authority.is_exclusive:
-            reports.expire_silent_workers(self.cell, now_ms, wall_ms)
+            reports.expire_silent_workers(self.cell, self._term.authority.confirmed_ms, wall_ms)
         stuck_runs.stop_stuck_runs(self.cell, now_ms)
         waiting.log_long_waits(self.cell, now_ms)
         self._idle_jobs.poll(self.cell, now_ms)
--- a/tests/unit/test_queue_authority.py
+++ b/tests/unit/test_queue_authority.py
@@ -6,21 +6,31 @@
 from types import SimpleNamespace
 
 import pytest
+from result import Ok
 
+from nutmeglb._internal.queues import keys
 from nutmeglb._internal.queues.authority import Authority, Term
+from nutmeglb._internal.queues.election import Election
 from nutmeglb._internal.queues.leader import Leader
 from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.loop_lag import SAMPLE_INTERVAL_MS, STALL_RETENTION_MS, LoopLag
+from nutmeglb._internal.queues.ports import StoredItem
 from nutmeglb._internal.queues.settings import QueueSettings
 from nutmeglb._internal.queues.worker_link import MAX_EXCUSED_CALLS, MAX_START_ATTEMPTS
 from nutmeglb._internal.telemetry.metrics import MetricsRegistry
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_formats.clock import ManualClock
+from nutmeglb_formats.models.queue_records import LeaderRecord
 from tests.lib.queues import BATCH, CellWorld, job, step, worker_info
 from tests.lib.worker_link import Link
 
 LEASE_MS = 1_500.0
 AUTHORITY_LIMIT_MS = 5_000.0
+SECTIONS = {
+    "instance": {"id": "e1", "failure_domain": "z1"},
+    "listen": dict.fromkeys(("caller", "health", "peer"), "127.0.0.1:0"),
+    "store": {"address": "127.0.0.1:1"},
+}
 
 
 @pytest.mark.parametrize(
@@ -55,13 +65,8 @@
 
 def _make_leader(clock, authority):
     """Return a leader without a store, links or workers."""
-    sections = {
-        "instance": {"id": "e1", "failure_domain": "z1"},
-        "listen": dict.fromkeys(("caller", "health", "peer"), "127.0.0.1:0"),
-        "store": {"address": "127.0.0.1:1"},
-    }
     return Leader(
-        LiveSettings(QueueSettings.model_validate(sections)),
+        LiveSettings(QueueSettings.model_validate(SECTIONS)),
         clock,
         random.Random(1),
         SimpleNamespace(store=None, workers=None),
@@ -76,9 +81,17 @@
 
 
 @pytest.mark.parametrize(
-    ("age_ms", "expires"), [(1_000.0, True), (1_600.0, False), (4_900.0, False), (9_000.0, False)]
+    ("age_ms", "lease_left_ms", "expires"),
+    [
+        (1_000.0, -1_001.0, True),
+        # A successor may have been elected after the last confirmation and before the expiry.
+        (1_000.0, -999.0, False),
+        (1_600.0, -1_601.0, False),
+        (4_900.0, -4_901.0, False),
+        (9_000.0, -9_001.0, False),
+    ],
 )
-def test_runs_expire_only_while_no_successor_can_have_renewed_them(age_ms, expires):
+def test_runs_expire_only_while_no_successor_can_have_renewed_them(age_ms, lease_left_ms, expires):
     """During a handover, a successor may command a worker that the former leader cannot reach."""
     clock = ManualClock(10_000.0)
     leader = _make_leader(
@@ -89,11 +102,48 @@
     world.add(job("a", step(), queue=BATCH))
     world.schedule()
     worker = world.worker("w1")
-    worker.unanswered_since_ms, worker.lease_expires_at_ms = clock.now_ms(), clock.now_ms() - 1.0
+    worker.unanswered_since_ms = clock.now_ms()
+    worker.lease_expires_at_ms = clock.now_ms() + lease_left_ms
     leader.tick()
     assert bool(worker.runs) == (not expires)
 
 
+@pytest.mark.parametrize(
+    ("key_revision", "leads"),
+    [(7, True), (8, False), (None, False)],
+)
+def test_leader_whose_key_was_replaced_before_its_lease_ended_steps_down(key_revision, leads):
+    """Guards against two leaders: the lease of a leader key may outlast the key."""
+    clock = ManualClock(10_000.0)
+    item = None if key_revision is None else StoredItem(keys.LEADER, b"", key_revision)
+
+    async def keep_alive(lease):
+        return Ok(True)
+
+    async def get(key):
+        return Ok(item)
+
+    async def on_step_down(cause):
+        causes.append(cause)
+
+    causes = []
+    election = Election(
+        LiveSettings(QueueSettings.model_validate(SECTIONS)),
+        clock,
+        random.Random(1),
+        SimpleNamespace(lease_keep_alive=keep_alive, get=get),
+        SimpleNamespace(on=lambda *handler: None, broadcast=lambda message: None),
+        lambda: LeaderRecord("e1", "incarnation", "127.0.0.1:1", 0, ""),
+        None,
+        on_step_down,
+    )
+    authority = Authority(clock, LEASE_MS, AUTHORITY_LIMIT_MS, clock.now_ms() - 400.0)
+    term = election._term = Term(0, 7, 7, 1, authority)
+    asyncio.run(election._send_renewal(term))
+    assert (authority.may_command, causes == []) == (leads, leads)
+    assert (authority.confirmed_ms == clock.now_ms()) == leads
+
+
 @pytest.fixture(autouse=True)
 def no_retry_delays(monkeypatch):
     """Replace the delays between retries by a zero sleep."""
