Confirm a stop only when the worker accepts it

What callers saw: nothing. A stop that the worker answered with a refusal (400, or 409 with any reason but a fence) counted as confirmed. The next report without the run then released it, although a refused stop bars nothing: the run may continue, or a delayed order may still start it.

Change: only the acceptance (200) confirms a stop. Any other stop is repeated after the worker's next report, and a refusal is logged as `stop_refused`. The platform's protocol defines no refusal of a stop but the fence.

test_stop_is_repeated_until_the_worker_resolves_it stated that a stop that is refused as "old" or as malformed is resolved. The protocol does not say so, so the test now covers every outcome, and only the acceptance resolves the stop.

Evidence: `.venv/bin/python -m pytest tests/unit/test_queue_links.py`: without the change the cases old, late, room, ticket, invalid, withheld and no_link of test_stop_is_repeated_until_the_worker_accepts_it fail, with it all pass.

Open: a worker that refuses the stop of a run for good, and reports neither the run nor its end, keeps its capacity allocated until its lease expires.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -28,8 +28,6 @@
 # Consecutive unanswered calls that are attributed to a stall of this process. Further ones count
 # against the worker, so that a lost worker is detected even if this process keeps stalling.
 MAX_EXCUSED_CALLS = 3
-# Outcomes of a stop after which the run may continue, or may still start.
-UNCONFIRMED_STOPS = (StartOutcome.UNKNOWN, StartOutcome.UNHEALTHY, StartOutcome.OTHER_INCARNATION)
 RETRY_MS = 100.0
 MAX_RETRY_MS = 1_000.0
 # Maximum wait for ends of runs to be stored before the next renewal. The worker answers immediately
@@ -290,7 +288,8 @@
         answer = await self._gateway.stop(self.worker.info, effect.task, effect.run, self._fence)
         if answer.fenced:
             self._callbacks.fenced(self.worker.worker_id)
-        elif answer.outcome not in UNCONFIRMED_STOPS:
+        elif answer.outcome == StartOutcome.STARTED:
+            # After any other answer the run may continue, or may still start.
             orders.apply_stop_answer(
                 self._cell,
                 self.worker.worker_id,
@@ -298,6 +297,14 @@
                 effect.run,
                 self._clock.now_ms(),
             )
+        elif answer.outcome != StartOutcome.UNKNOWN:
+            self._cell.log_decision(
+                "stop_refused",
+                answer.outcome,
+                task=effect.task,
+                worker=self.worker.worker_id,
+                run=effect.run,
+            )
         self.wake()
 
     async def pace(self, effect: PaceTask) -> None:
--- a/tests/unit/test_queue_links.py
+++ b/tests/unit/test_queue_links.py
@@ -106,28 +106,21 @@
     assert decision_causes(world, "order_not_sent") == ["the worker has no link"]
 
 
-@pytest.mark.parametrize(
-    ("answer", "is_resolved"),
-    [
-        (StartOutcome.STARTED, True),
-        (StartOutcome.UNKNOWN, False),
-        # The worker did not act: the run continues, or a delayed order may still start it.
-        (StartOutcome.UNHEALTHY, False),
-        (StartOutcome.OTHER_INCARNATION, False),
-        # The worker has no such run, and no order can start it any more.
-        (StartOutcome.STALE_RUN, True),
-        (StartOutcome.INVALID, True),
-    ],
-)
-def test_stop_is_repeated_until_the_worker_resolves_it(answer, is_resolved):
-    """Guards against a run that is never stopped, and a second concurrent run."""
+@pytest.mark.parametrize("answer", list(StartOutcome))
+def test_stop_is_repeated_until_the_worker_accepts_it(answer):
+    """Guards against a run that is never stopped, and a second concurrent run.
+
+    A refused stop is no proof: the run may continue, or a delayed order may still start it.
+    """
     link = Link(answers=[answer])
     (run,) = link.worker.runs.values()
     lifecycle.stop_run(link.world.cell, run)
     (order,) = link.world.cell.take_effects()
     asyncio.run(link.link.stop(order))
     orders.resend_stops(link.world.cell, link.worker)
-    assert link.world.cell.take_effects() == ([] if is_resolved else [order])
+    assert link.world.cell.take_effects() == ([] if answer == StartOutcome.STARTED else [order])
+    is_logged = answer not in (StartOutcome.STARTED, StartOutcome.UNKNOWN)
+    assert decision_causes(link.world, "stop_refused") == ([answer] if is_logged else [])
 
 
 def test_idle_worker_that_does_not_answer_is_polled_until_it_does():
