Wait between reports while a run to stop has not ended

What callers saw: nothing. While a worker had a run that the leader does not account for, the leader called it without waiting, and each report repeated the stop of that run: one report and one stop per round trip until the run ended.

Evidence: 225 stop orders in 0.5 s for one run that is slow to stop.

Change: these reports wait up to 200 ms on the worker, the longest time that a stop takes; an end is still reported at once. A stop that the worker refuses is therefore repeated at most five times a second.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -20,6 +20,9 @@
 
 # Longest time that a worker waits in one call for the end of a run (from the platform's protocol).
 LONG_POLL_MS = 2_000
+# The same while the worker has runs to stop that this leader does not account for: each report
+# without the end of such a run repeats its stop.
+STRAY_POLL_MS = 200
 # Added to every lease expiry for the network path of the last renewal.
 EXPIRY_MARGIN_MS = 150.0
 # Attempts to order a start without an answer. The run is stopped after them, so that an order that
@@ -135,7 +138,11 @@
         # An unanswered renewal may still have extended the lease. A worker that did not answer is
         # therefore only queried, without a renewal.
         is_renewal = worker.settled and not self._unanswered_calls
-        wait_ms = LONG_POLL_MS if is_renewal and worker.runs and not worker.stray_runs else 0
+        wait_ms = 0
+        if is_renewal and worker.stray_runs:
+            wait_ms = STRAY_POLL_MS
+        elif is_renewal and worker.runs:
+            wait_ms = LONG_POLL_MS
         deadline_ms = self._extend_lease() if is_renewal else None
         has_unstored_ends = worker.last_applied_end > self._last_stored_end
         if has_unstored_ends:
