--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -1,6 +1,7 @@
 """Decoding of the platform's formats: guards against input that raises or is applied in part."""
 
 import base64
+import itertools
 import json
 
 import pytest
@@ -100,20 +101,49 @@
     assert isinstance(wire.decode_job(json.dumps(body).encode()), Ok) == accepted
 
 
+REPORT = {
+    "clock_ms": 5,
+    "born": 2,
+    "running": [["a.0.0.0", 1, "c", 40, 700], ["a.0.0.1", 1, "", 100]],
+    "finished": [[3, "a.0.0.2", 1, "done", ""]],
+}
+
+
 def test_report_is_decoded():
-    report = wire.decode_report(
-        {
-            "clock_ms": 5,
-            "born": 2,
-            "running": [["a.0.0.0", 1, "c", 40, 700], ["a.0.0.1", 1, "", 100]],
-            "finished": [[3, "a.0.0.2", 1, "done", ""]],
-        }
-    )
+    report = wire.decode_report(REPORT)
     assert report is not None
+    assert (report.clock_ms, report.started_ms) == (5.0, 2)
     assert [run.activity for run in report.running] == [700, None]
     assert [end.number for end in report.ended] == [3]
 
 
+def test_report_without_runs_is_decoded():
+    report = wire.decode_report({**REPORT, "running": [], "finished": []})
+    assert report is not None
+    assert (report.running, report.ended) == ((), ())
+
+
+ABSENT = "absent"
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *itertools.product(("running", "finished", "born"), (None, {}, "", False, 1.5, ABSENT)),
+        *itertools.product(("clock_ms",), (None, {}, "", ABSENT)),
+    ],
+)
+def test_report_without_a_field_is_malformed(field, value):
+    """Guards against an incomplete answer that counts as proof that no run is active.
+
+    Also guards against a report without a start time that looks like another incarnation.
+    """
+    report = {**REPORT, field: value}
+    if value == ABSENT:
+        del report[field]
+    assert wire.decode_report(report) is None
+
+
 @settings(max_examples=150, derandomize=True, deadline=None)
 @given(JSON)
 def test_no_decoder_raises_on_json(value):
