--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -5,7 +5,7 @@
 from nutmeglb_decisions.queues import presumed_ends, stray_runs, takeover_wait
 from nutmeglb_decisions.queues.absent_runs import LOST, apply_absence
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.lifecycle import DONE, FAILED, apply_end, end_run
+from nutmeglb_decisions.queues.lifecycle import DONE, FAILED, apply_end, end_run, repeat_stop
 from nutmeglb_decisions.queues.names import TaskName, parse_task
 from nutmeglb_decisions.queues.state import Run, RunState, Task, Worker
 from nutmeglb_formats.models.queues import EndedTask, QueueWorker, RunningTask, WorkerReport
@@ -241,6 +241,13 @@
     if run is None:
         stray_runs.track(cell, worker, key, now_ms)
         return
+    stop_is_overdue = (
+        run.state == RunState.STOPPING
+        and run.confirmed_ms is not None
+        and now_ms >= run.confirmed_ms + cell.stop_ends_after_ms
+    )
+    if stop_is_overdue:
+        repeat_stop(cell, run)
     if run.state == RunState.ORDERED:
         run.state = RunState.RUNNING
         run.confirmed_ms = now_ms
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/stray_runs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/stray_runs.py
@@ -22,6 +22,10 @@
             now_ms + cell.lease_expiry_after_ms,
         )
         cell.log_decision("stray_run", "no unfinished task", task=key[0], worker=worker.worker_id)
+    stopped_ms = worker.stray_runs[key]
+    if stopped_ms is not None and now_ms >= stopped_ms + cell.stop_ends_after_ms:
+        # The stop had no effect.
+        worker.stray_runs[key] = None
     if worker.stray_runs[key] is None:
         cell.effects.append(StopTask(worker.worker_id, key[0], key[1]))
 
