Stop the second run of a task that the first has completed

Callers saw work done twice: when the end of a run becomes known after its task was started again, for instance that of a worker whose lease had expired, the task completed but its second run went on, unless the whole job had ended. test_second_run_of_a_task_is_stopped_when_the_first_has_completed_it fails without the change.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
@@ -107,7 +107,7 @@
         )
         return
     if outcome == DONE:
-        _complete_task(cell, step, task, wall_ms)
+        _complete_task(cell, step, task, number, wall_ms)
     elif outcome == FAILED:
         _record_failure(cell, step, task, number, now_ms, wall_ms)
     else:
@@ -128,10 +128,15 @@
             other.checkpoint = latest_checkpoint
 
 
-def _complete_task(cell: Cell, step: Step, task: Task, wall_ms: float) -> None:
-    """Complete a task, or all tasks of its gang: one completed member completes the gang."""
+def _complete_task(cell: Cell, step: Step, task: Task, number: int, wall_ms: float) -> None:
+    """Complete a task, or all tasks of its gang: one completed member completes the gang.
+
+    Other runs, which were started when the one with ``number`` seemed to have ended, are stopped.
+    """
     completed = step.tasks if step.spec.gang else [task]
     for member in completed:
+        if member.run is not None and member.run.number != number:
+            stop_run(cell, member.run)
         if not member.done:
             member.done = True
             step.remaining -= 1
--- a/tests/unit/test_queue_runs.py
+++ b/tests/unit/test_queue_runs.py
@@ -419,3 +419,17 @@
     world.report(order.worker_id, running=())
     world.schedule()
     assert [start.run for start in world.started] == [order.run + 1]
+
+
+def test_second_run_of_a_task_is_stopped_when_the_first_has_completed_it():
+    """Guards against work done twice after the end of a lost worker's run becomes known."""
+    world = world_with_scheduled_job(step(), step(estimate_ms=5_000.0), workers=2)
+    first, _ = world.answer_starts()
+    world.worker(first.worker_id).unanswered_since_ms = world.now_ms
+    world.tick(6_400.0)
+    world.schedule()
+    second = next(start for start in world.started if start.task == first.task)
+    world.answer(second, StartOutcome.STARTED)
+    world.end(first)
+    world.schedule()
+    assert (second.task, second.run) in {(stop.task, stop.run) for stop in world.stopped}
