Use a worker only once all runs that its former life or leader left are known

Callers saw tasks with two runs at once and workers beyond their capacity after a change of leader or the restart of a worker.

A worker is settled by a report requested that long after its first answer under this leader's token, or after a leader that resigned as planned claimed its key. The first leader of all does not wait. The expected expiry is now that of the longest lease when a restart becomes known. Open: a restart that the leader never learns of.

test_worker_is_not_used_while_a_stop_of_the_former_leader_may_be_in_progress and test_run_on_a_restarted_worker_does_not_expire_before_its_longest_lease fail without the change.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -1,5 +1,6 @@
 """State shared by all parts of the queue scheduler."""
 
+import math
 from dataclasses import dataclass, field
 
 from nutmeglb_decisions.queues.effects import Decision, Effect
@@ -33,8 +34,14 @@
         Jobs whose progress has changed since it was stored, in order of the change.
     lease_expiry_after_ms
         Time from the last order or renewal after which the lease of a run has certainly expired.
+    max_lease_expiry_after_ms
+        The same after an order to a worker that may have restarted: it was given for the clock of
+        the former incarnation, and the worker only limits it to the longest lease.
     stop_ends_after_ms
         Time after the answer to a stop order after which the stopped run has certainly ended.
+    former_orders_end_ms
+        Time after which no former leader can send orders; ``None`` if one may still do so until the
+        worker has accepted the fencing token of this leader.
     started_ms
         Time at which this leader finished its takeover.
     takeover_wait_deadline_ms
@@ -49,6 +56,8 @@
     term: int
     lease_expiry_after_ms: float
     stop_ends_after_ms: float
+    max_lease_expiry_after_ms: float = 0.0
+    former_orders_end_ms: float | None = -math.inf
     started_ms: float = 0.0
     takeover_wait_deadline_ms: float = 0.0
     wait_deadlines_ms: dict[str, float] = field(default_factory=dict)
@@ -103,6 +112,16 @@
         """Add a line to the decision log."""
         self.decisions.append(Decision(kind, cause, job, task, worker, tuple(fields.items())))
 
+    def settles_at_ms(self, worker: Worker) -> float:
+        """Return from when a report shows all runs that former leaders left on a worker.
+
+        A run that a former leader has just stopped may be in no list until its stop has ended.
+        """
+        orders_end_ms = self.former_orders_end_ms
+        if orders_end_ms is None:
+            orders_end_ms = math.inf if worker.first_answer_ms is None else worker.first_answer_ms
+        return orders_end_ms + self.stop_ends_after_ms
+
     def find_step(self, job_id: str, occurrence: int, number: int) -> Step | None:
         """Return a step of an unfinished job, or ``None`` if there is no such step."""
         job = self.active.get(job_id)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -59,7 +59,7 @@
 def _apply_entry(cell: Cell, worker: Worker, info: QueueWorker, now_ms: float) -> None:
     # An unchanged entry is outdated if a report has already shown a later incarnation.
     if info.started_ms not in (worker.info.started_ms, worker.started_ms):
-        _change_incarnation(cell, worker, info.started_ms, "its entry")
+        _change_incarnation(cell, worker, info.started_ms, "its entry", now_ms)
     if info.draining and not worker.info.draining:
         cell.log_decision("worker_draining", "marked in its entry", worker=worker.worker_id)
     worker.update_info(info)
@@ -67,7 +67,9 @@
     worker.last_listed_ms = now_ms
 
 
-def _change_incarnation(cell: Cell, worker: Worker, started_ms: int, source: str) -> None:
+def _change_incarnation(
+    cell: Cell, worker: Worker, started_ms: int, source: str, now_ms: float
+) -> None:
     """Switch to another incarnation of a worker. Its runs are unknown until its first report.
 
     The new incarnation may have accepted orders before this leader knew of it. Its reports show
@@ -82,7 +84,11 @@
         runs=len(worker.runs),
     )
     worker.started_ms = started_ms
+    worker.first_answer_ms = None
     worker.settled = False
+    worker.lease_expires_at_ms = max(
+        worker.lease_expires_at_ms, now_ms + cell.max_lease_expiry_after_ms
+    )
     worker.last_applied_end = 0
     worker.stray_runs.clear()
 
@@ -158,7 +164,7 @@
     the current incarnation, even with an earlier start time: the wall clock may have been set back.
     """
     if report.started_ms != worker.started_ms:
-        _change_incarnation(cell, worker, report.started_ms, "its report")
+        _change_incarnation(cell, worker, report.started_ms, "its report", now_ms)
     has_restarted = worker.reported_started_ms != report.started_ms
     worker.unanswered_since_ms = None
     worker.last_report_ms = now_ms
@@ -181,7 +187,9 @@
         )
         log_ends(cell, worker, [(run.task, run.number, LOST) for run in ended_runs])
         worker.reported_started_ms = report.started_ms
-    if not worker.settled:
+    if worker.first_answer_ms is None:
+        worker.first_answer_ms = now_ms
+    if not worker.settled and sent_ms >= cell.settles_at_ms(worker):
         _mark_settled(cell, worker)
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -357,8 +357,11 @@
         Time at which all runs on the worker have certainly ended if no renewal arrives.
     reported_started_ms
         Start time of the incarnation that sent the last report; ``None`` before the first one.
+    first_answer_ms
+        Time of the first answer of the current incarnation, which has accepted the fencing token of
+        this leader by then.
     settled
-        Whether the current incarnation has accepted the fencing token of this leader.
+        Whether the runs that former leaders left on the current incarnation are known.
     avoided_until_ms
         Time before which no task is placed on the worker.
     last_report_ms
@@ -380,6 +383,7 @@
     last_applied_end: int = 0
     lease_expires_at_ms: float = 0.0
     reported_started_ms: int | None = None
+    first_answer_ms: float | None = None
     settled: bool = False
     avoided_until_ms: float = 0.0
     unanswered_since_ms: float | None = None
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -139,9 +139,9 @@
         sent_ms = self._clock.now_ms()
         # An unanswered renewal may still have extended the lease. A worker that did not answer is
         # therefore only queried, without a renewal.
-        is_renewal = worker.settled and not self._unanswered_calls
-        has_runs = bool(worker.runs or worker.stray_runs)
-        wait_ms = self._poll_wait_ms(sent_ms) if is_renewal and has_runs else 0
+        is_renewal = worker.first_answer_ms is not None and not self._unanswered_calls
+        is_idle = worker.settled and not worker.runs and not worker.stray_runs
+        wait_ms = self._poll_wait_ms(sent_ms) if is_renewal and not is_idle else 0
         deadline_ms = self._extend_lease() if is_renewal else None
         has_unstored_ends = worker.last_applied_end > self._last_stored_end
         if has_unstored_ends:
@@ -175,13 +175,18 @@
     def _poll_wait_ms(self, now_ms: float) -> int:
         """Return how long the worker may wait for an end before it answers.
 
-        While a stopped run has no reported end, the next report is requested as soon as it can
-        prove the end.
+        The next report is requested as soon as it can prove the end of a stopped run, or settle the
+        worker.
         """
         proof_ms = absent_runs.next_proof_ms(self._cell, self.worker, self._last_report_sent_ms)
-        wait_ms = LONG_POLL_MS if proof_ms is None else max(0, math.ceil(proof_ms - now_ms))
-        has_unstopped_strays = None in self.worker.stray_runs.values()
-        return min(wait_ms, STRAY_POLL_MS if has_unstopped_strays else LONG_POLL_MS)
+        needed_ms = [now_ms + LONG_POLL_MS]
+        if proof_ms is not None:
+            needed_ms.append(proof_ms)
+        if not self.worker.settled:
+            needed_ms.append(self._cell.settles_at_ms(self.worker))
+        if None in self.worker.stray_runs.values():
+            needed_ms.append(now_ms + STRAY_POLL_MS)
+        return math.ceil(max(0.0, min(needed_ms) - now_ms))
 
     def _is_excused(self, sent_ms: float) -> bool:
         """Return whether to ignore a missing answer, since this process was stalled."""
--- a/tests/unit/test_queue_lives.py
+++ b/tests/unit/test_queue_lives.py
@@ -262,3 +262,19 @@
     world.add(job(JOB, step(16)))
     world.schedule()
     assert len(world.started) == started
+
+
+@pytest.mark.parametrize("listed", [True, False])
+def test_run_on_a_restarted_worker_does_not_expire_before_its_longest_lease(listed):
+    """Guards against a second run: the order may carry a deadline for the worker's former clock."""
+    world, (order,) = world_with_runs_on_w1(1)
+    world.cell.max_lease_expiry_after_ms = 10_400.0
+    restart_w1(world, LATER_START_MS, listed)
+    if not listed:
+        live_runs = (RunningTask(order.task, order.run, "", 100),)
+        world.report("w1", running=live_runs, started_ms=LATER_START_MS)
+    orders.unanswered(world.cell, world.worker("w1"), world.now_ms)
+    world.tick(10_399.0)
+    assert world.worker("w1").runs
+    world.tick(1.0)
+    assert not world.worker("w1").runs
--- a/tests/unit/test_queue_take_over.py
+++ b/tests/unit/test_queue_take_over.py
@@ -1,5 +1,7 @@
 """How long a step waits for absent workers after a change of leader."""
 
+import math
+
 import pytest
 
 from nutmeglb_decisions.queues import progress, reports, takeover_wait
@@ -7,6 +9,7 @@
     ADVISED,
     BATCH,
     LEASE_EXPIRY_AFTER_MS,
+    STOP_ENDS_AFTER_MS,
     CellWorld,
     job,
     step,
@@ -106,3 +109,31 @@
         world = next_leader(world)
         world.tick(MAX_WAIT_MS / 3.0)
     assert bool(schedule_and_answer(world)) == starts
+
+
+@pytest.mark.parametrize(
+    ("orders_end_ms", "sent_ms_after", "is_settled"),
+    [
+        # No former leader: the first report is complete.
+        (-math.inf, 0.0, True),
+        # The former leader may have stopped a run just before the worker refused its token.
+        (None, 0.0, False),
+        (None, STOP_ENDS_AFTER_MS - 1.0, False),
+        (None, STOP_ENDS_AFTER_MS, True),
+        # It had resigned 100 ms before the first report.
+        (-100.0, STOP_ENDS_AFTER_MS - 101.0, False),
+        (-100.0, STOP_ENDS_AFTER_MS - 100.0, True),
+    ],
+)
+def test_worker_is_not_used_while_a_stop_of_the_former_leader_may_be_in_progress(
+    orders_end_ms, sent_ms_after, is_settled
+):
+    """Guards against a task, or capacity, of a run that no list shows while it is being stopped."""
+    world = CellWorld()
+    world.cell.former_orders_end_ms = orders_end_ms and world.now_ms + orders_end_ms
+    world.show(worker_info("w1"))
+    world.add(job("a", step()))
+    world.now_ms += sent_ms_after
+    world.report("w1", running=())
+    world.schedule()
+    assert (world.worker("w1").settled, bool(world.started)) == (is_settled, is_settled)
