--- a/packages/nutmeglb-formats/src/nutmeglb_formats/exceptions.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/exceptions.py
@@ -71,6 +71,10 @@
     """The call may have taken effect: its answer is missing, malformed or reports a failure."""
 
 
+class StoreListingIncomplete(StoreError):
+    """A listing ended before all of its items were read."""
+
+
 class StoreRefused(StoreError):
     """The store rejected the call."""
 
--- /dev/null
+++ b/tests/unit/test_platform_store.py
@@ -0,0 +1,74 @@
+"""Client of the platform's store: what its answers prove."""
+
+import asyncio
+
+import pytest
+from result import Err, Ok
+
+from nutmeglb_formats.exceptions import StoreError, StoreListingIncomplete
+from nutmeglb_platform import store as store_module
+from nutmeglb_platform.http import Answer
+from nutmeglb_platform.store import MetadataStore
+
+ITEM = {"key": "p/1", "value": "eA==", "revision": 3}
+OTHER_ITEM = {"key": "p/2", "value": "eA==", "revision": 4}
+
+
+class ScriptedHttp:
+    """Answers each call with the next of ``results``, and every further one with the last."""
+
+    def __init__(self, *results):
+        self.calls = 0
+        self._results = list(results)
+
+    async def call(self, method, url, timeout_ms, body=None, headers=None):
+        self.calls += 1
+        return self._results.pop(0) if len(self._results) > 1 else self._results[0]
+
+
+def page(items, truncated):
+    return Ok(Answer(200, {"items": items, "truncated": truncated, "as_of": 9}))
+
+
+def store_of(*results):
+    return MetadataStore(ScriptedHttp(*results), "store:1", 100.0, 0.0)
+
+
+def test_listing_of_several_pages_is_complete():
+    store = store_of(page([ITEM], truncated=True), page([OTHER_ITEM], truncated=False))
+    listing = asyncio.run(store.range("p/")).unwrap()
+    assert [item.key for item in listing.items] == ["p/1", "p/2"]
+    assert listing.revision == 9
+
+
+@pytest.mark.parametrize("items", [[], [ITEM]])
+def test_listing_that_was_cut_is_an_error(items, monkeypatch):
+    """Guards against a new leader that takes missing records as jobs that have not started."""
+    monkeypatch.setattr(store_module, "MAX_PAGES", 3)
+    found = asyncio.run(store_of(page(items, truncated=True)).range("p/"))
+    assert isinstance(found, Err)
+    assert isinstance(found.err_value, StoreListingIncomplete)
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        (200, {}),
+        (200, None),
+        (200, {"items": [ITEM], "as_of": 9}),
+        (200, {"items": [ITEM], "truncated": False}),
+        (200, {"truncated": False, "as_of": 9}),
+        (200, {"items": None, "truncated": False, "as_of": 9}),
+        (404, {}),
+    ],
+)
+def test_listing_without_a_field_is_an_error(status, body):
+    found = asyncio.run(store_of(Ok(Answer(status, body))).range("p/"))
+    assert isinstance(found, Err)
+    assert isinstance(found.err_value, StoreError)
+
+
+@pytest.mark.parametrize("body", [{"as_of": 9}, {"events": None, "as_of": 9}, {"events": []}])
+def test_watch_without_a_field_is_an_error(body):
+    """Guards against changes that are skipped since their revision seems to have none."""
+    assert isinstance(asyncio.run(store_of(Ok(Answer(200, body))).changes("p/", 3, 0)), Err)
