--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -109,7 +109,8 @@
         refuses = retry_ms is not None or not self._gate.allows_writes
         if refuses and await self._is_known(job.job_id):
             return SubmitAnswer(Submission.REPEATED)
-        if retry_ms is not None:
+        # After an attempt with an unknown outcome only the store can tell whether the job runs.
+        if retry_ms is not None and not self._submissions.is_unresolved(job.job_id):
             age_ms = (
                 round(self._clock.now_ms() - self._load_report_ms) if self._load_report_ms else 0
             )
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
@@ -26,6 +26,9 @@
 logger = get_logger("submissions")
 
 RETRY_MS = 60.0
+# An unanswered write may be executed seconds later. Attempts are remembered for longer than that.
+MAX_UNRESOLVED_AGE_MS = 60_000.0
+MAX_UNRESOLVED = 10_000
 MS_PER_S = 1_000.0
 
 
@@ -66,6 +69,19 @@
         self._store = store
         self._clock = clock
         self._gate = gate
+        # Jobs whose last attempt here had an unknown outcome, with its time, oldest first.
+        self._unresolved: dict[str, float] = {}
+
+    def is_unresolved(self, job_id: str) -> bool:
+        """Return whether an earlier attempt at this instance may still have been accepted.
+
+        A repeated submission must not be refused then, because a refusal means that the job never
+        runs.
+        """
+        attempted_ms = self._unresolved.get(job_id)
+        return (
+            attempted_ms is not None and self._clock.now_ms() - attempted_ms < MAX_UNRESOLVED_AGE_MS
+        )
 
     async def submit(self, job: QueueJob, deadline_ms: float) -> StoredSubmission:
         """Store a job unless a job with its id exists already.
@@ -76,7 +92,7 @@
             Monotonic time until which a write with an unknown outcome is retried.
         """
         if not self._gate.allows_writes:
-            return StoredSubmission(Submission.NOT_ACCEPTED)
+            return self._refuse(job.job_id)
         key = keys.accepted(job.job_id)
         value = encode_queue_record(AcceptedJob(job))
         revision = 0
@@ -86,16 +102,33 @@
             if isinstance(committed, Err):
                 self._gate.record_failure()
                 if not isinstance(committed.err_value, StoreOutcomeUnknown):
-                    return StoredSubmission(Submission.NOT_ACCEPTED)
-                return await self._resolve(job, revision, deadline_ms)
+                    return self._refuse(job.job_id)
+                self._mark_unresolved(job.job_id)
+                resolved = await self._resolve(job, revision, deadline_ms)
+                if resolved.outcome != Submission.UNKNOWN:
+                    self._unresolved.pop(job.job_id, None)
+                return resolved
             commit = committed.ok_value
             if commit.applied:
+                self._unresolved.pop(job.job_id, None)
                 return StoredSubmission(Submission.ACCEPTED, commit.revision)
             found = (commit.found or {}).get(key)
             if found is None or not _is_withdrawn(found):
+                self._unresolved.pop(job.job_id, None)
                 return StoredSubmission(Submission.REPEATED)
             revision = found.revision
 
+    def _refuse(self, job_id: str) -> StoredSubmission:
+        """Return the outcome of an attempt without effect, which an earlier one may contradict."""
+        is_unknown = self.is_unresolved(job_id)
+        return StoredSubmission(Submission.UNKNOWN if is_unknown else Submission.NOT_ACCEPTED)
+
+    def _mark_unresolved(self, job_id: str) -> None:
+        self._unresolved.pop(job_id, None)
+        self._unresolved[job_id] = self._clock.now_ms()
+        if len(self._unresolved) > MAX_UNRESOLVED:
+            del self._unresolved[next(iter(self._unresolved))]
+
     async def _resolve(self, job: QueueJob, revision: int, deadline_ms: float) -> StoredSubmission:
         """Retry the write of a job after an unanswered one, or find that the first took effect.
 
--- /dev/null
+++ b/tests/unit/test_queue_submissions.py
@@ -0,0 +1,109 @@
+"""Submissions whose earlier attempt has an unknown outcome."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from result import Err, Ok
+
+from nutmeglb._internal.queues import keys
+from nutmeglb._internal.queues import submissions as module
+from nutmeglb._internal.queues.ports import Commit
+from nutmeglb._internal.queues.service import QueueService
+from nutmeglb._internal.queues.submissions import Submission, Submissions
+from nutmeglb_formats.clock import ManualClock
+from nutmeglb_formats.exceptions import StoreOutcomeUnknown, StoreUnavailable
+from tests.lib.queues import BATCH, job, step
+
+JOB = job("00000000000000aa", step(), queue=BATCH)
+UNKNOWN = Err(StoreOutcomeUnknown("no answer", context={}, hint="none"))
+UNAVAILABLE = Err(StoreUnavailable("refused", context={}, hint="none"))
+ACCEPTED = Ok(Commit(True, 5))
+REFUSED = Ok(Commit(False, 0, {}))
+
+
+class World:
+    """Submissions on a scripted store and gate. No attempt is retried within its call."""
+
+    def __init__(self):
+        self.clock = ManualClock(1_000.0)
+        self.answers = []
+        self.gate = SimpleNamespace(allows_writes=True, record_failure=lambda: None)
+        self.submissions = Submissions(self, self.clock, self.gate)
+
+    async def commit(self, expected, puts, removals=()):
+        return self.answers.pop(0)
+
+    def submit(self, *answers, record=JOB, allows_writes=True):
+        self.answers = list(answers)
+        self.gate.allows_writes = allows_writes
+        return asyncio.run(self.submissions.submit(record, self.clock.now_ms())).outcome
+
+
+@pytest.mark.parametrize("allows_writes", [False, True])
+def test_attempt_after_an_unknown_outcome_is_not_refused(allows_writes):
+    """Guards against a job that runs although its repeated submission was refused."""
+    world = World()
+    answers = [UNAVAILABLE] if allows_writes else []
+    assert world.submit(*answers, allows_writes=allows_writes) == Submission.NOT_ACCEPTED
+    assert world.submit(UNKNOWN) == Submission.UNKNOWN
+    for _ in range(2):
+        assert world.submit(*answers, allows_writes=allows_writes) == Submission.UNKNOWN
+    other = job("00000000000000bb", step(), queue=BATCH)
+    outcome = world.submit(*answers, record=other, allows_writes=allows_writes)
+    assert outcome == Submission.NOT_ACCEPTED
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [(ACCEPTED, Submission.ACCEPTED), (REFUSED, Submission.REPEATED)],
+)
+def test_answer_of_the_store_resolves_an_earlier_attempt(answer, outcome):
+    world = World()
+    world.submit(UNKNOWN)
+    assert world.submit(answer) == outcome
+    assert not world.submissions.is_unresolved(JOB.job_id)
+
+
+def test_unresolved_attempts_are_bounded(monkeypatch):
+    monkeypatch.setattr(module, "MAX_UNRESOLVED", 2)
+    world = World()
+    for number in range(3):
+        world.submit(UNKNOWN, record=job(f"{number:016x}", step(), queue=BATCH))
+    unresolved = [world.submissions.is_unresolved(f"{number:016x}") for number in range(3)]
+    assert unresolved == [False, True, True]
+    world.clock.advance(module.MAX_UNRESOLVED_AGE_MS)
+    assert not world.submissions.is_unresolved(f"{2:016x}")
+
+
+@pytest.mark.parametrize(
+    ("first", "outcome"), [(UNKNOWN, Submission.ACCEPTED), (UNAVAILABLE, Submission.NOT_ACCEPTED)]
+)
+def test_queue_that_refuses_jobs_accepts_one_with_an_unresolved_attempt(first, outcome):
+    """Guards against a refusal for lack of capacity of a job that may already be accepted."""
+    world = World()
+    world.submit(first)
+    world.answers = [ACCEPTED]
+    leader = SimpleNamespace(
+        loaded=False, refusing={BATCH.name: 500.0}, pools=[], offer=lambda job, revision: None
+    )
+    links = SimpleNamespace(on=lambda kind, handler: None, leader_id="")
+    config = SimpleNamespace(current=None, last_contact_ms=None)
+    log = SimpleNamespace(write=lambda decisions: None)
+
+    async def absent(prefix_or_key):
+        return (
+            Ok(SimpleNamespace(items=())) if prefix_or_key.startswith(keys.ACCEPTED) else Ok(None)
+        )
+
+    world.range = world.get = absent
+
+    async def scenario():
+        service = QueueService(
+            world.clock, links, world.submissions, world.gate, config, log, lambda: leader
+        )
+        answer = await service.submit(JOB, world.clock.now_ms())
+        await service.stop()
+        return answer.outcome
+
+    assert asyncio.run(scenario()) == outcome
