Let the runner stand-in bar ended runs and apply pace calls

What callers saw: nothing; tests could pass on orders that a runner refuses. The stand-in accepted the number of an ended or stopped run again once its end was acknowledged, although a runner refuses it for the rest of its life. It handled `pace` (and any unknown call) as `hold`, and listed more than 500 ends in one report.

Change: the stand-in keeps the highest ended or stopped run of each task until it restarts, applies `pace` to the percentage and the CPU usage that it reports, answers 404 to unknown calls, and lists 500 ends at a time.

Open: the protocol does not say whether the stop of a run that is not there lists an end. The stand-in still lists one.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -12,6 +12,8 @@
 POLL_INTERVAL_S = 0.005
 # Longest lease that a runner grants, from the users' platform specification.
 MAX_LEASE_S = 10.0
+# Number of ends in one report, from the users' platform specification.
+MAX_ENDS = 500
 ADVICE_VALID_MS = 2_000.0
 
 
@@ -37,6 +39,11 @@
         Ended runs that are not acknowledged: number of the end, task, run, outcome, checkpoint.
     ended
         Number of the last end.
+    highest_barred
+        Highest run number of each task that was stopped or has ended in this incarnation. A start
+        that is not higher is refused.
+    paces
+        Percent of each run that was set by a pace call.
     started
         All runs that were started, in order.
     clock_origin_s
@@ -54,6 +61,8 @@
     running: dict[tuple[str, int], float] = field(default_factory=dict)
     finished: list[list[Any]] = field(default_factory=list)
     ended: int = 0
+    highest_barred: dict[str, int] = field(default_factory=dict)
+    paces: dict[tuple[str, int], int] = field(default_factory=dict)
     started: list[tuple[str, int]] = field(default_factory=list)
     specs: dict[str, str] = field(default_factory=dict)
 
@@ -74,6 +83,8 @@
         self.lease_expires_at_s = None
         self.running.clear()
         self.finished.clear()
+        self.highest_barred.clear()
+        self.paces.clear()
 
     def extend_lease(self, deadline_ms: float, now_s: float) -> None:
         """Extend, but never shorten, the lease of all runs to a time on the runner's clock."""
@@ -83,12 +94,15 @@
     def end_run(self, key: tuple[str, int], outcome: str) -> None:
         """End a run and add it to the finished runs."""
         del self.running[key]
+        self.paces.pop(key, None)
         self.ended += 1
         self.finished.append([self.ended, key[0], key[1], outcome, ""])
+        self.highest_barred[key[0]] = max(self.highest_barred.get(key[0], 0), key[1])
 
-    def highest_finished_run(self, task: str) -> int:
-        """Return the highest run number of a task's unacknowledged ended runs, or 0."""
-        return max((row[2] for row in self.finished if row[1] == task), default=0)
+    def stop_run(self, key: tuple[str, int]) -> None:
+        """End a run as stopped. A run that is not there can then no longer start."""
+        self.running.setdefault(key, 0.0)
+        self.end_run(key, "stopped")
 
 
 class RunnerStandin:
@@ -181,20 +195,22 @@
         if call == "run-start":
             await self._handle_start(body, now_s)
         elif call == "run-stop":
+            data.stop_run((body["task"], body["run"]))
+            self._respond(200)
+        elif call == "pace":
             key = (body["task"], body["run"])
             if key in data.running:
-                data.end_run(key, "stopped")
-            else:
-                data.ended += 1
-                data.finished.append([data.ended, *key, "stopped", ""])
+                data.paces[key] = body["percent"]
             self._respond(200)
-        else:
+        elif call == "hold":
             await self._handle_hold(body)
+        else:
+            self._respond(404)
 
     async def _handle_start(self, body: dict[str, Any], now_s: float) -> None:
         data = self._data
         key = (body["task"], body["run"])
-        if key not in data.running and body["run"] <= data.highest_finished_run(body["task"]):
+        if key not in data.running and body["run"] <= data.highest_barred.get(body["task"], 0):
             self._respond(409, reason="old")
             return
         if key not in data.running:
@@ -216,8 +232,11 @@
             data.advance(loop.time())
         if data.silent:
             await asyncio.Event().wait()
-        running = [[task, run, "", 100, 500] for task, run in data.running]
-        self._respond(200, running=running, finished=data.finished)
+        running = [
+            [*key, "", data.paces.get(key, 100), 5 * data.paces.get(key, 100)]
+            for key in data.running
+        ]
+        self._respond(200, running=running, finished=data.finished[:MAX_ENDS])
 
     def _respond(self, status: int, **fields: Any) -> None:
         clock_ms = (asyncio.get_running_loop().time() - self._data.clock_origin_s) * MS_PER_S
