Log a malformed commit counter

What callers saw: nothing. A new leader ignored a malformed commit counter silently, and a record of another kind under the key ended its takeover with an AttributeError.

Change: both are logged as an error and the number starts from 0. The order of commits does not depend on the number: each commit requires the revision of the key, which is kept. The number and the writer only tell whether a found counter is that of this leader's own lost attempt (read from the code).

Evidence: `.venv/bin/python -m pytest tests/unit/test_queue_commit_counter.py`: the two malformed cases fail without the change, with it all three pass.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/commits.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/commits.py
@@ -89,8 +89,12 @@
         if found.ok_value is not None:
             self._revision = found.ok_value.revision
             loaded = decode_queue_record(found.ok_value.value, keys.COMMIT)
-            if not isinstance(loaded, Err):
-                self._number = loaded.ok_value.number
+            counter = None if isinstance(loaded, Err) else loaded.ok_value
+            if isinstance(counter, Counter):
+                self._number = counter.number
+            else:
+                # Commits depend on the revision of the key; the number only tells them apart.
+                logger.error("malformed commit counter; counting from 0", key=keys.COMMIT)
         return True
 
     def request_commit(self) -> None:
