Forget the ended runs of a stand-in agent that restarts

Cause, in the stand-in of an agent, not in the program: a restart cleared the finished tasks but kept _ended_runs, from which an acknowledgement finds the run that it concerns. A task succeeded, its agent restarted and lost the result, and the next leader stopped the attempt. The agent knew nothing of it and reported it as stopped. The acknowledgement of this "stopped" marked the run of before the restart, whose outcome is "succeeded", as acknowledged.

The restart now loses this state too, as its comment says ("all state but the record is lost"). The check is unchanged.

Regression test, fails before and passes after: pytest tests/unit/test_task_protocol.py -k agent_restart_acknowledges (before: ('succeeded', True) == ('succeeded', False)).

--- a/standins/agent_state.py
+++ b/standins/agent_state.py
@@ -110,6 +110,7 @@
             task.run.end_ms, task.run.outcome = now_ms, "agent_restarted"
         self.tasks.clear()
         self.finished.clear()
+        self._ended_runs.clear()
         self.boot = boot
         self.epoch = self.sequence = 0
         self._last_response_ms = self.last_change_ms = 0.0
--- a/tests/unit/test_task_protocol.py
+++ b/tests/unit/test_task_protocol.py
@@ -148,6 +148,22 @@
     assert [run.acknowledged for run in world.runs()] == [True]
 
 
+def test_end_reported_after_an_agent_restart_acknowledges_no_earlier_success() -> None:
+    """Guards against a stand-in that counts a result which its restart lost as acknowledged."""
+    world = world_with_running_task("run_ms=40")
+    worker = worker_with_the_task(world)
+    agent = world.agents[worker]
+    world.advance(50)
+    agent.restart("2")
+    world.replace_leader()
+    world.cancel(next(iter(world.leader.lifecycle.jobs)))
+    for _ in range(4):
+        world.run_round(30.0)
+    ended = world.records(AttemptEnded)
+    assert [(record.outcome, record.completes) for record in ended] == [("stopped", False)]
+    assert [(run.outcome, run.acknowledged) for run in world.runs()] == [("succeeded", False)]
+
+
 def test_start_waits_for_the_journal_commit() -> None:
     """Guards against starting an attempt that the next leader would not find in the journal."""
     world = World(make_config(), workers=1)
