Place a gang with as many tasks as it has incomplete

What callers saw: a gang of which some tasks had completed was started with tasks whose indexes do not exist; it then failed with an IndexError, or ran the wrong number of tasks ("a gang started in part", 9 == 5; "is not complete", 3 == 2).

Cause: the shape of a queued gang holds the number of its tasks at the time it was queued. Lifecycle.enqueue did nothing for a job that was queued already, so the number was outdated in three cases: a task of a queued gang is completed by a late report; the entry of a started gang stays in the ranking because another gang blocks the shape, and a member of the first is lost later; a hold starts a gang before its turn, and its entry stays. Dispatcher placed Shape.gang_size tasks, and Job.take_index has no bound. A hold also placed a gang while the completion of a task was being written.

Change: a gang whose number of incomplete tasks differs from its shape is queued again with the new one, and the ranking discards entries whose shape is not the job's current one, lazily as it does for other outdated entries. Holds begin and start only for jobs that may be placed. The start of a gang with another number than its incomplete tasks, and of a task beyond the last one, is now a violation of gang_whole and single_run.

A gang of which members have completed consists of the incomplete ones from then on: a task never runs again after it completed, and the others start together (docs/tasks.md).

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/capacity.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/capacity.py
@@ -5,7 +5,7 @@
 from nutmeglb_decisions.tasks.ledger import Account, Ledger
 from nutmeglb_decisions.tasks.placement import PlacementEngine
 from nutmeglb_decisions.tasks.quotas import Quotas
-from nutmeglb_decisions.tasks.ranking import Ranking
+from nutmeglb_decisions.tasks.ranking import Ranking, Shape
 from nutmeglb_formats.models.resources import Resources
 
 
@@ -15,10 +15,10 @@
     Parameters
     ----------
     is_placeable
-        Returns whether a job still has a task to place.
+        Returns whether a job still has a task to place with a shape.
     """
 
-    def __init__(self, domain: str, is_placeable: Callable[[str], bool]) -> None:
+    def __init__(self, domain: str, is_placeable: Callable[[str, Shape], bool]) -> None:
         self.quotas = Quotas(domain)
         self.ranking = Ranking(is_placeable)
         self.ledger = Ledger(self._account_changed)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/dispatch.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/dispatch.py
@@ -172,6 +172,12 @@
 
     def _start_all(self, job: Job, shape: Shape, workers: list[str], now_ms: float) -> None:
         gang = len(workers) if job.is_gang else 0
+        require(
+            not job.is_gang or gang == job.waiting,
+            GANG_WHOLE,
+            "Another number of tasks than the gang's incomplete ones would start",
+            job=job.job_id,
+        )
         run_ms = self._estimates.run_ms(job_key(job), job.spec.run_ms)
         for worker in workers:
             attempt = self._lifecycle.start(job, worker, shape.resources, now_ms, gang=gang)
@@ -268,7 +274,7 @@
         """Place the job that has the hold, ahead of other jobs of the same shape."""
         shape = job.shape
         needed = shape.resources.scaled(shape.gang_size)
-        if not self.may_start(now_ms) or job.not_before_ms:
+        if not self.may_start(now_ms) or job.not_before_ms or not job.is_placeable:
             return
         if self._lifecycle.capacity.quotas.admits(job.spec.team, needed):
             workers = self._find_workers(job, shape, now_ms)
@@ -280,7 +286,9 @@
         return max((a.capacity for a in accounts), key=lambda c: c.cpu_millis, default=Resources())
 
     def _begin_hold(self, job: Job, shape: Shape, now_ms: float) -> bool:
-        if not job.waiting or now_ms - job.accepted_ms < MIN_WAIT_BEFORE_HOLD_MS:
+        if not job.is_placeable or shape is not job.shape:
+            return False
+        if now_ms - job.accepted_ms < MIN_WAIT_BEFORE_HOLD_MS:
             return False
         if not self._lifecycle.capacity.quotas.admits(
             job.spec.team, shape.resources.scaled(shape.gang_size)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
@@ -11,7 +11,7 @@
 from nutmeglb_decisions.tasks.capacity import DomainCapacity
 from nutmeglb_decisions.tasks.events import SendCommands
 from nutmeglb_decisions.tasks.outbox import Outbox
-from nutmeglb_decisions.tasks.quarantine import JOB_FAILING_WORKERS
+from nutmeglb_decisions.tasks.ranking import Shape
 from nutmeglb_decisions.tasks.state import Attempt, Job, Phase
 from nutmeglb_decisions.tasks.workers import WorkerLink
 from nutmeglb_formats.exceptions import NutmegError
@@ -90,8 +90,13 @@
         self.enqueue(job)
 
     def enqueue(self, job: Job) -> None:
-        """Add a job to the ranking, unless it is already there or has no task to place now."""
-        if job.queued or not self._is_placeable(job):
+        """Add a job to the ranking, unless it is already there or has no task to place now.
+
+        A gang of which a task has completed since it was queued is added again with its new size.
+        The ranking discards its former entry.
+        """
+        has_current_entry = job.queued and not (job.is_gang and job.shape.gang_size != job.waiting)
+        if has_current_entry or not job.is_placeable:
             return
         job.queued = True
         spec = job.spec
@@ -113,14 +118,6 @@
             return spec.resources
         return self._size_of(job)
 
-    def _is_placeable(self, job: Job) -> bool:
-        if job.is_gang and (job.live or job.completing):
-            return False
-        # After this many failures the job runs one task at a time until one succeeds.
-        if job.failures >= JOB_FAILING_WORKERS and job.live:
-            return False
-        return job.waiting > 0
-
     def resize(self, job: Job, tasks: int) -> None:
         """Change the number of replicas of a service."""
         job.tasks = tasks
@@ -142,11 +139,11 @@
         job.finished_ms = self.wall_offset_ms + now_ms
         self.unfinished_jobs -= 1
 
-    def _update_queued(self, job_id: str) -> bool:
+    def _update_queued(self, job_id: str, shape: Shape) -> bool:
         job = self.jobs.get(job_id)
-        if job is None:
+        if job is None or shape is not job.shape:
             return False
-        is_placeable = self._is_placeable(job) and not job.not_before_ms
+        is_placeable = job.is_placeable and not job.not_before_ms
         job.queued = is_placeable
         return is_placeable
 
@@ -191,6 +188,7 @@
         self, job: Job, worker: str, charged: Resources, now_ms: float, *, gang: int = 0
     ) -> Attempt:
         """Allocate resources for the next task of a job and append its attempt to the journal."""
+        require(job.waiting > 0, SINGLE_RUN, "A task beyond the last one would run", job=job.job_id)
         index = job.take_index()
         number = job.numbers.get(index, 0) + 1
         key = AttemptKey(job.job_id, index, number)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/ranking.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/ranking.py
@@ -121,11 +121,12 @@
     Parameters
     ----------
     is_placeable
-        Returns whether a job still has a task to place. Other jobs are removed lazily, when they
-        are reached, so that a cancellation does not have to search the queues.
+        Returns whether a job still has a task to place with the shape of its entry. Other entries
+        are removed lazily, when they are reached, so that a cancellation does not have to search
+        the queues.
     """
 
-    def __init__(self, is_placeable: Callable[[str], bool]) -> None:
+    def __init__(self, is_placeable: Callable[[str, Shape], bool]) -> None:
         self.has_pending_removals = False
         self._is_placeable = is_placeable
         self._blocked: dict[Shape, None] = {}
@@ -190,7 +191,7 @@
                 return None
             team, team_queue, shape = candidate
             queue = team_queue.queues[shape]
-            while queue and remaining_removals and not self._is_placeable(queue[0][1]):
+            while queue and remaining_removals and not self._is_placeable(queue[0][1], shape):
                 queue.popleft()
                 remaining_removals -= 1
             if not remaining_removals:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from nutmeglb_decisions.tasks.quarantine import JOB_FAILING_WORKERS
 from nutmeglb_decisions.tasks.ranking import Shape
 from nutmeglb_formats.models.config import JobKind
 from nutmeglb_formats.models.jobs import JobSpec
@@ -168,6 +169,16 @@
             else len(self.retry_indexes) + max(0, self.tasks - self.first_unattempted)
         )
 
+    @property
+    def is_placeable(self) -> bool:
+        """Return whether a task, or all incomplete tasks of a gang, may be placed now."""
+        if self.is_gang and (self.live or self.completing):
+            return False
+        # After this many failures the job runs one task at a time until one succeeds.
+        if self.failures >= JOB_FAILING_WORKERS and self.live:
+            return False
+        return self.waiting > 0
+
     def is_done(self, index: int) -> bool:
         """Return whether the journal holds the completion of a task."""
         byte, bit = divmod(index, BITS_PER_BYTE)
--- a/tests/unit/test_task_protocol.py
+++ b/tests/unit/test_task_protocol.py
@@ -235,3 +235,86 @@
     for _ in range(8):
         world.run_round(30.0)
     assert len(world.started()) == 3
+
+
+def world_with_finished_gang() -> World:
+    """Return a world whose gang of three has succeeded on three unreachable workers."""
+    world = World(make_config(), workers=3, cpu_millis=1_000)
+    world.run_round()
+    world.submit(make_spec(kind=JobKind.GANG, tasks=3, command="run_ms=100"))
+    world.commit_all()
+    for _ in range(3):
+        world.run_round(5.0)
+    assert len(world.started()) == 3
+    world.frozen.update(world.agents)
+    for worker in world.agents:
+        world.send(worker)
+        world.lose_contact(worker)
+    world.requests.clear()
+    world.advance(2 * LEASE_MS + 2 * MARGIN_MS)
+    world.step()
+    world.commit_all()
+    return world
+
+
+@pytest.mark.parametrize("reported", [1, 2])
+def test_gang_queued_before_a_late_success_starts_only_its_incomplete_tasks(reported: int) -> None:
+    """Guards against tasks that do not exist, after a gang's queue entry became outdated.
+
+    All members are treated as lost, so that the whole gang is queued. The agents of some members
+    then report their success, and those of the others restart and lose theirs.
+    """
+    world = world_with_finished_gang()
+    (job,) = world.leader.lifecycle.jobs.values()
+    assert job.queued and job.waiting == 3
+    for worker in list(world.agents)[:reported]:
+        world.frozen.remove(worker)
+        for _ in range(2):
+            world.send(worker)
+            world.deliver_request(0)
+            world.deliver_response(0)
+    world.commit_all()
+    assert job.waiting == 3 - reported
+    for worker in list(world.agents)[reported:]:
+        world.agents[worker].restart("2")
+    world.frozen.clear()
+    for _ in range(20):
+        world.run_round(30.0)
+    attempts = [run.attempt.removeprefix(f"{job.job_id}/") for run in world.runs()]
+    again = sorted(attempt for attempt in attempts if attempt.endswith("/2"))
+    assert len(attempts) == 3 + len(again)
+    assert again == sorted(f"{index}/2" for index in range(3) if not _succeeded(world, index))
+    assert job.done_count == job.tasks == 3
+
+
+def _succeeded(world: World, index: int) -> bool:
+    """Return whether the first attempt of a task completed it."""
+    return any(
+        record.completes and (record.index, record.number) == (index, 1)
+        for record in world.records(AttemptEnded)
+    )
+
+
+def test_gang_starts_only_its_incomplete_task_again_while_another_gang_blocks_its_shape() -> None:
+    """Guards against tasks that do not exist, when a started gang's queue entry was not removed.
+
+    A gang of another team with the same shape finds no free workers. The shape is skipped from then
+    on, and the entry of the running gang with it.
+    """
+    world = World(make_config(), workers=3, cpu_millis=1_000)
+    world.run_round()
+    for team in ("labs", "counters"):
+        world.submit(make_spec(team, kind=JobKind.GANG, tasks=3, team=team, command="run_ms=100"))
+    world.commit_all()
+    for _ in range(3):
+        world.run_round(5.0)
+    running = {run.attempt.rsplit("/", 2)[0] for run in world.started()}
+    (job,) = [job for job in world.leader.lifecycle.jobs.values() if job.job_id in running]
+    assert len(world.started()) == 3 and job.queued
+    world.advance(101.0)
+    world.agents["w0"].restart("2")
+    for _ in range(20):
+        world.run_round(60.0)
+    attempts = [run.attempt for run in world.runs() if run.attempt.startswith(job.job_id)]
+    assert len(attempts) == 4 and len([name for name in attempts if name.endswith("/2")]) == 1
+    assert all(item.done_count == 3 for item in world.leader.lifecycle.jobs.values())
