Release the rest of a gang when a member completes after a takeover

What callers saw: a gang job that never finished.

Cause: a new leader restores the open attempts of a gang with their hold. A running member clears the hold of the others, but here the members still on their agents had completed by the time they were first reported, and the agents of the others had restarted. The latter received their attempts again, with the hold, and were admitted. release_gang counted fewer members than the gang had and expected the rest to be stopped, which happens only if a member ends without success. No assembly deadline exists after a takeover, so the members were held for ever.

Change: a gang is released when all its tasks that have not completed are held, and this is checked at a success too. A member that ended without success makes a task wait, which prevents the release as before. The check of gang_whole demands that the members and the completed tasks are all tasks of the job.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
@@ -281,6 +281,8 @@
         self._on_end(job, attempt, outcome, report, now_ms)
         if not completes and not complete:
             self._requeue(job, attempt)
+        if completes and job.is_gang:
+            self.release_gang(job)
 
     def _remove(self, job: Job, attempt: Attempt) -> None:
         del job.live[attempt.key.index]
@@ -394,17 +396,21 @@
                 self.stop(attempt, cause)
 
     def release_gang(self, job: Job) -> None:
-        """Release a gang to run once every member is held by its agent."""
+        """Release a gang to run once every member that has not completed is held by its agent.
+
+        Members complete before a release only if an earlier leader had released the gang. The
+        others are then sent again to agents that have restarted since.
+        """
         members = list(job.live.values())
         if not members or not all(m.hold for m in members):
             return
         if any(m.phase is not Phase.HELD or m.stop_cause for m in members):
             return
-        # A member has ended already, and the others are about to be stopped.
-        if len(members) < members[0].gang:
+        # A member has ended without success, or the job is cancelled: all are about to be stopped.
+        if job.waiting or job.ended:
             return
         require(
-            len(members) == members[0].gang,
+            len(members) + len(job.completing) + job.done_count == job.tasks,
             GANG_WHOLE,
             "A gang would start in part",
             job=job.job_id,
--- a/tests/unit/test_task_protocol.py
+++ b/tests/unit/test_task_protocol.py
@@ -237,6 +237,37 @@
     assert len(world.started()) == 3
 
 
+@pytest.mark.parametrize("success_first", [True, False])
+@pytest.mark.parametrize("restarted", [1, 2])
+def test_gang_completes_if_a_member_succeeded_and_others_restarted_around_a_takeover(
+    restarted: int, success_first: bool
+) -> None:
+    """Guards against members that wait on their agents indefinitely for one that has completed."""
+    world = World(make_config(), workers=3, cpu_millis=1_000)
+    world.run_round()
+    world.submit(make_spec(kind=JobKind.GANG, tasks=3, command="run_ms=100"))
+    world.commit_all()
+    for _ in range(3):
+        world.run_round(5.0)
+    assert len(world.started()) == 3
+    world.replace_leader()
+    names = list(world.agents)
+    for worker in names[:restarted]:
+        world.agents[worker].restart("2")
+    world.advance(150.0)
+    for worker in names[::-1] if success_first else names:
+        for _ in range(2):
+            world.send(worker)
+            world.deliver_request(0)
+            world.deliver_response(0)
+            world.commit_all()
+    for _ in range(8):
+        world.run_round(60.0)
+    (job,) = world.leader.lifecycle.jobs.values()
+    assert job.done_count == 3
+    assert len(world.started()) == 3 + restarted
+
+
 def world_with_finished_gang() -> World:
     """Return a world whose gang of three has succeeded on three unreachable workers."""
     world = World(make_config(), workers=3, cpu_millis=1_000)
