Skip completed tasks behind tasks whose start records were lost

Cause: the appends of the starts of tasks 0 and 1 fail, those of task 2 succeed, and task 2 completes. It then took task 0 as the first one that was never attempted and skipped only completed tasks directly behind it. Task 2 counted as waiting, in the size of a gang too, and was taken when its turn came.

Change: the first task that was never attempted comes after the last completed one. Those before it that are incomplete are retried.

Regression test, 3 cases, fail before (one or two waiting tasks too many) and pass after: pytest tests/unit/test_task_protocol.py -k starts_were_lost

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/recovery.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/recovery.py
@@ -104,10 +104,10 @@
 
 
 def _set_waiting_tasks(job: Job, live: set[int]) -> None:
+    # A completed task has no number. The start records of tasks before it may have been lost.
+    after_last_completed = int.from_bytes(job.done, "little").bit_length()
     attempted = [index for index in job.numbers if index < job.tasks]
-    job.first_unattempted = max(attempted, default=-1) + 1
-    while job.first_unattempted < job.tasks and job.is_done(job.first_unattempted):
-        job.first_unattempted += 1
+    job.first_unattempted = max(after_last_completed, max(attempted, default=-1) + 1)
     job.retry_indexes.extend(
         index
         for index in range(job.first_unattempted)
--- a/tests/lib/task_world.py
+++ b/tests/lib/task_world.py
@@ -5,6 +5,7 @@
 from itertools import pairwise
 from typing import Any
 
+from nutmeglb_decisions.tasks.dispatch import PLACEMENTS_PER_STEP
 from nutmeglb_decisions.tasks.events import (
     Answer,
     Append,
@@ -100,8 +101,8 @@
     def handle(self, event: Event) -> None:
         self._record_effects(self.leader.handle(event, self.clock.now_ms()))
 
-    def step(self) -> None:
-        self._record_effects(self.leader.step(self.clock.now_ms()))
+    def step(self, placements: int = PLACEMENTS_PER_STEP) -> None:
+        self._record_effects(self.leader.step(self.clock.now_ms(), placements))
 
     def _record_effects(self, effects: list[Effect]) -> None:
         for effect in effects:
@@ -177,6 +178,10 @@
             self.step()
             self.commit_all()
         self.commit_all()
+        self.exchange_all()
+
+    def exchange_all(self) -> None:
+        """Send to every worker, deliver all messages and commit all appends."""
         for worker in self.agents:
             self.send(worker)
         while self.requests:
--- a/tests/unit/test_task_protocol.py
+++ b/tests/unit/test_task_protocol.py
@@ -27,6 +27,33 @@
     return next(name for name, agent in world.agents.items() if agent.record)
 
 
+@pytest.mark.parametrize("lost", [(0,), (0, 1), (1,)])
+def test_new_leader_skips_a_completed_task_behind_tasks_whose_starts_were_lost(
+    lost: tuple[int, ...],
+) -> None:
+    """Guards against a leader that starts a completed task again, a violation in each recovery."""
+    world = World(make_config(), workers=3, cpu_millis=1_000)
+    world.run_round()
+    world.submit(make_spec(tasks=3, command="run_ms=50"))
+    world.commit_all()
+    for _ in range(3):
+        world.step(placements=1)
+    for number, batch in enumerate(sorted(world.appends)):
+        world.commit(batch, applied=number not in lost)
+    for _ in range(2):
+        world.exchange_all()
+    world.advance(60.0)
+    world.exchange_all()
+    assert len(world.records(AttemptEnded)) == 3 - len(lost)
+    world.replace_leader()
+    (job,) = world.leader.lifecycle.jobs.values()
+    assert (job.waiting, job.done_count) == (len(lost), 3 - len(lost))
+    for _ in range(8):
+        world.run_round()
+    assert job.done_count == 3
+    assert len(world.started()) == 3
+
+
 @pytest.mark.parametrize("offset_ms", [-1.0, 1.0])
 def test_silent_worker_keeps_its_task_until_the_lease_certainly_expired(offset_ms: float) -> None:
     """Guards against a second attempt while the first one may still be running."""
