Keep the witness record of an exchange that the leader abandoned

What callers saw: a request reported as not run although it may have run, and endpoints with more requests than slots (G1), after the death of a leader that used slots itself.

Cause: an exchange that its holder abandons (deadline, caller gone, abort) occupies its slot until the endpoint has certainly ended it. The leader's broker knows this from SlotRelease.hold_ms, and an instance keeps reporting the grant for that time. For its own grants, however, the leader ended the witness record with any release. After its death nobody knew of the slot, and the successor granted it while the endpoint still worked.

Change: SlotBroker.receive ends the record of an own grant only if the endpoint cannot be working on its request. The record of an abandoned exchange stays at the witness until its time is over: grant_start_ms plus max_run_ms after the grant, which covers the longest run of a request that was sent in time, so the slot is not blocked longer than that (plus the margin that each new leader adds). No message is added, neither for an abandoned nor for a completed exchange. The leader forgets abandoned grants after the same time.

The model of the state machine test popped the record with each release; it now does as the program: only releases of the leader itself end a record, and not those of abandoned exchanges. No invariant is changed.

--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/slot_broker.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/slot_broker.py
@@ -142,7 +142,7 @@
                 self._apply(lambda core, now_ms: core.request(now_ms, sender, message))
             case SlotRelease():
                 if sender == self._ctx.instance_id:
-                    self._witnessed_grants.end_grant(message.grant_id)
+                    self._end_own_grant(message)
                 if self._core is None:
                     self._early_releases.append((sender, message))
                 self._apply(lambda core, now_ms: core.release(now_ms, sender, message))
@@ -151,6 +151,12 @@
             case _:
                 logger.warning("ignored a message that is not a slot message", sender=sender)
 
+    def _end_own_grant(self, release: SlotRelease) -> None:
+        if release.outcome is ReleaseOutcome.ABANDONED and release.hold_ms > 0.0:
+            self._witnessed_grants.abandon_grant(release.grant_id)
+        else:
+            self._witnessed_grants.end_grant(release.grant_id)
+
     def _apply(self, step: Callable[[SlotBrokerCore, float], list[Send] | None]) -> None:
         if self._core is None or not self._ctx.leadership.is_leader():
             return
--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/witness.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/witness.py
@@ -5,6 +5,7 @@
 use for the service's maximum run time.
 """
 
+from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -91,18 +92,36 @@
         self._witness: str | None = None
         self._active_grants: dict[str, _RecordedGrant] = {}
         self._ended_grant_ids: list[str] = []
+        self._abandoned_grant_ids: deque[str] = deque()
 
     def reset(self) -> None:
         """Discard the witness and all grants when the leadership ends."""
         self._witness = None
         self._active_grants.clear()
         self._ended_grant_ids.clear()
+        self._abandoned_grant_ids.clear()
 
     def end_grant(self, grant_id: str) -> None:
         """Remove an ended grant. The witness is notified with the next record."""
         if self._active_grants.pop(grant_id, None) is not None:
             self._ended_grant_ids.append(grant_id)
 
+    def abandon_grant(self, grant_id: str) -> None:
+        """Keep an abandoned grant, because the endpoint may still work on its request.
+
+        It was recorded for the longest time that its slot can be in use, so neither the witness nor
+        this leader needs another record. Abandoned grants whose time is over are removed.
+        """
+        if grant_id not in self._active_grants:
+            return
+        now_ms = self._ctx.clock.now_ms()
+        while self._abandoned_grant_ids:
+            record = self._active_grants.get(self._abandoned_grant_ids[0])
+            if record is not None and record.expires_at_ms > now_ms:
+                break
+            self._active_grants.pop(self._abandoned_grant_ids.popleft(), None)
+        self._abandoned_grant_ids.append(grant_id)
+
     def needs_witness(self) -> bool:
         """Return whether a new witness must be chosen."""
         return self._witness is None or not self._ctx.peers.connected(self._witness)
--- a/tests/functional/test_requests.py
+++ b/tests/functional/test_requests.py
@@ -316,6 +316,37 @@
     run_in_cell(test, ONE_DOMAIN, {"a": 1})
 
 
+@pytest.mark.parametrize(
+    ("run_ms", "timeout_ms", "recorded"), [(600, 100, True), (1, 2_000, False)]
+)
+def test_slot_of_a_dead_leader_is_not_granted_while_its_abandoned_request_runs(
+    run_ms: int, timeout_ms: int, recorded: bool
+) -> None:
+    """Guards the slot limit (G1) if a leader dies after it abandoned an exchange of its own.
+
+    Its witness keeps the record of the grant until the endpoint has certainly ended the request.
+    The record of a completed exchange ends at once.
+    """
+
+    async def test(cell: Cell) -> None:
+        leader, successor = cell.nodes["a0"], cell.nodes["a1"]
+        await cell.call(
+            "a0", X_Run_Ms=str(run_ms), X_Request_Timeout_Ms=str(timeout_ms), X_Marker="old"
+        )
+        leader.routing.broker.summary()
+        await asyncio.sleep(0.05)
+        in_use = tuple(successor.leadership.reporter())
+        assert [grant.holder for grant in in_use] == (["a0"] if recorded else [])
+        assert all(0.0 < grant.hold_ms <= 200.0 + service.max_run_ms for grant in in_use)
+        cell.set_leader("a1", 2, in_use=in_use, unknown=("a0",))
+        response = await cell.call("a1", X_Run_Ms="1", X_Marker="new")
+        assert outcome_of(response) == (200, "answered", "")
+        assert cell.endpoints["a-ep0"].record.peak_running == 1
+
+    service = replace(SERVICE, slots=1, max_run_ms=800.0)
+    run_in_cell(test, ONE_DOMAIN, {"a": 1}, service=service, grant_start_ms=200.0)
+
+
 def test_unreported_grants_hold_all_slots() -> None:
     """Guards the slot limit (G1) if a missing instance may hold grants that were not reported."""
 
--- a/tests/lib/routing_model.py
+++ b/tests/lib/routing_model.py
@@ -195,7 +195,9 @@
         if isinstance(message, SlotRequest):
             self._apply_broker_effects(self.broker.request(self.now_ms, sender, message))
         elif isinstance(message, SlotRelease):
-            self.witness_records.pop(message.grant_id, None)
+            is_abandoned = message.outcome is ReleaseOutcome.ABANDONED and message.hold_ms > 0.0
+            if sender == self.leader and not is_abandoned:
+                self.witness_records.pop(message.grant_id, None)
             self._apply_broker_effects(self.broker.release(self.now_ms, sender, message))
         else:
             self.broker.cancel(message)
