Replay the last acceptance of a job before its first start

A new leader replayed the first record and ignored the second: it had a gang of three with four running tasks, whose fourth could not be recorded, and the commands and sizes of the refused submission.

Change: the last acceptance of a job whose tasks have not started and that has not ended counts. A repeated record after a start is ignored as before.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/recovery.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/recovery.py
@@ -45,7 +45,10 @@
                     self._apply_progress(record)
 
     def _apply_accepted(self, record: JobAccepted) -> None:
-        if record.job_id in self.jobs:
+        # A job is accepted again, perhaps with other contents, if the first append had no known
+        # outcome. Its tasks then start from the last record.
+        job = self.jobs.get(record.job_id)
+        if job is not None and (job.numbers or job.done_count or job.ended):
             return
         self.jobs[record.job_id] = Job(
             record.job_id,
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/tasks.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/tasks.py
@@ -37,7 +37,7 @@
 @record(400, 1)
 @dataclass(frozen=True, slots=True)
 class JobAccepted:
-    """A job was accepted. Repeated records with the same job id count once.
+    """A job was accepted. The last record with the same job id before its first start counts.
 
     Attributes
     ----------
--- a/tests/unit/test_task_protocol.py
+++ b/tests/unit/test_task_protocol.py
@@ -191,6 +191,26 @@
     assert [(run.outcome, run.acknowledged) for run in world.runs()] == [("succeeded", False)]
 
 
+def test_new_leader_has_the_job_that_was_accepted_after_an_unknown_outcome() -> None:
+    """Guards against a job that runs with the content of a submission that was refused."""
+    world = World(make_config(), workers=1)
+    world.run_round()
+    first = world.submit(make_spec(kind=JobKind.GANG, tasks=3))
+    world.commit(next(iter(world.appends)), reported=False)
+    second = world.submit(make_spec(tasks=4, command="run_ms=400"))
+    world.commit_all()
+    assert world.answers[first].error is not None and world.answers[second].error is None
+    for _ in range(2):
+        world.run_round()
+    world.replace_leader()
+    (job,) = world.leader.lifecycle.jobs.values()
+    assert (job.spec.kind, job.tasks, len(job.live)) == (JobKind.BATCH, 4, 4)
+    for _ in range(12):
+        world.run_round()
+    assert job.done_count == 4
+    assert len(world.started()) == 4
+
+
 def test_start_waits_for_the_journal_commit() -> None:
     """Guards against starting an attempt that the next leader would not find in the journal."""
     world = World(make_config(), workers=1)
