Let the task machine wait for a quarantined worker that a job needs

Trace: 25 jobs of one name, half of them failing, had failed on w2. Its quarantine had been extended four times, and the next probe was due at 140.2 s. The teardown gave up at 40.1 s. Let run on, w2 was probed at 140.26 s, the gang started at 140.4 s and was complete at 143.6 s. A probe delay of up to 10 minutes is the documented policy of quarantine.py (MAX_PROBE_DELAY_MS), so the case is allowed.

The check stays: the job must complete. Only if a worker is quarantined at the end of the 260 rounds and a job is incomplete, rounds continue until every worker was usable for 260 of them, at most for MAX_PROBE_DELAY_MS. Without a quarantine nothing changes.

--- a/tests/unit/test_task_machine.py
+++ b/tests/unit/test_task_machine.py
@@ -4,12 +4,14 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
+from nutmeglb_decisions.tasks.quarantine import MAX_PROBE_DELAY_MS
 from nutmeglb_formats.models.config import JobKind, RequestClass
 from nutmeglb_formats.models.resources import Resources
 from tests.lib.task_world import GIB, LEASE_MS, World
 from tests.lib.tasks import make_config, make_spec
 
 MAX_IN_FLIGHT = 12
+SETTLING_ROUNDS = 260
 INDEX = st.integers(0, MAX_IN_FLIGHT)
 WORKER = st.sampled_from(["w0", "w1", "w2"])
 COMMANDS = st.sampled_from(
@@ -152,24 +154,44 @@
             if job.is_gang and job.job_id in running:
                 assert len(admitted[job.job_id]) == job.tasks, "a gang started in part"
 
+    def has_quarantined_worker(self) -> bool:
+        quarantine = self.world.leader._quarantine
+        return any(not quarantine.allows(worker) for worker in self.world.agents)
+
+    def incomplete_jobs(self) -> list[str]:
+        """Return the jobs that fit, can succeed and are not complete."""
+        incomplete = []
+        for job in self.world.leader.lifecycle.jobs.values():
+            can_succeed = (
+                job.spec.resources.cpu_millis <= 4_000 and "failed" not in job.spec.command
+            )
+            fits = job.spec.resources.cpu_millis < 3_000 or job.tasks <= 3 or not job.is_gang
+            if can_succeed and fits and not job.cancelled and job.done_count != job.tasks:
+                incomplete.append(job.job_id)
+        return incomplete
+
     def teardown(self) -> None:
         """After the faults, every accepted job that fits and can succeed must complete."""
         if not hasattr(self, "world"):
             return
         world = self.world
         world.frozen.clear()
-        for _ in range(260):
+        for _ in range(SETTLING_ROUNDS):
+            world.run_round(150.0)
+        # A job may need a worker that is quarantined until its next probe.
+        limit_ms = world.clock.now_ms() + MAX_PROBE_DELAY_MS
+        usable_rounds = 0 if self.has_quarantined_worker() else SETTLING_ROUNDS
+        while usable_rounds < SETTLING_ROUNDS and world.clock.now_ms() < limit_ms:
+            if not self.incomplete_jobs():
+                break
             world.run_round(150.0)
+            usable_rounds = 0 if self.has_quarantined_worker() else usable_rounds + 1
         self.check_guarantees()
         answered = [a.job_id for a in world.answers.values() if a.error is None]
         assert set(answered) <= set(world.leader.lifecycle.jobs), "an accepted job is lost"
+        incomplete = self.incomplete_jobs()
+        assert not incomplete, f"{incomplete} are not complete"
         for job in world.leader.lifecycle.jobs.values():
-            can_succeed = (
-                job.spec.resources.cpu_millis <= 4_000 and "failed" not in job.spec.command
-            )
-            fits = job.spec.resources.cpu_millis < 3_000 or job.tasks <= 3 or not job.is_gang
-            if can_succeed and fits and not job.cancelled:
-                assert job.done_count == job.tasks, f"{job.job_id} is not complete"
             if job.cancelled:
                 assert not job.live, f"{job.job_id} runs after its cancellation"
 
