Add a state machine over real leaders and model workers for single runs

The machine plays the real election, leader, decisions and worker links on a virtual time against workers, a store and calls with every freedom of the platform's protocol, and checks at each start that no task runs twice and no worker exceeds its capacity.

--- /dev/null
+++ b/tests/lib/queue_cases.py
@@ -0,0 +1,129 @@
+"""Random cases of the queue world by seed, and their reduction to the steps that matter.
+
+Run ``python -m tests.lib.queue_cases FIRST LAST [EXCLUDED ...]`` to play the cases of a range of
+seeds without the given kinds of steps or arguments. Each failed case is printed with its reduced
+steps.
+"""
+
+import random
+import re
+import sys
+
+from tests.lib.queue_gateway_model import FATES
+from tests.lib.queue_world import CPU, JOBS, PROCESSES, WORKERS, replay
+
+STEPS_PER_CASE = 40
+DURATIONS_MS = (1, 20, 60, 150, 300, 700, 1_500, 3_000, 7_000)
+LATE_MS = (500, 1_200, 3_000, 6_000)
+CALLS = ("start", "stop", "hold")
+FATE_NAMES = tuple(fate for fate in FATES if fate)
+CUTS = ("both", "calls", "answers", "none")
+DOWN_MS = (5, 200, 2_001)
+ENTRY_LAGS_MS = (0, 400, 2_500)
+CAPACITIES = (CPU, CPU // 2, 2 * CPU)
+
+
+def draw_step(rng, name):
+    """Draw the arguments of a step."""
+    worker, process = rng.choice(WORKERS), rng.choice(PROCESSES)
+    arguments = {
+        "submit": lambda: (rng.randrange(len(JOBS)),),
+        "cancel": lambda: (rng.randrange(8),),
+        "advance": lambda: (rng.choice(DURATIONS_MS),),
+        "fault": lambda: (worker, rng.choice(CALLS), rng.choice(FATE_NAMES), rng.choice(LATE_MS)),
+        "cut": lambda: (worker, process, rng.choice(CUTS)),
+        "restart": lambda: (
+            worker, rng.choice(CAPACITIES), rng.choice(DOWN_MS), rng.choice(ENTRY_LAGS_MS),
+        ),
+        "unlist": lambda: (worker, rng.choice((600, 1_900))),
+        "habit": lambda: (
+            worker, rng.choice((5, 100, 200)), rng.random() < 0.5, rng.random() < 0.5,
+        ),
+        "health": lambda: (worker, rng.random() < 0.6),
+        "hang": lambda: (worker,),
+        "pause": lambda: (process,),
+        "resume": lambda: (process,),
+        "kill": lambda: (process,),
+        "replace": lambda: (process,),
+        "store_down": lambda: (rng.random() < 0.5,),
+        "store_up": lambda: (),
+        "store_cut": lambda: (process, rng.random() < 0.5),
+        "store_fault": lambda: (process, rng.choice(("lost", "no_answer", "late")), 1_500),
+    }  # fmt: skip
+    return (name, *arguments[name]())
+
+
+FAULTS = (
+    "cancel", "fault", "cut", "restart", "unlist", "habit", "health", "hang", "pause", "resume",
+    "kill", "replace", "store_down", "store_up", "store_cut", "store_fault",
+)  # fmt: skip
+
+
+def draw_case(seed, excluded=()):
+    """Return the steps of a case. It uses only some kinds of faults, so that they interact."""
+    rng = random.Random(seed)
+    faults = [name for name in FAULTS if rng.random() < 0.45 and name not in excluded]
+    kinds = [*faults, *faults, "fault", "submit", "submit", *["advance"] * (3 + len(faults))]
+    kinds = [kind for kind in kinds if kind not in excluded]
+    steps = []
+    while len(steps) < STEPS_PER_CASE:
+        drawn = draw_step(rng, rng.choice(kinds))
+        if not any(str(value) in excluded for value in drawn):
+            steps.append(drawn)
+    return steps
+
+
+def failure_of(steps):
+    """Return the error that a case ends with, or ``None``."""
+    try:
+        replay(steps)
+    except AssertionError as error:
+        return error
+    return None
+
+
+def kind_of(error):
+    """Return the kind of a failure, which reduction keeps."""
+    text = str(error)
+    return (
+        text.split()[0]
+        + ("" if "beside" not in text else " beside")
+        + (" done" if re.search("its end as done", text) else "")
+    )
+
+
+def reduce_case(steps, error):
+    """Remove steps while the same kind of failure remains."""
+    size = max(1, len(steps) // 2)
+    while size:
+        start = 0
+        while start < len(steps):
+            shorter = steps[:start] + steps[start + size :]
+            found = failure_of(shorter)
+            if found is not None and kind_of(found) == kind_of(error):
+                steps, error = shorter, found
+            else:
+                start += size
+        size //= 2
+    return steps, error
+
+
+def main(first, last, *excluded):
+    """Play the cases of a range of seeds."""
+    failed = 0
+    for seed in range(int(first), int(last) + 1):
+        steps = draw_case(seed, excluded)
+        error = failure_of(steps)
+        if error is None:
+            continue
+        failed += 1
+        steps, error = reduce_case(steps, error)
+        print(f"seed {seed}: {error}")
+        for drawn in steps:
+            print(f"    {drawn!r},")
+        print(flush=True)
+    print(f"{failed} of {int(last) - int(first) + 1} cases failed")
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- /dev/null
+++ b/tests/lib/queue_gateway_model.py
@@ -0,0 +1,110 @@
+"""Calls to model workers, which may be lost, delayed, repeated or carried out late."""
+
+import asyncio
+
+from result import Err, Ok
+
+from nutmeglb._internal.queues.ports import OrderAnswer
+from nutmeglb_decisions.queues.orders import StartOutcome
+from nutmeglb_formats.exceptions import AgentError
+from tests.lib.queue_worker_model import FENCED
+
+TIMEOUT_MS = 400.0
+HOP_MS = 1.0
+# Per fate of a call: the delay of each of its executions and the one that is answered, where "late"
+# stands for the drawn delay; the last value delays the answer.
+LATE = "late"
+FATES = {
+    "": ([HOP_MS], 0, HOP_MS),
+    "lost": ([], None, 0.0),
+    "no_answer": ([HOP_MS], None, 0.0),
+    "slow": ([350.0], 0, HOP_MS),
+    "slow_answer": ([HOP_MS], 0, 350.0),
+    "late": ([LATE], None, 0.0),
+    "twice": ([HOP_MS, 3.0], 1, HOP_MS),
+    "twice_slow": ([HOP_MS, 300.0], 1, HOP_MS),
+    "again_late": ([HOP_MS, LATE], 0, HOP_MS),
+    "again_late_no_answer": ([HOP_MS, LATE], None, 0.0),
+}
+
+
+class GatewayModel:
+    """Implements ``WorkerGateway`` for one instance."""
+
+    def __init__(self, world, process):
+        self._world = world
+        self._process = process
+
+    async def start(self, worker, order):
+        """Order a start."""
+        answer = await self._call(worker.worker_id, "start", lambda w, r: w.start(order, r))
+        return answer or OrderAnswer(StartOutcome.UNKNOWN)
+
+    async def stop(self, worker, task, run, fence):
+        """Order a stop."""
+        answer = await self._call(
+            worker.worker_id, "stop", lambda w, r: w.stop(task, run, fence, r), f"{task} {run}"
+        )
+        return answer or OrderAnswer(StartOutcome.UNKNOWN)
+
+    async def pace(self, worker, task, run, percent, fence):
+        """Set a pace."""
+        answer = await self._call(worker.worker_id, "pace", lambda w, r: w.pace(fence, r))
+        return answer or OrderAnswer(StartOutcome.UNKNOWN)
+
+    async def hold(self, worker, fence, last_seen, deadline_ms, wait_ms):
+        """Renew the lease."""
+        report = await self._call(
+            worker.worker_id,
+            "hold",
+            lambda w, r: w.hold(fence, last_seen, deadline_ms, wait_ms, r),
+            f"seen {last_seen} deadline {deadline_ms} wait {wait_ms}",
+            TIMEOUT_MS + wait_ms,
+        )
+        if report is None or report == FENCED:
+            context = {"fenced": report == FENCED}
+            return Err(AgentError("no report", context=context, hint="none"))
+        return Ok(report)
+
+    async def _call(self, worker_id, call, execute, text="", timeout_ms=TIMEOUT_MS):
+        world, simulation = self._world, self._world.simulation
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        fates = world.fates.get((worker_id, call))
+        fate, late_ms = fates.pop(0) if fates else ("", 0.0)
+        delays, answered, answer_delay_ms = FATES[fate]
+        if self._is_cut(worker_id, "calls"):
+            delays = []
+        if fate or not delays or call != "hold":
+            world.note(
+                f"e{self._process} -> {worker_id} {call} {text} {fate or 'cut'[:3 * (not delays)]}"
+            )
+
+        def deliver(answer):
+            if not future.done():
+                future.set_result(answer)
+
+        def respond(answer):
+            if not self._is_cut(worker_id, "answers"):
+                simulation.at(answer_delay_ms, lambda: deliver(answer))
+
+        def ignore(answer):
+            pass
+
+        def arrive(is_answered):
+            life = world.lives[worker_id]
+            if life.is_up:
+                execute(life, respond if is_answered else ignore)
+
+        for number, delay_ms in enumerate(delays):
+            delay_ms = late_ms if delay_ms == LATE else delay_ms
+            simulation.at(delay_ms, lambda n=number: arrive(n == answered))
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                return await future
+        except TimeoutError:
+            return None
+
+    def _is_cut(self, worker_id, direction):
+        how = self._world.cuts.get((worker_id, self._process), "none")
+        return how in ("both", direction)
--- /dev/null
+++ b/tests/lib/queue_single_run.py
@@ -0,0 +1,71 @@
+"""Checks at each start on a worker that no task runs twice and no worker exceeds its capacity."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+
+@dataclass(eq=False)
+class DoneEnd:
+    """End of a run as done.
+
+    ``starts`` is the number of starts of the task before it.
+    """
+
+    life: object
+    number: int
+    run: int
+    starts: int
+    acknowledged: bool = False
+    lapsed: bool = False
+
+
+class SingleRunRecord:
+    """Starts, ends and acknowledgements on all workers."""
+
+    def __init__(self, world):
+        self._world = world
+        self._starts = defaultdict(list)
+        self._done = defaultdict(list)
+
+    def task_size(self, task):
+        """Return the CPU and the run time of a task."""
+        return self._world.task_size(task)
+
+    def on_start(self, life, run):
+        """Check a run that has just started."""
+        world = self._world
+        world.note(f"{life.worker_id} STARTS {run.task} {run.number}")
+        self._starts[run.task].append((life.worker_id, run.number))
+        active = [
+            (other.worker_id, known.number, "stopping" if known.stopping else "active")
+            for other in world.lives.values()
+            for known in other.runs.values()
+            if known.task == run.task and known is not run
+        ]
+        assert not active, f"TWICE {run.task}: {life.worker_id} {run.number} beside {active}"
+        for end in self._done[run.task]:
+            assert not end.acknowledged, f"TWICE {run.task}: started after its end as done"
+        assert life.used_cpu <= life.cpu, f"LIMIT {life.worker_id}: {life.used_cpu} of {life.cpu}"
+
+    def on_end(self, life, ended):
+        """Record the end of a run."""
+        self._world.note(f"{life.worker_id} ENDS {ended.task} {ended.run} {ended.outcome}")
+        if ended.outcome == "done":
+            starts = len(self._starts[ended.task])
+            self._done[ended.task].append(DoneEnd(life, ended.number, ended.run, starts))
+
+    def on_acknowledged(self, life, ended):
+        """Check an end that the leader has taken note of."""
+        for end in self._done[ended.task]:
+            if end.life is life and end.number == ended.number and not end.lapsed:
+                self._world.note(f"{life.worker_id} acknowledged {ended.task} {ended.run}")
+                end.acknowledged = True
+                later = self._starts[ended.task][end.starts :]
+                assert not later, f"TWICE {ended.task}: {later} after its end as done"
+
+    def on_lapsed(self, life):
+        """Record that the lease of a worker has expired."""
+        self._world.note(f"{life.worker_id} lease expires with {list(life.runs)}")
+        for ends in self._done.values():
+            for end in ends:
+                end.lapsed |= end.life is life and not end.acknowledged
--- /dev/null
+++ b/tests/lib/queue_worker_model.py
@@ -0,0 +1,213 @@
+"""A worker as the platform's protocol describes it, with every freedom that the protocol leaves."""
+
+from dataclasses import dataclass, field
+
+from nutmeglb._internal.queues.ports import OrderAnswer
+from nutmeglb_decisions.queues.orders import StartOutcome
+from nutmeglb_formats.models.queues import EndedTask, RunningTask, WorkerReport
+
+# Longest lease that a worker grants.
+MAX_HOLD_MS = 10_000.0
+MAX_ENDS = 500
+FENCED = "fenced"
+
+
+@dataclass(eq=False)
+class RunModel:
+    """A run that uses capacity on a worker."""
+
+    task: str
+    number: int
+    cpu: int
+    hangs: bool
+    stopping: bool = False
+
+
+@dataclass
+class Habits:
+    """What a worker does where the protocol leaves it open.
+
+    Attributes
+    ----------
+    stop_ms
+        Duration of a stop.
+    hides_stopping
+        Whether a run that is being stopped is in neither list.
+    completes_when_stopped
+        Whether a run that is being stopped ends as done.
+    is_unhealthy
+        Whether all calls are answered as unhealthy and have no effect.
+    """
+
+    stop_ms: float = 50.0
+    hides_stopping: bool = False
+    completes_when_stopped: bool = False
+    is_unhealthy: bool = False
+
+
+@dataclass(eq=False)
+class Life:
+    """One incarnation of a worker.
+
+    Attributes
+    ----------
+    observer
+        World that is told of starts, ends, acknowledgements and lapses.
+    rate, clock_start_ms
+        Rate of the worker's clock, and its time at the start of this incarnation.
+    deadline_ms
+        End of the lease on the worker's clock.
+    barred
+        Per task: highest number of a run that was stopped or that ended here.
+    """
+
+    worker_id: str
+    born: int
+    cpu: int
+    rate: float
+    clock_start_ms: float
+    simulation: object
+    observer: object
+    habits: Habits
+    is_up: bool = True
+    fence: int = 0
+    deadline_ms: float = 0.0
+    runs: dict = field(default_factory=dict)
+    barred: dict = field(default_factory=dict)
+    finished: list = field(default_factory=list)
+    last_end: int = 0
+    waiters: list = field(default_factory=list)
+    hangs_next: int = 0
+
+    def __post_init__(self):
+        self._origin_ms = self.simulation.now_ms
+
+    @property
+    def clock_ms(self):
+        """Return the time on the worker's clock."""
+        return self.clock_start_ms + (self.simulation.now_ms - self._origin_ms) * self.rate
+
+    @property
+    def used_cpu(self):
+        """Return the CPU of all runs, including those being stopped."""
+        return sum(run.cpu for run in self.runs.values())
+
+    def crash(self):
+        """End this incarnation."""
+        self.is_up = False
+        self.runs.clear()
+        self.waiters.clear()
+
+    def start(self, order, respond):
+        """Handle an order to start a run."""
+        if not self._admits(order.fence, respond):
+            return
+        key = (order.task, order.run)
+        run = self.runs.get(key)
+        if run is not None and not run.stopping:
+            self._extend(order.deadline_ms)
+            respond(self._answer(StartOutcome.STARTED))
+        elif order.run <= self.barred.get(order.task, 0):
+            self._extend(order.deadline_ms)
+            respond(self._answer(StartOutcome.STALE_RUN))
+        elif order.deadline_ms <= self.clock_ms:
+            respond(self._answer(StartOutcome.LATE))
+        else:
+            self._extend(order.deadline_ms)
+            self._begin(order)
+            respond(self._answer(StartOutcome.STARTED))
+
+    def _begin(self, order):
+        cpu, run_ms = self.observer.task_size(order.task)
+        hangs = self.hangs_next > 0
+        self.hangs_next -= hangs
+        run = RunModel(order.task, order.run, cpu, hangs)
+        self.runs[(run.task, run.number)] = run
+        self.observer.on_start(self, run)
+        if not hangs:
+            self.simulation.at(run_ms, lambda: self._end(run, "done"))
+
+    def stop(self, task, number, fence, respond):
+        """Handle an order to stop a run."""
+        if not self._admits(fence, respond):
+            return
+        run = self.runs.get((task, number))
+        self.barred[task] = max(number, self.barred.get(task, 0))
+        if run is not None and not run.stopping:
+            run.stopping = True
+            outcome = "done" if self.habits.completes_when_stopped else "stopped"
+            self.simulation.at(self.habits.stop_ms, lambda: self._end(run, outcome))
+        respond(self._answer(StartOutcome.STARTED))
+
+    def pace(self, fence, respond):
+        """Handle an order to set a pace."""
+        if self._admits(fence, respond):
+            respond(self._answer(StartOutcome.STARTED))
+
+    def hold(self, fence, last_seen, deadline_ms, wait_ms, respond):
+        """Handle a renewal."""
+        if not self._admits(fence, respond, is_hold=True):
+            return
+        for ended in self.finished:
+            if ended.number <= last_seen:
+                self.observer.on_acknowledged(self, ended)
+        self.finished = [ended for ended in self.finished if ended.number > last_seen]
+        if deadline_ms is not None:
+            self._extend(deadline_ms)
+        if self.finished or not wait_ms:
+            respond(self._report())
+            return
+        waiter = [respond]
+        self.waiters.append(waiter)
+        self.simulation.at(wait_ms, lambda: self._answer_waiter(waiter))
+
+    def _answer_waiter(self, waiter):
+        if self.is_up and waiter in self.waiters:
+            self.waiters.remove(waiter)
+            waiter[0](self._report())
+
+    def _admits(self, fence, respond, is_hold=False):
+        if self.habits.is_unhealthy:
+            respond(None if is_hold else OrderAnswer(StartOutcome.UNHEALTHY))
+            return False
+        if fence < self.fence:
+            respond(FENCED if is_hold else OrderAnswer(StartOutcome.INVALID, True, self.clock_ms))
+            return False
+        self.fence = fence
+        return True
+
+    def _answer(self, outcome):
+        return OrderAnswer(outcome, False, self.clock_ms)
+
+    def _report(self):
+        running = tuple(
+            RunningTask(run.task, run.number, "", 100, 0 if run.hangs else run.cpu)
+            for run in self.runs.values()
+            if not (run.stopping and self.habits.hides_stopping)
+        )
+        return WorkerReport(self.clock_ms, self.born, running, tuple(self.finished[:MAX_ENDS]))
+
+    def _extend(self, deadline_ms):
+        deadline_ms = min(deadline_ms, self.clock_ms + MAX_HOLD_MS)
+        if deadline_ms > self.deadline_ms:
+            self.deadline_ms = deadline_ms
+            self.simulation.at((deadline_ms - self.clock_ms) / self.rate + 0.001, self._check_lease)
+
+    def _check_lease(self):
+        if self.is_up and self.clock_ms >= self.deadline_ms:
+            self.observer.on_lapsed(self)
+            for run in list(self.runs.values()):
+                self._end(run, "lapsed")
+
+    def _end(self, run, outcome):
+        key = (run.task, run.number)
+        if not self.is_up or self.runs.get(key) is not run:
+            return
+        del self.runs[key]
+        self.barred[run.task] = max(run.number, self.barred.get(run.task, 0))
+        self.last_end += 1
+        ended = EndedTask(self.last_end, run.task, run.number, outcome, "")
+        self.finished.append(ended)
+        self.observer.on_end(self, ended)
+        for waiter in list(self.waiters):
+            self._answer_waiter(waiter)
--- /dev/null
+++ b/tests/lib/queue_world.py
@@ -0,0 +1,362 @@
+"""Real leaders with their elections and effects against model workers, on virtual time.
+
+A case is a list of steps, each a name of a ``World`` method and its arguments, so that it can be
+drawn, shrunk and replayed.
+"""
+
+import json
+import random
+from types import SimpleNamespace
+
+from result import Err, Ok
+
+from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.queues import keys
+from nutmeglb._internal.queues.advice_dispatcher import AdviceDispatcher
+from nutmeglb._internal.queues.election import Election
+from nutmeglb._internal.queues.leader import Leader
+from nutmeglb._internal.queues.live_settings import LiveSettings
+from nutmeglb._internal.queues.loop_lag import LoopLag
+from nutmeglb._internal.queues.settings import QueueSettings
+from nutmeglb._internal.telemetry.metrics import MetricsRegistry
+from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.models.queue_records import (
+    AcceptedJob,
+    LeaderRecord,
+    decode_queue_record,
+    encode_queue_record,
+)
+from tests.lib.queue_gateway_model import GatewayModel
+from tests.lib.queue_single_run import SingleRunRecord
+from tests.lib.queue_store_model import StoreClient, StoreModel
+from tests.lib.queue_worker_model import Habits, Life
+from tests.lib.queues import BATCH, CONFIG, URGENT, job, step, worker_info
+from tests.lib.virtual_time import Simulation
+
+WORKERS = ("w0", "w1", "w2")
+PROCESSES = (0, 1)
+CLOCK_OFFSETS_MS = (0.0, 1_000_000.0)
+RATES = (1.0, 0.98, 0.99)
+CPU = 4_000
+# How long a worker that has crashed stays listed.
+UNLISTED_AFTER_MS = 3_000.0
+# Time after the faults in which every job has to end, far above all leases and back-offs.
+SETTLE_MS = 60_000.0
+JOBS = (
+    (step(2, 1_000, estimate_ms=600.0),),
+    (step(1, 3_000, estimate_ms=3_000.0),),
+    (step(3, 2_000, estimate_ms=1_500.0),),
+    (step(1, 1_000, estimate_ms=300.0), step(1, 4_000, estimate_ms=900.0, after=(0,))),
+    (step(1, 500, estimate_ms=20_000.0),),
+)
+
+
+class LinksStub:
+    """Links to other instances, none of which is connected."""
+
+    followers = ()
+    leader_id = ""
+
+    def on(self, message_type, handler):
+        pass
+
+    def follow(self, leader):
+        pass
+
+    def broadcast(self, message):
+        pass
+
+
+class ProcessModel:
+    """An instance with its own event loop, clock and connection to the store."""
+
+    def __init__(self, world, number, life):
+        self.name = f"e{number}"
+        self._world = world
+        self.loop = world.simulation.new_loop()
+        self.loop.set_exception_handler(lambda loop, context: world.defects.append(context))
+        self.store = StoreClient(world.simulation, world.store)
+        simulation, offset_ms = world.simulation, CLOCK_OFFSETS_MS[number]
+        clock = Clock(lambda: simulation.now_ms + offset_ms, lambda: simulation.now_ms + 1e12)
+        self._clock = clock
+        self._record = LeaderRecord(self.name, f"{self.name}-{life}", "", 0, "")
+        self._rng = random.Random(number)
+        self._live = LiveSettings(world.settings(self.name))
+        self._platform = SimpleNamespace(
+            config_key="op/config",
+            workers_prefix="servers/",
+            store=self.store,
+            workers=GatewayModel(world, number),
+            advice=None,
+            decode_worker=decode_worker,
+        )
+        self._background = BackgroundTasks()
+        self.leader = None
+        links = LinksStub()
+        self._lag = LoopLag(clock, MetricsRegistry())
+        self._advice = AdviceDispatcher(None, links, clock, self._lag)
+        self._links = links
+        self.election = Election(
+            self._live, clock, self._rng, self.store, links,
+            lambda: self._record, self._on_elected, self._on_stepped_down,
+        )  # fmt: skip
+        self.loop.call_soon(self.election.start)
+
+    def write(self, decisions):
+        for decision in decisions:
+            fields = " ".join(f"{name}={value}" for name, value in decision.fields)
+            self._world.note(
+                f"{self.name} {decision.kind} ({decision.cause}) {decision.task}{decision.worker}"
+                f" {fields}"
+            )
+
+    def defect(self, part, error):
+        self._world.defects.append((part, error))
+
+    async def _on_elected(self, term):
+        self._world.note(f"{self.name} leads term {term.number} fence {term.fence}")
+        self.leader = Leader(
+            self._live, self._clock, self._rng, self._platform, self._links, self._advice,
+            self, self._lag, term, self._record.incarnation, self._on_lost,
+        )  # fmt: skip
+        await self.leader.start(CONFIG)
+
+    def _on_lost(self, cause):
+        self._world.note(f"{self.name} lost the leadership: {cause}")
+        self._background.spawn(self.election.step_down(cause))
+
+    async def _on_stepped_down(self, cause):
+        self._world.note(f"{self.name} stepped down: {cause}")
+        leader, self.leader = self.leader, None
+        if leader is not None:
+            await leader.stop()
+
+
+def decode_worker(item):
+    """Return the worker that an entry of the store names."""
+    fields = json.loads(item.value)
+    worker_id = item.key.removeprefix("servers/")
+    return Ok(worker_info(worker_id, fields["cpu"], started_ms=fields["born"]))
+
+
+class World:
+    """Two instances, three workers and the store. Its public methods are the steps of a case."""
+
+    def __init__(self):
+        self.simulation = Simulation()
+        self.store = StoreModel(self.simulation)
+        self.trace = []
+        self.defects = []
+        self.record = SingleRunRecord(self)
+        self.habits = {worker: Habits() for worker in WORKERS}
+        self.lives = {}
+        self.fates = {}
+        self.cuts = {}
+        self.jobs = {}
+        self.cancelled = set()
+        self._lives_of_processes = 0
+        self._born = 1_000
+        for number, worker in enumerate(WORKERS):
+            self._begin_life(worker, CPU, 7_000.0 * number, 0.0)
+        self.processes = [ProcessModel(self, number, 0) for number in PROCESSES]
+        self.advance(1_500)
+
+    def settings(self, name):
+        """Return the settings of an instance."""
+        return QueueSettings.model_validate(
+            {
+                "instance": {"id": name, "failure_domain": "z1"},
+                "listen": dict.fromkeys(("caller", "health", "peer"), "127.0.0.1:0"),
+                "store": {"address": "127.0.0.1:1"},
+            }
+        )
+
+    def note(self, text):
+        """Add a line to the trace."""
+        self.trace.append(f"{self.simulation.now_ms:9.1f} {text}")
+
+    def step_of(self, task):
+        """Return the step of a task."""
+        job_id, _, number, _ = task.split(".")
+        return self.jobs[job_id].steps[int(number)]
+
+    def task_size(self, task):
+        """Return the CPU and the run time of a task."""
+        spec = self.step_of(task)
+        return spec.needs.cpu_millis, spec.estimate_ms
+
+    def _begin_life(self, worker, cpu, clock_start_ms, entry_lag_ms):
+        self._born += 1_000
+        rate = RATES[WORKERS.index(worker)]
+        life = Life(
+            worker, self._born, cpu, rate, clock_start_ms,
+            self.simulation, self.record, self.habits[worker],
+        )  # fmt: skip
+        self.lives[worker] = life
+        self.simulation.at(entry_lag_ms, lambda: self._list_worker(life))
+
+    def _list_worker(self, life):
+        if self.lives[life.worker_id] is not life or not life.is_up:
+            return
+        if self.store.is_down:
+            self.simulation.at(500.0, lambda: self._list_worker(life))
+            return
+        entry = json.dumps({"born": life.born, "cpu": life.cpu}).encode()
+        self.store.put(f"servers/{life.worker_id}", entry)
+
+    def apply(self, name, *arguments):
+        """Apply one step of a case."""
+        self.note(f"STEP {name} {arguments}")
+        getattr(self, name)(*arguments)
+
+    def advance(self, duration_ms):
+        self.simulation.advance(duration_ms)
+
+    def submit(self, kind):
+        job_id = f"{len(self.jobs):016x}"
+        queue = URGENT if kind == 0 else BATCH
+        record = job(job_id, *JOBS[kind % len(JOBS)], queue=queue)
+        self.jobs[job_id] = record
+        revision = self.store.put(keys.accepted(job_id), encode_queue_record(AcceptedJob(record)))
+        for process in self.processes:
+            if process.leader is not None:
+                process.loop.call_soon(process.leader.offer, record, revision)
+
+    def cancel(self, index):
+        if not self.jobs:
+            return
+        job_id = sorted(self.jobs)[index % len(self.jobs)]
+        if keys.final(job_id) in self.store.items:
+            return
+        self.cancelled.add(job_id)
+        self.store.put(keys.cancelled(job_id), b"")
+        for process in self.processes:
+            if process.leader is not None:
+                process.loop.call_soon(process.leader.cancel, job_id)
+
+    def fault(self, worker, call, fate, late_ms):
+        """Set what happens to the next call of a kind to a worker."""
+        self.fates.setdefault((worker, call), []).append((fate, late_ms))
+
+    def cut(self, worker, process, how):
+        """Cut a worker off from an instance: "both", "calls", "answers" or "none"."""
+        self.cuts[(worker, process)] = how
+
+    def restart(self, worker, cpu, down_ms, entry_lag_ms):
+        """Restart a worker under its id. The last one never has too little CPU for a task."""
+        if not self.lives[worker].is_up:
+            return
+        self.note(f"{worker} crashes with {list(self.lives[worker].runs)}")
+        if worker == WORKERS[-1]:
+            cpu = max(cpu, CPU)
+        former = self.lives[worker]
+        former.crash()
+        self.simulation.at(UNLISTED_AFTER_MS, lambda: self._unlist_dead(former))
+        self.simulation.at(down_ms, lambda: self._begin_life(worker, cpu, 0.0, entry_lag_ms))
+
+    def _unlist_dead(self, life):
+        if self.lives[life.worker_id] is life:
+            self.store.remove(f"servers/{life.worker_id}")
+
+    def unlist(self, worker, duration_ms):
+        """Remove the entry of a live worker for a while."""
+        life = self.lives[worker]
+        self.store.remove(f"servers/{worker}")
+        self.simulation.at(duration_ms, lambda: self._list_worker(life))
+
+    def habit(self, worker, stop_ms, hides, completes):
+        """Set what a worker does where the protocol leaves it open."""
+        habits = self.habits[worker]
+        habits.stop_ms, habits.hides_stopping = stop_ms, hides
+        habits.completes_when_stopped = completes
+
+    def health(self, worker, healthy):
+        self.habits[worker].is_unhealthy = not healthy
+
+    def hang(self, worker):
+        """Let the next run on a worker hang."""
+        self.lives[worker].hangs_next += 1
+
+    def pause(self, process):
+        self.processes[process].loop.is_paused = True
+
+    def resume(self, process):
+        self.processes[process].loop.is_paused = False
+
+    def kill(self, process):
+        """End a process and start it again."""
+        former = self.processes[process]
+        former.loop.is_paused = True
+        self.note(f"{former.name} is killed")
+        self._lives_of_processes += 1
+        self.processes[process] = ProcessModel(self, process, self._lives_of_processes)
+
+    def replace(self, process):
+        """Let an instance take the leader's process for ended, as after a refused connection."""
+        election = self.processes[process].election
+        self.processes[process].loop.call_soon(election.note_leader_connection_lost, True)
+
+    def store_down(self, pauses_leases):
+        self.store.set_down(True, pauses_leases)
+
+    def store_up(self):
+        self.store.set_down(False)
+
+    def store_cut(self, process, is_cut):
+        self.processes[process].store.is_cut = is_cut
+
+    def store_fault(self, process, fate, late_ms):
+        """Set what happens to the next write of an instance."""
+        store = self.processes[process].store
+        store.late_ms = late_ms
+        store.next_fates.append(fate)
+
+    def finish(self):
+        """End all faults; then every job has to end and no process may have failed."""
+        self.fates.clear()
+        self.cuts.clear()
+        self.store_up()
+        for habits in self.habits.values():
+            habits.is_unhealthy = False
+        for number in PROCESSES:
+            self.resume(number)
+            self.store_cut(number, False)
+            self.processes[number].store.next_fates.clear()
+        for life in self.lives.values():
+            life.hangs_next = 0
+        waited_ms = 0.0
+        while self._unfinished() and waited_ms < SETTLE_MS:
+            self.advance(500.0)
+            waited_ms += 500.0
+        assert not self._unfinished(), f"not completed: {self._unfinished()}"
+        assert not self.defects, f"a process failed: {self.defects[0]}"
+
+    def close(self):
+        """Drop all processes."""
+        self.simulation.close()
+
+    def _unfinished(self):
+        unfinished = []
+        for job_id in self.jobs:
+            item = self.store.items.get(keys.final(job_id))
+            loaded = decode_queue_record(item[0].value, "") if item else Err(None)
+            final = loaded.ok_value.final if isinstance(loaded, Ok) else ""
+            if final != "completed" and not (final == "cancelled" and job_id in self.cancelled):
+                unfinished.append((job_id, final))
+        return unfinished
+
+
+def replay(steps, finish=True):
+    """Apply the steps of a case to a new world and return the world."""
+    world = World()
+    try:
+        for name, *arguments in steps:
+            world.apply(name, *arguments)
+        if finish:
+            world.finish()
+    except AssertionError as error:
+        error.world = world
+        raise
+    finally:
+        world.close()
+    return world
