Add a soak of queues on real processes with workers of our own

The soak runs platform instances, a metadata store and a fleet of workers as processes, with seeded faults, and checks TWICE and LIMIT on what the workers saw.

--- /dev/null
+++ b/scripts/queue_soak.py
@@ -0,0 +1,115 @@
+"""Randomized run of queues on real processes under load and faults, checked for TWICE and LIMIT."""
+
+import argparse
+import asyncio
+import json
+import sys
+import tempfile
+from collections import Counter
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+from scripts.queue_soak_cell import SoakCell
+from scripts.queue_soak_checks import FleetRecord, SeenViolation, check_record, read_record
+from scripts.queue_soak_faults import QueueFaults
+from scripts.queue_soak_load import SoakLoad
+from scripts.queue_soak_logs import SoakLogs
+from tests.lib.processes import exit_on_sigterm
+
+SHOWN_VIOLATIONS = 20
+SHOWN_RUNS = 12
+# The end of a run that counts as done may be acknowledged after the last start.
+SETTLE_S = 3.0
+
+
+def describe(violation: SeenViolation, record: FleetRecord, logs: SoakLogs) -> str:
+    """Return a violation with its runs, the calls about them, and the lines of the logs."""
+    lines = [f"{violation.rule} at {violation.at_s:.3f}: {violation.detail}"]
+    for run in violation.runs[:SHOWN_RUNS]:
+        lines.append(f"  run {json.dumps(asdict(run))}")
+    if violation.rule == "TWICE":
+        task = violation.runs[0].task
+        lines += [f"  call {json.dumps(c)}" for c in record.calls if c.get("task") == task]
+        lines += [f"  log {json.dumps(line)}" for line in logs.about(violation.runs)]
+    else:
+        lines += [f"  log {json.dumps(line)}" for line in logs.releases(violation)]
+    return "\n".join(lines)
+
+
+def read_events(path: Path) -> list[dict[str, Any]]:
+    """Read a record."""
+    with path.open() as lines:
+        return [json.loads(line) for line in lines]
+
+
+async def run(arguments: argparse.Namespace) -> int:
+    """Run once, print one JSON line and return the exit status."""
+    directory = Path(tempfile.mkdtemp(prefix=f"queue-soak-{arguments.seed}-"))
+    cell = SoakCell(
+        directory,
+        arguments.seed,
+        arguments.instances,
+        arguments.workers,
+        arguments.listed_stopping_share,
+    )
+    try:
+        await cell.start()
+        load = SoakLoad(cell, arguments.seed, arguments.callers)
+        load.start()
+        faults = QueueFaults(cell, arguments.seed, arguments.faults.split(","))
+        usage = asyncio.create_task(_sample_usage(cell))
+        await faults.run(arguments.duration_s)
+        usage.cancel()
+        await load.stop()
+        await asyncio.sleep(SETTLE_S)
+        await cell.stop()
+    finally:
+        cell.kill()
+    record = read_record(read_events(cell.record_file))
+    violations = check_record(record)
+    logs = SoakLogs([instance.log_file for instance in cell.instances])
+    for violation in violations[:SHOWN_VIOLATIONS]:
+        print(describe(violation, record, logs), file=sys.stderr)
+    summary = {
+        "seed": arguments.seed,
+        "duration_s": arguments.duration_s,
+        "faults": dict(sorted(faults.counts.items())),
+        "jobs": dict(sorted(load.counts.items())),
+        "runs": dict(sorted(Counter(run.how or "active" for run in record.runs).items())),
+        "usage": round(sum(USAGE) / len(USAGE), 2) if USAGE else None,
+        "releases": dict(Counter(logs.cause(violation) for violation in violations)),
+        "violations": dict(Counter(violation.rule for violation in violations)),
+        "directory": str(directory),
+    }
+    print(json.dumps(summary), flush=True)
+    return 1 if violations else 0
+
+
+USAGE: list[float] = []
+
+
+async def _sample_usage(cell: SoakCell) -> None:
+    while True:
+        await asyncio.sleep(1.0)
+        usage = await cell.fleet("GET", "/usage")
+        if usage:
+            USAGE.append(usage["used"] / usage["cpu"])
+
+
+def main() -> int:
+    """Parse the arguments, run and return the exit status."""
+    exit_on_sigterm()
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--duration_s", type=float, default=60.0)
+    parser.add_argument("--instances", type=int, default=4)
+    parser.add_argument("--workers", type=int, default=40)
+    parser.add_argument("--callers", type=int, default=60)
+    parser.add_argument("--faults", default="all", help="Kinds of faults, separated by commas.")
+    parser.add_argument("--listed_stopping_share", type=float, default=0.5)
+    return asyncio.run(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/scripts/queue_soak_cell.py
@@ -0,0 +1,238 @@
+"""Processes of the queue soak: metadata store, worker fleet and platform instances."""
+
+import asyncio
+import base64
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from tests.lib.processes import ManagedProcess
+
+HOST = "q.example"
+DOMAINS = ("east", "north", "west")
+CALL_TIMEOUT_S = 5.0
+MAX_CLIENTS = 400
+PREFIXES = ("/jobs/", "/urgent/")
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {
+            "name": f"r-{number}",
+            "host": HOST,
+            "prefix": prefix,
+            "priority": 1 - number,
+            "backend": "pool",
+            "attempts": 4,
+            "stretch": 2.0,
+            "target_duration_ms": 2_000,
+        }
+        for number, prefix in enumerate(PREFIXES)
+    ],
+    "backends": [{"name": "pool"}],
+    "limits": {"max_body_bytes": 262_144},
+}
+
+
+class Instance:
+    """A platform instance as a process. Its standard output is kept in ``log_file``."""
+
+    def __init__(self, name: str, domain: str, store: str, directory: Path) -> None:
+        self.name = name
+        self.log_file = directory / f"{name}.log"
+        self._settings_file = directory / f"{name}.ini"
+        self._process: subprocess.Popen[bytes] | None = None
+        self.address, health, peer = (f"127.0.0.1:{port}" for port in _free_ports(3))
+        self._settings_file.write_text(
+            f"[instance]\nid = {name}\nfailure_domain = {domain}\n"
+            f"[listen]\ncaller = {self.address}\nhealth = {health}\npeer = {peer}\n"
+            f"[store]\naddress = {store}\n"
+            "[queues]\nmax_run_lease_ms = 10000\n[log]\nlines_per_s = 100000\n"
+        )
+
+    @property
+    def running(self) -> bool:
+        """Return whether the process runs."""
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def exit_status(self) -> int | None:
+        """Return the exit status, or ``None`` while the process runs."""
+        return None if self._process is None else self._process.poll()
+
+    def start(self) -> None:
+        """Start the process. Its output is appended to the log."""
+        with self.log_file.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "nutmeglb_platform"],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "NUTMEGLB_BOOT": str(self._settings_file)},
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal unless the process has ended."""
+        if self._process is not None and self.running:
+            self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process and reap it."""
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+
+class SoakCell:
+    """All processes of a run.
+
+    Parameters
+    ----------
+    directory
+        Directory of settings, logs and the fleet's record.
+    listed_stopping_share
+        Share of the workers that list a run as running while it is being stopped.
+    """
+
+    def __init__(
+        self,
+        directory: Path,
+        seed: int,
+        instances: int,
+        workers: int,
+        listed_stopping_share: float,
+    ) -> None:
+        self.record_file = directory / "record.jsonl"
+        self.instances: list[Instance] = []
+        self._directory = directory
+        self._count = instances
+        common = [f"--seed={seed}"]
+        self._store = ManagedProcess(
+            "store",
+            directory,
+            [
+                "-m",
+                "standins.metadata_store_server",
+                f"--instances={instances}",
+                f"--ports_file={directory / 'store.ports.json'}",
+                *common,
+            ],
+        )
+        self._fleet = ManagedProcess(
+            "fleet",
+            directory,
+            [
+                "-m",
+                "standins.worker_fleet_server",
+                f"--workers={workers}",
+                f"--listed_stopping_share={listed_stopping_share}",
+                f"--record={self.record_file}",
+                f"--ports_file={directory / 'fleet.ports.json'}",
+                *common,
+            ],
+        )
+        self._operator = ""
+        self._fleet_control = ""
+
+    async def start(self) -> None:
+        """Start everything and wait for a leader."""
+        AsyncHTTPClient.configure(None, max_clients=MAX_CLIENTS)
+        self._store.start()
+        self._fleet.start()
+        self._operator, *stores = (await self._store.ports())["listeners"]
+        self._fleet_control = (await self._fleet.ports())["control"]
+        await self.put("op/config", CONFIG)
+        for worker_id in await self.fleet("GET", "/entries"):
+            await self.write_entry(worker_id)
+        for number, store in enumerate(stores):
+            domain = DOMAINS[number % len(DOMAINS)]
+            instance = Instance(f"edge-{number}", domain, store, self._directory)
+            instance.start()
+            self.instances.append(instance)
+        async with asyncio.timeout(30.0):
+            while await self.leader() is None:
+                await asyncio.sleep(0.1)
+
+    async def stop(self) -> None:
+        """Stop the fleet and the store, whose records are then complete, and kill the rest."""
+        for process in (self._fleet, self._store):
+            process.send(signal.SIGTERM)
+        for process in (self._fleet, self._store):
+            if process.running:
+                await process.wait(10.0)
+        self.kill()
+
+    def kill(self) -> None:
+        """Kill all processes."""
+        for instance in self.instances:
+            instance.send(signal.SIGCONT)
+            instance.kill()
+        self._fleet.kill()
+        self._store.kill()
+
+    async def leader(self) -> int | None:
+        """Return the number of the instance that the store names as the leader."""
+        status, item = await self.call(
+            "GET", f"http://{self._operator}/v1/kv-key?key=nutmeglb/leader"
+        )
+        if status != 200:
+            return None
+        record = base64.b64decode(item["value"]).decode(errors="replace")
+        return next((n for n, i in enumerate(self.instances) if i.name in record), None)
+
+    async def put(self, key: str, value: Any) -> None:
+        """Write an item as the operator."""
+        encoded = base64.b64encode(json.dumps(value).encode()).decode()
+        puts = [{"key": key, "value": encoded, "lease": 0}]
+        await self.store("/v1/kv-txn", {"expected_rev": [], "puts": puts})
+
+    async def write_entry(self, worker_id: str) -> None:
+        """Write the current entry of a worker to the store."""
+        entries = await self.fleet("GET", "/entries")
+        await self.put(f"servers/{worker_id}", entries[worker_id])
+
+    async def store(self, path: str, body: Any) -> Any:
+        """Send a control call to the store."""
+        return (await self.call("POST", f"http://{self._operator}{path}", body))[1]
+
+    async def fleet(self, method: str, path: str, body: Any = None) -> Any:
+        """Send a control call to the fleet."""
+        return (await self.call(method, f"http://{self._fleet_control}{path}", body))[1]
+
+    async def submit(
+        self, instance: int, method: str, path: str, body: Any = None
+    ) -> tuple[int, Any]:
+        """Send a caller's request to an instance. Status 599 means that there is no response."""
+        return await self.call(method, f"http://{self.instances[instance].address}{path}", body)
+
+    async def call(self, method: str, url: str, body: Any = None) -> tuple[int, Any]:
+        """Send a request and return status and decoded body."""
+        request = HTTPRequest(
+            url,
+            method=method,
+            headers={"Host": HOST, "Deadline-Ms": "3000"},
+            body=json.dumps(body) if body is not None else None,
+            allow_nonstandard_methods=True,
+            request_timeout=CALL_TIMEOUT_S,
+        )
+        try:
+            response = await AsyncHTTPClient().fetch(request, raise_error=False)
+            return response.code, json.loads(response.body or b"null")
+        except (OSError, json.JSONDecodeError):
+            return 599, None
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
--- /dev/null
+++ b/scripts/queue_soak_faults.py
@@ -0,0 +1,188 @@
+"""Seeded faults of the queue soak, in series and overlapping."""
+
+import asyncio
+import random
+import signal
+import subprocess
+import sys
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+from scripts.queue_soak_cell import SoakCell
+
+LEADER_KEY = "nutmeglb/leader"
+BUSY_LOOP = "import time\nend = time.monotonic() + {for_s}\nwhile time.monotonic() < end: pass"
+BUSY_PROCESSES = 10
+# Faults end this long before the end of the run, so that ends are still acknowledged.
+CALM_S = 4.0
+
+
+class QueueFaults:
+    """Injects faults of the chosen kinds until the end of the run."""
+
+    def __init__(self, cell: SoakCell, seed: int, kinds: list[str]) -> None:
+        self.counts: Counter[str] = Counter()
+        self._cell = cell
+        self._rng = random.Random(f"faults {seed}")
+        self._faults: dict[str, Callable[[], Awaitable[None]]] = {
+            "lose": self._lose_answers,
+            "late": self._delay_orders,
+            "cut": self._cut_workers,
+            "mute": self._mute_workers,
+            "slow": self._slow_workers,
+            "unhealthy": self._unhealthy_workers,
+            "restart": self._restart_workers,
+            "freeze": self._freeze_leader,
+            "kill": self._kill_leader,
+            "term": self._terminate_leader,
+            "refuse_leader": self._refuse_leader,
+            "store_down": self._store_down,
+            "store_lossy": self._store_lossy,
+            "unlist": self._unlist_workers,
+            "busy": self._starve,
+        }
+        self._kinds = list(self._faults) if kinds == ["all"] else [k for k in kinds if k]
+        # Some seeds have overlapping faults most of the time, others have calm in between.
+        self._max_gap_s = self._rng.uniform(2.0, 10.0)
+        self._ids: list[str] = []
+        self._busy: list[subprocess.Popen[bytes]] = []
+
+    async def run(self, duration_s: float) -> None:
+        """Start faults at random times, several at once, for the whole duration."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + duration_s
+        self._ids = sorted(await self._cell.fleet("GET", "/entries"))
+        running: set[asyncio.Task[None]] = set()
+        await asyncio.sleep(min(3.0, duration_s / 4))
+        while self._kinds and loop.time() < end_s - CALM_S:
+            kind = self._rng.choice(self._kinds)
+            self.counts[kind] += 1
+            task = asyncio.create_task(self._inject(kind))
+            running.add(task)
+            task.add_done_callback(running.discard)
+            await asyncio.sleep(self._rng.uniform(0.2, self._max_gap_s))
+        await asyncio.gather(*running)
+        await asyncio.sleep(max(0.0, end_s - loop.time()))
+        for process in self._busy:
+            process.wait()
+
+    async def _inject(self, kind: str) -> None:
+        print(f"queue soak: {asyncio.get_running_loop().time():.3f} {kind}", file=sys.stderr)
+        await self._faults[kind]()
+
+    def _some_workers(self, largest_share: float) -> list[str]:
+        share = self._rng.uniform(0.05, largest_share)
+        return self._rng.sample(self._ids, max(1, round(share * len(self._ids))))
+
+    async def _worker_fault(
+        self, kind: str, workers: list[str], for_s: float, share: float = 1.0
+    ) -> None:
+        body = {"workers": workers, "kind": kind, "for_s": for_s, "share": share}
+        await self._cell.fleet("POST", "/fault", body)
+
+    async def _lose_answers(self) -> None:
+        share = self._rng.uniform(0.1, 0.6)
+        await self._worker_fault("lose", self._ids, self._rng.uniform(2, 10), share)
+
+    async def _delay_orders(self) -> None:
+        share = self._rng.uniform(0.05, 0.4)
+        await self._worker_fault("late", self._some_workers(1.0), self._rng.uniform(2, 8), share)
+
+    async def _cut_workers(self) -> None:
+        await self._worker_fault("cut", self._some_workers(0.4), self._rng.uniform(0.5, 12))
+
+    async def _mute_workers(self) -> None:
+        await self._worker_fault("mute", self._some_workers(0.4), self._rng.uniform(0.5, 12))
+
+    async def _slow_workers(self) -> None:
+        await self._worker_fault("slow", self._some_workers(1.0), self._rng.uniform(1, 8), 0.5)
+
+    async def _unhealthy_workers(self) -> None:
+        await self._worker_fault("unhealthy", self._some_workers(0.5), self._rng.uniform(1, 5), 0.3)
+
+    async def _restart_workers(self) -> None:
+        """Restart workers under their ids, some of them behind a cut."""
+        quiet = self._rng.random() < 0.4
+        workers = self._some_workers(0.2)
+        cut_s = self._rng.uniform(0.5, 8)
+        if quiet:
+            await self._worker_fault("cut", workers, cut_s)
+        for worker_id in workers:
+            down_s = self._rng.uniform(0, 4)
+            body = {"worker": worker_id, "down_s": down_s, "quiet": quiet}
+            await self._cell.fleet("POST", "/restart", body)
+            await asyncio.sleep(self._rng.uniform(0, 0.2))
+        await asyncio.sleep(self._rng.uniform(0, 4))
+        for worker_id in workers:
+            await self._cell.write_entry(worker_id)
+
+    async def _freeze_leader(self) -> None:
+        leader = await self._cell.leader()
+        if leader is not None:
+            self._cell.instances[leader].send(signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(0.5, 6))
+            self._cell.instances[leader].send(signal.SIGCONT)
+
+    async def _kill_leader(self) -> None:
+        await self._end_leader(signal.SIGKILL)
+
+    async def _terminate_leader(self) -> None:
+        await self._end_leader(signal.SIGTERM)
+
+    async def _end_leader(self, number: signal.Signals) -> None:
+        leader = await self._cell.leader()
+        if leader is None:
+            return
+        instance = self._cell.instances[leader]
+        instance.send(number)
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            if not instance.running:
+                break
+        await asyncio.sleep(self._rng.uniform(0, 3))
+        if not instance.running:
+            instance.start()
+
+    async def _refuse_leader(self) -> None:
+        """Let the store refuse only the leader, and remove its key at once or not."""
+        leader = await self._cell.leader()
+        if leader is None:
+            return
+        kind = self._rng.choice(("refuse", "refuse", "silent", "reset"))
+        body = {"listeners": [leader + 1], "kind": kind, "for_s": self._rng.uniform(1, 8)}
+        await self._cell.store("/fault", body)
+        if self._rng.random() < 0.5:
+            await self._cell.store("/drop", {"key": LEADER_KEY})
+
+    async def _store_down(self) -> None:
+        for_s = self._rng.uniform(0.5, 7)
+        listeners = list(range(1, len(self._cell.instances) + 1))
+        kind = self._rng.choice(("refuse", "silent", "reset"))
+        await self._cell.store("/fault", {"listeners": listeners, "kind": kind, "for_s": for_s})
+        if self._rng.random() < 0.5:
+            await self._cell.store("/pause-leases", {"for_s": for_s})
+
+    async def _store_lossy(self) -> None:
+        kind = self._rng.choice(("lose", "late", "slow"))
+        body = {
+            "listeners": list(range(1, len(self._cell.instances) + 1)),
+            "kind": kind,
+            "for_s": self._rng.uniform(1, 6),
+            "share": self._rng.uniform(0.1, 0.6),
+        }
+        await self._cell.store("/fault", body)
+
+    async def _unlist_workers(self) -> None:
+        workers = self._some_workers(0.3)
+        for worker_id in workers:
+            await self._cell.store("/remove", {"key": f"servers/{worker_id}"})
+        await asyncio.sleep(self._rng.uniform(0.5, 6))
+        for worker_id in workers:
+            await self._cell.write_entry(worker_id)
+
+    async def _starve(self) -> None:
+        for_s = self._rng.uniform(1, 5)
+        for _ in range(BUSY_PROCESSES):
+            self._busy.append(
+                subprocess.Popen([sys.executable, "-c", BUSY_LOOP.format(for_s=for_s)])
+            )
--- /dev/null
+++ b/standins/worker_fleet_server.py
@@ -0,0 +1,285 @@
+"""Process that serves the workers of a fleet over HTTP, with faults set over a control listener.
+
+Control calls: ``POST /fault`` with ``workers``, ``kind``, ``for_s`` and the fields of the kind adds
+a fault; ``POST /restart`` with ``worker``, ``down_s`` and ``quiet``; ``GET /entries`` returns the
+entries for the metadata store; ``GET /usage`` returns the share of the capacity in use.
+"""
+
+import argparse
+import asyncio
+import json
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TextIO
+
+from nutmeglb._internal.ports_file import write_ports_file
+from standins.light_http import LightRequest, LightServer, NoResponse, Reply
+from standins.worker_fleet import Fleet, FleetWorker, Kind
+
+KINDS = (Kind(4_000, 16_384), Kind(6_000, 16_384), Kind(8_000, 32_768), Kind(16_000, 65_536))
+RACKS = 4
+DOMAINS = ("east", "north", "west")
+MS_PER_S = 1_000.0
+LATE_S = (2.0, 12.0)
+TICK_S = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerFault:
+    """A fault of one worker until a time.
+
+    Attributes
+    ----------
+    kind
+        ``cut``: no effect and no response. ``mute``: effect and no response. ``lose``: the response
+        is lost, as the worker's flavour says. ``late``: effect seconds later and no response.
+        ``unhealthy``: refused with 429 or 503. ``slow``: delays before and after the effect.
+        ``down``: all connections are closed.
+    share
+        Share of the calls that the fault applies to.
+    """
+
+    kind: str
+    until_s: float
+    share: float
+
+
+class FleetServer:
+    """Serves all workers of a fleet."""
+
+    def __init__(self, count: int, seed: int, listed_stopping_share: float, record: TextIO) -> None:
+        self._listed_stopping_share = listed_stopping_share
+        self._rng = random.Random(f"fleet {seed}")
+        self._record_file = record
+        self._fleet = Fleet(random.Random(f"fleet state {seed}"), self._record)
+        self._servers: dict[str, LightServer] = {}
+        self._faults: dict[str, list[WorkerFault]] = {}
+        self._closes_lost: dict[str, bool] = {}
+        self._ended = asyncio.Event()
+        self._late_calls: set[asyncio.Task[None]] = set()
+        self._control = LightServer(self._handle_control)
+        self._ids = [f"w{number:02d}" for number in range(count)]
+
+    async def start(self) -> str:
+        """Start all listeners and return the address of the control listener."""
+        for number, worker_id in enumerate(self._ids):
+            worker = FleetWorker(worker_id, self._rng.choice(KINDS), f"r1-{number % RACKS}")
+            worker.lists_stopping = self._rng.random() < self._listed_stopping_share
+            self._closes_lost[worker_id] = self._rng.random() < 0.5
+            self._faults[worker_id] = []
+            self._fleet.boot(worker, _wall_ms(), time.monotonic())
+            self._servers[worker_id] = LightServer(self._handler(worker))
+            await self._servers[worker_id].start()
+        await self._control.start()
+        return self._control.address
+
+    async def run(self) -> None:
+        """Apply the events that are due, until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._fleet.advance(time.monotonic())
+
+    def _record(self, event: dict[str, Any]) -> None:
+        if event["event"] in ("end", "boot"):
+            self._ended.set()
+            self._ended = asyncio.Event()
+        self._record_file.write(json.dumps(event) + "\n")
+
+    def _handler(self, worker: FleetWorker) -> Callable[[LightRequest], Awaitable[Reply]]:
+        async def handle(request: LightRequest) -> Reply:
+            return await self._handle(worker, request)
+
+        return handle
+
+    async def _handle(self, worker: FleetWorker, request: LightRequest) -> Reply:
+        name = request.path.rpartition("/")[2]
+        kinds = self._draw_faults(worker.worker_id)
+        event = self._order_event(worker, name, request, kinds)
+        if "down" in kinds:
+            reply: Reply = NoResponse.CLOSE
+        elif "cut" in kinds:
+            reply = NoResponse.SILENT
+        elif "unhealthy" in kinds:
+            status = self._rng.choice((429, 503))
+            reply = (status, {"clock_ms": int(worker.clock_ms(time.monotonic()))})
+        elif "late" in kinds:
+            delay_s = self._rng.uniform(*LATE_S)
+            event["late_s"] = round(delay_s, 3)
+            late = asyncio.create_task(self._execute_late(worker, name, request, delay_s))
+            self._late_calls.add(late)
+            late.add_done_callback(self._late_calls.discard)
+            reply = self._lost(worker)
+        else:
+            reply = await self._execute_with_delays(worker, name, request, kinds, event)
+        event["reply"] = reply.value if isinstance(reply, NoResponse) else reply[0]
+        if not isinstance(reply, NoResponse) and "reason" in reply[1]:
+            event["reason"] = reply[1]["reason"]
+        if not isinstance(reply, NoResponse) and "running" in reply[1]:
+            event["running"] = [row[:2] for row in reply[1]["running"]]
+            event["finished"] = [row[0] for row in reply[1]["finished"]]
+        event["replied"] = time.monotonic()
+        self._record(event)
+        return reply
+
+    def _order_event(
+        self, worker: FleetWorker, name: str, request: LightRequest, kinds: set[str]
+    ) -> dict[str, Any]:
+        shown = ("task", "run", "fence_token", "last_seen", "deadline_ms", "wait_ms")
+        return {
+            "t": time.monotonic(),
+            "event": "call",
+            "call": name,
+            "worker": worker.worker_id,
+            "life": worker.life,
+            "reused": request.reused,
+            **{key: request.body[key] for key in shown if key in request.body},
+            **({"faults": sorted(kinds)} if kinds else {}),
+        }
+
+    async def _execute_with_delays(
+        self,
+        worker: FleetWorker,
+        name: str,
+        request: LightRequest,
+        kinds: set[str],
+        event: dict[str, Any],
+    ) -> Reply:
+        if "slow" in kinds and self._rng.random() < 0.5:
+            await asyncio.sleep(self._rng.uniform(0, 0.6))
+        lost = "lose" in kinds
+        if lost and self._closes_lost[worker.worker_id] and self._rng.random() < 0.5:
+            return NoResponse.CLOSE
+        event["executed"] = time.monotonic()
+        reply = await self._execute(worker, name, request)
+        if "slow" in kinds:
+            await asyncio.sleep(self._rng.uniform(0, 0.6))
+        if "mute" in kinds or "cut" in self._draw_faults(worker.worker_id):
+            return NoResponse.SILENT
+        return self._lost(worker) if lost else reply
+
+    def _lost(self, worker: FleetWorker) -> NoResponse:
+        closes = self._closes_lost[worker.worker_id]
+        return NoResponse.CLOSE if closes else NoResponse.SILENT
+
+    async def _execute(self, worker: FleetWorker, name: str, request: LightRequest) -> Reply:
+        if request.headers.get("expect-instance") not in (None, worker.worker_id):
+            return 421, {"clock_ms": int(worker.clock_ms(time.monotonic())), "born": worker.born}
+        life = worker.life
+        deadline_s = time.monotonic() + request.body.get("wait_ms", 0) / MS_PER_S
+        reply = self._fleet.call(worker.worker_id, name, request.body, time.monotonic())
+        if name != "hold" or reply[0] != 200:
+            return reply
+        while not worker.finished and time.monotonic() < deadline_s:
+            ended = self._ended
+            try:
+                async with asyncio.timeout(deadline_s - time.monotonic()):
+                    await ended.wait()
+            except TimeoutError:
+                break
+            if worker.life != life:
+                return NoResponse.CLOSE
+        return 200, self._fleet.report(worker, time.monotonic())
+
+    async def _execute_late(
+        self, worker: FleetWorker, name: str, request: LightRequest, delay_s: float
+    ) -> None:
+        await asyncio.sleep(delay_s)
+        if "down" in self._draw_faults(worker.worker_id):
+            return
+        body = {**request.body, "wait_ms": 0}
+        status, content = self._fleet.call(worker.worker_id, name, body, time.monotonic())
+        event = self._order_event(worker, name, request, set())
+        self._record(event | {"executed_late": status, "reason": content.get("reason", "")})
+
+    def _draw_faults(self, worker_id: str) -> set[str]:
+        now_s = time.monotonic()
+        faults = [fault for fault in self._faults[worker_id] if fault.until_s > now_s]
+        self._faults[worker_id] = faults
+        return {fault.kind for fault in faults if self._rng.random() < fault.share}
+
+    async def _handle_control(self, request: LightRequest) -> Reply:
+        body = request.body
+        match request.path:
+            case "/fault":
+                until_s = time.monotonic() + body["for_s"]
+                for worker_id in body["workers"]:
+                    fault = WorkerFault(body["kind"], until_s, body.get("share", 1.0))
+                    self._faults[worker_id].append(fault)
+                self._record({"t": time.monotonic(), "event": "fault", **body})
+            case "/restart":
+                self._restart(body["worker"], body["down_s"], body.get("quiet", False))
+            case "/usage":
+                return 200, self._usage()
+            case "/entries":
+                workers = self._fleet.workers.values()
+                return 200, {worker.worker_id: self._entry(worker) for worker in workers}
+        return 200, {}
+
+    def _restart(self, worker_id: str, down_s: float, quiet: bool) -> None:
+        """Restart a worker. After a quiet restart its open connections are not closed."""
+        worker = self._fleet.workers[worker_id]
+        if self._rng.random() < 0.5:
+            worker.kind = self._rng.choice(KINDS)
+        # A worker's clock starts at its restart, and calls get no answer until it is up again.
+        self._fleet.boot(worker, _wall_ms() + int(down_s * MS_PER_S), time.monotonic())
+        if not quiet:
+            self._servers[worker_id].close_connections()
+            self._faults[worker_id].append(WorkerFault("down", time.monotonic() + down_s, 1.0))
+
+    def _usage(self) -> dict[str, float]:
+        workers = self._fleet.workers.values()
+        used = sum(run.cpu for worker in workers for run in worker.runs.values())
+        return {"used": used, "cpu": sum(worker.kind.cpu for worker in workers)}
+
+    def _entry(self, worker: FleetWorker) -> dict[str, Any]:
+        number = self._ids.index(worker.worker_id)
+        return {
+            "backend": "pool",
+            "address": self._servers[worker.worker_id].address,
+            "zone": DOMAINS[number % len(DOMAINS)],
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "capacity": {"cpu": worker.kind.cpu, "mem_mb": worker.kind.mem_mb, "gpu": 0},
+            "labels": ["a", worker.rack],
+            "born": worker.born,
+            "seq": 1,
+        }
+
+
+def _wall_ms() -> int:
+    return int(time.time() * MS_PER_S)
+
+
+async def _main(arguments: argparse.Namespace) -> None:
+    with Path(arguments.record).open("w", buffering=65_536) as record:
+        server = FleetServer(
+            arguments.workers, arguments.seed, arguments.listed_stopping_share, record
+        )
+        write_ports_file(arguments.ports_file, {"control": await server.start()})
+        task = asyncio.create_task(server.run())
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        try:
+            await task
+        except asyncio.CancelledError:
+            return
+
+
+def main() -> None:
+    """Parse the arguments and serve until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--workers", type=int, default=40)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--listed_stopping_share", type=float, default=0.5)
+    parser.add_argument("--record", required=True)
+    parser.add_argument("--ports_file", required=True)
+    asyncio.run(_main(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
