Soak: record fence and delay of orders, and let a restart end whole gangs

A restart of a worker with two members of a gang failed with a KeyError, so that its life went on. What the protocol leaves open is now an argument: listing of stopping runs, capacity after a restart, late calls on a restarted worker.

--- a/scripts/queue_soak.py
+++ b/scripts/queue_soak.py
@@ -21,6 +21,12 @@
 SHOWN_RUNS = 12
 # The end of a run that counts as done may be acknowledged after the last start.
 SETTLE_S = 3.0
+# What the protocol leaves open, with default and meaning.
+FLEET_ARGUMENTS = {
+    "listed_stopping_share": (0.5, "Share of the workers that list a run while it is stopped."),
+    "kind_change_share": (0.5, "Share of the restarts that may change a worker's capacity."),
+    "late_calls_cross_lives": (1, "Whether a late call has its effect on a restarted worker."),
+}
 
 
 def describe(violation: SeenViolation, record: FleetRecord, logs: SoakLogs) -> str:
@@ -51,7 +57,7 @@
         arguments.seed,
         arguments.instances,
         arguments.workers,
-        arguments.listed_stopping_share,
+        [f"--{name}={getattr(arguments, name)}" for name in FLEET_ARGUMENTS],
     )
     try:
         await cell.start()
@@ -107,7 +113,8 @@
     parser.add_argument("--workers", type=int, default=40)
     parser.add_argument("--callers", type=int, default=60)
     parser.add_argument("--faults", default="all", help="Kinds of faults, separated by commas.")
-    parser.add_argument("--listed_stopping_share", type=float, default=0.5)
+    for name, (default, text) in FLEET_ARGUMENTS.items():
+        parser.add_argument(f"--{name}", type=type(default), default=default, help=text)
     return asyncio.run(run(parser.parse_args()))
 
 
--- a/scripts/queue_soak_cell.py
+++ b/scripts/queue_soak_cell.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -96,8 +97,8 @@
     ----------
     directory
         Directory of settings, logs and the fleet's record.
-    listed_stopping_share
-        Share of the workers that list a run as running while it is being stopped.
+    fleet_arguments
+        Arguments of the fleet for what the protocol leaves open.
     """
 
     def __init__(
@@ -106,7 +107,7 @@
         seed: int,
         instances: int,
         workers: int,
-        listed_stopping_share: float,
+        fleet_arguments: Sequence[str],
     ) -> None:
         self.record_file = directory / "record.jsonl"
         self.instances: list[Instance] = []
@@ -131,7 +132,7 @@
                 "-m",
                 "standins.worker_fleet_server",
                 f"--workers={workers}",
-                f"--listed_stopping_share={listed_stopping_share}",
+                *fleet_arguments,
                 f"--record={self.record_file}",
                 f"--ports_file={directory / 'fleet.ports.json'}",
                 *common,
@@ -156,7 +157,7 @@
             instance.start()
             self.instances.append(instance)
         async with asyncio.timeout(30.0):
-            while await self.leader() is None:
+            while await self.leader() is None or not await self._all_answer():
                 await asyncio.sleep(0.1)
 
     async def stop(self) -> None:
@@ -186,6 +187,12 @@
         record = base64.b64decode(item["value"]).decode(errors="replace")
         return next((n for n, i in enumerate(self.instances) if i.name in record), None)
 
+    async def _all_answer(self) -> bool:
+        """Return whether every instance serves callers."""
+        numbers = range(len(self.instances))
+        answers = [await self.submit(number, "GET", PREFIXES[0]) for number in numbers]
+        return all(status == 200 for status, _ in answers)
+
     async def put(self, key: str, value: Any) -> None:
         """Write an item as the operator."""
         encoded = base64.b64encode(json.dumps(value).encode()).decode()
--- a/scripts/queue_soak_checks.py
+++ b/scripts/queue_soak_checks.py
@@ -20,6 +20,8 @@
     cpu: int
     mem_mb: int
     started_s: float
+    fence: int = 0
+    late_s: float = 0.0
     ended_s: float = float("inf")
     how: str = ""
     end: int = 0
@@ -68,7 +70,14 @@
                 record.capacities[life] = (event["cpu"], event["mem_mb"])
             case "start":
                 run = SeenRun(
-                    *life, event["task"], event["run"], event["cpu"], event["mem_mb"], event["t"]
+                    *life,
+                    event["task"],
+                    event["run"],
+                    event["cpu"],
+                    event["mem_mb"],
+                    event["t"],
+                    event.get("fence", 0),
+                    event.get("late_s", 0.0),
                 )
                 active[(*life, run.task, run.number)] = run
                 record.runs.append(run)
--- a/scripts/queue_soak_logs.py
+++ b/scripts/queue_soak_logs.py
@@ -59,7 +59,11 @@
 
     def cause(self, violation: SeenViolation) -> str:
         """Return rule and cause of the last release before a violation."""
+        if any(run.late_s for run in violation.runs):
+            return f"{violation.rule} late order"
         lines = self.releases(violation)
+        if len({run.fence for run in violation.runs}) > 1:
+            return f"{violation.rule} several leaders"
         if not lines:
             return f"{violation.rule} no release"
         last = max(lines, key=lambda line: float(line["at_ms"]))
--- a/standins/worker_fleet.py
+++ b/standins/worker_fleet.py
@@ -154,12 +154,27 @@
         """End everything that runs on a worker without listing it."""
         self.advance(now_s)
         for key in list(worker.runs):
-            self._end(worker, key, CRASHED, now_s)
-
-    def call(self, worker_id: str, name: str, body: dict[str, Any], now_s: float) -> Answer:
+            # The end of a member of a gang ends the others.
+            if key in worker.runs:
+                self._end(worker, key, CRASHED, now_s)
+
+    def call(
+        self,
+        worker_id: str,
+        name: str,
+        body: dict[str, Any],
+        now_s: float,
+        *,
+        late_s: float = 0.0,
+    ) -> Answer:
         """Carry out a call and return status and body of its answer.
 
         A ``hold`` is answered at once; use ``report`` for an answer after a wait.
+
+        Parameters
+        ----------
+        late_s
+            How long the call was held up, for the record.
         """
         self.advance(now_s)
         worker = self.workers[worker_id]
@@ -168,7 +183,7 @@
             return 409, self._content(worker, now_s, reason="fence")
         worker.fence = fence
         if name == "run-start":
-            reason = self._start(worker, body, now_s)
+            reason = self._start(worker, body, now_s, late_s)
             if reason:
                 return 409, self._content(worker, now_s, reason=reason)
         elif name == "run-stop":
@@ -193,7 +208,7 @@
     def _content(self, worker: FleetWorker, now_s: float, **fields: Any) -> dict[str, Any]:
         return {"clock_ms": int(worker.clock_ms(now_s)), "born": worker.born, **fields}
 
-    def _start(self, worker: FleetWorker, body: dict[str, Any], now_s: float) -> str:
+    def _start(self, worker: FleetWorker, body: dict[str, Any], now_s: float, late_s: float) -> str:
         """Start a run. Return the reason of a refusal."""
         task, number = body["task"], body["run"]
         self._extend_lease(worker, body["deadline_ms"], now_s)
@@ -206,7 +221,7 @@
             return "late"
         run = _decode_run(task, number, body["spec"])
         worker.runs[(task, number)] = run
-        self._log(worker, "start", run, now_s)
+        self._log(worker, "start", run, now_s, fence=worker.fence, late_s=late_s)
         if run.gang_size:
             self._join_gang(worker, run, now_s)
         elif run.ends_as:
--- a/standins/worker_fleet_server.py
+++ b/standins/worker_fleet_server.py
@@ -51,8 +51,11 @@
 class FleetServer:
     """Serves all workers of a fleet."""
 
-    def __init__(self, count: int, seed: int, listed_stopping_share: float, record: TextIO) -> None:
-        self._listed_stopping_share = listed_stopping_share
+    def __init__(self, arguments: argparse.Namespace, record: TextIO) -> None:
+        seed = arguments.seed
+        self._listed_stopping_share = arguments.listed_stopping_share
+        self._kind_change_share = arguments.kind_change_share
+        self._late_calls_cross_lives = bool(arguments.late_calls_cross_lives)
         self._rng = random.Random(f"fleet {seed}")
         self._record_file = record
         self._fleet = Fleet(random.Random(f"fleet state {seed}"), self._record)
@@ -62,7 +65,7 @@
         self._ended = asyncio.Event()
         self._late_calls: set[asyncio.Task[None]] = set()
         self._control = LightServer(self._handle_control)
-        self._ids = [f"w{number:02d}" for number in range(count)]
+        self._ids = [f"w{number:02d}" for number in range(arguments.workers)]
 
     async def start(self) -> str:
         """Start all listeners and return the address of the control listener."""
@@ -187,11 +190,15 @@
     async def _execute_late(
         self, worker: FleetWorker, name: str, request: LightRequest, delay_s: float
     ) -> None:
+        life = worker.life
         await asyncio.sleep(delay_s)
-        if "down" in self._draw_faults(worker.worker_id):
+        is_lost = worker.life != life and not self._late_calls_cross_lives
+        if is_lost or "down" in self._draw_faults(worker.worker_id):
             return
         body = {**request.body, "wait_ms": 0}
-        status, content = self._fleet.call(worker.worker_id, name, body, time.monotonic())
+        status, content = self._fleet.call(
+            worker.worker_id, name, body, time.monotonic(), late_s=delay_s
+        )
         event = self._order_event(worker, name, request, set())
         self._record(event | {"executed_late": status, "reason": content.get("reason", "")})
 
@@ -222,7 +229,7 @@
     def _restart(self, worker_id: str, down_s: float, quiet: bool) -> None:
         """Restart a worker. After a quiet restart its open connections are not closed."""
         worker = self._fleet.workers[worker_id]
-        if self._rng.random() < 0.5:
+        if self._rng.random() < self._kind_change_share:
             worker.kind = self._rng.choice(KINDS)
         # A worker's clock starts at its restart, and calls get no answer until it is up again.
         self._fleet.boot(worker, _wall_ms() + int(down_s * MS_PER_S), time.monotonic())
@@ -258,9 +265,7 @@
 
 async def _main(arguments: argparse.Namespace) -> None:
     with Path(arguments.record).open("w", buffering=65_536) as record:
-        server = FleetServer(
-            arguments.workers, arguments.seed, arguments.listed_stopping_share, record
-        )
+        server = FleetServer(arguments, record)
         write_ports_file(arguments.ports_file, {"control": await server.start()})
         task = asyncio.create_task(server.run())
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
@@ -276,6 +281,8 @@
     parser.add_argument("--workers", type=int, default=40)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--listed_stopping_share", type=float, default=0.5)
+    parser.add_argument("--kind_change_share", type=float, default=0.5)
+    parser.add_argument("--late_calls_cross_lives", type=int, default=1)
     parser.add_argument("--record", required=True)
     parser.add_argument("--ports_file", required=True)
     asyncio.run(_main(parser.parse_args()))
--- a/tests/unit/test_worker_fleet.py
+++ b/tests/unit/test_worker_fleet.py
@@ -135,6 +135,16 @@
     assert world.ends() == [(TASK, "stopped"), (PEER, "broken")]
 
 
+def test_restart_ends_all_members_of_a_gang_on_the_worker():
+    """Guards against a restart that fails because the end of a member ends the others."""
+    world = FleetWorld()
+    world.start(gang=2, work_ms=60_000)
+    world.start(task=PEER, gang=2, work_ms=60_000)
+    world.fleet.boot(world.worker, 2, 1.0)
+    assert world.ends() == [(TASK, "crashed"), (PEER, "broken")]
+    assert world.worker.runs == {}
+
+
 def test_restarted_worker_knows_nothing_of_before():
     world = FleetWorld()
     world.start(work_ms=60_000)
