Soak: lose a few answers on kept-alive connections while calls are refused

The HTTP client sends a call again by itself when such a connection closes, and the leader takes the refusal of the second copy for a refusal of the order.

--- a/scripts/queue_soak_faults.py
+++ b/scripts/queue_soak_faults.py
@@ -31,6 +31,7 @@
             "mute": self._mute_workers,
             "slow": self._slow_workers,
             "unhealthy": self._unhealthy_workers,
+            "resend": self._lose_and_refuse,
             "restart": self._restart_workers,
             "freeze": self._freeze_leader,
             "kill": self._kill_leader,
@@ -100,6 +101,15 @@
     async def _unhealthy_workers(self) -> None:
         await self._worker_fault("unhealthy", self._some_workers(0.5), self._rng.uniform(1, 5), 0.3)
 
+    async def _lose_and_refuse(self) -> None:
+        """Close a few connections without a response while many calls are refused.
+
+        The HTTP client sends a call again by itself when a kept-alive connection closes.
+        """
+        workers, for_s = self._some_workers(1.0), self._rng.uniform(4, 10)
+        await self._worker_fault("lose", workers, for_s, 0.04)
+        await self._worker_fault("unhealthy", workers, for_s, 0.4)
+
     async def _restart_workers(self) -> None:
         """Restart workers under their ids, some of them behind a cut."""
         quiet = self._rng.random() < 0.4
