--- a/scripts/queue_soak.py
+++ b/scripts/queue_soak.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import json
+import statistics
 import sys
 import tempfile
 from collections import Counter
@@ -59,14 +60,15 @@
         arguments.workers,
         [f"--{name}={getattr(arguments, name)}" for name in FLEET_ARGUMENTS],
     )
+    usage: list[float] = []
     try:
         await cell.start()
         load = SoakLoad(cell, arguments.seed, arguments.callers)
         load.start()
         faults = QueueFaults(cell, arguments.seed, arguments.faults.split(","))
-        usage = asyncio.create_task(_sample_usage(cell))
+        sampler = asyncio.create_task(_sample_usage(cell, usage))
         await faults.run(arguments.duration_s)
-        usage.cancel()
+        sampler.cancel()
         await load.stop()
         await asyncio.sleep(SETTLE_S)
         await cell.stop()
@@ -83,24 +85,23 @@
         "faults": dict(sorted(faults.counts.items())),
         "jobs": dict(sorted(load.counts.items())),
         "runs": dict(sorted(Counter(run.how or "active" for run in record.runs).items())),
-        "usage": round(sum(USAGE) / len(USAGE), 2) if USAGE else None,
+        "usage": round(statistics.fmean(usage), 2) if usage else None,
+        "errors": logs.errors(),
+        "standin_errors": cell.standin_errors(),
         "releases": dict(Counter(logs.cause(violation) for violation in violations)),
         "violations": dict(Counter(violation.rule for violation in violations)),
         "directory": str(directory),
     }
     print(json.dumps(summary), flush=True)
-    return 1 if violations else 0
+    return 1 if violations or summary["standin_errors"] else 0
 
 
-USAGE: list[float] = []
-
-
-async def _sample_usage(cell: SoakCell) -> None:
+async def _sample_usage(cell: SoakCell, samples: list[float]) -> None:
     while True:
         await asyncio.sleep(1.0)
         usage = await cell.fleet("GET", "/usage")
         if usage:
-            USAGE.append(usage["used"] / usage["cpu"])
+            samples.append(usage["used"] / usage["cpu"])
 
 
 def main() -> int:
--- a/scripts/queue_soak_cell.py
+++ b/scripts/queue_soak_cell.py
@@ -20,6 +20,8 @@
 DOMAINS = ("east", "north", "west")
 CALL_TIMEOUT_S = 5.0
 MAX_CLIENTS = 400
+# Logged by asyncio for a connection whose handler has failed.
+UNHANDLED = "Task exception was never retrieved"
 PREFIXES = ("/jobs/", "/urgent/")
 CONFIG = {
     "version": 1,
@@ -169,6 +171,11 @@
                 await process.wait(10.0)
         self.kill()
 
+    def standin_errors(self) -> int:
+        """Return the number of unexpected exceptions in the stand-ins."""
+        texts = [process.log_file.read_text() for process in (self._store, self._fleet)]
+        return sum(text.count(UNHANDLED) for text in texts)
+
     def kill(self) -> None:
         """Kill all processes."""
         for instance in self.instances:
--- a/scripts/queue_soak_faults.py
+++ b/scripts/queue_soak_faults.py
@@ -53,16 +53,14 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + duration_s
         self._ids = sorted(await self._cell.fleet("GET", "/entries"))
-        running: set[asyncio.Task[None]] = set()
+        injected: list[asyncio.Task[None]] = []
         await asyncio.sleep(min(3.0, duration_s / 4))
         while self._kinds and loop.time() < end_s - CALM_S:
             kind = self._rng.choice(self._kinds)
             self.counts[kind] += 1
-            task = asyncio.create_task(self._inject(kind))
-            running.add(task)
-            task.add_done_callback(running.discard)
+            injected.append(asyncio.create_task(self._inject(kind)))
             await asyncio.sleep(self._rng.uniform(0.2, self._max_gap_s))
-        await asyncio.gather(*running)
+        await asyncio.gather(*injected)
         await asyncio.sleep(max(0.0, end_s - loop.time()))
         for process in self._busy:
             process.wait()
--- a/scripts/queue_soak_logs.py
+++ b/scripts/queue_soak_logs.py
@@ -1,6 +1,7 @@
 """Decision lines of the instances, to trace why a run was released."""
 
 import json
+from collections import Counter
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
@@ -10,6 +11,7 @@
 MS_PER_S = 1_000.0
 # Lines about a worker or a leader are shown from this long before a violation.
 CONTEXT_S = 15.0
+ERROR_CHARACTERS = 100
 RELEASE_KINDS = ("runs_ended", "start_refused")
 WORKER_KINDS = ("worker_silent", "worker_restarted", "worker_unlisted", "workers_waited_out")
 LEADER_MESSAGES = (
@@ -46,6 +48,11 @@
             or (_is_near(line, at_s) and _is_context(line, workers))
         ]
 
+    def errors(self) -> dict[str, int]:
+        """Return how often each error is in the logs."""
+        lines = [line for line in self._lines if line.get("level") in ("error", "critical")]
+        return dict(Counter(str(line.get("text", ""))[:ERROR_CHARACTERS] for line in lines))
+
     def releases(self, violation: SeenViolation) -> list[dict[str, Any]]:
         """Return the lines that release runs which are active at a violation."""
         at_ms = violation.at_s * MS_PER_S
