--- a/standins/worker_fleet_server.py
+++ b/standins/worker_fleet_server.py
@@ -263,16 +263,15 @@
     return int(time.time() * MS_PER_S)
 
 
-async def _main(arguments: argparse.Namespace) -> None:
-    with Path(arguments.record).open("w", buffering=65_536) as record:
-        server = FleetServer(arguments, record)
-        write_ports_file(arguments.ports_file, {"control": await server.start()})
-        task = asyncio.create_task(server.run())
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-        try:
-            await task
-        except asyncio.CancelledError:
-            return
+async def _main(arguments: argparse.Namespace, record: TextIO) -> None:
+    server = FleetServer(arguments, record)
+    write_ports_file(arguments.ports_file, {"control": await server.start()})
+    task = asyncio.create_task(server.run())
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        await task
+    except asyncio.CancelledError:
+        return
 
 
 def main() -> None:
@@ -285,7 +284,9 @@
     parser.add_argument("--late_calls_cross_lives", type=int, default=1)
     parser.add_argument("--record", required=True)
     parser.add_argument("--ports_file", required=True)
-    asyncio.run(_main(parser.parse_args()))
+    arguments = parser.parse_args()
+    with Path(arguments.record).open("w", buffering=65_536) as record:
+        asyncio.run(_main(arguments, record))
 
 
 if __name__ == "__main__":
