--- a/scripts/queue_soak.py
+++ b/scripts/queue_soak.py
@@ -63,7 +63,7 @@
     usage: list[float] = []
     try:
         await cell.start()
-        load = SoakLoad(cell, arguments.seed, arguments.callers)
+        load = SoakLoad(cell, arguments.seed, arguments.callers, arguments.longest_ms)
         load.start()
         faults = QueueFaults(cell, arguments.seed, arguments.faults.split(","))
         sampler = asyncio.create_task(_sample_usage(cell, usage))
@@ -113,6 +113,7 @@
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--workers", type=int, default=40)
     parser.add_argument("--callers", type=int, default=60)
+    parser.add_argument("--longest_ms", type=int, default=4_000, help="Longest estimate of tasks.")
     parser.add_argument("--faults", default="all", help="Kinds of faults, separated by commas.")
     for name, (default, text) in FLEET_ARGUMENTS.items():
         parser.add_argument(f"--{name}", type=type(default), default=default, help=text)
--- a/scripts/queue_soak_load.py
+++ b/scripts/queue_soak_load.py
@@ -18,11 +18,12 @@
 class SoakLoad:
     """A fixed number of callers, each with one open job at a time."""
 
-    def __init__(self, cell: SoakCell, seed: int, callers: int) -> None:
+    def __init__(self, cell: SoakCell, seed: int, callers: int, longest_ms: int) -> None:
         self.counts: Counter[str] = Counter()
         self._cell = cell
         self._seed = seed
         self._callers = callers
+        self._longest_ms = longest_ms
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -40,7 +41,7 @@
     async def _run_caller(self, rng: random.Random) -> None:
         while True:
             path = rng.choice(PREFIXES) + f"{rng.getrandbits(64):016x}"
-            body = job_body(rng)
+            body = job_body(rng, self._longest_ms)
             if await self._submit(rng, path, body):
                 await self._follow(rng, path)
 
@@ -83,14 +84,14 @@
         return await self._cell.submit(rng.choice(running), method, path, body)
 
 
-def job_body(rng: random.Random) -> dict[str, Any]:
+def job_body(rng: random.Random, longest_ms: int) -> dict[str, Any]:
     """Return a submission of one to three steps, some of which are gangs."""
     steps: list[dict[str, Any]] = []
     actions = []
     for number in range(rng.choice((1, 1, 2, 3))):
         is_gang = rng.random() < GANG_SHARE
         count = rng.randint(2, 6) if is_gang else rng.randint(3, 20)
-        work_ms = round(rng.uniform(300, 4_000))
+        work_ms = round(rng.uniform(300, longest_ms))
         needs = {"cpu": rng.choice((250, 500, 1_000, 2_000)), "mem_mb": rng.choice((128, 1_024))}
         step = {"count": count, **needs, "estimate_ms": work_ms}
         if is_gang:
