--- a/scripts/queue_soak.py
+++ b/scripts/queue_soak.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import json
+import logging
 import statistics
 import sys
 import tempfile
@@ -107,6 +108,8 @@
 def main() -> int:
     """Parse the arguments, run and return the exit status."""
     exit_on_sigterm()
+    # Tornado reports every call that is still open when the callers are stopped.
+    logging.getLogger("tornado.application").setLevel(logging.CRITICAL)
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--duration_s", type=float, default=60.0)
