--- a/tests/lib/queue_gateway_model.py
+++ b/tests/lib/queue_gateway_model.py
@@ -11,9 +11,9 @@
 
 TIMEOUT_MS = 400.0
 HOP_MS = 1.0
-# The HTTP client sends each call at most once (test_http_resend.py), so no call that is answered has
-# a copy that arrives later. Per fate of a call: the delay of each of its executions and the one that is answered, where "late"
-# stands for the drawn delay; the last value delays the answer.
+# Per fate of a call: the delay of each of its executions, the one that is answered, and the delay
+# of the answer. The HTTP client sends each call at most once (test_http_resend.py), so no answered
+# call has a copy that arrives later. LATE stands for the drawn delay.
 LATE = "late"
 FATES = {
     "": ([HOP_MS], 0, HOP_MS),
