--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES := packages platform standins scripts measure tests
 EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 
-.PHONY: run test measure soak check format venv bench report
+.PHONY: run test measure soak queue-soak check format venv bench report
 
 venv: $(VENV)/.installed
 
@@ -30,6 +30,9 @@
 soak: venv
 	$(BIN)/python -m scripts.soak --seed=$(SEED) --duration_s=$(DURATION_S)
 
+queue-soak: venv
+	$(BIN)/python -m scripts.queue_soak --seed=$(SEED) --duration_s=$(DURATION_S)
+
 format: venv
 	$(BIN)/black --quiet $(SOURCES)
 	$(BIN)/ruff check --quiet --fix $(SOURCES)
