--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
@@ -2,14 +2,15 @@
 
 A report lists active runs and ends that are not acknowledged. A run may be in neither list while it
 is being stopped, since its end is listed only when its capacity is free. So absence alone proves no
-end. It does once the worker has restarted, or has rejected the number of the run for good.
+end. It does if the worker has restarted since it had the run, or long enough after it accepted a
+stop of the run.
 """
 
 from collections.abc import Container
 
 from nutmeglb_decisions.queues import presumed_ends
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.lifecycle import end_run, repeat_stop, stop_run
+from nutmeglb_decisions.queues.lifecycle import end_run, repeat_stop
 from nutmeglb_decisions.queues.state import Run, RunState, Worker
 
 # Outcome of a run that cannot be active any more, without a reported end.
@@ -21,7 +22,6 @@
     worker: Worker,
     running: Container[tuple[str, int]],
     sent_ms: float,
-    has_restarted: bool,
     now_ms: float,
     wall_ms: float,
 ) -> list[Run]:
@@ -33,8 +33,6 @@
         Task and run number of the active runs in the report.
     sent_ms
         Time at which the report was requested. Runs confirmed later may be missing from it.
-    has_restarted
-        Whether this is the first report of the worker's current incarnation.
     """
     absent = [
         run
@@ -43,35 +41,43 @@
     ]
     ended = []
     for run in absent:
-        if _has_certainly_ended(cell, run, sent_ms, has_restarted):
+        if _has_certainly_ended(cell, worker, run, sent_ms):
             presumed_ends.record(cell, run, LOST, now_ms)
             end_run(cell, run, LOST, "", now_ms, wall_ms)
             ended.append(run)
-        elif has_restarted:
-            # An unanswered copy of the order may still reach the current incarnation.
-            repeat_stop(cell, run)
-        elif run.state == RunState.RUNNING:
-            cell.log_decision(
-                "run_absent",
-                "not in the report of its worker",
-                task=run.task,
-                worker=run.worker_id,
-                run=run.number,
-                confirmed_ms_ago=round(now_ms - (run.confirmed_ms or now_ms)),
-            )
-            stop_run(cell, run)
+        elif not _is_stop_accepted(worker, run):
+            _stop_absent_run(cell, run, now_ms)
     return ended
 
 
-def _has_certainly_ended(cell: Cell, run: Run, sent_ms: float, has_restarted: bool) -> bool:
-    if has_restarted:
-        return not run.unanswered_orders
-    if run.state == RunState.ORDERED:
-        # Confirmed without being active: the worker has refused the number as used or barred.
+def _has_certainly_ended(cell: Cell, worker: Worker, run: Run, sent_ms: float) -> bool:
+    confirmed_ms = run.confirmed_ms or 0.0
+    is_of_former_life = (
+        run.worker_started_ms != worker.started_ms and confirmed_ms <= worker.former_report_ms
+    )
+    if is_of_former_life and not run.unanswered_orders:
         return True
-    if run.state != RunState.STOPPING or run.confirmed_ms is None:
-        return False
-    return sent_ms >= run.confirmed_ms + cell.stop_ends_after_ms
+    return _is_stop_accepted(worker, run) and sent_ms >= confirmed_ms + cell.stop_ends_after_ms
+
+
+def _is_stop_accepted(worker: Worker, run: Run) -> bool:
+    """Return whether the current incarnation has accepted a stop of a run."""
+    return run.state == RunState.STOPPING and run.stop_accepted_by == worker.started_ms
+
+
+def _stop_absent_run(cell: Cell, run: Run, now_ms: float) -> None:
+    """Order a stop, after which the worker can neither continue the run nor start it late."""
+    cell.log_decision(
+        "run_absent",
+        "not in the report of its worker",
+        task=run.task,
+        worker=run.worker_id,
+        run=run.number,
+        state=run.state,
+        unanswered_orders=run.unanswered_orders,
+        confirmed_ms_ago=round(now_ms - (run.confirmed_ms or now_ms)),
+    )
+    repeat_stop(cell, run)
 
 
 def next_proof_ms(cell: Cell, worker: Worker, since_ms: float) -> float | None:
@@ -80,7 +86,7 @@
     Parameters
     ----------
     since_ms
-        Time at which the last report was requested. What it could prove is not waited for again.
+        Time at which the last report was requested. Proofs that it could give are left out.
     """
     stopped_ms = [run.confirmed_ms for run in worker.runs.values() if _is_stopping(run)]
     stopped_ms += worker.stray_runs.values()
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -92,10 +92,10 @@
 
 
 def is_start_wanted(cell: Cell, worker_id: str, task: str, number: int) -> bool:
-    """Return whether a start order may be sent: its run has neither been ended nor stopped."""
+    """Return whether a start order is to be sent: its run is not ended, stopped or shown active."""
     worker = cell.workers.get(worker_id)
     run = worker.runs.get((task, number)) if worker else None
-    return run is not None and run.state != RunState.STOPPING
+    return run is not None and run.state == RunState.ORDERED
 
 
 def is_placed_on_current_incarnation(cell: Cell, worker_id: str, task: str, number: int) -> bool:
@@ -122,6 +122,7 @@
     run = worker.runs.get(key)
     if run is not None:
         run.confirmed_ms = now_ms
+        run.stop_accepted_by = worker.started_ms
     elif key in worker.stray_runs:
         worker.stray_runs[key] = now_ms
 
@@ -144,4 +145,6 @@
     """Repeat the stop orders that a worker has not answered."""
     for run in worker.runs.values():
         if run.state == RunState.STOPPING and run.confirmed_ms is None:
-            cell.effects.append(StopTask(worker.worker_id, run.task, run.number))
+            order = StopTask(worker.worker_id, run.task, run.number)
+            if order not in cell.effects:
+                cell.effects.append(order)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/presumed_ends.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/presumed_ends.py
@@ -12,6 +12,8 @@
 RETENTION_MS = 30_000.0
 # Limit of the memory for them.
 MAX_PRESUMED_ENDS = 5_000
+# Cause of the inference from an expired lease.
+LEASE_EXPIRED = "lapsed"
 # Outcomes of a run that lost its lease or was refused, which agree with an inferred end.
 CONSISTENT_OUTCOMES = frozenset({"stopped", "lapsed"})
 
@@ -45,6 +47,9 @@
     presumed = cell.presumed_ends.get(key)
     if presumed is None or presumed.worker_id != worker_id or shown_as in CONSISTENT_OUTCOMES:
         return
+    if presumed.cause == LEASE_EXPIRED and shown_as != "running":
+        # The run may have ended before its lease did.
+        return
     del cell.presumed_ends[key]
     cell.log_decision(
         "presumed_end_contradicted",
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -17,8 +17,6 @@
 # one run of twenty by themselves, this happens by chance once in 8,000 runs.
 AVOID_AFTER_BAD_RUNS = 3
 AVOID_MS = 2_500.0
-# Outcome of a run whose lease has expired without a report of its end.
-LEASE_EXPIRED = "lapsed"
 
 
 def apply_worker_list(cell: Cell, listed: Iterable[QueueWorker], now_ms: float) -> None:
@@ -57,8 +55,9 @@
 
 
 def _apply_entry(cell: Cell, worker: Worker, info: QueueWorker, now_ms: float) -> None:
-    # An unchanged entry is outdated if a report has already shown a later incarnation.
-    if info.started_ms not in (worker.info.started_ms, worker.started_ms):
+    # An unchanged entry is outdated if a report has already shown a later incarnation, and one
+    # without a start time shows none.
+    if info.started_ms and info.started_ms not in (worker.info.started_ms, worker.started_ms):
         _change_incarnation(cell, worker, info.started_ms, "its entry", now_ms)
     if info.draining and not worker.info.draining:
         cell.log_decision("worker_draining", "marked in its entry", worker=worker.worker_id)
@@ -90,7 +89,6 @@
         worker.lease_expires_at_ms, now_ms + cell.max_lease_expiry_after_ms
     )
     worker.last_applied_end = 0
-    worker.stray_runs.clear()
 
 
 def log_ends(cell: Cell, worker: Worker, ends: Iterable[tuple[str, int, str]]) -> None:
@@ -132,7 +130,7 @@
         silent = worker.unanswered_since_ms is not None
         has_expired = confirmed_ms >= worker.lease_expires_at_ms
         if (worker.runs or worker.stray_runs) and silent and has_expired:
-            end_all_runs(cell, worker, LEASE_EXPIRED, confirmed_ms, wall_ms)
+            end_all_runs(cell, worker, presumed_ends.LEASE_EXPIRED, confirmed_ms, wall_ms)
             worker.stray_runs.clear()
             # The worker is called until it answers, because it may report earlier ends and can
             # then be used again.
@@ -146,7 +144,7 @@
             "workers_waited_out", "no answer in this term", workers=len(expired_waits)
         )
         _forget_workers(cell, expired_waits)
-    if confirmed_ms >= cell.takeover_wait_deadline_ms:
+    if confirmed_ms >= cell.takeover_wait_deadline_ms and not takeover_wait.unsettled_workers(cell):
         cell.takeover_wait_deadline_ms = 0.0
 
 
@@ -165,7 +163,10 @@
     """
     if report.started_ms != worker.started_ms:
         _change_incarnation(cell, worker, report.started_ms, "its report", now_ms)
-    has_restarted = worker.reported_started_ms != report.started_ms
+    if worker.reported_started_ms != report.started_ms:
+        worker.former_report_ms = worker.last_report_ms
+        worker.reported_started_ms = report.started_ms
+        worker.stray_runs.clear()
     worker.unanswered_since_ms = None
     worker.last_report_ms = now_ms
     new_ends = [ended for ended in report.ended if ended.number > worker.last_applied_end]
@@ -179,18 +180,15 @@
     running_by_key = {(running.task, running.run): running for running in report.running}
     for key, running in running_by_key.items():
         _apply_running(cell, worker, key, running, now_ms)
+    if worker.first_answer_ms is None:
+        worker.first_answer_ms = now_ms
     ended_keys = [(ended.task, ended.run) for ended in report.ended]
     stray_runs.forget_ended(cell, worker, ended_keys, running_by_key, sent_ms)
     if len(report.ended) < MAX_ENDS_PER_REPORT:
-        ended_runs = apply_absence(
-            cell, worker, running_by_key, sent_ms, has_restarted, now_ms, wall_ms
-        )
+        ended_runs = apply_absence(cell, worker, running_by_key, sent_ms, now_ms, wall_ms)
         log_ends(cell, worker, [(run.task, run.number, LOST) for run in ended_runs])
-        worker.reported_started_ms = report.started_ms
-    if worker.first_answer_ms is None:
-        worker.first_answer_ms = now_ms
-    if not worker.settled and sent_ms >= cell.settles_at_ms(worker):
-        _mark_settled(cell, worker)
+        if not worker.settled and sent_ms >= cell.settles_at_ms(worker):
+            _mark_settled(cell, worker)
 
 
 def _mark_settled(cell: Cell, worker: Worker) -> None:
@@ -291,7 +289,9 @@
     run = Run(
         step, name.index, running.run, worker.worker_id, step.charged, now_ms,
         now_ms + expected_ms, RunState.RUNNING, now_ms, resumed=True,
+        worker_started_ms=worker.started_ms,
     )  # fmt: skip
+    worker.stray_runs.pop((running.task, running.run), None)
     worker.runs[(running.task, running.run)] = run
     worker.charge(run.charged)
     lease_expires_at_ms = now_ms + cell.lease_expiry_after_ms
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -41,6 +41,8 @@
     worker_started_ms
         Start time of the worker's incarnation for which the run was placed. Another one may have
         less capacity, or other runs.
+    stop_accepted_by
+        Start time of the worker's incarnation that has accepted a stop, or ``None``.
     unanswered_orders
         Number of copies of the start order that are not answered. Each may still be carried out.
     expected_end_ms
@@ -63,6 +65,7 @@
     state: RunState = RunState.ORDERED
     confirmed_ms: float | None = None
     worker_started_ms: int = 0
+    stop_accepted_by: int | None = None
     unanswered_orders: int = 0
     percent: int = 100
     wanted_percent: int = 100
@@ -361,6 +364,8 @@
         Time at which all runs on the worker have certainly ended if no renewal arrives.
     reported_started_ms
         Start time of the incarnation that sent the last report; ``None`` before the first one.
+    former_report_ms
+        Time of the last report of the former incarnation.
     first_answer_ms
         Time of the first answer of the current incarnation, which has accepted the fencing token of
         this leader by then.
@@ -387,6 +392,7 @@
     last_applied_end: int = 0
     lease_expires_at_ms: float = 0.0
     reported_started_ms: int | None = None
+    former_report_ms: float = 0.0
     first_answer_ms: float | None = None
     settled: bool = False
     avoided_until_ms: float = 0.0
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/takeover_wait.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/takeover_wait.py
@@ -56,7 +56,10 @@
 
 
 def expired_waits(cell: Cell, now_ms: float) -> set[str]:
-    """Return the workers for which the wait has ended without an answer."""
+    """Return the workers on which certainly no run of a former leader is left.
+
+    A worker that has answered this leader, and is not settled yet, has had its lease renewed.
+    """
     if not cell.takeover_wait_deadline_ms:
         return set()
     deadlines_ms = cell.wait_deadlines_ms
@@ -64,9 +67,19 @@
         worker_id
         for worker_id in unsettled_workers(cell)
         if now_ms >= deadlines_ms.get(worker_id, cell.takeover_wait_deadline_ms)
+        and not (_has_answered(cell, worker_id) and now_ms < _lease_end_ms(cell, worker_id))
     }
 
 
+def _has_answered(cell: Cell, worker_id: str) -> bool:
+    worker = cell.workers.get(worker_id)
+    return worker is not None and worker.first_answer_ms is not None
+
+
+def _lease_end_ms(cell: Cell, worker_id: str) -> float:
+    return cell.workers[worker_id].lease_expires_at_ms
+
+
 def waits(cell: Cell, takeover_wait: TakeoverWait, elapsed_ms: float) -> dict[str, float]:
     """Return the time waited so far for each worker that has not answered, in milliseconds.
 
@@ -78,4 +91,5 @@
     return {
         worker_id: takeover_wait.waited_ms.get(worker_id, 0.0) + elapsed_ms
         for worker_id in sorted(unsettled_workers(cell))
+        if not _has_answered(cell, worker_id)
     }
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
@@ -244,12 +244,12 @@
         )
         if self._term is not term or self._is_releasing:
             return
-        if isinstance(renewed, Err) or isinstance(found, Err):
-            await self._probe_store(term)
-        elif not renewed.ok_value:
+        if isinstance(renewed, Ok) and not renewed.ok_value:
             await self.step_down("the lease of the leader key has expired")
-        elif found.ok_value is None or found.ok_value.revision != term.key_revision:
+        elif isinstance(found, Ok) and not _is_key_of(term, found.ok_value):
             await self.step_down("the leader key has been removed or replaced")
+        elif isinstance(renewed, Err) or isinstance(found, Err):
+            await self._probe_store(term)
         else:
             term.authority.record_renewal(sent_ms)
 
@@ -403,3 +403,7 @@
 
 def _store_answered(answer: Result[Any, PeerError]) -> bool:
     return isinstance(answer, Ok) and bool(answer.ok_value.answered)
+
+
+def _is_key_of(term: Term, item: StoredItem | None) -> bool:
+    return item is not None and item.revision == term.key_revision
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -108,7 +108,7 @@
             settings.max_run_lease_ms / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS,
         )
         if term.number > 0:
-            self.cell.former_orders_end_ms = term.claimed_ms if term.no_former_orders else None
+            self.cell.former_orders_end_ms = None
         self._committer = Committer(
             self.cell,
             platform.store,
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -263,7 +263,8 @@
         run = (self._cell, self.worker.worker_id, effect.task, effect.run)
         while copies < MAX_START_ATTEMPTS:
             if not orders.is_start_wanted(*run):
-                # A stop bars the run, or its end is known.
+                # A report or a stop decides about the run.
+                self.wake()
                 return
             sent_ms = self._clock.now_ms()
             if not self._callbacks.may_command():
@@ -311,11 +312,13 @@
     async def stop(self, effect: StopTask) -> None:
         """Order a stop. An unconfirmed stop is repeated after the next renewal."""
         if not self._callbacks.may_command():
+            self.wake()
             return
+        started_ms = self.worker.started_ms
         answer = await self._gateway.stop(self.worker.info, effect.task, effect.run, self._fence)
         if answer.fenced:
             self._callbacks.fenced(self.worker.worker_id)
-        elif answer.outcome == StartOutcome.STARTED:
+        elif answer.outcome == StartOutcome.STARTED and self.worker.started_ms == started_ms:
             # After any other answer the run may continue, or may still start.
             orders.apply_stop_answer(
                 self._cell,
@@ -324,7 +327,7 @@
                 effect.run,
                 self._clock.now_ms(),
             )
-        elif answer.outcome != StartOutcome.UNKNOWN:
+        elif answer.outcome not in (StartOutcome.UNKNOWN, StartOutcome.STARTED):
             self._cell.log_decision(
                 "stop_refused",
                 answer.outcome,
--- a/tests/unit/test_queue_lives.py
+++ b/tests/unit/test_queue_lives.py
@@ -8,8 +8,9 @@
 
 import pytest
 
-from nutmeglb_decisions.queues import orders, reports
+from nutmeglb_decisions.queues import lifecycle, orders, reports
 from nutmeglb_decisions.queues.orders import StartOutcome
+from nutmeglb_decisions.queues.reports import MAX_ENDS_PER_REPORT
 from nutmeglb_formats.models.queues import EndedTask, RunningTask, WorkerReport
 from tests.lib.queues import (
     LEASE_EXPIRY_AFTER_MS,
@@ -301,3 +302,37 @@
         orders.record_start_sent(link.world.cell, "w1", link.order.task, link.order.run, 1)
     asyncio.run(link.link.start(link.order))
     assert link.sent == []
+
+
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_run_that_the_restarted_worker_may_have_accepted_is_stopped_first(is_stopped):
+    """Guards against a second run: an order may be answered by an incarnation not yet known."""
+    world = CellWorld()
+    world.show(worker_info("w1"), worker_info("w2"))
+    world.add(job(JOB, step()))
+    world.now_ms += 100.0
+    world.schedule()
+    (order,) = world.answer_starts()
+    run = (order.worker_id, order.task, order.run)
+    if is_stopped:
+        lifecycle.stop_run(world.cell, world.worker(order.worker_id).runs[run[1:]])
+        orders.apply_stop_answer(world.cell, *run, world.now_ms)
+    world.schedule()
+    world.stopped.clear()
+    world.now_ms += 10.0
+    world.report(order.worker_id, running=(), started_ms=LATER_START_MS)
+    world.schedule()
+    assert [(stop.worker_id, stop.task, stop.run) for stop in world.stopped] == [run]
+    assert not world.started
+
+
+@pytest.mark.parametrize("end_count", [MAX_ENDS_PER_REPORT, 1])
+def test_worker_with_more_ends_than_a_report_holds_is_not_settled(end_count):
+    """Guards against a task that starts again although its end is not reported yet."""
+    world = CellWorld()
+    world.show(worker_info("w1"))
+    worker = world.worker("w1")
+    worker.settled = False
+    ends = tuple(("00000000000000bb.0.0.0", n, "done", "") for n in range(1, end_count + 1))
+    world.report("w1", ends, running=())
+    assert worker.settled == (end_count < MAX_ENDS_PER_REPORT)
--- a/tests/unit/test_queue_take_over.py
+++ b/tests/unit/test_queue_take_over.py
@@ -5,6 +5,7 @@
 import pytest
 
 from nutmeglb_decisions.queues import progress, reports, takeover_wait
+from nutmeglb_formats.models.queues import RunningTask
 from tests.lib.queues import (
     ADVISED,
     BATCH,
@@ -137,3 +138,35 @@
     world.report("w1", running=())
     world.schedule()
     assert (world.worker("w1").settled, bool(world.started)) == (is_settled, is_settled)
+
+
+@pytest.mark.parametrize(("is_silent_again", "is_recorded"), [(False, True), (True, False)])
+def test_worker_that_answers_late_in_the_wait_stays_recorded_with_its_runs(
+    is_silent_again, is_recorded
+):
+    """Guards against a later leader that does not wait for a worker which this one has renewed."""
+    world = world_with_run_on_w1(BATCH, step())
+    (former_job,) = world.cell.active.values()
+    ((task, number),) = world.worker("w1").runs
+    successor = CellWorld(now_ms=world.now_ms)
+    successor.cell.former_orders_end_ms = None
+    stored = progress.encode(former_job)
+    progress.restore(successor.cell, former_job.record, stored, successor.now_ms, 0.0)
+    infos = [worker.info for worker in world.cell.workers.values()]
+    reports.apply_worker_list(successor.cell, infos, successor.now_ms)
+    deadline_ms = successor.now_ms + MAX_WAIT_MS
+    takeover_wait.begin(
+        successor.cell, takeover_wait.TakeoverWait(successor.now_ms, MAX_WAIT_MS, deadline_ms)
+    )
+    successor.now_ms = deadline_ms - 1.0
+    successor.report("w1", running=(RunningTask(task, number, "", 100),))
+    assert not successor.worker("w1").settled
+    assert [name for name, _ in waits_of(successor)] == [ABSENT_WORKER]
+    successor.tick(LEASE_EXPIRY_AFTER_MS if is_silent_again else 2.0)
+    (restored,) = successor.cell.active.values()
+    assert ("w1" in restored.steps[0].recorded) == is_recorded
+
+
+def waits_of(world):
+    waits = takeover_wait.waits(world.cell, takeover_wait.TakeoverWait(0.0, 0.0, 0.0), 1.0)
+    return list(waits.items())
