--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -40,8 +40,8 @@
     stop_ends_after_ms
         Time after the answer to a stop order after which the stopped run has certainly ended.
     former_orders_end_ms
-        Time after which no former leader can send orders; ``None`` if one may still do so until the
-        worker has accepted the fencing token of this leader.
+        Time after which no former leader can send orders: minus infinity in the first term;
+        ``None`` if one may do so until a worker has accepted the fencing token of this leader.
     started_ms
         Time at which this leader finished its takeover.
     takeover_wait_deadline_ms
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
@@ -69,7 +69,7 @@
 
 
 def repeat_stop(cell: Cell, run: Run) -> None:
-    """Order a stop, even if an earlier one was answered by a former incarnation of the worker."""
+    """Order a stop again, after one that had no effect or reached only a former incarnation."""
     run.state = RunState.STOPPING
     run.confirmed_ms = None
     cell.effects.append(StopTask(run.worker_id, run.task, run.number))
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/presumed_ends.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/presumed_ends.py
@@ -1,4 +1,4 @@
-"""Remembers runs whose end was inferred, and logs evidence that one of them went on.
+"""Remembers runs whose end was inferred, and logs reports that one of them continued.
 
 Without a reported end, a run counts as ended when its worker refused the order, when a report does
 not contain it, or when its lease has expired. A report that shows such a run later contradicts the
@@ -34,7 +34,7 @@
     _forget_old(cell, now_ms)
 
 
-def check_reported(
+def log_contradiction(
     cell: Cell, worker_id: str, key: tuple[str, int], shown_as: str, now_ms: float
 ) -> None:
     """Log a report on a run that contradicts its inferred end.
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -173,7 +173,7 @@
     log_ends(cell, worker, [(ended.task, ended.run, ended.outcome) for ended in new_ends])
     for ended in new_ends:
         worker.last_applied_end = max(worker.last_applied_end, ended.number)
-        presumed_ends.check_reported(
+        presumed_ends.log_contradiction(
             cell, worker.worker_id, (ended.task, ended.run), ended.outcome, now_ms
         )
         _apply_end(cell, worker, ended, now_ms, wall_ms)
@@ -242,7 +242,7 @@
 def _apply_running(
     cell: Cell, worker: Worker, key: tuple[str, int], running: RunningTask, now_ms: float
 ) -> None:
-    presumed_ends.check_reported(cell, worker.worker_id, key, "running", now_ms)
+    presumed_ends.log_contradiction(cell, worker.worker_id, key, "running", now_ms)
     run = worker.runs.get(key) or _adopt(cell, worker, running, now_ms)
     if run is None:
         stray_runs.track(cell, worker, key, now_ms)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -420,8 +420,8 @@
     def has_current_info(self) -> bool:
         """Return whether the entry is that of the incarnation whose reports are applied.
 
-        Capacity and labels may change with an incarnation. An entry or a report without a start
-        time, shown as 0, does not tell.
+        Capacity and labels may change with an incarnation. Start times of 0, which stand for a
+        missing one, are not compared.
         """
         return self.info.started_ms == self.started_ms or not (
             self.info.started_ms and self.started_ms
