Define interfaces for optional parts of a scheduling pass

Cause: teams, preemption, learned speeds and interference all have a say in the order of steps, the choice of a worker and the verdict on a submission; each would have edited the pass.

Change: named order terms, worker terms, start gates and refusal rules, chosen in one module; teams in the configuration model, the team of a job in its records. Records and messages may gain fields at the end that earlier releases need not read while they are unused.

--- a/measure/queue_leader.py
+++ b/measure/queue_leader.py
@@ -12,6 +12,7 @@
 from nutmeglb_decisions.queues import advice, placing
 from nutmeglb_decisions.queues.effects import RequestAdvice, StartTask
 from nutmeglb_decisions.queues.ranking import rank_of
+from nutmeglb_decisions.queues.waiting_order import RankFunction
 from nutmeglb_formats.models.queues import AdviceTiming, QueueConfig
 
 # Cost of an advice call and approval rate per queue, from the users' largest deployment.
@@ -51,7 +52,7 @@
         """Return whether any event is still to come."""
         return bool(self._pending_calls) or super().has_pending_events
 
-    def step(self, now_ms: float, rng: random.Random, rank: placing.RankFunction) -> None:
+    def step(self, now_ms: float, rng: random.Random, rank: RankFunction) -> None:
         """Complete due advice calls, run a pass, and apply its effects."""
         started_s = time.process_time()
         while self._pending_calls and self._pending_calls[0][0] <= now_ms:
--- a/measure/queue_passes.py
+++ b/measure/queue_passes.py
@@ -13,6 +13,7 @@
 from nutmeglb_decisions.queues.orders import StartOutcome, apply_start_answer
 from nutmeglb_decisions.queues.ranking import Rank, Tier, objective_ms, rank_of
 from nutmeglb_decisions.queues.state import Step
+from nutmeglb_decisions.queues.waiting_order import RankFunction
 from nutmeglb_formats.models.queues import (
     EndedTask,
     Queue,
@@ -97,7 +98,7 @@
         """Return whether any event is still to come."""
         return bool(self._task_ends)
 
-    def run(self, timed_jobs: list[tuple[float, QueueJob]], rank: placing.RankFunction) -> None:
+    def run(self, timed_jobs: list[tuple[float, QueueJob]], rank: RankFunction) -> None:
         """Run the simulation until all tasks have ended."""
         rng = random.Random(SEED)
         now_ms = 0.0
@@ -111,7 +112,7 @@
                 self._report(worker, ((task, number),), now_ms)
             self.step(now_ms, rng, rank)
 
-    def step(self, now_ms: float, rng: random.Random, rank: placing.RankFunction) -> None:
+    def step(self, now_ms: float, rng: random.Random, rank: RankFunction) -> None:
         """Run a scheduling pass and apply its effects."""
         started_s = time.perf_counter()
         placing.schedule(self.cell, 8, rng, now_ms, now_ms, rank)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -6,6 +6,7 @@
 from nutmeglb_decisions.queues.effects import Decision, Effect
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.headroom import ClassUsage
+from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.state import FinishedJob, Job, PresumedEnd, Run, Step, Worker
 from nutmeglb_formats.models.queues import Queue, QueueConfig
 
@@ -51,6 +52,8 @@
         The same per worker, for workers that have not answered this leader.
     presumed_ends
         Per task and run number: runs whose end was inferred without a report of it.
+    parts
+        Optional parts that the configuration and the settings call for.
     """
 
     term: int
@@ -75,6 +78,7 @@
     advice_calls: dict[str, tuple[float, float]] = field(default_factory=dict)
     class_usage: ClassUsage = field(default_factory=ClassUsage)
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
+    parts: PassParts = field(default_factory=PassParts)
 
     def configure(self, config: QueueConfig) -> None:
         """Replace the queue configuration."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -2,16 +2,16 @@
 
 import math
 import random
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Sequence
 
 from nutmeglb_decisions.queues import advice
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.gang_plans import reserve_planned_capacity, update_plan
 from nutmeglb_decisions.queues.headroom import spare_cpu
 from nutmeglb_decisions.queues.ranking import Rank, Tier, rank_of
 from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass, start_task
-from nutmeglb_decisions.queues.state import Job, Step, Task, Worker
+from nutmeglb_decisions.queues.state import Step, Worker
+from nutmeglb_decisions.queues.waiting_order import RankFunction, ranked_steps, startable_tasks
 from nutmeglb_decisions.queues.worker_selection import (
     Reservations,
     choose_gang,
@@ -40,8 +40,6 @@
 # A step whose placement raised an unexpected error is tried again after this time.
 DEFECT_RETRY_MS = 5_000.0
 
-RankFunction = Callable[[Step, float, float, Estimates], Rank]
-
 
 def schedule(
     cell: Cell,
@@ -70,6 +68,7 @@
         Reservations(),
         Reservations(),
     )
+    state.prepare_parts()
     ranked = ranked_steps(cell, now_ms, wall_ms, rank)
     for position, (_, step) in enumerate(ranked):
         if step.plan is not None:
@@ -78,11 +77,15 @@
                 amount = count * step.charged.cpu_millis
                 state.planned_cpu[worker_id] = state.planned_cpu.get(worker_id, 0) + amount
     cell.class_usage.sample(cell.workers.values(), state.planned_cpu, now_ms)
+    for before in cell.parts.before_pass:
+        before(state, ranked)
     not_reached = _place_until(state, ranked, BEST_RANK_SHARE * max_worker_checks)
     for _, step in not_reached:
         reserve_planned_capacity(step, cell.workers, state.reservations, now_ms)
     not_reached.sort(key=lambda item: item[1].last_tried_ms)
     _place_until(state, not_reached, max_worker_checks)
+    for after in cell.parts.after_pass:
+        after(state, ranked)
 
 
 def _place_until(
@@ -109,53 +112,6 @@
     cell.log_decision("step_defect", repr(error), job=step.job.job_id, step=step.name)
 
 
-def ranked_steps(
-    cell: Cell, now_ms: float, wall_ms: float, rank: RankFunction = rank_of
-) -> list[tuple[Rank, Step]]:
-    """Return the steps with startable tasks, best rank first."""
-    ranked = []
-    for job in cell.active.values():
-        for step in runnable_steps(job):
-            if step.runnable_since_ms is None:
-                step.runnable_since_ms = now_ms
-            if _startable_tasks(step, now_ms):
-                start_ms = _due_ms(job, step, now_ms, wall_ms)
-                ranked.append((rank(step, start_ms, now_ms, cell.estimates), step))
-    ranked.sort(key=lambda item: item[0].key)
-    return ranked
-
-
-def _due_ms(job: Job, step: Step, now_ms: float, wall_ms: float) -> float:
-    """Return the monotonic time at which the objective of a step's occurrence starts to count."""
-    if not job.record.repeats:
-        return job.accepted_ms
-    due_wall_ms = job.record.first_ms + step.occurrence * job.record.interval_ms
-    return now_ms - max(0.0, wall_ms - due_wall_ms)
-
-
-def runnable_steps(job: Job) -> Iterator[Step]:
-    """Yield the unfinished steps whose prerequisite steps are done."""
-    for steps in job.occurrences.values():
-        for step in steps:
-            if not step.done and all(steps[required].done for required in step.spec.after):
-                yield step
-
-
-def _startable_tasks(step: Step, now_ms: float) -> list[Task]:
-    """Return the tasks that may start now; for a gang either all or none."""
-    if step.unsettled or now_ms < step.not_before_ms:
-        return []
-    if step.spec.gang:
-        if any(task.run or now_ms < task.not_before_ms for task in step.tasks):
-            return []
-        return step.tasks
-    return [
-        task
-        for task in step.tasks
-        if not task.done and task.run is None and now_ms >= task.not_before_ms
-    ]
-
-
 def _place_step(state: SchedulingPass, step: Step) -> None:
     cell, now_ms = state.cell, state.now_ms
     group = _eligible_group(state, step)
@@ -283,7 +239,9 @@
 def _place_singles(
     state: SchedulingPass, step: Step, ready: Sequence[Worker], is_advice_due: bool
 ) -> float | None:
-    """Start the tasks that fit. Return when the next may start, or ``None`` if all were started.
+    """Start the tasks that fit. Return when the next may start.
+
+    The result is ``None`` if all were started, or if no more of them may start now.
 
     Parameters
     ----------
@@ -291,10 +249,14 @@
         Whether to compute the time, which only an advice request needs. Otherwise it is infinite.
     """
     run_ms = _expected_run_ms(state, step)
-    for task in _startable_tasks(step, state.now_ms):
+    for task in startable_tasks(step, state.now_ms):
+        if not state.admits(step, 1):
+            return None
         if not _leaves_headroom(state, step):
             return math.inf
-        worker = choose_single(step, ready, state.reservations, state.now_ms, run_ms, state.planned)
+        worker = choose_single(
+            step, ready, state.reservations, state.now_ms, run_ms, state.planned, state.lost_ms
+        )
         if worker is None:
             return _next_capacity_ms(state, step, run_ms) if is_advice_due else math.inf
         number = state.cell.next_run_number(task.last_run)
@@ -336,9 +298,15 @@
     group: advice.WorkerGroup,
     is_advice_due: bool,
 ) -> float | None:
-    """Start a gang if it fits. Return its expected start, or ``None`` if it was started."""
+    """Start a gang if it fits. Return its expected start.
+
+    The result is ``None`` if it was started, or if a gate does not admit it.
+    """
+    if not state.admits(step, step.spec.count):
+        step.plan = None
+        return None
     run_ms = _expected_run_ms(state, step)
-    assignment = choose_gang(step, ready, state.reservations, state.now_ms, run_ms)
+    assignment = choose_gang(step, ready, state.reservations, state.now_ms, run_ms, state.lost_ms)
     if assignment is None:
         good = advice.approved_workers(state.cell, step) if is_advice_due else []
         fits = choose_gang(step, good, state.reservations, state.now_ms, run_ms) is not None
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
@@ -11,10 +11,11 @@
     """Return the progress of a job to store; only the final state for a finished job."""
     name = job.record.queue.name
     if job.final is not None:
-        return JobProgress(name, job.final.value, job.finished_wall_ms, [], [])
+        final, ended_ms = job.final.value, job.finished_wall_ms
+        return JobProgress(name, final, ended_ms, [], [], job.record.team)
     steps = [_encode_step(step) for step in job.steps if step.occurrence not in job.completed]
     steps = [step for step in steps if step.workers or step.done or step.failures]
-    return JobProgress(name, "", 0.0, sorted(job.completed), steps)
+    return JobProgress(name, "", 0.0, sorted(job.completed), steps, job.record.team)
 
 
 def committed(cell: Cell, job: Job, progress: JobProgress) -> None:
@@ -60,7 +61,7 @@
 def restore_final(cell: Cell, job_id: str, progress: JobProgress) -> None:
     """Keep the final state of a finished job for status queries."""
     state = JobState(progress.final)
-    cell.finished[job_id] = FinishedJob(progress.queue, state, progress.finished_ms)
+    cell.finished[job_id] = FinishedJob(progress.queue, state, progress.finished_ms, progress.team)
 
 
 def forget_finished(cell: Cell, before_wall_ms: float, limit: int) -> list[str]:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/queries.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/queries.py
@@ -8,17 +8,18 @@
 
 @dataclass(frozen=True, slots=True)
 class JobStatus:
-    """State of a job, and the name of its queue."""
+    """State of a job, and the names of its queue and team."""
 
     state: JobState
     queue: str
+    team: str = ""
 
 
 def status_of(cell: Cell, job_id: str) -> JobStatus | None:
     """Return the stored state of a job, or ``None`` for an unknown job."""
     finished = cell.finished.get(job_id)
     if finished is not None:
-        return JobStatus(finished.state, finished.queue)
+        return JobStatus(finished.state, finished.queue, finished.team)
     job = cell.jobs.get(job_id)
     if job is None:
         return None
@@ -26,7 +27,7 @@
     if job.final == JobState.CANCELLED:
         # A cancellation is stored before the scheduler learns of it.
         state = JobState.CANCELLED
-    return JobStatus(state, job.record.queue.name)
+    return JobStatus(state, job.record.queue.name, job.record.team)
 
 
 def pending(cell: Cell, queue: str) -> int:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ranking.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ranking.py
@@ -49,6 +49,8 @@
         Latest start in milliseconds that keeps the step in its tier; infinite if it is too late.
     remaining_work
         Remaining work in millicores times milliseconds.
+    before_priority, before_start
+        Named terms of optional parts, and where they stand in the order.
     """
 
     tier: int
@@ -56,6 +58,8 @@
     latest_start_ms: float
     remaining_work: float
     accepted_ms: float
+    before_priority: tuple[tuple[str, float], ...] = ()
+    before_start: tuple[tuple[str, float], ...] = ()
 
     @property
     def key(self) -> tuple[float, ...]:
@@ -63,8 +67,10 @@
         too_late = self.tier == Tier.TOO_LATE
         return (
             too_late,
+            *(value for _, value in self.before_priority),
             self.priority,
             self.tier,
+            *(value for _, value in self.before_start),
             self.latest_start_ms,
             self.remaining_work,
             self.accepted_ms,
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
@@ -8,6 +8,7 @@
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StartTask
 from nutmeglb_decisions.queues.headroom import usable_spare_cpu
+from nutmeglb_decisions.queues.parts import LostTime, StartGate
 from nutmeglb_decisions.queues.state import Run, Step, Task, Worker
 from nutmeglb_decisions.queues.worker_selection import Reservations
 from nutmeglb_formats.models.resources import Resources
@@ -38,6 +39,10 @@
     sizes_without_capacity
         Per service and label: task sizes that fit on no worker. Free capacity only shrinks during a
         pass, so larger tasks need not be tried.
+    gates
+        Limits on starts in this pass.
+    lost_ms
+        Sum of the active worker terms; ``None`` without any.
     """
 
     cell: Cell
@@ -56,6 +61,23 @@
     planned_cpu: dict[str, int] = field(default_factory=dict)
     gang_priorities: dict[str, int] = field(default_factory=dict)
     spare_cpu: dict[tuple[str, int], int] = field(default_factory=dict)
+    gates: tuple[StartGate, ...] = ()
+    lost_ms: LostTime | None = None
+
+    def prepare_parts(self) -> None:
+        """Create the gates and worker terms of this pass."""
+        parts = self.cell.parts
+        self.gates = tuple(make(self.cell, self.now_ms) for make in parts.gates)
+        terms = tuple(term.prepare(self.cell, self.now_ms) for term in parts.worker_terms)
+        if terms:
+            self.lost_ms = lambda step, worker, run_ms: sum(
+                term(step, worker, run_ms) for term in terms
+            )
+
+    def admits(self, step: Step, count: int) -> bool:
+        """Return whether all gates admit the start of ``count`` tasks of a step."""
+        step.held_by = next((gate.name for gate in self.gates if not gate.admits(step, count)), "")
+        return not step.held_by
 
 
 def start_task(
@@ -82,6 +104,8 @@
         worker.lease_expires_at_ms, now_ms + cell.lease_expiry_after_ms
     )
     worker.runs[(run.task, number)] = run
+    for gate in state.gates:
+        gate.record_start(step)
     state.reservations.charge(worker.worker_id, charged, expected_end_ms)
     state.planned.charge(worker.worker_id, charged, expected_end_ms)
     task.run = run
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -225,6 +225,8 @@
         Expected durations from which the rank is computed; ``None`` before the first computation.
     charged
         Capacity that one task uses. Cached, because a pass reads it for each worker.
+    held_by
+        Name of the gate that kept the step from starting in the last pass; empty if none did.
     """
 
     job: "Job"
@@ -245,6 +247,7 @@
     last_tried_ms: float = 0.0
     plan: GangPlan | None = None
     forecast: Forecast | None = None
+    held_by: str = ""
     charged: Resources = field(init=False)
 
     def __post_init__(self) -> None:
@@ -337,11 +340,12 @@
 
 @dataclass(frozen=True, slots=True)
 class FinishedJob:
-    """Queue, final state and wall-clock end time of a finished job."""
+    """Queue, final state, wall-clock end time and team of a finished job."""
 
     queue: str
     state: JobState
     finished_ms: float
+    team: str = ""
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/verdicts.py
@@ -0,0 +1,76 @@
+"""Verdict on a submission: whether an instance refuses it at once, why, and when to retry.
+
+Each rule looks at what the instance knows of the load and returns a refusal, or ``None``. The first
+refusal counts.
+"""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from nutmeglb_decisions.queues import pools
+from nutmeglb_decisions.queues.pools import Pool
+from nutmeglb_formats.models.queues import QueueConfig, QueueJob
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A refusal: the job has not run and never will under this submission.
+
+    Attributes
+    ----------
+    cause
+        Reason for logs.
+    retry_ms
+        Time in milliseconds after which the caller may submit the job again.
+    by_team
+        Whether the caller's own team causes it, by its backlog, share or limit.
+    """
+
+    cause: str
+    retry_ms: float
+    by_team: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadView:
+    """What an instance knows of the load.
+
+    Attributes
+    ----------
+    refusing
+        Queues that refuse jobs, each with the milliseconds until it may accept.
+    refusing_teams
+        The same by queue and team.
+    pools
+        What the workers can run; empty if unknown.
+    """
+
+    refusing: Mapping[str, float] = field(default_factory=dict)
+    refusing_teams: Mapping[tuple[str, str], float] = field(default_factory=dict)
+    pools: Sequence[Pool] = ()
+    config: QueueConfig | None = None
+
+
+RefusalRule = Callable[[QueueJob, LoadView], Refusal | None]
+
+
+def unservable(job: QueueJob, view: LoadView) -> Refusal | None:
+    """Refuse a job that no worker can run."""
+    cause = pools.unservable_cause(job, view.pools)
+    return Refusal(cause, pools.UNSERVABLE_RETRY_MS) if cause else None
+
+
+def queue_overloaded(job: QueueJob, view: LoadView) -> Refusal | None:
+    """Refuse a job of a queue whose accepted work occupies all capacity for too long."""
+    retry_ms = view.refusing.get(job.queue.name)
+    if retry_ms is None:
+        return None
+    return Refusal("insufficient capacity to start the job in time", retry_ms)
+
+
+RULES: tuple[RefusalRule, ...] = (unservable, queue_overloaded)
+
+
+def first_refusal(job: QueueJob, view: LoadView) -> Refusal | None:
+    """Return the first refusal of the rules, or ``None`` if the job may be accepted."""
+    return next((refusal for rule in RULES if (refusal := rule(job, view))), None)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_selection.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_selection.py
@@ -10,11 +10,14 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
+from nutmeglb_decisions.queues.parts import LostTime
 from nutmeglb_decisions.queues.state import Step, Worker
 from nutmeglb_formats.models.resources import Resources
 
 UNLIMITED = 1_000_000
 NO_RUNS: Counter[str] = Counter()
+# Differences of the lost time below this are ignored, so that utilization decides.
+LOST_TIME_STEP_MS = 50.0
 
 
 @dataclass(slots=True)
@@ -110,17 +113,20 @@
     now_ms: float,
     run_ms: float,
     planned: Reservations | None = None,
+    lost_ms: LostTime | None = None,
 ) -> Worker | None:
     """Return the best worker for one task, or ``None`` if it fits on none.
 
-    Workers in the preferred rack come first, then those where the task delays no gang, then fast
-    ones, then the most utilized.
+    Workers in the preferred rack come first, then those where the task delays no gang, then those
+    where callers lose the least time, then fast ones, then the most utilized.
 
     Parameters
     ----------
     reservations, planned
         Capacity that the task must not use, and capacity that it uses only if no other is left,
         starting with that of the last gangs in rank order.
+    lost_ms
+        Time that callers lose by a start on a worker.
     """
     runs_by_worker = live_runs_per_worker(step) if step.spec.max_per_worker else NO_RUNS
     best: tuple[float, ...] | None = None
@@ -134,6 +140,7 @@
         score = (
             float(_is_outside_preferred_rack(step, worker)),
             planned.delay_penalty(worker.worker_id, step.charged, end_ms) if planned else 0.0,
+            _rounded_lost_time(lost_ms, step, worker, run_ms),
             round(worker.slowness, 1),
             -worker.utilization,
         )
@@ -148,6 +155,7 @@
     reservations: Reservations,
     now_ms: float,
     run_ms: float,
+    lost_ms: LostTime | None = None,
 ) -> GangAssignment | None:
     """Return workers for all tasks of a gang, or ``None`` if they do not all fit now.
 
@@ -158,7 +166,7 @@
         racks = sorted({worker.info.rack for worker in candidates})
         groups = [[w for w in candidates if w.info.rack == rack] for rack in racks] + groups
     for group in groups:
-        assignment = _assign_gang(step, group, reservations, now_ms, run_ms)
+        assignment = _assign_gang(step, group, reservations, now_ms, run_ms, lost_ms)
         if assignment is not None:
             return assignment
     return None
@@ -170,6 +178,7 @@
     reservations: Reservations,
     now_ms: float,
     run_ms: float,
+    lost_ms: LostTime | None,
 ) -> GangAssignment | None:
     """Assign the tasks of a gang to the workers of a group, or return ``None`` if they do not fit.
 
@@ -187,19 +196,31 @@
     if sum(slot_count for _, slot_count in slots.values()) < count:
         return None
     chosen: list[str] = []
-    for worker, slot_count in sorted(slots.values(), key=lambda item: _gang_score(step, item[0])):
+    ordered = sorted(slots.values(), key=lambda item: _gang_score(step, item[0], run_ms, lost_ms))
+    for worker, slot_count in ordered:
         chosen.extend([worker.worker_id] * min(slot_count, count - len(chosen)))
     return GangAssignment(tuple(chosen))
 
 
-def _gang_score(step: Step, worker: Worker) -> tuple[float, ...]:
+def _gang_score(
+    step: Step, worker: Worker, run_ms: float, lost_ms: LostTime | None
+) -> tuple[float, ...]:
     return (
         float(_is_outside_preferred_rack(step, worker)),
+        _rounded_lost_time(lost_ms, step, worker, run_ms),
         round(worker.slowness, 1),
         -worker.utilization,
     )
 
 
+def _rounded_lost_time(
+    lost_ms: LostTime | None, step: Step, worker: Worker, run_ms: float
+) -> float:
+    if lost_ms is None:
+        return 0.0
+    return float(round(lost_ms(step, worker, run_ms) / LOST_TIME_STEP_MS))
+
+
 def _unreserved_slots(step: Step, worker: Worker, reservations: Reservations, end_ms: float) -> int:
     free = worker.free
     for reservation in reservations.by_worker.get(worker.worker_id, ()):
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/codec.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/codec.py
@@ -2,10 +2,13 @@
 
 A value is encoded as ``[type code, version, fields]``. ``fields`` is an array in declaration order,
 so the names of the top-level fields are not transmitted. Nested dataclasses are maps by field name.
+
+A version may add one field with a default at the end. A value whose last fields have their defaults
+is encoded in the oldest version that can hold it, so that earlier releases read it.
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, fields, is_dataclass
+from dataclasses import MISSING, dataclass, fields, is_dataclass
 from typing import Any, TypeVar
 
 import cbor2
@@ -27,6 +30,8 @@
     latest_wins
         For peer messages: whether a newer message of the same type replaces one that still waits
         in the send queue.
+    added
+        Defaults of the last fields, of which each was added by one version, in that order.
     """
 
     code: int
@@ -35,6 +40,7 @@
     adapter: TypeAdapter[Any]
     field_names: tuple[str, ...]
     latest_wins: bool
+    added: tuple[Any, ...] = ()
 
 
 class TypeRegistry:
@@ -46,9 +52,15 @@
         self._last_encoded: tuple[object, list[Any]] | None = None
 
     def register(
-        self, code: int, version: int, *, latest_wins: bool = False
+        self, code: int, version: int, *, latest_wins: bool = False, added: int = 0
     ) -> Callable[[type[ValueT]], type[ValueT]]:
-        """Return a class decorator that registers a frozen dataclass under a type code."""
+        """Return a class decorator that registers a frozen dataclass under a type code.
+
+        Parameters
+        ----------
+        added
+            Number of fields at the end that were added by one version each.
+        """
 
         def decorate(cls: type[ValueT]) -> type[ValueT]:
             if not is_dataclass(cls):
@@ -58,7 +70,10 @@
                     f"type code {code} is already registered for {self._by_code[code].cls.__name__}"
                 )
             field_names = tuple(field.name for field in fields(cls))
-            entry = RegisteredType(code, version, cls, TypeAdapter(cls), field_names, latest_wins)
+            defaults = _defaults(cls, added)
+            entry = RegisteredType(
+                code, version, cls, TypeAdapter(cls), field_names, latest_wins, defaults
+            )
             self._by_code[code] = entry
             self._by_class[cls] = entry
             return cls
@@ -78,11 +93,14 @@
         if self._last_encoded is not None and self._last_encoded[0] is value:
             return self._last_encoded[1]
         entry = self.entry_of(value)
-        items = [
-            entry.code,
-            entry.version,
-            [_to_plain(getattr(value, n)) for n in entry.field_names],
-        ]
+        plain = [_to_plain(getattr(value, n)) for n in entry.field_names]
+        version = entry.version
+        for default in reversed(entry.added):
+            if plain[-1] != default:
+                break
+            plain.pop()
+            version -= 1
+        items = [entry.code, version, plain]
         self._last_encoded = (value, items)
         return items
 
@@ -94,18 +112,31 @@
         if type(code) is not int or code not in self._by_code:
             return Err(f"the type code {code!r} is unknown")
         entry = self._by_code[code]
-        if version != entry.version:
+        missing = entry.version - version if type(version) is int else -1
+        if not 0 <= missing <= len(entry.added):
             return Err(f"version {version!r} of type code {code} is not supported")
-        if not isinstance(values, list) or len(values) != len(entry.field_names):
+        names = entry.field_names[: len(entry.field_names) - missing]
+        if not isinstance(values, list) or len(values) != len(names):
             return Err(f"the number of fields of type code {code} is wrong")
         try:
-            return Ok(
-                entry.adapter.validate_python(dict(zip(entry.field_names, values, strict=True)))
-            )
+            return Ok(entry.adapter.validate_python(dict(zip(names, values, strict=True))))
         except ValidationError as error:
             return Err(f"{error.error_count()} invalid fields in type code {code}")
 
 
+def _defaults(cls: type[Any], count: int) -> tuple[Any, ...]:
+    """Return the plain defaults of the last ``count`` fields of a dataclass."""
+    defaults = []
+    for field in fields(cls)[len(fields(cls)) - count :]:
+        default = field.default if field.default is not MISSING else None
+        if field.default_factory is not MISSING:
+            default = field.default_factory()
+        elif field.default is MISSING:
+            raise TypeError(f"{cls.__name__}.{field.name} was added later; give it a default")
+        defaults.append(_to_plain(default))
+    return tuple(defaults)
+
+
 def load_cbor(data: bytes) -> Result[Any, str]:
     """Decode one CBOR item. Never raises on bad input."""
     try:
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/queue_records.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/queue_records.py
@@ -38,7 +38,7 @@
     nonce: str
 
 
-@record(702, 1)
+@record(702, 2, added=1)
 @dataclass(frozen=True, slots=True)
 class JobProgress:
     """Durable progress of a job, written by the leader.
@@ -57,6 +57,8 @@
         Numbers of the completed occurrences.
     steps
         Progress of the steps that have any, in all occurrences.
+    team
+        Name of the team of the job; empty without one. Added in version 2.
     """
 
     queue: str
@@ -64,6 +66,7 @@
     finished_ms: float
     completed: list[int]
     steps: list[StepProgress]
+    team: str = ""
 
 
 @record(703, 1)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/queues.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/queues.py
@@ -1,5 +1,6 @@
 """Queues of multi-step jobs: their configuration, their jobs and the workers that run the tasks."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from nutmeglb_formats.models.resources import Resources
@@ -45,6 +46,8 @@
         ``slack_ms`` milliseconds.
     advice
         Timing of placement advice; ``None`` if the queue needs none.
+    public
+        Whether calls need no key although teams are configured.
     """
 
     name: str
@@ -56,6 +59,29 @@
     stretch: float
     slack_ms: float
     advice: AdviceTiming | None = None
+    public: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """A team whose jobs share the workers with those of other teams.
+
+    Attributes
+    ----------
+    priority
+        Rank of the team as configured; 0 is the highest.
+    weight
+        Relative share of the team when all capacity is in use. Also the number of jobs a second
+        that the team may expect to be served.
+    limit
+        Largest amount of each resource that the team may use on all workers together; 0 means no
+        limit.
+    """
+
+    name: str
+    priority: int
+    weight: float
+    limit: Resources
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +99,10 @@
     max_body_bytes
         Largest body of a submission in bytes, as configured. The frontend has its own fixed
         limit and does not use this value.
+    teams
+        Teams by name; ``None`` if the configuration knows no teams, and calls then need no key.
+    team_names_by_key
+        Name of the team of each key. Left out of ``repr``, since keys must not appear in logs.
     """
 
     version: int
@@ -80,6 +110,8 @@
     queues: tuple[Queue, ...]
     services: frozenset[str]
     max_body_bytes: int
+    teams: Mapping[str, Team] | None = None
+    team_names_by_key: Mapping[str, str] = field(default_factory=dict, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,6 +202,9 @@
         Wall-clock time of acceptance in milliseconds since the Unix epoch.
     nonce
         Random value of the accepting call, which distinguishes two submissions of one id.
+    team
+        Name of the team whose key the submission carried; empty without one. It stays the same when
+        the team's keys change.
     """
 
     job_id: str
@@ -181,6 +216,7 @@
     interval_ms: float
     accepted_ms: float
     nonce: str
+    team: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/wire/queues.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/wire/queues.py
@@ -1,6 +1,6 @@
 """Peer messages between the leader of the queues and its followers. Type codes 600 to 699."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from nutmeglb_formats.models.queues import QueueJob
 from nutmeglb_formats.wire.registry import message
@@ -48,13 +48,20 @@
     job_id: str
 
 
-@message(604, 1)
+@message(604, 2, added=1)
 @dataclass(frozen=True, slots=True)
 class StateReply:
-    """Reply to ``StateQuery``. Both fields are empty when the leader does not know the job."""
+    """Reply to ``StateQuery``. All fields are empty when the leader does not know the job.
+
+    Attributes
+    ----------
+    team
+        Name of the job's team; empty without one. Added in version 2.
+    """
 
     state: str
     queue: str
+    team: str = ""
 
 
 @message(605, 1)
@@ -110,7 +117,7 @@
     refused: bool
 
 
-@message(609, 1, latest_wins=True)
+@message(609, 2, latest_wins=True, added=1)
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Sent by the leader to all followers: queues that refuse new jobs at the moment.
@@ -119,9 +126,13 @@
     ----------
     refusing
         Pairs of queue name and time in milliseconds until the queue may accept jobs again.
+    refusing_teams
+        Rows of queue, team and time in milliseconds until the queue may accept jobs of the team
+        again. Added in version 2.
     """
 
     refusing: list[tuple[str, float]]
+    refusing_teams: list[tuple[str, str, float]] = field(default_factory=list)
 
 
 @message(613, 1, latest_wins=True)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -29,6 +29,7 @@
 from nutmeglb_decisions.queues import (
     admission,
     advice,
+    composition,
     lifecycle,
     placing,
     progress,
@@ -38,6 +39,7 @@
     waiting,
 )
 from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.composition import PartOptions
 from nutmeglb_decisions.queues.effects import Effect, RequestAdvice
 from nutmeglb_decisions.queues.idle_jobs import IdleJobMonitor
 from nutmeglb_decisions.queues.names import parse_task
@@ -138,6 +140,7 @@
         self.loaded = False
         self._early_offers: list[tuple[QueueJob, int]] = []
         self.refusing: dict[str, float] = {}
+        self.refusing_teams: dict[tuple[str, str], float] = {}
         self.pools: list[Pool] = []
 
     @property
@@ -146,7 +149,7 @@
 
     async def start(self, config: QueueConfig) -> None:
         """Start the takeover: load the state from the store, then renew the leases of workers."""
-        self.cell.configure(config)
+        self._configure_cell(config)
         self._background.spawn(self._lag.run())
         self._background.spawn(self._run_guarded(self._take_over()))
 
@@ -165,9 +168,12 @@
 
     def configure(self, config: QueueConfig) -> None:
         """Apply a new configuration."""
-        self.cell.configure(config)
+        self._configure_cell(config)
         self._request_pass()
 
+    def _configure_cell(self, config: QueueConfig) -> None:
+        composition.configure(self.cell, config, PartOptions())
+
     def offer(self, job: QueueJob, revision: int) -> None:
         """Schedule a job whose acceptance is stored. Offers before the takeover are deferred.
 
@@ -336,7 +342,9 @@
             pools.refresh(self.cell, now_ms)
             self.pools = pools.known_pools(now_ms)
             self.refusing = admission.refusing_queues(self.cell, now_ms)
-            reports_now = LoadReport(sorted(self.refusing.items())), pools_report(self.pools)
+            rows = [(*names, retry_ms) for names, retry_ms in sorted(self.refusing_teams.items())]
+            load_report = LoadReport(sorted(self.refusing.items()), rows)
+            reports_now = load_report, pools_report(self.pools)
             if reports_now != sent or now_ms - sent_ms >= LOAD_REPORT_REPEAT_MS:
                 for report in reports_now:
                     self._links.broadcast(report)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -14,10 +14,11 @@
 from nutmeglb._internal.queues.store_gate import StoreGate
 from nutmeglb._internal.queues.submissions import Submission, Submissions
 from nutmeglb._internal.telemetry.logs import get_logger
-from nutmeglb_decisions.queues import admission, pools, queries
+from nutmeglb_decisions.queues import admission, queries, verdicts
 from nutmeglb_decisions.queues.effects import Decision
 from nutmeglb_decisions.queues.pools import Pool
 from nutmeglb_decisions.queues.queries import JobStatus
+from nutmeglb_decisions.queues.verdicts import LoadView
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.exceptions import NotReady, NutmegError
 from nutmeglb_formats.models.queues import QueueJob
@@ -45,10 +46,19 @@
 
 @dataclass(frozen=True, slots=True)
 class SubmitAnswer:
-    """Answer to a submission. ``retry_ms`` is set when the job was not accepted."""
+    """Answer to a submission.
+
+    Attributes
+    ----------
+    retry_ms
+        Time in milliseconds after which a caller whose job was not accepted may retry.
+    by_team
+        Whether the load or the limit of the caller's own team is the cause.
+    """
 
     outcome: Submission
     retry_ms: float = 0.0
+    by_team: bool = False
 
 
 class QueueService:
@@ -80,6 +90,7 @@
         self._background = BackgroundTasks()
         self._pending: dict[str, tuple[int, float]] = {}
         self._refusing: dict[str, float] = {}
+        self._refusing_teams: dict[tuple[str, str], float] = {}
         self._load_report_ms = 0.0
         self._pools: list[Pool] = []
         links.on(JobOffered, self._on_offered)
@@ -101,27 +112,23 @@
         deadline_ms
             Monotonic time until which a write with an unknown outcome is retried.
         """
-        retry_ms = self._refusals().get(job.queue.name)
-        cause = "insufficient capacity to start the job in time"
-        unservable = pools.unservable_cause(job, self._known_pools())
-        if unservable:
-            retry_ms, cause = pools.UNSERVABLE_RETRY_MS, unservable
-        refuses = retry_ms is not None or not self._gate.allows_writes
+        refusal = verdicts.first_refusal(job, self._load_view())
+        refuses = refusal is not None or not self._gate.allows_writes
         if refuses and await self._is_known(job.job_id):
             return SubmitAnswer(Submission.REPEATED)
         # After an attempt with an unknown outcome only the store can tell whether the job runs.
-        if retry_ms is not None and not self._submissions.is_unresolved(job.job_id):
+        if refusal is not None and not self._submissions.is_unresolved(job.job_id):
             age_ms = (
                 round(self._clock.now_ms() - self._load_report_ms) if self._load_report_ms else 0
             )
             self._log_decision(
                 "job_refused",
-                cause,
+                refusal.cause,
                 job,
-                retry_ms=round(retry_ms),
+                retry_ms=round(refusal.retry_ms),
                 load_report_age_ms=age_ms,
             )
-            return SubmitAnswer(Submission.NOT_ACCEPTED, retry_ms)
+            return SubmitAnswer(Submission.NOT_ACCEPTED, refusal.retry_ms, refusal.by_team)
         stored = await self._submissions.submit(job, deadline_ms)
         outcome = stored.outcome
         if outcome == Submission.ACCEPTED:
@@ -173,13 +180,15 @@
             NotReady("The queue leader did not answer and no recent count is known", hint=hint)
         )
 
-    def _refusals(self) -> dict[str, float]:
+    def _load_view(self) -> LoadView:
+        """Return what this instance knows of the load. An outdated report shows nothing."""
+        config = self._config.current
         leader = self._leader()
         if leader is not None:
-            return leader.refusing
+            return LoadView(leader.refusing, leader.refusing_teams, leader.pools, config)
         if self._clock.now_ms() - self._load_report_ms > MAX_LOAD_REPORT_AGE_MS:
-            return {}
-        return self._refusing
+            return LoadView(config=config)
+        return LoadView(self._refusing, self._refusing_teams, self._pools, config)
 
     async def _is_known(self, job_id: str) -> bool:
         """Return whether a job is known to be accepted already.
@@ -195,13 +204,6 @@
         found = await self._submissions.status(job_id)
         return isinstance(found, Ok) and found.ok_value is not None
 
-    def _known_pools(self) -> list[Pool]:
-        leader = self._leader()
-        if leader is not None:
-            return leader.pools
-        is_fresh = self._clock.now_ms() - self._load_report_ms <= MAX_LOAD_REPORT_AGE_MS
-        return self._pools if is_fresh else []
-
     async def _offer(self, job: QueueJob, revision: int) -> None:
         leader = self._leader()
         if leader is not None:
@@ -233,7 +235,7 @@
         )
         if isinstance(reply, Err) or not reply.ok_value.state:
             return None
-        return JobStatus(reply.ok_value.state, reply.ok_value.queue)
+        return JobStatus(reply.ok_value.state, reply.ok_value.queue, reply.ok_value.team)
 
     def _on_offered(self, sender: str, message: JobOffered) -> Noted:
         leader = self._leader()
@@ -252,7 +254,9 @@
         status = None
         if leader is not None and leader.loaded:
             status = queries.status_of(leader.cell, message.job_id)
-        return StateReply(status.state.value, status.queue) if status else StateReply("", "")
+        if status is None:
+            return StateReply("", "")
+        return StateReply(status.state.value, status.queue, status.team)
 
     def _on_pending_query(self, sender: str, message: PendingQuery) -> PendingReply | None:
         leader = self._leader()
@@ -262,6 +266,9 @@
 
     def _on_load(self, sender: str, message: LoadReport) -> None:
         self._refusing = dict(message.refusing)
+        self._refusing_teams = {
+            (queue, team): retry_ms for queue, team, retry_ms in message.refusing_teams
+        }
         self._load_report_ms = self._clock.now_ms()
 
     def _on_pools(self, sender: str, message: PoolsReport) -> None:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
@@ -201,14 +201,16 @@
         if records.accepted is None:
             if records.progress is None:
                 return Ok(None)
-            return Ok(JobStatus(JobState(records.progress.final), records.progress.queue))
+            ended = records.progress
+            return Ok(JobStatus(JobState(ended.final), ended.queue, ended.team))
         record = decode_queue_record(records.accepted.value, records.accepted.key)
         if isinstance(record, Err):
             return Ok(None)
         state = JobState.RUNNING if records.progress else JobState.QUEUED
         if records.cancelled:
             state = JobState.CANCELLED
-        return Ok(JobStatus(state, record.ok_value.job.queue.name))
+        job = record.ok_value.job
+        return Ok(JobStatus(state, job.queue.name, job.team))
 
     async def _read_job(self, job_id: str) -> Result[_JobRecords, StoreError]:
         """Read the records of a job.
--- a/tests/unit/test_queue_leases_and_records.py
+++ b/tests/unit/test_queue_leases_and_records.py
@@ -9,7 +9,7 @@
 from nutmeglb._internal.queues.authority import MAX_CLOCK_DRIFT
 from nutmeglb._internal.queues.ports import OrderAnswer
 from nutmeglb._internal.queues.worker_link import EXPIRY_MARGIN_MS, LeaderCallbacks, WorkerLink
-from nutmeglb_decisions.queues import placing, progress, reports
+from nutmeglb_decisions.queues import placing, progress, ranking, reports
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StartTask
 from nutmeglb_decisions.queues.orders import StartOutcome
@@ -141,7 +141,7 @@
     single.selected.add("w1")
 
     def rank(ranked, start_ms, now_ms, estimates):
-        computed_rank = placing.rank_of(ranked, start_ms, now_ms, estimates)
+        computed_rank = ranking.rank_of(ranked, start_ms, now_ms, estimates)
         return replace(computed_rank, tier=0, priority=ranks[ranked.job.job_id])
 
     starts = []
--- a/tests/unit/test_queue_pass_cost.py
+++ b/tests/unit/test_queue_pass_cost.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from nutmeglb_decisions.queues import advice, placing, scheduling_pass, worker_selection
+from nutmeglb_decisions.queues import advice, placing, ranking, scheduling_pass, worker_selection
 from nutmeglb_decisions.queues.effects import RequestAdvice
 from nutmeglb_decisions.queues.headroom import spare_cpu
 from tests.lib.queues import ADVISED, BATCH, URGENT, CellWorld, job, step, worker_info
@@ -110,11 +110,11 @@
 def test_rank_follows_the_estimates_after_its_cache_expires(large_world):
     """Forecasts are cached only briefly, so that newly learned run times take effect."""
     (waiting,) = large_world.add(job("a", step(estimate_ms=1_000.0), queue=URGENT)).steps
-    rank = placing.rank_of(waiting, 0.0, 0.0, large_world.cell.estimates)
+    rank = ranking.rank_of(waiting, 0.0, 0.0, large_world.cell.estimates)
     for _ in range(50):
         large_world.cell.estimates.observe(URGENT.name, 1_000.0, 4_000.0, 1.0)
-    assert placing.rank_of(waiting, 0.0, 50.0, large_world.cell.estimates) == rank
-    later = placing.rank_of(waiting, 0.0, 200.0, large_world.cell.estimates)
+    assert ranking.rank_of(waiting, 0.0, 50.0, large_world.cell.estimates) == rank
+    later = ranking.rank_of(waiting, 0.0, 200.0, large_world.cell.estimates)
     assert later.remaining_work > 3 * rank.remaining_work
 
 
--- a/tests/unit/test_queue_placing.py
+++ b/tests/unit/test_queue_placing.py
@@ -9,8 +9,8 @@
 from nutmeglb_decisions.queues.advice import FIRST_CALL_WORKERS
 from nutmeglb_decisions.queues.effects import RequestAdvice
 from nutmeglb_decisions.queues.orders import StartOutcome
-from nutmeglb_decisions.queues.placing import ranked_steps
 from nutmeglb_decisions.queues.ranking import Tier, objective_ms
+from nutmeglb_decisions.queues.waiting_order import ranked_steps
 from nutmeglb_formats.models.queues import AdviceTiming
 from tests.lib.queues import ADVISED, BATCH, URGENT, CellWorld, job, step, worker_info
 
--- a/tests/unit/test_queue_submissions.py
+++ b/tests/unit/test_queue_submissions.py
@@ -85,7 +85,11 @@
     world.submit(first)
     world.answers = [ACCEPTED]
     leader = SimpleNamespace(
-        loaded=False, refusing={BATCH.name: 500.0}, pools=[], offer=lambda job, revision: None
+        loaded=False,
+        refusing={BATCH.name: 500.0},
+        refusing_teams={},
+        pools=[],
+        offer=lambda job, revision: None,
     )
     links = SimpleNamespace(on=lambda kind, handler: None, leader_id="")
     config = SimpleNamespace(current=None, last_contact_ms=None)
