Allow for the transfer of a large configuration over a narrow link

The configuration then takes 0.9 s on the links of 10 Mbit/s that 34 of 40 instances have, and a read of it had the timeout of a small call, 700 ms. The leader is not the cause: it is elected on a machine with 2.15 cores at 43.47 s and has loaded 285 jobs 85 ms later.

The first read now has the timeout of a large listing. A watch that failed is repeated with that timeout and without waiting; before, an instance counted as unreachable until its first watch ended, 1.5 s after the store was back (22.2 s: writes allowed, 23.7 s: ready).

Three tests fail without the change.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -84,7 +84,8 @@
         than the history that the store keeps.
         """
         key = self._platform.config_key
-        found = await self._platform.store.range(key)
+        # With thousands of queues the transfer over a narrow link exceeds the timeout of a call.
+        found = await self._platform.store.range(key, large=True)
         if isinstance(found, Err):
             return False
         item = next((item for item in found.ok_value.items if item.key == key), None)
@@ -96,8 +97,14 @@
         return True
 
     async def _wait_for_change(self) -> bool:
+        # After a failed call, the store answers without waiting, so that it counts as reachable
+        # again immediately. The call may have failed because the transfer took too long.
+        is_retry = not self.reachable
         found = await self._platform.store.changes(
-            self._platform.config_key, self._revision, WATCH_TIMEOUT_MS
+            self._platform.config_key,
+            self._revision,
+            0 if is_retry else WATCH_TIMEOUT_MS,
+            large=is_retry,
         )
         if isinstance(found, Err):
             return False
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -109,6 +109,8 @@
         self.late: list[dict[str, Any]] = []
         # Duration of ``kv-range`` calls by prefix; 0 for other prefixes.
         self.range_delays_s: dict[str, float] = {}
+        # Transfer time of the changes in an answer to ``kv-watch`` by prefix; 0 for other prefixes.
+        self.change_delays_s: dict[str, float] = {}
         self.calls = 0
         self._server: HTTPServer | None = None
         self.address = ""
@@ -216,6 +218,8 @@
                 return
             history = self._data.history
             events = [e for e in history if e["revision"] > after and e["key"].startswith(prefix)]
+            if events:
+                await asyncio.sleep(self._standin.change_delays_s.get(prefix, 0.0))
             if events or loop.time() >= wait_until_s:
                 self.send(200, {"events": events, "as_of": self._data.revision})
                 return
--- /dev/null
+++ b/tests/functional/test_queue_recovery.py
@@ -0,0 +1,47 @@
+"""Return to service after failures of many instances or of the store."""
+
+import json
+
+from standins.metadata_store import Fault
+from tests.lib.queue_path import CONFIG, run_scenario
+
+JOB = "00000000000000aa"
+# Longer than the timeout of a store call, and shorter than the transfer time allowed on the link.
+TRANSFER_S = 0.5
+NARROW_LINK_MBPS = 20.0
+
+
+def test_instance_on_a_narrow_link_starts_with_a_large_configuration():
+    """Guards against instances that never serve again, once many queues have been added."""
+
+    async def scenario(path):
+        added = await path.add_entry("e1", range_delays_s={"op/config": TRANSFER_S})
+        await path.until(lambda: added.node.ready)
+
+    run_scenario(scenario, link_mbps=NARROW_LINK_MBPS, entries=1)
+
+
+def test_instance_on_a_narrow_link_applies_a_large_change(monkeypatch):
+    """Guards against an instance that keeps an old configuration, since a watch times out."""
+    monkeypatch.setattr("nutmeglb._internal.queues.config_watch.WATCH_TIMEOUT_MS", 100)
+
+    async def scenario(path):
+        path.own_stores[0].change_delays_s = {"op/config": TRANSFER_S}
+        path.store.data.put("op/config", json.dumps({**CONFIG, "version": 2}).encode())
+        await path.until(lambda: path.entries[0].node.config.current.version == 2)
+
+    run_scenario(scenario, link_mbps=NARROW_LINK_MBPS, entries=1)
+
+
+def test_instances_are_ready_at_once_when_the_store_is_back(monkeypatch):
+    """Guards against an instance that counts as unready until its first watch ends."""
+    monkeypatch.setattr("nutmeglb._internal.queues.config_watch.WATCH_TIMEOUT_MS", 60_000)
+
+    async def scenario(path):
+        path.inject_store_fault(Fault.REFUSE)
+        path.store.data.put("op/config", json.dumps({**CONFIG, "version": 2}).encode())
+        await path.until(lambda: not any(entry.node.ready for entry in path.entries))
+        path.heal()
+        await path.until(lambda: all(entry.node.ready for entry in path.entries))
+
+    run_scenario(scenario)
--- a/tests/lib/queue_path.py
+++ b/tests/lib/queue_path.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -77,9 +77,15 @@
             await self.add_entry(f"e{number}")
         await self.until(lambda: any(entry.node.is_leading for entry in self.entries))
 
-    async def add_entry(self, name: str, link_mbps: float | None = None) -> Entry:
+    async def add_entry(
+        self,
+        name: str,
+        link_mbps: float | None = None,
+        range_delays_s: Mapping[str, float] | None = None,
+    ) -> Entry:
         """Start an entry instance with its own store listener, for store faults of it alone."""
         own_store = MetadataStoreStandin(self.store.data)
+        own_store.range_delays_s.update(range_delays_s or {})
         await own_store.start()
         self.own_stores.append(own_store)
         settings = QueueSettings.model_validate(
--- a/tests/lib/queue_store_model.py
+++ b/tests/lib/queue_store_model.py
@@ -133,7 +133,7 @@
     async def range(self, prefix, *, large=False):
         return await self._call(lambda: self._model.range(prefix))
 
-    async def changes(self, prefix, after, wait_ms):
+    async def changes(self, prefix, after, wait_ms, *, large=False):
         start_ms = self._simulation.now_ms
         while True:
             found = await self._call(lambda: self._model.changes(prefix, after))
