Refuse the first submissions of a store outage instead of holding them

A failed watch now makes the gate read once, and submissions wait for this answer. A single broken connection refuses nothing.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -21,6 +21,13 @@
 class ConfigWatch:
     """Newest configuration known to this instance. An older revision never replaces it.
 
+    Parameters
+    ----------
+    on_change
+        Called with each new configuration.
+    on_unanswered
+        Called when the store has not answered a call.
+
     Attributes
     ----------
     last_contact_ms
@@ -30,11 +37,16 @@
     """
 
     def __init__(
-        self, platform: Platform, clock: Clock, on_change: Callable[[QueueConfig], None]
+        self,
+        platform: Platform,
+        clock: Clock,
+        on_change: Callable[[QueueConfig], None],
+        on_unanswered: Callable[[], None],
     ) -> None:
         self._platform = platform
         self._clock = clock
         self._on_change = on_change
+        self._on_unanswered = on_unanswered
         self._revision = 0
         self.current: QueueConfig | None = None
         self.last_contact_ms: float | None = None
@@ -68,6 +80,7 @@
                 answered = False
             self._record_contact(answered)
             if not answered:
+                self._on_unanswered()
                 await asyncio.sleep(RETRY_MS / MS_PER_S)
 
     def _record_contact(self, answered: bool) -> None:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -96,7 +96,7 @@
         self._lag = LoopLag(clock, metrics)
         self._advice_dispatcher = AdviceDispatcher(platform.advice, self._links, clock, self._lag)
         self._gate = StoreGate(platform.store, self._store_changed)
-        self.config = ConfigWatch(platform, clock, self._configured)
+        self.config = ConfigWatch(platform, clock, self._configured, self._gate.check)
         self.service = QueueService(
             clock,
             self._links,
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -112,6 +112,7 @@
         deadline_ms
             Monotonic time until which a write with an unknown outcome is retried.
         """
+        await self._gate.wait_for_check()
         refusal = verdicts.first_refusal(job, self._load_view())
         refuses = refusal is not None or not self._gate.allows_writes
         if refuses and await self._is_known(job.job_id):
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/store_gate.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/store_gate.py
@@ -2,7 +2,9 @@
 
 Load pattern: a store outage during a burst of submissions. The outcome of an unanswered write stays
 unknown until the store recovers, and the caller gets no definite answer. After an unanswered write,
-no further writes are therefore sent until a read has been answered.
+no further writes are therefore sent until a read has been answered. After another unanswered call,
+such as the watch of the configuration, writes wait for the answer to one read, so that the first
+submission of an outage at each instance is refused as well instead of waiting for its outcome.
 """
 
 import asyncio
@@ -36,12 +38,23 @@
         self._on_change = on_change
         self._background = BackgroundTasks()
         self._allows_writes = True
+        self._check: asyncio.Task[None] | None = None
 
     @property
     def allows_writes(self) -> bool:
         """Return whether the store is assumed to answer."""
         return self._allows_writes
 
+    def check(self) -> None:
+        """Read once before the next write, since a call of another component was not answered."""
+        if self._allows_writes and self._check is None:
+            self._check = self._background.spawn(self._read_once())
+
+    async def wait_for_check(self) -> None:
+        """Wait for the answer to the read of ``check``, if one is in flight."""
+        if self._check is not None:
+            await asyncio.wait([self._check])
+
     def record_failure(self) -> None:
         """Block writes after an unanswered call, and probe until a read is answered."""
         if not self._allows_writes:
@@ -55,6 +68,12 @@
         """Stop probing."""
         await self._background.cancel()
 
+    async def _read_once(self) -> None:
+        found = await self._store.get(keys.TERM)
+        self._check = None
+        if isinstance(found, Err):
+            self.record_failure()
+
     async def _probe(self) -> None:
         while isinstance(await self._store.get(keys.TERM), Err):
             await asyncio.sleep(PROBE_INTERVAL_MS / MS_PER_S)
--- a/tests/functional/test_queue_recovery.py
+++ b/tests/functional/test_queue_recovery.py
@@ -2,8 +2,10 @@
 
 import json
 
+import pytest
+
 from standins.metadata_store import Fault
-from tests.lib.queue_path import CONFIG, run_scenario
+from tests.lib.queue_path import CONFIG, job_body, run_scenario
 
 JOB = "00000000000000aa"
 # Longer than the timeout of a store call, and shorter than the transfer time allowed on the link.
@@ -45,3 +47,19 @@
         await path.until(lambda: all(entry.node.ready for entry in path.entries))
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("fault", [Fault.SILENT, Fault.REFUSE])
+def test_first_submission_of_a_store_outage_is_refused_at_once(monkeypatch, fault):
+    """Guards against a write whose outcome stays unknown until its caller's deadline."""
+    monkeypatch.setattr("nutmeglb._internal.queues.config_watch.WATCH_TIMEOUT_MS", 50)
+
+    async def scenario(path):
+        path.inject_store_fault(fault)
+        await path.until(lambda: not path.entries[0].node.ready)
+        assert (await path.call("POST", JOB, job_body()))[0] == 503
+        path.heal()
+        await path.until(lambda: path.entries[0].node.ready)
+        assert (await path.call("POST", JOB, job_body()))[0] == 200
+
+    run_scenario(scenario, entries=1)
