--- a/tests/unit/test_queue_submissions.py
+++ b/tests/unit/test_queue_submissions.py
@@ -28,7 +28,11 @@
     def __init__(self):
         self.clock = ManualClock(1_000.0)
         self.answers = []
-        self.gate = SimpleNamespace(allows_writes=True, record_failure=lambda: None)
+        self.gate = SimpleNamespace(
+            allows_writes=True,
+            record_failure=lambda: None,
+            wait_for_check=lambda: asyncio.sleep(0),
+        )
         self.submissions = Submissions(self, self.clock, self.gate)
 
     async def commit(self, expected, puts, removals=()):
