Offer jobs that were accepted without a leader to the next one

Cause: an instance that is not connected to a leader accepts jobs, but notified nobody, so the leader found them at its next poll of the store, up to a second later.

The accepting instance now offers such a job as soon as it is connected to a leader, for up to 4 s. An offer that was sent is not repeated to the same leader. An instance that does not lead refuses offers instead of ignoring them.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -1,5 +1,6 @@
 """Commands and queries of callers about jobs, which any instance handles."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -42,6 +43,12 @@
 MAX_PENDING_AGE_MS = 2_000.0
 # The leader's report of refusing queues expires after this time without a newer one.
 MAX_LOAD_REPORT_AGE_MS = 2_000.0
+# An accepted job that no leader has been notified of is offered for this long. By then a leader
+# that was elected meanwhile has found it in the store.
+MAX_OFFER_MS = 4_000.0
+# Interval of the checks for a leader to offer such a job to.
+OFFER_CHECK_MS = 30.0
+MS_PER_S = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,15 +213,25 @@
         return isinstance(found, Ok) and found.ok_value is not None
 
     async def _offer(self, job: QueueJob, revision: int) -> None:
-        leader = self._leader()
-        if leader is not None:
-            leader.offer(job, revision)
-            return
-        # A leader that is not notified finds the job when it next polls the store.
-        if self._links.leader_id:
-            await self._links.request(
-                self._links.leader_id, JobOffered(job, revision), LEADER_TIMEOUT_MS
-            )
+        """Notify the leader of an accepted job, or the next leader if the job precedes it.
+
+        Load pattern: a change of leader under urgent work. The store is polled once a second, and
+        this instance is not connected to the new leader yet. An offer that was sent is not repeated
+        to the same leader, which may only be slow to answer.
+        """
+        give_up_ms = self._clock.now_ms() + MAX_OFFER_MS
+        unanswered_by = ""
+        while self._clock.now_ms() < give_up_ms:
+            leader, peer = self._leader(), self._links.leader_id
+            if leader is not None:
+                leader.offer(job, revision)
+                return
+            if peer and peer != unanswered_by:
+                offer = JobOffered(job, revision)
+                if isinstance(await self._links.request(peer, offer, LEADER_TIMEOUT_MS), Ok):
+                    return
+                unanswered_by = peer
+            await asyncio.sleep(OFFER_CHECK_MS / MS_PER_S)
 
     async def _notify_cancelled(self, job_id: str) -> None:
         leader = self._leader()
@@ -240,8 +257,9 @@
 
     def _on_offered(self, sender: str, message: JobOffered) -> Noted:
         leader = self._leader()
-        if leader is not None:
-            leader.offer(message.job, message.revision)
+        if leader is None:
+            raise NotReady("This instance does not lead", hint="Send the offer to the leader")
+        leader.offer(message.job, message.revision)
         return Noted()
 
     def _on_cancelled(self, sender: str, message: JobCancelled) -> Noted:
--- a/tests/functional/test_queue_recovery.py
+++ b/tests/functional/test_queue_recovery.py
@@ -63,3 +63,19 @@
         assert (await path.call("POST", JOB, job_body()))[0] == 200
 
     run_scenario(scenario, entries=1)
+
+
+def test_job_accepted_before_the_connection_to_a_new_leader_starts_at_once(monkeypatch):
+    """Guards against urgent jobs that wait for the next poll of the store after an election."""
+    monkeypatch.setattr("nutmeglb._internal.queues.inbox_reader.MS_PER_S", 1.0)
+
+    async def scenario(path):
+        follower = next(n for n, entry in enumerate(path.entries) if not entry.node.is_leading)
+        links = path.entries[follower].node._links
+        leader_record = links._leader
+        links._leader = None
+        assert (await path.call("POST", JOB, job_body(), follower))[0] == 200
+        links._leader = leader_record
+        await path.until(lambda: path.starts)
+
+    run_scenario(scenario)
--- a/tests/unit/test_queue_submissions.py
+++ b/tests/unit/test_queue_submissions.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from nutmeglb._internal.queues import keys
+from nutmeglb._internal.queues import service as service_module
 from nutmeglb._internal.queues import submissions as module
 from nutmeglb._internal.queues.ports import Commit
 from nutmeglb._internal.queues.service import QueueService
@@ -115,3 +116,44 @@
         return answer.outcome
 
     assert asyncio.run(scenario()) == outcome
+
+
+@pytest.mark.parametrize(
+    ("connections", "answers", "offered_to"),
+    [
+        (["e1"], {"e1": True}, ["e1"]),
+        # The leader of the next term connects after the acceptance.
+        (["", "", "e2"], {"e2": True}, ["e2"]),
+        # The former leader has ended, or has stepped down and refuses the offer.
+        (["e1", "", "e2"], {"e1": False, "e2": True}, ["e1", "e2"]),
+        # A leader that is slow to answer gets no second offer.
+        (["e1", "e1", "e1"], {"e1": False}, ["e1"]),
+    ],
+)
+def test_accepted_job_is_offered_to_the_leader_that_follows(
+    monkeypatch, connections, answers, offered_to
+):
+    """Guards against urgent jobs that wait for the next poll of the store after an election."""
+    monkeypatch.setattr(service_module, "OFFER_CHECK_MS", 1.0)
+    world = World()
+    offers = []
+
+    class Links:
+        def on(self, kind, handler):
+            pass
+
+        @property
+        def leader_id(self):
+            world.clock.advance(service_module.MAX_OFFER_MS / 5)
+            return connections.pop(0) if connections else ""
+
+        async def request(self, peer, message, timeout_ms):
+            offers.append(peer)
+            return Ok(None) if answers[peer] else Err("no reply")
+
+    async def scenario():
+        arguments = (world.clock, Links(), world.submissions, world.gate, None, None)
+        await QueueService(*arguments, lambda: None)._offer(JOB, 7)
+
+    asyncio.run(scenario())
+    assert offers == offered_to
