Leave the next probe of a worker to other jobs after a job failed as its probe

Backoff did not apply, as the gang failed on one worker.

Change: a job whose task failed as a probe is deferred until one second after the next probe.

Measured: the new test fails without the change and passes with it.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/outcome_tracker.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/outcome_tracker.py
@@ -12,6 +12,9 @@
 from nutmeglb_decisions.tasks.state import Attempt, Job, Phase
 from nutmeglb_formats.models.agent import FinishedTask, TaskOutcome
 
+# After the next probe of a worker, other jobs may take it for this time before the job whose task
+# failed as the last one. A scheduling round takes less.
+PROBE_PRECEDENCE_MS = 1_000.0
 FAILURE_OUTCOMES = (TaskOutcome.FAILED, TaskOutcome.REFUSED)
 
 
@@ -97,6 +100,7 @@
                 "quarantine_began", "tasks fail soon after start", worker=attempt.worker
             )
         self._availability_changed(attempt.worker)
+        self._defer_after_probe(job, now_ms)
         is_backing_off = job.not_before_ms > now_ms
         enabled_count = len(self._lifecycle.capacity.engine.enabled())
         # Other jobs of the same name may succeed, so this job's own failures are checked as well.
@@ -112,3 +116,21 @@
             self._lifecycle.outbox.log_decision(
                 "job_backoff", "fails on every worker", job=job.job_id, delay_ms=delay_ms
             )
+
+    def _defer_after_probe(self, job: Job, now_ms: float) -> None:
+        """Leave the next probe of a worker to other jobs, if the last one was a task of this job.
+
+        A job that always fails would otherwise take every probe, and a gang that needs the worker
+        would never start.
+        """
+        probed = [w for w, probe in self._probes.items() if probe.key.job_id == job.job_id]
+        next_probe_ms = max((self._quarantine.next_probe_ms(w) for w in probed), default=0.0)
+        until_ms = next_probe_ms + PROBE_PRECEDENCE_MS
+        if next_probe_ms and until_ms > job.not_before_ms:
+            self._lifecycle.delay(job, until_ms)
+            self._lifecycle.outbox.log_decision(
+                "job_backoff",
+                "a task failed as the probe of a worker",
+                job=job.job_id,
+                delay_ms=until_ms - now_ms,
+            )
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/quarantine.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/quarantine.py
@@ -90,6 +90,11 @@
         state.probe_allowed = False
         state.next_probe_ms = now_ms + state.delay_ms
 
+    def next_probe_ms(self, worker: str) -> float:
+        """Return the time of the next probe of a quarantined worker, or 0 for another worker."""
+        state = self._workers.get(worker)
+        return state.next_probe_ms if state is not None and state.quarantined else 0.0
+
     def take_due_probes(self, now_ms: float) -> list[str]:
         """Return the workers whose probe is due, and allow one task on each."""
         due = [
--- a/tests/unit/test_task_policies.py
+++ b/tests/unit/test_task_policies.py
@@ -326,3 +326,24 @@
     assert 0.45 < chosen.count("a") / len(chosen) < 0.55
     assert chosen[:5] == [choose_domain("labs", f"s{n}", policy, "y") for n in range(5)]
     assert submitted_job_id("a", "labs", "s1") != submitted_job_id("a", "counters", "s1")
+
+
+def test_gang_starts_although_a_failing_gang_waits_for_the_same_probe() -> None:
+    """Guards against a failing gang that takes every probe of a worker that a healthy one needs."""
+    world = World(make_config(), workers=3)
+    world.run_round()
+    tracker = world.leader._outcomes
+    for number in range(6):
+        tracker._quarantine.failed("w0", ("labs", f"job{number}"), 4, world.clock.now_ms())
+    tracker._availability_changed("w0")
+    assert not tracker._quarantine.allows("w0")
+    large = Resources(3_000, GIB, 0)
+    commands = {"bad": "run_ms=20 outcome=failed", "good": "run_ms=20"}
+    for submission, command in commands.items():
+        spec = make_spec(submission, kind=JobKind.GANG, tasks=3, resources=large, command=command)
+        world.submit(spec)
+    world.commit_all()
+    healthy = list(world.leader.lifecycle.jobs.values())[1]
+    for _ in range(1_000):
+        world.run_round(100.0)
+    assert healthy.done_count == 3
