--- a/tests/functional/test_queue_takeover.py
+++ b/tests/functional/test_queue_takeover.py
@@ -252,7 +252,8 @@
         await path.until_state(JOB, "completed", other)
         assert path.entries[other].node._election.term is term
 
-    run_scenario(scenario)
+    # A lease that outlasts a process that does not run: only the record may end the term.
+    run_scenario(scenario, leader_lease_ms=10_000)
 
 
 @pytest.mark.parametrize("retention_s", [1.0, 3_600.0])
--- a/tests/lib/queue_path.py
+++ b/tests/lib/queue_path.py
@@ -22,6 +22,7 @@
 PREFIX = "/jobs/"
 WAIT_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.02
+LEADER_LEASE_MS = 600
 CONFIG = {
     "version": 1,
     "routes": [
@@ -62,6 +63,7 @@
     entries: list[Entry] = field(default_factory=list)
     own_stores: list[MetadataStoreStandin] = field(default_factory=list)
     link_mbps: float = 1_000.0
+    leader_lease_ms: int = LEADER_LEASE_MS
 
     async def start(self, entries: int = 2, runners: int = 2) -> None:
         """Start everything and wait for a leader."""
@@ -94,9 +96,9 @@
                 "store": {"address": own_store.address, "call_timeout_ms": 200},
                 "advice": {"address": self.advice.address},
                 "queues": {
-                    "leader_lease_ms": 600,
+                    "leader_lease_ms": self.leader_lease_ms,
                     "renew_ms": 100,
-                    "authority_ms": 600,
+                    "authority_ms": self.leader_lease_ms,
                     "run_lease_ms": 1_000,
                     "inbox_ms": 100,
                     "list_ms": 100,
@@ -189,12 +191,15 @@
 
 
 def run_scenario(
-    scenario: Callable[[QueuePath], Awaitable[None]], link_mbps: float = 1_000.0, **counts: int
+    scenario: Callable[[QueuePath], Awaitable[None]],
+    link_mbps: float = 1_000.0,
+    leader_lease_ms: int = LEADER_LEASE_MS,
+    **counts: int,
 ) -> None:
     """Run a scenario with newly started stand-ins and entry instances."""
 
     async def main() -> None:
-        path = QueuePath(link_mbps=link_mbps)
+        path = QueuePath(link_mbps=link_mbps, leader_lease_ms=leader_lease_ms)
         try:
             await path.start(**counts)
             await scenario(path)
