Decide on callers by the keys of teams

Change: teams and keys are decoded once in the adapter; access.decide_access admits a call or denies it. An unknown key is denied with 401 only by a configuration confirmed within configuration.max_lag_ms, otherwise with 503. A job of another team is unknown (410, 409 for a submission of its id). After an unanswered watch the configuration is read at once, so that a dead connection delays a version by at most 2.2 s of 3 s.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -10,7 +10,7 @@
 from nutmeglb._internal.context import Metrics
 from nutmeglb._internal.queues.advice_dispatcher import AdviceDispatcher
 from nutmeglb._internal.queues.authority import Term
-from nutmeglb._internal.queues.config_watch import ConfigWatch
+from nutmeglb._internal.queues.config_watch import ConfigWatch, limits_from, wait_within
 from nutmeglb._internal.queues.decision_log import DecisionLog
 from nutmeglb._internal.queues.election import Election
 from nutmeglb._internal.queues.leader import Leader
@@ -96,7 +96,13 @@
         self._lag = LoopLag(clock, metrics)
         self._advice_dispatcher = AdviceDispatcher(platform.advice, self._links, clock, self._lag)
         self._gate = StoreGate(platform.store, self._store_changed)
-        self.config = ConfigWatch(platform, clock, self._configured)
+        self.config = ConfigWatch(
+            platform,
+            clock,
+            self._configured,
+            limits_from(settings),
+            wait_within(settings),
+        )
         self.service = QueueService(
             clock,
             self._links,
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/ports.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/ports.py
@@ -221,8 +221,8 @@
     workers: WorkerGateway
     advice: AdviceClient | None
 
-    def decode_config(self, item: StoredItem) -> Result[QueueConfig, StoredValueError]:
-        """Decode the operators' configuration."""
+    async def decode_config(self, item: StoredItem) -> Result[QueueConfig, StoredValueError]:
+        """Decode the operators' configuration. Other tasks run between parts of a large one."""
 
     def decode_worker(self, item: StoredItem) -> Result[QueueWorker, StoredValueError]:
         """Decode the entry of a worker."""
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -15,6 +15,7 @@
 from nutmeglb._internal.queues.submissions import Submission, Submissions
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import admission, queries, verdicts
+from nutmeglb_decisions.queues.access import ANY_CALLER, Caller
 from nutmeglb_decisions.queues.effects import Decision
 from nutmeglb_decisions.queues.pools import Pool
 from nutmeglb_decisions.queues.queries import JobStatus
@@ -104,18 +105,24 @@
         """Stop background work."""
         await self._background.cancel()
 
-    async def submit(self, job: QueueJob, deadline_ms: float) -> SubmitAnswer:
+    async def submit(
+        self, job: QueueJob, deadline_ms: float, caller: Caller = ANY_CALLER
+    ) -> SubmitAnswer:
         """Accept a job durably, or refuse it.
 
         Parameters
         ----------
         deadline_ms
             Monotonic time until which a write with an unknown outcome is retried.
+        caller
+            Decides whether a job that exists already counts as the caller's.
         """
         refusal = verdicts.first_refusal(job, self._load_view())
         refuses = refusal is not None or not self._gate.allows_writes
-        if refuses and await self._is_known(job.job_id):
-            return SubmitAnswer(Submission.REPEATED)
+        known = await self._find_known(job.job_id) if refuses else None
+        if known is not None:
+            is_own = caller.may_see(known.team)
+            return SubmitAnswer(Submission.REPEATED if is_own else Submission.ID_TAKEN)
         # After an attempt with an unknown outcome only the store can tell whether the job runs.
         if refusal is not None and not self._submissions.is_unresolved(job.job_id):
             age_ms = (
@@ -129,20 +136,22 @@
                 load_report_age_ms=age_ms,
             )
             return SubmitAnswer(Submission.NOT_ACCEPTED, refusal.retry_ms, refusal.by_team)
-        stored = await self._submissions.submit(job, deadline_ms)
+        stored = await self._submissions.submit(job, deadline_ms, caller)
         outcome = stored.outcome
         if outcome == Submission.ACCEPTED:
             self._log_decision("job_accepted", "stored", job, leader=self._links.leader_id)
             self._background.spawn(self._offer(job, stored.revision))
-        elif outcome != Submission.REPEATED:
+        elif outcome not in (Submission.REPEATED, Submission.ID_TAKEN):
             self._log_decision(
                 "job_refused", "not confirmed by the store", job, outcome=outcome.value
             )
         return SubmitAnswer(outcome, admission.outage_retry_ms(job))
 
-    async def cancel(self, job_id: str, deadline_ms: float) -> Result[bool, NutmegError]:
-        """Cancel a job durably. Return whether it exists."""
-        cancelled = await self._submissions.cancel(job_id, deadline_ms)
+    async def cancel(
+        self, job_id: str, deadline_ms: float, caller: Caller = ANY_CALLER
+    ) -> Result[bool, NutmegError]:
+        """Cancel a job durably. Return whether it exists and the caller may see it."""
+        cancelled = await self._submissions.cancel(job_id, deadline_ms, caller)
         if isinstance(cancelled, Err):
             return Err(cancelled.err_value)
         if cancelled.ok_value:
@@ -190,19 +199,18 @@
             return LoadView(config=config)
         return LoadView(self._refusing, self._refusing_teams, self._pools, config)
 
-    async def _is_known(self, job_id: str) -> bool:
-        """Return whether a job is known to be accepted already.
+    async def _find_known(self, job_id: str) -> JobStatus | None:
+        """Return the status of a job that is known to be accepted already, else ``None``.
 
         A refusal means that the job never runs, so a repeated submission of an accepted job must
         not be refused. The leader learns of a job some time after its acceptance, so the store is
         read as well.
         """
-        if await self._status_at_leader(job_id) is not None:
-            return True
-        if not self._gate.allows_writes:
-            return False
+        status = await self._status_at_leader(job_id)
+        if status is not None or not self._gate.allows_writes:
+            return status
         found = await self._submissions.status(job_id)
-        return isinstance(found, Ok) and found.ok_value is not None
+        return found.ok_value if isinstance(found, Ok) else None
 
     async def _offer(self, job: QueueJob, revision: int) -> None:
         leader = self._leader()
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
@@ -74,6 +74,25 @@
         return min(self.run_lease_ms, self.max_run_lease_ms)
 
 
+class ConfigurationSection(Section):
+    """The operators' configuration of queues and teams."""
+
+    max_lag_ms: float = Field(
+        3_000, ge=500, le=600_000, description="A stored version takes effect within this time."
+    )
+
+
+class TeamsSection(Section):
+    """Teams and their keys."""
+
+    key_required: bool = Field(
+        False, description="Calls need a key also while the configuration has no team."
+    )
+    revoke_ms: float = Field(
+        0, ge=0, le=600_000, description="A key is used this long without the store; 0: no limit."
+    )
+
+
 class QueueLogSection(Section):
     """Logs on standard output."""
 
@@ -98,6 +117,8 @@
     store: QueueStoreSection
     advice: AdviceSection = AdviceSection()
     queues: QueueSection = QueueSection()
+    configuration: ConfigurationSection = ConfigurationSection()
+    teams: TeamsSection = TeamsSection()
     log: QueueLogSection = QueueLogSection()
     stop: QueueStopSection = QueueStopSection()
 
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
@@ -1,6 +1,7 @@
 """Durable acceptance and cancellation of jobs by any instance, independent of the leader."""
 
 import asyncio
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -10,6 +11,7 @@
 from nutmeglb._internal.queues.ports import Commit, QueueStore, StoredItem, StoredPut
 from nutmeglb._internal.queues.store_gate import StoreGate
 from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_decisions.queues.access import ANY_CALLER, Caller
 from nutmeglb_decisions.queues.queries import JobStatus
 from nutmeglb_decisions.queues.state import JobState
 from nutmeglb_formats.clock import Clock
@@ -36,13 +38,14 @@
     """Outcome of a submission.
 
     ``UNKNOWN`` means that the job may be accepted now or later. The caller must submit it again
-    with the same id.
+    with the same id. ``ID_TAKEN`` means that the id belongs to a job that the caller may not see.
     """
 
     ACCEPTED = "accepted"
     REPEATED = "repeated"
     NOT_ACCEPTED = "not_accepted"
     UNKNOWN = "unknown"
+    ID_TAKEN = "id_taken"
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,13 +86,17 @@
             attempted_ms is not None and self._clock.now_ms() - attempted_ms < MAX_UNRESOLVED_AGE_MS
         )
 
-    async def submit(self, job: QueueJob, deadline_ms: float) -> StoredSubmission:
+    async def submit(
+        self, job: QueueJob, deadline_ms: float, caller: Caller = ANY_CALLER
+    ) -> StoredSubmission:
         """Store a job unless a job with its id exists already.
 
         Parameters
         ----------
         deadline_ms
             Monotonic time until which a write with an unknown outcome is retried.
+        caller
+            Decides whether a job that exists already counts as the caller's.
         """
         if not self._gate.allows_writes:
             return self._refuse(job.job_id)
@@ -104,7 +111,7 @@
                 if not isinstance(committed.err_value, StoreOutcomeUnknown):
                     return self._refuse(job.job_id)
                 self._mark_unresolved(job.job_id)
-                resolved = await self._resolve(job, revision, deadline_ms)
+                resolved = await self._resolve(job, revision, deadline_ms, caller)
                 if resolved.outcome != Submission.UNKNOWN:
                     self._unresolved.pop(job.job_id, None)
                 return resolved
@@ -112,10 +119,11 @@
             if commit.applied:
                 self._unresolved.pop(job.job_id, None)
                 return StoredSubmission(Submission.ACCEPTED, commit.revision)
-            found = (commit.found or {}).get(key)
+            present = commit.found or {}
+            found = present.get(key)
             if found is None or not _is_withdrawn(found):
                 self._unresolved.pop(job.job_id, None)
-                return StoredSubmission(Submission.REPEATED)
+                return _existing(job.job_id, present, caller)
             revision = found.revision
 
     def _refuse(self, job_id: str) -> StoredSubmission:
@@ -129,7 +137,9 @@
         if len(self._unresolved) > MAX_UNRESOLVED:
             del self._unresolved[next(iter(self._unresolved))]
 
-    async def _resolve(self, job: QueueJob, revision: int, deadline_ms: float) -> StoredSubmission:
+    async def _resolve(
+        self, job: QueueJob, revision: int, deadline_ms: float, caller: Caller
+    ) -> StoredSubmission:
         """Retry the write of a job after an unanswered one, or find that the first took effect.
 
         Both writes require the same revision of the key, so only one of them takes effect, even if
@@ -151,7 +161,8 @@
                 self._gate.record_failure()
                 continue
             commit: Commit = committed.ok_value
-            found = (commit.found or {}).get(key)
+            present = commit.found or {}
+            found = present.get(key)
             if commit.applied or (found is not None and found.value == put.value):
                 logger.info("submission accepted after an unanswered write", job=job.job_id)
                 accepted = found.revision if found is not None else commit.revision
@@ -159,11 +170,13 @@
             if found is not None and _is_withdrawn(found):
                 return StoredSubmission(Submission.NOT_ACCEPTED)
             # Another submission of the job was accepted, which may have run or ended already.
-            return StoredSubmission(Submission.REPEATED)
+            return _existing(job.job_id, present, caller)
         return StoredSubmission(Submission.UNKNOWN)
 
-    async def cancel(self, job_id: str, deadline_ms: float) -> Result[bool, StoreError]:
-        """Store a cancellation. Return whether the job exists.
+    async def cancel(
+        self, job_id: str, deadline_ms: float, caller: Caller = ANY_CALLER
+    ) -> Result[bool, StoreError]:
+        """Store a cancellation. Return whether the job exists and the caller may see it.
 
         Parameters
         ----------
@@ -178,6 +191,8 @@
                     continue
                 return Err(found.err_value)
             records = found.ok_value
+            if not caller.may_see(_team_of(records)):
+                return Ok(False)
             if records.accepted is None:
                 return Ok(records.progress is not None)
             if records.cancelled:
@@ -246,6 +261,32 @@
     return loaded.ok_value
 
 
+def _team_of(records: _JobRecords) -> str:
+    """Return the team of a job; empty if it has none or its record is malformed."""
+    if records.accepted is not None:
+        return _accepted_team(records.accepted)
+    return records.progress.team if records.progress is not None else ""
+
+
+def _accepted_team(item: StoredItem) -> str:
+    loaded = decode_queue_record(item.value, item.key)
+    if isinstance(loaded, Err) or not isinstance(loaded.ok_value, AcceptedJob):
+        return ""
+    return loaded.ok_value.job.team
+
+
+def _existing(job_id: str, present: Mapping[str, StoredItem], caller: Caller) -> StoredSubmission:
+    """Return the outcome of a submission whose id has a job in the store already."""
+    accepted, final = present.get(keys.accepted(job_id)), present.get(keys.final(job_id))
+    progress = _decode_progress(final) if final is not None else None
+    if accepted is not None:
+        team = _accepted_team(accepted)
+    else:
+        team = progress.team if progress is not None else ""
+    is_own = caller.may_see(team)
+    return StoredSubmission(Submission.REPEATED if is_own else Submission.ID_TAKEN)
+
+
 def _is_withdrawn(item: StoredItem) -> bool:
     loaded = decode_queue_record(item.value, item.key)
     return isinstance(loaded, Ok) and isinstance(loaded.ok_value, WithdrawnJob)
--- a/tests/lib/queue_path.py
+++ b/tests/lib/queue_path.py
@@ -62,6 +62,9 @@
     entries: list[Entry] = field(default_factory=list)
     own_stores: list[MetadataStoreStandin] = field(default_factory=list)
     link_mbps: float = 1_000.0
+    config: dict[str, Any] = field(default_factory=lambda: CONFIG)
+    # Sections of settings that differ from those of the scenario.
+    settings: dict[str, dict[str, Any]] = field(default_factory=dict)
 
     async def start(self, entries: int = 2, runners: int = 2) -> None:
         """Start everything and wait for a leader."""
@@ -72,11 +75,17 @@
             await runner.start()
             self.runners.append(runner)
             self.store.data.put(f"servers/w{number}", runner.entry("pool"))
-        self.store.data.put("op/config", json.dumps(CONFIG).encode())
+        self.configure(**self.config)
         for number in range(entries):
             await self.add_entry(f"e{number}")
         await self.until(lambda: any(entry.node.is_leading for entry in self.entries))
 
+    def configure(self, **changes: Any) -> None:
+        """Store the next configuration as the operator: the last one with some fields replaced."""
+        version = self.config["version"] + 1
+        self.config = {**self.config, **changes, "version": version}
+        self.store.data.put("op/config", json.dumps(self.config).encode())
+
     async def add_entry(self, name: str, link_mbps: float | None = None) -> Entry:
         """Start an entry instance with its own store listener, for store faults of it alone."""
         own_store = MetadataStoreStandin(self.store.data)
@@ -103,6 +112,7 @@
                     "worker_timeout_ms": 150,
                 },
                 "stop": {"balancer_notice_ms": 50},
+                **self.settings,
             }
         )
         clock, metrics = Clock(), MetricsRegistry()
@@ -151,15 +161,25 @@
             while not condition():
                 await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def until_state(self, job_id: str, state: str, entry: int = 0) -> None:
+    async def until_state(self, job_id: str, state: str, entry: int = 0, key: str = "") -> None:
         """Wait until an instance reports a state of a job."""
 
         async def reached() -> bool:
-            status, body = await self.call("GET", job_id, entry=entry)
+            status, body = await self.call("GET", job_id, entry=entry, key=key)
             return status == 200 and body["state"] == state
 
         await self.until_async(reached)
 
+    async def until_status(
+        self, status: int, method: str, path: str, entry: int = 0, key: str = ""
+    ) -> None:
+        """Wait until an instance answers a call with a status."""
+
+        async def answered() -> bool:
+            return (await self.call(method, path, entry=entry, key=key))[0] == status
+
+        await self.until_async(answered)
+
     async def until_async(self, condition: Callable[[], Awaitable[bool]]) -> None:
         """Wait for an asynchronous condition."""
         async with asyncio.timeout(WAIT_TIMEOUT_S):
@@ -167,13 +187,19 @@
                 await asyncio.sleep(POLL_INTERVAL_S)
 
     async def call(
-        self, method: str, path: str, body: Any = None, entry: int = 0, host: str = HOST
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        entry: int = 0,
+        host: str = HOST,
+        key: str = "",
     ) -> tuple[int, Any]:
         """Send a caller's request to an instance and return status and body."""
         request = HTTPRequest(
             f"http://{self.entries[entry].address}{PREFIX}{path}",
             method=method,
-            headers={"Host": host, "Deadline-Ms": "3000"},
+            headers={"Host": host, "Deadline-Ms": "3000", **({"Key": key} if key else {})},
             body=json.dumps(body) if body is not None else None,
             allow_nonstandard_methods=True,
             request_timeout=WAIT_TIMEOUT_S,
@@ -189,12 +215,18 @@
 
 
 def run_scenario(
-    scenario: Callable[[QueuePath], Awaitable[None]], link_mbps: float = 1_000.0, **counts: int
+    scenario: Callable[[QueuePath], Awaitable[None]],
+    link_mbps: float = 1_000.0,
+    config: dict[str, Any] | None = None,
+    settings: dict[str, dict[str, Any]] | None = None,
+    **counts: int,
 ) -> None:
     """Run a scenario with newly started stand-ins and entry instances."""
 
     async def main() -> None:
-        path = QueuePath(link_mbps=link_mbps)
+        path = QueuePath(
+            link_mbps=link_mbps, config={**CONFIG, **(config or {})}, settings=settings or {}
+        )
         try:
             await path.start(**counts)
             await scenario(path)
--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -21,7 +21,7 @@
     encode_queue_record,
 )
 from nutmeglb_formats.models.queues import StepProgress
-from nutmeglb_platform import wire
+from nutmeglb_platform import wire, wire_config
 from nutmeglb_platform.store import _parse_answer, _parse_found_items
 from tests.lib.queues import ADVISED, job, step
 
@@ -76,7 +76,7 @@
 def test_configuration_is_decoded():
     advice = {"decide_ms": 10.5, "each_ms": 0.5, "valid_ms": 900}
     route = {"name": "r", "host": "h", "prefix": "/p/", "backend": "pool", "advice": advice}
-    config = wire.decode_config(
+    config = wire_config.decode_config(
         item({"version": 4, "routes": [route], "backends": [{"name": "pool"}], "limits": {}})
     ).unwrap()
     (queue,) = config.queues
@@ -149,7 +149,7 @@
 def test_no_decoder_raises_on_json(value):
     data = json.dumps(value).encode()
     wire.decode_worker("servers/", item(data))
-    wire.decode_config(item(data))
+    wire_config.decode_config(item(data))
     wire.decode_job(data)
     wire.decode_report(value)
     _parse_answer("kv-txn", lambda: _parse_found_items(value))
@@ -159,7 +159,7 @@
 @given(st.binary(max_size=200))
 def test_no_decoder_raises_on_bytes(data):
     wire.decode_worker("servers/", item(data))
-    wire.decode_config(item(data))
+    wire_config.decode_config(item(data))
     wire.decode_job(data)
     decode_queue_record(data, "key")
 
