Keep malformed headers out of the log, and test ids taken by other teams

Cause: the HTTP library logs the value of a malformed header at level info, which may be a key. Change: tornado.general writes from level warning. Tables for the submission and cancellation of a job of another team by its stored records, and for records of former builds. Result: test_keys, test_queue_submissions and test_telemetry pass.

--- a/packages/nutmeglb/src/nutmeglb/_internal/telemetry/bridge.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/telemetry/bridge.py
@@ -5,8 +5,9 @@
 from nutmeglb._internal.telemetry.logs import Level, LogOutput
 
 PACKAGE_PREFIX = "nutmeglb._internal."
-# These write a line for every request or connection at level info.
-QUIETED_LOGGERS = ("tornado.access", "websockets", "asyncio")
+# These write a line for every request or connection at level info. Those of ``tornado.general``
+# contain malformed headers, in which there may be a caller's key.
+QUIETED_LOGGERS = ("tornado.access", "tornado.general", "websockets", "asyncio")
 _STANDARD_ATTRIBUTES = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 
 
--- a/tests/unit/test_keys.py
+++ b/tests/unit/test_keys.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import json
+import logging
 import math
+from types import SimpleNamespace
 
 import pytest
 from result import Err
+from tornado.log import gen_log
 
 from nutmeglb._internal.queues.ports import StoredItem
+from nutmeglb._internal.telemetry import bridge
+from nutmeglb._internal.telemetry.bridge import QUIETED_LOGGERS as QUIETED
 from nutmeglb_decisions.queues.access import (
     AccessLimits,
     Admission,
@@ -116,6 +121,23 @@
     assert SECRET not in repr(config([{"name": "two", "api_keys": [SECRET]}]))
 
 
+def test_malformed_header_is_not_logged(monkeypatch):
+    """Guards against a key in the HTTP library's line about a malformed request."""
+    lines = []
+    output = SimpleNamespace(write=lambda *line, **_: lines.append(line))
+    root = logging.getLogger()
+    monkeypatch.setattr(root, "handlers", root.handlers)
+    previous = [(logger, logger.level) for logger in (root, *map(logging.getLogger, QUIETED))]
+    try:
+        bridge.install(output, "info")
+        gen_log.info("Malformed HTTP message: Invalid header value %r", SECRET)
+        gen_log.warning("other")
+    finally:
+        for logger, level in previous:
+            logger.setLevel(level)
+    assert [line[2] for line in lines] == ["other"]
+
+
 @pytest.mark.parametrize(
     ("tenants", "public", "key", "age_ms", "limits", "decision"),
     [
--- a/tests/unit/test_queue_submissions.py
+++ b/tests/unit/test_queue_submissions.py
@@ -1,18 +1,27 @@
 """Submissions whose earlier attempt has an unknown outcome."""
 
 import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 
+import cbor2
 import pytest
 from result import Err, Ok
 
 from nutmeglb._internal.queues import keys
 from nutmeglb._internal.queues import submissions as module
-from nutmeglb._internal.queues.ports import Commit
+from nutmeglb._internal.queues.ports import Commit, StoredItem
 from nutmeglb._internal.queues.service import QueueService
 from nutmeglb._internal.queues.submissions import Submission, Submissions
+from nutmeglb_decisions.queues.access import ANY_CALLER, Caller
 from nutmeglb_formats.clock import ManualClock
 from nutmeglb_formats.exceptions import StoreOutcomeUnknown, StoreUnavailable
+from nutmeglb_formats.models.queue_records import (
+    AcceptedJob,
+    JobProgress,
+    decode_queue_record,
+    encode_queue_record,
+)
 from tests.lib.queues import BATCH, job, step
 
 JOB = job("00000000000000aa", step(), queue=BATCH)
@@ -65,6 +74,87 @@
     assert not world.submissions.is_unresolved(JOB.job_id)
 
 
+def of_team(team):
+    return replace(JOB, team=team)
+
+
+def stored(key, record):
+    return {key: StoredItem(key, encode_queue_record(record), 3)}
+
+
+def accepted(team):
+    record = AcceptedJob(replace(of_team(team), nonce="of another submission"))
+    return stored(keys.accepted(JOB.job_id), record)
+
+
+def ended(team):
+    return stored(keys.final(JOB.job_id), JobProgress("q", "completed", 0.0, [], [], team))
+
+
+ONE = Caller("one")
+
+
+@pytest.mark.parametrize(
+    ("present", "caller", "outcome"),
+    [
+        (accepted("one"), ONE, Submission.REPEATED),
+        (accepted("two"), ONE, Submission.ID_TAKEN),
+        (accepted(""), ONE, Submission.REPEATED),
+        (accepted("two"), ANY_CALLER, Submission.REPEATED),
+        (ended("one"), ONE, Submission.REPEATED),
+        (ended("two"), ONE, Submission.ID_TAKEN),
+        (ended(""), ONE, Submission.REPEATED),
+        (accepted("two") | ended("two"), ONE, Submission.ID_TAKEN),
+    ],
+)
+@pytest.mark.parametrize("is_first_unanswered", [False, True])
+def test_submission_of_an_existing_id_is_repeated_only_for_its_team(
+    present, caller, outcome, is_first_unanswered
+):
+    """Guards against an answer that claims the acceptance of a job that is another team's."""
+    world = World()
+    world.answers = [Ok(Commit(False, 0, present))]
+    if is_first_unanswered:
+        world.answers.insert(0, UNKNOWN)
+    submitted = world.submissions.submit(of_team("one"), world.clock.now_ms() + 1, caller)
+    assert asyncio.run(submitted).outcome == outcome
+
+
+@pytest.mark.parametrize(
+    ("present", "caller", "exists"),
+    [
+        (accepted("one"), ONE, True),
+        (accepted("two"), ONE, False),
+        (accepted("two"), ANY_CALLER, True),
+        (ended("one"), ONE, True),
+        (ended("two"), ONE, False),
+        ({}, ONE, False),
+    ],
+)
+def test_cancellation_of_another_teams_job_has_no_effect(present, caller, exists):
+    world = World()
+
+    async def listing(prefix):
+        return Ok(SimpleNamespace(items=[i for k, i in present.items() if k.startswith(prefix)]))
+
+    async def get(key):
+        return Ok(present.get(key))
+
+    world.range, world.get = listing, get
+    # Only the cancellation of the caller's own unfinished job is written.
+    world.answers = [ACCEPTED]
+    cancelled = asyncio.run(world.submissions.cancel(JOB.job_id, 0.0, caller))
+    assert cancelled == Ok(exists)
+    assert len(world.answers) == (0 if exists and keys.accepted(JOB.job_id) in present else 1)
+
+
+def test_record_of_a_former_build_has_no_team():
+    record = cbor2.loads(encode_queue_record(AcceptedJob(of_team("one"))))
+    del record[2][0]["team"], record[2][0]["queue"]["public"]
+    decoded = decode_queue_record(cbor2.dumps(record), "key").unwrap()
+    assert (decoded.job.team, decoded.job.queue.public) == ("", False)
+
+
 def test_unresolved_attempts_are_bounded(monkeypatch):
     monkeypatch.setattr(module, "MAX_UNRESOLVED", 2)
     world = World()
