Check keys of teams in the queue soak

Cause: the soak knew no teams, so that a key served too long or refused wrongly was not seen on real processes under faults. Change: its operator adds and removes keys all the time, callers use keys, and probes send unknown, removed and foreign ones. The check KEYS finds success with a key never configured or for a job of another team, 401 for a configured key, and success too long after a removal without a disturbance. A watch call waits so long that the read after an unanswered one fits into the permitted lag. Table of the checker passes.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -23,6 +23,8 @@
 # share.
 TRANSFER_MARGIN_MS = 400.0
 MAX_MARGIN_SHARE = 0.5
+# Part of the permitted lag that is reserved for the read after an unanswered watch call.
+READ_MARGIN_MS = 200.0
 RETRY_MS = 150.0
 MS_PER_S = 1_000.0
 
@@ -217,8 +219,8 @@
     A call on a connection that went silent takes its wait and the timeout of a call. The read that
     follows it has to end within the permitted lag.
     """
-    available_ms = _without_margin(settings.configuration.max_lag_ms)
-    wait_ms = int(available_ms - settings.store.call_timeout_ms)
+    detected_ms = settings.configuration.max_lag_ms - READ_MARGIN_MS
+    wait_ms = int(detected_ms - settings.store.call_timeout_ms)
     return min(WATCH_TIMEOUT_MS, max(MIN_WAIT_MS, wait_ms))
 
 
--- a/scripts/queue_soak.py
+++ b/scripts/queue_soak.py
@@ -1,4 +1,7 @@
-"""Randomized run of queues on real processes under load and faults, checked for TWICE and LIMIT."""
+"""Randomized run of queues on real processes under load and faults.
+
+Checked for TWICE, LIMIT and KEYS.
+"""
 
 import argparse
 import asyncio
@@ -15,6 +18,7 @@
 from scripts.queue_soak_cell import SoakCell
 from scripts.queue_soak_checks import FleetRecord, SeenViolation, check_record, read_record
 from scripts.queue_soak_faults import QueueFaults
+from scripts.queue_soak_keys import KeyChanges, check_keys
 from scripts.queue_soak_load import SoakLoad
 from scripts.queue_soak_logs import SoakLogs
 from tests.lib.processes import exit_on_sigterm
@@ -63,20 +67,23 @@
     )
     usage: list[float] = []
     try:
-        await cell.start()
-        load = SoakLoad(cell, arguments.seed, arguments.callers, arguments.longest_ms)
+        keys = KeyChanges(cell, arguments.seed)
+        await cell.start(keys.store_first, keys.some_key)
+        load = SoakLoad(cell, keys, arguments.seed, arguments.callers, arguments.longest_ms)
         load.start()
+        keys.start()
         faults = QueueFaults(cell, arguments.seed, arguments.faults.split(","))
         sampler = asyncio.create_task(_sample_usage(cell, usage))
         await faults.run(arguments.duration_s)
         sampler.cancel()
         await load.stop()
+        await keys.stop()
         await asyncio.sleep(SETTLE_S)
         await cell.stop()
     finally:
         cell.kill()
     record = read_record(read_events(cell.record_file))
-    violations = check_record(record)
+    violations = check_record(record) + check_keys(keys.record, faults.disturbances)
     logs = SoakLogs([instance.log_file for instance in cell.instances])
     for violation in violations[:SHOWN_VIOLATIONS]:
         print(describe(violation, record, logs), file=sys.stderr)
@@ -84,6 +91,7 @@
         "seed": arguments.seed,
         "duration_s": arguments.duration_s,
         "faults": dict(sorted(faults.counts.items())),
+        "keys": dict(sorted(keys.counts.items())),
         "jobs": dict(sorted(load.counts.items())),
         "runs": dict(sorted(Counter(run.how or "active" for run in record.runs).items())),
         "usage": round(statistics.fmean(usage), 2) if usage else None,
--- a/scripts/queue_soak_cell.py
+++ b/scripts/queue_soak_cell.py
@@ -8,7 +8,7 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -143,14 +143,24 @@
         self._operator = ""
         self._fleet_control = ""
 
-    async def start(self) -> None:
-        """Start everything and wait for a leader."""
+    async def start(
+        self, store_config: Callable[[], Awaitable[None]], key: Callable[[], str]
+    ) -> None:
+        """Start everything and wait for a leader.
+
+        Parameters
+        ----------
+        store_config
+            Stores the first configuration as the operator.
+        key
+            Returns a key that the configuration has.
+        """
         AsyncHTTPClient.configure(None, max_clients=MAX_CLIENTS)
         self._store.start()
         self._fleet.start()
         self._operator, *stores = (await self._store.ports())["listeners"]
         self._fleet_control = (await self._fleet.ports())["control"]
-        await self.put("op/config", CONFIG)
+        await store_config()
         for worker_id in await self.fleet("GET", "/entries"):
             await self.write_entry(worker_id)
         for number, store in enumerate(stores):
@@ -159,7 +169,7 @@
             instance.start()
             self.instances.append(instance)
         async with asyncio.timeout(30.0):
-            while await self.leader() is None or not await self._all_answer():
+            while await self.leader() is None or not await self._all_answer(key()):
                 await asyncio.sleep(0.1)
 
     async def stop(self) -> None:
@@ -194,10 +204,10 @@
         record = base64.b64decode(item["value"]).decode(errors="replace")
         return next((n for n, i in enumerate(self.instances) if i.name in record), None)
 
-    async def _all_answer(self) -> bool:
+    async def _all_answer(self, key: str) -> bool:
         """Return whether every instance serves callers."""
         numbers = range(len(self.instances))
-        answers = [await self.submit(number, "GET", PREFIXES[0]) for number in numbers]
+        answers = [await self.submit(number, "GET", PREFIXES[0], None, key) for number in numbers]
         return all(status == 200 for status, _ in answers)
 
     async def put(self, key: str, value: Any) -> None:
@@ -220,17 +230,18 @@
         return (await self.call(method, f"http://{self._fleet_control}{path}", body))[1]
 
     async def submit(
-        self, instance: int, method: str, path: str, body: Any = None
+        self, instance: int, method: str, path: str, body: Any = None, key: str = ""
     ) -> tuple[int, Any]:
         """Send a caller's request to an instance. Status 599 means that there is no response."""
-        return await self.call(method, f"http://{self.instances[instance].address}{path}", body)
+        url = f"http://{self.instances[instance].address}{path}"
+        return await self.call(method, url, body, key)
 
-    async def call(self, method: str, url: str, body: Any = None) -> tuple[int, Any]:
+    async def call(self, method: str, url: str, body: Any = None, key: str = "") -> tuple[int, Any]:
         """Send a request and return status and decoded body."""
         request = HTTPRequest(
             url,
             method=method,
-            headers={"Host": HOST, "Deadline-Ms": "3000"},
+            headers={"Host": HOST, "Deadline-Ms": "3000", "Key": key},
             body=json.dumps(body) if body is not None else None,
             allow_nonstandard_methods=True,
             request_timeout=CALL_TIMEOUT_S,
--- a/scripts/queue_soak_faults.py
+++ b/scripts/queue_soak_faults.py
@@ -13,15 +13,27 @@
 LEADER_KEY = "nutmeglb/leader"
 BUSY_LOOP = "import time\nend = time.monotonic() + {for_s}\nwhile time.monotonic() < end: pass"
 BUSY_PROCESSES = 10
+# Kinds that affect instances, or their calls to the store, for up to this time.
+INSTANCE_KINDS = frozenset(
+    {"freeze", "kill", "term", "refuse_leader", "store_down", "store_lossy", "busy"}
+)
+LONGEST_S = 8.0
 # Faults end this long before the end of the run, so that ends are still acknowledged.
 CALM_S = 4.0
 
 
 class QueueFaults:
-    """Injects faults of the chosen kinds until the end of the run."""
+    """Injects faults of the chosen kinds until the end of the run.
+
+    Attributes
+    ----------
+    disturbances
+        Start and end of each fault that affects instances, in seconds of the monotonic clock.
+    """
 
     def __init__(self, cell: SoakCell, seed: int, kinds: list[str]) -> None:
         self.counts: Counter[str] = Counter()
+        self.disturbances: list[tuple[float, float]] = []
         self._cell = cell
         self._rng = random.Random(f"faults {seed}")
         self._faults: dict[str, Callable[[], Awaitable[None]]] = {
@@ -66,8 +78,12 @@
             process.wait()
 
     async def _inject(self, kind: str) -> None:
-        print(f"queue soak: {asyncio.get_running_loop().time():.3f} {kind}", file=sys.stderr)
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        print(f"queue soak: {start_s:.3f} {kind}", file=sys.stderr)
         await self._faults[kind]()
+        if kind in INSTANCE_KINDS:
+            self.disturbances.append((start_s, max(loop.time(), start_s + LONGEST_S)))
 
     def _some_workers(self, largest_share: float) -> list[str]:
         share = self._rng.uniform(0.05, largest_share)
--- a/scripts/queue_soak_load.py
+++ b/scripts/queue_soak_load.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from scripts.queue_soak_cell import PREFIXES, SoakCell
+from scripts.queue_soak_keys import TEAMS, KeyChanges
 
 POLL_S = 0.5
 JOB_LIMIT_S = 60.0
@@ -18,9 +19,12 @@
 class SoakLoad:
     """A fixed number of callers, each with one open job at a time."""
 
-    def __init__(self, cell: SoakCell, seed: int, callers: int, longest_ms: int) -> None:
+    def __init__(
+        self, cell: SoakCell, keys: KeyChanges, seed: int, callers: int, longest_ms: int
+    ) -> None:
         self.counts: Counter[str] = Counter()
         self._cell = cell
+        self._keys = keys
         self._seed = seed
         self._callers = callers
         self._longest_ms = longest_ms
@@ -30,7 +34,8 @@
         """Start the callers."""
         for number in range(self._callers):
             rng = random.Random(f"caller {self._seed} {number}")
-            self._tasks.append(asyncio.create_task(self._run_caller(rng)))
+            team = TEAMS[number % len(TEAMS)]
+            self._tasks.append(asyncio.create_task(self._run_caller(rng, team)))
 
     async def stop(self) -> None:
         """Stop the callers."""
@@ -38,27 +43,27 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _run_caller(self, rng: random.Random) -> None:
+    async def _run_caller(self, rng: random.Random, team: str) -> None:
         while True:
             path = rng.choice(PREFIXES) + f"{rng.getrandbits(64):016x}"
             body = job_body(rng, self._longest_ms)
-            if await self._submit(rng, path, body):
-                await self._follow(rng, path)
+            if await self._submit(rng, team, path, body):
+                await self._follow(rng, team, path)
 
-    async def _submit(self, rng: random.Random, path: str, body: dict[str, Any]) -> bool:
+    async def _submit(self, rng: random.Random, team: str, path: str, body: dict[str, Any]) -> bool:
         for _ in range(10):
-            status, _ = await self._call(rng, "POST", path, body)
+            status, _ = await self._call(rng, team, "POST", path, body)
             if status == 200:
                 self.counts["accepted"] += 1
                 if rng.random() < 0.05:
                     await asyncio.sleep(rng.uniform(0, 3.0))
-                    await self._call(rng, "POST", path, body)
+                    await self._call(rng, team, "POST", path, body)
                 return True
             self.counts[f"submit_{status}"] += 1
             await asyncio.sleep(rng.uniform(0.1, 0.5))
         return False
 
-    async def _follow(self, rng: random.Random, path: str) -> None:
+    async def _follow(self, rng: random.Random, team: str, path: str) -> None:
         loop = asyncio.get_running_loop()
         limit_s = loop.time() + JOB_LIMIT_S
         cancels = rng.random() < CANCELLED_SHARE
@@ -66,22 +71,22 @@
         while loop.time() < limit_s:
             await asyncio.sleep(POLL_S)
             if cancel_at_s is not None and loop.time() >= cancel_at_s:
-                status, _ = await self._call(rng, "DELETE", path)
+                status, _ = await self._call(rng, team, "DELETE", path)
                 cancel_at_s = None if status in (200, 410) else cancel_at_s
-            status, content = await self._call(rng, "GET", path)
+            status, content = await self._call(rng, team, "GET", path)
             if status == 200 and content["state"] in FINAL_STATES:
                 self.counts[content["state"]] += 1
                 return
         self.counts["unfinished"] += 1
 
     async def _call(
-        self, rng: random.Random, method: str, path: str, body: Any = None
+        self, rng: random.Random, team: str, method: str, path: str, body: Any = None
     ) -> tuple[int, Any]:
         running = [n for n, instance in enumerate(self._cell.instances) if instance.running]
         if not running:
             await asyncio.sleep(POLL_S)
             return 599, None
-        return await self._cell.submit(rng.choice(running), method, path, body)
+        return await self._keys.call(team, rng.choice(running), method, path, body)
 
 
 def job_body(rng: random.Random, longest_ms: int) -> dict[str, Any]:
--- a/tests/unit/test_config_watch.py
+++ b/tests/unit/test_config_watch.py
@@ -115,7 +115,7 @@
     world.run()
     _, (applied_ms, revision) = world.applied
     assert revision == 2
-    assert applied_ms + module.TRANSFER_MARGIN_MS <= max_lag_ms
+    assert applied_ms + module.READ_MARGIN_MS <= max_lag_ms
     assert isinstance(world.watch.admit("h", "/p/x", "new"), Admission)
 
 
--- a/tests/unit/test_queue_soak.py
+++ b/tests/unit/test_queue_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from scripts.queue_soak_checks import check_record, read_record
+from scripts.queue_soak_keys import MAX_LAG_S, KeyCall, KeyLife, KeyRecord, check_keys
 from scripts.queue_soak_logs import SoakLogs
 
 TASK = "00000000000000aa.0.0.3"
@@ -115,3 +116,48 @@
     logs = SoakLogs([file])
     assert [line["cause"] for line in logs.releases(violation)] == ["lost"]
     assert logs.cause(violation) == "TWICE runs_ended lost"
+
+
+ADDED_S, REMOVED_S = 10.0, 20.0
+LIVES = {
+    "k": KeyLife("one", ADDED_S, REMOVED_S, REMOVED_S + 0.1),
+    "new": KeyLife("one", ADDED_S),
+    "never stored": KeyLife("one"),
+}
+LATE_S = REMOVED_S + 0.1 + MAX_LAG_S + 0.1
+
+
+def key_call(sent_s, key, status, **fields):
+    return KeyCall(sent_s, sent_s + 0.01, key, status, "GET", **fields)
+
+
+@pytest.mark.parametrize(
+    ("call", "disturbances", "found"),
+    [
+        (key_call(15.0, "k", 200), [], ""),
+        (key_call(15.0, "other", 401), [], ""),
+        (key_call(15.0, "other", 503), [], ""),
+        (key_call(15.0, "other", 200), [], "GET served with a key that was never configured"),
+        (key_call(15.0, "other", 200), [(0.0, 99.0)], "GET served with a key that was never conf"),
+        (key_call(15.0, "k", 401), [], "GET refused with 401 though the key is configured"),
+        (key_call(15.0, "k", 401), [(0.0, 99.0)], "GET refused with 401 though the key is conf"),
+        (key_call(ADDED_S + 2.9, "k", 401), [], ""),
+        (key_call(REMOVED_S - 0.005, "k", 401), [], ""),
+        (key_call(30.0, "new", 401), [], "GET refused with 401 though the key is configured"),
+        (key_call(15.0, "never stored", 200), [], ""),
+        (key_call(LATE_S, "k", 401), [], ""),
+        (key_call(LATE_S - 0.2, "k", 200), [], ""),
+        (key_call(LATE_S, "k", 200), [], "GET served 3.1 s after the removal of its key"),
+        (key_call(LATE_S, "k", 200), [(19.0, 19.5)], ""),
+        (key_call(LATE_S, "k", 200), [(23.0, 24.0)], ""),
+        (key_call(LATE_S, "k", 200), [(5.0, 16.0), (24.0, 25.0)], "GET served 3.1 s after the "),
+        (key_call(15.0, "k", 410, is_foreign=True), [], ""),
+        (key_call(15.0, "k", 200, is_foreign=True), [], "GET served for a job of another team"),
+    ],
+)
+def test_answer_that_contradicts_the_keys_is_found(call, disturbances, found):
+    violations = check_keys(KeyRecord(LIVES, [call]), disturbances)
+    details = [violation.detail for violation in violations]
+    assert len(details) == bool(found)
+    assert all(violation.rule == "KEYS" for violation in violations)
+    assert all(detail.startswith(found) for detail in details)
