Keep each team of the queues within its limit

Change: a start gate that admits a start only if what the team may have running stays within its limit in every resource. Runs that are ordered, active or being stopped count, tasks that a former leader may have started, and stray runs of unknown size by the free capacity of their worker. The best-ranked step that waits for the limit holds its part of it, so that a gang is not overtaken by smaller work of its team. The arithmetic is shared with the product's own scheduler.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -50,6 +50,9 @@
         passed.
     wait_deadlines_ms
         The same per worker, for workers that have not answered this leader.
+    ended_unsettled
+        Steps of jobs that ended before all workers of the step had answered this leader. Kept until
+        no run of a former leader is left.
     presumed_ends
         Per task and run number: runs whose end was inferred without a report of it.
     parts
@@ -77,6 +80,7 @@
     approval_rates: dict[str, float] = field(default_factory=dict)
     advice_calls: dict[str, tuple[float, float]] = field(default_factory=dict)
     class_usage: ClassUsage = field(default_factory=ClassUsage)
+    ended_unsettled: list[Step] = field(default_factory=list)
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
     parts: PassParts = field(default_factory=PassParts)
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from nutmeglb_decisions.queues import quotas
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_formats.models.queues import QueueConfig
@@ -20,4 +21,7 @@
 
 def active_parts(config: QueueConfig, options: PartOptions) -> PassParts:
     """Return the parts that a configuration and the settings call for."""
-    return PassParts()
+    gate = quotas.gate(config)
+    if gate is None:
+        return PassParts()
+    return PassParts(gates=(gate,), before_pass=(quotas.hold_for_overtaken_steps,))
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
@@ -58,6 +58,8 @@
     cell.active.pop(job.job_id, None)
     cell.mark_dirty(job)
     for step in job.steps:
+        if step.unsettled:
+            cell.ended_unsettled.append(step)
         for run in step.live_runs:
             stop_run(cell, run)
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -117,6 +117,9 @@
     group = _eligible_group(state, step)
     if not group.workers:
         return
+    if not state.admits(step, step.spec.count if step.spec.gang else 1):
+        step.plan = None
+        return
     needs_advice = cell.policy_of(step.job).advice is not None
     if needs_advice and not step.charged.fits_in(group.max_free):
         candidates = []
@@ -298,13 +301,7 @@
     group: advice.WorkerGroup,
     is_advice_due: bool,
 ) -> float | None:
-    """Start a gang if it fits. Return its expected start.
-
-    The result is ``None`` if it was started, or if a gate does not admit it.
-    """
-    if not state.admits(step, step.spec.count):
-        step.plan = None
-        return None
+    """Start a gang if it fits. Return its expected start, or ``None`` if it was started."""
     run_ms = _expected_run_ms(state, step)
     assignment = choose_gang(step, ready, state.reservations, state.now_ms, run_ms, state.lost_ms)
     if assignment is None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -146,6 +146,7 @@
         _forget_workers(cell, expired_waits)
     if confirmed_ms >= cell.takeover_wait_deadline_ms and not takeover_wait.unsettled_workers(cell):
         cell.takeover_wait_deadline_ms = 0.0
+        cell.ended_unsettled.clear()
 
 
 def apply_report(
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -225,6 +225,9 @@
         Expected durations from which the rank is computed; ``None`` before the first computation.
     charged
         Capacity that one task uses. Cached, because a pass reads it for each worker.
+    team, needs
+        Team of the job, and what one task counts towards the team's limit. Cached, because a pass
+        reads them for each running step.
     held_by
         Name of the gate that kept the step from starting in the last pass; empty if none did.
     """
@@ -249,9 +252,13 @@
     forecast: Forecast | None = None
     held_by: str = ""
     charged: Resources = field(init=False)
+    team: str = field(init=False)
+    needs: Resources = field(init=False)
 
     def __post_init__(self) -> None:
         self.charged = self.spec.charged
+        self.team = self.job.record.team
+        self.needs = self.spec.needs
 
     @property
     def name(self) -> str:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
@@ -3,7 +3,7 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from nutmeglb_decisions.queues import advice
+from nutmeglb_decisions.queues import advice, quotas
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.state import Step
 from nutmeglb_decisions.queues.worker_selection import slots_on
@@ -11,6 +11,10 @@
 # The cause of a wait is logged after this time, and again at this interval. Advice takes up to two
 # seconds, so shorter waits are normal.
 EXPLAIN_AFTER_MS = 4_000.0
+# Causes of waits by the gate that did not admit a start.
+CAUSES_BY_GATE = {
+    quotas.GATE_NAME: "the limit of its team is reached, or kept for a better-ranked step of it",
+}
 # Maximum number of steps logged at once, longest waiting first.
 MAX_EXPLAINED = 8
 
@@ -89,6 +93,8 @@
         return "workers of a former leader have not answered"
     if not eligible:
         return "no worker of the service has the label"
+    if step.held_by:
+        return CAUSES_BY_GATE.get(step.held_by, step.held_by)
     if needs_advice and not durable:
         return _advice_cause(step, eligible, now_ms)
     if not durable:
@@ -140,6 +146,8 @@
     """Log why a step waits, with the counts that determine the cause."""
     counts: dict[str, Any] = asdict(explain(cell, step, now_ms))
     cause = counts.pop("cause")
+    if step.held_by == quotas.GATE_NAME:
+        counts |= quotas.figures(cell, step.team, now_ms)
     cell.log_decision(
         kind,
         cause,
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/lifecycle.py
@@ -230,7 +230,7 @@
         """Restore an attempt that an earlier leader started."""
         self.ensure_link(attempt.worker, now_ms)
         attempt.expected_end_ms = now_ms + job.spec.run_ms
-        self.capacity.quotas.charge_existing(job.spec.team, attempt.charged)
+        self.capacity.quotas.add(job.spec.team, attempt.charged)
         self._register(job, attempt)
 
     def _start_committed(self, job: Job, attempt: Attempt, now_ms: float) -> None:
--- a/tests/lib/queue_cases.py
+++ b/tests/lib/queue_cases.py
@@ -10,7 +10,7 @@
 import sys
 
 from tests.lib.queue_gateway_model import FATES
-from tests.lib.queue_world import CPU, JOBS, PROCESSES, WORKERS, replay
+from tests.lib.queue_world import CPU, JOBS, PROCESSES, WORKERS, World, replay
 
 STEPS_PER_CASE = 60
 DURATIONS_MS = (1, 5, 10, 60, 110, 150, 300, 700, 1_500, 4_000)
@@ -78,10 +78,10 @@
     return steps
 
 
-def failure_of(steps):
+def failure_of(steps, make_world=World):
     """Return the error that a case ends with, or ``None``."""
     try:
-        replay(steps)
+        replay(steps, make_world=make_world)
     except AssertionError as error:
         return error
     return None
--- a/tests/lib/queue_gateway_model.py
+++ b/tests/lib/queue_gateway_model.py
@@ -39,6 +39,7 @@
         """Order a start."""
         known_cpu = self._known_cpu.get(worker.worker_id, float("inf"))
         sent_to = self._world.lives[worker.worker_id]
+        self._world.record.on_order(self._process, worker.worker_id, order)
         answer = await self._call(
             worker.worker_id,
             "start",
--- a/tests/lib/queue_single_run.py
+++ b/tests/lib/queue_single_run.py
@@ -32,6 +32,9 @@
         """Return the CPU and the run time of a task."""
         return self._world.task_size(task)
 
+    def on_order(self, process, worker_id, order):
+        """Take note of an order that a process is about to send."""
+
     def on_start(self, life, run, sent_to, known_cpu):
         """Check a run that has just started.
 
--- a/tests/lib/queue_world.py
+++ b/tests/lib/queue_world.py
@@ -122,7 +122,7 @@
             self._live, self._clock, self._rng, self._platform, self._links, self._advice,
             self, self._lag, term, self._record.incarnation, self._on_lost,
         )  # fmt: skip
-        await self.leader.start(CONFIG)
+        await self.leader.start(self._world.config)
 
     def _on_lost(self, cause):
         self._world.note(f"{self.name} lost the leadership: {cause}")
@@ -150,7 +150,8 @@
         self.store = StoreModel(self.simulation)
         self.trace = []
         self.defects = []
-        self.record = SingleRunRecord(self)
+        self.config = CONFIG
+        self.record = self.make_record()
         self.habits = {worker: Habits() for worker in WORKERS}
         self.lives = {}
         self.fates = {}
@@ -164,6 +165,15 @@
         self.processes = [ProcessModel(self, number, 0) for number in PROCESSES]
         self.advance(1_500)
 
+    def make_record(self):
+        """Return what checks the starts and ends on the workers."""
+        return SingleRunRecord(self)
+
+    def make_job(self, job_id, kind):
+        """Return the record of a job of a kind."""
+        queue = URGENT if kind == 0 else BATCH
+        return job(job_id, *JOBS[kind % len(JOBS)], queue=queue)
+
     def settings(self, name):
         """Return the settings of an instance."""
         return QueueSettings.model_validate(
@@ -218,8 +228,7 @@
 
     def submit(self, kind):
         job_id = f"{len(self.jobs):016x}"
-        queue = URGENT if kind == 0 else BATCH
-        record = job(job_id, *JOBS[kind % len(JOBS)], queue=queue)
+        record = self.make_job(job_id, kind)
         self.jobs[job_id] = record
         revision = self.store.put(keys.accepted(job_id), encode_queue_record(AcceptedJob(record)))
         for process in self.processes:
@@ -356,9 +365,9 @@
         return unfinished
 
 
-def replay(steps, finish=True):
+def replay(steps, finish=True, make_world=World):
     """Apply the steps of a case to a new world and return the world."""
-    world = World()
+    world = make_world()
     try:
         for name, *arguments in steps:
             world.apply(name, *arguments)
