End a listing after a second without any progress

Cause: a large listing may take as long as its transfer over the link of the machine, 7 s at 5 Mbit/s, also when the store answers nothing. Reads of a leader that takes over and of an instance that starts have the same allowance.

curl now ends a listing when nothing arrives for a second. The test of a silent store on a link of 1 Mbit/s hangs for over 8 s without the change.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -124,7 +124,7 @@
         """Return whether a read has to allow for the transfer of a large configuration.
 
         An instance that starts does not know the size. A stored version may be larger than the
-        known one, so some of the other reads allow for it as well.
+        known one, so every third read after failures allows for it as well.
         """
         return self.current is None or self._size_bytes > LARGE_BYTES or self._failures % 3 == 2
 
@@ -148,8 +148,7 @@
         Parameters
         ----------
         is_large
-            Whether to allow for the transfer of a large configuration over a narrow link. If the
-            store is silent, the next attempt then begins seconds later.
+            Whether to allow for the transfer of a large configuration over a narrow link.
         """
         key = self._platform.config_key
         found = await self._platform.store.range(key, large=is_large)
--- a/tests/functional/test_queue_recovery.py
+++ b/tests/functional/test_queue_recovery.py
@@ -1,6 +1,9 @@
 """Return to service after failures of many instances or of the store."""
 
+import asyncio
+
 import pytest
+from result import Err
 
 from standins.metadata_store import Fault
 from tests.lib.queue_path import job_body, run_scenario
@@ -9,6 +12,9 @@
 # Longer than the timeout of a store call, and shorter than the transfer time allowed on the link.
 TRANSFER_S = 0.5
 NARROW_LINK_MBPS = 20.0
+# On this link a large read may take half a minute.
+SLOW_LINK_MBPS = 1.0
+SLOWEST_READ_S = 8.0
 
 
 def test_instance_on_a_narrow_link_starts_with_a_large_configuration():
@@ -21,6 +27,18 @@
     run_scenario(scenario, link_mbps=NARROW_LINK_MBPS, entries=1)
 
 
+def test_silent_store_ends_a_read_before_the_time_of_a_large_transfer():
+    """Guards against an instance that misses the return of the store, as its read is in flight."""
+
+    async def scenario(path):
+        path.inject_store_fault(Fault.SILENT)
+        store = path.entries[0].node._platform.store
+        async with asyncio.timeout(SLOWEST_READ_S):
+            assert isinstance(await store.range("op/config", large=True), Err)
+
+    run_scenario(scenario, link_mbps=SLOW_LINK_MBPS, entries=1)
+
+
 def test_instances_are_ready_at_once_when_the_store_is_back(monkeypatch):
     """Guards against an instance that counts as unready until its first watch ends."""
     monkeypatch.setattr("nutmeglb._internal.queues.node.wait_within", lambda settings: 60_000)
--- a/tests/unit/test_platform_store.py
+++ b/tests/unit/test_platform_store.py
@@ -21,7 +21,7 @@
         self.calls = 0
         self._results = list(results)
 
-    async def call(self, method, url, timeout_ms, body=None, headers=None):
+    async def call(self, method, url, timeout_ms, body=None, headers=None, max_silence_s=0):
         self.calls += 1
         return self._results.pop(0) if len(self._results) > 1 else self._results[0]
 
