--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -26,6 +26,8 @@
 # Part of the permitted lag that is reserved for the read after an unanswered watch call.
 READ_MARGIN_MS = 200.0
 RETRY_MS = 150.0
+# The transfer of a larger configuration over a narrow link can exceed the timeout of a call.
+LARGE_BYTES = 100_000
 MS_PER_S = 1_000.0
 
 
@@ -36,6 +38,8 @@
     ----------
     on_change
         Called with each configuration when it takes effect.
+    on_unanswered
+        Called when the store has not answered a call.
     limits
         How long the configuration is relied on without the store.
     wait_ms
@@ -54,12 +58,14 @@
         platform: Platform,
         clock: Clock,
         on_change: Callable[[QueueConfig], None],
+        on_unanswered: Callable[[], None],
         limits: AccessLimits,
         wait_ms: int = WATCH_TIMEOUT_MS,
     ) -> None:
         self._platform = platform
         self._clock = clock
         self._on_change = on_change
+        self._on_unanswered = on_unanswered
         self._limits = limits
         self._wait_ms = wait_ms
         self._revision = 0
@@ -68,6 +74,7 @@
         self._confirmed_ms = -math.inf
         self._index = QueueIndex()
         self._failures = 0
+        self._size_bytes = 0
         self.current: QueueConfig | None = None
         self.last_contact_ms: float | None = None
         self.reachable = False
@@ -100,16 +107,27 @@
                 if self.current is not None and self._failures % 2 == 0:
                     answered = await self._wait_for_change()
                 else:
-                    answered = await self._read(is_large=self._failures % 3 == 2)
+                    answered = await self._read(is_large=self._may_be_large)
             except Exception as error:
                 # An instance that stopped watching would continue to use an outdated configuration.
                 logger.error("configuration watch failed; retrying", cause=type(error).__name__)
                 answered = False
             self._record_outcome(answered)
+            if not answered:
+                self._on_unanswered()
             # The first retry is immediate, since a single silent connection is the likely cause.
             if self._failures > 1:
                 await asyncio.sleep(RETRY_MS / MS_PER_S)
 
+    @property
+    def _may_be_large(self) -> bool:
+        """Return whether a read has to allow for the transfer of a large configuration.
+
+        An instance that starts does not know the size. A stored version may be larger than the
+        known one, so some of the other reads allow for it as well.
+        """
+        return self.current is None or self._size_bytes > LARGE_BYTES or self._failures % 3 == 2
+
     def _record_outcome(self, answered: bool) -> None:
         self._failures = 0 if answered else self._failures + 1
         if answered != self.reachable:
@@ -148,8 +166,11 @@
         return True
 
     async def _wait_for_change(self) -> bool:
+        # After an unanswered call the store answers without waiting for a change, so that this
+        # instance is ready again as soon as it reaches the store.
+        wait_ms = self._wait_ms if self.reachable else 0
         found = await self._platform.store.changes(
-            self._platform.config_key, self._revision, self._wait_ms
+            self._platform.config_key, self._revision, wait_ms
         )
         if isinstance(found, Err):
             return False
@@ -190,6 +211,7 @@
             )
             return
         config = decoded.ok_value
+        self._size_bytes = len(item.value)
         self._index = QueueIndex(config.queues)
         self.current = config
         logger.info(
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -100,6 +100,7 @@
             platform,
             clock,
             self._configured,
+            self._gate.check,
             limits_from(settings),
             wait_within(settings),
         )
--- a/tests/lib/queue_path.py
+++ b/tests/lib/queue_path.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -88,9 +88,15 @@
         self.config = {**self.config, **changes, "version": version}
         self.store.data.put("op/config", json.dumps(self.config).encode())
 
-    async def add_entry(self, name: str, link_mbps: float | None = None) -> Entry:
+    async def add_entry(
+        self,
+        name: str,
+        link_mbps: float | None = None,
+        range_delays_s: Mapping[str, float] | None = None,
+    ) -> Entry:
         """Start an entry instance with its own store listener, for store faults of it alone."""
         own_store = MetadataStoreStandin(self.store.data)
+        own_store.range_delays_s.update(range_delays_s or {})
         await own_store.start()
         self.own_stores.append(own_store)
         settings = QueueSettings.model_validate(
--- a/tests/unit/test_config_watch.py
+++ b/tests/unit/test_config_watch.py
@@ -22,6 +22,7 @@
 LOST = Ok(Changes((), 0, history_lost=True))
 QUEUE = Queue("q", "h", "/p/", "pool", 0, 1, 1.0, 0.0)
 MALFORMED, DEFECT = b"malformed", b"defect"
+LARGE = b"k" * (module.LARGE_BYTES + 1)
 
 
 def stored(revision, value=b"k"):
@@ -59,7 +60,10 @@
         platform = SimpleNamespace(
             config_key="config", store=self, decode_config=self._decode_config
         )
-        self.watch = ConfigWatch(platform, self.clock, self._record, limits, wait_ms)
+        self.unanswered = 0
+        self.watch = ConfigWatch(
+            platform, self.clock, self._record, self._count_unanswered, limits, wait_ms
+        )
 
     def run(self):
         try:
@@ -70,11 +74,15 @@
     def _record(self, config):
         self.applied.append((self.clock.now_ms() - 10_000.0, config.revision))
 
+    def _count_unanswered(self):
+        self.unanswered += 1
+
     async def range(self, prefix, *, large=False):
         return self._answer("read large" if large else "read", CALL_TIMEOUT_MS)
 
     async def changes(self, prefix, after, wait_ms):
-        return self._answer(f"watch {after}", wait_ms + CALL_TIMEOUT_MS)
+        call = f"watch {after}" if wait_ms else f"poll {after}"
+        return self._answer(call, wait_ms + CALL_TIMEOUT_MS)
 
     def _answer(self, call, timeout_ms):
         if not self._answers:
@@ -122,20 +130,25 @@
 @pytest.mark.parametrize(
     ("answers", "calls"),
     [
-        ([listing(1), changed(stored(2))], ["read", "watch 1"]),
-        ([listing(1, as_of=9), LOST, listing(3)], ["read", "watch 9", "read large"]),
-        ([FAILED, FAILED, FAILED], ["read", "read", "read large"]),
+        ([listing(1), changed(stored(2))], ["read large", "watch 1"]),
+        ([listing(1, as_of=9), LOST, listing(3)], ["read large", "watch 9", "read large"]),
+        ([FAILED, FAILED, FAILED], ["read large", "read large", "read large"]),
         (
             [listing(1), FAILED, FAILED, changed(stored(2)), changed(stored(3))],
-            ["read", "watch 1", "read", "watch 1", "watch 2"],
+            ["read large", "watch 1", "read", "poll 1", "watch 2"],
+        ),
+        (
+            [listing(1, LARGE), FAILED, listing(2), FAILED, listing(3)],
+            ["read large", "watch 1", "read large", "watch 2", "read"],
         ),
     ],
-    ids=["change", "history lost", "start", "outage"],
+    ids=["change", "history lost", "start", "outage", "large"],
 )
 def test_calls_to_the_store(answers, calls):
     world = World(answers, LIMITS)
     world.run()
     assert world.calls == calls
+    assert world.unanswered == sum(answer is FAILED for answer in answers)
 
 
 @pytest.mark.parametrize(
