--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -94,21 +94,28 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
+            started_ms = self._clock.now_ms()
             try:
-                # After an unanswered watch the current version is read: a watch would return each
-                # version since the last one, which a narrow link may not transfer in time.
-                if self.current is not None and self._failures % 2 == 0:
-                    answered = await self._wait_for_change()
-                else:
-                    answered = await self._read(is_large=self._failures % 3 == 2)
+                answered = await self._attempt()
             except Exception as error:
                 # An instance that stopped watching would continue to use an outdated configuration.
                 logger.error("configuration watch failed; retrying", cause=type(error).__name__)
                 answered = False
             self._record_outcome(answered)
-            # The first retry is immediate, since a single silent connection is the likely cause.
-            if self._failures > 1:
-                await asyncio.sleep(RETRY_MS / MS_PER_S)
+            # A call without an answer has lasted long already, so its retry is immediate.
+            elapsed_ms = self._clock.now_ms() - started_ms
+            if not answered and elapsed_ms < RETRY_MS:
+                await asyncio.sleep((RETRY_MS - elapsed_ms) / MS_PER_S)
+
+    async def _attempt(self) -> bool:
+        """Call the store once, and return whether it answered.
+
+        After an unanswered watch the current version is read: a watch would return each version
+        since the last one, which a narrow link may not transfer in time.
+        """
+        if self.current is not None and self._failures % 2 == 0:
+            return await self._wait_for_change()
+        return await self._read(is_large=self._failures % 3 == 2)
 
     def _record_outcome(self, answered: bool) -> None:
         self._failures = 0 if answered else self._failures + 1
--- a/tests/unit/test_config_watch.py
+++ b/tests/unit/test_config_watch.py
@@ -19,6 +19,8 @@
 
 CALL_TIMEOUT_MS = 700
 FAILED = Err(StoreUnavailable("no answer", context={}, hint="none"))
+REFUSED = Err(StoreUnavailable("status 429", context={}, hint="none"))
+REFUSAL_MS = 4
 LOST = Ok(Changes((), 0, history_lost=True))
 QUEUE = Queue("q", "h", "/p/", "pool", 0, 1, 1.0, 0.0)
 MALFORMED, DEFECT = b"malformed", b"defect"
@@ -83,6 +85,8 @@
         answer = self._answers.pop(0)
         if answer is FAILED:
             self.clock.advance(timeout_ms)
+        elif answer is REFUSED:
+            self.clock.advance(REFUSAL_MS)
         return answer
 
     async def _decode_config(self, item):
@@ -96,8 +100,15 @@
 
 
 @pytest.fixture(autouse=True)
-def no_pauses(monkeypatch):
-    monkeypatch.setattr(module, "RETRY_MS", 0.0)
+def pauses_s(monkeypatch):
+    """Record the pauses in seconds, which cost no real time."""
+    recorded = []
+
+    async def sleep(duration_s):
+        recorded.append(duration_s)
+
+    monkeypatch.setattr(module.asyncio, "sleep", sleep)
+    return recorded
 
 
 LIMITS = AccessLimits(2_600.0)
@@ -138,6 +149,22 @@
     assert world.calls == calls
 
 
+@pytest.mark.parametrize(
+    ("answers", "pauses"),
+    [
+        ([listing(1), FAILED, listing(1)], 0),
+        ([FAILED, FAILED], 0),
+        ([listing(1), REFUSED, listing(1), REFUSED, listing(1)], 2),
+        ([REFUSED, REFUSED, REFUSED], 3),
+    ],
+    ids=["silent", "silent from the start", "every other call refused", "refused"],
+)
+def test_refused_calls_are_repeated_after_a_pause(pauses_s, answers, pauses):
+    """Guards against a flood of calls to a store that refuses some of them."""
+    World(answers, LIMITS).run()
+    assert pauses_s == [(module.RETRY_MS - REFUSAL_MS) / module.MS_PER_S] * pauses
+
+
 @pytest.mark.parametrize(
     ("answers", "revisions"),
     [
