--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -101,13 +101,9 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
+            started_ms = self._clock.now_ms()
             try:
-                # After an unanswered watch the current version is read: a watch would return each
-                # version since the last one, which a narrow link may not transfer in time.
-                if self.current is not None and self._failures % 2 == 0:
-                    answered = await self._wait_for_change()
-                else:
-                    answered = await self._read(is_large=self._may_be_large)
+                answered = await self._attempt()
             except Exception as error:
                 # An instance that stopped watching would continue to use an outdated configuration.
                 logger.error("configuration watch failed; retrying", cause=type(error).__name__)
@@ -115,9 +111,20 @@
             self._record_outcome(answered)
             if not answered:
                 self._on_unanswered()
-            # The first retry is immediate, since a single silent connection is the likely cause.
-            if self._failures > 1:
-                await asyncio.sleep(RETRY_MS / MS_PER_S)
+            # A call without an answer has lasted long already, so its retry is immediate.
+            elapsed_ms = self._clock.now_ms() - started_ms
+            if not answered and elapsed_ms < RETRY_MS:
+                await asyncio.sleep((RETRY_MS - elapsed_ms) / MS_PER_S)
+
+    async def _attempt(self) -> bool:
+        """Call the store once, and return whether it answered.
+
+        After an unanswered watch the current version is read: a watch would return each version
+        since the last one, which a narrow link may not transfer in time.
+        """
+        if self.current is not None and self._failures % 2 == 0:
+            return await self._wait_for_change()
+        return await self._read(is_large=self._may_be_large)
 
     @property
     def _may_be_large(self) -> bool:
