--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/ports.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/ports.py
@@ -86,13 +86,8 @@
     async def range(self, prefix: str, *, large: bool = False) -> Result[Listing, StoreError]:
         """Return all values under a prefix. ``large`` extends the timeout for full pages."""
 
-    async def changes(
-        self, prefix: str, after: int, wait_ms: int, *, large: bool = False
-    ) -> Result[Changes, StoreError]:
-        """Return the changes after a revision, waiting up to ``wait_ms`` for the first.
-
-        ``large`` extends the timeout for values that fill a page.
-        """
+    async def changes(self, prefix: str, after: int, wait_ms: int) -> Result[Changes, StoreError]:
+        """Return the changes after a revision, waiting up to ``wait_ms`` for the first."""
 
     async def commit(
         self,
@@ -226,8 +221,8 @@
     workers: WorkerGateway
     advice: AdviceClient | None
 
-    def decode_config(self, item: StoredItem) -> Result[QueueConfig, StoredValueError]:
-        """Decode the operators' configuration."""
+    async def decode_config(self, item: StoredItem) -> Result[QueueConfig, StoredValueError]:
+        """Decode the operators' configuration. Other tasks run between parts of a large one."""
 
     def decode_worker(self, item: StoredItem) -> Result[QueueWorker, StoredValueError]:
         """Decode the entry of a worker."""
