--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/store_gate.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/store_gate.py
@@ -47,12 +47,12 @@
 
     def check(self) -> None:
         """Read once before the next write, since a call of another component was not answered."""
-        if self._allows_writes and self._check is None:
+        if self._allows_writes and (self._check is None or self._check.done()):
             self._check = self._background.spawn(self._read_once())
 
     async def wait_for_check(self) -> None:
         """Wait for the answer to the read of ``check``, if one is in flight."""
-        if self._check is not None:
+        if self._check is not None and not self._check.done():
             await asyncio.wait([self._check])
 
     def record_failure(self) -> None:
@@ -69,9 +69,7 @@
         await self._background.cancel()
 
     async def _read_once(self) -> None:
-        found = await self._store.get(keys.TERM)
-        self._check = None
-        if isinstance(found, Err):
+        if isinstance(await self._store.get(keys.TERM), Err):
             self.record_failure()
 
     async def _probe(self) -> None:
