Let large configurations pass narrow links in time

Cause: a configuration of 665 KB takes 1.4 s at 5 Mbit/s (computed); a watch was cut off 2.2 s after its start, so a change late in its wait was transferred twice, 2.8 s of the 3 s allowed. Change: the watch of the configuration, and no other, has up to 700 ms more on a narrow link. After an unanswered watch the watch is repeated; every third attempt is a read.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -26,6 +26,8 @@
 # Part of the permitted lag that is reserved for the read after an unanswered watch call.
 READ_MARGIN_MS = 200.0
 RETRY_MS = 150.0
+# Of this many attempts without an answer, the last one is a read.
+WATCHES_PER_READ = 3
 MS_PER_S = 1_000.0
 
 
@@ -110,12 +112,14 @@
     async def _attempt(self) -> bool:
         """Call the store once, and return whether it answered.
 
-        After an unanswered watch the current version is read: a watch would return each version
-        since the last one, which a narrow link may not transfer in time.
+        A watch allows for the transfer of one large version over a narrow link. If it fails
+        repeatedly, there may be several versions to transfer, and only the current one is read.
         """
-        if self.current is not None and self._failures % 2 == 0:
+        if self.current is None:
+            return await self._read(is_large=self._failures % 2 == 1)
+        if self._failures % WATCHES_PER_READ != WATCHES_PER_READ - 1:
             return await self._wait_for_change()
-        return await self._read(is_large=self._failures % 3 == 2)
+        return await self._read(is_large=self._failures // WATCHES_PER_READ % 2 == 1)
 
     def _record_outcome(self, answered: bool) -> None:
         self._failures = 0 if answered else self._failures + 1
@@ -156,7 +160,7 @@
 
     async def _wait_for_change(self) -> bool:
         found = await self._platform.store.changes(
-            self._platform.config_key, self._revision, self._wait_ms
+            self._platform.config_key, self._revision, self._wait_ms, large=True
         )
         if isinstance(found, Err):
             return False
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/ports.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/ports.py
@@ -86,8 +86,13 @@
     async def range(self, prefix: str, *, large: bool = False) -> Result[Listing, StoreError]:
         """Return all values under a prefix. ``large`` extends the timeout for full pages."""
 
-    async def changes(self, prefix: str, after: int, wait_ms: int) -> Result[Changes, StoreError]:
-        """Return the changes after a revision, waiting up to ``wait_ms`` for the first."""
+    async def changes(
+        self, prefix: str, after: int, wait_ms: int, *, large: bool = False
+    ) -> Result[Changes, StoreError]:
+        """Return the changes after a revision, waiting up to ``wait_ms`` for the first.
+
+        ``large`` extends the timeout for large changes.
+        """
 
     async def commit(
         self,
--- a/tests/unit/test_platform_store.py
+++ b/tests/unit/test_platform_store.py
@@ -19,10 +19,12 @@
 
     def __init__(self, *results):
         self.calls = 0
+        self.timeouts_ms = []
         self._results = list(results)
 
     async def call(self, method, url, timeout_ms, body=None, headers=None):
         self.calls += 1
+        self.timeouts_ms.append(timeout_ms)
         return self._results.pop(0) if len(self._results) > 1 else self._results[0]
 
 
@@ -72,3 +74,15 @@
 def test_watch_without_a_field_is_an_error(body):
     """Guards against changes that are skipped since their revision seems to have none."""
     assert isinstance(asyncio.run(store_of(Ok(Answer(200, body))).changes("p/", 3, 0)), Err)
+
+
+@pytest.mark.parametrize(
+    ("link_mbps", "large", "timeout_ms"),
+    [(5.0, False, 2_200.0), (5.0, True, 2_900.0), (1_000.0, True, 2_233.3)],
+)
+def test_watch_allows_for_a_large_change_on_a_narrow_link(link_mbps, large, timeout_ms):
+    """Guards against a transfer that is cut off and begun again, beyond the permitted lag."""
+    http = ScriptedHttp(Ok(Answer(200, {"events": [], "as_of": 9})))
+    store = MetadataStore(http, "store:1", 700.0, store_module.page_transfer_ms(link_mbps))
+    asyncio.run(store.changes("p/", 3, 1_500, large=large))
+    assert http.timeouts_ms == [pytest.approx(timeout_ms, abs=0.1)]
