Confirm a configuration again after its transfer

Change: such an answer confirms the time at which its call was sent, and the next watch call returns at once. Result: test_config_watch passes with transfers of 1.4 and 2.6 s.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -68,6 +68,7 @@
         self._seen_revision = 0
         self._malformed_revision = 0
         self._confirmed_ms = -math.inf
+        self._is_confirmation_due = False
         self._index = QueueIndex()
         self._failures = 0
         self.current: QueueConfig | None = None
@@ -128,7 +129,7 @@
             logger.info("store reachable" if answered else "store does not answer; retrying")
 
     def _record_contact(self) -> float:
-        """Record an answer of the store, and return its time."""
+        """Record an answer of the store, and return the monotonic time."""
         self.last_contact_ms = self._clock.now_ms()
         return self.last_contact_ms
 
@@ -144,23 +145,28 @@
             Whether to allow for the transfer of a large configuration over a narrow link. If the
             store is silent, the next attempt then begins seconds later.
         """
-        key = self._platform.config_key
+        key, started_ms = self._platform.config_key, self._clock.now_ms()
         found = await self._platform.store.range(key, large=is_large)
         if isinstance(found, Err):
             return False
-        answered_ms = self._record_contact()
+        self._record_contact()
         item = next((item for item in found.ok_value.items if item.key == key), None)
         if item is None:
             await asyncio.sleep(RETRY_MS / MS_PER_S)
             return True
         await self._apply(item)
-        self._confirm(answered_ms)
+        self._confirm(started_ms)
+        self._is_confirmation_due = True
         self._revision = max(self._revision, found.ok_value.revision)
         return True
 
     async def _wait_for_change(self) -> bool:
+        started_ms = self._clock.now_ms()
+        # The transfer of a version takes time, in which there may have been another one.
+        wait_ms = 0 if self._is_confirmation_due else self._wait_ms
+        self._is_confirmation_due = False
         found = await self._platform.store.changes(
-            self._platform.config_key, self._revision, self._wait_ms, large=True
+            self._platform.config_key, self._revision, wait_ms, large=True
         )
         if isinstance(found, Err):
             return False
@@ -175,7 +181,8 @@
         # Each version is complete, so that only the last one counts.
         for item in versions[-1:]:
             await self._apply(item)
-        self._confirm(answered_ms)
+        self._is_confirmation_due = bool(versions)
+        self._confirm(started_ms if versions else answered_ms)
         self._revision = max(self._revision, found.ok_value.revision)
         return True
 
--- a/tests/unit/test_config_watch.py
+++ b/tests/unit/test_config_watch.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import math
+from dataclasses import dataclass
 from types import SimpleNamespace
+from typing import Any
 
 import pytest
 from result import Err, Ok
@@ -21,6 +23,7 @@
 FAILED = Err(StoreUnavailable("no answer", context={}, hint="none"))
 REFUSED = Err(StoreUnavailable("status 429", context={}, hint="none"))
 REFUSAL_MS = 4
+NONE = Ok(Changes((), 1))
 LOST = Ok(Changes((), 0, history_lost=True))
 QUEUE = Queue("q", "h", "/p/", "pool", 0, 1, 1.0, 0.0)
 MALFORMED, DEFECT = b"malformed", b"defect"
@@ -50,6 +53,14 @@
     )
 
 
+@dataclass(frozen=True)
+class Slow:
+    """An answer that takes its time."""
+
+    answer: Any
+    duration_ms: float
+
+
 class World:
     """A scripted store. Each answer takes its time on a manual clock; the last one ends the run."""
 
@@ -76,7 +87,8 @@
         return self._answer("read large" if large else "read", CALL_TIMEOUT_MS)
 
     async def changes(self, prefix, after, wait_ms, *, large):
-        return self._answer(f"watch {after}", wait_ms + CALL_TIMEOUT_MS)
+        kind = "watch" if wait_ms else "check"
+        return self._answer(f"{kind} {after}", wait_ms + CALL_TIMEOUT_MS)
 
     def _answer(self, call, timeout_ms):
         if not self._answers:
@@ -87,6 +99,9 @@
             self.clock.advance(timeout_ms)
         elif answer is REFUSED:
             self.clock.advance(REFUSAL_MS)
+        elif isinstance(answer, Slow):
+            self.clock.advance(answer.duration_ms)
+            return answer.answer
         return answer
 
     async def _decode_config(self, item):
@@ -121,7 +136,7 @@
     The version is stored immediately after the watch began.
     """
     settings = settings_with(configuration={"max_lag_ms": max_lag_ms})
-    answers = [listing(1), FAILED, changed(stored(2, b"new"))]
+    answers = [listing(1), NONE, FAILED, changed(stored(2, b"new"))]
     world = World(answers, LIMITS, wait_within(settings))
     world.run()
     _, (applied_ms, revision) = world.applied
@@ -133,16 +148,23 @@
 @pytest.mark.parametrize(
     ("answers", "calls"),
     [
-        ([listing(1), changed(stored(2))], ["read", "watch 1"]),
-        ([listing(1, as_of=9), LOST, listing(3)], ["read", "watch 9", "read large"]),
+        (
+            [listing(1), NONE, changed(stored(2)), NONE, NONE],
+            ["read", "check 1", "watch 1", "check 2", "watch 2"],
+        ),
+        ([listing(1, as_of=9), LOST, listing(3)], ["read", "check 9", "read large"]),
         ([FAILED, FAILED, FAILED], ["read", "read large", "read"]),
         (
-            [listing(1), FAILED, changed(stored(2)), changed(stored(3))],
-            ["read", "watch 1", "watch 1", "watch 2"],
+            [listing(1), NONE, FAILED, changed(stored(2))],
+            ["read", "check 1", "watch 1", "watch 1"],
         ),
         (
-            [listing(1), *[FAILED] * 6, changed(stored(2))],
-            ["read", *["watch 1"] * 2, "read", *["watch 1"] * 2, "read large", "watch 1"],
+            [listing(1), NONE, *[FAILED] * 6, changed(stored(2))],
+            [
+                *("read", "check 1"),
+                *("watch 1", "watch 1", "read"),
+                *("watch 1", "watch 1", "read large", "watch 1"),
+            ],
         ),
     ],
     ids=["change", "history lost", "start", "silent", "outage"],
@@ -193,8 +215,12 @@
         ([listing(1)], 2_600, "other", Denial.KEY_UNKNOWN),
         ([listing(1)], 2_601, "other", Denial.KEY_UNCONFIRMED),
         ([listing(1)], 99_999, "k", None),
-        ([listing(1), FAILED, FAILED], 0, "other", Denial.KEY_UNCONFIRMED),
+        ([listing(1), NONE, FAILED, FAILED], 0, "other", Denial.KEY_UNCONFIRMED),
         ([listing(1), FAILED, FAILED, listing(1)], 0, "other", Denial.KEY_UNKNOWN),
+        ([Slow(listing(1), 1_400)], 1_200, "other", Denial.KEY_UNKNOWN),
+        ([Slow(listing(1), 1_400)], 1_201, "other", Denial.KEY_UNCONFIRMED),
+        ([listing(1), NONE, Slow(changed(stored(2)), 2_600)], 1, "other", Denial.KEY_UNCONFIRMED),
+        ([listing(1), Slow(changed(stored(2)), 2_600), NONE], 1, "other", Denial.KEY_UNKNOWN),
         ([listing(1), FAILED, changed(as_of=2)], 0, "other", Denial.KEY_UNKNOWN),
         ([listing(1), changed(stored(2, MALFORMED))], 0, "other", Denial.KEY_UNCONFIRMED),
         ([listing(1), changed(stored(2, DEFECT))], 2_601, "other", Denial.KEY_UNCONFIRMED),
