--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -23,7 +23,7 @@
 # share.
 TRANSFER_MARGIN_MS = 400.0
 MAX_MARGIN_SHARE = 0.5
-# Part of the permitted lag that is reserved for the read after an unanswered watch call.
+# Part of the permitted lag that is reserved for the call after an unanswered watch call.
 READ_MARGIN_MS = 200.0
 RETRY_MS = 150.0
 # Of this many attempts without an answer, the last one is a read.
@@ -38,6 +38,8 @@
     ----------
     on_change
         Called with each configuration when it takes effect.
+    on_unanswered
+        Called when the store has not answered a call.
     limits
         How long the configuration is relied on without the store.
     wait_ms
@@ -56,12 +58,14 @@
         platform: Platform,
         clock: Clock,
         on_change: Callable[[QueueConfig], None],
+        on_unanswered: Callable[[], None],
         limits: AccessLimits,
         wait_ms: int = WATCH_TIMEOUT_MS,
     ) -> None:
         self._platform = platform
         self._clock = clock
         self._on_change = on_change
+        self._on_unanswered = on_unanswered
         self._limits = limits
         self._wait_ms = wait_ms
         self._revision = 0
@@ -105,6 +109,8 @@
                 logger.error("configuration watch failed; retrying", cause=type(error).__name__)
                 answered = False
             self._record_outcome(answered)
+            if not answered:
+                self._on_unanswered()
             # A call without an answer has lasted long already, so its retry is immediate.
             elapsed_ms = self._clock.now_ms() - started_ms
             if not answered and elapsed_ms < RETRY_MS:
@@ -113,11 +119,12 @@
     async def _attempt(self) -> bool:
         """Call the store once, and return whether it answered.
 
-        A watch allows for the transfer of one large version over a narrow link. If it fails
-        repeatedly, there may be several versions to transfer, and only the current one is read.
+        An instance that starts does not know the size of the configuration. Later, a watch allows
+        for the transfer of one large version over a narrow link. If it fails repeatedly, there may
+        be several versions to transfer, and only the current one is read.
         """
         if self.current is None:
-            return await self._read(is_large=self._failures % 2 == 1)
+            return await self._read(is_large=True)
         if self._failures % WATCHES_PER_READ != WATCHES_PER_READ - 1:
             return await self._wait_for_change()
         return await self._read(is_large=self._failures // WATCHES_PER_READ % 2 == 1)
@@ -162,11 +169,13 @@
 
     async def _wait_for_change(self) -> bool:
         started_ms = self._clock.now_ms()
-        # The transfer of a version takes time, in which there may have been another one.
-        wait_ms = 0 if self._is_confirmation_due else self._wait_ms
+        # After an unanswered call the store answers without waiting for a change, so that this
+        # instance is ready again as soon as it reaches the store. The transfer of a version takes
+        # time, in which there may have been another one.
+        polls = self._is_confirmation_due or not self.reachable
         self._is_confirmation_due = False
         found = await self._platform.store.changes(
-            self._platform.config_key, self._revision, wait_ms, large=True
+            self._platform.config_key, self._revision, 0 if polls else self._wait_ms, large=True
         )
         if isinstance(found, Err):
             return False
