Keep the callers and the operator of the queue soak alive after a timeout

Change: a call that times out has status 599; the operator repeats a change until the store answers.

--- a/scripts/queue_soak_cell.py
+++ b/scripts/queue_soak_cell.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from tests.lib.processes import ManagedProcess
 
@@ -210,11 +210,13 @@
         answers = [await self.submit(number, "GET", PREFIXES[0], None, key) for number in numbers]
         return all(status == 200 for status, _ in answers)
 
-    async def put(self, key: str, value: Any) -> None:
-        """Write an item as the operator."""
+    async def put(self, key: str, value: Any) -> bool:
+        """Write an item as the operator. Return whether the store acknowledged it."""
         encoded = base64.b64encode(json.dumps(value).encode()).decode()
         puts = [{"key": key, "value": encoded, "lease": 0}]
-        await self.store("/v1/kv-txn", {"expected_rev": [], "puts": puts})
+        url = f"http://{self._operator}/v1/kv-txn"
+        status, _ = await self.call("POST", url, {"expected_rev": [], "puts": puts})
+        return status == 200
 
     async def write_entry(self, worker_id: str) -> None:
         """Write the current entry of a worker to the store."""
@@ -249,7 +251,7 @@
         try:
             response = await AsyncHTTPClient().fetch(request, raise_error=False)
             return response.code, json.loads(response.body or b"null")
-        except (OSError, json.JSONDecodeError):
+        except (OSError, HTTPClientError, json.JSONDecodeError):
             return 599, None
 
 
--- a/scripts/queue_soak_keys.py
+++ b/scripts/queue_soak_keys.py
@@ -175,7 +175,9 @@
             self.record.lives[removed].removal_sent_s = loop.time()
         self._version += 1
         tenants = [{"name": team, "api_keys": keys} for team, keys in self._keys.items()]
-        await self._cell.put("op/config", {**CONFIG, "version": self._version, "tenants": tenants})
+        config = {**CONFIG, "version": self._version, "tenants": tenants}
+        while not await self._cell.put("op/config", config):
+            self.counts["unanswered_changes"] += 1
         if removed:
             self.record.lives[removed].removed_s = loop.time()
         for keys in self._keys.values():
