--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -23,11 +23,11 @@
 # share.
 TRANSFER_MARGIN_MS = 400.0
 MAX_MARGIN_SHARE = 0.5
-# Part of the permitted lag that is reserved for the read after an unanswered watch call.
+# Part of the permitted lag that is reserved for the call after an unanswered watch call.
 READ_MARGIN_MS = 200.0
 RETRY_MS = 150.0
-# The transfer of a larger configuration over a narrow link can exceed the timeout of a call.
-LARGE_BYTES = 100_000
+# Of this many attempts without an answer, the last one is a read.
+WATCHES_PER_READ = 3
 MS_PER_S = 1_000.0
 
 
@@ -72,9 +72,9 @@
         self._seen_revision = 0
         self._malformed_revision = 0
         self._confirmed_ms = -math.inf
+        self._is_confirmation_due = False
         self._index = QueueIndex()
         self._failures = 0
-        self._size_bytes = 0
         self.current: QueueConfig | None = None
         self.last_contact_ms: float | None = None
         self.reachable = False
@@ -119,21 +119,15 @@
     async def _attempt(self) -> bool:
         """Call the store once, and return whether it answered.
 
-        After an unanswered watch the current version is read: a watch would return each version
-        since the last one, which a narrow link may not transfer in time.
+        An instance that starts does not know the size of the configuration. Later, a watch allows
+        for the transfer of one large version over a narrow link. If it fails repeatedly, there may
+        be several versions to transfer, and only the current one is read.
         """
-        if self.current is not None and self._failures % 2 == 0:
+        if self.current is None:
+            return await self._read(is_large=True)
+        if self._failures % WATCHES_PER_READ != WATCHES_PER_READ - 1:
             return await self._wait_for_change()
-        return await self._read(is_large=self._may_be_large)
-
-    @property
-    def _may_be_large(self) -> bool:
-        """Return whether a read has to allow for the transfer of a large configuration.
-
-        An instance that starts does not know the size. A stored version may be larger than the
-        known one, so every third read after failures allows for it as well.
-        """
-        return self.current is None or self._size_bytes > LARGE_BYTES or self._failures % 3 == 2
+        return await self._read(is_large=self._failures // WATCHES_PER_READ % 2 == 1)
 
     def _record_outcome(self, answered: bool) -> None:
         self._failures = 0 if answered else self._failures + 1
@@ -142,7 +136,7 @@
             logger.info("store reachable" if answered else "store does not answer; retrying")
 
     def _record_contact(self) -> float:
-        """Record an answer of the store, and return its time."""
+        """Record an answer of the store, and return the monotonic time."""
         self.last_contact_ms = self._clock.now_ms()
         return self.last_contact_ms
 
@@ -157,26 +151,30 @@
         is_large
             Whether to allow for the transfer of a large configuration over a narrow link.
         """
-        key = self._platform.config_key
+        key, started_ms = self._platform.config_key, self._clock.now_ms()
         found = await self._platform.store.range(key, large=is_large)
         if isinstance(found, Err):
             return False
-        answered_ms = self._record_contact()
+        self._record_contact()
         item = next((item for item in found.ok_value.items if item.key == key), None)
         if item is None:
             await asyncio.sleep(RETRY_MS / MS_PER_S)
             return True
         await self._apply(item)
-        self._confirm(answered_ms)
+        self._confirm(started_ms)
+        self._is_confirmation_due = True
         self._revision = max(self._revision, found.ok_value.revision)
         return True
 
     async def _wait_for_change(self) -> bool:
+        started_ms = self._clock.now_ms()
         # After an unanswered call the store answers without waiting for a change, so that this
-        # instance is ready again as soon as it reaches the store.
-        wait_ms = self._wait_ms if self.reachable else 0
+        # instance is ready again as soon as it reaches the store. The transfer of a version takes
+        # time, in which there may have been another one.
+        polls = self._is_confirmation_due or not self.reachable
+        self._is_confirmation_due = False
         found = await self._platform.store.changes(
-            self._platform.config_key, self._revision, wait_ms
+            self._platform.config_key, self._revision, 0 if polls else self._wait_ms, large=True
         )
         if isinstance(found, Err):
             return False
@@ -191,7 +189,8 @@
         # Each version is complete, so that only the last one counts.
         for item in versions[-1:]:
             await self._apply(item)
-        self._confirm(answered_ms)
+        self._is_confirmation_due = bool(versions)
+        self._confirm(started_ms if versions else answered_ms)
         self._revision = max(self._revision, found.ok_value.revision)
         return True
 
@@ -217,7 +216,6 @@
             )
             return
         config = decoded.ok_value
-        self._size_bytes = len(item.value)
         self._index = QueueIndex(config.queues)
         self.current = config
         logger.info(
