--- a/measure/queue_mix.py
+++ b/measure/queue_mix.py
@@ -105,17 +105,17 @@
 
 
 def _make_step(kind: JobProfile, number: int, rng: random.Random) -> StepSpec:
-    memory = int(_draw(kind.memory_gb, rng) * GB)
+    memory = int(draw(kind.memory_gb, rng) * GB)
     return StepSpec(
-        max(1, round(_draw(kind.tasks_per_step, rng))),
-        Resources(int(_draw(kind.cpu_millis, rng)), memory, 0),
-        _draw(kind.run_ms, rng) * rng.uniform(1 - ESTIMATE_ERROR, 1 + ESTIMATE_ERROR),
+        max(1, round(draw(kind.tasks_per_step, rng))),
+        Resources(int(draw(kind.cpu_millis, rng)), memory, 0),
+        draw(kind.run_ms, rng) * rng.uniform(1 - ESTIMATE_ERROR, 1 + ESTIMATE_ERROR),
         after=(number - 1,) if number else (),
         gang=rng.random() < kind.gang_share,
     )
 
 
-def _draw(bounds: tuple[float, float], rng: random.Random) -> float:
+def draw(bounds: tuple[float, float], rng: random.Random) -> float:
     """Draw from a log-normal distribution, given its mean and an upper bound."""
     mean, largest = bounds
     sigma = math.sqrt(math.log(1 + COEFFICIENT_OF_VARIATION * COEFFICIENT_OF_VARIATION))
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -8,6 +8,7 @@
 from nutmeglb_decisions.queues.headroom import ClassUsage
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.state import FinishedJob, Job, PresumedEnd, Run, Step, Worker
+from nutmeglb_decisions.queues.worker_speed import Speeds
 from nutmeglb_formats.models.queues import Queue, QueueConfig
 
 # The run numbers of a term start at the term times this number, so that they increase from leader
@@ -52,6 +53,8 @@
         The same per worker, for workers that have not answered this leader.
     presumed_ends
         Per task and run number: runs whose end was inferred without a report of it.
+    speeds
+        Learned speeds of workers.
     parts
         Optional parts that the configuration and the settings call for.
     """
@@ -78,6 +81,7 @@
     advice_calls: dict[str, tuple[float, float]] = field(default_factory=dict)
     class_usage: ClassUsage = field(default_factory=ClassUsage)
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
+    speeds: Speeds = field(default_factory=Speeds)
     parts: PassParts = field(default_factory=PassParts)
 
     def configure(self, config: QueueConfig) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
@@ -4,6 +4,7 @@
 
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.parts import PassParts
+from nutmeglb_decisions.queues.speed_term import SPEED_TERM
 from nutmeglb_formats.models.queues import QueueConfig
 
 
@@ -20,4 +21,4 @@
 
 def active_parts(config: QueueConfig, options: PartOptions) -> PassParts:
     """Return the parts that a configuration and the settings call for."""
-    return PassParts()
+    return PassParts(worker_terms=(SPEED_TERM,))
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/estimates.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/estimates.py
@@ -1,7 +1,10 @@
 """Run times learned from completed runs, because declared estimates are far off."""
 
+import math
 from dataclasses import dataclass, field
 
+from nutmeglb_decisions.queues.durations import QueueDurations
+
 # Weight of a new observation. The average covers about the last eight completed runs, so at 8 of
 # them per second and queue it follows a load change within a second.
 RATIO_WEIGHT = 0.12
@@ -15,15 +18,38 @@
 
 @dataclass(slots=True)
 class Estimates:
-    """Learned ratio of actual to declared run time per queue."""
+    """Learned run times per queue.
+
+    Where reports show the progress of tasks, they are learned from the steps of all workers
+    (``durations``), else from the mean ratio of actual to declared run times.
+    """
 
     _ratios: dict[str, float] = field(default_factory=dict)
+    _durations: dict[str, QueueDurations] = field(default_factory=dict)
+
+    def durations(self, queue: str) -> QueueDurations:
+        """Return the run times of a queue that are learned from progress."""
+        return self._durations.setdefault(queue, QueueDurations())
 
     def run_ms(self, queue: str, declared_ms: float, slowness: float = 1.0) -> float:
         """Return the expected run time in milliseconds on a worker of the given slowness."""
         declared_ms = declared_ms or DEFAULT_RUN_MS
+        durations = self._durations.get(queue)
+        if durations is not None and durations.is_known:
+            return math.exp(durations.log_ms(declared_ms)) * slowness
         return declared_ms * self._ratios.get(queue, 1.0) * slowness
 
+    def safe_run_ms(self, queue: str, declared_ms: float, share: float) -> float:
+        """Return the run time on an average worker that the given share of steps does not exceed.
+
+        Without learned run times this is the expected one.
+        """
+        declared_ms = declared_ms or DEFAULT_RUN_MS
+        durations = self._durations.get(queue)
+        if durations is None or not durations.is_known:
+            return self.run_ms(queue, declared_ms)
+        return durations.quantile_ms(declared_ms, share)
+
     def observe(self, queue: str, declared_ms: float, actual_ms: float, slowness: float) -> float:
         """Learn from a completed run, and return the new slowness of its worker."""
         declared_ms = declared_ms or DEFAULT_RUN_MS
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from nutmeglb_decisions.queues import presumed_ends, stray_runs, takeover_wait
+from nutmeglb_decisions.queues import presumed_ends, speeds, stray_runs, takeover_wait
 from nutmeglb_decisions.queues.absent_runs import LOST, apply_absence
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.lifecycle import DONE, FAILED, apply_end, end_run, repeat_stop
@@ -25,7 +25,8 @@
     for worker_id, info in entries.items():
         worker = cell.workers.get(worker_id)
         if worker is None:
-            cell.workers[worker_id] = Worker(info, last_listed_ms=now_ms)
+            worker = cell.workers[worker_id] = Worker(info, last_listed_ms=now_ms)
+            speeds.begin_life(cell, worker)
             cell.log_decision("worker_listed", "new entry", worker=worker_id, service=info.service)
         else:
             _apply_entry(cell, worker, info, now_ms)
@@ -83,6 +84,7 @@
         runs=len(worker.runs),
     )
     worker.started_ms = started_ms
+    speeds.begin_life(cell, worker)
     worker.first_answer_ms = None
     worker.settled = False
     worker.lease_expires_at_ms = max(
@@ -180,6 +182,7 @@
     running_by_key = {(running.task, running.run): running for running in report.running}
     for key, running in running_by_key.items():
         _apply_running(cell, worker, key, running, now_ms)
+    speeds.after_report(cell, worker, now_ms)
     if worker.first_answer_ms is None:
         worker.first_answer_ms = now_ms
     ended_keys = [(ended.task, ended.run) for ended in report.ended]
@@ -218,6 +221,7 @@
     step = run.step
     if outcome == DONE:
         worker.consecutive_bad_runs = 0
+        speeds.observe_end(cell, worker, run, now_ms)
         if not step.spec.lasting and run.confirmed_ms is not None and not run.resumed:
             worker.slowness = cell.estimates.observe(
                 step.job.record.queue.name,
@@ -225,6 +229,7 @@
                 now_ms - run.ordered_ms,
                 worker.slowness,
             )
+            speeds.update_slowness(cell, worker)
     elif outcome == FAILED and run.state != RunState.STOPPING:
         record_bad_run(cell, worker, FAILED, now_ms)
 
@@ -262,6 +267,7 @@
         run.step.tasks[run.index].checkpoint = running.checkpoint
     run.percent = running.percent
     run.activity = running.activity
+    speeds.observe_progress(cell, worker, run, running.percent, now_ms)
     _track_activity(run, now_ms)
 
 
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/speeds.py
@@ -0,0 +1,262 @@
+"""Speeds of workers, learned from the progress that their reports show.
+
+Load pattern: workers whose speeds differ by nearly three times and that turn six times slower for
+some seconds, under jobs whose declared run times are off by up to 0.9 of the true ones. The tasks
+of one step take about the same time, so a task is compared with those of its step on other workers.
+A change of speed shows in all tasks of the worker at once, a slow or hung task only in itself.
+"""
+
+import math
+from collections.abc import Sequence
+from statistics import median
+
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.estimates import DEFAULT_RUN_MS
+from nutmeglb_decisions.queues.run_progress import FULL_POINTS, MIN_POINTS, RunProgress
+from nutmeglb_decisions.queues.state import Run, RunState, Step, Worker
+from nutmeglb_decisions.queues.worker_speed import WorkerSpeed
+
+# Variance of the logarithm of the run times of a step's tasks.
+TASK_VARIANCE = 0.03
+# The same for a gang, whose members do equal work. What remains is the rounding of progress.
+MEMBER_VARIANCE = 0.005
+# The workers of a step are compared once the duration of all its running tasks is known, at the
+# latest after this time.
+COMPARE_AFTER_MS = 400.0
+# A duration counts once this many points of a task are done.
+COUNTED_POINTS = 10
+# All tasks of a worker have to show less than this share of their former progress, or more than its
+# inverse, in windows of this many expected points together.
+CHANGED_SHARE = 0.5
+CHANGE_POINTS = 10.0
+# A single task does not show whether the worker or the task is slower, so it has to show more.
+SINGLE_CHANGE_POINTS = 25.0
+FIELD_DIGITS = 2
+
+
+def observe_progress(cell: Cell, worker: Worker, run: Run, points: int, now_ms: float) -> None:
+    """Apply the progress of a run in a report."""
+    if run.step.spec.lasting or run.step.spec.fills or run.state == RunState.STOPPING:
+        return
+    progress = run.progress
+    if points >= FULL_POINTS:
+        # A member of a gang that waits for the others, or a worker that reports no progress.
+        run.progress = None
+        return
+    if points > 0:
+        cell.speeds.progress_is_visible = True
+    if progress is None:
+        start_ms = now_ms if run.resumed or run.confirmed_ms is None else run.confirmed_ms
+        progress = RunProgress.starting(start_ms, points if run.resumed else 0)
+        run.progress = progress
+    elif run.resumed and points == progress.start_points and not progress.points_per_ms:
+        # A resumed task restores its checkpoint first.
+        run.progress = RunProgress.starting(now_ms, points)
+        return
+    progress.observe(now_ms, points)
+    if points - progress.start_points >= COUNTED_POINTS:
+        _count_duration(cell, worker, run, progress, now_ms)
+
+
+def observe_end(cell: Cell, worker: Worker, run: Run, now_ms: float) -> None:
+    """Apply the completion of a run. The end of a gang only shows the slowest of its members."""
+    if not cell.speeds.progress_is_visible or run.step.spec.gang or run.state == RunState.STOPPING:
+        return
+    progress = run.progress
+    if progress is None:
+        if run.resumed or run.confirmed_ms is None:
+            return
+        progress = RunProgress.starting(run.confirmed_ms)
+    progress.observe(now_ms, FULL_POINTS)
+    if FULL_POINTS - progress.start_points >= COUNTED_POINTS:
+        _count_duration(cell, worker, run, progress, now_ms)
+
+
+def after_report(cell: Cell, worker: Worker, now_ms: float) -> None:
+    """Compare the progress of a worker's tasks with their former one, after a report."""
+    if not cell.speeds.progress_is_visible:
+        return
+    running = [
+        (run, run.progress)
+        for run in worker.runs.values()
+        if run.progress is not None and run.progress.last_ms == now_ms
+    ]
+    windows = []
+    for _, progress in running:
+        if not progress.points_per_ms:
+            if progress.last_points - progress.mark_points >= MIN_POINTS:
+                progress.close_window()
+        elif progress.window_points >= MIN_POINTS:
+            windows.append(progress)
+    if windows:
+        speed = cell.speeds.of(worker)
+        _apply_change(cell, worker, speed, _changed_share(windows), windows, now_ms)
+        for progress in windows:
+            progress.close_window()
+    for run, progress in running:
+        _update_expected_end(run, progress)
+    update_slowness(cell, worker)
+
+
+def _changed_share(windows: Sequence[RunProgress]) -> float:
+    """Return the progress of a worker's tasks as a share of the former one; 1 if it has not changed.
+
+    Tasks without any progress may hang, so they count only if no other shows more.
+    """
+    points = sum(progress.window_points for progress in windows)
+    moving = [p.window_ratio for p in windows if p.last_points > p.mark_points]
+    shares = moving or [progress.window_ratio for progress in windows]
+    is_single = len(windows) == 1
+    if points < (SINGLE_CHANGE_POINTS if is_single else CHANGE_POINTS) or (
+        is_single and not moving
+    ):
+        return 1.0
+    if max(shares) < CHANGED_SHARE or min(shares) > 1 / CHANGED_SHARE:
+        return median(shares)
+    return 1.0
+
+
+def _apply_change(
+    cell: Cell,
+    worker: Worker,
+    speed: WorkerSpeed,
+    share: float,
+    windows: Sequence[RunProgress],
+    now_ms: float,
+) -> None:
+    if share == 1.0:
+        speed.confirm(now_ms)
+        return
+    before = worker.slowness
+    speed.change(-math.log(share), now_ms)
+    for run in worker.runs.values():
+        if run.progress is not None:
+            _restart(run.progress, share, run.progress in windows, now_ms)
+    update_slowness(cell, worker)
+    cell.log_decision(
+        "worker_speed_changed",
+        "all its tasks progress at another rate",
+        worker=worker.worker_id,
+        former_slowness=round(before, FIELD_DIGITS),
+        slowness=round(worker.slowness, FIELD_DIGITS),
+        share=round(share, FIELD_DIGITS),
+        tasks=len(windows),
+        points=round(sum(progress.window_points for progress in windows)),
+    )
+
+
+def _restart(progress: RunProgress, share: float, has_window: bool, now_ms: float) -> None:
+    """Compute the duration of a task anew after a change of its worker's speed."""
+    progress.start_ms, progress.start_points = now_ms, progress.last_points
+    if not has_window:
+        progress.points_per_ms *= share
+        progress.mark_ms, progress.mark_points = now_ms, progress.last_points
+
+
+def _count_duration(
+    cell: Cell, worker: Worker, run: Run, progress: RunProgress, now_ms: float
+) -> None:
+    """Record how long a task takes, once per run."""
+    duration_ms = progress.duration_ms
+    if progress.has_counted or not duration_ms:
+        return
+    progress.has_counted = True
+    run.step.pace.add(worker.worker_id, duration_ms, now_ms)
+    learn_from_step(cell, run.step, now_ms)
+
+
+def learn_from_step(cell: Cell, step: Step, now_ms: float) -> None:
+    """Learn the speeds of workers from the tasks of a step, once they can be compared.
+
+    Each worker is compared with the other ones of the step, and with what is known of its queue.
+    """
+    pace = step.pace
+    if pace.first_ms is None or (now_ms < pace.first_ms + COMPARE_AFTER_MS and _has_uncounted(step)):
+        return
+    pace.first_ms = None
+    durations = cell.estimates.durations(step.job.record.queue.name)
+    declared_ms = step.spec.estimate_ms or DEFAULT_RUN_MS
+    prior_log, prior_weight = durations.log_ms(declared_ms), 1 / durations.variance
+    logs: dict[str, tuple[float, float]] = {}
+    total_weight, total = prior_weight, prior_weight * prior_log
+    task_variance = MEMBER_VARIANCE if step.spec.gang else TASK_VARIANCE
+    is_first = not any(record.is_used for record in pace.records.values())
+    for worker_id, record in pace.records.items():
+        worker = cell.workers.get(worker_id)
+        if worker is None:
+            continue
+        speed = cell.speeds.of(worker)
+        weight = 1 / (speed.variance + task_variance / record.count)
+        logs[worker_id] = (weight, record.log_mean - speed.log_slowness)
+        total_weight += weight
+        total += weight * logs[worker_id][1]
+    for worker_id, (weight, log_ms) in logs.items():
+        record = pace.records[worker_id]
+        if record.is_used:
+            continue
+        record.is_used = True
+        others_weight = total_weight - weight
+        others_log = (total - weight * log_ms) / others_weight
+        variance = 1 / others_weight + task_variance / record.count
+        _learn(cell, cell.workers[worker_id], record.log_mean - others_log, variance, now_ms)
+    if is_first and logs:
+        observed = (total - prior_weight * prior_log) / (total_weight - prior_weight)
+        durations.observe(declared_ms, observed)
+
+
+def _has_uncounted(step: Step) -> bool:
+    """Return whether a task of a step runs whose duration is not known yet."""
+    return any(
+        run.progress is None or not run.progress.has_counted for run in step.live_runs
+    )
+
+
+def _learn(
+    cell: Cell, worker: Worker, log_ratio: float, variance: float, now_ms: float
+) -> None:
+    speed = cell.speeds.of(worker)
+    before = worker.slowness
+    was_evident = speed.is_evident
+    speed.learn(log_ratio, variance, now_ms)
+    update_slowness(cell, worker)
+    if speed.is_evident != was_evident:
+        cell.log_decision(
+            "worker_speed_learned" if speed.is_evident else "worker_speed_uncertain",
+            "compared with tasks of the same steps",
+            worker=worker.worker_id,
+            former_slowness=round(before, FIELD_DIGITS),
+            slowness=round(worker.slowness, FIELD_DIGITS),
+            deviation=round(math.sqrt(speed.variance), FIELD_DIGITS),
+            tasks=speed.observations,
+        )
+
+
+def _update_expected_end(run: Run, progress: RunProgress) -> None:
+    end_ms = progress.expected_end_ms
+    if end_ms is None or progress.last_points - progress.start_points < COUNTED_POINTS:
+        return
+    run.own_end_ms = end_ms
+    if not run.step.spec.gang:
+        run.expected_end_ms = end_ms
+
+
+def update_slowness(cell: Cell, worker: Worker) -> None:
+    """Set the slowness of a worker to the learned one, where reports show progress."""
+    if cell.speeds.progress_is_visible:
+        worker.slowness = cell.speeds.of(worker).slowness
+
+
+def apply_time(cell: Cell, now_ms: float) -> None:
+    """Let temporary changes of speed expire on workers that show no progress."""
+    for worker in cell.workers.values():
+        speed = cell.speeds.known(worker)
+        if speed is not None and speed.temporary_log and speed.expire(now_ms):
+            worker.slowness = speed.slowness
+
+
+def begin_life(cell: Cell, worker: Worker) -> None:
+    """Start a new incarnation of a worker from what its machine showed before."""
+    speed = cell.speeds.known(worker)
+    if speed is not None:
+        speed.begin_life()
+        worker.slowness = speed.slowness
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from nutmeglb_decisions.queues.names import step_name, task_name
+from nutmeglb_decisions.queues.run_progress import RunProgress, StepPace
 from nutmeglb_formats.models.queues import QueueJob, QueueWorker, StepSpec
 from nutmeglb_formats.models.resources import Resources
 
@@ -53,6 +54,10 @@
     resumed
         Whether the run started from a checkpoint or was adopted. Its duration then does not show
         the run time of the task.
+    progress
+        Progress that the reports have shown; ``None`` if they show none.
+    own_end_ms
+        Expected end of the work of a gang's member alone; ``None`` while it is unknown.
     """
 
     step: "Step"
@@ -73,6 +78,8 @@
     idle_since_ms: float | None = None
     idle_ms: float = 0.0
     resumed: bool = False
+    progress: RunProgress | None = None
+    own_end_ms: float | None = None
 
     @property
     def task(self) -> str:
@@ -225,6 +232,8 @@
         Expected durations from which the rank is computed; ``None`` before the first computation.
     charged
         Capacity that one task uses. Cached, because a pass reads it for each worker.
+    pace
+        Run time of the tasks on an average worker, as observed.
     held_by
         Name of the gate that kept the step from starting in the last pass; empty if none did.
     """
@@ -248,6 +257,7 @@
     plan: GangPlan | None = None
     forecast: Forecast | None = None
     held_by: str = ""
+    pace: StepPace = field(default_factory=StepPace)
     charged: Resources = field(init=False)
 
     def __post_init__(self) -> None:
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_speed.py
@@ -0,0 +1,142 @@
+"""What is known of the speed of one worker, and the speeds of all workers."""
+
+import math
+from dataclasses import dataclass, field
+
+from nutmeglb_decisions.queues.state import Worker
+
+# Variance of the logarithm of the speed of a worker of which nothing is known.
+PRIOR_VARIANCE = 0.16
+MIN_VARIANCE = 0.004
+# Variance at the start of a new life: a machine keeps its kind, but a new life may be of another.
+NEW_LIFE_VARIANCE = 0.02
+# Variance after a change that cannot be temporary.
+CHANGED_VARIANCE = 0.08
+# An observation further than this many standard deviations from its expectation counts as if it
+# were this far away: a task may take many times as long as those of its step.
+MAX_DEVIATIONS = 2.5
+# A speed is evident when it differs from the average by this factor, and by this many standard
+# deviations. Smaller differences do not decide whether a job is in time.
+EVIDENT_FACTOR = 1.2
+EVIDENT_DEVIATIONS = 1.0
+# Bounds of the learned slowness, with and without a temporary change.
+SLOWNESS_BOUNDS = (0.4, 2.5)
+TEMPORARY_BOUND = 10.0
+# A temporary change below this factor has ended.
+ENDED_FACTOR = 1.3
+# A temporary change is believed for this time after the last evidence of it, and then halved each
+# time this passes again.
+BELIEVED_MS = 2_000.0
+
+
+@dataclass(slots=True)
+class WorkerSpeed:
+    """Learned slowness of one machine, the ratio of its run times to those on an average one.
+
+    Attributes
+    ----------
+    base_log, variance
+        Logarithm of the slowness without a temporary change, and its variance.
+    temporary_log
+        Logarithm of the factor of a temporary change; 0 without one.
+    confirmed_ms
+        Time of the last evidence of the temporary change.
+    observations
+        Number of durations that were learned from.
+    """
+
+    base_log: float = 0.0
+    variance: float = PRIOR_VARIANCE
+    temporary_log: float = 0.0
+    confirmed_ms: float = 0.0
+    observations: int = 0
+
+    @property
+    def is_evident(self) -> bool:
+        """Return whether the worker clearly differs from an average one."""
+        least_log = max(math.log(EVIDENT_FACTOR), EVIDENT_DEVIATIONS * math.sqrt(self.variance))
+        return abs(self.base_log) > least_log
+
+    @property
+    def log_slowness(self) -> float:
+        """Return the logarithm of the current slowness."""
+        return self.base_log + self.temporary_log
+
+    @property
+    def slowness(self) -> float:
+        """Return the current slowness; 1 without a temporary change or evidence."""
+        base_log = self.base_log if self.is_evident else 0.0
+        return math.exp(base_log + self.temporary_log)
+
+    def learn(self, log_ratio: float, variance: float, now_ms: float) -> None:
+        """Learn from the logarithm of a ratio of run times and the variance that it has itself."""
+        limit = MAX_DEVIATIONS * math.sqrt(self.variance + variance)
+        difference = min(max(log_ratio - self.log_slowness, -limit), limit)
+        gain = self.variance / (self.variance + variance)
+        if self.temporary_log:
+            self.temporary_log += gain * difference
+            self.confirmed_ms = now_ms
+            self._end_small_change()
+            return
+        lower, upper = SLOWNESS_BOUNDS
+        self.base_log = min(
+            max(self.base_log + gain * difference, math.log(lower)), math.log(upper)
+        )
+        self.variance = max(MIN_VARIANCE, self.variance * (1 - gain))
+        self.observations += 1
+
+    def change(self, log_factor: float, now_ms: float) -> None:
+        """Apply a change of the slowness by the given factor."""
+        self.confirmed_ms = now_ms
+        if log_factor < 0 and not self.temporary_log:
+            # The worker was slow since it was first observed.
+            self.base_log += log_factor
+            self.variance = max(self.variance, CHANGED_VARIANCE)
+            return
+        limit = math.log(TEMPORARY_BOUND)
+        self.temporary_log = min(max(self.temporary_log + log_factor, 0.0), limit)
+        self._end_small_change()
+
+    def confirm(self, now_ms: float) -> None:
+        """Record that the tasks of the worker progress as before."""
+        self.confirmed_ms = now_ms
+
+    def expire(self, now_ms: float) -> bool:
+        """Halve a temporary change that was not confirmed for some time. Return whether it was."""
+        if now_ms - self.confirmed_ms < BELIEVED_MS:
+            return False
+        self.confirmed_ms = now_ms
+        self.temporary_log /= 2
+        self._end_small_change()
+        return True
+
+    def begin_life(self) -> None:
+        """Start a new life of the machine."""
+        self.temporary_log = 0.0
+        self.variance = max(self.variance, NEW_LIFE_VARIANCE)
+
+    def _end_small_change(self) -> None:
+        if self.temporary_log < math.log(ENDED_FACTOR):
+            self.temporary_log = 0.0
+
+
+@dataclass(slots=True)
+class Speeds:
+    """Learned speeds by machine; by worker where the platform names no machines.
+
+    Attributes
+    ----------
+    progress_is_visible
+        Whether any report has shown progress of a task. Without it, no speed is learned here.
+    """
+
+    by_machine: dict[str, WorkerSpeed] = field(default_factory=dict)
+    progress_is_visible: bool = False
+
+    def of(self, worker: Worker) -> WorkerSpeed:
+        """Return what is known of a worker."""
+        return self.by_machine.setdefault(worker.info.machine or worker.worker_id, WorkerSpeed())
+
+    def known(self, worker: Worker) -> WorkerSpeed | None:
+        """Return what is known of a worker, or ``None`` if nothing is."""
+        return self.by_machine.get(worker.info.machine or worker.worker_id)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/queues.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/queues.py
@@ -231,6 +231,8 @@
     remaining_ms
         While draining: shortest time in milliseconds until the worker stops; ``None`` when the
         worker does not announce it. Not used by the scheduler.
+    machine
+        Name of the machine, which stays the same over the lives of a worker; empty when unknown.
     """
 
     worker_id: str
@@ -243,6 +245,7 @@
     draining: bool
     started_ms: int
     remaining_ms: float | None = None
+    machine: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,7 +259,8 @@
     checkpoint
         Last checkpoint of the run; empty when there is none.
     percent
-        Speed of the task in percent of its full speed, 0 to 100.
+        Progress of the task in percent of its work, 0 to 100. Of a lasting task: 100 when it is at
+        work. A member of a gang that has finished its part shows 100 until the others have.
     activity
         Processors in use in thousandths of a core or, for a task with a tail target, its tail
         latency in milliseconds. ``None`` when the worker does not report it.
