Learn the speeds of workers from the progress of their tasks

The tasks of a step are compared over its workers. A change of speed shows in the rates of all tasks of a worker. Without visible progress nothing changes.

--- a/measure/queue_uneven.py
+++ b/measure/queue_uneven.py
@@ -15,14 +15,12 @@
 from measure.queue_leader import AdvisedReplay
 from measure.queue_mix import LATE_VALUE_SHARE, MS_PER_S, JobProfile, draw
 from measure.queue_passes import GB, PASS_INTERVAL_MS, SERVICE
-from nutmeglb_decisions.queues import lifecycle, orders, reports
+from nutmeglb_decisions.queues import lifecycle, orders, reports, speeds
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import Effect, StartTask, StopTask
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.orders import StartOutcome
-from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.ranking import LATE_FACTOR, Rank, Tier, objective_ms, rank_of
-from nutmeglb_decisions.queues.speed_term import SPEED_TERM
 from nutmeglb_decisions.queues.state import Step
 from nutmeglb_decisions.queues.waiting_order import RankFunction
 from nutmeglb_formats.models.queues import (
@@ -51,6 +49,8 @@
 DRAIN_MS = 15_000.0
 CHECKPOINT_MS = 500.0
 RESTORE_MS = 100.0
+# Time that a job spends outside of the scheduler: acceptance, orders, and answers to its caller.
+OUTSIDE_MS = 200.0
 POLL_MS = 2_000.0
 STOP_MS = 100.0
 
@@ -221,11 +221,14 @@
             if self._work_left.pop((task, number), None) is not None:
                 stopped.setdefault(worker_id, []).append((task, number))
         for worker_id, worker in self.cell.workers.items():
-            is_due = worker.runs and now_ms - worker.last_report_ms >= POLL_MS
+            wanted_ms = speeds.next_report_ms(self.cell, worker, worker.last_report_ms)
+            due_ms = min(worker.last_report_ms + POLL_MS, wanted_ms or math.inf)
+            is_due = worker.runs and now_ms >= due_ms
             if worker_id in ended or worker_id in stopped or is_due:
                 self._send_report(
                     worker_id, ended.get(worker_id, ()), stopped.get(worker_id, ()), now_ms
                 )
+        speeds.apply_time(self.cell, now_ms)
         if self.before_pass is not None:
             self.before_pass(self)
         super().step(now_ms, rng, rank)
@@ -305,6 +308,7 @@
                 number,
                 self._checkpoint(run.step, task, number),
                 self._points(task, number),
+                1,
             )
             for (task, number), run in worker.runs.items()
             if (task, number) in self._work_left
@@ -357,7 +361,6 @@
     before_pass: Callable[[UnevenReplay], None] | None = None
     knows_run_times: bool = False
     shows_progress: bool = True
-    parts: PassParts = PassParts()
 
 
 def rank_by_priority(step: Step, start_ms: float, now_ms: float, estimates: Estimates) -> Rank:
@@ -372,7 +375,7 @@
 
 
 BEFORE = Policy("before", shows_progress=False)
-LEARNED = Policy("learned speeds", parts=PassParts(worker_terms=(SPEED_TERM,)))
+LEARNED = Policy("learned speeds")
 PLAIN = Policy("plain priority, first fit", rank_by_priority, shows_progress=False)
 BOUND = Policy("speeds and run times known", before_pass=reveal_speeds, knows_run_times=True)
 POLICIES = (BEFORE, PLAIN, LEARNED, BOUND)
@@ -384,7 +387,6 @@
     load = make_load(load_factor, DURATION_MS, rng)
     replay = UnevenReplay(load, rng)
     replay.before_pass = policy.before_pass
-    replay.cell.parts = policy.parts
     replay.shows_progress = policy.shows_progress
     timed_jobs = load.timed_jobs
     if policy.knows_run_times:
@@ -392,7 +394,10 @@
             (at_ms, replace(job, steps=load.true_steps[job.job_id])) for at_ms, job in timed_jobs
         ]
     replay.run(timed_jobs, policy.rank)
-    return _shares(replay, load) | {"stops": replay.stops, "pass_ms": replay.total_pass_ms/len(replay.pass_ms)}
+    return _shares(replay, load) | {
+        "stops": replay.stops,
+        "pass_ms": replay.total_pass_ms / len(replay.pass_ms),
+    }
 
 
 def _shares(replay: UnevenReplay, load: Load) -> dict[str, float]:
@@ -405,7 +410,7 @@
         scratch_cell = Cell(0, math.inf, math.inf)
         lifecycle.add_job(scratch_cell, true_job, 0.0)
         limit_ms = objective_ms(scratch_cell.jobs[job.job_id], scratch_cell.estimates)
-        took_ms = replay.done.get(job.job_id, math.inf) - at_ms
+        took_ms = replay.done.get(job.job_id, math.inf) - at_ms + OUTSIDE_MS
         offered[name] += values[name]
         if took_ms <= LATE_FACTOR * limit_ms:
             earned[name] += values[name] * (1.0 if took_ms <= limit_ms else LATE_VALUE_SHARE)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
@@ -4,7 +4,6 @@
 
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.parts import PassParts
-from nutmeglb_decisions.queues.speed_term import SPEED_TERM
 from nutmeglb_formats.models.queues import QueueConfig
 
 
@@ -21,4 +20,4 @@
 
 def active_parts(config: QueueConfig, options: PartOptions) -> PassParts:
     """Return the parts that a configuration and the settings call for."""
-    return PassParts(worker_terms=(SPEED_TERM,))
+    return PassParts()
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/estimates.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/estimates.py
@@ -31,6 +31,14 @@
         """Return the run times of a queue that are learned from progress."""
         return self._durations.setdefault(queue, QueueDurations())
 
+    def known_durations(self) -> dict[str, QueueDurations]:
+        """Return the run times learned from progress, per queue."""
+        return {name: known for name, known in self._durations.items() if known.is_known}
+
+    def set_durations(self, queue: str, durations: QueueDurations) -> None:
+        """Replace the run times of a queue that are learned from progress."""
+        self._durations[queue] = durations
+
     def run_ms(self, queue: str, declared_ms: float, slowness: float = 1.0) -> float:
         """Return the expected run time in milliseconds on a worker of the given slowness."""
         declared_ms = declared_ms or DEFAULT_RUN_MS
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ranking.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ranking.py
@@ -105,7 +105,7 @@
 def rank_of(step: Step, start_ms: float, now_ms: float, estimates: Estimates) -> Rank:
     """Return the rank of a waiting step whose occurrence was due at ``start_ms``."""
     job = step.job
-    forecast = step_forecast(step, now_ms, estimates)
+    forecast = _forecast(step, now_ms, estimates)
     objective_duration_ms, critical_ms = forecast.objective_ms, forecast.remaining_ms
     end_ms = now_ms + critical_ms
     if end_ms <= start_ms + objective_duration_ms:
@@ -122,7 +122,7 @@
     return Rank(tier, job.record.queue.priority, latest_start_ms, remaining_work, job.accepted_ms)
 
 
-def step_forecast(step: Step, now_ms: float, estimates: Estimates) -> Forecast:
+def _forecast(step: Step, now_ms: float, estimates: Estimates) -> Forecast:
     """Return the cached forecast of a step, recomputed once it has expired."""
     forecast = step.forecast
     if forecast is None or now_ms >= forecast.expires_at_ms:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/run_progress.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/run_progress.py
@@ -62,8 +62,13 @@
     @property
     def window_ratio(self) -> float:
         """Return the actual progress since the last window, as a share of the expected one."""
-        # Half a point stands for none, since progress is rounded down.
-        return max(0.5, self.last_points - self.mark_points) / self.window_points
+        # Progress is rounded down, by half a point on average.
+        return (self.last_points - self.mark_points + 0.5) / (self.window_points + 0.5)
+
+    @property
+    def window_evidence(self) -> float:
+        """Return the larger one of the actual and the expected progress since the last window."""
+        return max(self.window_points, self.last_points - self.mark_points)
 
     def close_window(self) -> None:
         """Start a new window. Its rate is that of the one that ends."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/speeds.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/speeds.py
@@ -26,11 +26,18 @@
 # A duration counts once this many points of a task are done.
 COUNTED_POINTS = 10
 # All tasks of a worker have to show less than this share of their former progress, or more than its
-# inverse, in windows of this many expected points together.
+# inverse, in windows of this many points together.
 CHANGED_SHARE = 0.5
 CHANGE_POINTS = 10.0
 # A single task does not show whether the worker or the task is slower, so it has to show more.
 SINGLE_CHANGE_POINTS = 25.0
+# The next report of a worker of which little is known is requested after this time, instead of
+# after the longest wait for an end.
+UNCERTAIN_VARIANCE = 0.03
+UNCERTAIN_REPORT_MS = 400.0
+# The same for a worker with a run that has passed its expected end by this share of its duration.
+OVERDUE_SHARE = 0.2
+OVERDUE_REPORT_MS = 400.0
 FIELD_DIGITS = 2
 
 
@@ -86,7 +93,7 @@
         if not progress.points_per_ms:
             if progress.last_points - progress.mark_points >= MIN_POINTS:
                 progress.close_window()
-        elif progress.window_points >= MIN_POINTS:
+        elif progress.window_evidence >= MIN_POINTS:
             windows.append(progress)
     if windows:
         speed = cell.speeds.of(worker)
@@ -99,11 +106,11 @@
 
 
 def _changed_share(windows: Sequence[RunProgress]) -> float:
-    """Return the progress of a worker's tasks as a share of the former one; 1 if it has not changed.
+    """Return the progress of a worker's tasks as a share of the former one; 1 if unchanged.
 
     Tasks without any progress may hang, so they count only if no other shows more.
     """
-    points = sum(progress.window_points for progress in windows)
+    points = sum(progress.window_evidence for progress in windows)
     moving = [p.window_ratio for p in windows if p.last_points > p.mark_points]
     shares = moving or [progress.window_ratio for progress in windows]
     is_single = len(windows) == 1
@@ -141,7 +148,7 @@
         slowness=round(worker.slowness, FIELD_DIGITS),
         share=round(share, FIELD_DIGITS),
         tasks=len(windows),
-        points=round(sum(progress.window_points for progress in windows)),
+        points=round(sum(progress.window_evidence for progress in windows)),
     )
 
 
@@ -171,7 +178,9 @@
     Each worker is compared with the other ones of the step, and with what is known of its queue.
     """
     pace = step.pace
-    if pace.first_ms is None or (now_ms < pace.first_ms + COMPARE_AFTER_MS and _has_uncounted(step)):
+    if pace.first_ms is None or (
+        now_ms < pace.first_ms + COMPARE_AFTER_MS and _has_uncounted(step)
+    ):
         return
     pace.first_ms = None
     durations = cell.estimates.durations(step.job.record.queue.name)
@@ -206,14 +215,10 @@
 
 def _has_uncounted(step: Step) -> bool:
     """Return whether a task of a step runs whose duration is not known yet."""
-    return any(
-        run.progress is None or not run.progress.has_counted for run in step.live_runs
-    )
+    return any(run.progress is None or not run.progress.has_counted for run in step.live_runs)
 
 
-def _learn(
-    cell: Cell, worker: Worker, log_ratio: float, variance: float, now_ms: float
-) -> None:
+def _learn(cell: Cell, worker: Worker, log_ratio: float, variance: float, now_ms: float) -> None:
     speed = cell.speeds.of(worker)
     before = worker.slowness
     was_evident = speed.is_evident
@@ -254,6 +259,31 @@
             worker.slowness = speed.slowness
 
 
+def next_report_ms(cell: Cell, worker: Worker, now_ms: float) -> float | None:
+    """Return when a report would show more of a worker's speed; ``None`` if there is no hurry."""
+    if not cell.speeds.progress_is_visible or not worker.runs:
+        return None
+    speed = cell.speeds.of(worker)
+    if speed.variance > UNCERTAIN_VARIANCE and any(map(_is_uncounted, worker.runs.values())):
+        return now_ms + UNCERTAIN_REPORT_MS
+    if any(_is_overdue(run, now_ms) for run in worker.runs.values()):
+        return now_ms + OVERDUE_REPORT_MS
+    return None
+
+
+def _is_uncounted(run: Run) -> bool:
+    """Return whether a run has not shown yet how long it takes."""
+    if run.progress is None:
+        return run.activity is None and not run.step.spec.lasting
+    return not run.progress.has_counted
+
+
+def _is_overdue(run: Run, now_ms: float) -> bool:
+    progress = run.progress
+    end_ms = progress.expected_end_ms if progress is not None else None
+    return end_ms is not None and now_ms > end_ms + OVERDUE_SHARE * (end_ms - run.ordered_ms)
+
+
 def begin_life(cell: Cell, worker: Worker) -> None:
     """Start a new incarnation of a worker from what its machine showed before."""
     speed = cell.speeds.known(worker)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_speed.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_speed.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass, field
+from statistics import median
 
 from nutmeglb_decisions.queues.state import Worker
 
@@ -10,8 +11,9 @@
 MIN_VARIANCE = 0.004
 # Variance at the start of a new life: a machine keeps its kind, but a new life may be of another.
 NEW_LIFE_VARIANCE = 0.02
-# Variance after a change that cannot be temporary.
-CHANGED_VARIANCE = 0.08
+# Steps in a row whose run times on a worker are off by this factor show that its speed has changed.
+SURPRISING_FACTOR = 2.0
+SURPRISES = 2
 # An observation further than this many standard deviations from its expectation counts as if it
 # were this far away: a task may take many times as long as those of its step.
 MAX_DEVIATIONS = 2.5
@@ -29,6 +31,13 @@
 BELIEVED_MS = 2_000.0
 
 
+def speed_class(slowness: float) -> str:
+    """Return whether a worker of the given slowness counts as fast, average or slow."""
+    if slowness < 1 / EVIDENT_FACTOR:
+        return "fast"
+    return "slow" if slowness > EVIDENT_FACTOR else "average"
+
+
 @dataclass(slots=True)
 class WorkerSpeed:
     """Learned slowness of one machine, the ratio of its run times to those on an average one.
@@ -42,7 +51,9 @@
     confirmed_ms
         Time of the last evidence of the temporary change.
     observations
-        Number of durations that were learned from.
+        Number of steps that were learned from.
+    surprises
+        Logarithms of the latest unexpected ratios in a row, all of one sign.
     """
 
     base_log: float = 0.0
@@ -50,6 +61,7 @@
     temporary_log: float = 0.0
     confirmed_ms: float = 0.0
     observations: int = 0
+    surprises: list[float] = field(default_factory=list)
 
     @property
     def is_evident(self) -> bool:
@@ -65,37 +77,50 @@
     @property
     def slowness(self) -> float:
         """Return the current slowness; 1 without a temporary change or evidence."""
-        base_log = self.base_log if self.is_evident else 0.0
-        return math.exp(base_log + self.temporary_log)
+        return self.usual_slowness * math.exp(self.temporary_log)
+
+    @property
+    def usual_slowness(self) -> float:
+        """Return the slowness without a temporary change; 1 without evidence."""
+        return math.exp(self.base_log) if self.is_evident else 1.0
 
     def learn(self, log_ratio: float, variance: float, now_ms: float) -> None:
-        """Learn from the logarithm of a ratio of run times and the variance that it has itself."""
+        """Learn from the logarithm of a ratio of run times and the variance that it has itself.
+
+        One surprising step counts little, since its tasks may be unusual. Several in a row show
+        that the worker has changed.
+        """
         limit = MAX_DEVIATIONS * math.sqrt(self.variance + variance)
-        difference = min(max(log_ratio - self.log_slowness, -limit), limit)
+        difference = log_ratio - self.log_slowness
+        is_surprise = abs(difference) > max(limit, math.log(SURPRISING_FACTOR))
+        if not is_surprise:
+            self.surprises = []
+        else:
+            self.surprises = [d for d in self.surprises if (d > 0) == (difference > 0)]
+            self.surprises.append(difference)
+            if len(self.surprises) >= SURPRISES:
+                self.change(median(self.surprises), now_ms)
+                return
         gain = self.variance / (self.variance + variance)
+        step = gain * min(max(difference, -limit), limit)
+        self.observations += 1
         if self.temporary_log:
-            self.temporary_log += gain * difference
             self.confirmed_ms = now_ms
-            self._end_small_change()
+            self._set_temporary(self.temporary_log + step)
             return
         lower, upper = SLOWNESS_BOUNDS
-        self.base_log = min(
-            max(self.base_log + gain * difference, math.log(lower)), math.log(upper)
-        )
+        self.base_log = min(max(self.base_log + step, math.log(lower)), math.log(upper))
         self.variance = max(MIN_VARIANCE, self.variance * (1 - gain))
-        self.observations += 1
 
     def change(self, log_factor: float, now_ms: float) -> None:
         """Apply a change of the slowness by the given factor."""
         self.confirmed_ms = now_ms
+        self.surprises = []
         if log_factor < 0 and not self.temporary_log:
-            # The worker was slow since it was first observed.
-            self.base_log += log_factor
-            self.variance = max(self.variance, CHANGED_VARIANCE)
+            # The worker was slow since it was first observed, so its usual speed is not known.
+            self.base_log, self.variance = 0.0, PRIOR_VARIANCE
             return
-        limit = math.log(TEMPORARY_BOUND)
-        self.temporary_log = min(max(self.temporary_log + log_factor, 0.0), limit)
-        self._end_small_change()
+        self._set_temporary(self.temporary_log + log_factor)
 
     def confirm(self, now_ms: float) -> None:
         """Record that the tasks of the worker progress as before."""
@@ -106,18 +131,18 @@
         if now_ms - self.confirmed_ms < BELIEVED_MS:
             return False
         self.confirmed_ms = now_ms
-        self.temporary_log /= 2
-        self._end_small_change()
+        self._set_temporary(self.temporary_log / 2)
         return True
 
     def begin_life(self) -> None:
         """Start a new life of the machine."""
         self.temporary_log = 0.0
+        self.surprises = []
         self.variance = max(self.variance, NEW_LIFE_VARIANCE)
 
-    def _end_small_change(self) -> None:
-        if self.temporary_log < math.log(ENDED_FACTOR):
-            self.temporary_log = 0.0
+    def _set_temporary(self, log_factor: float) -> None:
+        is_over = log_factor < math.log(ENDED_FACTOR)
+        self.temporary_log = 0.0 if is_over else min(log_factor, math.log(TEMPORARY_BOUND))
 
 
 @dataclass(slots=True)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/queue_records.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/queue_records.py
@@ -121,6 +121,53 @@
     waited: list[tuple[str, float]]
 
 
+@dataclass(frozen=True, slots=True)
+class LearnedSpeed:
+    """Learned speed of one machine, in thousandths.
+
+    Attributes
+    ----------
+    log_slowness, variance
+        Natural logarithm of the ratio of run times to those on an average machine, and its
+        variance.
+    """
+
+    machine: str
+    log_slowness: int
+    variance: int
+
+
+@dataclass(frozen=True, slots=True)
+class LearnedRunTimes:
+    """Regression of true run times of a queue on declared ones, both as logarithms of milliseconds.
+
+    Attributes
+    ----------
+    weight, mean_x, mean_y, spread_x, spread_xy
+        Number of steps, means of the declared and the true run times, and sums of squared
+        deviations and of products.
+    variance
+        Mean squared error.
+    """
+
+    queue: str
+    weight: float
+    mean_x: float
+    mean_y: float
+    spread_x: float
+    spread_xy: float
+    variance: float
+
+
+@record(706, 1)
+@dataclass(frozen=True, slots=True)
+class LearnedState:
+    """What a leader has learned of machines and run times, as a hint for the next one."""
+
+    speeds: list[LearnedSpeed]
+    run_times: list[LearnedRunTimes]
+
+
 def encode_queue_record(value: object) -> bytes:
     """Encode a registered record."""
     return cbor2.dumps(QUEUE_RECORDS.to_items(value))
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from nutmeglb._internal.background import BackgroundTasks
+from nutmeglb._internal.context import Metrics
 from nutmeglb._internal.queues import keys, stored_jobs
 from nutmeglb._internal.queues.advice_dispatcher import AdviceDispatcher
 from nutmeglb._internal.queues.authority import MAX_CLOCK_DRIFT, Term
@@ -15,6 +16,7 @@
 from nutmeglb._internal.queues.decision_log import DecisionLog
 from nutmeglb._internal.queues.election import TAKEOVER_FAILED
 from nutmeglb._internal.queues.inbox_reader import InboxReader
+from nutmeglb._internal.queues.learned_store import LearnedStore
 from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.loop_lag import LoopLag
 from nutmeglb._internal.queues.pass_pacing import PassPacer
@@ -34,6 +36,7 @@
     placing,
     progress,
     reports,
+    speeds,
     stuck_runs,
     takeover_wait,
     waiting,
@@ -90,6 +93,7 @@
         term: Term,
         incarnation: str,
         on_lost: Callable[[str], None],
+        metrics: Metrics | None = None,
     ) -> None:
         self._live = live
         self._clock = clock
@@ -132,6 +136,7 @@
         self._workers = WorkerLinks(
             self.cell, platform.workers, clock, log, term.fence, run_lease_ms, callbacks
         )
+        self._learned = LearnedStore(platform.store, self.cell, term.key_revision, metrics)
         self._background = BackgroundTasks()
         self._wake = asyncio.Event()
         self._idle_jobs = IdleJobMonitor()
@@ -254,6 +259,7 @@
             self._tick_loop(),
             self._load_report_loop(),
             self._prune_finished_loop(),
+            self._learned.run(),
         ):
             self._background.spawn(self._run_guarded(loop))
         self._request_pass()
@@ -269,7 +275,9 @@
         """Load accepted jobs, progress and workers. Return whether everything was read."""
         if not await self._committer.load_counter():
             return False
-        stored = await stored_jobs.read_state(self._platform)
+        stored, _ = await asyncio.gather(
+            stored_jobs.read_state(self._platform), self._learned.load()
+        )
         if isinstance(stored, Err):
             logger.warning("takeover: state not loaded; retrying", cause=str(stored.err_value))
             return False
@@ -327,6 +335,7 @@
         now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
         if self._term.authority.is_exclusive:
             reports.expire_silent_workers(self.cell, self._term.authority.confirmed_ms, wall_ms)
+        speeds.apply_time(self.cell, now_ms)
         stuck_runs.stop_stuck_runs(self.cell, now_ms)
         waiting.log_long_waits(self.cell, now_ms)
         self._idle_jobs.poll(self.cell, now_ms)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -80,6 +80,7 @@
         self._rng = random.Random(secrets.randbits(SEED_BITS))
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
         hybrid_clock = HybridLogicalClock(clock)
+        self._metrics = metrics
         self._log = DecisionLog(clock, hybrid_clock, metrics, lambda: live.current.log.lines_per_s)
         self._background = BackgroundTasks()
         self._draining = False
@@ -240,6 +241,7 @@
             term,
             self._incarnation,
             self._leadership_ended,
+            self._metrics,
         )
         await self._leader.start(config)
 
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -10,7 +10,7 @@
 from nutmeglb._internal.queues.authority import MAX_CLOCK_DRIFT
 from nutmeglb._internal.queues.ports import StartOrder, WorkerGateway
 from nutmeglb._internal.telemetry.logs import get_logger
-from nutmeglb_decisions.queues import absent_runs, orders, reports
+from nutmeglb_decisions.queues import absent_runs, orders, reports, speeds
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import PaceTask, StartTask, StopTask
 from nutmeglb_decisions.queues.orders import StartOutcome
@@ -182,6 +182,9 @@
         needed_ms = [now_ms + LONG_POLL_MS]
         if proof_ms is not None:
             needed_ms.append(proof_ms)
+        learning_ms = speeds.next_report_ms(self._cell, self.worker, now_ms)
+        if learning_ms is not None:
+            needed_ms.append(learning_ms)
         if not self.worker.settled:
             needed_ms.append(self._cell.settles_at_ms(self.worker))
         if None in self.worker.stray_runs.values():
