Compare tasks of a step per report; early counts of slow tasks; ends of gangs from progress

Cause: a step was compared after the first task of a report, so several slow tasks on one worker did not count together, and a task on a worker six times slower showed nothing for seconds. Change: steps are compared after a report; a task with little progress counts after a quarter of its expected run time; a gang ends with the last of its members.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/run_progress.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/run_progress.py
@@ -48,9 +48,9 @@
 
     @property
     def duration_ms(self) -> float | None:
-        """Return the duration of the whole task at its observed rate, if enough is known."""
+        """Return the duration of the whole task at its observed rate, if it has any progress."""
         points = self.last_points - self.start_points
-        if points < MIN_POINTS or self.last_ms <= self.start_ms:
+        if points <= 0 or self.last_ms <= self.start_ms:
             return None
         return (self.last_ms - self.start_ms) * FULL_POINTS / points
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/speeds.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/speeds.py
@@ -9,6 +9,7 @@
 import math
 from collections.abc import Sequence
 from statistics import median
+from typing import Any
 
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.estimates import DEFAULT_RUN_MS
@@ -25,6 +26,10 @@
 COMPARE_AFTER_MS = 400.0
 # A duration counts once this many points of a task are done.
 COUNTED_POINTS = 10
+# A task that has made little progress counts as well, once it has run for this share of its
+# expected run time.
+MIN_COUNTED_POINTS = 3
+COUNTED_SHARE = 0.25
 # All tasks of a worker have to show less than this share of their former progress, or more than its
 # inverse, in windows of this many points together.
 CHANGED_SHARE = 0.5
@@ -38,6 +43,8 @@
 # The same for a worker with a run that has passed its expected end by this share of its duration.
 OVERDUE_SHARE = 0.2
 OVERDUE_REPORT_MS = 400.0
+# The end of a gang is expected from its members' progress, once so many of them have shown theirs.
+KNOWN_MEMBERS_SHARE = 0.5
 FIELD_DIGITS = 2
 
 
@@ -61,10 +68,19 @@
         run.progress = RunProgress.starting(now_ms, points)
         return
     progress.observe(now_ms, points)
-    if points - progress.start_points >= COUNTED_POINTS:
+    new_points = points - progress.start_points
+    if new_points >= COUNTED_POINTS or (
+        new_points >= MIN_COUNTED_POINTS
+        and not progress.has_counted
+        and now_ms - progress.start_ms > COUNTED_SHARE * _average_ms(cell, run.step)
+    ):
         _count_duration(cell, worker, run, progress, now_ms)
 
 
+def _average_ms(cell: Cell, step: Step) -> float:
+    return cell.estimates.run_ms(step.job.record.queue.name, step.spec.estimate_ms)
+
+
 def observe_end(cell: Cell, worker: Worker, run: Run, now_ms: float) -> None:
     """Apply the completion of a run. The end of a gang only shows the slowest of its members."""
     if not cell.speeds.progress_is_visible or run.step.spec.gang or run.state == RunState.STOPPING:
@@ -83,6 +99,9 @@
     """Compare the progress of a worker's tasks with their former one, after a report."""
     if not cell.speeds.progress_is_visible:
         return
+    compared, cell.speeds.steps_to_compare = cell.speeds.steps_to_compare, []
+    for step in compared:
+        learn_from_step(cell, step, now_ms)
     running = [
         (run, run.progress)
         for run in worker.runs.values()
@@ -100,8 +119,7 @@
         _apply_change(cell, worker, speed, _changed_share(windows), windows, now_ms)
         for progress in windows:
             progress.close_window()
-    for run, progress in running:
-        _update_expected_end(run, progress)
+    _update_expected_ends(running)
     update_slowness(cell, worker)
 
 
@@ -140,15 +158,10 @@
         if run.progress is not None:
             _restart(run.progress, share, run.progress in windows, now_ms)
     update_slowness(cell, worker)
-    cell.log_decision(
-        "worker_speed_changed",
-        "all its tasks progress at another rate",
-        worker=worker.worker_id,
-        former_slowness=round(before, FIELD_DIGITS),
-        slowness=round(worker.slowness, FIELD_DIGITS),
-        share=round(share, FIELD_DIGITS),
-        tasks=len(windows),
-        points=round(sum(progress.window_evidence for progress in windows)),
+    points = round(sum(progress.window_evidence for progress in windows))
+    share = round(share, FIELD_DIGITS)
+    _log_change(
+        cell, worker, "worker_speed_changed", before, share=share, tasks=len(windows), points=points
     )
 
 
@@ -165,11 +178,13 @@
 ) -> None:
     """Record how long a task takes, once per run."""
     duration_ms = progress.duration_ms
-    if progress.has_counted or not duration_ms:
+    rack = run.step.spec.preferred_rack
+    if progress.has_counted or not duration_ms or (rack and worker.info.rack != rack):
         return
     progress.has_counted = True
     run.step.pace.add(worker.worker_id, duration_ms, now_ms)
-    learn_from_step(cell, run.step, now_ms)
+    if run.step not in cell.speeds.steps_to_compare:
+        cell.speeds.steps_to_compare.append(run.step)
 
 
 def learn_from_step(cell: Cell, step: Step, now_ms: float) -> None:
@@ -207,7 +222,8 @@
         others_weight = total_weight - weight
         others_log = (total - weight * log_ms) / others_weight
         variance = 1 / others_weight + task_variance / record.count
-        _learn(cell, cell.workers[worker_id], record.log_mean - others_log, variance, now_ms)
+        log_ratio = record.log_mean - others_log
+        _learn(cell, cell.workers[worker_id], log_ratio, variance, record.count, now_ms)
     if is_first and logs:
         observed = (total - prior_weight * prior_log) / (total_weight - prior_weight)
         durations.observe(declared_ms, observed)
@@ -218,31 +234,54 @@
     return any(run.progress is None or not run.progress.has_counted for run in step.live_runs)
 
 
-def _learn(cell: Cell, worker: Worker, log_ratio: float, variance: float, now_ms: float) -> None:
+def _learn(
+    cell: Cell, worker: Worker, log_ratio: float, variance: float, tasks: int, now_ms: float
+) -> None:
     speed = cell.speeds.of(worker)
-    before = worker.slowness
-    was_evident = speed.is_evident
-    speed.learn(log_ratio, variance, now_ms)
+    before, was_slow, was_evident = worker.slowness, bool(speed.temporary_log), speed.is_evident
+    speed.learn(log_ratio, variance, tasks, now_ms)
     update_slowness(cell, worker)
-    if speed.is_evident != was_evident:
-        cell.log_decision(
-            "worker_speed_learned" if speed.is_evident else "worker_speed_uncertain",
-            "compared with tasks of the same steps",
-            worker=worker.worker_id,
-            former_slowness=round(before, FIELD_DIGITS),
-            slowness=round(worker.slowness, FIELD_DIGITS),
-            deviation=round(math.sqrt(speed.variance), FIELD_DIGITS),
-            tasks=speed.observations,
-        )
-
-
-def _update_expected_end(run: Run, progress: RunProgress) -> None:
-    end_ms = progress.expected_end_ms
-    if end_ms is None or progress.last_points - progress.start_points < COUNTED_POINTS:
-        return
-    run.own_end_ms = end_ms
-    if not run.step.spec.gang:
-        run.expected_end_ms = end_ms
+    if bool(speed.temporary_log) != was_slow:
+        _log_change(cell, worker, "worker_speed_changed", before, tasks=tasks)
+    elif speed.is_evident != was_evident:
+        kind = "worker_speed_learned" if speed.is_evident else "worker_speed_uncertain"
+        deviation = round(math.sqrt(speed.variance), FIELD_DIGITS)
+        _log_change(cell, worker, kind, before, deviation=deviation, steps=speed.observations)
+
+
+def _log_change(
+    cell: Cell, worker: Worker, kind: str, former_slowness: float, **evidence: Any
+) -> None:
+    """Log a learned speed with the evidence for it."""
+    cell.log_decision(
+        kind,
+        "run times and progress of its tasks",
+        worker=worker.worker_id,
+        former_slowness=round(former_slowness, FIELD_DIGITS),
+        slowness=round(worker.slowness, FIELD_DIGITS),
+        **evidence,
+    )
+
+
+def _update_expected_ends(running: Sequence[tuple[Run, RunProgress]]) -> None:
+    """Set when runs end from their progress. A gang ends with the last of its members."""
+    gangs: dict[int, Step] = {}
+    for run, progress in running:
+        end_ms = progress.expected_end_ms
+        if end_ms is None or progress.last_points - progress.start_points < COUNTED_POINTS:
+            continue
+        run.own_end_ms = end_ms
+        if run.step.spec.gang:
+            gangs[id(run.step)] = run.step
+        else:
+            run.expected_end_ms = end_ms
+    for step in gangs.values():
+        runs = step.live_runs
+        known_ms = [run.own_end_ms for run in runs if run.own_end_ms is not None]
+        if len(known_ms) < KNOWN_MEMBERS_SHARE * len(runs):
+            continue
+        for run in runs:
+            run.expected_end_ms = max(known_ms)
 
 
 def update_slowness(cell: Cell, worker: Worker) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_speed.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_speed.py
@@ -4,16 +4,17 @@
 from dataclasses import dataclass, field
 from statistics import median
 
-from nutmeglb_decisions.queues.state import Worker
+from nutmeglb_decisions.queues.state import Step, Worker
 
 # Variance of the logarithm of the speed of a worker of which nothing is known.
 PRIOR_VARIANCE = 0.16
 MIN_VARIANCE = 0.004
 # Variance at the start of a new life: a machine keeps its kind, but a new life may be of another.
 NEW_LIFE_VARIANCE = 0.02
-# Steps in a row whose run times on a worker are off by this factor show that its speed has changed.
-SURPRISING_FACTOR = 2.0
-SURPRISES = 2
+# Tasks in a row whose run times on a worker are off by this factor show that its speed has changed.
+# A single task may be unusual by itself.
+SURPRISING_FACTOR = 2.5
+SURPRISES = 3
 # An observation further than this many standard deviations from its expectation counts as if it
 # were this far away: a task may take many times as long as those of its step.
 MAX_DEVIATIONS = 2.5
@@ -53,7 +54,7 @@
     observations
         Number of steps that were learned from.
     surprises
-        Logarithms of the latest unexpected ratios in a row, all of one sign.
+        Logarithms of the latest unexpected ratios in a row, one per task and all of one sign.
     """
 
     base_log: float = 0.0
@@ -84,11 +85,15 @@
         """Return the slowness without a temporary change; 1 without evidence."""
         return math.exp(self.base_log) if self.is_evident else 1.0
 
-    def learn(self, log_ratio: float, variance: float, now_ms: float) -> None:
-        """Learn from the logarithm of a ratio of run times and the variance that it has itself.
+    def learn(self, log_ratio: float, variance: float, tasks: int, now_ms: float) -> None:
+        """Learn from run times that differ from the expected ones of an average worker.
 
-        One surprising step counts little, since its tasks may be unusual. Several in a row show
-        that the worker has changed.
+        Parameters
+        ----------
+        log_ratio, variance
+            Logarithm of the ratio to the expected run time, and the variance that it has itself.
+        tasks
+            Number of tasks with this mean ratio.
         """
         limit = MAX_DEVIATIONS * math.sqrt(self.variance + variance)
         difference = log_ratio - self.log_slowness
@@ -97,7 +102,7 @@
             self.surprises = []
         else:
             self.surprises = [d for d in self.surprises if (d > 0) == (difference > 0)]
-            self.surprises.append(difference)
+            self.surprises.extend([difference] * tasks)
             if len(self.surprises) >= SURPRISES:
                 self.change(median(self.surprises), now_ms)
                 return
@@ -153,10 +158,13 @@
     ----------
     progress_is_visible
         Whether any report has shown progress of a task. Without it, no speed is learned here.
+    steps_to_compare
+        Steps of which the report in hand has shown new durations.
     """
 
     by_machine: dict[str, WorkerSpeed] = field(default_factory=dict)
     progress_is_visible: bool = False
+    steps_to_compare: list[Step] = field(default_factory=list)
 
     def of(self, worker: Worker) -> WorkerSpeed:
         """Return what is known of a worker."""
