Move runs from workers that have turned slow

Cause: a worker that turns six times slower holds its tasks, and with one member the whole gang, until they are late. Change: runs with visible progress are stopped on a worker with clear evidence of a slow-down, if their job is in time only elsewhere, with saved progress and the longest stop counted in, and if there is room. Their tasks start again once the former run has ended, as after any stop.

--- a/measure/queue_uneven.py
+++ b/measure/queue_uneven.py
@@ -9,13 +9,22 @@
 import math
 import random
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from measure.figures import Figures
 from measure.queue_leader import AdvisedReplay
-from measure.queue_mix import LATE_VALUE_SHARE, MS_PER_S, JobProfile, draw
-from measure.queue_passes import GB, PASS_INTERVAL_MS, SERVICE
-from nutmeglb_decisions.queues import lifecycle, orders, reports, speeds
+from measure.queue_mix import LATE_VALUE_SHARE
+from measure.queue_passes import GB, PASS_INTERVAL_MS
+from measure.uneven_load import (
+    CONFIG,
+    PROFILES,
+    SPEEDS,
+    Load,
+    SimulatedWorker,
+    draw_slowdowns,
+    make_load,
+)
+from nutmeglb_decisions.queues import lifecycle, orders, reports, slow_runs, speeds
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import Effect, StartTask, StopTask
 from nutmeglb_decisions.queues.estimates import Estimates
@@ -24,13 +33,8 @@
 from nutmeglb_decisions.queues.state import Step
 from nutmeglb_decisions.queues.waiting_order import RankFunction
 from nutmeglb_formats.models.queues import (
-    AdviceTiming,
     EndedTask,
-    Queue,
-    QueueConfig,
-    QueueJob,
     RunningTask,
-    StepSpec,
     WorkerReport,
 )
 from nutmeglb_formats.models.resources import Resources
@@ -39,12 +43,7 @@
 WORKERS = 176
 DURATION_MS = 20_000.0
 LOADS = (1.0,)
-SPEEDS = (0.6, 1.0, 1.6)
 CAPACITY = Resources(32_000, 128 * GB, 0)
-SLOWDOWN_FACTOR = 6.0
-SLOWDOWN_MS = (3_000.0, 8_000.0)
-# Mean time between the slow-downs of one worker.
-SLOWDOWN_INTERVAL_MS = 60_000.0
 # The replay ends this time after the last arrival.
 DRAIN_MS = 15_000.0
 CHECKPOINT_MS = 500.0
@@ -53,135 +52,7 @@
 OUTSIDE_MS = 200.0
 POLL_MS = 2_000.0
 STOP_MS = 100.0
-
-
-@dataclass(frozen=True, slots=True)
-class UnevenProfile:
-    """Distribution of the jobs of one queue.
-
-    Attributes
-    ----------
-    estimate_error
-        Maximum relative error of the declared run times.
-    unevenness
-        Standard deviation of the run times of the tasks of one step, as a share of their mean.
-    checkpoint_share
-        Share of steps whose tasks save their progress.
-    """
-
-    jobs: JobProfile
-    estimate_error: float
-    unevenness: float
-    checkpoint_share: float
-
-
-def _make_queue(name: str, priority: int, stretch: float, slack_ms: float, *cost: float) -> Queue:
-    advice = AdviceTiming(*cost, valid_ms=1_500.0)
-    return Queue(name, "h", f"/{name}/", SERVICE, priority, 3, stretch, slack_ms, advice)
-
-
-PROFILES = (
-    UnevenProfile(
-        JobProfile(
-            _make_queue("urgent", 0, 1.5, 300.0, 9.36, 0.13),
-            60.5, (3.2, 19), (5_000, 15_000), (18.0, 55), (540, 5_800), 0.3, 0.0, 0.7, 0.394,
-        ), 0.9, 0.15, 0.0,
-    ),
-    UnevenProfile(
-        JobProfile(
-            _make_queue("gangs", 1, 2.2, 1_000.0, 702.0, 10.01),
-            1.67, (20, 120), (9_000, 15_000), (26.0, 51), (5_300, 56_000), 1.0, 0.2, 0.25, 16.3,
-        ), 0.5, 0.3, 0.5,
-    ),
-    UnevenProfile(
-        JobProfile(
-            _make_queue("batch", 2, 4.0, 3_000.0, 104.0, 1.43),
-            5.42, (25, 150), (3_500, 10_000), (13.0, 38), (1_900, 20_000), 0.0, 0.5, 0.45, 3.14,
-        ), 0.9, 0.15, 0.8,
-    ),
-)  # fmt: skip
-CONFIG = QueueConfig(
-    1, 1, tuple(profile.jobs.queue for profile in PROFILES), frozenset({SERVICE}), 1
-)
-
-
-@dataclass(slots=True)
-class Load:
-    """Jobs with their arrival times, and what the scheduler does not know about them.
-
-    Attributes
-    ----------
-    work_ms
-        Per task name: its run time on an average worker.
-    true_steps
-        Per job: its steps with the true mean run times as the declared ones.
-    """
-
-    timed_jobs: list[tuple[float, QueueJob]] = field(default_factory=list)
-    work_ms: dict[str, float] = field(default_factory=dict)
-    true_steps: dict[str, tuple[StepSpec, ...]] = field(default_factory=dict)
-
-
-def make_load(load: float, duration_ms: float, rng: random.Random) -> Load:
-    """Return the jobs of a replay, in order of time."""
-    result = Load()
-    for profile in PROFILES:
-        rate = profile.jobs.per_s * load / MS_PER_S
-        at_ms = rng.expovariate(rate)
-        while at_ms < duration_ms:
-            job_id = f"{len(result.timed_jobs):016x}"
-            steps = _add_steps(result, profile, job_id, rng)
-            job = QueueJob(job_id, profile.jobs.queue, "", steps, 0, 0.0, 0.0, 0.0, "")
-            result.timed_jobs.append((at_ms, job))
-            at_ms += rng.expovariate(rate)
-    result.timed_jobs.sort(key=lambda item: item[0])
-    return result
-
-
-def _add_steps(
-    load: Load, profile: UnevenProfile, job_id: str, rng: random.Random
-) -> tuple[StepSpec, ...]:
-    jobs = profile.jobs
-    declared, true = [], []
-    for number in range(1 + (rng.random() < jobs.second_step_share)):
-        run_ms = draw(jobs.run_ms, rng)
-        spec = StepSpec(
-            max(1, round(draw(jobs.tasks_per_step, rng))),
-            Resources(
-                int(draw(jobs.cpu_millis, rng)), int(draw(jobs.memory_gb, rng) * GB), 0
-            ),
-            run_ms,
-            after=(number - 1,) if number else (),
-            gang=rng.random() < jobs.gang_share,
-            checkpoints=rng.random() < profile.checkpoint_share,
-        )  # fmt: skip
-        true.append(spec)
-        error = profile.estimate_error
-        declared.append(replace(spec, estimate_ms=run_ms * rng.uniform(1 - error, 1 + error)))
-        for index in range(spec.count):
-            factor = 1.0 if spec.gang else max(0.3, rng.gauss(1.0, profile.unevenness))
-            load.work_ms[f"{job_id}.0.{number}.{index}"] = run_ms * factor
-    load.true_steps[job_id] = tuple(true)
-    return tuple(declared)
-
-
-@dataclass(slots=True)
-class SimulatedWorker:
-    """Speed of a worker over time.
-
-    Attributes
-    ----------
-    slowdowns
-        Periods in which the worker is slower by ``SLOWDOWN_FACTOR``, as pairs of times.
-    """
-
-    speed: float
-    slowdowns: list[tuple[float, float]]
-
-    def speed_at(self, now_ms: float) -> float:
-        """Return the speed at a time, 1 for an average worker."""
-        is_slow = any(start_ms <= now_ms < end_ms for start_ms, end_ms in self.slowdowns)
-        return self.speed / SLOWDOWN_FACTOR if is_slow else self.speed
+STOP_ENDS_AFTER_MS = 560.0
 
 
 class UnevenReplay(AdvisedReplay):
@@ -190,30 +61,34 @@
     def __init__(self, load: Load, rng: random.Random) -> None:
         rates = {profile.jobs.queue.name: profile.jobs.approval_rate for profile in PROFILES}
         super().__init__(WORKERS, CONFIG, rates)
+        self.cell.stop_ends_after_ms = STOP_ENDS_AFTER_MS
         self.load = load
         self.simulated = {
-            worker_id: SimulatedWorker(SPEEDS[number % len(SPEEDS)], _draw_slowdowns(rng))
+            worker_id: SimulatedWorker(
+                SPEEDS[number % len(SPEEDS)], draw_slowdowns(4 * DURATION_MS, rng)
+            )
             for number, worker_id in enumerate(self.cell.workers)
         }
         for worker in self.cell.workers.values():
             worker.update_info(replace(worker.info, capacity=CAPACITY))
         self._work_left: dict[tuple[str, int], float] = {}
         self._stopping: list[tuple[float, int, str, str, int]] = []
-        self._now_ms = 0.0
+        self.now_ms = 0.0
         self.stops = 0
         self.shows_progress = True
+        self.moves_runs = True
         self.before_pass: Callable[[UnevenReplay], None] | None = None
 
     @property
     def has_pending_events(self) -> bool:
         """Return whether any event is still to come."""
-        is_over = self._now_ms >= DURATION_MS + DRAIN_MS
+        is_over = self.now_ms >= DURATION_MS + DRAIN_MS
         is_busy = bool(self._work_left or self._stopping) or super().has_pending_events
         return is_busy and not is_over
 
     def step(self, now_ms: float, rng: random.Random, rank: RankFunction) -> None:
         """Advance all runs, deliver due reports, and run a pass."""
-        self._now_ms = now_ms
+        self.now_ms = now_ms
         ended = self._advance()
         stopped: dict[str, list[tuple[str, int]]] = {}
         while self._stopping and self._stopping[0][0] <= now_ms:
@@ -229,6 +104,8 @@
                     worker_id, ended.get(worker_id, ()), stopped.get(worker_id, ()), now_ms
                 )
         speeds.apply_time(self.cell, now_ms)
+        if self.moves_runs:
+            slow_runs.move_slow_runs(self.cell, now_ms)
         if self.before_pass is not None:
             self.before_pass(self)
         super().step(now_ms, rng, rank)
@@ -264,7 +141,7 @@
         left_by_gang: dict[tuple[str, int], float] = {}
         finished: list[tuple[str, tuple[str, int], tuple[str, int] | None]] = []
         for worker_id, worker in self.cell.workers.items():
-            worked_ms = self.simulated[worker_id].speed_at(self._now_ms) * PASS_INTERVAL_MS
+            worked_ms = self.simulated[worker_id].speed_at(self.now_ms) * PASS_INTERVAL_MS
             for key, run in worker.runs.items():
                 if key not in self._work_left:
                     continue
@@ -332,16 +209,6 @@
         return f"{saved_ms:012.3f}" if saved_ms > 0 else ""
 
 
-def _draw_slowdowns(rng: random.Random) -> list[tuple[float, float]]:
-    slowdowns = []
-    start_ms = rng.expovariate(1 / SLOWDOWN_INTERVAL_MS)
-    while start_ms < 4 * DURATION_MS:
-        end_ms = start_ms + rng.uniform(*SLOWDOWN_MS)
-        slowdowns.append((start_ms, end_ms))
-        start_ms = end_ms + rng.expovariate(1 / SLOWDOWN_INTERVAL_MS)
-    return slowdowns
-
-
 @dataclass(frozen=True, slots=True)
 class Policy:
     """A scheduler in the replay.
@@ -354,6 +221,8 @@
         Whether jobs declare their true run times.
     shows_progress
         Whether the reports of workers show the progress of tasks.
+    moves_runs
+        Whether runs are moved from workers that have turned slow.
     """
 
     name: str
@@ -361,6 +230,7 @@
     before_pass: Callable[[UnevenReplay], None] | None = None
     knows_run_times: bool = False
     shows_progress: bool = True
+    moves_runs: bool = True
 
 
 def rank_by_priority(step: Step, start_ms: float, now_ms: float, estimates: Estimates) -> Rank:
@@ -371,14 +241,15 @@
 def reveal_speeds(replay: UnevenReplay) -> None:
     """Set the learned slowness of all workers to the true one."""
     for worker_id, simulated in replay.simulated.items():
-        replay.cell.workers[worker_id].slowness = 1 / simulated.speed_at(replay._now_ms)
+        replay.cell.workers[worker_id].slowness = 1 / simulated.speed_at(replay.now_ms)
 
 
 BEFORE = Policy("before", shows_progress=False)
-LEARNED = Policy("learned speeds")
+LEARNED = Policy("learned speeds", moves_runs=False)
+MOVES = Policy("learned speeds, moved runs")
 PLAIN = Policy("plain priority, first fit", rank_by_priority, shows_progress=False)
 BOUND = Policy("speeds and run times known", before_pass=reveal_speeds, knows_run_times=True)
-POLICIES = (BEFORE, PLAIN, LEARNED, BOUND)
+POLICIES = (BEFORE, PLAIN, LEARNED, MOVES, BOUND)
 
 
 def replay_load(policy: Policy, load_factor: float, seed: int) -> dict[str, float]:
@@ -388,16 +259,14 @@
     replay = UnevenReplay(load, rng)
     replay.before_pass = policy.before_pass
     replay.shows_progress = policy.shows_progress
+    replay.moves_runs = policy.moves_runs
     timed_jobs = load.timed_jobs
     if policy.knows_run_times:
         timed_jobs = [
             (at_ms, replace(job, steps=load.true_steps[job.job_id])) for at_ms, job in timed_jobs
         ]
     replay.run(timed_jobs, policy.rank)
-    return _shares(replay, load) | {
-        "stops": replay.stops,
-        "pass_ms": replay.total_pass_ms / len(replay.pass_ms),
-    }
+    return _shares(replay, load)
 
 
 def _shares(replay: UnevenReplay, load: Load) -> dict[str, float]:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -36,6 +36,7 @@
     placing,
     progress,
     reports,
+    slow_runs,
     speeds,
     stuck_runs,
     takeover_wait,
@@ -337,6 +338,7 @@
             reports.expire_silent_workers(self.cell, self._term.authority.confirmed_ms, wall_ms)
         speeds.apply_time(self.cell, now_ms)
         stuck_runs.stop_stuck_runs(self.cell, now_ms)
+        slow_runs.move_slow_runs(self.cell, now_ms)
         waiting.log_long_waits(self.cell, now_ms)
         self._idle_jobs.poll(self.cell, now_ms)
         lifecycle.create_due_occurrences(self.cell, wall_ms)
