Measure progress of gangs from their first progress; bear progress that falls

A report with less progress than before raised an error. Change: the run time of a gang's members counts from their first visible progress, as that of resumed tasks; the rounding of progress counts as an error; progress that falls starts the observation anew.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/run_progress.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/run_progress.py
@@ -7,6 +7,8 @@
 # rounding would distort a rate by more than a tenth.
 MIN_POINTS = 5
 FULL_POINTS = 100
+# Standard deviation of a difference of two rounded values.
+ROUNDING_DEVIATION = 0.4
 
 
 @dataclass(slots=True)
@@ -96,11 +98,14 @@
         Sum of the logarithms of the durations in milliseconds.
     is_used
         Whether the speed of the worker was learned from it.
+    rounding_variance
+        Largest variance of a logarithm that is due to the rounding of progress.
     """
 
     log_sum: float = 0.0
     count: int = 0
     is_used: bool = False
+    rounding_variance: float = 0.0
 
     @property
     def log_mean(self) -> float:
@@ -121,10 +126,12 @@
     records: dict[str, PaceRecord] = field(default_factory=dict)
     first_ms: float | None = None
 
-    def add(self, worker_id: str, duration_ms: float, now_ms: float) -> None:
-        """Add the duration of one task."""
+    def add(self, worker_id: str, duration_ms: float, points: int, now_ms: float) -> None:
+        """Add the duration of one task, as extrapolated from its progress over some points."""
         record = self.records.setdefault(worker_id, PaceRecord())
         record.log_sum += math.log(duration_ms)
         record.count += 1
+        rounding = ROUNDING_DEVIATION / points
+        record.rounding_variance = max(record.rounding_variance, rounding * rounding)
         if not record.is_used and self.first_ms is None:
             self.first_ms = now_ms
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/speeds.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/speeds.py
@@ -60,11 +60,16 @@
     if points > 0:
         cell.speeds.progress_is_visible = True
     if progress is None:
-        start_ms = now_ms if run.resumed or run.confirmed_ms is None else run.confirmed_ms
-        progress = RunProgress.starting(start_ms, points if run.resumed else 0)
+        start_ms = _known_start_ms(run)
+        progress = (
+            RunProgress.starting(now_ms, points)
+            if start_ms is None
+            else RunProgress.starting(start_ms)
+        )
         run.progress = progress
-    elif run.resumed and points == progress.start_points and not progress.points_per_ms:
-        # A resumed task restores its checkpoint first.
+    elif points < progress.last_points or (
+        _known_start_ms(run) is None and points == progress.start_points
+    ):
         run.progress = RunProgress.starting(now_ms, points)
         return
     progress.observe(now_ms, points)
@@ -77,6 +82,14 @@
         _count_duration(cell, worker, run, progress, now_ms)
 
 
+def _known_start_ms(run: Run) -> float | None:
+    """Return when the work of a run began; ``None`` if it shows only in its progress.
+
+    A resumed task restores its checkpoint first, and the members of a gang wait for the last one.
+    """
+    return None if run.resumed or run.step.spec.gang else run.confirmed_ms
+
+
 def _average_ms(cell: Cell, step: Step) -> float:
     return cell.estimates.run_ms(step.job.record.queue.name, step.spec.estimate_ms)
 
@@ -87,9 +100,10 @@
         return
     progress = run.progress
     if progress is None:
-        if run.resumed or run.confirmed_ms is None:
+        start_ms = _known_start_ms(run)
+        if start_ms is None:
             return
-        progress = RunProgress.starting(run.confirmed_ms)
+        progress = RunProgress.starting(start_ms)
     progress.observe(now_ms, FULL_POINTS)
     if FULL_POINTS - progress.start_points >= COUNTED_POINTS:
         _count_duration(cell, worker, run, progress, now_ms)
@@ -182,7 +196,8 @@
     if progress.has_counted or not duration_ms or (rack and worker.info.rack != rack):
         return
     progress.has_counted = True
-    run.step.pace.add(worker.worker_id, duration_ms, now_ms)
+    points = progress.last_points - progress.start_points
+    run.step.pace.add(worker.worker_id, duration_ms, points, now_ms)
     if run.step not in cell.speeds.steps_to_compare:
         cell.speeds.steps_to_compare.append(run.step)
 
@@ -210,7 +225,7 @@
         if worker is None:
             continue
         speed = cell.speeds.of(worker)
-        weight = 1 / (speed.variance + task_variance / record.count)
+        weight = 1 / (speed.variance + (task_variance + record.rounding_variance) / record.count)
         logs[worker_id] = (weight, record.log_mean - speed.log_slowness)
         total_weight += weight
         total += weight * logs[worker_id][1]
@@ -221,7 +236,7 @@
         record.is_used = True
         others_weight = total_weight - weight
         others_log = (total - weight * log_ms) / others_weight
-        variance = 1 / others_weight + task_variance / record.count
+        variance = 1 / others_weight + (task_variance + record.rounding_variance) / record.count
         log_ratio = record.log_mean - others_log
         _learn(cell, cell.workers[worker_id], log_ratio, variance, record.count, now_ms)
     if is_first and logs:
--- a/tests/unit/test_queue_speeds.py
+++ b/tests/unit/test_queue_speeds.py
@@ -203,6 +203,37 @@
     assert speed_class(world.slowness("w3")) == "fast"
 
 
+def test_gang_that_waits_for_its_last_member_shows_no_slow_worker():
+    world = even_world()
+    world.work(3_000.0)
+    waiting = world.feed(1_000.0, gang=True).steps[0]
+    while not waiting.live_runs:
+        world.work(INTERVAL_MS)
+    # Reports of the workers come one after another, so the members are seen at different points.
+    for at_ms in range(0, 5_000, 50):
+        world.now_ms += 50.0
+        name = f"w{1 + at_ms // 50 % 6}"
+        points = max(0, (at_ms - 3_000) // 30)
+        running = tuple(RunningTask(*key, "", points, 1) for key in world.worker(name).runs)
+        world.report(name, running=running)
+    assert {speed_class(world.slowness(name)) for name in world.speeds} == {"average"}
+
+
+@pytest.mark.parametrize("percents", [(50, 20, 60), (-5, 0, 300), (0, 0, 0), (99, 100, 99)])
+def test_reports_with_odd_progress_are_borne(percents):
+    world = even_world()
+    world.work(2_000.0)
+    for percent in percents * 4:
+        world.now_ms += 300.0
+        for name in world.speeds:
+            running = tuple(
+                RunningTask(*key, "", percent + number % 3, 1)
+                for number, key in enumerate(world.worker(name).runs)
+            )
+            world.report(name, running=running)
+    assert all(0.0 < world.slowness(name) < 10.0 for name in world.speeds)
+
+
 @pytest.mark.parametrize(
     ("variance", "waits_ms"), [(PRIOR_VARIANCE, speeds.UNCERTAIN_REPORT_MS), (0.01, None)]
 )
