--- a/measure/queue_uneven.py
+++ b/measure/queue_uneven.py
@@ -8,8 +8,9 @@
 import heapq
 import math
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
+from unittest import mock
 
 from measure.figures import Figures
 from measure.queue_leader import AdvisedReplay
@@ -24,14 +25,16 @@
     draw_slowdowns,
     make_load,
 )
-from nutmeglb_decisions.queues import lifecycle, orders, reports, slow_runs, speeds
+from nutmeglb_decisions.queues import lifecycle, orders, placing, reports, slow_runs, speeds
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import Effect, StartTask, StopTask
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.orders import StartOutcome
+from nutmeglb_decisions.queues.parts import LostTime
 from nutmeglb_decisions.queues.ranking import LATE_FACTOR, Rank, Tier, objective_ms, rank_of
-from nutmeglb_decisions.queues.state import Step
+from nutmeglb_decisions.queues.state import Step, Worker
 from nutmeglb_decisions.queues.waiting_order import RankFunction
+from nutmeglb_decisions.queues.worker_selection import Reservations, choose_single, slots_on
 from nutmeglb_formats.models.queues import (
     EndedTask,
     RunningTask,
@@ -58,14 +61,14 @@
 class UnevenReplay(AdvisedReplay):
     """Replay on workers of uneven speed, whose reports show what the protocol defines."""
 
-    def __init__(self, load: Load, rng: random.Random) -> None:
+    def __init__(self, load: Load, rng: random.Random, duration_ms: float) -> None:
         rates = {profile.jobs.queue.name: profile.jobs.approval_rate for profile in PROFILES}
         super().__init__(WORKERS, CONFIG, rates)
         self.cell.stop_ends_after_ms = STOP_ENDS_AFTER_MS
         self.load = load
         self.simulated = {
             worker_id: SimulatedWorker(
-                SPEEDS[number % len(SPEEDS)], draw_slowdowns(4 * DURATION_MS, rng)
+                SPEEDS[number % len(SPEEDS)], draw_slowdowns(4 * duration_ms, rng)
             )
             for number, worker_id in enumerate(self.cell.workers)
         }
@@ -75,6 +78,7 @@
         self._stopping: list[tuple[float, int, str, str, int]] = []
         self.now_ms = 0.0
         self.stops = 0
+        self._end_ms = duration_ms + DRAIN_MS
         self.shows_progress = True
         self.moves_runs = True
         self.before_pass: Callable[[UnevenReplay], None] | None = None
@@ -82,7 +86,7 @@
     @property
     def has_pending_events(self) -> bool:
         """Return whether any event is still to come."""
-        is_over = self.now_ms >= DURATION_MS + DRAIN_MS
+        is_over = self.now_ms >= self._end_ms
         is_busy = bool(self._work_left or self._stopping) or super().has_pending_events
         return is_busy and not is_over
 
@@ -215,6 +219,8 @@
 
     Attributes
     ----------
+    chooses
+        Chooses the worker of a single task.
     before_pass
         Called with the replay before each pass.
     knows_run_times
@@ -227,6 +233,7 @@
 
     name: str
     rank: RankFunction = rank_of
+    chooses: Callable[..., Worker | None] = choose_single
     before_pass: Callable[[UnevenReplay], None] | None = None
     knows_run_times: bool = False
     shows_progress: bool = True
@@ -238,6 +245,25 @@
     return Rank(Tier.IN_TIME, step.job.record.queue.priority, 0.0, 0.0, step.job.accepted_ms)
 
 
+def first_fit(
+    step: Step,
+    candidates: Iterable[Worker],
+    reservations: Reservations,
+    now_ms: float,
+    run_ms: float,
+    planned: Reservations | None = None,
+    lost_ms: LostTime | None = None,
+) -> Worker | None:
+    """Return the first worker on which a task fits."""
+    for worker in candidates:
+        end_ms = now_ms + run_ms * worker.slowness
+        if reservations.permits(worker.worker_id, step.charged, end_ms) and slots_on(
+            worker.free, step, 0
+        ):
+            return worker
+    return None
+
+
 def reveal_speeds(replay: UnevenReplay) -> None:
     """Set the learned slowness of all workers to the true one."""
     for worker_id, simulated in replay.simulated.items():
@@ -247,16 +273,20 @@
 BEFORE = Policy("before", shows_progress=False)
 LEARNED = Policy("learned speeds", moves_runs=False)
 MOVES = Policy("learned speeds, moved runs")
-PLAIN = Policy("plain priority, first fit", rank_by_priority, shows_progress=False)
+PLAIN = Policy(
+    "plain priority, first fit", rank_by_priority, shows_progress=False, chooses=first_fit
+)
 BOUND = Policy("speeds and run times known", before_pass=reveal_speeds, knows_run_times=True)
 POLICIES = (BEFORE, PLAIN, LEARNED, MOVES, BOUND)
 
 
-def replay_load(policy: Policy, load_factor: float, seed: int) -> dict[str, float]:
+def replay_load(
+    policy: Policy, load_factor: float, seed: int, duration_ms: float = DURATION_MS
+) -> dict[str, float]:
     """Replay a load and return the earned share of the possible value, per queue and in total."""
     rng = random.Random(seed)
-    load = make_load(load_factor, DURATION_MS, rng)
-    replay = UnevenReplay(load, rng)
+    load = make_load(load_factor, duration_ms, rng)
+    replay = UnevenReplay(load, rng, duration_ms)
     replay.before_pass = policy.before_pass
     replay.shows_progress = policy.shows_progress
     replay.moves_runs = policy.moves_runs
@@ -265,7 +295,8 @@
         timed_jobs = [
             (at_ms, replace(job, steps=load.true_steps[job.job_id])) for at_ms, job in timed_jobs
         ]
-    replay.run(timed_jobs, policy.rank)
+    with mock.patch.object(placing, "choose_single", policy.chooses):
+        replay.run(timed_jobs, policy.rank)
     return _shares(replay, load)
 
 
