--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -8,6 +8,7 @@
 from nutmeglb_decisions.queues.headroom import ClassUsage
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.state import FinishedJob, Job, PresumedEnd, Run, Step, Worker
+from nutmeglb_decisions.queues.worker_speed import Speeds
 from nutmeglb_formats.models.queues import Queue, QueueConfig
 
 # The run numbers of a term start at the term times this number, so that they increase from leader
@@ -55,6 +56,8 @@
         no run of a former leader is left.
     presumed_ends
         Per task and run number: runs whose end was inferred without a report of it.
+    speeds
+        Learned speeds of workers.
     parts
         Optional parts that the configuration and the settings call for.
     """
@@ -82,6 +85,7 @@
     class_usage: ClassUsage = field(default_factory=ClassUsage)
     ended_unsettled: list[Step] = field(default_factory=list)
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
+    speeds: Speeds = field(default_factory=Speeds)
     parts: PassParts = field(default_factory=PassParts)
 
     def configure(self, config: QueueConfig) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from nutmeglb_decisions.queues.names import step_name, task_name
+from nutmeglb_decisions.queues.run_progress import RunProgress, StepPace
 from nutmeglb_formats.models.queues import QueueJob, QueueWorker, StepSpec
 from nutmeglb_formats.models.resources import Resources
 
@@ -53,6 +54,10 @@
     resumed
         Whether the run started from a checkpoint or was adopted. Its duration then does not show
         the run time of the task.
+    progress
+        Progress that the reports have shown; ``None`` if they show none.
+    own_end_ms
+        Expected end of the work of a gang's member alone; ``None`` while it is unknown.
     """
 
     step: "Step"
@@ -73,6 +78,8 @@
     idle_since_ms: float | None = None
     idle_ms: float = 0.0
     resumed: bool = False
+    progress: RunProgress | None = None
+    own_end_ms: float | None = None
 
     @property
     def task(self) -> str:
@@ -228,6 +235,8 @@
     team, needs
         Team of the job, and what one task counts towards the team's limit. Cached, because a pass
         reads them for each running step.
+    pace
+        Run time of the tasks on an average worker, as observed.
     held_by
         Name of the gate that kept the step from starting in the last pass; empty if none did.
     """
@@ -251,6 +260,7 @@
     plan: GangPlan | None = None
     forecast: Forecast | None = None
     held_by: str = ""
+    pace: StepPace = field(default_factory=StepPace)
     charged: Resources = field(init=False)
     team: str = field(init=False)
     needs: Resources = field(init=False)
