Refuse jobs that their team's limit never admits; count the rounds of wide steps

Cause: a gang wider than its team's limit would wait for ever, and the objective of a step wider than its team may run was too short, so that such work ranked as too late.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
@@ -5,6 +5,7 @@
 from nutmeglb_decisions.queues import quotas
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.parts import PassParts
+from nutmeglb_decisions.queues.team_limits import effective_limits
 from nutmeglb_formats.models.queues import QueueConfig
 
 
@@ -16,6 +17,7 @@
 def configure(cell: Cell, config: QueueConfig, options: PartOptions) -> None:
     """Replace the configuration of a cell, and its active parts."""
     cell.configure(config)
+    cell.estimates.team_limits = effective_limits(config)
     cell.parts = active_parts(config, options)
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/estimates.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/estimates.py
@@ -1,7 +1,10 @@
 """Run times learned from completed runs, because declared estimates are far off."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from nutmeglb_formats.models.resources import Resources
+
 # Weight of a new observation. The average covers about the last eight completed runs, so at 8 of
 # them per second and queue it follows a load change within a second.
 RATIO_WEIGHT = 0.12
@@ -15,8 +18,15 @@
 
 @dataclass(slots=True)
 class Estimates:
-    """Learned ratio of actual to declared run time per queue."""
+    """Learned ratio of actual to declared run time per queue.
+
+    Attributes
+    ----------
+    team_limits
+        What each team with a limit may have running, on which the duration of wide steps depends.
+    """
 
+    team_limits: Mapping[str, Resources] = field(default_factory=dict)
     _ratios: dict[str, float] = field(default_factory=dict)
 
     def run_ms(self, queue: str, declared_ms: float, slowness: float = 1.0) -> float:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -252,8 +252,9 @@
         Whether to compute the time, which only an advice request needs. Otherwise it is infinite.
     """
     run_ms = _expected_run_ms(state, step)
-    for task in startable_tasks(step, state.now_ms):
-        if not state.admits(step, 1):
+    for position, task in enumerate(startable_tasks(step, state.now_ms)):
+        # The gates have admitted the first task already.
+        if position and not state.admits(step, 1):
             return None
         if not _leaves_headroom(state, step):
             return math.inf
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ranking.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ranking.py
@@ -13,6 +13,7 @@
 
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.state import Forecast, Job, Step
+from nutmeglb_decisions.queues.team_limits import waves
 
 # A job that takes longer than this many times its objective is useless to its caller, according to
 # the users' rules on credit.
@@ -77,10 +78,22 @@
         )
 
 
-def critical_path_ms(job: Job, estimates: Estimates, first: int = 0) -> float:
-    """Return the length in milliseconds of the critical path of a job from step ``first`` on."""
+def critical_path_ms(
+    job: Job, estimates: Estimates, first: int = 0, first_count: int | None = None
+) -> float:
+    """Return the length in milliseconds of the critical path of a job from step ``first`` on.
+
+    A step that is wider than its team may run takes several rounds, according to the users' rules
+    on credit.
+
+    Parameters
+    ----------
+    first_count
+        Number of tasks of step ``first`` that have not started; by default all.
+    """
     queue = job.record.queue
     advice_ms = queue.advice.call_ms(OBJECTIVE_ADVICE_WORKERS) if queue.advice else 0.0
+    limit = estimates.team_limits.get(job.record.team)
     longest_ms: dict[int, float] = {}
     for number in reversed(range(len(job.record.steps))):
         step = job.record.steps[number]
@@ -89,7 +102,9 @@
             for later in range(number + 1, len(job.record.steps))
             if number in job.record.steps[later].after
         ]
-        step_ms = estimates.run_ms(queue.name, step.estimate_ms) + advice_ms
+        count = first_count if number == first and first_count is not None else step.count
+        rounds = waves(step, count, limit)
+        step_ms = estimates.run_ms(queue.name, step.estimate_ms) * rounds + advice_ms
         longest_ms[number] = step_ms + max(successors_ms, default=0.0)
     if first:
         return longest_ms[first]
@@ -126,7 +141,8 @@
     """Return the cached forecast of a step, recomputed once it has expired."""
     forecast = step.forecast
     if forecast is None or now_ms >= forecast.expires_at_ms:
-        remaining_ms = critical_path_ms(step.job, estimates, step.number)
+        waiting = sum(1 for task in step.tasks if not task.done and task.run is None)
+        remaining_ms = critical_path_ms(step.job, estimates, step.number, waiting)
         forecast = Forecast(
             remaining_ms, objective_ms(step.job, estimates), now_ms + FORECAST_VALIDITY_MS
         )
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
@@ -76,8 +76,12 @@
 
     def admits(self, step: Step, count: int) -> bool:
         """Return whether all gates admit the start of ``count`` tasks of a step."""
-        step.held_by = next((gate.name for gate in self.gates if not gate.admits(step, count)), "")
-        return not step.held_by
+        for gate in self.gates:
+            if not gate.admits(step, count):
+                step.held_by = gate.name
+                return False
+        step.held_by = ""
+        return True
 
 
 def start_task(
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/verdicts.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/verdicts.py
@@ -9,6 +9,7 @@
 
 from nutmeglb_decisions.queues import pools
 from nutmeglb_decisions.queues.pools import Pool
+from nutmeglb_decisions.queues.team_limits import effective_limit, exceeds_limit
 from nutmeglb_formats.models.queues import QueueConfig, QueueJob
 
 
@@ -60,6 +61,16 @@
     return Refusal(cause, pools.UNSERVABLE_RETRY_MS) if cause else None
 
 
+def wider_than_team_limit(job: QueueJob, view: LoadView) -> Refusal | None:
+    """Refuse a job with a gang, or a single task, that exceeds the limit of its team."""
+    team = view.config.teams.get(job.team) if view.config and view.config.teams else None
+    limit = effective_limit(team) if team else None
+    if limit is None or not any(exceeds_limit(step, limit) for step in job.steps):
+        return None
+    cause = f"a gang or task of the job is larger than the limit of team {job.team}"
+    return Refusal(cause, pools.UNSERVABLE_RETRY_MS, by_team=True)
+
+
 def queue_overloaded(job: QueueJob, view: LoadView) -> Refusal | None:
     """Refuse a job of a queue whose accepted work occupies all capacity for too long."""
     retry_ms = view.refusing.get(job.queue.name)
@@ -68,7 +79,7 @@
     return Refusal("insufficient capacity to start the job in time", retry_ms)
 
 
-RULES: tuple[RefusalRule, ...] = (unservable, queue_overloaded)
+RULES: tuple[RefusalRule, ...] = (unservable, wider_than_team_limit, queue_overloaded)
 
 
 def first_refusal(job: QueueJob, view: LoadView) -> Refusal | None:
--- a/tests/unit/test_queue_quotas.py
+++ b/tests/unit/test_queue_quotas.py
@@ -4,7 +4,15 @@
 
 import pytest
 
-from nutmeglb_decisions.queues import composition, lifecycle, progress, takeover_wait, waiting
+from nutmeglb_decisions.queues import (
+    composition,
+    lifecycle,
+    progress,
+    ranking,
+    takeover_wait,
+    verdicts,
+    waiting,
+)
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_decisions.queues.team_use import possible_use
 from nutmeglb_decisions.queues.waiting_order import runnable_steps
@@ -256,3 +264,49 @@
         world.end(order)
     world.schedule()
     assert {order.task.partition(".")[0] for order in world.answer_starts()} == {"gang"}
+
+
+@pytest.mark.parametrize(
+    ("team", "spec", "refused"),
+    [
+        ("a", step(8, cpu=1_000, gang=True), False),
+        ("a", step(9, cpu=1_000, gang=True), True),
+        ("a", step(900, cpu=8_000), False),
+        ("a", step(1, cpu=8_001), True),
+        ("a", step(17, cpu=100, gang=True), True),
+        ("free", step(900, cpu=8_001, gang=True), False),
+        ("unknown", step(900, cpu=8_001, gang=True), False),
+        ("", step(900, cpu=8_001, gang=True), False),
+    ],
+)
+def test_gang_or_task_larger_than_the_limit_is_refused(team, spec, refused):
+    """The limit of the team is 8 cores and 16 GB."""
+    limits = {"a": Resources(8_000, 16 * GB, 0), "free": Resources()}
+    config = replace(CONFIG, teams={n: Team(n, 0, 1.0, limit) for n, limit in limits.items()})
+    view = verdicts.LoadView(config=config)
+    refusal = verdicts.first_refusal(job("j", step(1, cpu=1), spec, team=team), view)
+    assert (refusal is not None) is refused
+    assert refusal is None or refusal.by_team
+    assert verdicts.first_refusal(job("j", spec, team=team), verdicts.LoadView()) is None
+
+
+@pytest.mark.parametrize(
+    ("team", "count", "expected_ms"),
+    [("a", 4, 1_000.0), ("a", 5, 2_000.0), ("a", 12, 3_000.0), ("b", 12, 1_000.0)],
+)
+def test_step_wider_than_its_team_may_run_takes_several_rounds(team, count, expected_ms):
+    world = team_world(a=4_500)
+    added = world.add(job("j", step(count), team=team))
+    estimates = world.cell.estimates
+    assert ranking.critical_path_ms(added, estimates) == expected_ms
+    assert ranking.objective_ms(added, estimates) == 2.2 * expected_ms + 1_000.0
+
+
+def test_forecast_of_a_started_step_counts_the_remaining_rounds():
+    world = team_world(a=4_000)
+    added = world.add(job("j", step(12), team="a"))
+    world.schedule()
+    world.now_ms += 200.0
+    ranking.rank_of(added.steps[0], 0.0, world.now_ms, world.cell.estimates)
+    assert added.steps[0].forecast.remaining_ms == 2_000.0
+    assert added.steps[0].forecast.objective_ms == 2.2 * 3_000.0 + 1_000.0
