--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/quotas.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/quotas.py
@@ -21,7 +21,7 @@
 from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass
 from nutmeglb_decisions.queues.state import Run, Step
 from nutmeglb_decisions.queues.team_limits import UNLIMITED, effective_limits
-from nutmeglb_decisions.queues.team_use import possible_use
+from nutmeglb_decisions.queues.team_use import RunSums, possible_use
 from nutmeglb_decisions.shares import TeamUse
 from nutmeglb_formats.models.queues import QueueConfig
 from nutmeglb_formats.models.resources import Resources
@@ -32,7 +32,8 @@
 def gate(config: QueueConfig) -> Callable[[Cell, float], StartGate] | None:
     """Return what creates the gate of a pass, or ``None`` if no team has a limit."""
     limits = effective_limits(config)
-    return (lambda cell, now_ms: QuotaGate(cell, limits, now_ms)) if limits else None
+    sums = RunSums()
+    return (lambda cell, now_ms: QuotaGate(cell, limits, sums, now_ms)) if limits else None
 
 
 @dataclass(slots=True)
@@ -57,8 +58,11 @@
 
     name = GATE_NAME
 
-    def __init__(self, cell: Cell, limits: dict[str, Resources], now_ms: float) -> None:
+    def __init__(
+        self, cell: Cell, limits: dict[str, Resources], run_sums: RunSums, now_ms: float
+    ) -> None:
         self._cell = cell
+        self._run_sums = run_sums
         self._limits = limits
         self._now_ms = now_ms
         self._use: TeamUse | None = None
@@ -77,7 +81,9 @@
             return False
         if hold is None:
             if step.plan is not None:
-                self.hold(step, count, step.plan.start_ms)
+                free = self._limits[team] - self._current_use().used(team)
+                start_ms = max(self._now_ms, step.plan.start_ms)
+                self._holds[team] = _Hold(step, start_ms, free - amount)
             return True
         return hold.step is step or self._fits_beside(hold, step, amount)
 
@@ -99,27 +105,23 @@
         elif self._end_ms(step) > hold.at_ms:
             hold.surplus = hold.surplus - needs
 
-    def hold(self, step: Step, count: int, earliest_ms: float = 0.0) -> None:
+    def hold(self, step: Step, count: int) -> None:
         """Hold a part of the team's limit for ``count`` tasks of a step, unless that is futile."""
         team = step.team
         if team not in self._limits or team in self._holds or self._is_useless(step):
             return
         limit, amount = self._limits[team], step.needs.scaled(count)
         used = self._current_use().used(team)
-        at_ms = max(self._now_ms, earliest_ms)
-        if not (used + amount).fits_in(limit):
-            for run in self._ending_runs(team):
-                used = used - run.step.needs
-                at_ms = max(at_ms, run.expected_end_ms)
-                if (used + amount).fits_in(limit):
-                    break
-            else:
+        for run in self._ending_runs(team):
+            used = used - run.step.needs
+            if (used + amount).fits_in(limit):
+                at_ms = max(self._now_ms, run.expected_end_ms)
+                self._holds[team] = _Hold(step, at_ms, limit - used - amount)
                 return
-        self._holds[team] = _Hold(step, at_ms, limit - used - amount)
 
     def _current_use(self) -> TeamUse:
         if self._use is None:
-            self._use = possible_use(self._cell, self._limits, self._now_ms)
+            self._use = possible_use(self._cell, self._limits, self._now_ms, self._run_sums)
         return self._use
 
     def _ending_runs(self, team: str) -> list[Run]:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/team_use.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/team_use.py
@@ -9,7 +9,6 @@
 unknown.
 """
 
-from collections import Counter
 from collections.abc import Mapping
 
 from nutmeglb_decisions.queues.cell import Cell
@@ -19,10 +18,74 @@
 from nutmeglb_decisions.shares import TeamUse
 from nutmeglb_formats.models.resources import Resources
 
-
-def possible_use(cell: Cell, limits: Mapping[str, Resources], now_ms: float) -> TeamUse:
-    """Return the largest use that each team with a limit may have now."""
-    use = _known_use(cell, limits)
+# Per team: millicores, bytes of memory and accelerators. Plain numbers, because they are summed for
+# each run.
+_Sums = dict[str, list[int]]
+
+
+class RunSums:
+    """Sums of the runs of each team on all workers.
+
+    Only the workers whose charged capacity has changed since the last call are counted again, since
+    a pass reads the sums while thousands of runs are active. ``Worker.used`` is replaced at each
+    start and end of a run.
+    """
+
+    def __init__(self) -> None:
+        self._counted: dict[str, tuple[Worker, Resources, _Sums]] = {}
+        self._sums: _Sums = {}
+
+    def update(self, workers: Mapping[str, Worker]) -> dict[str, Resources]:
+        """Return the sums by team, of teams with runs."""
+        counted = self._counted
+        for worker_id, worker in workers.items():
+            known = counted.get(worker_id)
+            if known is None or known[1] is not worker.used or known[0] is not worker:
+                self._forget(worker_id)
+                sums = _sums_of(worker)
+                counted[worker_id] = (worker, worker.used, sums)
+                self._add(sums, 1)
+        if counted.keys() != workers.keys():
+            for worker_id in counted.keys() - workers.keys():
+                self._forget(worker_id)
+        return {team: Resources(*amounts) for team, amounts in self._sums.items() if any(amounts)}
+
+    def _forget(self, worker_id: str) -> None:
+        if worker_id in self._counted:
+            self._add(self._counted.pop(worker_id)[2], -1)
+
+    def _add(self, sums: _Sums, sign: int) -> None:
+        for team, amounts in sums.items():
+            total = self._sums.setdefault(team, [0, 0, 0])
+            for index, amount in enumerate(amounts):
+                total[index] += sign * amount
+
+
+def _sums_of(worker: Worker) -> _Sums:
+    sums: _Sums = {}
+    for run in worker.runs.values():
+        needs = run.step.needs
+        total = sums.setdefault(run.step.team, [0, 0, 0])
+        total[0] += needs.cpu_millis
+        total[1] += needs.memory_bytes
+        total[2] += needs.accelerators
+    return sums
+
+
+def possible_use(
+    cell: Cell, limits: Mapping[str, Resources], now_ms: float, run_sums: RunSums | None = None
+) -> TeamUse:
+    """Return the largest use that each team with a limit may have now.
+
+    Parameters
+    ----------
+    run_sums
+        Sums of an earlier call for this cell, which are updated.
+    """
+    use = TeamUse(limits)
+    for team, amount in (run_sums or RunSums()).update(cell.workers).items():
+        if team in limits:
+            use.add(team, amount)
     if now_ms < cell.takeover_wait_deadline_ms:
         for step in cell.ended_unsettled:
             _add(use, step, _unknown_runs(cell, step, _unsettled_workers(cell, step)))
@@ -37,25 +100,6 @@
     return use
 
 
-def _known_use(cell: Cell, limits: Mapping[str, Resources]) -> TeamUse:
-    """Return the use by runs. Sums plain numbers, because a pass waits for thousands of runs."""
-    sums = {team: [0, 0, 0] for team in limits}
-    runs = [run.step for worker in cell.workers.values() for run in worker.runs.values()]
-    for step, count in Counter(runs).items():
-        team_sum = sums.get(step.team)
-        if team_sum is not None:
-            needs = step.needs
-            team_sum[0] += needs.cpu_millis * count
-            team_sum[1] += needs.memory_bytes * count
-            if needs.accelerators:
-                team_sum[2] += needs.accelerators * count
-    use = TeamUse(limits)
-    for team, (cpu_millis, memory_bytes, accelerators) in sums.items():
-        if cpu_millis or memory_bytes or accelerators:
-            use.add(team, Resources(cpu_millis, memory_bytes, accelerators))
-    return use
-
-
 def _add(use: TeamUse, step: Step, count: int) -> None:
     team = step.team
     if use.limit(team) is not None:
--- a/tests/lib/team_world.py
+++ b/tests/lib/team_world.py
@@ -10,6 +10,7 @@
 TEAMS = ("a", "b")
 # All of them admit the largest task of a job.
 LIMITS = (4_000, 6_000, 9_000, 0)
+FINAL_LIMIT = 9_000
 
 
 class TeamRecord(SingleRunRecord):
@@ -68,6 +69,12 @@
     def make_job(self, job_id, kind):
         return replace(super().make_job(job_id, kind), team=TEAMS[len(self.jobs) % len(TEAMS)])
 
+    def finish(self):
+        """End all faults. The limits then leave enough for all work within the usual time."""
+        for team in TEAMS:
+            self.limit(team, FINAL_LIMIT)
+        super().finish()
+
     def limit(self, team, cpu):
         """Set the limit of a team. All leaders have it at once."""
         self.record.limits[team].append((self.simulation.now_ms, cpu))
--- a/tests/unit/test_queue_quotas.py
+++ b/tests/unit/test_queue_quotas.py
@@ -1,5 +1,6 @@
 """Limits of teams on what they may have running."""
 
+import random
 from dataclasses import replace
 
 import pytest
@@ -9,12 +10,13 @@
     lifecycle,
     progress,
     ranking,
+    reports,
     takeover_wait,
     verdicts,
     waiting,
 )
 from nutmeglb_decisions.queues.orders import StartOutcome
-from nutmeglb_decisions.queues.team_use import possible_use
+from nutmeglb_decisions.queues.team_use import RunSums, possible_use
 from nutmeglb_decisions.queues.waiting_order import runnable_steps
 from nutmeglb_formats.models.queue_records import JobProgress
 from nutmeglb_formats.models.queues import RunningTask, StepProgress, Team
@@ -184,6 +186,35 @@
     assert {team: use.used(team).cpu_millis for team in "ab"} == charged
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_sums_kept_from_pass_to_pass_equal_fresh_ones(seed):
+    rng = random.Random(seed)
+    world = team_world(3, a=20_000, b=9_000)
+    kept = RunSums()
+    live = []
+    for number in range(120):
+        world.now_ms += 100.0
+        world.add(job(f"j{number}", step(rng.randint(1, 4)), team=rng.choice("abc")))
+        if rng.random() < 0.2:
+            lifecycle.cancel_job(world.cell, f"j{rng.randrange(number + 1)}", world.now_ms)
+        rng.shuffle(live)
+        while len(live) > 12:
+            world.end(live.pop(), rng.choice(("done", "failed", "stopped")))
+        if rng.random() < 0.1:
+            worker_id = rng.choice(list(world.cell.workers))
+            reports.end_all_runs(
+                world.cell, world.worker(worker_id), "lost", world.now_ms, world.now_ms
+            )
+            world.cell.workers.pop(worker_id)
+            world.show(*(worker_info(f"w{n}") for n in range(3)))
+            live = [order for order in live if order.worker_id != worker_id]
+        world.schedule()
+        live += world.answer_starts()
+        fresh = RunSums().update(world.cell.workers)
+        sums = kept.update(world.cell.workers)
+        assert {t: s for t, s in sums.items() if s != Resources()} == fresh
+
+
 def test_step_that_waits_for_the_limit_reserves_nothing_and_asks_no_advice():
     world = team_world(a=2_000)
     world.add(job("first", step(2), team="a"))
