--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -1,5 +1,6 @@
 """Commands and queries of callers about jobs, which any instance handles."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -15,6 +16,7 @@
 from nutmeglb._internal.queues.submissions import Submission, Submissions
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import admission, queries, verdicts
+from nutmeglb_decisions.queues.access import ANY_CALLER, Caller
 from nutmeglb_decisions.queues.effects import Decision
 from nutmeglb_decisions.queues.pools import Pool
 from nutmeglb_decisions.queues.queries import JobStatus
@@ -42,6 +44,12 @@
 MAX_PENDING_AGE_MS = 2_000.0
 # The leader's report of refusing queues expires after this time without a newer one.
 MAX_LOAD_REPORT_AGE_MS = 2_000.0
+# An accepted job that no leader has been notified of is offered for this long. By then a leader
+# that was elected meanwhile has found it in the store.
+MAX_OFFER_MS = 4_000.0
+# Interval of the checks for a leader to offer such a job to.
+OFFER_CHECK_MS = 30.0
+MS_PER_S = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,18 +112,25 @@
         """Stop background work."""
         await self._background.cancel()
 
-    async def submit(self, job: QueueJob, deadline_ms: float) -> SubmitAnswer:
+    async def submit(
+        self, job: QueueJob, deadline_ms: float, caller: Caller = ANY_CALLER
+    ) -> SubmitAnswer:
         """Accept a job durably, or refuse it.
 
         Parameters
         ----------
         deadline_ms
             Monotonic time until which a write with an unknown outcome is retried.
+        caller
+            Decides whether a job that exists already counts as the caller's.
         """
+        await self._gate.wait_for_check()
         refusal = verdicts.first_refusal(job, self._load_view())
         refuses = refusal is not None or not self._gate.allows_writes
-        if refuses and await self._is_known(job.job_id):
-            return SubmitAnswer(Submission.REPEATED)
+        known = await self._find_known(job.job_id) if refuses else None
+        if known is not None:
+            is_own = caller.may_see(known.team)
+            return SubmitAnswer(Submission.REPEATED if is_own else Submission.ID_TAKEN)
         # After an attempt with an unknown outcome only the store can tell whether the job runs.
         if refusal is not None and not self._submissions.is_unresolved(job.job_id):
             age_ms = (
@@ -129,20 +144,22 @@
                 load_report_age_ms=age_ms,
             )
             return SubmitAnswer(Submission.NOT_ACCEPTED, refusal.retry_ms, refusal.by_team)
-        stored = await self._submissions.submit(job, deadline_ms)
+        stored = await self._submissions.submit(job, deadline_ms, caller)
         outcome = stored.outcome
         if outcome == Submission.ACCEPTED:
             self._log_decision("job_accepted", "stored", job, leader=self._links.leader_id)
             self._background.spawn(self._offer(job, stored.revision))
-        elif outcome != Submission.REPEATED:
+        elif outcome not in (Submission.REPEATED, Submission.ID_TAKEN):
             self._log_decision(
                 "job_refused", "not confirmed by the store", job, outcome=outcome.value
             )
         return SubmitAnswer(outcome, admission.outage_retry_ms(job))
 
-    async def cancel(self, job_id: str, deadline_ms: float) -> Result[bool, NutmegError]:
-        """Cancel a job durably. Return whether it exists."""
-        cancelled = await self._submissions.cancel(job_id, deadline_ms)
+    async def cancel(
+        self, job_id: str, deadline_ms: float, caller: Caller = ANY_CALLER
+    ) -> Result[bool, NutmegError]:
+        """Cancel a job durably. Return whether it exists and the caller may see it."""
+        cancelled = await self._submissions.cancel(job_id, deadline_ms, caller)
         if isinstance(cancelled, Err):
             return Err(cancelled.err_value)
         if cancelled.ok_value:
@@ -190,30 +207,39 @@
             return LoadView(config=config)
         return LoadView(self._refusing, self._refusing_teams, self._pools, config)
 
-    async def _is_known(self, job_id: str) -> bool:
-        """Return whether a job is known to be accepted already.
+    async def _find_known(self, job_id: str) -> JobStatus | None:
+        """Return the status of a job that is known to be accepted already, else ``None``.
 
         A refusal means that the job never runs, so a repeated submission of an accepted job must
         not be refused. The leader learns of a job some time after its acceptance, so the store is
         read as well.
         """
-        if await self._status_at_leader(job_id) is not None:
-            return True
-        if not self._gate.allows_writes:
-            return False
+        status = await self._status_at_leader(job_id)
+        if status is not None or not self._gate.allows_writes:
+            return status
         found = await self._submissions.status(job_id)
-        return isinstance(found, Ok) and found.ok_value is not None
+        return found.ok_value if isinstance(found, Ok) else None
 
     async def _offer(self, job: QueueJob, revision: int) -> None:
-        leader = self._leader()
-        if leader is not None:
-            leader.offer(job, revision)
-            return
-        # A leader that is not notified finds the job when it next polls the store.
-        if self._links.leader_id:
-            await self._links.request(
-                self._links.leader_id, JobOffered(job, revision), LEADER_TIMEOUT_MS
-            )
+        """Notify the leader of an accepted job, or the next leader if the job precedes it.
+
+        Load pattern: a change of leader under urgent work. The store is polled once a second, and
+        this instance is not connected to the new leader yet. An offer that was sent is not repeated
+        to the same leader, which may only be slow to answer.
+        """
+        give_up_ms = self._clock.now_ms() + MAX_OFFER_MS
+        unanswered_by = ""
+        while self._clock.now_ms() < give_up_ms:
+            leader, peer = self._leader(), self._links.leader_id
+            if leader is not None:
+                leader.offer(job, revision)
+                return
+            if peer and peer != unanswered_by:
+                offer = JobOffered(job, revision)
+                if isinstance(await self._links.request(peer, offer, LEADER_TIMEOUT_MS), Ok):
+                    return
+                unanswered_by = peer
+            await asyncio.sleep(OFFER_CHECK_MS / MS_PER_S)
 
     async def _notify_cancelled(self, job_id: str) -> None:
         leader = self._leader()
@@ -239,8 +265,9 @@
 
     def _on_offered(self, sender: str, message: JobOffered) -> Noted:
         leader = self._leader()
-        if leader is not None:
-            leader.offer(message.job, message.revision)
+        if leader is None:
+            raise NotReady("This instance does not lead", hint="Send the offer to the leader")
+        leader.offer(message.job, message.revision)
         return Noted()
 
     def _on_cancelled(self, sender: str, message: JobCancelled) -> Noted:
