--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/quotas.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/quotas.py
@@ -21,7 +21,7 @@
 from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass
 from nutmeglb_decisions.queues.state import Run, Step
 from nutmeglb_decisions.queues.team_limits import UNLIMITED, effective_limits
-from nutmeglb_decisions.queues.team_use import RunSums, possible_use
+from nutmeglb_decisions.queues.team_use import possible_use
 from nutmeglb_decisions.shares import TeamUse
 from nutmeglb_formats.models.queues import QueueConfig
 from nutmeglb_formats.models.resources import Resources
@@ -32,8 +32,7 @@
 def gate(config: QueueConfig) -> Callable[[Cell, float], StartGate] | None:
     """Return what creates the gate of a pass, or ``None`` if no team has a limit."""
     limits = effective_limits(config)
-    sums = RunSums()
-    return (lambda cell, now_ms: QuotaGate(cell, limits, sums, now_ms)) if limits else None
+    return (lambda cell, now_ms: QuotaGate(cell, limits, now_ms)) if limits else None
 
 
 @dataclass(slots=True)
@@ -58,11 +57,8 @@
 
     name = GATE_NAME
 
-    def __init__(
-        self, cell: Cell, limits: dict[str, Resources], run_sums: RunSums, now_ms: float
-    ) -> None:
+    def __init__(self, cell: Cell, limits: dict[str, Resources], now_ms: float) -> None:
         self._cell = cell
-        self._run_sums = run_sums
         self._limits = limits
         self._now_ms = now_ms
         self._use: TeamUse | None = None
@@ -121,7 +117,7 @@
 
     def _current_use(self) -> TeamUse:
         if self._use is None:
-            self._use = possible_use(self._cell, self._limits, self._now_ms, self._run_sums)
+            self._use = possible_use(self._cell, self._limits, self._now_ms)
         return self._use
 
     def _ending_runs(self, team: str) -> list[Run]:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -307,6 +307,9 @@
         Numbers of the completed occurrences.
     has_started
         Whether a worker has confirmed that a task has started.
+    exceeds_rate
+        Whether the team had submitted more than its rate at the acceptance of the job; ``None``
+        before it is known.
     final
         Final state. Callers see it once it is stored.
     """
@@ -317,6 +320,7 @@
     next_occurrence: int = 0
     completed: set[int] = field(default_factory=set)
     has_started: bool = False
+    exceeds_rate: bool | None = None
     final: JobState | None = None
     finished_wall_ms: float = 0.0
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/verdicts.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/verdicts.py
@@ -71,6 +71,14 @@
     return Refusal(cause, pools.UNSERVABLE_RETRY_MS, by_team=True)
 
 
+def team_overloaded(job: QueueJob, view: LoadView) -> Refusal | None:
+    """Refuse a job of a team whose own accepted work takes too long within its limit or share."""
+    retry_ms = view.refusing_teams.get((job.queue.name, job.team))
+    if retry_ms is None:
+        return None
+    return Refusal("the accepted jobs of the team take too long", retry_ms, by_team=True)
+
+
 def queue_overloaded(job: QueueJob, view: LoadView) -> Refusal | None:
     """Refuse a job of a queue whose accepted work occupies all capacity for too long."""
     retry_ms = view.refusing.get(job.queue.name)
@@ -79,7 +87,12 @@
     return Refusal("insufficient capacity to start the job in time", retry_ms)
 
 
-RULES: tuple[RefusalRule, ...] = (unservable, wider_than_team_limit, queue_overloaded)
+RULES: tuple[RefusalRule, ...] = (
+    unservable,
+    wider_than_team_limit,
+    team_overloaded,
+    queue_overloaded,
+)
 
 
 def first_refusal(job: QueueJob, view: LoadView) -> Refusal | None:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -36,6 +36,7 @@
     reports,
     stuck_runs,
     takeover_wait,
+    team_admission,
     waiting,
 )
 from nutmeglb_decisions.queues.cell import Cell
@@ -341,7 +342,12 @@
             now_ms = self._clock.now_ms()
             pools.refresh(self.cell, now_ms)
             self.pools = pools.known_pools(now_ms)
-            self.refusing = admission.refusing_queues(self.cell, now_ms)
+            if self.cell.config is not None and self.cell.config.teams:
+                self.refusing = {}
+                self.refusing_teams = team_admission.refusing_teams(self.cell)
+            else:
+                self.refusing = admission.refusing_queues(self.cell, now_ms)
+                self.refusing_teams = {}
             rows = [(*names, retry_ms) for names, retry_ms in sorted(self.refusing_teams.items())]
             load_report = LoadReport(sorted(self.refusing.items()), rows)
             reports_now = load_report, pools_report(self.pools)
--- a/tests/unit/test_queue_quotas.py
+++ b/tests/unit/test_queue_quotas.py
@@ -16,7 +16,8 @@
     waiting,
 )
 from nutmeglb_decisions.queues.orders import StartOutcome
-from nutmeglb_decisions.queues.team_use import RunSums, possible_use
+from nutmeglb_decisions.queues.run_sums import RunSums
+from nutmeglb_decisions.queues.team_use import possible_use
 from nutmeglb_decisions.queues.waiting_order import runnable_steps
 from nutmeglb_formats.models.queue_records import JobProgress
 from nutmeglb_formats.models.queues import RunningTask, StepProgress, Team
