Serve the jobs that a team submits beyond its rate after all others

Cause: while one team submits many times its usual, the smaller teams wait behind its jobs. Such jobs are not owed by the users' rules on credit.

Change: a token bucket of weight jobs a second over 5 s on the stored times of acceptance marks jobs beyond the rate, which rank last whatever their priority.

Equal decisions unchanged; test_queue_team_shares fails without the term.

--- a/measure/queue_mix.py
+++ b/measure/queue_mix.py
@@ -140,7 +140,7 @@
         name = record.queue.name
         offered_value[name] += job_values[name]
         took_ms = replay.done.get(record.job_id, math.inf) - at_ms
-        earned_value[name] += job_values[name] * _earned_fraction(record, took_ms)
+        earned_value[name] += job_values[name] * earned_fraction(record, took_ms)
     result = {
         name: round(earned_value[name] / offered_value[name], 3)
         for name in job_values
@@ -149,7 +149,8 @@
     return result | {"all": round(sum(earned_value.values()) / sum(offered_value.values()), 3)}
 
 
-def _earned_fraction(record: QueueJob, took_ms: float) -> float:
+def earned_fraction(record: QueueJob, took_ms: float) -> float:
+    """Return the part of its value that a job earns by ending after a time."""
     scratch_cell = Cell(0, math.inf, math.inf)
     lifecycle.add_job(scratch_cell, record, 0.0)
     limit_ms = objective_ms(scratch_cell.jobs[record.job_id], scratch_cell.estimates)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -7,9 +7,9 @@
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.headroom import ClassUsage
 from nutmeglb_decisions.queues.parts import PassParts
-from nutmeglb_decisions.queues.recent_shares import RecentShares
 from nutmeglb_decisions.queues.run_sums import RunSums
 from nutmeglb_decisions.queues.state import FinishedJob, Job, PresumedEnd, Run, Step, Worker
+from nutmeglb_decisions.queues.team_rates import TeamRates
 from nutmeglb_formats.models.queues import Queue, QueueConfig
 
 # The run numbers of a term start at the term times this number, so that they increase from leader
@@ -57,8 +57,8 @@
         no run of a former leader is left.
     presumed_ends
         Per task and run number: runs whose end was inferred without a report of it.
-    run_sums, recent_shares
-        What each team has running now, and the share that it had in the last seconds.
+    run_sums, team_rates
+        What each team has running now, and the rate at which it submits jobs.
     parts
         Optional parts that the configuration and the settings call for.
     """
@@ -87,7 +87,7 @@
     ended_unsettled: list[Step] = field(default_factory=list)
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
     run_sums: RunSums = field(default_factory=RunSums)
-    recent_shares: RecentShares = field(default_factory=RecentShares)
+    team_rates: TeamRates = field(default_factory=TeamRates)
     parts: PassParts = field(default_factory=PassParts)
 
     def configure(self, config: QueueConfig) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from nutmeglb_decisions.queues import quotas
+from nutmeglb_decisions.queues import quotas, team_shares
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.team_limits import effective_limits
@@ -24,6 +24,9 @@
 def active_parts(config: QueueConfig, options: PartOptions) -> PassParts:
     """Return the parts that a configuration and the settings call for."""
     gate = quotas.gate(config)
-    if gate is None:
-        return PassParts()
-    return PassParts(gates=(gate,), before_pass=(quotas.hold_for_overtaken_steps,))
+    rate_term = team_shares.order_term(config)
+    return PassParts(
+        order_terms=(rate_term,) if rate_term else (),
+        gates=(gate,) if gate else (),
+        before_pass=(quotas.hold_for_overtaken_steps,) if gate else (),
+    )
