--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -7,7 +7,9 @@
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.headroom import ClassUsage
 from nutmeglb_decisions.queues.parts import PassParts
+from nutmeglb_decisions.queues.run_sums import RunSums
 from nutmeglb_decisions.queues.state import FinishedJob, Job, PresumedEnd, Run, Step, Worker
+from nutmeglb_decisions.queues.team_rates import TeamRates
 from nutmeglb_decisions.queues.worker_speed import Speeds
 from nutmeglb_formats.models.queues import Queue, QueueConfig
 
@@ -58,6 +60,8 @@
         Per task and run number: runs whose end was inferred without a report of it.
     speeds
         Learned speeds of workers.
+    run_sums, team_rates
+        What each team has running now, and the rate at which it submits jobs.
     parts
         Optional parts that the configuration and the settings call for.
     """
@@ -86,6 +90,8 @@
     ended_unsettled: list[Step] = field(default_factory=list)
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
     speeds: Speeds = field(default_factory=Speeds)
+    run_sums: RunSums = field(default_factory=RunSums)
+    team_rates: TeamRates = field(default_factory=TeamRates)
     parts: PassParts = field(default_factory=PassParts)
 
     def configure(self, config: QueueConfig) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/estimates.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/estimates.py
@@ -1,9 +1,11 @@
 """Run times learned from completed runs, because declared estimates are far off."""
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from nutmeglb_decisions.queues.durations import QueueDurations
+from nutmeglb_formats.models.resources import Resources
 
 # Weight of a new observation. The average covers about the last eight completed runs, so at 8 of
 # them per second and queue it follows a load change within a second.
@@ -22,8 +24,14 @@
 
     Where reports show the progress of tasks, they are learned from the steps of all workers
     (``durations``), else from the mean ratio of actual to declared run times.
+
+    Attributes
+    ----------
+    team_limits
+        What each team with a limit may have running, on which the duration of wide steps depends.
     """
 
+    team_limits: Mapping[str, Resources] = field(default_factory=dict)
     _ratios: dict[str, float] = field(default_factory=dict)
     _durations: dict[str, QueueDurations] = field(default_factory=dict)
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/quotas.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/quotas.py
@@ -77,7 +77,9 @@
             return False
         if hold is None:
             if step.plan is not None:
-                self.hold(step, count, step.plan.start_ms)
+                free = self._limits[team] - self._current_use().used(team)
+                start_ms = max(self._now_ms, step.plan.start_ms)
+                self._holds[team] = _Hold(step, start_ms, free - amount)
             return True
         return hold.step is step or self._fits_beside(hold, step, amount)
 
@@ -99,23 +101,19 @@
         elif self._end_ms(step) > hold.at_ms:
             hold.surplus = hold.surplus - needs
 
-    def hold(self, step: Step, count: int, earliest_ms: float = 0.0) -> None:
+    def hold(self, step: Step, count: int) -> None:
         """Hold a part of the team's limit for ``count`` tasks of a step, unless that is futile."""
         team = step.team
         if team not in self._limits or team in self._holds or self._is_useless(step):
             return
         limit, amount = self._limits[team], step.needs.scaled(count)
         used = self._current_use().used(team)
-        at_ms = max(self._now_ms, earliest_ms)
-        if not (used + amount).fits_in(limit):
-            for run in self._ending_runs(team):
-                used = used - run.step.needs
-                at_ms = max(at_ms, run.expected_end_ms)
-                if (used + amount).fits_in(limit):
-                    break
-            else:
+        for run in self._ending_runs(team):
+            used = used - run.step.needs
+            if (used + amount).fits_in(limit):
+                at_ms = max(self._now_ms, run.expected_end_ms)
+                self._holds[team] = _Hold(step, at_ms, limit - used - amount)
                 return
-        self._holds[team] = _Hold(step, at_ms, limit - used - amount)
 
     def _current_use(self) -> TeamUse:
         if self._use is None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/team_use.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/team_use.py
@@ -9,7 +9,6 @@
 unknown.
 """
 
-from collections import Counter
 from collections.abc import Mapping
 
 from nutmeglb_decisions.queues.cell import Cell
@@ -22,7 +21,10 @@
 
 def possible_use(cell: Cell, limits: Mapping[str, Resources], now_ms: float) -> TeamUse:
     """Return the largest use that each team with a limit may have now."""
-    use = _known_use(cell, limits)
+    use = TeamUse(limits)
+    for team, amount in cell.run_sums.update(cell.workers).items():
+        if team in limits:
+            use.add(team, amount)
     if now_ms < cell.takeover_wait_deadline_ms:
         for step in cell.ended_unsettled:
             _add(use, step, _unknown_runs(cell, step, _unsettled_workers(cell, step)))
@@ -37,25 +39,6 @@
     return use
 
 
-def _known_use(cell: Cell, limits: Mapping[str, Resources]) -> TeamUse:
-    """Return the use by runs. Sums plain numbers, because a pass waits for thousands of runs."""
-    sums = {team: [0, 0, 0] for team in limits}
-    runs = [run.step for worker in cell.workers.values() for run in worker.runs.values()]
-    for step, count in Counter(runs).items():
-        team_sum = sums.get(step.team)
-        if team_sum is not None:
-            needs = step.needs
-            team_sum[0] += needs.cpu_millis * count
-            team_sum[1] += needs.memory_bytes * count
-            if needs.accelerators:
-                team_sum[2] += needs.accelerators * count
-    use = TeamUse(limits)
-    for team, (cpu_millis, memory_bytes, accelerators) in sums.items():
-        if cpu_millis or memory_bytes or accelerators:
-            use.add(team, Resources(cpu_millis, memory_bytes, accelerators))
-    return use
-
-
 def _add(use: TeamUse, step: Step, count: int) -> None:
     team = step.team
     if use.limit(team) is not None:
