Preempt lower work for steps that would miss their objective for want of room

Cause: in bursts, gangs and live orders wait until their objective has passed, although batch with much slack runs in the room that they need.

Not switched on by any setting yet.

--- a/measure/queue_mix.py
+++ b/measure/queue_mix.py
@@ -42,6 +42,8 @@
         placement advice approves.
     job_value
         Value of a job that ends in time.
+    checkpointing_share
+        Share of steps whose tasks save their progress.
     """
 
     queue: Queue
@@ -54,6 +56,7 @@
     second_step_share: float
     approval_rate: float
     job_value: float
+    checkpointing_share: float = 0.0
 
 
 def _make_queue(name: str, priority: int, stretch: float, slack_ms: float, *cost: float) -> Queue:
@@ -93,25 +96,31 @@
         while at_ms < duration_ms:
             name = f"{len(timed_jobs):016x}"
             timed_jobs.append(
-                (at_ms, QueueJob(name, kind.queue, "", _make_steps(kind, rng), 0, 0, 0, 0, ""))
+                (at_ms, QueueJob(name, kind.queue, "", make_steps(kind, rng), 0, 0, 0, 0, ""))
             )
             at_ms += rng.expovariate(rate)
     return sorted(timed_jobs, key=lambda item: item[0])
 
 
-def _make_steps(kind: JobProfile, rng: random.Random) -> tuple[StepSpec, ...]:
+def make_steps(
+    kind: JobProfile, rng: random.Random, estimate_error: float = ESTIMATE_ERROR
+) -> tuple[StepSpec, ...]:
+    """Return the steps of a job. Each one runs after the one before it."""
     count = 1 + (rng.random() < kind.second_step_share)
-    return tuple(_make_step(kind, number, rng) for number in range(count))
+    return tuple(_make_step(kind, number, rng, estimate_error) for number in range(count))
 
 
-def _make_step(kind: JobProfile, number: int, rng: random.Random) -> StepSpec:
+def _make_step(
+    kind: JobProfile, number: int, rng: random.Random, estimate_error: float
+) -> StepSpec:
     memory = int(_draw(kind.memory_gb, rng) * GB)
     return StepSpec(
         max(1, round(_draw(kind.tasks_per_step, rng))),
         Resources(int(_draw(kind.cpu_millis, rng)), memory, 0),
-        _draw(kind.run_ms, rng) * rng.uniform(1 - ESTIMATE_ERROR, 1 + ESTIMATE_ERROR),
+        _draw(kind.run_ms, rng) * rng.uniform(1 - estimate_error, 1 + estimate_error),
         after=(number - 1,) if number else (),
         gang=rng.random() < kind.gang_share,
+        checkpoints=bool(kind.checkpointing_share) and rng.random() < kind.checkpointing_share,
     )
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -6,6 +6,7 @@
 from nutmeglb_decisions.queues.effects import Decision, Effect
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.headroom import ClassUsage
+from nutmeglb_decisions.queues.lost_work import PreemptionUsage
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.state import FinishedJob, Job, PresumedEnd, Run, Step, Worker
 from nutmeglb_formats.models.queues import Queue, QueueConfig
@@ -54,6 +55,8 @@
         Per task and run number: runs whose end was inferred without a report of it.
     parts
         Optional parts that the configuration and the settings call for.
+    preemption
+        Work lost to preemption under this leader.
     """
 
     term: int
@@ -79,6 +82,7 @@
     class_usage: ClassUsage = field(default_factory=ClassUsage)
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
     parts: PassParts = field(default_factory=PassParts)
+    preemption: PreemptionUsage = field(default_factory=PreemptionUsage)
 
     def configure(self, config: QueueConfig) -> None:
         """Replace the queue configuration."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/parts.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/parts.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from nutmeglb_decisions.queues.ranking import Rank
-from nutmeglb_decisions.queues.state import Step, Worker
+from nutmeglb_decisions.queues.state import Run, Step, Worker
 
 if TYPE_CHECKING:
     from nutmeglb_decisions.queues.cell import Cell
@@ -88,6 +88,9 @@
     before_pass, after_pass
         Called with the pass and the ranked steps, before the first step is placed and after the
         last one.
+    victim_terms
+        Each returns for one pass, from the cell and the time, what the stop of a run costs besides
+        its lost work, in millicores times milliseconds.
     """
 
     order_terms: tuple[OrderTerm, ...] = ()
@@ -95,3 +98,4 @@
     gates: tuple[Callable[["Cell", float], StartGate], ...] = ()
     before_pass: tuple[Callable[["SchedulingPass", RankedSteps], None], ...] = ()
     after_pass: tuple[Callable[["SchedulingPass", RankedSteps], None], ...] = ()
+    victim_terms: tuple[Callable[["Cell", float], Callable[[Run], float]], ...] = ()
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -322,6 +322,8 @@
 def _plan_and_reserve(state: SchedulingPass, step: Step, group: advice.WorkerGroup) -> float:
     """Reserve capacity for a gang. Return its expected start, or infinity without a reservation."""
     cell, now_ms = state.cell, state.now_ms
+    if step.holds:
+        return now_ms
     timing = cell.policy_of(step.job).advice
     allowed = step.recorded if timing is None else step.advice.good
     rank = rank_of(step, step.job.accepted_ms, now_ms, cell.estimates)
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/preemption.py
@@ -0,0 +1,309 @@
+"""Stops work of lower priority for steps that would miss their objective for want of room.
+
+Load pattern: bursts of some seconds in which live orders, gangs and wide batch compete for too
+little room. The order of waiting work alone does not help a gang: what it needs at once becomes
+free piece by piece. The capacity of a stopped run counts as free when its end is proved; until then
+it is held for the step (``room_holds``).
+"""
+
+import heapq
+from collections import defaultdict
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+
+from nutmeglb_decisions.queues import advice
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.gang_plans import expected_end_ms
+from nutmeglb_decisions.queues.lifecycle import stop_run
+from nutmeglb_decisions.queues.parts import RankedSteps
+from nutmeglb_decisions.queues.ranking import Rank, Tier
+from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass
+from nutmeglb_decisions.queues.state import RoomHold, RunState, Step, Worker
+from nutmeglb_decisions.queues.victim_choice import Victim, VictimClass, VictimSearch
+from nutmeglb_decisions.queues.waiting_order import startable_tasks
+from nutmeglb_decisions.queues.worker_selection import component_min, slots_on
+from nutmeglb_decisions.victims import Candidate, cheapest_victims
+from nutmeglb_formats.models.resources import Resources
+
+# Interval of the searches. A stop takes several times as long.
+CHECK_INTERVAL_MS = 50.0
+# Time that an order and the report of its effect take, besides the stop itself.
+ORDER_MS = 100.0
+# Share of the CPU of all workers that may be spent on doing work again, averaged over seconds.
+MAX_LOST_SHARE = 0.02
+# Work that a preemption may lose at most, as a share of the work that gets its capacity.
+MAX_LOSS_SHARE = 0.5
+# Steps that one search considers, which bounds its time.
+MAX_STEPS_PER_CHECK = 16
+# Victims on one worker.
+MAX_VICTIMS_PER_WORKER = 12
+
+
+@dataclass(frozen=True, slots=True)
+class PreemptionOptions:
+    """Bounds of the workers.
+
+    Attributes
+    ----------
+    max_stop_ms
+        Longest time in milliseconds from the answer to a stop until the run has ended.
+    restore_ms
+        Time in milliseconds that a task needs to resume from its checkpoint.
+    """
+
+    max_stop_ms: float
+    restore_ms: float
+
+    @property
+    def freed_after_ms(self) -> float:
+        """Return the time from the decision to stop a run until its capacity is free."""
+        return self.max_stop_ms + ORDER_MS
+
+
+@dataclass(slots=True)
+class _Room:
+    """Room for tasks of one step on a worker, made by the stop of victims."""
+
+    worker: Worker
+    count: int
+    victims: list[Candidate[Victim]]
+
+    @property
+    def cost(self) -> float:
+        return sum(candidate.cost for candidate in self.victims)
+
+
+class _Search:
+    """One search for steps that need preemption."""
+
+    def __init__(self, state: SchedulingPass, options: PreemptionOptions) -> None:
+        self._state = state
+        self._cell = state.cell
+        self._now_ms = state.now_ms
+        self._freed_ms = state.now_ms + options.freed_after_ms
+        self._options = options
+        terms = tuple(term(state.cell, state.now_ms) for term in state.cell.parts.victim_terms)
+        self._victims = VictimSearch(
+            state.cell, state.now_ms, state.wall_ms, options.freed_after_ms, options.restore_ms,
+            terms,
+        )  # fmt: skip
+        # Capacity that steps considered so far will use when it becomes free.
+        self._promised: dict[str, Resources] = defaultdict(Resources)
+
+    def hold_promises(self, ranked: RankedSteps) -> None:
+        """Count what is held for steps as promised."""
+        for _, step in ranked:
+            for worker_id, hold in step.holds.items():
+                self._promise(worker_id, step, hold.count)
+
+    def consider(self, step: Step, rank: Rank, available_work: float) -> float:
+        """Stop runs for a step if it would be late otherwise. Return the work that this loses."""
+        count = len(startable_tasks(step, self._now_ms))
+        workers = self._usable_workers(step)
+        if not workers:
+            return 0.0
+        deadline_ms = rank.latest_start_ms - self._options.freed_after_ms
+        if self._promise_natural(step, workers, count, deadline_ms):
+            return 0.0
+        rooms = self._choose(step, workers, count)
+        lost_work = sum(room.cost for room in rooms)
+        step_work = rank.remaining_work
+        if not any(room.victims for room in rooms):
+            return 0.0
+        if lost_work > min(available_work, MAX_LOSS_SHARE * step_work):
+            return 0.0
+        self._apply(step, rank, rooms)
+        return lost_work
+
+    def _usable_workers(self, step: Step) -> list[Worker]:
+        """Return the workers that could start a task of a step if they had room."""
+        cell = self._cell
+        if cell.policy_of(step.job).advice is not None:
+            workers = advice.approved_workers(cell, step)
+        else:
+            workers = advice.eligible(cell, step)
+        return [
+            worker
+            for worker in workers
+            if worker.worker_id in step.recorded
+            and worker.settled
+            and worker.has_current_info
+            and not worker.stray_runs
+            and self._now_ms >= worker.avoided_until_ms
+            and worker.unanswered_since_ms is None
+        ]
+
+    def _room_at(self, worker: Worker, step: Step, at_ms: float) -> Resources:
+        """Return the capacity that a step can expect on a worker without further stops."""
+        room = worker.free
+        for run in worker.runs.values():
+            if run.state == RunState.STOPPING:
+                if run.free_by_ms > self._now_ms:
+                    room = room + run.charged
+            elif expected_end_ms(run, self._now_ms) <= at_ms:
+                room = room + run.charged
+        room = room - self._promised[worker.worker_id]
+        for reservation in self._state.reservations.binding(worker.worker_id, step):
+            if reservation.owner is None:
+                room = component_min(room, reservation.surplus)
+        return room
+
+    def _promise(self, worker_id: str, step: Step, count: int) -> None:
+        self._promised[worker_id] = self._promised[worker_id] + step.charged.scaled(count)
+
+    def _promise_natural(
+        self, step: Step, workers: Sequence[Worker], count: int, deadline_ms: float
+    ) -> bool:
+        """Return whether enough room becomes free in time by itself, and promise it to the step."""
+        places = []
+        for worker in workers:
+            slots = min(count, slots_on(self._room_at(worker, step, deadline_ms), step, 0))
+            if slots:
+                places.append((worker.worker_id, slots))
+                count -= slots
+            if not count:
+                for worker_id, taken in places:
+                    self._promise(worker_id, step, taken)
+                return True
+        return False
+
+    def _choose(self, step: Step, workers: Sequence[Worker], count: int) -> list[_Room]:
+        """Return room for the tasks of a step, at the lowest loss that the fewest classes allow."""
+        for worst_class in VictimClass:
+            rooms = self._choose_up_to(step, workers, count, worst_class)
+            if rooms:
+                return rooms
+        return []
+
+    def _choose_up_to(
+        self, step: Step, workers: Sequence[Worker], count: int, worst_class: VictimClass
+    ) -> list[_Room]:
+        queue = step.job.record.queue.name
+        run_ms = self._cell.estimates.run_ms(queue, step.spec.estimate_ms)
+        rooms: dict[str, _Room] = {}
+        offers: list[tuple[float, str, _Room]] = []
+        candidates: dict[str, list[Candidate[Victim]]] = {}
+        for worker in workers:
+            free = self._room_at(worker, step, self._freed_ms)
+            slots = min(count, slots_on(free, step, 0))
+            rooms[worker.worker_id] = _Room(worker, slots, [])
+            count -= slots
+            if not count:
+                return []
+        for worker in workers:
+            candidates[worker.worker_id] = [
+                candidate
+                for candidate in self._victims.candidates(worker, step, run_ms)
+                if candidate.victim.victim_class <= worst_class
+            ]
+            self._offer(step, rooms[worker.worker_id], candidates[worker.worker_id], offers)
+        while count and offers:
+            _, worker_id, room = heapq.heappop(offers)
+            rooms[worker_id] = room
+            count -= 1
+            self._offer(step, room, candidates[worker_id], offers)
+        if count and step.spec.gang:
+            return []
+        return [room for room in rooms.values() if room.count]
+
+    def _offer(
+        self,
+        step: Step,
+        room: _Room,
+        candidates: Sequence[Candidate[Victim]],
+        offers: list[tuple[float, str, _Room]],
+    ) -> None:
+        """Add the cost of one more task on a worker to the offers."""
+        worker, request = room.worker, step.charged.scaled(room.count + 1)
+        limit = step.spec.max_per_worker
+        if not candidates or not request.fits_in(worker.info.capacity):
+            return
+        if limit and room.count + 1 > limit:
+            return
+        free = self._room_at(worker, step, self._freed_ms)
+        chosen = cheapest_victims(request, free, candidates, MAX_VICTIMS_PER_WORKER)
+        if chosen is not None:
+            more = _Room(worker, room.count + 1, chosen)
+            heapq.heappush(offers, (more.cost - room.cost, worker.worker_id, more))
+
+    def _apply(self, step: Step, rank: Rank, rooms: Sequence[_Room]) -> None:
+        """Stop the victims and hold their capacity for the step."""
+        policy = self._cell.policy_of(step.job)
+        renewal_ms = 0.0
+        if policy.advice is not None:
+            renewal_ms = 2 * policy.advice.call_ms(len(step.advice.good)) + ORDER_MS
+            step.advice.not_before_ms = 0.0
+        expires_at_ms = self._freed_ms + self._options.freed_after_ms + renewal_ms
+        step.plan = None
+        for room in rooms:
+            worker_id = room.worker.worker_id
+            step.holds[worker_id] = RoomHold(room.count, self._now_ms, expires_at_ms)
+            self._promise(worker_id, step, room.count)
+            for candidate in room.victims:
+                self._stop(candidate.victim, step, rank)
+
+    def _stop(self, victim: Victim, step: Step, rank: Rank) -> None:
+        usage = self._cell.preemption
+        for run in victim.runs:
+            if run.state == RunState.STOPPING:
+                continue
+            stop_run(self._cell, run)
+            run.free_by_ms = self._freed_ms + self._options.freed_after_ms
+            run.step.tasks[run.index].preempted_loss_ms = victim.lost_ms
+            usage.spend(victim.lost_ms * run.charged.cpu_millis)
+            self._cell.log_decision(
+                "run_preempted",
+                f"step {step.name} would miss its objective",
+                task=run.task,
+                worker=run.worker_id,
+                run=run.number,
+                victim=victim.victim_class.name.lower(),
+                lost_ms=round(victim.lost_ms),
+                victim_slack_ms=round(victim.slack_ms),
+                step_slack_ms=round(rank.latest_start_ms - self._now_ms),
+            )
+
+
+def make_preemption(
+    options: PreemptionOptions,
+) -> Callable[[SchedulingPass, RankedSteps], None]:
+    """Return the function that preempts after the steps of a pass are placed."""
+
+    def preempt(state: SchedulingPass, ranked: RankedSteps) -> None:
+        cell, now_ms = state.cell, state.now_ms
+        if now_ms < cell.preemption.next_check_ms:
+            return
+        cell.preemption.next_check_ms = now_ms + CHECK_INTERVAL_MS
+        waiting = list(_urgent_steps(cell, ranked, options, now_ms))
+        if not waiting:
+            return
+        cpu_millis = sum(worker.info.capacity.cpu_millis for worker in cell.workers.values())
+        available_work = cell.preemption.refill(MAX_LOST_SHARE * cpu_millis * 1_000.0, now_ms)
+        search = _Search(state, options)
+        search.hold_promises(ranked)
+        for rank, step in waiting[:MAX_STEPS_PER_CHECK]:
+            available_work -= search.consider(step, rank, available_work)
+
+    return preempt
+
+
+def _urgent_steps(
+    cell: Cell, ranked: RankedSteps, options: PreemptionOptions, now_ms: float
+) -> Iterator[tuple[Rank, Step]]:
+    """Yield the steps that wait for room, can be in time, and outrank work that runs."""
+    lowest: dict[str, int] = {}
+    for worker in cell.workers.values():
+        for run in worker.runs.values():
+            service, priority = worker.info.service, run.step.job.record.queue.priority
+            lowest[service] = max(lowest.get(service, priority), priority)
+    for rank, step in ranked:
+        queue = cell.policy_of(step.job)
+        if (
+            rank.tier == Tier.IN_TIME
+            and rank.priority < lowest.get(queue.service, rank.priority)
+            and rank.latest_start_ms >= now_ms + options.freed_after_ms
+            and not step.holds
+            and not step.held_by
+            and startable_tasks(step, now_ms)
+        ):
+            yield rank, step
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/room_holds.py
@@ -0,0 +1,71 @@
+"""Keeps the capacity that preemption frees for the step that it was freed for.
+
+Load pattern: other work of the same priority waits as well, and would take what the first stopped
+run frees before the last one has ended. A hold is only memory of the leader: the next leader holds
+nothing, and the capacity goes to waiting work in rank order.
+"""
+
+from collections import defaultdict
+
+from nutmeglb_decisions.queues.parts import RankedSteps
+from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass
+from nutmeglb_decisions.queues.state import Run, RunState, Step, Worker
+from nutmeglb_decisions.queues.waiting_order import startable_tasks
+from nutmeglb_decisions.queues.worker_selection import Reservation
+from nutmeglb_formats.models.resources import Resources
+
+NOTHING = Resources()
+
+
+def reserve_holds(state: SchedulingPass, ranked: RankedSteps) -> None:
+    """Drop the holds that are no longer needed, and reserve the capacity of the others."""
+    held: dict[str, Resources] = defaultdict(Resources)
+    for _, step in ranked:
+        if not step.holds:
+            continue
+        counts = _remaining_counts(state, step)
+        step.holds = {worker_id: step.holds[worker_id] for worker_id in counts}
+        for worker_id, count in counts.items():
+            worker = state.cell.workers[worker_id]
+            held[worker_id] = held[worker_id] + step.charged.scaled(count)
+            surplus = worker.free + incoming(worker, state.now_ms) - held[worker_id]
+            reservation = Reservation(state.now_ms, surplus, owner=step)
+            state.reservations.add(worker_id, reservation)
+    state.cell.preemption.held_cpu_millis = sum(amount.cpu_millis for amount in held.values())
+
+
+def _remaining_counts(state: SchedulingPass, step: Step) -> dict[str, int]:
+    """Return for how many tasks each hold of a step is still needed."""
+    waiting = len(startable_tasks(step, state.now_ms))
+    counts = {}
+    for worker_id, hold in step.holds.items():
+        worker = state.cell.workers.get(worker_id)
+        if worker is None or state.now_ms >= hold.expires_at_ms:
+            continue
+        started = sum(
+            1
+            for run in step.live_runs
+            if run.worker_id == worker_id and run.ordered_ms >= hold.since_ms
+        )
+        count = min(hold.count - started, waiting)
+        if count > 0:
+            counts[worker_id] = count
+            waiting -= count
+    return counts
+
+
+def incoming(worker: Worker, now_ms: float) -> Resources:
+    """Return the capacity of the runs that are being stopped for other work.
+
+    A stop that took longer than expected no longer counts.
+    """
+    amount = NOTHING
+    for run in worker.runs.values():
+        if is_incoming(run, now_ms):
+            amount = amount + run.charged
+    return amount
+
+
+def is_incoming(run: Run, now_ms: float) -> bool:
+    """Return whether a run is being stopped for other work and is expected to end in time."""
+    return run.state == RunState.STOPPING and now_ms < run.free_by_ms
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
@@ -106,8 +106,8 @@
     worker.runs[(run.task, number)] = run
     for gate in state.gates:
         gate.record_start(step)
-    state.reservations.charge(worker.worker_id, charged, expected_end_ms)
-    state.planned.charge(worker.worker_id, charged, expected_end_ms)
+    state.reservations.charge(worker.worker_id, step, expected_end_ms)
+    state.planned.charge(worker.worker_id, step, expected_end_ms)
     task.run = run
     task.last_run = number
     state.placed.append(run)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -53,6 +53,9 @@
     resumed
         Whether the run started from a checkpoint or was adopted. Its duration then does not show
         the run time of the task.
+    free_by_ms
+        Time by which its capacity is expected to be free, if it is being stopped for other work;
+        0 otherwise.
     """
 
     step: "Step"
@@ -73,6 +76,7 @@
     idle_since_ms: float | None = None
     idle_ms: float = 0.0
     resumed: bool = False
+    free_by_ms: float = 0.0
 
     @property
     def task(self) -> str:
@@ -123,6 +127,9 @@
         Last saved checkpoint; empty if there is none.
     not_before_ms
         Earliest time of the next start.
+    preempted_loss_ms
+        Time in milliseconds that its last preemption cost. It is not preempted again until it has
+        run that long.
     """
 
     index: int
@@ -132,6 +139,7 @@
     done: bool = False
     run: Run | None = None
     not_before_ms: float = 0.0
+    preempted_loss_ms: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -178,6 +186,23 @@
     start_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class RoomHold:
+    """Capacity of one worker that is kept for a step, because runs were stopped for it.
+
+    Attributes
+    ----------
+    count
+        Number of tasks of the step that the capacity is for.
+    since_ms, expires_at_ms
+        Time of the stops, and time at which the capacity is given up.
+    """
+
+    count: int
+    since_ms: float
+    expires_at_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Forecast:
     """Expected durations of a step and its job, cached for a short time.
@@ -225,6 +250,8 @@
         Expected durations from which the rank is computed; ``None`` before the first computation.
     charged
         Capacity that one task uses. Cached, because a pass reads it for each worker.
+    holds
+        Per worker: capacity that is kept for the step.
     held_by
         Name of the gate that kept the step from starting in the last pass; empty if none did.
     """
@@ -247,6 +274,7 @@
     last_tried_ms: float = 0.0
     plan: GangPlan | None = None
     forecast: Forecast | None = None
+    holds: dict[str, RoomHold] = field(default_factory=dict)
     held_by: str = ""
     charged: Resources = field(init=False)
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting_order.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting_order.py
@@ -23,7 +23,7 @@
             if step.runnable_since_ms is None:
                 step.runnable_since_ms = now_ms
             if startable_tasks(step, now_ms):
-                start_ms = _due_ms(job, step, now_ms, wall_ms)
+                start_ms = due_ms(job, step, now_ms, wall_ms)
                 step_rank = rank(step, start_ms, now_ms, cell.estimates)
                 if order:
                     step_rank = _with_terms(step_rank, step, order)
@@ -42,7 +42,7 @@
     )
 
 
-def _due_ms(job: Job, step: Step, now_ms: float, wall_ms: float) -> float:
+def due_ms(job: Job, step: Step, now_ms: float, wall_ms: float) -> float:
     """Return the monotonic time at which the objective of a step's occurrence starts to count."""
     if not job.record.repeats:
         return job.accepted_ms
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_selection.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_selection.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from nutmeglb_decisions.queues.parts import LostTime
@@ -32,11 +32,22 @@
         Capacity that remains at ``at_ms`` for other runs that last beyond it.
     position
         Position of the gang in the rank order of waiting steps, from 0.
+    owner
+        Step for which runs were stopped on the worker, if the reservation is for one. It binds
+        neither this step nor work of higher priority.
     """
 
     at_ms: float
     surplus: Resources
     position: int = 0
+    owner: Step | None = None
+
+    def is_open_to(self, step: Step) -> bool:
+        """Return whether a step may use the capacity that was freed for the owner."""
+        owner = self.owner
+        return owner is not None and (
+            owner is step or step.job.record.queue.priority < owner.job.record.queue.priority
+        )
 
 
 @dataclass(slots=True)
@@ -45,11 +56,24 @@
 
     by_worker: dict[str, list[Reservation]] = field(default_factory=dict)
 
-    def permits(self, worker_id: str, charged: Resources, end_ms: float) -> bool:
-        """Return whether a run that ends at ``end_ms`` leaves all reserved capacity untouched."""
+    def binding(self, worker_id: str, step: Step) -> Iterator[Reservation]:
+        """Yield the reservations on a worker that bind a step.
+
+        Of the capacity freed for other steps, only that of steps before its own is left to them:
+        the surplus of each such reservation is what remains after all earlier ones.
+        """
+        is_owner = False
+        for reservation in self.by_worker.get(worker_id, ()):
+            is_owner = is_owner or reservation.owner is step
+            is_after_own = is_owner and reservation.owner is not None
+            if not is_after_own and not reservation.is_open_to(step):
+                yield reservation
+
+    def permits(self, worker_id: str, step: Step, end_ms: float) -> bool:
+        """Return whether a task that ends at ``end_ms`` leaves all reserved capacity untouched."""
         return all(
-            end_ms <= reservation.at_ms or charged.fits_in(reservation.surplus)
-            for reservation in self.by_worker.get(worker_id, ())
+            end_ms <= reservation.at_ms or step.charged.fits_in(reservation.surplus)
+            for reservation in self.binding(worker_id, step)
         )
 
     def delay_penalty(self, worker_id: str, charged: Resources, end_ms: float) -> float:
@@ -64,11 +88,11 @@
         ]
         return 1.0 / (1.0 + min(delayed_positions)) if delayed_positions else 0.0
 
-    def charge(self, worker_id: str, charged: Resources, end_ms: float) -> None:
-        """Charge a placed run to the surplus of the reservations that it outlasts."""
-        for reservation in self.by_worker.get(worker_id, ()):
+    def charge(self, worker_id: str, step: Step, end_ms: float) -> None:
+        """Charge a placed task to the surplus of the reservations that it outlasts."""
+        for reservation in self.binding(worker_id, step):
             if end_ms > reservation.at_ms:
-                reservation.surplus = reservation.surplus - charged
+                reservation.surplus = reservation.surplus - step.charged
 
     def add(self, worker_id: str, reservation: Reservation) -> None:
         """Add a reservation on a worker."""
@@ -135,7 +159,7 @@
         if not slots_on(worker.free, step, runs_by_worker[worker.worker_id]):
             continue
         end_ms = now_ms + run_ms * worker.slowness
-        if not reservations.permits(worker.worker_id, step.charged, end_ms):
+        if not reservations.permits(worker.worker_id, step, end_ms):
             continue
         score = (
             float(_is_outside_preferred_rack(step, worker)),
@@ -223,13 +247,13 @@
 
 def _unreserved_slots(step: Step, worker: Worker, reservations: Reservations, end_ms: float) -> int:
     free = worker.free
-    for reservation in reservations.by_worker.get(worker.worker_id, ()):
+    for reservation in reservations.binding(worker.worker_id, step):
         if end_ms > reservation.at_ms:
-            free = _component_min(free, reservation.surplus)
+            free = component_min(free, reservation.surplus)
     return slots_on(free, step, 0)
 
 
-def _component_min(first: Resources, second: Resources) -> Resources:
+def component_min(first: Resources, second: Resources) -> Resources:
     return Resources(
         min(first.cpu_millis, second.cpu_millis),
         min(first.memory_bytes, second.memory_bytes),
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/preemption.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/tasks/preemption.py
@@ -7,6 +7,7 @@
 from nutmeglb_decisions.tasks.ledger import NO_RESOURCES, Account
 from nutmeglb_decisions.tasks.state import Attempt, Phase
 from nutmeglb_decisions.tasks.workers import WorkerLink
+from nutmeglb_decisions.victims import Candidate, cheapest_victims
 from nutmeglb_formats.models.resources import Resources
 
 MINUTE_MS = 60_000.0
@@ -49,7 +50,7 @@
     for account, link in workers:
         if not request.fits_in(account.capacity):
             continue
-        victims = _victims_on(request, account, link, preemptible, limit)
+        victims = _victims_on(request, account, link, preemptible, limit, now_ms)
         if victims is None:
             continue
         cost = sum(_lost_work(victim, now_ms) for victim in victims)
@@ -87,6 +88,7 @@
     link: WorkerLink,
     preemptible: Callable[[Attempt], bool],
     limit: int,
+    now_ms: float,
 ) -> list[Attempt] | None:
     room = account.free
     candidates = []
@@ -94,16 +96,10 @@
         if attempt.stop_cause:
             room = room + attempt.charged
         elif attempt.phase is Phase.RUNNING and preemptible(attempt):
-            candidates.append(attempt)
-    # The most recently started tasks lose the least work.
-    candidates.sort(key=lambda attempt: -attempt.started_ms)
-    victims: list[Attempt] = []
-    for attempt in candidates:
-        if request.fits_in(room) or len(victims) == limit:
-            break
-        room = room + attempt.charged
-        victims.append(attempt)
-    return victims if victims and request.fits_in(room) else None
+            cost = _lost_work(attempt, now_ms)
+            candidates.append(Candidate(attempt, attempt.charged, cost))
+    chosen = cheapest_victims(request, room, candidates, limit)
+    return [candidate.victim for candidate in chosen] if chosen else None
 
 
 def _lost_work(attempt: Attempt, now_ms: float) -> float:
