--- a/measure/queue_pressure.py
+++ b/measure/queue_pressure.py
@@ -18,6 +18,7 @@
 from nutmeglb_decisions.queues import advice, composition, reports
 from nutmeglb_decisions.queues.composition import PartOptions
 from nutmeglb_decisions.queues.effects import Effect, RequestAdvice, StartTask, StopTask
+from nutmeglb_decisions.queues.headroom import ClassUsage
 from nutmeglb_decisions.queues.names import parse_task
 from nutmeglb_decisions.queues.orders import StartOutcome, apply_start_answer, apply_stop_answer
 from nutmeglb_decisions.queues.preemption import PreemptionOptions
@@ -368,12 +369,27 @@
     return {name: round(share, 3) for name, share in shares.items()}
 
 
+class _NoHeadroom(ClassUsage):
+    """Usage that asks lower work to leave nothing free."""
+
+    def headroom(self, service: str, priority: int) -> float:
+        return 0.0
+
+
+def _without_headroom(workers: int, seed: int) -> PressureReplay:
+    """Return a replay in which room for urgent work is made free, but not kept free."""
+    replay = PressureReplay(workers, WITH_PREEMPTION, seed)
+    replay.cell.class_usage = _NoHeadroom()
+    return replay
+
+
 WITH_PREEMPTION = PartOptions(PreemptionOptions(STOP_MS, RESTORE_MS))
 MakeReplay = Callable[[int, int], PressureReplay]
 POLICIES: dict[str, MakeReplay] = {
     "plain priority, first fit": lambda workers, seed: FirstFitReplay(workers, PartOptions(), seed),
     "no preemption": lambda workers, seed: PressureReplay(workers, PartOptions(), seed),
     "preemption": lambda workers, seed: PressureReplay(workers, WITH_PREEMPTION, seed),
+    "preemption without headroom": _without_headroom,
 }
 
 
