--- a/measure/queue_pressure.py
+++ b/measure/queue_pressure.py
@@ -24,7 +24,7 @@
 from nutmeglb_decisions.queues.preemption import PreemptionOptions
 from nutmeglb_decisions.queues.ranking import LATE_FACTOR, OBJECTIVE_ADVICE_WORKERS, rank_of
 from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass, start_task
-from nutmeglb_decisions.queues.state import Run, Step
+from nutmeglb_decisions.queues.state import Step
 from nutmeglb_decisions.queues.waiting_order import ranked_steps, startable_tasks
 from nutmeglb_decisions.queues.worker_selection import Reservations, slots_on
 from nutmeglb_formats.models.queues import (
@@ -44,7 +44,6 @@
 DURATION_MS = 12_000.0
 STOP_MS = 200.0
 STOP_ENDS_AFTER_MS = 360.0
-CHECKPOINT_MS = 1_000.0
 RESTORE_MS = 250.0
 # Entry instances that call the advice service.
 ADVICE_CALLERS = 36
@@ -183,12 +182,11 @@
 
 @dataclass(slots=True)
 class _LiveRun:
-    """A run on a worker: its start, the progress it resumed from, and how it ends early."""
+    """A run on a worker: its start, the progress it resumed from, and the time of its stop."""
 
     started_ms: float
     resumed_ms: float
     stopped_ms: float | None = None
-    is_broken: bool = False
 
 
 class PressureReplay(AdvisedReplay):
@@ -257,13 +255,6 @@
             end_ms = now_ms + self._stop_rng.uniform(0.0, STOP_MS)
             self._push_end(end_ms, order.worker_id, order.task, order.run)
 
-    def _break(self, run: Run, now_ms: float) -> None:
-        """End a run because another member of its gang has ended."""
-        live = self._live.get((run.task, run.number))
-        if live is not None:
-            live.is_broken = True
-            self._push_end(now_ms, run.worker_id, run.task, run.number)
-
     def _report(self, worker_id: str, ended: tuple[tuple[str, int], ...], now_ms: float) -> None:
         worker = self.cell.workers[worker_id]
         live = self._live if hasattr(self, "_live") else {}
@@ -277,10 +268,7 @@
             done_ms -= RESTORE_MS if was.resumed_ms else 0.0
             total_ms = run_ms(run.step.job.record, run.step.number, run.index)
             outcome, saved = "done", ""
-            if was.is_broken:
-                outcome = "broken"
-                saved = self._save(run.step, was, done_ms, run.charged.cpu_millis, now_ms)
-            elif was.stopped_ms is not None and done_ms < total_ms:
+            if was.stopped_ms is not None and done_ms < total_ms:
                 outcome = "stopped"
                 saved = self._save(run.step, was, done_ms, run.charged.cpu_millis, now_ms)
             self._last_end_numbers[worker_id] = self._last_end_numbers.get(worker_id, 0) + 1
@@ -300,8 +288,6 @@
     ) -> str:
         """Count the work that a stop loses, and return the checkpoint that it leaves."""
         self.stopped_runs += 1
-        if was.is_broken:
-            done_ms -= done_ms % CHECKPOINT_MS
         saves = step.spec.checkpoints and done_ms > 0
         lost_ms = RESTORE_MS if saves else now_ms - was.started_ms
         self.lost_core_s += lost_ms * cpu_millis / 1e6
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.leaving import LeavingOptions, make_leaving
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.preemption import PreemptionOptions, make_preemption
 from nutmeglb_decisions.queues.room_holds import reserve_holds
@@ -18,12 +17,9 @@
     ----------
     preemption
         Bounds that preemption relies on; ``None`` if work is not to be stopped for other work.
-    leaving
-        Bounds for stops on workers that leave; ``None`` if their runs are to end with them.
     """
 
     preemption: PreemptionOptions | None = None
-    leaving: LeavingOptions | None = None
 
 
 def configure(cell: Cell, config: QueueConfig, options: PartOptions) -> None:
@@ -35,8 +31,6 @@
 def active_parts(config: QueueConfig, options: PartOptions) -> PassParts:
     """Return the parts that a configuration and the settings call for."""
     before_pass, after_pass = [], []
-    if options.leaving is not None:
-        before_pass.append(make_leaving(options.leaving))
     if options.preemption is not None:
         before_pass.append(reserve_holds)
         after_pass.append(make_preemption(options.preemption))
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -417,8 +417,6 @@
         Time of the last report.
     consecutive_bad_runs
         Failed or stuck runs since the last completed one.
-    notice_ms, leaves_at_ms
-        Remaining time that the worker has announced, and the earliest time at which it may leave.
     slowness
         Learned ratio of the run times on the worker to those on an average one.
     stray_runs
@@ -441,8 +439,6 @@
     unanswered_since_ms: float | None = None
     last_report_ms: float = 0.0
     consecutive_bad_runs: int = 0
-    notice_ms: float | None = None
-    leaves_at_ms: float = 0.0
     slowness: float = 1.0
     stray_runs: dict[tuple[str, int], float | None] = field(default_factory=dict)
     worker_id: str = field(init=False)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/queues.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/queues.py
@@ -230,7 +230,7 @@
         incarnations of one worker id.
     remaining_ms
         While draining: shortest time in milliseconds until the worker stops; ``None`` when the
-        worker does not announce it.
+        worker does not announce it. Not used by the scheduler.
     """
 
     worker_id: str
