--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -6,6 +6,7 @@
 from nutmeglb_decisions.queues.effects import Decision, Effect
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.headroom import ClassUsage
+from nutmeglb_decisions.queues.lost_work import PreemptionUsage
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.state import FinishedJob, Job, PresumedEnd, Run, Step, Worker
 from nutmeglb_decisions.queues.worker_speed import Speeds
@@ -60,6 +61,8 @@
         Learned speeds of workers.
     parts
         Optional parts that the configuration and the settings call for.
+    preemption
+        Work lost to preemption under this leader.
     """
 
     term: int
@@ -87,6 +90,7 @@
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
     speeds: Speeds = field(default_factory=Speeds)
     parts: PassParts = field(default_factory=PassParts)
+    preemption: PreemptionUsage = field(default_factory=PreemptionUsage)
 
     def configure(self, config: QueueConfig) -> None:
         """Replace the queue configuration."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -191,11 +191,7 @@
     return (
         step.charged.fits_in(worker.free)
         and worker.worker_id in step.recorded
-        and worker.settled
-        and worker.has_current_info
-        and not worker.stray_runs
-        and now_ms >= worker.avoided_until_ms
-        and worker.unanswered_since_ms is None
+        and worker.accepts_starts(now_ms)
     )
 
 
@@ -308,7 +304,7 @@
         good = advice.approved_workers(state.cell, step) if is_advice_due else []
         fits = choose_gang(step, good, state.reservations, state.now_ms, run_ms) is not None
         at_ms = _plan_and_reserve(state, step, group)
-        return state.now_ms if fits else at_ms
+        return state.now_ms if fits or step.expects_room else at_ms
     step.plan = None
     number = state.cell.next_run_number(max(task.last_run for task in step.tasks))
     for task, worker_id in zip(step.tasks, assignment.worker_ids, strict=True):
@@ -319,6 +315,8 @@
 def _plan_and_reserve(state: SchedulingPass, step: Step, group: advice.WorkerGroup) -> float:
     """Reserve capacity for a gang. Return its expected start, or infinity without a reservation."""
     cell, now_ms = state.cell, state.now_ms
+    if step.holds:
+        return now_ms
     timing = cell.policy_of(step.job).advice
     allowed = step.recorded if timing is None else step.advice.good
     rank = rank_of(step, step.job.accepted_ms, now_ms, cell.estimates)
