--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -6,6 +6,7 @@
 from nutmeglb_decisions.queues.effects import Decision, Effect
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.headroom import ClassUsage
+from nutmeglb_decisions.queues.lost_work import PreemptionUsage
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.run_sums import RunSums
 from nutmeglb_decisions.queues.state import FinishedJob, Job, PresumedEnd, Run, Step, Worker
@@ -64,6 +65,8 @@
         What each team has running now, and the rate at which it submits jobs.
     parts
         Optional parts that the configuration and the settings call for.
+    preemption
+        Work lost to preemption under this leader.
     """
 
     term: int
@@ -93,6 +96,7 @@
     run_sums: RunSums = field(default_factory=RunSums)
     team_rates: TeamRates = field(default_factory=TeamRates)
     parts: PassParts = field(default_factory=PassParts)
+    preemption: PreemptionUsage = field(default_factory=PreemptionUsage)
 
     def configure(self, config: QueueConfig) -> None:
         """Replace the queue configuration."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
@@ -1,17 +1,28 @@
 """Decides which optional parts of the scheduler are active for a configuration."""
 
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, fields
 
 from nutmeglb_decisions.queues import quotas, team_shares
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.parts import PassParts
+from nutmeglb_decisions.queues.preemption import PreemptionOptions, make_preemption
+from nutmeglb_decisions.queues.room_holds import reserve_holds
 from nutmeglb_decisions.queues.team_limits import effective_limits
 from nutmeglb_formats.models.queues import QueueConfig
 
 
 @dataclass(frozen=True, slots=True)
 class PartOptions:
-    """Settings of the parts that the configuration does not contain."""
+    """Settings of the parts that the configuration does not contain.
+
+    Attributes
+    ----------
+    preemption
+        Bounds of preemption; ``None`` if it is off.
+    """
+
+    preemption: PreemptionOptions | None = None
 
 
 def configure(cell: Cell, config: QueueConfig, options: PartOptions) -> None:
@@ -23,10 +34,28 @@
 
 def active_parts(config: QueueConfig, options: PartOptions) -> PassParts:
     """Return the parts that a configuration and the settings call for."""
-    gate = quotas.gate(config)
+    return _combined(_parts(config, options))
+
+
+def _parts(config: QueueConfig, options: PartOptions) -> Iterator[PassParts]:
+    """Yield the active parts, in the order in which they act on a pass."""
     rate_term = team_shares.order_term(config)
+    if rate_term is not None:
+        yield PassParts(order_terms=(rate_term,))
+    gate = quotas.gate(config)
+    if gate is not None:
+        yield PassParts(gates=(gate,), before_pass=(quotas.hold_for_overtaken_steps,))
+    if options.preemption is not None:
+        preempt = make_preemption(options.preemption)
+        yield PassParts(before_pass=(reserve_holds,), after_pass=(preempt,))
+
+
+def _combined(parts: Iterable[PassParts]) -> PassParts:
+    """Return all terms, gates and functions of several parts as one."""
+    every_part = tuple(parts)
     return PassParts(
-        order_terms=(rate_term,) if rate_term else (),
-        gates=(gate,) if gate else (),
-        before_pass=(quotas.hold_for_overtaken_steps,) if gate else (),
+        **{
+            each.name: tuple(item for part in every_part for item in getattr(part, each.name))
+            for each in fields(PassParts)
+        }
     )
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -58,6 +58,9 @@
         Progress that the reports have shown; ``None`` if they show none.
     own_end_ms
         Expected end of the work of a gang's member alone; ``None`` while it is unknown.
+    free_by_ms
+        Time by which its capacity is expected to be free, if it is being stopped for other work;
+        0 otherwise.
     """
 
     step: "Step"
@@ -80,6 +83,7 @@
     resumed: bool = False
     progress: RunProgress | None = None
     own_end_ms: float | None = None
+    free_by_ms: float = 0.0
 
     @property
     def task(self) -> str:
@@ -130,6 +134,9 @@
         Last saved checkpoint; empty if there is none.
     not_before_ms
         Earliest time of the next start.
+    preempted_loss_ms
+        Time in milliseconds that its last preemption cost. It is not preempted again until it has
+        run that long.
     """
 
     index: int
@@ -139,6 +146,7 @@
     done: bool = False
     run: Run | None = None
     not_before_ms: float = 0.0
+    preempted_loss_ms: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -185,6 +193,25 @@
     start_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class RoomHold:
+    """Capacity of one worker that is kept for a step, because runs were stopped for it.
+
+    Attributes
+    ----------
+    count
+        Number of tasks of the step that the capacity is for.
+    since_ms
+        Tasks that start on the worker from this time on use the hold.
+    expires_at_ms
+        Time at which the capacity is given up.
+    """
+
+    count: int
+    since_ms: float
+    expires_at_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Forecast:
     """Expected durations of a step and its job, cached for a short time.
@@ -237,6 +264,12 @@
         reads them for each running step.
     pace
         Run time of the tasks on an average worker, as observed.
+    holds
+        Per worker: capacity that is kept for the step.
+    room_search_ms
+        Time of the next search for runs to stop for the step.
+    expects_room
+        Whether room will be made for the step once its advice is valid.
     held_by
         Name of the gate that kept the step from starting in the last pass; empty if none did.
     """
@@ -259,6 +292,9 @@
     last_tried_ms: float = 0.0
     plan: GangPlan | None = None
     forecast: Forecast | None = None
+    holds: dict[str, RoomHold] = field(default_factory=dict)
+    room_search_ms: float = 0.0
+    expects_room: bool = False
     held_by: str = ""
     pace: StepPace = field(default_factory=StepPace)
     charged: Resources = field(init=False)
@@ -441,6 +477,16 @@
         self.info = info
         self._update_free()
 
+    def accepts_starts(self, now_ms: float) -> bool:
+        """Return whether tasks may be placed on the worker, if it has the capacity."""
+        return (
+            self.settled
+            and self.has_current_info
+            and not self.stray_runs
+            and now_ms >= self.avoided_until_ms
+            and self.unanswered_since_ms is None
+        )
+
     @property
     def has_current_info(self) -> bool:
         """Return whether the entry is that of the incarnation whose reports are applied.
