Limit for how long a step waits for room that its advice delays

Cause: a step that was to get room kept renewing its advice after its turn had passed.

Change: the expectation ends after two searches; the test of an unanswered stop now demands that another run is stopped.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -307,7 +307,7 @@
         good = advice.approved_workers(state.cell, step) if is_advice_due else []
         fits = choose_gang(step, good, state.reservations, state.now_ms, run_ms) is not None
         at_ms = _plan_and_reserve(state, step, group)
-        return state.now_ms if fits or step.expects_room else at_ms
+        return state.now_ms if fits or state.now_ms < step.expects_room_until_ms else at_ms
     step.plan = None
     number = state.cell.next_run_number(max(task.last_run for task in step.tasks))
     for task, worker_id in zip(step.tasks, assignment.worker_ids, strict=True):
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/preemption.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/preemption.py
@@ -108,7 +108,6 @@
         """Stop runs for a step if it would be late otherwise."""
         count = self._admitted_count(step)
         workers = self._usable_workers(step)
-        step.expects_room = False
         if not count or not workers:
             return
         step.room_search_ms = self._now_ms + STEP_INTERVAL_MS
@@ -119,9 +118,9 @@
         rooms = self._affordable_room(step, rank, ready, count)
         if rooms:
             self._apply(step, rank, rooms)
-        elif len(ready) < len(workers):
+        elif len(ready) < len(workers) and self._affordable_room(step, rank, workers, count):
             # Nothing is stopped before the advice is valid, or its room would idle until then.
-            step.expects_room = bool(self._affordable_room(step, rank, workers, count))
+            step.expects_room_until_ms = self._now_ms + 2 * STEP_INTERVAL_MS
 
     def _admitted_count(self, step: Step) -> int:
         """Return how many tasks of a step wait and may start as far as the gates are concerned."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -256,8 +256,8 @@
         Per worker: capacity that is kept for the step.
     room_search_ms
         Time of the next search for runs to stop for the step.
-    expects_room
-        Whether room will be made for the step once its advice is valid.
+    expects_room_until_ms
+        Time until which room is to be made for the step as soon as its advice is valid.
     held_by
         Name of the gate that kept the step from starting in the last pass; empty if none did.
     """
@@ -282,7 +282,7 @@
     forecast: Forecast | None = None
     holds: dict[str, RoomHold] = field(default_factory=dict)
     room_search_ms: float = 0.0
-    expects_room: bool = False
+    expects_room_until_ms: float = 0.0
     held_by: str = ""
     charged: Resources = field(init=False)
 
--- a/tests/unit/test_queue_preemption.py
+++ b/tests/unit/test_queue_preemption.py
@@ -123,12 +123,12 @@
     assert not world.stopped
 
 
-def preempted_world(*workers: str):
+def preempted_world(*workers: str, queue=URGENT):
     """Return a cell in which one of two tasks is being stopped for an urgent one."""
     world = preempting_world(*workers)
     orders = start(world, "b", replace(SAVING, count=2 * max(1, len(workers))))
     world.now_ms += 300.0
-    submit(world, "u", step(cpu=4_000))
+    submit(world, "u", step(cpu=4_000), queue)
     (stop,) = world.stopped
     return world, next(order for order in orders if order.task == stop.task)
 
@@ -212,10 +212,14 @@
 
 
 def test_stop_that_is_never_answered_does_not_keep_the_step_waiting():
-    """Its capacity stays charged, the hold ends, and room is made on another worker."""
-    world, victim = preempted_world("w1", "w2")
-    world.now_ms += 650.0
+    """Its capacity stays charged, and another run is stopped once it is overdue."""
+    world, victim = preempted_world("w1", "w2", queue=replace(URGENT, slack_ms=2_000.0))
+    world.now_ms += 550.0
+    world.schedule()
+    assert len(world.stopped) == 1
+    world.now_ms += 100.0
     world.schedule()
+    assert len({(order.task, order.run) for order in world.stopped}) == 2
     assert world.worker(victim.worker_id).runs[victim.task, victim.run].state == RunState.STOPPING
     assert world.worker(victim.worker_id).used.cpu_millis == 8_000
     assert not world.started
