Learn which kinds of tasks slow each other down, and keep them apart

Change: interference.py learns pairs of kinds from ended runs by generalized least squares, and adds a term to the choice of a worker while a pair counts. Off by default (queues.keep_apart).

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -6,6 +6,7 @@
 from nutmeglb_decisions.queues.effects import Decision, Effect
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.headroom import ClassUsage
+from nutmeglb_decisions.queues.interference import Interference
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.state import FinishedJob, Job, PresumedEnd, Run, Step, Worker
 from nutmeglb_formats.models.queues import Queue, QueueConfig
@@ -57,6 +58,8 @@
         Per task and run number: runs whose end was inferred without a report of it.
     parts
         Optional parts that the configuration and the settings call for.
+    interference
+        Which kinds of tasks slow each other down; ``None`` if that is not learned.
     """
 
     term: int
@@ -83,6 +86,7 @@
     ended_unsettled: list[Step] = field(default_factory=list)
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
     parts: PassParts = field(default_factory=PassParts)
+    interference: Interference | None = None
 
     def configure(self, config: QueueConfig) -> None:
         """Replace the queue configuration."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/parts.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/parts.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from nutmeglb_decisions.queues.ranking import Rank
-from nutmeglb_decisions.queues.state import Step, Worker
+from nutmeglb_decisions.queues.state import Run, Step, Worker
 
 if TYPE_CHECKING:
     from nutmeglb_decisions.queues.cell import Cell
@@ -58,11 +58,12 @@
     Attributes
     ----------
     prepare
-        Returns the function for one pass, from the cell and the time.
+        Returns the function for one pass, from the cell and the time, or ``None`` if no time is
+        lost anywhere.
     """
 
     name: str
-    prepare: Callable[["Cell", float], LostTime]
+    prepare: Callable[["Cell", float], LostTime | None]
 
 
 class StartGate(Protocol):
@@ -77,6 +78,23 @@
         """Count a task of a step that was started in this pass."""
 
 
+@dataclass(frozen=True, slots=True)
+class RunObserver:
+    """Functions that learn from runs.
+
+    Attributes
+    ----------
+    record_start
+        Called for each start of a pass, after the run was charged to its worker.
+    record_end
+        Called with the time in milliseconds for each completed run whose duration shows the run
+        time of its task.
+    """
+
+    record_start: Callable[[Run, Worker], None]
+    record_end: Callable[["Cell", Worker, Run, float], None]
+
+
 @dataclass(frozen=True, slots=True)
 class PassParts:
     """The active parts.
@@ -95,3 +113,4 @@
     gates: tuple[Callable[["Cell", float], StartGate], ...] = ()
     before_pass: tuple[Callable[["SchedulingPass", RankedSteps], None], ...] = ()
     after_pass: tuple[Callable[["SchedulingPass", RankedSteps], None], ...] = ()
+    observers: tuple[RunObserver, ...] = ()
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -220,6 +220,8 @@
     if outcome == DONE:
         worker.consecutive_bad_runs = 0
         if not step.spec.lasting and run.confirmed_ms is not None and not run.resumed:
+            for observer in cell.parts.observers:
+                observer.record_end(cell, worker, run, now_ms)
             worker.slowness = cell.estimates.observe(
                 step.job.record.queue.name,
                 step.spec.estimate_ms,
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
@@ -68,7 +68,8 @@
         """Create the gates and worker terms of this pass."""
         parts = self.cell.parts
         self.gates = tuple(make(self.cell, self.now_ms) for make in parts.gates)
-        terms = tuple(term.prepare(self.cell, self.now_ms) for term in parts.worker_terms)
+        prepared = (term.prepare(self.cell, self.now_ms) for term in parts.worker_terms)
+        terms = tuple(lost_ms for lost_ms in prepared if lost_ms is not None)
         if terms:
             self.lost_ms = lambda step, worker, run_ms: sum(
                 term(step, worker, run_ms) for term in terms
@@ -106,6 +107,8 @@
     worker.runs[(run.task, number)] = run
     for gate in state.gates:
         gate.record_start(step)
+    for observer in cell.parts.observers:
+        observer.record_start(run, worker)
     state.reservations.charge(worker.worker_id, charged, expected_end_ms)
     state.planned.charge(worker.worker_id, charged, expected_end_ms)
     task.run = run
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -53,6 +53,8 @@
     resumed
         Whether the run started from a checkpoint or was adopted. Its duration then does not show
         the run time of the task.
+    beside
+        Shares of the worker's processors that other kinds of tasks used at the start, if recorded.
     """
 
     step: "Step"
@@ -73,6 +75,7 @@
     idle_since_ms: float | None = None
     idle_ms: float = 0.0
     resumed: bool = False
+    beside: dict[str, float] | None = None
 
     @property
     def task(self) -> str:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -75,6 +75,8 @@
     ----------
     on_lost
         Called with the cause when this leader must step down.
+    publish_metrics
+        Called with the cell at each load report.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         term: Term,
         incarnation: str,
         on_lost: Callable[[str], None],
+        publish_metrics: Callable[[Cell], None] = lambda _cell: None,
     ) -> None:
         self._live = live
         self._clock = clock
@@ -101,6 +104,7 @@
         self._lag = lag
         self._term = term
         self._on_lost = on_lost
+        self._publish_metrics = publish_metrics
         settings = live.current.queues
         run_lease_ms = settings.lease_of_runs_ms
         self.cell = Cell(
@@ -172,7 +176,8 @@
         self._request_pass()
 
     def _configure_cell(self, config: QueueConfig) -> None:
-        composition.configure(self.cell, config, PartOptions())
+        options = PartOptions(keep_apart=self._settings.keep_apart)
+        composition.configure(self.cell, config, options)
 
     def offer(self, job: QueueJob, revision: int) -> None:
         """Schedule a job whose acceptance is stored. Offers before the takeover are deferred.
@@ -339,6 +344,7 @@
         sent_ms = 0.0
         while True:
             now_ms = self._clock.now_ms()
+            self._publish_metrics(self.cell)
             pools.refresh(self.cell, now_ms)
             self.pools = pools.known_pools(now_ms)
             self.refusing = admission.refusing_queues(self.cell, now_ms)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -16,6 +16,7 @@
 from nutmeglb._internal.queues.leader import Leader
 from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.loop_lag import LoopLag
+from nutmeglb._internal.queues.part_metrics import PartMetrics
 from nutmeglb._internal.queues.peer_links import PeerLinks
 from nutmeglb._internal.queues.ports import Platform
 from nutmeglb._internal.queues.service import QueueService
@@ -94,6 +95,7 @@
             lambda gone: self._election.note_leader_connection_lost(gone),
         )
         self._lag = LoopLag(clock, metrics)
+        self._part_metrics = PartMetrics(metrics)
         self._advice_dispatcher = AdviceDispatcher(platform.advice, self._links, clock, self._lag)
         self._gate = StoreGate(platform.store, self._store_changed)
         self.config = ConfigWatch(
@@ -247,6 +249,7 @@
             term,
             self._incarnation,
             self._leadership_ended,
+            self._part_metrics.publish,
         )
         await self._leader.start(config)
 
@@ -257,6 +260,7 @@
         leader, self._leader = self._leader, None
         if leader is not None:
             await leader.stop()
+        self._part_metrics.publish(None)
 
     def _store_changed(self, answers: bool) -> None:
         kind = "store_regained" if answers else "store_lost"
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
@@ -67,6 +67,9 @@
     inbox_ms: float = Field(1_000, ge=50, le=10_000, description="Between reads of new jobs.")
     commit_ms: float = Field(30, ge=1, le=1_000, description="Between two commits.")
     status_s: float = Field(120, ge=1, le=86_400, description="A finished job is kept this long.")
+    keep_apart: bool = Field(
+        False, description="Keeps tasks apart that slow each other down on one worker."
+    )
 
     @property
     def lease_of_runs_ms(self) -> int:
