--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -6,6 +6,7 @@
 from nutmeglb_decisions.queues.effects import Decision, Effect
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.headroom import ClassUsage
+from nutmeglb_decisions.queues.interference import Interference
 from nutmeglb_decisions.queues.lost_work import PreemptionUsage
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.run_sums import RunSums
@@ -67,6 +68,8 @@
         Optional parts that the configuration and the settings call for.
     preemption
         Work lost to preemption under this leader.
+    interference
+        Which kinds of tasks slow each other down; ``None`` if that is not learned.
     """
 
     term: int
@@ -97,6 +100,7 @@
     team_rates: TeamRates = field(default_factory=TeamRates)
     parts: PassParts = field(default_factory=PassParts)
     preemption: PreemptionUsage = field(default_factory=PreemptionUsage)
+    interference: Interference | None = None
 
     def configure(self, config: QueueConfig) -> None:
         """Replace the queue configuration."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
@@ -3,8 +3,9 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, fields
 
-from nutmeglb_decisions.queues import quotas, team_shares
+from nutmeglb_decisions.queues import interference, quotas, team_shares
 from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.interference import Interference
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.preemption import PreemptionOptions, make_preemption
 from nutmeglb_decisions.queues.room_holds import reserve_holds
@@ -20,24 +21,35 @@
     ----------
     preemption
         Bounds of preemption; ``None`` if it is off.
+    keep_apart
+        Whether kinds of tasks that slow each other down are learned and kept apart.
     """
 
     preemption: PreemptionOptions | None = None
+    keep_apart: bool = False
 
 
 def configure(cell: Cell, config: QueueConfig, options: PartOptions) -> None:
     """Replace the configuration of a cell, and its active parts."""
     cell.configure(config)
     cell.estimates.team_limits = effective_limits(config)
-    cell.parts = active_parts(config, options)
+    if not options.keep_apart:
+        cell.interference = None
+    elif cell.interference is None:
+        cell.interference = Interference()
+    cell.parts = active_parts(config, options, cell.interference)
 
 
-def active_parts(config: QueueConfig, options: PartOptions) -> PassParts:
+def active_parts(
+    config: QueueConfig, options: PartOptions, learned: Interference | None = None
+) -> PassParts:
     """Return the parts that a configuration and the settings call for."""
-    return _combined(_parts(config, options))
+    return _combined(_parts(config, options, learned))
 
 
-def _parts(config: QueueConfig, options: PartOptions) -> Iterator[PassParts]:
+def _parts(
+    config: QueueConfig, options: PartOptions, learned: Interference | None
+) -> Iterator[PassParts]:
     """Yield the active parts, in the order in which they act on a pass."""
     rate_term = team_shares.order_term(config)
     if rate_term is not None:
@@ -48,6 +60,8 @@
     if options.preemption is not None:
         preempt = make_preemption(options.preemption)
         yield PassParts(before_pass=(reserve_holds,), after_pass=(preempt,))
+    if learned is not None:
+        yield interference.active(learned)
 
 
 def _combined(parts: Iterable[PassParts]) -> PassParts:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/parts.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/parts.py
@@ -58,11 +58,12 @@
     Attributes
     ----------
     prepare
-        Returns the function for one pass, from the cell and the time.
+        Returns the function for one pass, from the cell and the time, or ``None`` if no time is
+        lost anywhere.
     """
 
     name: str
-    prepare: Callable[["Cell", float], LostTime]
+    prepare: Callable[["Cell", float], LostTime | None]
 
 
 class StartGate(Protocol):
@@ -77,6 +78,23 @@
         """Count a task of a step that was started in this pass."""
 
 
+@dataclass(frozen=True, slots=True)
+class RunObserver:
+    """Functions that learn from runs.
+
+    Attributes
+    ----------
+    record_start
+        Called for each start of a pass, after the run was charged to its worker.
+    record_end
+        Called with the time in milliseconds for each completed run whose duration shows the run
+        time of its task.
+    """
+
+    record_start: Callable[[Run, Worker], None]
+    record_end: Callable[["Cell", Worker, Run, float], None]
+
+
 @dataclass(frozen=True, slots=True)
 class PassParts:
     """The active parts.
@@ -99,3 +117,4 @@
     before_pass: tuple[Callable[["SchedulingPass", RankedSteps], None], ...] = ()
     after_pass: tuple[Callable[["SchedulingPass", RankedSteps], None], ...] = ()
     victim_terms: tuple[Callable[["Cell", float], Callable[[Run], float]], ...] = ()
+    observers: tuple[RunObserver, ...] = ()
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -224,6 +224,8 @@
         worker.consecutive_bad_runs = 0
         speeds.observe_end(cell, worker, run, now_ms)
         if not step.spec.lasting and run.confirmed_ms is not None and not run.resumed:
+            for observer in cell.parts.observers:
+                observer.record_end(cell, worker, run, now_ms)
             worker.slowness = cell.estimates.observe(
                 step.job.record.queue.name,
                 step.spec.estimate_ms,
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -61,6 +61,8 @@
     free_by_ms
         Time by which its capacity is expected to be free, if it is being stopped for other work;
         0 otherwise.
+    beside
+        Shares of the worker's processors that other kinds of tasks used at the start, if recorded.
     """
 
     step: "Step"
@@ -84,6 +86,7 @@
     progress: RunProgress | None = None
     own_end_ms: float | None = None
     free_by_ms: float = 0.0
+    beside: dict[str, float] | None = None
 
     @property
     def task(self) -> str:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -81,6 +81,8 @@
     ----------
     on_lost
         Called with the cause when this leader must step down.
+    publish_metrics
+        Called with the cell at each load report.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         incarnation: str,
         on_lost: Callable[[str], None],
         metrics: Metrics | None = None,
+        publish_metrics: Callable[[Cell], None] = lambda _cell: None,
     ) -> None:
         self._live = live
         self._clock = clock
@@ -108,6 +111,7 @@
         self._lag = lag
         self._term = term
         self._on_lost = on_lost
+        self._publish_metrics = publish_metrics
         settings = live.current.queues
         run_lease_ms = settings.lease_of_runs_ms
         self.cell = Cell(
@@ -186,7 +190,8 @@
             if settings.allows_preemption
             else None
         )
-        composition.configure(self.cell, config, PartOptions(preemption))
+        options = PartOptions(preemption, settings.keep_apart)
+        composition.configure(self.cell, config, options)
 
     def offer(self, job: QueueJob, revision: int) -> None:
         """Schedule a job whose acceptance is stored. Offers before the takeover are deferred.
@@ -358,6 +363,7 @@
         sent_ms = 0.0
         while True:
             now_ms = self._clock.now_ms()
+            self._publish_metrics(self.cell)
             pools.refresh(self.cell, now_ms)
             self.pools = pools.known_pools(now_ms)
             if self.cell.config is not None and self.cell.config.teams:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
@@ -77,6 +77,9 @@
     restore_ms: float = Field(
         1_000, ge=0, le=600_000, description="Time that a task needs to resume from a checkpoint."
     )
+    keep_apart: bool = Field(
+        False, description="Keeps tasks apart that slow each other down on one worker."
+    )
 
     @property
     def allows_preemption(self) -> bool:
