--- a/measure/interference.py
+++ b/measure/interference.py
@@ -15,7 +15,8 @@
 from nutmeglb_decisions.queues.interference import Pair, shares_beside
 from nutmeglb_decisions.queues.orders import StartOutcome, apply_start_answer
 from nutmeglb_decisions.queues.ranking import objective_ms
-from nutmeglb_decisions.queues.state import Run, Worker
+from nutmeglb_decisions.queues.state import Run
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.queues import Queue, QueueConfig, QueueJob, StepSpec
 from nutmeglb_formats.models.resources import Resources
 
--- a/measure/queue_uneven.py
+++ b/measure/queue_uneven.py
@@ -32,9 +32,10 @@
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_decisions.queues.parts import LostTime
 from nutmeglb_decisions.queues.ranking import LATE_FACTOR, Rank, Tier, objective_ms, rank_of
-from nutmeglb_decisions.queues.state import Step, Worker
+from nutmeglb_decisions.queues.state import Step
 from nutmeglb_decisions.queues.waiting_order import RankFunction
 from nutmeglb_decisions.queues.worker_selection import Reservations, choose_single, slots_on
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.queues import (
     EndedTask,
     RunningTask,
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
@@ -11,7 +11,8 @@
 from nutmeglb_decisions.queues import presumed_ends
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.lifecycle import end_run, repeat_stop
-from nutmeglb_decisions.queues.state import Run, RunState, Worker
+from nutmeglb_decisions.queues.state import Run, RunState
+from nutmeglb_decisions.queues.worker_state import Worker
 
 # Outcome of a run that cannot be active any more, without a reported end.
 LOST = "lost"
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -15,8 +15,9 @@
 
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import RequestAdvice
-from nutmeglb_decisions.queues.state import Step, Worker
+from nutmeglb_decisions.queues.state import Step
 from nutmeglb_decisions.queues.worker_selection import slots_on
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.queues import AdviceTiming
 from nutmeglb_formats.models.resources import Resources
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -10,9 +10,10 @@
 from nutmeglb_decisions.queues.lost_work import PreemptionUsage
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.run_sums import RunSums
-from nutmeglb_decisions.queues.state import FinishedJob, Job, PresumedEnd, Run, Step, Worker
+from nutmeglb_decisions.queues.state import FinishedJob, Job, PresumedEnd, Run, Step
 from nutmeglb_decisions.queues.team_rates import TeamRates
 from nutmeglb_decisions.queues.worker_speed import Speeds
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.queues import Queue, QueueConfig
 
 # The run numbers of a term start at the term times this number, so that they increase from leader
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/gang_plans.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/gang_plans.py
@@ -7,8 +7,10 @@
 
 from collections.abc import Mapping, Sequence
 
-from nutmeglb_decisions.queues.state import GangPlan, Run, Step, Worker
+from nutmeglb_decisions.queues.state import Run, Step
+from nutmeglb_decisions.queues.step_state import GangPlan
 from nutmeglb_decisions.queues.worker_selection import Reservation, Reservations, slots_on
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.resources import Resources
 
 # A run that has passed its expected end is expected to take this share of its age longer, because
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/headroom.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/headroom.py
@@ -9,7 +9,7 @@
 from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from nutmeglb_decisions.queues.state import Worker
+from nutmeglb_decisions.queues.worker_state import Worker
 
 # The recorded peak usage of a class halves in this time; urgent tasks last about a second.
 PEAK_HALF_LIFE_MS = 2_000.0
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/idle_jobs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/idle_jobs.py
@@ -4,9 +4,10 @@
 from itertools import islice
 
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.state import Job, Run, RunState, Worker
+from nutmeglb_decisions.queues.state import Job, Run, RunState
 from nutmeglb_decisions.queues.waiting import log_wait
 from nutmeglb_decisions.queues.waiting_order import runnable_steps
+from nutmeglb_decisions.queues.worker_state import Worker
 
 # Poll interval, and the time after which an idle job is reported if its service has free capacity.
 POLL_INTERVAL_MS = 2_000.0
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/interference.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/interference.py
@@ -27,7 +27,8 @@
     RunObserver,
     WorkerTerm,
 )
-from nutmeglb_decisions.queues.state import Run, Step, Worker
+from nutmeglb_decisions.queues.state import Run, Step
+from nutmeglb_decisions.queues.worker_state import Worker
 
 if TYPE_CHECKING:
     from nutmeglb_decisions.queues.cell import Cell
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -6,7 +6,8 @@
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StopTask
 from nutmeglb_decisions.queues.lifecycle import RETRY_DELAY_MS, end_run, stop_run
-from nutmeglb_decisions.queues.state import Run, RunState, Worker
+from nutmeglb_decisions.queues.state import Run, RunState
+from nutmeglb_decisions.queues.worker_state import Worker
 
 # A worker gets no new task for this long after it refused one because of its own state.
 REFUSAL_AVOID_MS = 500.0
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/parts.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/parts.py
@@ -11,7 +11,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 from nutmeglb_decisions.queues.ranking import Rank
-from nutmeglb_decisions.queues.state import Run, Step, Worker
+from nutmeglb_decisions.queues.state import Run, Step
+from nutmeglb_decisions.queues.worker_state import Worker
 
 if TYPE_CHECKING:
     from nutmeglb_decisions.queues.cell import Cell
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -10,7 +10,7 @@
 from nutmeglb_decisions.queues.headroom import spare_cpu
 from nutmeglb_decisions.queues.ranking import Rank, Tier, rank_of
 from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass, start_task
-from nutmeglb_decisions.queues.state import Step, Worker
+from nutmeglb_decisions.queues.state import Step
 from nutmeglb_decisions.queues.waiting_order import RankFunction, ranked_steps, startable_tasks
 from nutmeglb_decisions.queues.worker_selection import (
     Reservations,
@@ -18,6 +18,7 @@
     choose_single,
     slots_on,
 )
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.exceptions import InvariantViolation
 
 # Share of the CPU of a gang's eligible workers that the waiting gangs of a service may reserve.
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/preemption.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/preemption.py
@@ -19,10 +19,12 @@
 from nutmeglb_decisions.queues.ranking import Rank, Tier
 from nutmeglb_decisions.queues.room_holds import is_incoming, lost_room
 from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass
-from nutmeglb_decisions.queues.state import RoomHold, RunState, Step, Worker
+from nutmeglb_decisions.queues.state import RunState, Step
+from nutmeglb_decisions.queues.step_state import RoomHold
 from nutmeglb_decisions.queues.victim_choice import Victim, VictimClass, VictimSearch
 from nutmeglb_decisions.queues.waiting_order import startable_tasks
 from nutmeglb_decisions.queues.worker_selection import component_min, slots_on
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_decisions.victims import Candidate, cheapest_victims
 from nutmeglb_formats.models.resources import Resources
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ranking.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ranking.py
@@ -12,7 +12,8 @@
 from enum import IntEnum
 
 from nutmeglb_decisions.queues.estimates import Estimates
-from nutmeglb_decisions.queues.state import Forecast, Job, Step
+from nutmeglb_decisions.queues.state import Job, Step
+from nutmeglb_decisions.queues.step_state import Forecast
 from nutmeglb_decisions.queues.team_limits import waves
 
 # A job that takes longer than this many times its objective is useless to its caller, according to
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -7,7 +7,8 @@
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.lifecycle import DONE, FAILED, apply_end, end_run, repeat_stop
 from nutmeglb_decisions.queues.names import TaskName, parse_task
-from nutmeglb_decisions.queues.state import Run, RunState, Task, Worker
+from nutmeglb_decisions.queues.state import Run, RunState, Task
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.queues import EndedTask, QueueWorker, RunningTask, WorkerReport
 
 # Maximum number of ends in one report, from the platform's protocol. A report with this
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/room_holds.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/room_holds.py
@@ -10,9 +10,11 @@
 
 from nutmeglb_decisions.queues.parts import RankedSteps
 from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass
-from nutmeglb_decisions.queues.state import RoomHold, Run, RunState, Step, Worker
+from nutmeglb_decisions.queues.state import Run, RunState, Step
+from nutmeglb_decisions.queues.step_state import RoomHold
 from nutmeglb_decisions.queues.waiting_order import startable_tasks
 from nutmeglb_decisions.queues.worker_selection import Reservation
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.resources import Resources
 
 NOTHING = Resources()
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/run_sums.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/run_sums.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from nutmeglb_decisions.queues.state import Worker
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.resources import Resources
 
 # Per team: millicores, bytes of memory and accelerators. Plain numbers, because they are summed for
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
@@ -9,8 +9,9 @@
 from nutmeglb_decisions.queues.effects import StartTask
 from nutmeglb_decisions.queues.headroom import usable_spare_cpu
 from nutmeglb_decisions.queues.parts import LostTime, StartGate
-from nutmeglb_decisions.queues.state import Run, Step, Task, Worker
+from nutmeglb_decisions.queues.state import Run, Step, Task
 from nutmeglb_decisions.queues.worker_selection import Reservations
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.resources import Resources
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/speeds.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/speeds.py
@@ -14,8 +14,9 @@
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.estimates import DEFAULT_RUN_MS
 from nutmeglb_decisions.queues.run_progress import FULL_POINTS, MIN_POINTS, RunProgress
-from nutmeglb_decisions.queues.state import Run, RunState, Step, Worker
+from nutmeglb_decisions.queues.state import Run, RunState, Step
 from nutmeglb_decisions.queues.worker_speed import WorkerSpeed
+from nutmeglb_decisions.queues.worker_state import Worker
 
 # Variance of the logarithm of the run times of a step's tasks.
 TASK_VARIANCE = 0.03
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/stray_runs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/stray_runs.py
@@ -8,7 +8,7 @@
 
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StopTask
-from nutmeglb_decisions.queues.state import Worker
+from nutmeglb_decisions.queues.worker_state import Worker
 
 
 def track(cell: Cell, worker: Worker, key: tuple[str, int], now_ms: float) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/team_use.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/team_use.py
@@ -13,8 +13,9 @@
 
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.names import parse_task
-from nutmeglb_decisions.queues.state import Step, Worker
+from nutmeglb_decisions.queues.state import Step
 from nutmeglb_decisions.queues.worker_selection import slots_on
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_decisions.shares import TeamUse
 from nutmeglb_formats.models.resources import Resources
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/victim_choice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/victim_choice.py
@@ -13,8 +13,9 @@
 from nutmeglb_decisions.queues.gang_plans import expected_end_ms
 from nutmeglb_decisions.queues.ranking import LIMIT_FACTORS, Tier, forecast_of
 from nutmeglb_decisions.queues.room_holds import NOTHING
-from nutmeglb_decisions.queues.state import Run, RunState, Step, Worker
+from nutmeglb_decisions.queues.state import Run, RunState, Step
 from nutmeglb_decisions.queues.waiting_order import due_ms
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_decisions.victims import Candidate
 
 # Additional loss, in millicores times milliseconds, that a part assigns to the stop of a run. A
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_selection.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_selection.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass, field
 
 from nutmeglb_decisions.queues.parts import LostTime
-from nutmeglb_decisions.queues.state import Step, Worker
+from nutmeglb_decisions.queues.state import Step
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.resources import Resources
 
 UNLIMITED = 1_000_000
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_speed.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_speed.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass, field
 from statistics import median
 
-from nutmeglb_decisions.queues.state import Step, Worker
+from nutmeglb_decisions.queues.state import Step
+from nutmeglb_decisions.queues.worker_state import Worker
 
 # Variance of the logarithm of the speed of a worker of which nothing is known.
 PRIOR_VARIANCE = 0.16
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -0,0 +1,115 @@
+"""State of a worker in the queue scheduler."""
+
+from dataclasses import dataclass, field
+
+from nutmeglb_decisions.queues.state import Run
+from nutmeglb_formats.models.queues import QueueWorker
+from nutmeglb_formats.models.resources import Resources
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """A worker, and all runs that it may have.
+
+    Attributes
+    ----------
+    info
+        Latest entry of the worker in the store, possibly that of a former incarnation.
+    started_ms
+        Start time of the current incarnation, from its reports or its entry.
+    used, free, utilization
+        Capacity charged by all runs, asserted to stay within the total; the free capacity; and the
+        largest used share of any resource. They are cached, because a pass reads them far more
+        often than they change.
+    last_applied_end
+        Highest number of an end that was applied.
+    lease_expires_at_ms
+        Time at which all runs on the worker have certainly ended if no renewal arrives.
+    reported_started_ms
+        Start time of the incarnation that sent the last report; ``None`` before the first one.
+    former_report_ms
+        Time of the last report of the former incarnation.
+    first_answer_ms
+        Time of the first answer of the current incarnation, which has accepted the fencing token of
+        this leader by then.
+    settled
+        Whether the runs that former leaders left on the current incarnation are known.
+    avoided_until_ms
+        Time before which no task is placed on the worker.
+    last_report_ms
+        Time of the last report.
+    consecutive_bad_runs
+        Failed or stuck runs since the last completed one.
+    slowness
+        Learned ratio of the run times on the worker to those on an average one.
+    stray_runs
+        Runs on the worker that belong to no unfinished job, and the time at which it accepted their
+        stop, or ``None``. Their size may be unknown, so no task is placed beside them.
+    """
+
+    info: QueueWorker
+    used: Resources = field(default_factory=Resources)
+    runs: dict[tuple[str, int], Run] = field(default_factory=dict)
+    listed: bool = True
+    last_listed_ms: float = 0.0
+    last_applied_end: int = 0
+    lease_expires_at_ms: float = 0.0
+    reported_started_ms: int | None = None
+    former_report_ms: float = 0.0
+    first_answer_ms: float | None = None
+    settled: bool = False
+    avoided_until_ms: float = 0.0
+    unanswered_since_ms: float | None = None
+    last_report_ms: float = 0.0
+    consecutive_bad_runs: int = 0
+    slowness: float = 1.0
+    stray_runs: dict[tuple[str, int], float | None] = field(default_factory=dict)
+    worker_id: str = field(init=False)
+    started_ms: int = field(init=False)
+    free: Resources = field(init=False)
+    utilization: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.worker_id = self.info.worker_id
+        self.started_ms = self.info.started_ms
+        self._update_free()
+
+    def update_info(self, info: QueueWorker) -> None:
+        """Replace the entry of the worker with a newer one."""
+        self.info = info
+        self._update_free()
+
+    def accepts_starts(self, now_ms: float) -> bool:
+        """Return whether tasks may be placed on the worker, if it has the capacity."""
+        return (
+            self.settled
+            and self.has_current_info
+            and not self.stray_runs
+            and now_ms >= self.avoided_until_ms
+            and self.unanswered_since_ms is None
+        )
+
+    @property
+    def has_current_info(self) -> bool:
+        """Return whether the entry is that of the incarnation whose reports are applied.
+
+        Capacity and labels may change with an incarnation. Start times of 0, which stand for a
+        missing one, are not compared.
+        """
+        return self.info.started_ms == self.started_ms or not (
+            self.info.started_ms and self.started_ms
+        )
+
+    def charge(self, amount: Resources) -> None:
+        """Charge the capacity of a run."""
+        self.used = self.used + amount
+        self._update_free()
+
+    def release_capacity(self, amount: Resources) -> None:
+        """Release the capacity of a run that has ended."""
+        self.used = self.used - amount
+        self._update_free()
+
+    def _update_free(self) -> None:
+        self.free = self.info.capacity - self.used
+        self.utilization = self.used.dominant_share(self.info.capacity)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -18,10 +18,10 @@
 from nutmeglb._internal.queues.inbox_reader import InboxReader
 from nutmeglb._internal.queues.learned_store import LearnedStore
 from nutmeglb._internal.queues.live_settings import LiveSettings
+from nutmeglb._internal.queues.load_reports import Load, LoadReports
 from nutmeglb._internal.queues.loop_lag import LoopLag
 from nutmeglb._internal.queues.pass_pacing import PassPacer
 from nutmeglb._internal.queues.peer_links import PeerLinks
-from nutmeglb._internal.queues.pool_reports import pools_report
 from nutmeglb._internal.queues.ports import Platform
 from nutmeglb._internal.queues.settings import QueueSection
 from nutmeglb._internal.queues.stored_jobs import Inbox
@@ -29,7 +29,6 @@
 from nutmeglb._internal.queues.worker_links import WorkerLinks
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import (
-    admission,
     advice,
     composition,
     lifecycle,
@@ -40,7 +39,6 @@
     speeds,
     stuck_runs,
     takeover_wait,
-    team_admission,
     waiting,
 )
 from nutmeglb_decisions.queues.cell import Cell
@@ -48,20 +46,15 @@
 from nutmeglb_decisions.queues.effects import Effect, RequestAdvice
 from nutmeglb_decisions.queues.idle_jobs import IdleJobMonitor
 from nutmeglb_decisions.queues.names import parse_task
-from nutmeglb_decisions.queues.pools import Pool, Pools
 from nutmeglb_decisions.queues.preemption import PreemptionOptions
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.queue_records import Waits
 from nutmeglb_formats.models.queues import QueueConfig, QueueJob
-from nutmeglb_formats.wire.queues import LoadReport, PoolsReport
 
 logger = get_logger("leader")
 
 MS_PER_S = 1_000.0
 TICK_MS = 100.0
-LOAD_REPORT_INTERVAL_MS = 250.0
-# An unchanged report is repeated after this time, before the followers' copies expire.
-LOAD_REPORT_REPEAT_MS = 1_000.0
 RETRY_MS = 100.0
 # A leader that cannot load its state within this time steps down. Loading takes one second on the
 # slowest link in the users' requirements. The limit equals the default time after which a store
@@ -111,7 +104,6 @@
         self._lag = lag
         self._term = term
         self._on_lost = on_lost
-        self._publish_metrics = publish_metrics
         settings = live.current.queues
         run_lease_ms = settings.lease_of_runs_ms
         self.cell = Cell(
@@ -147,13 +139,16 @@
         self._background = BackgroundTasks()
         self._wake = asyncio.Event()
         self._idle_jobs = IdleJobMonitor()
+        self._load_reports = LoadReports(self.cell, clock, links, publish_metrics)
         self._takeover_wait = takeover_wait.TakeoverWait(0.0, 0.0, 0.0)
         self._revision = 0
         self.loaded = False
         self._early_offers: list[tuple[QueueJob, int]] = []
-        self.refusing: dict[str, float] = {}
-        self.refusing_teams: dict[tuple[str, str], float] = {}
-        self.pools: list[Pool] = []
+
+    @property
+    def load(self) -> Load:
+        """Return the load as last computed."""
+        return self._load_reports.load
 
     @property
     def _settings(self) -> QueueSection:
@@ -271,7 +266,7 @@
             ).run(self._revision),
             self._pass_loop(),
             self._tick_loop(),
-            self._load_report_loop(),
+            self._load_reports.run(),
             self._prune_finished_loop(),
             self._learned.run(),
         ):
@@ -357,30 +352,6 @@
         lifecycle.create_due_occurrences(self.cell, wall_ms)
         self._request_pass()
 
-    async def _load_report_loop(self) -> None:
-        pools = Pools.begin(self._clock.now_ms())
-        sent: tuple[LoadReport, PoolsReport] | None = None
-        sent_ms = 0.0
-        while True:
-            now_ms = self._clock.now_ms()
-            self._publish_metrics(self.cell)
-            pools.refresh(self.cell, now_ms)
-            self.pools = pools.known_pools(now_ms)
-            if self.cell.config is not None and self.cell.config.teams:
-                self.refusing = {}
-                self.refusing_teams = team_admission.refusing_teams(self.cell)
-            else:
-                self.refusing = admission.refusing_queues(self.cell, now_ms)
-                self.refusing_teams = {}
-            rows = [(*names, retry_ms) for names, retry_ms in sorted(self.refusing_teams.items())]
-            load_report = LoadReport(sorted(self.refusing.items()), rows)
-            reports_now = load_report, pools_report(self.pools)
-            if reports_now != sent or now_ms - sent_ms >= LOAD_REPORT_REPEAT_MS:
-                for report in reports_now:
-                    self._links.broadcast(report)
-                sent, sent_ms = reports_now, now_ms
-            await asyncio.sleep(LOAD_REPORT_INTERVAL_MS / MS_PER_S)
-
     async def _pass_loop(self) -> None:
         pacer = PassPacer()
         while True:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -202,7 +202,8 @@
         config = self._config.current
         leader = self._leader()
         if leader is not None:
-            return LoadView(leader.refusing, leader.refusing_teams, leader.pools, config)
+            load = leader.load
+            return LoadView(load.refusing, load.refusing_teams, load.pools, config)
         if self._clock.now_ms() - self._load_report_ms > MAX_LOAD_REPORT_AGE_MS:
             return LoadView(config=config)
         return LoadView(self._refusing, self._refusing_teams, self._pools, config)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -14,7 +14,7 @@
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import PaceTask, StartTask, StopTask
 from nutmeglb_decisions.queues.orders import StartOutcome
-from nutmeglb_decisions.queues.state import Worker
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.clock import Clock
 
 logger = get_logger("workers")
--- a/tests/lib/queues.py
+++ b/tests/lib/queues.py
@@ -7,7 +7,8 @@
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import Effect, RequestAdvice, StartTask, StopTask
 from nutmeglb_decisions.queues.orders import StartOutcome, apply_start_answer
-from nutmeglb_decisions.queues.state import Job, Worker
+from nutmeglb_decisions.queues.state import Job
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.queues import (
     AdviceTiming,
     EndedTask,
--- a/tests/unit/test_queue_leases_and_records.py
+++ b/tests/unit/test_queue_leases_and_records.py
@@ -13,7 +13,7 @@
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StartTask
 from nutmeglb_decisions.queues.orders import StartOutcome
-from nutmeglb_decisions.queues.state import Worker
+from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.clock import ManualClock
 from nutmeglb_formats.models.queue_records import JobProgress
 from nutmeglb_formats.models.queues import StepProgress, WorkerReport
--- a/tests/unit/test_queue_submissions.py
+++ b/tests/unit/test_queue_submissions.py
@@ -11,6 +11,7 @@
 from nutmeglb._internal.queues import keys
 from nutmeglb._internal.queues import service as service_module
 from nutmeglb._internal.queues import submissions as module
+from nutmeglb._internal.queues.load_reports import Load
 from nutmeglb._internal.queues.ports import Commit, StoredItem
 from nutmeglb._internal.queues.service import QueueService
 from nutmeglb._internal.queues.submissions import Submission, Submissions
@@ -181,9 +182,7 @@
     world.answers = [ACCEPTED]
     leader = SimpleNamespace(
         loaded=False,
-        refusing={BATCH.name: 500.0},
-        refusing_teams={},
-        pools=[],
+        load=Load(refusing={BATCH.name: 500.0}),
         offer=lambda job, revision: None,
     )
     links = SimpleNamespace(on=lambda kind, handler: None, leader_id="")
