--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -20,6 +20,7 @@
 from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.load_reports import Load, LoadReports
 from nutmeglb._internal.queues.loop_lag import LoopLag
+from nutmeglb._internal.queues.part_options import part_options
 from nutmeglb._internal.queues.pass_pacing import PassPacer
 from nutmeglb._internal.queues.peer_links import PeerLinks
 from nutmeglb._internal.queues.ports import Platform
@@ -42,11 +43,9 @@
     waiting,
 )
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.composition import PartOptions
 from nutmeglb_decisions.queues.effects import Effect, RequestAdvice
 from nutmeglb_decisions.queues.idle_jobs import IdleJobMonitor
 from nutmeglb_decisions.queues.names import parse_task
-from nutmeglb_decisions.queues.preemption import PreemptionOptions
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.queue_records import Waits
 from nutmeglb_formats.models.queues import QueueConfig, QueueJob
@@ -179,14 +178,7 @@
         self._request_pass()
 
     def _configure_cell(self, config: QueueConfig) -> None:
-        settings = self._settings
-        preemption = (
-            PreemptionOptions(settings.max_stop_ms, settings.restore_ms)
-            if settings.allows_preemption
-            else None
-        )
-        options = PartOptions(preemption, settings.keep_apart)
-        composition.configure(self.cell, config, options)
+        composition.configure(self.cell, config, part_options(self._settings))
 
     def offer(self, job: QueueJob, revision: int) -> None:
         """Schedule a job whose acceptance is stored. Offers before the takeover are deferred.
