Count the slowness of workers in the time lost to interference

Cause: lost time is compared before slowness, so a worker three times slower won over a fast one with a small slow-down.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/interference.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/interference.py
@@ -215,7 +215,8 @@
                     lost += math.expm1(others[name] * share) * left_ms
             if lost > 0.0:
                 self._losing[id(step)].add(worker.worker_id)
-            return lost
+            # Lost time is compared before slowness, so a slow worker must not win by a little.
+            return lost + run_ms * (worker.slowness - 1)
 
         return lost_ms
 
--- a/tests/unit/test_queue_interference.py
+++ b/tests/unit/test_queue_interference.py
@@ -7,10 +7,12 @@
 import pytest
 
 from measure.interference import SCENES, SyntheticCell
+from nutmeglb._internal.queues.part_metrics import PartMetrics
 from nutmeglb_decisions.queues import composition
 from nutmeglb_decisions.queues.interference import MAX_GROUPS, MAX_KINDS, Interference, Pair
-from nutmeglb_decisions.queues.interference_evidence import MAX_NAMES
+from nutmeglb_decisions.queues.interference_evidence import HALF_LIFE_MS, MAX_NAMES
 from nutmeglb_decisions.queues.least_squares import solve_with_inverse
+from tests.lib.metrics import RecordingMetrics
 from tests.lib.queues import BATCH, CONFIG, URGENT, CellWorld, job, step, worker_info
 
 AB = ("a", "b")
@@ -34,6 +36,9 @@
     cell = SyntheticCell(SCENES[scene], seed=1)
     cell.simulate()
     assert set(cell.counted) == expected
+    learned = cell.cell.interference
+    learned.poll(cell.cell, cell.now_ms + 10 * HALF_LIFE_MS)
+    assert not learned.pairs
 
 
 def test_pair_counts_only_while_its_effect_lasts():
@@ -70,6 +75,19 @@
     assert world.cell.interference.take_placements() == placements
 
 
+@pytest.mark.parametrize(("slowness", "apart"), [(1.0, True), (1.5, True), (3.0, False)])
+def test_much_slower_worker_is_not_used_to_avoid_a_slow_down(slowness, apart):
+    world = world_with_pair(2)
+    world.add(job("batch", step(cpu=8_000)))
+    world.schedule()
+    (order,) = world.answer_starts()
+    for worker in world.cell.workers.values():
+        worker.slowness = 1.0 if worker.worker_id == order.worker_id else slowness
+    world.add(job("urgent", step(), queue=URGENT))
+    world.schedule()
+    assert (world.answer_starts()[0].worker_id != order.worker_id) is apart
+
+
 @pytest.mark.parametrize("keep_apart", [False, True])
 def test_nothing_is_recorded_or_prepared_unless_it_is_needed(keep_apart):
     world = CellWorld()
@@ -113,3 +131,16 @@
 def test_product_imports_no_numerical_library():
     code = "import sys, nutmeglb_decisions.queues.composition; sys.exit('numpy' in sys.modules)"
     assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
+
+
+def test_metrics_show_the_pairs_of_the_leader_and_none_after_its_term():
+    recording = RecordingMetrics()
+    metrics, world = PartMetrics(recording), world_with_pair(1)
+    world.cell.interference.placements = 2
+    for cell, expected in ((world.cell, (1, 2)), (world.cell, (1, 2)), (None, (0, 2))):
+        metrics.publish(cell)
+        totals = recording.totals
+        assert (
+            totals["nutmeglb_interference_pairs"],
+            totals["nutmeglb_kept_apart_total"],
+        ) == expected
