--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -18,7 +18,7 @@
 from nutmeglb._internal.queues.inbox_reader import InboxReader
 from nutmeglb._internal.queues.learned_store import LearnedStore
 from nutmeglb._internal.queues.live_settings import LiveSettings
-from nutmeglb._internal.queues.load_reports import Load, LoadReports
+from nutmeglb._internal.queues.load_reports import LoadReports
 from nutmeglb._internal.queues.loop_lag import LoopLag
 from nutmeglb._internal.queues.part_options import part_options
 from nutmeglb._internal.queues.pass_pacing import PassPacer
@@ -46,6 +46,7 @@
 from nutmeglb_decisions.queues.effects import Effect, RequestAdvice
 from nutmeglb_decisions.queues.idle_jobs import IdleJobMonitor
 from nutmeglb_decisions.queues.names import parse_task
+from nutmeglb_decisions.queues.verdicts import LoadView
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.queue_records import Waits
 from nutmeglb_formats.models.queues import QueueConfig, QueueJob
@@ -145,8 +146,8 @@
         self._early_offers: list[tuple[QueueJob, int]] = []
 
     @property
-    def load(self) -> Load:
-        """Return the load as last computed."""
+    def load(self) -> LoadView:
+        """Return the load as last computed, without the configuration."""
         return self._load_reports.load
 
     @property
@@ -155,7 +156,7 @@
 
     async def start(self, config: QueueConfig) -> None:
         """Start the takeover: load the state from the store, then renew the leases of workers."""
-        self._configure_cell(config)
+        composition.configure(self.cell, config, part_options(self._settings))
         self._background.spawn(self._lag.run())
         self._background.spawn(self._run_guarded(self._take_over()))
 
@@ -174,11 +175,8 @@
 
     def configure(self, config: QueueConfig) -> None:
         """Apply a new configuration."""
-        self._configure_cell(config)
-        self._request_pass()
-
-    def _configure_cell(self, config: QueueConfig) -> None:
         composition.configure(self.cell, config, part_options(self._settings))
+        self._request_pass()
 
     def offer(self, job: QueueJob, revision: int) -> None:
         """Schedule a job whose acceptance is stored. Offers before the takeover are deferred.
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/load_reports.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/load_reports.py
@@ -1,14 +1,14 @@
 """Computes which jobs are refused for load, and sends it to the followers."""
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable
 
 from nutmeglb._internal.queues.peer_links import PeerLinks
 from nutmeglb._internal.queues.pool_reports import pools_report
 from nutmeglb_decisions.queues import admission, team_admission
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.pools import Pool, Pools
+from nutmeglb_decisions.queues.pools import Pools
+from nutmeglb_decisions.queues.verdicts import LoadView
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.wire.queues import LoadReport, PoolsReport
 
@@ -18,25 +18,6 @@
 MS_PER_S = 1_000.0
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
-    """Load of the cell.
-
-    Attributes
-    ----------
-    refusing
-        Queues that refuse jobs, each with the milliseconds until it may accept.
-    refusing_teams
-        The same by queue and team.
-    pools
-        What the workers can run; empty if unknown.
-    """
-
-    refusing: Mapping[str, float] = field(default_factory=dict)
-    refusing_teams: Mapping[tuple[str, str], float] = field(default_factory=dict)
-    pools: Sequence[Pool] = ()
-
-
 class LoadReports:
     """Keeps the load of a leader up to date, for itself and its followers.
 
@@ -57,7 +38,7 @@
         self._clock = clock
         self._links = links
         self._publish_metrics = publish_metrics
-        self.load = Load()
+        self.load = LoadView()
 
     async def run(self) -> None:
         """Update and send the load until cancelled."""
@@ -77,13 +58,13 @@
             await asyncio.sleep(INTERVAL_MS / MS_PER_S)
 
 
-def _load_of(cell: Cell, pools: Pools, now_ms: float) -> Load:
+def _load_of(cell: Cell, pools: Pools, now_ms: float) -> LoadView:
     known = pools.known_pools(now_ms)
     if cell.config is not None and cell.config.teams:
-        return Load(refusing_teams=team_admission.refusing_teams(cell), pools=known)
-    return Load(refusing=admission.refusing_queues(cell, now_ms), pools=known)
+        return LoadView(refusing_teams=team_admission.refusing_teams(cell), pools=known)
+    return LoadView(refusing=admission.refusing_queues(cell, now_ms), pools=known)
 
 
-def _reports(load: Load) -> tuple[LoadReport, PoolsReport]:
+def _reports(load: LoadView) -> tuple[LoadReport, PoolsReport]:
     rows = [(*names, retry_ms) for names, retry_ms in sorted(load.refusing_teams.items())]
     return LoadReport(sorted(load.refusing.items()), rows), pools_report(load.pools)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
 
@@ -202,8 +202,7 @@
         config = self._config.current
         leader = self._leader()
         if leader is not None:
-            load = leader.load
-            return LoadView(load.refusing, load.refusing_teams, load.pools, config)
+            return replace(leader.load, config=config)
         if self._clock.now_ms() - self._load_report_ms > MAX_LOAD_REPORT_AGE_MS:
             return LoadView(config=config)
         return LoadView(self._refusing, self._refusing_teams, self._pools, config)
--- a/tests/unit/test_queue_submissions.py
+++ b/tests/unit/test_queue_submissions.py
@@ -11,11 +11,11 @@
 from nutmeglb._internal.queues import keys
 from nutmeglb._internal.queues import service as service_module
 from nutmeglb._internal.queues import submissions as module
-from nutmeglb._internal.queues.load_reports import Load
 from nutmeglb._internal.queues.ports import Commit, StoredItem
 from nutmeglb._internal.queues.service import QueueService
 from nutmeglb._internal.queues.submissions import Submission, Submissions
 from nutmeglb_decisions.queues.access import ANY_CALLER, Caller
+from nutmeglb_decisions.queues.verdicts import LoadView
 from nutmeglb_formats.clock import ManualClock
 from nutmeglb_formats.exceptions import StoreOutcomeUnknown, StoreUnavailable
 from nutmeglb_formats.models.queue_records import (
@@ -182,7 +182,7 @@
     world.answers = [ACCEPTED]
     leader = SimpleNamespace(
         loaded=False,
-        load=Load(refusing={BATCH.name: 500.0}),
+        load=LoadView(refusing={BATCH.name: 500.0}),
         offer=lambda job, revision: None,
     )
     links = SimpleNamespace(on=lambda kind, handler: None, leader_id="")
