Log which condition holds a waiting step, and what ends the wait

Callers saw an accepted job idle beside free capacity; the lines could not tell whether its runs were held on workers that had crashed, its approved workers were full, other workers were never asked about, or its gang had no plan.

step_waiting and job_idle now show full and unasked workers with room, runs on silent workers with the remaining lease, why a gang has no plan, how long the cause has been the same, and what ends the wait. Steps all of whose runs are on silent workers are explained, too. start_refused distinguishes an order that was certainly not sent (not_delivered) from one without an answer (unknown); both are treated as before. worker_replaced shows that another incarnation answers at a worker's address.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -28,9 +28,15 @@
     WITHHELD = "withheld"
     # Not sent, because there is no link to the worker.
     NO_LINK = "no_link"
+    # Certainly not sent: no connection to the worker could be established.
+    NOT_DELIVERED = "not_delivered"
     UNKNOWN = "unknown"
 
 
+# Outcomes after which the run may have started, or may still start.
+INCONCLUSIVE = frozenset({StartOutcome.UNKNOWN, StartOutcome.NOT_DELIVERED})
+
+
 def apply_start_answer(
     cell: Cell,
     worker_id: str,
@@ -73,7 +79,7 @@
         ordered_ms_ago=round(now_ms - run.ordered_ms),
     )
     _avoid_worker(run, worker, outcome, now_ms)
-    if outcome == StartOutcome.UNKNOWN or not is_conclusive:
+    if outcome in INCONCLUSIVE or not is_conclusive:
         # Once the worker has answered the stop, a delayed copy of the order can no longer start.
         stop_run(cell, run)
         return
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -308,6 +308,7 @@
         at_ms = _plan_and_reserve(state, step, group)
         return state.now_ms if fits or state.now_ms < step.expects_room_until_ms else at_ms
     step.plan = None
+    step.unplanned = ""
     number = state.cell.next_run_number(max(task.last_run for task in step.tasks))
     for task, worker_id in zip(step.tasks, assignment.worker_ids, strict=True):
         start_task(state, step, task, state.cell.workers[worker_id], number, run_ms)
@@ -322,8 +323,14 @@
     timing = cell.policy_of(step.job).advice
     allowed = step.recorded if timing is None else step.advice.good
     rank = rank_of(step, step.job.accepted_ms, now_ms, cell.estimates)
-    cannot_be_planned = rank.tier == Tier.TOO_LATE or not allowed
-    if cannot_be_planned or state.reservation_attempts >= MAX_RESERVATION_ATTEMPTS:
+    step.unplanned = ""
+    if rank.tier == Tier.TOO_LATE:
+        step.unplanned = "too late to be useful"
+    elif not allowed:
+        step.unplanned = "no worker approved or stored"
+    elif state.reservation_attempts >= MAX_RESERVATION_ATTEMPTS:
+        step.unplanned = "limit of plans in a pass"
+    if step.unplanned:
         step.plan = None
         return math.inf
     state.reservation_attempts += 1
@@ -333,10 +340,12 @@
     required_cpu = step.charged.cpu_millis * step.spec.count
     room = MAX_RESERVED_SHARE * sum(n * size.cpu_millis for size, n in group.capacities.items())
     if not good or (reserved and reserved + required_cpu > room):
+        step.unplanned = "capacity reserved for other gangs" if good else "no worker is settled"
         step.plan = None
         return math.inf
     at_ms = update_plan(step, good, now_ms)
     if at_ms is None:
+        step.unplanned = "it does not fit on its workers"
         return math.inf
     reserve_planned_capacity(step, cell.workers, state.reservations, now_ms)
     state.reserved_cpu[queue.service] = reserved + required_cpu
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -194,6 +194,10 @@
         Time until which room is to be made for the step as soon as its advice is valid.
     held_by
         Name of the gate that kept the step from starting in the last pass; empty if none did.
+    unplanned
+        Why the last pass made no plan for the step, which is a gang; empty if it has one.
+    wait_cause, wait_cause_since_ms
+        Last logged cause of its wait, and the time of the first of the consecutive lines with it.
     """
 
     job: "Job"
@@ -218,6 +222,9 @@
     room_search_ms: float = 0.0
     expects_room_until_ms: float = 0.0
     held_by: str = ""
+    unplanned: str = ""
+    wait_cause: str = ""
+    wait_cause_since_ms: float = 0.0
     pace: StepPace = field(default_factory=StepPace)
     charged: Resources = field(init=False)
     team: str = field(init=False)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
@@ -5,8 +5,9 @@
 
 from nutmeglb_decisions.queues import advice, quotas
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.state import Step
+from nutmeglb_decisions.queues.state import Run, Step
 from nutmeglb_decisions.queues.worker_selection import slots_on
+from nutmeglb_decisions.queues.worker_state import Worker
 
 # The cause of a wait is logged after this time, and again at this interval. Advice takes up to two
 # seconds, so shorter waits are normal.
@@ -15,6 +16,21 @@
 CAUSES_BY_GATE = {
     quotas.GATE_NAME: "the limit of its team is reached, or kept for a better-ranked step of it",
 }
+RUNS_ON_SILENT_WORKERS = "its runs may be active on workers that do not answer"
+# What ends a wait, by its cause. Other causes end with the next pass or with the gate.
+ENDS_BY_CAUSE = {
+    RUNS_ON_SILENT_WORKERS: "a proof that they have ended, or the expiry of their leases",
+    "workers of a former leader have not answered": "their answers, or the takeover wait",
+    "no worker of the service has the label": "a new worker",
+    "advice call outstanding": "its answer or its timeout",
+    "advice approved no worker": "a new worker",
+    "advice not requested yet": "the budget of advice calls",
+    "no valid ticket": "the next advice call",
+    "its workers are not stored yet": "the next commit",
+    "its workers are silent or avoided": "their answers",
+    "no free capacity": "the end of runs on its workers",
+    "no free capacity for all members": "the end of runs on its workers, or its plan",
+}
 # Maximum number of steps logged at once, longest waiting first.
 MAX_EXPLAINED = 8
 
@@ -36,6 +52,15 @@
         milliseconds until the outstanding call counts as lost, 0 if there is none.
     unsettled
         Workers that may hold runs of a former leader and have not answered.
+    full, unasked_roomy
+        Approved or stored workers without room for a task; and workers with room that were not
+        named to the advice service in their present incarnation.
+    held_runs, lease_left_ms
+        Live runs on workers that do not answer, and the longest remaining lease of these workers.
+    unplanned
+        Why a gang has no plan; empty if it has one or needs none.
+    ends
+        What ends the wait.
     """
 
     cause: str
@@ -48,6 +73,12 @@
     good: int
     call_left_ms: int
     unsettled: int
+    full: int
+    unasked_roomy: int
+    held_runs: int
+    lease_left_ms: int
+    unplanned: str
+    ends: str
 
 
 def explain(cell: Cell, step: Step, now_ms: float) -> WaitExplanation:
@@ -69,16 +100,46 @@
     roomy = sum(1 for count in slots if count)
     counts = (len(eligible), len(durable), len(reachable), roomy, sum(slots))
     call_left_ms = round(max(0.0, step.advice.call_deadline_ms - now_ms))
+    held = _silent_workers_of_runs(cell, step)
+    cause = RUNS_ON_SILENT_WORKERS if held else _cause(step, now_ms, needs_advice, *counts)
+    allowed = advice.approved_workers(cell, step) if needs_advice else durable
     return WaitExplanation(
-        _cause(step, now_ms, needs_advice, *counts),
+        cause,
         *counts,
         asked=len(step.advice.asked),
         good=len(step.advice.good),
         call_left_ms=call_left_ms,
         unsettled=len(step.unsettled),
+        full=sum(1 for worker in allowed if not slots_on(worker.free, step, 0)),
+        unasked_roomy=(
+            sum(1 for worker in eligible if _is_unasked_with_room(step, worker))
+            if needs_advice
+            else 0
+        ),
+        held_runs=len(held),
+        lease_left_ms=round(
+            max((worker.lease_expires_at_ms - now_ms for worker in held), default=0.0)
+        ),
+        unplanned=step.unplanned,
+        ends=ENDS_BY_CAUSE.get(cause, ""),
     )
 
 
+def _is_unasked_with_room(step: Step, worker: Worker) -> bool:
+    is_asked = step.advice.asked.get(worker.worker_id) == worker.started_ms
+    return not is_asked and slots_on(worker.free, step, 0) > 0
+
+
+def _silent_workers_of_runs(cell: Cell, step: Step) -> list[Worker]:
+    """Return the worker of each live run of a step whose worker does not answer."""
+    return [cell.workers[run.worker_id] for run in step.live_runs if _is_on_silent(cell, run)]
+
+
+def _is_on_silent(cell: Cell, run: Run) -> bool:
+    worker = cell.workers.get(run.worker_id)
+    return worker is not None and worker.unanswered_since_ms is not None
+
+
 def _cause(
     step: Step,
     now_ms: float,
@@ -134,8 +195,8 @@
         for step in job.steps
         if step.runnable_since_ms is not None
         and not step.done
-        and not step.live_runs
         and now_ms - max(step.runnable_since_ms, step.wait_logged_ms) >= EXPLAIN_AFTER_MS
+        and all(_is_on_silent(cell, run) for run in step.live_runs)
     ]
     due.sort(key=lambda step: step.runnable_since_ms or 0.0)
     for step in due[:MAX_EXPLAINED]:
@@ -148,6 +209,8 @@
     """Log why a step waits, with the counts that determine the cause."""
     counts: dict[str, Any] = asdict(explain(cell, step, now_ms))
     cause = counts.pop("cause")
+    if cause != step.wait_cause:
+        step.wait_cause, step.wait_cause_since_ms = cause, now_ms
     if step.held_by == quotas.GATE_NAME:
         counts |= quotas.figures(cell, step.team, now_ms)
     cell.log_decision(
@@ -157,6 +220,7 @@
         step=step.name,
         tasks=step.remaining,
         label=step.spec.required_label,
+        cause_for_ms=round(now_ms - step.wait_cause_since_ms),
         **fields,
         **counts,
     )
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -157,6 +157,14 @@
                 self._callbacks.fenced(worker.worker_id)
                 await asyncio.sleep(MAX_RETRY_MS / MS_PER_S)
                 return
+            if answer.err_value.context.get("other_incarnation"):
+                self._cell.log_decision(
+                    "worker_replaced",
+                    "another incarnation answers at its address",
+                    worker=worker.worker_id,
+                    address=worker.info.address,
+                    runs=len(worker.runs),
+                )
             if not self._is_excused(sent_ms):
                 await self._on_unanswered(now_ms)
             return
@@ -291,13 +299,13 @@
             )
             orders.record_start_sent(*run, 1)
             answer = await self._gateway.start(self.worker.info, order)
-            if answer.outcome != StartOutcome.UNKNOWN:
+            if answer.outcome not in orders.INCONCLUSIVE:
                 orders.record_start_sent(*run, -1)
             if answer.fenced:
                 self._callbacks.fenced(self.worker.worker_id)
                 return
             outcome = answer.outcome
-            if outcome != StartOutcome.UNKNOWN:
+            if outcome not in orders.INCONCLUSIVE:
                 break
             is_conclusive = False
             if not self._is_excused(sent_ms):
--- a/tests/unit/test_queue_standstill.py
+++ b/tests/unit/test_queue_standstill.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from nutmeglb_decisions.queues import orders, waiting
 from nutmeglb_decisions.queues.idle_jobs import POLL_INTERVAL_MS, UNRESOLVED_MS, IdleJobMonitor
 from nutmeglb_decisions.queues.orders import StartOutcome
+from nutmeglb_decisions.queues.waiting import RUNS_ON_SILENT_WORKERS
 from tests.lib.queues import ADVISED, BATCH, CellWorld, job, step, worker_info
 
 
@@ -96,3 +98,61 @@
     world.now_ms += UNRESOLVED_MS + 1.0
     world.report(order.worker_id)
     assert decisions_of_polls(world) == []
+
+
+def world_with_lost_worker(world):
+    """Let the worker of the only run of a step fall silent."""
+    world.schedule()
+    (order,) = world.answer_starts()
+    orders.unanswered(world.cell, world.worker(order.worker_id), world.now_ms)
+
+
+@pytest.mark.parametrize(
+    ("prepare", "queue", "changes", "cause", "expected_fields"),
+    [
+        (
+            world_with_lost_worker,
+            BATCH,
+            {},
+            RUNS_ON_SILENT_WORKERS,
+            {"held_runs": 1, "lease_left_ms": 2_300, "cause_for_ms": 0},
+        ),
+        (
+            lambda world: (
+                world.schedule(),
+                world.advise(world.asked[0], "w1"),
+                world.worker("w1").charge(world.worker("w1").free),
+            ),
+            ADVISED,
+            {},
+            "no valid ticket",
+            {"full": 1, "unasked_roomy": 0, "ends": "the next advice call"},
+        ),
+        (
+            lambda world: (
+                [w.charge(w.free) for w in world.cell.workers.values()],
+                world.schedule(),
+                setattr(world, "now_ms", world.now_ms + 20_000.0),
+                world.schedule(),
+            ),
+            BATCH,
+            {"gang": True},
+            "no free capacity",
+            {"unplanned": "too late to be useful"},
+        ),
+    ],
+    ids=["run on a silent worker", "approved worker is full", "gang without a plan"],
+)
+def test_log_line_of_a_waiting_step_names_the_condition_that_holds_it(
+    prepare, queue, changes, cause, expected_fields
+):
+    """Guards against a wait whose cause, duration and end cannot be found in the logs."""
+    world = world_with_waiting_job(1, queue, **changes)
+    prepare(world)
+    world.cell.take_decisions()
+    world.now_ms += 4_000.0
+    waiting.log_long_waits(world.cell, world.now_ms)
+    (line,) = [d for d in world.cell.take_decisions() if d.kind == "step_waiting"]
+    assert line.cause == cause
+    assert dict(line.fields)["ends"]
+    assert expected_fields.items() <= dict(line.fields).items()
