End a run at once when its start order reached no worker

Callers saw a task idle for a full lease after it was placed on an idle worker that had crashed; a gang was held as a whole by one such member.

Cause: an order for which no connection could be established counted as unanswered. It was sent again, then stopped, and the run counted until the lease of its worker expired. Members of a gang that were being stopped ignored the conclusive refusal of their own order, and an order that was stopped before it was sent waited for the worker to confirm the stop.

Now such an order has the outcome NOT_DELIVERED: its run ends, unless an earlier copy has no answer. A conclusive refusal also ends a run that is being stopped, and an order that was never sent ends with its stop. A connection that closes after any part of the body was handed to it stays unknown.

Failed before: test_gang_with_one_member_that_was_not_delivered_starts_again_at_once (assert 0 == 3 started), test_order_that_reached_no_worker_ends_its_run (2 copies sent), both cases of test_gang_with_several_members_on_a_dead_worker_starts_again_at_once (assert 0 == 2), test_order_that_was_stopped_before_it_was_sent_does_not_hold_its_task (the run stays). The single-run machine and cases pass.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -28,13 +28,13 @@
     WITHHELD = "withheld"
     # Not sent, because there is no link to the worker.
     NO_LINK = "no_link"
-    # Certainly not sent: no connection to the worker could be established.
+    # Certainly not received, since no connection to the worker could be established.
     NOT_DELIVERED = "not_delivered"
     UNKNOWN = "unknown"
 
 
-# Outcomes after which the run may have started, or may still start.
-INCONCLUSIVE = frozenset({StartOutcome.UNKNOWN, StartOutcome.NOT_DELIVERED})
+# Outcomes that do not prove that a run never starts.
+NO_REFUSALS = frozenset({StartOutcome.STARTED, StartOutcome.STALE_RUN, StartOutcome.UNKNOWN})
 
 
 def apply_start_answer(
@@ -57,7 +57,11 @@
     """
     worker = cell.workers.get(worker_id)
     run = worker.runs.get((task, number)) if worker else None
-    if worker is None or run is None or run.state == RunState.STOPPING:
+    if worker is None or run is None:
+        return
+    if run.state == RunState.STOPPING:
+        if is_conclusive and outcome not in NO_REFUSALS:
+            _end_refused_run(cell, run, outcome, now_ms, wall_ms)
         return
     if run.state == RunState.RUNNING:
         # A report has shown the run, which proves more than any answer to its order.
@@ -79,10 +83,17 @@
         ordered_ms_ago=round(now_ms - run.ordered_ms),
     )
     _avoid_worker(run, worker, outcome, now_ms)
-    if outcome in INCONCLUSIVE or not is_conclusive:
+    if outcome == StartOutcome.UNKNOWN or not is_conclusive:
         # Once the worker has answered the stop, a delayed copy of the order can no longer start.
         stop_run(cell, run)
         return
+    _end_refused_run(cell, run, outcome, now_ms, wall_ms)
+
+
+def _end_refused_run(
+    cell: Cell, run: Run, outcome: StartOutcome, now_ms: float, wall_ms: float
+) -> None:
+    """End a run whose only order was refused or not received, so that it never starts."""
     presumed_ends.record(cell, run, outcome, now_ms)
     end_run(cell, run, outcome, "", now_ms, wall_ms)
     run.step.tasks[run.index].not_before_ms = now_ms + RETRY_DELAY_MS
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -274,6 +274,10 @@
         run = (self._cell, self.worker.worker_id, effect.task, effect.run)
         while copies < MAX_START_ATTEMPTS:
             if not orders.is_start_wanted(*run):
+                if is_conclusive:
+                    # A stop came first, and no copy was sent.
+                    outcome = StartOutcome.NOT_DELIVERED
+                    break
                 # A report or a stop decides about the run.
                 self.wake()
                 return
@@ -299,13 +303,13 @@
             )
             orders.record_start_sent(*run, 1)
             answer = await self._gateway.start(self.worker.info, order)
-            if answer.outcome not in orders.INCONCLUSIVE:
+            if answer.outcome != StartOutcome.UNKNOWN:
                 orders.record_start_sent(*run, -1)
             if answer.fenced:
                 self._callbacks.fenced(self.worker.worker_id)
                 return
             outcome = answer.outcome
-            if outcome not in orders.INCONCLUSIVE:
+            if outcome != StartOutcome.UNKNOWN:
                 break
             is_conclusive = False
             if not self._is_excused(sent_ms):
