End the runs of a worker when another worker answers at its address

Now such an answer proves that the incarnation has ended. ended_lives.end_life is the single place: it checks that entry, address and incarnation are those that the call was sent to and that the worker has answered no later call, ends the runs as lost, and removes the worker from what steps wait for.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -139,7 +139,8 @@
 def is_usable(step: Step, worker: Worker) -> bool:
     """Return whether the labels and the state of a worker allow a step to run there."""
     label = step.spec.required_label
-    return worker.listed and not worker.info.draining and (not label or label in worker.info.labels)
+    is_available = worker.listed and not worker.info.draining and not worker.is_replaced
+    return is_available and (not label or label in worker.info.labels)
 
 
 def eligible(cell: Cell, step: Step) -> list[Worker]:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -41,14 +41,15 @@
                 "worker_unlisted", "no entry", worker=worker_id, runs=len(worker.runs)
             )
         is_idle = not worker.runs and not worker.stray_runs
-        if is_idle and (worker.settled or not cell.takeover_wait_deadline_ms):
+        is_known = worker.settled or worker.is_replaced or not cell.takeover_wait_deadline_ms
+        if is_idle and is_known:
             del cell.workers[worker_id]
             gone.add(worker_id)
     if gone:
-        _forget_workers(cell, gone)
+        forget_workers(cell, gone)
 
 
-def _forget_workers(cell: Cell, worker_ids: set[str]) -> None:
+def forget_workers(cell: Cell, worker_ids: set[str]) -> None:
     """Remove idle workers from the stored progress, so that no later leader waits for them."""
     for job in cell.active.values():
         named = [step.forget_workers(worker_ids) for step in job.steps]
@@ -86,6 +87,7 @@
     )
     worker.started_ms = started_ms
     speeds.begin_life(cell, worker)
+    worker.is_replaced = False
     worker.first_answer_ms = None
     worker.settled = False
     worker.lease_expires_at_ms = max(
@@ -140,13 +142,13 @@
             worker.settled = False
             lapsed.add(worker.worker_id)
     if lapsed:
-        _forget_workers(cell, lapsed)
+        forget_workers(cell, lapsed)
     expired_waits = takeover_wait.expired_waits(cell, confirmed_ms)
     if expired_waits:
         cell.log_decision(
             "workers_waited_out", "no answer in this term", workers=len(expired_waits)
         )
-        _forget_workers(cell, expired_waits)
+        forget_workers(cell, expired_waits)
     if confirmed_ms >= cell.takeover_wait_deadline_ms and not takeover_wait.unsettled_workers(cell):
         cell.takeover_wait_deadline_ms = 0.0
         cell.ended_unsettled.clear()
@@ -172,6 +174,7 @@
         worker.reported_started_ms = report.started_ms
         worker.stray_runs.clear()
     worker.unanswered_since_ms = None
+    worker.is_replaced = False
     worker.last_report_ms = now_ms
     new_ends = [ended for ended in report.ended if ended.number > worker.last_applied_end]
     log_ends(cell, worker, [(ended.task, ended.run, ended.outcome) for ended in new_ends])
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -34,6 +34,8 @@
         this leader by then.
     settled
         Whether the runs that former leaders left on the current incarnation are known.
+    is_replaced
+        Whether another worker has answered at its address, and the worker has not reported since.
     avoided_until_ms
         Time before which no task is placed on the worker.
     last_report_ms
@@ -58,6 +60,7 @@
     former_report_ms: float = 0.0
     first_answer_ms: float | None = None
     settled: bool = False
+    is_replaced: bool = False
     avoided_until_ms: float = 0.0
     unanswered_since_ms: float | None = None
     last_report_ms: float = 0.0
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
@@ -21,6 +21,7 @@
         "job_refused",
         "worker_avoided",
         "worker_silent",
+        "worker_replaced",
         "run_stuck",
         "start_refused",
         "order_not_sent",
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -10,9 +10,10 @@
 from nutmeglb._internal.queues.authority import MAX_CLOCK_DRIFT
 from nutmeglb._internal.queues.ports import StartOrder, WorkerGateway
 from nutmeglb._internal.telemetry.logs import get_logger
-from nutmeglb_decisions.queues import absent_runs, orders, reports, speeds
+from nutmeglb_decisions.queues import absent_runs, ended_lives, orders, reports, speeds
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import PaceTask, StartTask, StopTask
+from nutmeglb_decisions.queues.ended_lives import OtherIncarnation
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.clock import Clock
@@ -104,6 +105,11 @@
         self._unanswered_calls = 0
         self._excused_calls = 0
 
+    def poll_replaced(self) -> None:
+        """Call a silent worker now, since another one is listed at its address."""
+        if self.worker.unanswered_since_ms is not None and not self.worker.is_replaced:
+            self._restarted.set()
+
     def wake(self) -> None:
         """Renew the lease soon, after the worker was assigned a run or has restarted."""
         self._wake.set()
@@ -150,6 +156,7 @@
         # would then make it discard ends that it has not reported yet.
         last_seen = self._last_stored_end if self._last_call_answered else 0
         self._last_call_answered = False
+        sent_to = self._receiver()
         answer = await self._gateway.hold(worker.info, self._fence, last_seen, deadline_ms, wait_ms)
         now_ms = self._clock.now_ms()
         if isinstance(answer, Err):
@@ -158,13 +165,7 @@
                 await asyncio.sleep(MAX_RETRY_MS / MS_PER_S)
                 return
             if answer.err_value.context.get("other_incarnation"):
-                self._cell.log_decision(
-                    "worker_replaced",
-                    "another incarnation answers at its address",
-                    worker=worker.worker_id,
-                    address=worker.info.address,
-                    runs=len(worker.runs),
-                )
+                self._end_life(sent_to)
             if not self._is_excused(sent_ms):
                 await self._on_unanswered(now_ms)
             return
@@ -199,6 +200,17 @@
             needed_ms.append(now_ms + STRAY_POLL_MS)
         return math.ceil(max(0.0, min(needed_ms) - now_ms))
 
+    def _receiver(self) -> OtherIncarnation:
+        """Return what an answer of another incarnation to a call sent now would prove."""
+        worker = self.worker
+        return OtherIncarnation(worker.info.address, worker.started_ms, self._clock.now_ms())
+
+    def _end_life(self, evidence: OtherIncarnation) -> None:
+        """Apply the answer of another incarnation to a call."""
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        ended_lives.end_life(self._cell, self.worker, evidence, now_ms, wall_ms)
+        self._callbacks.changed()
+
     def _is_excused(self, sent_ms: float) -> bool:
         """Return whether to ignore a missing answer, since this process was stalled."""
         if self._excused_calls >= MAX_EXCUSED_CALLS or not self._callbacks.explains_missing_answer(
@@ -271,6 +283,7 @@
         outcome = StartOutcome.UNKNOWN
         is_conclusive = True
         copies = 0
+        replaced: OtherIncarnation | None = None
         run = (self._cell, self.worker.worker_id, effect.task, effect.run)
         while copies < MAX_START_ATTEMPTS:
             if not orders.is_start_wanted(*run):
@@ -302,6 +315,7 @@
                 self._fence,
             )
             orders.record_start_sent(*run, 1)
+            sent_to = self._receiver()
             answer = await self._gateway.start(self.worker.info, order)
             if answer.outcome != StartOutcome.UNKNOWN:
                 orders.record_start_sent(*run, -1)
@@ -309,6 +323,8 @@
                 self._callbacks.fenced(self.worker.worker_id)
                 return
             outcome = answer.outcome
+            if outcome == StartOutcome.OTHER_INCARNATION:
+                replaced = sent_to
             if outcome != StartOutcome.UNKNOWN:
                 break
             is_conclusive = False
@@ -321,6 +337,8 @@
             self._clock.now_ms(),
             self._clock.wall_ms(),
         )
+        if replaced is not None:
+            self._end_life(replaced)
         self.wake()
         self._callbacks.changed()
 
@@ -329,7 +347,7 @@
         if not self._callbacks.may_command():
             self.wake()
             return
-        started_ms = self.worker.started_ms
+        started_ms, sent_to = self.worker.started_ms, self._receiver()
         answer = await self._gateway.stop(self.worker.info, effect.task, effect.run, self._fence)
         if answer.fenced:
             self._callbacks.fenced(self.worker.worker_id)
@@ -350,6 +368,8 @@
                 worker=self.worker.worker_id,
                 run=effect.run,
             )
+        if answer.outcome == StartOutcome.OTHER_INCARNATION:
+            self._end_life(sent_to)
         self.wake()
 
     async def pace(self, effect: PaceTask) -> None:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_links.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_links.py
@@ -1,6 +1,7 @@
 """Maintains the links to all workers during one term and sends orders through them."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Coroutine
 from typing import Any
 
@@ -50,9 +51,12 @@
 
     def refresh(self) -> None:
         """Create links to new workers, and remove those of workers that left the cell."""
+        addresses = Counter(worker.info.address for worker in self._cell.workers.values())
         for worker_id, worker in self._cell.workers.items():
             known = self._links.get(worker_id)
             if known is not None and known.worker is worker:
+                if addresses[worker.info.address] > 1:
+                    known.poll_replaced()
                 if not worker.settled:
                     known.wake()
                 continue
