Attribute an advice answer to the incarnations that it was asked about

Callers would see a step wait beside a worker that had restarted while a call about it was outstanding: a negative answer about the former incarnation counted for the next one, which may be of another kind and was never asked about. A positive one let orders leave with a ticket that the worker refuses.

Cause: the start time of a worker was recorded when the answer arrived. The call now carries the start times of the workers that it names.

--- a/measure/queue_leader.py
+++ b/measure/queue_leader.py
@@ -80,7 +80,7 @@
             for worker_id in call.workers
             if worker_id in step.advice.good or rng.random() < share
         ]
-        advice.answered(self.cell, step, call.workers, good, now_ms + 1_500.0)
+        advice.answered(self.cell, step, call, good, now_ms + 1_500.0)
 
 
 def queue_leader_cost() -> Iterator[Figures]:
--- a/measure/queue_pressure.py
+++ b/measure/queue_pressure.py
@@ -229,7 +229,7 @@
         if step is not None:
             queue = step.job.record.queue.name
             good = [(w, "ticket") for w in call.workers if self.is_approved(call.step, queue, w)]
-            advice.answered(self.cell, step, call.workers, good, now_ms + 1_500.0)
+            advice.answered(self.cell, step, call, good, now_ms + 1_500.0)
 
     def _start_task(self, order: StartTask, now_ms: float, rng: random.Random) -> None:
         outcome = StartOutcome.STARTED
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -217,7 +217,8 @@
     cell.advice_calls[step.name] = (state.call_deadline_ms, cost_ms)
     budget.charge(cost_ms)
     ids = tuple(worker.worker_id for worker in selected)
-    cell.effects.append(RequestAdvice(step.name, ids, cost_ms))
+    incarnations = tuple(worker.started_ms for worker in selected)
+    cell.effects.append(RequestAdvice(step.name, ids, cost_ms, incarnations))
     cell.log_decision(
         "advice_asked", "no valid ticket", job=step.job.job_id, step=step.name, workers=len(ids)
     )
@@ -300,20 +301,27 @@
 def answered(
     cell: Cell,
     step: Step,
-    named: Sequence[str],
+    call: RequestAdvice,
     tickets: Sequence[tuple[str, str]],
     expires_at_ms: float,
 ) -> None:
-    """Apply an answer. The workers in it must be stored before a task is sent to them."""
-    state = step.advice
+    """Apply the answer to a call. The workers in it must be stored before a task is sent to them.
+
+    A worker that has restarted since the call is asked about again.
+    """
+    state, named = step.advice, call.workers
     cell.advice_calls.pop(step.name, None)
     state.call_deadline_ms = 0.0
     state.not_before_ms = 0.0
     _update_approval_rate(cell, step, named, tickets)
-    for worker_id in named:
-        if worker_id in cell.workers:
-            state.asked[worker_id] = cell.workers[worker_id].started_ms
-    approved = {worker_id: ticket for worker_id, ticket in tickets if worker_id in cell.workers}
+    asked_about = dict(zip(named, call.incarnations, strict=True))
+    current = {
+        worker_id: started_ms
+        for worker_id, started_ms in asked_about.items()
+        if worker_id in cell.workers and cell.workers[worker_id].started_ms == started_ms
+    }
+    state.asked.update(current)
+    approved = {worker_id: ticket for worker_id, ticket in tickets if worker_id in current}
     state.good.difference_update(named)
     state.good.update(approved)
     state.tickets.update({name: (ticket, expires_at_ms) for name, ticket in approved.items()})
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/effects.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/effects.py
@@ -46,12 +46,18 @@
 class RequestAdvice:
     """Request advice on which of the workers may run a step.
 
-    ``cost_ms`` is the expected duration of the call.
+    Attributes
+    ----------
+    cost_ms
+        Expected duration of the call.
+    incarnations
+        Start times of the workers that the answer will be about, in the order of ``workers``.
     """
 
     step: str
     workers: tuple[str, ...]
     cost_ms: float
+    incarnations: tuple[int, ...]
 
 
 Effect = StartTask | StopTask | PaceTask | RequestAdvice
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -389,7 +389,7 @@
             advice.failed(self.cell, step, now_ms)
         else:
             given = answer.ok_value
-            advice.answered(self.cell, step, effect.workers, given.tickets, given.expires_at_ms)
+            advice.answered(self.cell, step, effect, given.tickets, given.expires_at_ms)
         self._request_pass()
 
     def _request_pass(self) -> None:
--- a/tests/lib/queues.py
+++ b/tests/lib/queues.py
@@ -137,7 +137,7 @@
         asked = self.cell.find_step(job_id, int(occurrence), int(number))
         assert asked is not None
         tickets = [(worker_id, f"t-{worker_id}") for worker_id in good]
-        advice.answered(self.cell, asked, call.workers, tickets, self.now_ms + 1_500.0)
+        advice.answered(self.cell, asked, call, tickets, self.now_ms + 1_500.0)
         self.store()
 
     def end(self, order: StartTask, outcome: str = "done", checkpoint: str = "") -> None:
--- a/tests/unit/test_queue_pass_cost.py
+++ b/tests/unit/test_queue_pass_cost.py
@@ -125,11 +125,9 @@
         step_state = large_world.add(job(f"j{number}", step(2), queue=ADVISED)).steps[0]
         named_workers = [f"w{n:03}" for n in range(40)]
         good = [(worker_id, "t") for worker_id in named_workers[:10]]
-        advice.answered(large_world.cell, step_state, named_workers, good, large_world.now_ms)
-        for _ in range(renewals):
-            advice.answered(
-                large_world.cell, step_state, named_workers[:10], good, large_world.now_ms
-            )
+        for named in (named_workers, *[named_workers[:10]] * renewals):
+            call = RequestAdvice(step_state.name, tuple(named), 0.0, (1_000,) * len(named))
+            advice.answered(large_world.cell, step_state, call, good, large_world.now_ms)
     assert large_world.cell.approval_rates[ADVISED.name] == pytest.approx(0.25, abs=0.02)
 
 
@@ -142,9 +140,7 @@
     for call in calls:
         step_state = large_world.cell.find_step(*_parse_step_name(call.step))
         tickets = [(worker_id, "t") for worker_id in call.workers]
-        advice.answered(
-            large_world.cell, step_state, call.workers, tickets, large_world.now_ms + 1_500.0
-        )
+        advice.answered(large_world.cell, step_state, call, tickets, large_world.now_ms + 1_500.0)
     for _ in range(2):
         capacity_checks.clear()
         large_world.now_ms += 100.0
