Ask advice about further workers when the approved ones offer no room

Cause: a step counts the capacity of its approved workers when empty. If it suffices, no other worker is ever asked about, though the approved ones may be full or avoided for any time.

Now a step that has had no run for 1.5 s, and whose approved workers have no room, asks about workers with room that it has not asked about, at most once in 1.5 s, and about each incarnation once. Negative answers are not asked for again: by the protocol the answer about a step does not change.

Failed before: test_step_whose_approved_workers_cannot_be_used_asks_about_others for full and avoided workers, single tasks and gangs (assert set(): no further worker named), and test_step_that_waits_beside_workers_with_room_makes_few_calls (30 of 100 workers asked about). Silent approved workers were replaced before, too.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -13,6 +13,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from nutmeglb_decisions.queues import advice_coverage
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import RequestAdvice
 from nutmeglb_decisions.queues.state import Step
@@ -242,13 +243,17 @@
     state = step.advice
     good = approved_workers(cell, step)
     missing = _missing_worker_count(cell, step, group, good)
-    if missing:
-        asked = state.asked
-        unasked = [w for w in group.workers if asked.get(w.worker_id) != w.started_ms]
-        if unasked:
-            return (good + _with_most_free_capacity(step, unasked, missing, rng))[
-                :MAX_WORKERS_PER_CALL
-            ]
+    advice_coverage.track_idle_time(step, now_ms)
+    asked = state.asked
+    unasked = [w for w in group.workers if asked.get(w.worker_id) != w.started_ms]
+    if unasked and missing:
+        named = good + _with_most_free_capacity(step, unasked, missing, rng)
+        return named[:MAX_WORKERS_PER_CALL]
+    further = advice_coverage.further_workers(step, good, unasked, now_ms)
+    if further:
+        state.widened_ms = now_ms
+        named = _with_most_free_capacity(step, further, FIRST_CALL_WORKERS, rng) + good
+        return named[:MAX_WORKERS_PER_CALL]
     if not good:
         return []
     cost_ms = timing.call_ms(len(good))
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice_coverage.py
@@ -0,0 +1,46 @@
+"""Decides which further workers a waiting step asks advice about.
+
+Load pattern: the approved workers of a step are full, silent or avoided for seconds, while others
+that advice was not asked about have room. Each worker is asked about once per incarnation, since
+the answers do not change, so that the number of such calls is bounded by the number of workers.
+"""
+
+from collections.abc import Sequence
+
+from nutmeglb_decisions.queues.state import Step
+from nutmeglb_decisions.queues.worker_selection import slots_on
+from nutmeglb_decisions.queues.worker_state import Worker
+
+# A step that has no run asks about further workers after this time, and again at this interval. It
+# is half of the time for which users accept an idle job beside free capacity.
+WIDEN_AFTER_MS = 1_500.0
+
+
+def track_idle_time(step: Step, now_ms: float) -> None:
+    """Record since when a step that is due for a check has no run."""
+    if step.live_runs:
+        step.advice.idle_since_ms = None
+    elif step.advice.idle_since_ms is None:
+        step.advice.idle_since_ms = now_ms
+
+
+def further_workers(
+    step: Step, good: Sequence[Worker], unasked: Sequence[Worker], now_ms: float
+) -> list[Worker]:
+    """Return workers with room to ask about, if the approved ones have offered none for a while.
+
+    Parameters
+    ----------
+    good, unasked
+        Workers that advice approved, and workers that it was not asked about.
+    """
+    idle_since_ms = step.advice.idle_since_ms
+    if idle_since_ms is None or now_ms < max(
+        idle_since_ms + WIDEN_AFTER_MS, step.advice.widened_ms + WIDEN_AFTER_MS
+    ):
+        return []
+    needed = step.spec.count if step.spec.gang else 1
+    usable = (worker for worker in good if worker.accepts_starts(now_ms))
+    if sum(slots_on(worker.free, step, 0) for worker in usable) >= needed:
+        return []
+    return [w for w in unasked if w.accepts_starts(now_ms) and slots_on(w.free, step, 0)]
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/step_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/step_state.py
@@ -1,5 +1,6 @@
 """Advice, plans, holds and forecasts of a step in the queue scheduler."""
 
+import math
 from dataclasses import dataclass, field
 
 
@@ -19,6 +20,10 @@
         Time at which the outstanding call counts as lost; 0 if there is none.
     not_before_ms
         Time of the next check whether the step needs a call.
+    idle_since_ms
+        Time from which the step has had no run, as seen at the checks; ``None`` if it has one.
+    widened_ms
+        Time of the last call about further workers because the approved ones offered no room.
     """
 
     asked: dict[str, int] = field(default_factory=dict)
@@ -26,6 +31,8 @@
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
     call_deadline_ms: float = 0.0
     not_before_ms: float = 0.0
+    idle_since_ms: float | None = None
+    widened_ms: float = -math.inf
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/unit/test_queue_advice_coverage.py
+++ b/tests/unit/test_queue_advice_coverage.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from nutmeglb_decisions.queues import reports
+from nutmeglb_decisions.queues import orders, reports
+from nutmeglb_decisions.queues.advice_coverage import WIDEN_AFTER_MS
 from tests.lib.queues import ADVISED, CellWorld, job, step, worker_info
 
 JOB = "00000000000000aa"
@@ -33,3 +34,60 @@
     world.schedule()
     assert not world.started
     assert [again.workers for again in world.asked] == [("w00",)]
+
+
+def fill(world, worker_id):
+    worker = world.worker(worker_id)
+    worker.charge(worker.free)
+
+
+def avoid(world, worker_id):
+    world.worker(worker_id).avoided_until_ms = world.now_ms + 60_000.0
+
+
+def silence(world, worker_id):
+    orders.unanswered(world.cell, world.worker(worker_id), world.now_ms)
+
+
+@pytest.mark.parametrize("obstruct", [fill, avoid, silence])
+@pytest.mark.parametrize("spec", [step(), step(2, cpu=8_000, gang=True)], ids=["single", "gang"])
+def test_step_whose_approved_workers_cannot_be_used_asks_about_others(spec, obstruct):
+    """Guards against a job that is idle beside workers with room which it never asked about."""
+    world, call = world_with_call(45, spec)
+    good = call.workers if spec.gang else call.workers[:1]
+    for worker_id in good:
+        obstruct(world, worker_id)
+    world.advise(call, *good)
+    asked = set()
+    while world.now_ms < 1_000.0 + WIDEN_AFTER_MS + 1_000.0:
+        world.now_ms += 100.0
+        world.schedule()
+        calls, world.asked = world.asked, []
+        for again in calls:
+            asked |= set(again.workers) - set(call.workers)
+            world.advise(again, *(w for w in again.workers if w in good or w not in call.workers))
+    assert asked
+    world.schedule()
+    world.schedule()
+    assert len(world.started) == spec.count
+
+
+def test_step_that_waits_beside_workers_with_room_makes_few_calls():
+    """Guards against calls for waiting steps that keep others from being asked about."""
+    world, call = world_with_call(100, step())
+    fill(world, call.workers[0])
+    world.advise(call, call.workers[0])
+    named = list(call.workers)
+    calls = 0
+    for _ in range(200):
+        world.now_ms += 100.0
+        world.schedule()
+        for again in world.asked:
+            unasked = set(again.workers) - set(named)
+            calls += bool(unasked)
+            named += sorted(unasked)
+            world.advise(again, call.workers[0])
+        world.asked.clear()
+    # Each worker is asked about once.
+    assert len(named) == len(set(named)) == 100
+    assert calls <= 3
