Let the longest-waiting gang without a plan plan its start

Cause: a gang that is too late to be useful, or for which the plans of other gangs leave no share, made no plan and reserved nothing. Smaller work kept starting on its few approved workers, which it needs empty at the same time, and while it waited for a ticket. Nothing bounded this wait.

Now one gang per service, the one that was accepted first, plans regardless of its tier and share, and its reservations bind all other work: at once while under half of the service is in use, where this costs little, otherwise after six times its objective, twice the time after which it is useless.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/gang_plans.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/gang_plans.py
@@ -66,10 +66,16 @@
     reservations: Reservations,
     now_ms: float,
     position: int = 0,
+    owner: Step | None = None,
 ) -> None:
     """Reserve the planned capacity of a step from its expected start on.
 
-    ``position`` is the position of the step in rank order.
+    Parameters
+    ----------
+    position
+        Position of the step in rank order.
+    owner
+        The step, if the reservation is made before its turn and binds all others.
     """
     plan = step.plan
     if plan is None:
@@ -80,7 +86,9 @@
             continue
         amount = step.charged.scaled(count)
         surplus = _free_at(worker, plan.start_ms, now_ms) - amount
-        reservations.add(worker_id, Reservation(plan.start_ms, surplus, position))
+        reservations.add(
+            worker_id, Reservation(plan.start_ms, surplus, position, owner, owner is not None)
+        )
 
 
 def _make_plan(step: Step, good: Sequence[Worker], now_ms: float) -> GangPlan | None:
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/overdue_gangs.py
@@ -0,0 +1,67 @@
+"""Chooses the gangs that may plan their start although the usual conditions do not allow it.
+
+Load pattern: a gang that is too late to be useful, or for which the plans of other gangs leave no
+share, beside a steady stream of smaller work on its few approved workers. Without a plan it would
+wait until these workers happen to be free at the same time. At most one gang per service is chosen,
+the one that was accepted first, so that its wait is bounded and useful work loses little.
+"""
+
+from collections.abc import Sequence
+
+from nutmeglb_decisions.queues.advice import approved_workers, eligible
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.idle_jobs import LOW_UTILIZATION, utilization_by_service
+from nutmeglb_decisions.queues.ranking import LATE_FACTOR, Rank, Tier, forecast_of
+from nutmeglb_decisions.queues.state import Step
+from nutmeglb_decisions.queues.worker_selection import slots_on
+
+# In a busy service a gang may plan in any case once it has waited this many times its objective.
+# Twice the time after which the job is useless to its caller leaves useful work the precedence.
+OVERDUE_FACTOR = 2 * LATE_FACTOR
+# Gangs that are considered in one pass, to keep it short.
+MAX_CANDIDATES = 64
+# Utilization up to which a gang in a service with free capacity keeps its plan, so that the plan is
+# not dropped at each small change.
+MAX_KEPT_UTILIZATION = 0.75
+
+
+def choose_overdue(
+    cell: Cell, ranked: Sequence[tuple[Rank, Step]], now_ms: float
+) -> dict[str, Step]:
+    """Return per service the gang that may plan regardless of its tier and share."""
+    waiting = [step for rank, step in ranked if step.spec.gang and _is_excluded(rank, step)]
+    if not waiting:
+        return {}
+    used = utilization_by_service(cell)
+    chosen: dict[str, Step] = {}
+    waiting.sort(key=lambda step: step.job.accepted_ms)
+    for step in waiting[:MAX_CANDIDATES]:
+        service = cell.policy_of(step.job).service
+        if service in chosen or not _may_plan(cell, step, used.get(service, 1.0), now_ms):
+            continue
+        if _can_hold(cell, step):
+            chosen[service] = step
+    return chosen
+
+
+def _is_excluded(rank: Rank, step: Step) -> bool:
+    """Return whether a gang that no gate holds gets no plan by the usual conditions."""
+    has_workers = bool(step.advice.good or step.recorded)
+    return has_workers and not step.held_by and (rank.tier == Tier.TOO_LATE or bool(step.unplanned))
+
+
+def _may_plan(cell: Cell, step: Step, utilization: float, now_ms: float) -> bool:
+    limit = LOW_UTILIZATION if step.plan is None else MAX_KEPT_UTILIZATION
+    if utilization < limit:
+        return True
+    objective_ms = forecast_of(step, now_ms, cell.estimates).objective_ms
+    return now_ms - step.job.accepted_ms >= OVERDUE_FACTOR * objective_ms
+
+
+def _can_hold(cell: Cell, step: Step) -> bool:
+    """Return whether the workers that a gang may use can hold it when they are empty."""
+    if cell.policy_of(step.job).advice is not None:
+        workers = approved_workers(cell, step)
+    else:
+        workers = [w for w in eligible(cell, step) if w.worker_id in step.recorded]
+    return sum(slots_on(worker.info.capacity, step, 0) for worker in workers) >= step.spec.count
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Sequence
 
-from nutmeglb_decisions.queues import advice
+from nutmeglb_decisions.queues import advice, overdue_gangs
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.gang_plans import reserve_planned_capacity, update_plan
 from nutmeglb_decisions.queues.headroom import spare_cpu
@@ -78,6 +78,9 @@
                 amount = count * step.charged.cpu_millis
                 state.planned_cpu[worker_id] = state.planned_cpu.get(worker_id, 0) + amount
     cell.class_usage.sample(cell.workers.values(), state.planned_cpu, now_ms)
+    state.overdue = overdue_gangs.choose_overdue(cell, ranked, now_ms)
+    for step in state.overdue.values():
+        reserve_planned_capacity(step, cell.workers, state.reservations, now_ms, owner=step)
     for before in cell.parts.before_pass:
         before(state, ranked)
     not_reached = _place_until(state, ranked, BEST_RANK_SHARE * max_worker_checks)
@@ -323,12 +326,13 @@
     timing = cell.policy_of(step.job).advice
     allowed = step.recorded if timing is None else step.advice.good
     rank = rank_of(step, step.job.accepted_ms, now_ms, cell.estimates)
+    is_overdue = state.overdue.get(cell.policy_of(step.job).service) is step
     step.unplanned = ""
-    if rank.tier == Tier.TOO_LATE:
-        step.unplanned = "too late to be useful"
-    elif not allowed:
+    if not allowed:
         step.unplanned = "no worker approved or stored"
-    elif state.reservation_attempts >= MAX_RESERVATION_ATTEMPTS:
+    elif rank.tier == Tier.TOO_LATE and not is_overdue:
+        step.unplanned = "too late to be useful"
+    elif state.reservation_attempts >= MAX_RESERVATION_ATTEMPTS and not is_overdue:
         step.unplanned = "limit of plans in a pass"
     if step.unplanned:
         step.plan = None
@@ -339,7 +343,8 @@
     reserved = state.reserved_cpu.get(queue.service, 0)
     required_cpu = step.charged.cpu_millis * step.spec.count
     room = MAX_RESERVED_SHARE * sum(n * size.cpu_millis for size, n in group.capacities.items())
-    if not good or (reserved and reserved + required_cpu > room):
+    exceeds_share = reserved + required_cpu > room and not is_overdue
+    if not good or (reserved and exceeds_share):
         step.unplanned = "capacity reserved for other gangs" if good else "no worker is settled"
         step.plan = None
         return math.inf
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
@@ -40,6 +40,9 @@
     sizes_without_capacity
         Per service and label: task sizes that fit on no worker. Free capacity only shrinks during a
         pass, so larger tasks need not be tried.
+    overdue
+        Per service: the gang that may plan regardless of its tier and share. Its reservations are
+        made first.
     gates
         Limits on starts in this pass.
     lost_ms
@@ -62,6 +65,7 @@
     planned_cpu: dict[str, int] = field(default_factory=dict)
     gang_priorities: dict[str, int] = field(default_factory=dict)
     spare_cpu: dict[tuple[str, int], int] = field(default_factory=dict)
+    overdue: dict[str, Step] = field(default_factory=dict)
     gates: tuple[StartGate, ...] = ()
     lost_ms: LostTime | None = None
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_selection.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_selection.py
@@ -36,19 +36,23 @@
     owner
         Step for which runs were stopped on the worker, if the reservation is for one. It binds
         neither this step nor work of higher priority.
+    binds_all
+        Whether it binds all steps but the owner.
     """
 
     at_ms: float
     surplus: Resources
     position: int = 0
     owner: Step | None = None
+    binds_all: bool = False
 
     def is_open_to(self, step: Step) -> bool:
         """Return whether a step may use the capacity that was freed for the owner."""
         owner = self.owner
-        return owner is not None and (
-            owner is step or step.job.record.queue.priority < owner.job.record.queue.priority
-        )
+        if owner is None or owner is step:
+            return owner is step
+        has_precedence = step.job.record.queue.priority < owner.job.record.queue.priority
+        return has_precedence and not self.binds_all
 
 
 @dataclass(slots=True)
