--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice_coverage.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice_coverage.py
@@ -24,6 +24,16 @@
         step.advice.idle_since_ms = now_ms
 
 
+def is_top_up(step: Step, good: Sequence[Worker], unasked: Sequence[Worker]) -> bool:
+    """Return whether a step can do without the workers that it was not asked about, for a while.
+
+    The approved workers can hold the step when empty, and only a few others have joined since. A
+    call for each of them would take the place of calls of other steps.
+    """
+    slots = sum(slots_on(worker.info.capacity, step, 0) for worker in good)
+    return slots >= step.spec.count and len(unasked) < len(good)
+
+
 def further_workers(
     step: Step, good: Sequence[Worker], unasked: Sequence[Worker], now_ms: float
 ) -> list[Worker]:
--- a/tests/unit/test_queue_advice_coverage.py
+++ b/tests/unit/test_queue_advice_coverage.py
@@ -91,3 +91,27 @@
     # Each worker is asked about once.
     assert len(named) == len(set(named)) == 100
     assert calls <= 3
+
+
+def test_gang_makes_no_call_for_each_worker_that_joins():
+    """Guards against calls for single new workers that keep other steps from their first call.
+
+    Crashed workers come back under another id, so there are always some that were not asked about.
+    """
+    world, call = world_with_call(24, step(18, cpu=5_000, gang=True))
+    good = call.workers[:6]
+    for worker_id in good:
+        fill(world, worker_id)
+    world.advise(call, *good)
+    calls = 0
+    duration_ms = 6_000.0
+    for number in range(20):
+        infos = [worker.info for worker in world.cell.workers.values()]
+        world.show(*infos, worker_info(f"x{number:02}", cpu=5_000))
+        world.now_ms += duration_ms / 20
+        world.schedule()
+        for again in world.asked:
+            calls += 1
+            world.advise(again, *(w for w in again.workers if w in good))
+        world.asked.clear()
+    assert 1 <= calls <= duration_ms / WIDEN_AFTER_MS
