--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -13,6 +13,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from nutmeglb_decisions.queues import advice_coverage
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import RequestAdvice
 from nutmeglb_decisions.queues.state import Step
@@ -139,7 +140,8 @@
 def is_usable(step: Step, worker: Worker) -> bool:
     """Return whether the labels and the state of a worker allow a step to run there."""
     label = step.spec.required_label
-    return worker.listed and not worker.info.draining and (not label or label in worker.info.labels)
+    is_available = worker.listed and not worker.info.draining and not worker.is_replaced
+    return is_available and (not label or label in worker.info.labels)
 
 
 def eligible(cell: Cell, step: Step) -> list[Worker]:
@@ -216,7 +218,8 @@
     cell.advice_calls[step.name] = (state.call_deadline_ms, cost_ms)
     budget.charge(cost_ms)
     ids = tuple(worker.worker_id for worker in selected)
-    cell.effects.append(RequestAdvice(step.name, ids, cost_ms))
+    incarnations = tuple(worker.started_ms for worker in selected)
+    cell.effects.append(RequestAdvice(step.name, ids, cost_ms, incarnations))
     cell.log_decision(
         "advice_asked", "no valid ticket", job=step.job.job_id, step=step.name, workers=len(ids)
     )
@@ -240,13 +243,17 @@
     state = step.advice
     good = approved_workers(cell, step)
     missing = _missing_worker_count(cell, step, group, good)
-    if missing:
-        asked = state.asked
-        unasked = [w for w in group.workers if asked.get(w.worker_id) != w.started_ms]
-        if unasked:
-            return (good + _with_most_free_capacity(step, unasked, missing, rng))[
-                :MAX_WORKERS_PER_CALL
-            ]
+    advice_coverage.track_idle_time(step, now_ms)
+    asked = state.asked
+    unasked = [w for w in group.workers if asked.get(w.worker_id) != w.started_ms]
+    if unasked and missing and not advice_coverage.is_top_up(step, good, unasked):
+        named = good + _with_most_free_capacity(step, unasked, missing, rng)
+        return named[:MAX_WORKERS_PER_CALL]
+    further = advice_coverage.further_workers(step, good, unasked, now_ms)
+    if further:
+        state.widened_ms = now_ms
+        named = _with_most_free_capacity(step, further, FIRST_CALL_WORKERS, rng) + good
+        return named[:MAX_WORKERS_PER_CALL]
     if not good:
         return []
     cost_ms = timing.call_ms(len(good))
@@ -299,20 +306,27 @@
 def answered(
     cell: Cell,
     step: Step,
-    named: Sequence[str],
+    call: RequestAdvice,
     tickets: Sequence[tuple[str, str]],
     expires_at_ms: float,
 ) -> None:
-    """Apply an answer. The workers in it must be stored before a task is sent to them."""
-    state = step.advice
+    """Apply the answer to a call. The workers in it must be stored before a task is sent to them.
+
+    A worker that has restarted since the call is asked about again.
+    """
+    state, named = step.advice, call.workers
     cell.advice_calls.pop(step.name, None)
     state.call_deadline_ms = 0.0
     state.not_before_ms = 0.0
     _update_approval_rate(cell, step, named, tickets)
-    for worker_id in named:
-        if worker_id in cell.workers:
-            state.asked[worker_id] = cell.workers[worker_id].started_ms
-    approved = {worker_id: ticket for worker_id, ticket in tickets if worker_id in cell.workers}
+    asked_about = dict(zip(named, call.incarnations, strict=True))
+    current = {
+        worker_id: started_ms
+        for worker_id, started_ms in asked_about.items()
+        if worker_id in cell.workers and cell.workers[worker_id].started_ms == started_ms
+    }
+    state.asked.update(current)
+    approved = {worker_id: ticket for worker_id, ticket in tickets if worker_id in current}
     state.good.difference_update(named)
     state.good.update(approved)
     state.tickets.update({name: (ticket, expires_at_ms) for name, ticket in approved.items()})
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Sequence
 
-from nutmeglb_decisions.queues import advice
+from nutmeglb_decisions.queues import advice, overdue_gangs
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.gang_plans import reserve_planned_capacity, update_plan
 from nutmeglb_decisions.queues.headroom import spare_cpu
@@ -78,6 +78,9 @@
                 amount = count * step.charged.cpu_millis
                 state.planned_cpu[worker_id] = state.planned_cpu.get(worker_id, 0) + amount
     cell.class_usage.sample(cell.workers.values(), state.planned_cpu, now_ms)
+    state.overdue = overdue_gangs.choose_overdue(cell, ranked, now_ms)
+    for step in state.overdue.values():
+        reserve_planned_capacity(step, cell.workers, state.reservations, now_ms, owner=step)
     for before in cell.parts.before_pass:
         before(state, ranked)
     not_reached = _place_until(state, ranked, BEST_RANK_SHARE * max_worker_checks)
@@ -308,6 +311,7 @@
         at_ms = _plan_and_reserve(state, step, group)
         return state.now_ms if fits or state.now_ms < step.expects_room_until_ms else at_ms
     step.plan = None
+    step.unplanned = ""
     number = state.cell.next_run_number(max(task.last_run for task in step.tasks))
     for task, worker_id in zip(step.tasks, assignment.worker_ids, strict=True):
         start_task(state, step, task, state.cell.workers[worker_id], number, run_ms)
@@ -322,8 +326,15 @@
     timing = cell.policy_of(step.job).advice
     allowed = step.recorded if timing is None else step.advice.good
     rank = rank_of(step, step.job.accepted_ms, now_ms, cell.estimates)
-    cannot_be_planned = rank.tier == Tier.TOO_LATE or not allowed
-    if cannot_be_planned or state.reservation_attempts >= MAX_RESERVATION_ATTEMPTS:
+    is_overdue = state.overdue.get(cell.policy_of(step.job).service) is step
+    step.unplanned = ""
+    if not allowed:
+        step.unplanned = "no worker approved or stored"
+    elif rank.tier == Tier.TOO_LATE and not is_overdue:
+        step.unplanned = "too late to be useful"
+    elif state.reservation_attempts >= MAX_RESERVATION_ATTEMPTS and not is_overdue:
+        step.unplanned = "limit of plans in a pass"
+    if step.unplanned:
         step.plan = None
         return math.inf
     state.reservation_attempts += 1
@@ -332,11 +343,14 @@
     reserved = state.reserved_cpu.get(queue.service, 0)
     required_cpu = step.charged.cpu_millis * step.spec.count
     room = MAX_RESERVED_SHARE * sum(n * size.cpu_millis for size, n in group.capacities.items())
-    if not good or (reserved and reserved + required_cpu > room):
+    exceeds_share = reserved + required_cpu > room and not is_overdue
+    if not good or (reserved and exceeds_share):
+        step.unplanned = "capacity reserved for other gangs" if good else "no worker is settled"
         step.plan = None
         return math.inf
     at_ms = update_plan(step, good, now_ms)
     if at_ms is None:
+        step.unplanned = "it does not fit on its workers"
         return math.inf
     reserve_planned_capacity(step, cell.workers, state.reservations, now_ms)
     state.reserved_cpu[queue.service] = reserved + required_cpu
