Log which runs were lost with a worker, and the suspects among them

When a task crashes the workers that start it, the logs named the ended runs per step and not the loss as a whole, so nothing showed which run may have caused it. The line is exempt from the rate limit. No decision changes.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
@@ -8,10 +8,11 @@
 
 from collections.abc import Container
 
-from nutmeglb_decisions.queues import presumed_ends
+from nutmeglb_decisions.queues import presumed_ends, worker_losses
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.lifecycle import end_run, repeat_stop
 from nutmeglb_decisions.queues.state import Run, RunState
+from nutmeglb_decisions.queues.worker_losses import LossEvidence
 from nutmeglb_decisions.queues.worker_state import Worker
 
 # Outcome of a run that cannot be active any more, without a reported end.
@@ -48,6 +49,8 @@
             ended.append(run)
         elif not _is_stop_accepted(worker, run):
             _stop_absent_run(cell, run, now_ms)
+    lost = [run for run in ended if run.worker_started_ms != worker.started_ms]
+    worker_losses.log_losses(cell, worker, lost, LossEvidence.PROVED, now_ms)
     return ended
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -2,12 +2,19 @@
 
 from collections.abc import Iterable
 
-from nutmeglb_decisions.queues import presumed_ends, speeds, stray_runs, takeover_wait
+from nutmeglb_decisions.queues import (
+    presumed_ends,
+    speeds,
+    stray_runs,
+    takeover_wait,
+    worker_losses,
+)
 from nutmeglb_decisions.queues.absent_runs import LOST, apply_absence
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.lifecycle import DONE, FAILED, apply_end, end_run, repeat_stop
 from nutmeglb_decisions.queues.names import TaskName, parse_task
 from nutmeglb_decisions.queues.state import Run, RunState, Task
+from nutmeglb_decisions.queues.worker_losses import LossEvidence
 from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.queues import EndedTask, QueueWorker, RunningTask, WorkerReport
 
@@ -112,12 +119,13 @@
 
 
 def end_all_runs(cell: Cell, worker: Worker, outcome: str, now_ms: float, wall_ms: float) -> None:
-    """End every run on a worker with the given outcome."""
+    """End every run on a worker whose leases have expired with the given outcome."""
     runs = list(worker.runs.values())
     log_ends(cell, worker, [(run.task, run.number, outcome) for run in runs])
     for run in runs:
         presumed_ends.record(cell, run, outcome, now_ms)
         end_run(cell, run, outcome, "", now_ms, wall_ms)
+    worker_losses.log_losses(cell, worker, runs, LossEvidence.PRESUMED, now_ms)
 
 
 def expire_silent_workers(cell: Cell, confirmed_ms: float, wall_ms: float) -> None:
@@ -183,7 +191,7 @@
         _apply_end(cell, worker, ended, now_ms, wall_ms)
     running_by_key = {(running.task, running.run): running for running in report.running}
     for key, running in running_by_key.items():
-        _apply_running(cell, worker, key, running, now_ms)
+        _apply_running(cell, worker, key, running, sent_ms, now_ms)
     speeds.after_report(cell, worker, now_ms)
     if worker.first_answer_ms is None:
         worker.first_answer_ms = now_ms
@@ -249,7 +257,12 @@
 
 
 def _apply_running(
-    cell: Cell, worker: Worker, key: tuple[str, int], running: RunningTask, now_ms: float
+    cell: Cell,
+    worker: Worker,
+    key: tuple[str, int],
+    running: RunningTask,
+    sent_ms: float,
+    now_ms: float,
 ) -> None:
     presumed_ends.log_contradiction(cell, worker.worker_id, key, "running", now_ms)
     run = worker.runs.get(key) or _adopt(cell, worker, running, now_ms)
@@ -273,6 +286,7 @@
     run.activity = running.activity
     speeds.observe_progress(cell, worker, run, running.percent, now_ms)
     _track_activity(run, now_ms)
+    worker_losses.record_active(run, sent_ms)
 
 
 def _track_activity(run: Run, now_ms: float) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -64,6 +64,9 @@
         0 otherwise.
     beside
         Shares of the worker's processors that other kinds of tasks used at the start, if recorded.
+    proved_active
+        Whether a report has shown it active long enough after its order that its start did not
+        crash the worker.
     """
 
     step: "Step"
@@ -88,6 +91,7 @@
     own_end_ms: float | None = None
     free_by_ms: float = 0.0
     beside: dict[str, float] | None = None
+    proved_active: bool = False
 
     @property
     def task(self) -> str:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
@@ -30,6 +30,7 @@
         "job_idle",
         "run_unresolved",
         "presumed_end_contradicted",
+        "runs_lost",
     }
 )
 
