Count the runs of a task that were lost with their workers, and store the count

Cause: nothing counted what happened to a worker under a task; a lost run only made its task wait again.

Each loss is now kept by run number, with its evidence (another incarnation has answered, or the lease expired), whether the run was a suspect, and whether it was alone. A worker that answers again in the same incarnation, or a report that shows the run, withdraws it. A task with losses starts only after these and the number of its next run are stored, so that the next leader counts a run that may have started under the former one. The step's record has the field only if there are losses; former releases ignore it.

No task is given up or isolated yet, and the order of starts without losses is unchanged (test_queue_equal_decisions). The tests use the state that this commit adds, so they do not run on the code before it.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
@@ -50,7 +50,7 @@
         elif not _is_stop_accepted(worker, run):
             _stop_absent_run(cell, run, now_ms)
     lost = [run for run in ended if run.worker_started_ms != worker.started_ms]
-    worker_losses.log_losses(cell, worker, lost, LossEvidence.PROVED, now_ms)
+    worker_losses.record_losses(cell, worker, lost, LossEvidence.PROVED, now_ms, wall_ms)
     return ended
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -10,7 +10,14 @@
 from nutmeglb_decisions.queues.lost_work import PreemptionUsage
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.run_sums import RunSums
-from nutmeglb_decisions.queues.state import FinishedJob, Job, PresumedEnd, Run, Step
+from nutmeglb_decisions.queues.state import (
+    FinishedJob,
+    Job,
+    PresumedEnd,
+    PresumedLosses,
+    Run,
+    Step,
+)
 from nutmeglb_decisions.queues.team_rates import TeamRates
 from nutmeglb_decisions.queues.worker_speed import Speeds
 from nutmeglb_decisions.queues.worker_state import Worker
@@ -61,6 +68,8 @@
         no run of a former leader is left.
     presumed_ends
         Per task and run number: runs whose end was inferred without a report of it.
+    presumed_losses
+        Per silent worker: runs that are taken for lost with it.
     speeds
         Learned speeds of workers.
     run_sums, team_rates
@@ -96,6 +105,7 @@
     class_usage: ClassUsage = field(default_factory=ClassUsage)
     ended_unsettled: list[Step] = field(default_factory=list)
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
+    presumed_losses: dict[str, PresumedLosses] = field(default_factory=dict)
     speeds: Speeds = field(default_factory=Speeds)
     run_sums: RunSums = field(default_factory=RunSums)
     team_rates: TeamRates = field(default_factory=TeamRates)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
@@ -101,6 +101,9 @@
     if job.final is not None or task.done:
         return
     _save_checkpoint(step, task, checkpoint)
+    if task.losses is not None and 0 < task.losses.reserved_run <= number:
+        task.losses.reserved_run = 0
+        cell.mark_dirty(job)
     if step.spec.lasting:
         failures = len(task.failed_runs) + 1 if outcome == FAILED else 0
         task.failed_runs = set(range(failures))
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Sequence
 
-from nutmeglb_decisions.queues import advice
+from nutmeglb_decisions.queues import advice, worker_losses
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.gang_plans import reserve_planned_capacity, update_plan
 from nutmeglb_decisions.queues.headroom import spare_cpu
@@ -260,8 +260,9 @@
         )
         if worker is None:
             return _next_capacity_ms(state, step, run_ms) if is_advice_due else math.inf
-        number = state.cell.next_run_number(task.last_run)
-        start_task(state, step, task, worker, number, run_ms)
+        number = worker_losses.next_number(state.cell, step, (task,))
+        if number is not None:
+            start_task(state, step, task, worker, number, run_ms)
     return None
 
 
@@ -307,8 +308,10 @@
         fits = choose_gang(step, good, state.reservations, state.now_ms, run_ms) is not None
         at_ms = _plan_and_reserve(state, step, group)
         return state.now_ms if fits or state.now_ms < step.expects_room_until_ms else at_ms
+    number = worker_losses.next_number(state.cell, step, step.tasks)
+    if number is None:
+        return None
     step.plan = None
-    number = state.cell.next_run_number(max(task.last_run for task in step.tasks))
     for task, worker_id in zip(step.tasks, assignment.worker_ids, strict=True):
         start_task(state, step, task, state.cell.workers[worker_id], number, run_ms)
     return None
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
@@ -3,6 +3,7 @@
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.lifecycle import add_job
 from nutmeglb_decisions.queues.state import FinishedJob, Job, JobState, Step
+from nutmeglb_decisions.queues.task_losses import LOSS_ROW_ITEMS, LossRow, restore_losses
 from nutmeglb_formats.models.queue_records import JobProgress
 from nutmeglb_formats.models.queues import QueueJob, StepProgress
 
@@ -14,7 +15,7 @@
         final, ended_ms = job.final.value, job.finished_wall_ms
         return JobProgress(name, final, ended_ms, [], [], job.record.team)
     steps = [_encode_step(step) for step in job.steps if step.occurrence not in job.completed]
-    steps = [step for step in steps if step.workers or step.done or step.failures]
+    steps = [step for step in steps if step.workers or step.done or step.failures or step.losses]
     return JobProgress(name, "", 0.0, sorted(job.completed), steps, job.record.team)
 
 
@@ -30,6 +31,8 @@
             step = steps[stored.step]
             # Workers may have been forgotten since the record was encoded.
             step.recorded.update(step.selected.intersection(stored.workers))
+            if step.lossy_tasks:
+                _apply_stored_losses(step, stored)
     for number in progress.completed:
         steps = job.occurrences.get(number, [])
         if not any(step.live_runs for step in steps):
@@ -86,7 +89,26 @@
     workers = sorted(step.selected | step.recorded)
     if step.spec.lasting:
         failures = []
-    return StepProgress(step.occurrence, step.number, workers, done, failures)
+    losses = [
+        list(row)
+        for task in step.tasks
+        if task.losses is not None and not task.done
+        for row in task.losses.rows(task.index)
+    ]
+    return StepProgress(step.occurrence, step.number, workers, done, failures, losses)
+
+
+def _loss_rows(stored: StepProgress) -> list[LossRow]:
+    """Return the stored rows of losses, without malformed ones."""
+    return [(row[0], row[1], row[2]) for row in stored.losses if len(row) == LOSS_ROW_ITEMS]
+
+
+def _apply_stored_losses(step: Step, stored: StepProgress) -> None:
+    rows = frozenset(_loss_rows(stored))
+    for index in step.lossy_tasks:
+        losses = step.tasks[index].losses
+        if losses is not None:
+            losses.stored = rows
 
 
 def _restore_step(step: Step, stored: StepProgress) -> None:
@@ -102,3 +124,7 @@
         if index < len(step.tasks):
             failed = step.failed_runs if step.spec.gang else step.tasks[index].failed_runs
             failed.add(number)
+    for index, losses in restore_losses(_loss_rows(stored)).items():
+        if 0 <= index < len(step.tasks) and not step.tasks[index].done:
+            step.tasks[index].losses = losses
+            step.lossy_tasks.add(index)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -125,7 +125,7 @@
     for run in runs:
         presumed_ends.record(cell, run, outcome, now_ms)
         end_run(cell, run, outcome, "", now_ms, wall_ms)
-    worker_losses.log_losses(cell, worker, runs, LossEvidence.PRESUMED, now_ms)
+    worker_losses.record_losses(cell, worker, runs, LossEvidence.PRESUMED, now_ms, wall_ms)
 
 
 def expire_silent_workers(cell: Cell, confirmed_ms: float, wall_ms: float) -> None:
@@ -181,6 +181,7 @@
         worker.stray_runs.clear()
     worker.unanswered_since_ms = None
     worker.last_report_ms = now_ms
+    worker_losses.record_answer(cell, worker, report.started_ms, wall_ms)
     new_ends = [ended for ended in report.ended if ended.number > worker.last_applied_end]
     log_ends(cell, worker, [(ended.task, ended.run, ended.outcome) for ended in new_ends])
     for ended in new_ends:
@@ -222,6 +223,7 @@
     step = cell.find_step(name.job_id, name.occurrence, name.step) if name else None
     if name is not None and step is not None and name.index < len(step.tasks):
         step.job.has_started = True
+        worker_losses.withdraw(cell, step, name.index, ended.run)
         apply_end(
             cell, step, name.index, ended.run, ended.outcome, ended.checkpoint, now_ms, wall_ms
         )
@@ -286,7 +288,7 @@
     run.activity = running.activity
     speeds.observe_progress(cell, worker, run, running.percent, now_ms)
     _track_activity(run, now_ms)
-    worker_losses.record_active(run, sent_ms)
+    worker_losses.record_active(cell, run, sent_ms)
 
 
 def _track_activity(run: Run, now_ms: float) -> None:
@@ -307,6 +309,7 @@
     if name is None or step is None or not _is_adoptable(step.tasks, name, running.run):
         return None
     task = step.tasks[name.index]
+    worker_losses.withdraw(cell, step, name.index, running.run)
     expected_ms = cell.estimates.run_ms(
         step.job.record.queue.name, step.spec.estimate_ms, worker.slowness
     )
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -6,6 +6,7 @@
 from nutmeglb_decisions.queues.names import step_name, task_name
 from nutmeglb_decisions.queues.run_progress import RunProgress, StepPace
 from nutmeglb_decisions.queues.step_state import AdviceState, Forecast, GangPlan, RoomHold
+from nutmeglb_decisions.queues.task_losses import TaskLosses
 from nutmeglb_formats.models.queues import QueueJob, StepSpec
 from nutmeglb_formats.models.resources import Resources
 
@@ -31,6 +32,14 @@
     STOPPING = "stopping"
 
 
+class Isolation(StrEnum):
+    """How long no other work is placed beside a run, because its task may crash its worker."""
+
+    NONE = "none"
+    UNTIL_PROVED = "until_proved"
+    WHOLE_RUN = "whole_run"
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """One attempt to run a task on a worker. It uses capacity until its end is known.
@@ -67,6 +76,11 @@
     proved_active
         Whether a report has shown it active long enough after its order that its start did not
         crash the worker.
+    began_alone
+        Whether it was started on a worker without other work, on which nothing is placed until it
+        is proved active.
+    isolation
+        Whether other work may be placed beside it.
     """
 
     step: "Step"
@@ -92,6 +106,8 @@
     free_by_ms: float = 0.0
     beside: dict[str, float] | None = None
     proved_active: bool = False
+    began_alone: bool = False
+    isolation: Isolation = Isolation.NONE
 
     @property
     def task(self) -> str:
@@ -127,6 +143,22 @@
     silent_for_ms: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class PresumedLosses:
+    """Runs that are taken for lost because the lease of their silent worker expired.
+
+    Attributes
+    ----------
+    started_ms
+        Start time of the worker's incarnation that had the runs.
+    runs
+        Step, index of the task and run number of each.
+    """
+
+    started_ms: int
+    runs: list[tuple["Step", int, int]]
+
+
 @dataclass(slots=True, eq=False)
 class Task:
     """One task of a step.
@@ -145,6 +177,8 @@
     preempted_loss_ms
         Time in milliseconds that its last preemption cost. It is not preempted again until it has
         run that long.
+    losses
+        Runs that were lost with their workers; ``None`` without any.
     """
 
     index: int
@@ -155,6 +189,7 @@
     run: Run | None = None
     not_before_ms: float = 0.0
     preempted_loss_ms: float = 0.0
+    losses: TaskLosses | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -198,6 +233,10 @@
         Time until which room is to be made for the step as soon as its advice is valid.
     held_by
         Name of the gate that kept the step from starting in the last pass; empty if none did.
+    lossy_tasks
+        Indices of the tasks with runs that were lost with their workers.
+    has_proved_task
+        Whether a run of a task has been proved active.
     """
 
     job: "Job"
@@ -222,6 +261,8 @@
     room_search_ms: float = 0.0
     expects_room_until_ms: float = 0.0
     held_by: str = ""
+    lossy_tasks: set[int] = field(default_factory=set)
+    has_proved_task: bool = False
     pace: StepPace = field(default_factory=StepPace)
     charged: Resources = field(init=False)
     team: str = field(init=False)
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/task_losses.py
@@ -0,0 +1,102 @@
+"""Runs of a task that were lost with their workers."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+# Flags of a stored row.
+_PROVED = 1
+_SUSPECT = 2
+_ALONE = 4
+# The run was about to start when the row was written.
+_RESERVED = 8
+
+# Index of the task, number of the run, and flags.
+LossRow = tuple[int, int, int]
+LOSS_ROW_ITEMS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Loss:
+    """A run that was lost with its worker.
+
+    Attributes
+    ----------
+    is_proved
+        Whether the worker has certainly crashed. It may otherwise only have been cut off.
+    is_suspect
+        Whether no report had shown the run active long enough after its order that its start did
+        not crash the worker.
+    was_alone
+        Whether no other work was on the worker during the run.
+    """
+
+    is_proved: bool
+    is_suspect: bool
+    was_alone: bool
+
+    @property
+    def flags(self) -> int:
+        """Return the flags of its stored row."""
+        return _PROVED * self.is_proved | _SUSPECT * self.is_suspect | _ALONE * self.was_alone
+
+
+@dataclass(slots=True, eq=False)
+class TaskLosses:
+    """The losses of one task. Its next run starts once they are stored together with its number.
+
+    Attributes
+    ----------
+    by_run
+        Losses by run number, so that none counts twice.
+    reserved_run
+        Number that the next run is to have; 0 if none is to start. Under the next leader the run
+        counts as lost unless a worker reports it.
+    stored
+        Rows as last stored.
+    waits_since_ms
+        Time from which the task has been waiting for a worker without other runs.
+    """
+
+    by_run: dict[int, Loss] = field(default_factory=dict)
+    reserved_run: int = 0
+    stored: frozenset[LossRow] = frozenset()
+    waits_since_ms: float | None = None
+
+    @property
+    def proved(self) -> int:
+        """Return the number of losses by a certain crash."""
+        return sum(loss.is_proved for loss in self.by_run.values())
+
+    @property
+    def last(self) -> Loss:
+        """Return the loss of the latest run."""
+        return self.by_run[max(self.by_run)]
+
+    def rows(self, index: int) -> list[LossRow]:
+        """Return the rows to store for the task with the given index."""
+        rows = [(index, number, loss.flags) for number, loss in sorted(self.by_run.items())]
+        if self.reserved_run:
+            rows.append((index, self.reserved_run, _RESERVED))
+        return rows
+
+    def is_stored(self, index: int) -> bool:
+        """Return whether all rows are stored."""
+        return self.stored.issuperset(self.rows(index))
+
+
+def restore_losses(rows: Iterable[LossRow]) -> dict[int, TaskLosses]:
+    """Return the losses by task that a former leader stored.
+
+    A run that was about to start may have started and crashed its worker before the former leader
+    knew. It counts as lost until a worker reports it.
+    """
+    found: dict[int, TaskLosses] = {}
+    for index, number, flags in rows:
+        losses = found.setdefault(index, TaskLosses())
+        if flags & _RESERVED:
+            losses.by_run.setdefault(number, Loss(False, True, False))
+        else:
+            losses.by_run[number] = Loss(
+                bool(flags & _PROVED), bool(flags & _SUSPECT), bool(flags & _ALONE)
+            )
+    return found
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
@@ -1,19 +1,34 @@
-"""Runs that were lost with their worker, and which of them may have crashed it.
+"""Counts the runs that were lost with their worker, per task.
 
-A run that a report has shown active for some time did not crash its worker at its start. The others
-on a lost worker are suspects.
+Load pattern: a task crashes each worker that starts it, and takes the work of others along. A run
+that a report has shown active for some time did not crash its worker at its start. The others on a
+lost worker are suspects. Losses are counted by run number and stored with the progress of the job,
+so that they are the same under each leader.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from enum import StrEnum
 
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.state import Run
+from nutmeglb_decisions.queues.state import (
+    Isolation,
+    PresumedLosses,
+    Run,
+    RunState,
+    Step,
+    Task,
+)
+from nutmeglb_decisions.queues.task_losses import Loss, TaskLosses
 from nutmeglb_decisions.queues.worker_state import Worker
 
 # A worker that a task crashes at its start is gone within the time of two calls that it does not
 # answer, each of which takes up to 0.2 s.
 PROVING_MS = 500.0
+# Losses of a lasting task are forgotten when one of its runs has been active for this long, many
+# times as long as a worker needs to return after a crash.
+LASTING_RESET_MS = 30_000.0
+# Workers whose presumed losses are remembered until they answer.
+MAX_PRESUMED_WORKERS = 1_000
 
 
 class LossEvidence(StrEnum):
@@ -27,19 +42,143 @@
     PRESUMED = "presumed"
 
 
-def record_active(run: Run, sent_ms: float) -> None:
+def record_active(cell: Cell, run: Run, sent_ms: float) -> None:
     """Record that a report which was requested at ``sent_ms`` shows a run active."""
-    if sent_ms >= run.ordered_ms + PROVING_MS:
+    if sent_ms < run.ordered_ms + PROVING_MS or run.state == RunState.STOPPING:
+        return
+    if not run.proved_active:
         run.proved_active = True
+        run.step.has_proved_task = True
+        if run.isolation == Isolation.UNTIL_PROVED:
+            run.isolation = Isolation.NONE
+    task = run.step.tasks[run.index]
+    if (
+        task.losses is not None
+        and run.step.spec.lasting
+        and sent_ms >= run.ordered_ms + LASTING_RESET_MS
+    ):
+        run.isolation = Isolation.NONE
+        _forget_losses(cell, run.step, task)
 
 
-def log_losses(
-    cell: Cell, worker: Worker, lost: Sequence[Run], evidence: LossEvidence, now_ms: float
+def record_losses(
+    cell: Cell,
+    worker: Worker,
+    lost: Sequence[Run],
+    evidence: LossEvidence,
+    now_ms: float,
+    wall_ms: float,
 ) -> None:
-    """Log runs that ended with their worker, each suspect as ``TASK:RUN:AGE``, latest first."""
+    """Count and log runs that have ended with their worker.
+
+    A run whose stop the worker had accepted does not count. One whose order is unanswered does,
+    because it may have started. The caller has ended the runs.
+    """
     lost = [run for run in lost if not _had_stopped(run)]
-    if not lost:
+    if lost:
+        _log_losses(cell, worker, lost, evidence, now_ms)
+    counted = []
+    for run in lost:
+        task = run.step.tasks[run.index]
+        if task.done or run.step.job.final is not None:
+            continue
+        loss = Loss(
+            is_proved=evidence is LossEvidence.PROVED or _is_of_former_life(worker, run),
+            is_suspect=not run.proved_active,
+            was_alone=run.began_alone,
+        )
+        if task.losses is None:
+            task.losses = TaskLosses()
+            run.step.lossy_tasks.add(task.index)
+        task.losses.by_run[run.number] = loss
+        task.losses.waits_since_ms = None
+        cell.mark_dirty(run.step.job)
+        counted.append((run.step, run.index, run.number))
+    if evidence is LossEvidence.PROVED:
+        prove_losses(cell, worker.worker_id, wall_ms)
+    elif counted:
+        presumed = cell.presumed_losses.setdefault(
+            worker.worker_id, PresumedLosses(worker.started_ms, [])
+        )
+        presumed.runs.extend(counted)
+        while len(cell.presumed_losses) > MAX_PRESUMED_WORKERS:
+            del cell.presumed_losses[next(iter(cell.presumed_losses))]
+
+
+def record_answer(cell: Cell, worker: Worker, started_ms: int, wall_ms: float) -> None:
+    """Settle the presumed losses of a worker that answers again.
+
+    They are withdrawn if it is the same incarnation, and proved if it is another one.
+    """
+    presumed = cell.presumed_losses.get(worker.worker_id)
+    if presumed is None:
+        return
+    if presumed.started_ms != started_ms:
+        prove_losses(cell, worker.worker_id, wall_ms)
+        return
+    del cell.presumed_losses[worker.worker_id]
+    for step, index, number in presumed.runs:
+        withdraw(cell, step, index, number)
+
+
+def prove_losses(cell: Cell, worker_id: str, wall_ms: float) -> None:
+    """Turn the presumed losses of a worker into proved ones: it has certainly crashed."""
+    presumed = cell.presumed_losses.pop(worker_id, None)
+    if presumed is None:
+        return
+    for step, index, number in presumed.runs:
+        losses = step.tasks[index].losses
+        loss = losses.by_run.get(number) if losses else None
+        if losses is None or loss is None or loss.is_proved:
+            continue
+        losses.by_run[number] = Loss(True, loss.is_suspect, loss.was_alone)
+        cell.mark_dirty(step.job)
+
+
+def withdraw(cell: Cell, step: Step, index: int, number: int) -> None:
+    """Withdraw the loss of a run that its worker reports: the worker has not crashed."""
+    task = step.tasks[index]
+    if task.losses is None or task.losses.by_run.pop(number, None) is None:
         return
+    cell.log_decision(
+        "loss_withdrawn", "its worker answers", job=step.job.job_id,
+        task=step.task_name(index), run=number,
+    )  # fmt: skip
+    cell.mark_dirty(step.job)
+    if not task.losses.by_run:
+        _forget_losses(cell, step, task)
+
+
+def next_number(cell: Cell, step: Step, tasks: Iterable[Task]) -> int | None:
+    """Return the number of the next run of a task or gang, or ``None`` until it is stored.
+
+    Only a task with losses waits: its losses, and the number of the run, are stored before the run
+    starts, so that the next leader knows of it.
+    """
+    tasks = list(tasks)
+    number = cell.next_run_number(max(task.last_run for task in tasks))
+    is_stored = True
+    for task in tasks:
+        losses = task.losses
+        if losses is None:
+            continue
+        if losses.reserved_run != number:
+            losses.reserved_run = number
+            cell.mark_dirty(step.job)
+        is_stored &= losses.is_stored(task.index)
+    return number if is_stored else None
+
+
+def _forget_losses(cell: Cell, step: Step, task: Task) -> None:
+    task.losses = None
+    step.lossy_tasks.discard(task.index)
+    cell.mark_dirty(step.job)
+
+
+def _log_losses(
+    cell: Cell, worker: Worker, lost: Sequence[Run], evidence: LossEvidence, now_ms: float
+) -> None:
+    """Log runs that ended with their worker, each suspect as ``TASK:RUN:AGE``, latest first."""
     suspects = [run for run in lost if not run.proved_active]
     suspects.sort(key=lambda run: -run.ordered_ms)
     cell.log_decision(
@@ -47,6 +186,7 @@
         evidence,
         worker=worker.worker_id,
         runs=len(lost),
+        alone=any(run.began_alone for run in lost),
         suspects=" ".join(
             f"{run.task}:{run.number}:{now_ms - run.ordered_ms:.0f}" for run in suspects
         ),
@@ -57,3 +197,9 @@
 def _had_stopped(run: Run) -> bool:
     """Return whether the incarnation that had a run has accepted a stop of it."""
     return run.stop_accepted_by is not None and run.stop_accepted_by == run.worker_started_ms
+
+
+def _is_of_former_life(worker: Worker, run: Run) -> bool:
+    """Return whether a worker is known to have restarted since a run was placed on it."""
+    known = run.worker_started_ms and worker.started_ms
+    return bool(known) and run.worker_started_ms != worker.started_ms
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/codec.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/codec.py
@@ -5,10 +5,14 @@
 
 A version may add one field with a default at the end. A value whose last fields have their defaults
 is encoded in the oldest version that can hold it, so that earlier releases read it.
+
+A nested dataclass may gain a field without a new version if earlier releases can do without it:
+they ignore names that they do not know. The field has a default and ``OMITTED_IF_EMPTY``.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import MISSING, dataclass, fields, is_dataclass
+from types import MappingProxyType
 from typing import Any, TypeVar
 
 import cbor2
@@ -16,6 +20,8 @@
 from result import Err, Ok, Result
 
 ValueT = TypeVar("ValueT")
+# Metadata of a field of a nested dataclass that is left out while it is empty.
+OMITTED_IF_EMPTY: Mapping[str, bool] = MappingProxyType({"omitted_if_empty": True})
 _PLAIN_TYPES = frozenset({str, int, float, bool, bytes, type(None)})
 
 
@@ -149,7 +155,11 @@
     if type(value) in _PLAIN_TYPES:
         return value
     if is_dataclass(value) and not isinstance(value, type):
-        return {field.name: _to_plain(getattr(value, field.name)) for field in fields(value)}
+        return {
+            field.name: _to_plain(getattr(value, field.name))
+            for field in fields(value)
+            if getattr(value, field.name) or "omitted_if_empty" not in field.metadata
+        }
     if isinstance(value, list | tuple):
         return [_to_plain(item) for item in value]
     if isinstance(value, dict):
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/queues.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/queues.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from nutmeglb_formats.codec import OMITTED_IF_EMPTY
 from nutmeglb_formats.models.resources import Resources
 
 
@@ -322,6 +323,9 @@
         Indices of completed tasks.
     failures
         Pairs of the index of a task and the number of its failed run. The index of a gang is 0.
+    losses
+        Rows of the index of a task, the number of a run that was lost with its worker, and flags.
+        Releases that do not know the field ignore it, and records without losses leave it out.
     """
 
     occurrence: int
@@ -329,3 +333,4 @@
     workers: list[str] = field(default_factory=list)
     done: list[int] = field(default_factory=list)
     failures: list[list[int]] = field(default_factory=list)
+    losses: list[list[int]] = field(default_factory=list, metadata=OMITTED_IF_EMPTY)
--- a/tests/unit/test_queue_worker_losses.py
+++ b/tests/unit/test_queue_worker_losses.py
@@ -1,10 +1,53 @@
 """Runs that are lost with their worker: which are logged as suspects, and what counts."""
 
+from dataclasses import dataclass, replace
+
+import cbor2
 import pytest
 
-from nutmeglb_decisions.queues import orders
-from nutmeglb_decisions.queues.effects import StopTask
-from tests.lib.queues import CellWorld, job, step, worker_info
+from nutmeglb_decisions.queues import lifecycle, orders, placing, progress, reports
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.effects import StartTask, StopTask
+from nutmeglb_decisions.queues.orders import StartOutcome
+from nutmeglb_decisions.queues.worker_losses import LASTING_RESET_MS
+from nutmeglb_formats.codec import TypeRegistry
+from nutmeglb_formats.models.queue_records import (
+    JobProgress,
+    decode_queue_record,
+    encode_queue_record,
+)
+from nutmeglb_formats.models.queues import RunningTask, StepProgress
+from tests.lib.queues import (
+    LEASE_EXPIRY_AFTER_MS,
+    STOP_ENDS_AFTER_MS,
+    CellWorld,
+    job,
+    step,
+    worker_info,
+)
+
+
+@dataclass(frozen=True)
+class FormerStep:
+    """Progress of a step as the releases before losses were stored know it."""
+
+    occurrence: int
+    step: int
+    workers: list[str]
+    done: list[int]
+    failures: list[list[int]]
+
+
+@dataclass(frozen=True)
+class FormerProgress:
+    """Progress of a job as these releases know it."""
+
+    queue: str
+    final: str
+    finished_ms: float
+    completed: list[int]
+    steps: list[FormerStep]
+    team: str = ""
 
 
 def world_before_a_loss() -> CellWorld:
@@ -40,6 +83,9 @@
             )
     world.tick(1_000.0)
     world.report(worker_id, running=())
+    infos = {each.worker_id: each.info for each in world.cell.workers.values()}
+    infos[worker_id] = replace(infos[worker_id], started_ms=started_ms)
+    reports.apply_worker_list(world.cell, infos.values(), world.now_ms)
 
 
 @pytest.mark.parametrize(
@@ -54,3 +100,172 @@
     assert sum(each["runs"] for each in fields) == 2
     suspects = " ".join(each["suspects"] for each in fields).split()
     assert [each.rpartition(":")[0] for each in suspects] == ["b.0.0.0:1"]
+
+
+def losses_of(world: CellWorld, job_id: str) -> dict[int, str]:
+    """Return the losses of the only task of a job by run number, as the evidence of each."""
+    losses = world.cell.jobs[job_id].steps[0].tasks[0].losses
+    by_run = losses.by_run if losses else {}
+    return {n: "proved" if loss.is_proved else "presumed" for n, loss in by_run.items()}
+
+
+def next_leader(world: CellWorld, term: int) -> CellWorld:
+    """Return the world of the next leader, which reads what is stored. No worker has answered."""
+    stored = {
+        job_id: decode_queue_record(encode_queue_record(progress.encode(job)), "st").ok_value
+        for job_id, job in world.cell.active.items()
+    }
+    successor = CellWorld(world.now_ms, Cell(term, LEASE_EXPIRY_AFTER_MS, STOP_ENDS_AFTER_MS))
+    for job_id, former in world.cell.active.items():
+        progress.restore(successor.cell, former.record, stored[job_id], world.now_ms, world.now_ms)
+    return successor
+
+
+def test_worker_that_was_only_cut_off_withdraws_the_losses():
+    world = world_before_a_loss()
+    let_leases_expire(world)
+    assert losses_of(world, "a") == losses_of(world, "b") == {1: "presumed"}
+    world.report("w1", running=())
+    assert losses_of(world, "a") == losses_of(world, "b") == {}
+
+
+def test_worker_that_returns_as_another_incarnation_proves_the_losses():
+    world = world_before_a_loss()
+    let_leases_expire(world)
+    world.report("w1", running=(), started_ms=9_000)
+    world.report("w1", running=())
+    assert losses_of(world, "a") == losses_of(world, "b") == {1: "proved"}
+
+
+def test_end_that_the_next_leader_reads_withdraws_the_loss():
+    world = world_before_a_loss()
+    let_leases_expire(world)
+    successor = next_leader(world, 1)
+    assert losses_of(successor, "b") == {1: "presumed"}
+    successor.show(worker_info("w1"))
+    successor.report("w1", (("b.0.0.0", 1, "lapsed", ""),), running=())
+    assert losses_of(successor, "b") == {}
+
+
+@pytest.mark.parametrize("repeats", [1, 3])
+def test_loss_counts_once_and_under_each_leader(repeats):
+    world = world_before_a_loss()
+    restart(world)
+    for term in range(1, 1 + repeats):
+        world = next_leader(world, term)
+        assert losses_of(world, "b") == {1: "proved"}
+
+
+def test_task_with_losses_starts_only_after_its_losses_and_run_number_are_stored():
+    world = world_before_a_loss()
+    restart(world)
+    # Losses and the number of the run are stored in passes of their own.
+    started = []
+    for _ in range(4):
+        stored = {
+            task.index: task.losses.stored
+            for task in world.cell.jobs["b"].steps[0].tasks
+            if task.losses is not None
+        }
+        placing.schedule(world.cell, 4, world.rng, world.now_ms, world.now_ms)
+        for order in world.cell.take_effects():
+            if isinstance(order, StartTask) and order.task == "b.0.0.0":
+                started.append(order.run)
+                assert {number for _, number, _ in stored[0]} == {1, order.run}
+        world.store()
+    assert started == [2]
+
+
+def test_run_that_may_have_started_under_the_former_leader_counts_as_lost():
+    world = world_before_a_loss()
+    restart(world)
+    world.schedule()
+    assert [order.run for order in world.started if order.task == "b.0.0.0"] == [2]
+    successor = next_leader(world, 1)
+    assert losses_of(successor, "b") == {1: "proved", 2: "presumed"}
+    successor.show(worker_info("w1"))
+    successor.report("w1", running=(RunningTask("b.0.0.0", 2, "", 10),))
+    assert losses_of(successor, "b") == {1: "proved"}
+
+
+@pytest.mark.parametrize(("stop", "counted"), [("answered", {}), ("unanswered", {1: "presumed"})])
+def test_stopped_run_counts_only_if_its_stop_was_not_answered(stop, counted):
+    world = world_before_a_loss()
+    run = world.cell.jobs["b"].steps[0].tasks[0].run
+    lifecycle.stop_run(world.cell, run)
+    if stop == "answered":
+        orders.apply_stop_answer(world.cell, "w1", run.task, run.number, world.now_ms)
+    let_leases_expire(world)
+    assert losses_of(world, "b") == counted
+
+
+@pytest.mark.parametrize("outcome", [StartOutcome.NO_CAPACITY, StartOutcome.UNHEALTHY])
+def test_refused_order_counts_for_nothing(outcome):
+    world = CellWorld()
+    world.show(worker_info("w1"))
+    world.add(job("b", step()))
+    world.schedule()
+    world.answer_starts(outcome)
+    let_leases_expire(world)
+    assert losses_of(world, "b") == {}
+
+
+def test_order_without_an_answer_counts_as_it_may_have_started_the_run():
+    world = CellWorld()
+    world.show(worker_info("w1"))
+    world.add(job("b", step()))
+    world.schedule()
+    for order in world.started:
+        world.answer(order, StartOutcome.UNKNOWN, certain=False)
+    let_leases_expire(world)
+    assert losses_of(world, "b") == {1: "presumed"}
+
+
+def test_losses_of_a_lasting_task_are_forgotten_after_a_long_run():
+    world = CellWorld()
+    world.show(worker_info("w1"))
+    world.add(job("b", step(lasting=True)))
+    world.schedule()
+    world.answer_starts()
+    restart(world)
+    assert losses_of(world, "b") == {1: "proved"}
+    world.tick(2_000.0)
+    world.report("w1")
+    world.schedule()
+    world.answer_starts()
+    world.tick(LASTING_RESET_MS - 1.0)
+    world.report("w1")
+    assert losses_of(world, "b") == {1: "proved"}
+    world.tick(1.0)
+    world.report("w1")
+    assert losses_of(world, "b") == {}
+
+
+# Fields of a stored step before losses were stored.
+FORMER_STEP_FIELDS = ("occurrence", "step", "workers", "done", "failures")
+
+
+@pytest.mark.parametrize("losses", [[], [[0, 3, 5], [0, 4, 8]]], ids=["none", "two"])
+def test_former_and_present_releases_read_the_progress_of_each_other(losses):
+    """A former release ignores losses; without any, the record is the one that it would write."""
+    steps = [StepProgress(0, 1, ["w1"], [2], [[0, 1]], losses)]
+    encoded = encode_queue_record(JobProgress("q", "", 0.0, [], steps))
+    code, version, (*others, items) = cbor2.loads(encoded)
+    assert (code, version) == (702, 1)
+    assert set(items[0]) == {*FORMER_STEP_FIELDS, *(["losses"] if losses else [])}
+    former = TypeRegistry()
+    former.register(702, 2, added=1)(FormerProgress)
+    read = former.from_items([code, version, [*others, items]])
+    assert read.ok_value.steps == [FormerStep(0, 1, ["w1"], [2], [[0, 1]])]
+    rewritten = decode_queue_record(cbor2.dumps(former.to_items(read.ok_value)), "st").ok_value
+    assert rewritten.steps == [StepProgress(0, 1, ["w1"], [2], [[0, 1]], [])]
+    assert decode_queue_record(encoded, "st").ok_value.steps == steps
+
+
+@pytest.mark.parametrize("row", [[], [0, 1], [9, 1, 1], [-1, 1, 1]])
+def test_malformed_rows_of_losses_are_ignored(row):
+    world = CellWorld()
+    stored = JobProgress("batch", "", 0.0, [], [StepProgress(0, 0, [], [], [], [row, [0, 1, 1]])])
+    progress.restore(world.cell, job("b", step()), stored, 0.0, 0.0)
+    assert losses_of(world, "b") == {1: "proved"}
+    assert world.cell.jobs["b"].steps[0].lossy_tasks == {0}
