Isolate and give up the tasks that crash the workers that start them

Cause: all tasks of a lost worker were placed again beside other work, without a limit.

A task that was lost before it was proved active starts again without other work beside it, one of its job at a time until one of its step has proved healthy. From the second loss on a task has no neighbours during its whole run. The job fails when a worker crashed at the start of a task that ran alone and had been lost in a crash before, at the third proved crash, or at the fourth loss of any evidence. A start that a former leader may have ordered counts, so that changes of leader do not start the count over.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
@@ -85,7 +85,9 @@
 
 
 def next_proof_ms(cell: Cell, worker: Worker, since_ms: float) -> float | None:
-    """Return when a report may first prove the end of a stopped run, or ``None`` if none waits.
+    """Return when a report may first prove what a run waits for, or ``None`` if none does.
+
+    A stopped run waits for its end, and a suspect for the proof that it is active.
 
     Parameters
     ----------
@@ -94,8 +96,15 @@
     """
     stopped_ms = [run.confirmed_ms for run in worker.runs.values() if _is_stopping(run)]
     stopped_ms += worker.stray_runs.values()
-    proofs_ms = [ms + cell.stop_ends_after_ms for ms in stopped_ms if ms is not None]
-    return min((proof_ms for proof_ms in proofs_ms if proof_ms > since_ms), default=None)
+    proofs_ms = [
+        ms + cell.stop_ends_after_ms
+        for ms in stopped_ms
+        if ms is not None and ms + cell.stop_ends_after_ms > since_ms
+    ]
+    suspect_proof_ms = worker_losses.next_proof_ms(worker, since_ms)
+    if suspect_proof_ms is not None:
+        proofs_ms.append(suspect_proof_ms)
+    return min(proofs_ms, default=None)
 
 
 def _is_stopping(run: Run) -> bool:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -13,6 +13,7 @@
 from nutmeglb_decisions.queues.state import (
     FinishedJob,
     Job,
+    KeptWorker,
     PresumedEnd,
     PresumedLosses,
     Run,
@@ -70,6 +71,8 @@
         Per task and run number: runs whose end was inferred without a report of it.
     presumed_losses
         Per silent worker: runs that are taken for lost with it.
+    kept_workers
+        Per worker on which nothing else is placed: the task that runs there or is about to.
     speeds
         Learned speeds of workers.
     run_sums, team_rates
@@ -106,6 +109,7 @@
     ended_unsettled: list[Step] = field(default_factory=list)
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
     presumed_losses: dict[str, PresumedLosses] = field(default_factory=dict)
+    kept_workers: dict[str, KeptWorker] = field(default_factory=dict)
     speeds: Speeds = field(default_factory=Speeds)
     run_sums: RunSums = field(default_factory=RunSums)
     team_rates: TeamRates = field(default_factory=TeamRates)
--- /dev/null
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
@@ -0,0 +1,90 @@
+"""Decides which tasks run without other work beside them, and which are given up.
+
+A loss proves nothing about a task: it may have been beside one that crashed the worker, or the
+worker may have crashed by itself. A second run without other work beside it tells the two apart.
+"""
+
+from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.lifecycle import finish_job
+from nutmeglb_decisions.queues.state import Isolation, JobState, Step, Task
+from nutmeglb_decisions.queues.task_losses import TaskLosses
+
+# Losses from which a task always runs without other work beside it, so that no further one costs
+# others their work.
+LOSSES_BEFORE_ISOLATION = 2
+# Proved crashes after which a task is given up if it ran alone at the last one.
+CRASHES_ALONE = 2
+# Proved crashes after which a task is given up in any case. Callers allow two starts more.
+MAX_CRASHES = 3
+# Losses of any evidence after which a task is given up. One more may not have been seen under a
+# former leader; with it callers allow no further start.
+MAX_LOSSES = 4
+
+
+def isolation_of(step: Step, task: Task) -> Isolation:
+    """Return how the next run of a task, or of the gang that it belongs to, is isolated.
+
+    Tasks of a step run the same program. So a suspect is cleared once any task of its step has
+    proved that it does not crash its worker at its start.
+    """
+    if task.losses is None:
+        return Isolation.NONE
+    if len(task.losses.by_run) >= LOSSES_BEFORE_ISOLATION:
+        return Isolation.WHOLE_RUN
+    is_suspect = any(loss.is_suspect for loss in task.losses.by_run.values())
+    return Isolation.UNTIL_PROVED if is_suspect and not is_cleared(step) else Isolation.NONE
+
+
+def isolation_of_gang(step: Step) -> Isolation:
+    """Return how the next run of a gang is isolated: as the member with the most evidence."""
+    found = {isolation_of(step, step.tasks[index]) for index in step.lossy_tasks}
+    for isolation in (Isolation.WHOLE_RUN, Isolation.UNTIL_PROVED):
+        if isolation in found:
+            return isolation
+    return Isolation.NONE
+
+
+def is_cleared(step: Step) -> bool:
+    """Return whether a task of a step has been proved active or has completed."""
+    return step.has_proved_task or step.remaining < step.spec.count
+
+
+def give_up_if_hopeless(cell: Cell, step: Step, task: Task, wall_ms: float) -> bool:
+    """End a job as failed if a task of it crashes the workers that start it."""
+    losses = task.losses
+    if losses is None or task.done or step.job.final is not None:
+        return False
+    is_at_work = task.run is not None and task.run.proved_active
+    cause = "" if is_at_work else _cause(losses)
+    if not cause:
+        return False
+    cell.log_decision(
+        "task_given_up",
+        cause,
+        job=step.job.job_id,
+        task=step.task_name(task.index),
+        losses=len(losses.by_run),
+        proved=losses.proved,
+        runs=" ".join(_describe(number, losses) for number in sorted(losses.by_run)),
+    )
+    finish_job(cell, step.job, JobState.FAILED, wall_ms)
+    return True
+
+
+def _cause(losses: TaskLosses) -> str:
+    """Return why a task is given up, or an empty text."""
+    last = losses.last
+    if losses.proved >= MAX_CRASHES:
+        return "its workers crashed in the maximum number of runs"
+    if len(losses.by_run) >= MAX_LOSSES:
+        return "its runs were lost with their workers the maximum number of times"
+    if losses.proved >= CRASHES_ALONE and last.is_proved and last.is_suspect and last.was_alone:
+        return "a worker crashed at its start while it ran alone"
+    return ""
+
+
+def _describe(number: int, losses: TaskLosses) -> str:
+    """Return a loss as ``RUN:EVIDENCE``, with ``suspect`` and ``alone`` if it was so."""
+    loss = losses.by_run[number]
+    parts = [str(number), "proved" if loss.is_proved else "presumed"]
+    return ":".join(parts + ["suspect"] * loss.is_suspect + ["alone"] * loss.was_alone)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -2,7 +2,7 @@
 
 from enum import StrEnum
 
-from nutmeglb_decisions.queues import presumed_ends
+from nutmeglb_decisions.queues import presumed_ends, worker_losses
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StopTask
 from nutmeglb_decisions.queues.lifecycle import RETRY_DELAY_MS, end_run, stop_run
@@ -61,6 +61,8 @@
         run.step.job.has_started = True
         if outcome == StartOutcome.STARTED:
             run.state = RunState.RUNNING
+            run.has_started = True
+            worker_losses.record_start_answer(worker, run)
         return
     cell.log_decision(
         "start_refused",
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -4,13 +4,13 @@
 import random
 from collections.abc import Sequence
 
-from nutmeglb_decisions.queues import advice, worker_losses
+from nutmeglb_decisions.queues import advice, isolation, worker_losses
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.gang_plans import reserve_planned_capacity, update_plan
 from nutmeglb_decisions.queues.headroom import spare_cpu
 from nutmeglb_decisions.queues.ranking import Rank, Tier, rank_of
 from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass, start_task
-from nutmeglb_decisions.queues.state import Step
+from nutmeglb_decisions.queues.state import Step, Task
 from nutmeglb_decisions.queues.waiting_order import RankFunction, ranked_steps, startable_tasks
 from nutmeglb_decisions.queues.worker_selection import (
     Reservations,
@@ -69,6 +69,7 @@
         Reservations(),
         Reservations(),
     )
+    isolation.release_workers(cell, now_ms)
     state.prepare_parts()
     ranked = ranked_steps(cell, now_ms, wall_ms, rank)
     for position, (_, step) in enumerate(ranked):
@@ -130,12 +131,20 @@
         candidates = _with_free_capacity(state, step, group.workers)
         _record_workers(cell, step, group.workers, candidates, now_ms)
     state.worker_checks += 1 + len(candidates)
+    if step.may_have_lost_runs:
+        worker_losses.assume_unseen_losses(cell, step)
+    tasks = startable_tasks(step, now_ms)
+    if step.lossy_tasks and not step.spec.gang:
+        run_ms = _expected_run_ms(state, step)
+        tasks = isolation.place_suspects(state, step, tasks, group.workers, candidates, run_ms)
+        if step.job.final is not None:
+            return
     ready = [worker for worker in candidates if _is_ready(step, worker, now_ms)]
     is_advice_due = needs_advice and advice.is_due(step, now_ms)
     if step.spec.gang:
         start_ms = _place_gang(state, step, ready, group, is_advice_due)
     else:
-        start_ms = _place_singles(state, step, ready, is_advice_due)
+        start_ms = _place_singles(state, step, tasks, ready, is_advice_due)
     if start_ms is not None and is_advice_due:
         state.worker_checks += len(group.workers)
         advice.request_if_due(cell, step, group, state.budget, state.rng, now_ms, start_ms)
@@ -209,6 +218,8 @@
     selected ones are full and others have free capacity.
     """
     selected = step.selected
+    if cell.kept_workers:
+        with_free_capacity = [worker for worker in with_free_capacity if not worker.is_kept]
     missing = 0.0
     if now_ms >= step.record_check_ms:
         step.record_check_ms = now_ms + RECORD_CHECK_INTERVAL_MS
@@ -237,7 +248,11 @@
 
 
 def _place_singles(
-    state: SchedulingPass, step: Step, ready: Sequence[Worker], is_advice_due: bool
+    state: SchedulingPass,
+    step: Step,
+    tasks: Sequence[Task],
+    ready: Sequence[Worker],
+    is_advice_due: bool,
 ) -> float | None:
     """Start the tasks that fit. Return when the next may start.
 
@@ -249,7 +264,7 @@
         Whether to compute the time, which only an advice request needs. Otherwise it is infinite.
     """
     run_ms = _expected_run_ms(state, step)
-    for position, task in enumerate(startable_tasks(step, state.now_ms)):
+    for position, task in enumerate(tasks):
         # The gates have admitted the first task already.
         if position and not state.admits(step, 1):
             return None
@@ -263,7 +278,8 @@
         number = worker_losses.next_number(state.cell, step, (task,))
         if number is not None:
             start_task(state, step, task, worker, number, run_ms)
-    return None
+    # A suspect may start as soon as its worker is empty, for which it needs a valid ticket.
+    return state.now_ms if step.held_by else None
 
 
 def _leaves_headroom(state: SchedulingPass, step: Step) -> bool:
@@ -302,6 +318,10 @@
 ) -> float | None:
     """Start a gang if it fits. Return its expected start, or ``None`` if it was started."""
     run_ms = _expected_run_ms(state, step)
+    if step.lossy_tasks:
+        ready = isolation.workers_for_gang(state, step, ready)
+        if step.job.final is not None:
+            return None
     assignment = choose_gang(step, ready, state.reservations, state.now_ms, run_ms, state.lost_ms)
     if assignment is None:
         good = advice.approved_workers(state.cell, step) if is_advice_due else []
@@ -314,6 +334,8 @@
     step.plan = None
     for task, worker_id in zip(step.tasks, assignment.worker_ids, strict=True):
         start_task(state, step, task, state.cell.workers[worker_id], number, run_ms)
+    if step.lossy_tasks:
+        isolation.isolate_gang(state, step)
     return None
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -209,7 +209,9 @@
     worker.settled = True
     for job in cell.active.values():
         for step in job.steps:
-            step.unsettled.discard(worker.worker_id)
+            if worker.worker_id in step.unsettled:
+                step.unsettled.discard(worker.worker_id)
+                step.may_have_lost_runs |= worker.started_ms > job.record.accepted_ms
 
 
 def _apply_end(cell: Cell, worker: Worker, ended: EndedTask, now_ms: float, wall_ms: float) -> None:
@@ -278,6 +280,7 @@
     )
     if stop_is_overdue:
         repeat_stop(cell, run)
+    run.has_started = True
     if run.state == RunState.ORDERED:
         run.state = RunState.RUNNING
         run.confirmed_ms = now_ms
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -73,6 +73,8 @@
         0 otherwise.
     beside
         Shares of the worker's processors that other kinds of tasks used at the start, if recorded.
+    has_started
+        Whether its worker has confirmed that it has started.
     proved_active
         Whether a report has shown it active long enough after its order that its start did not
         crash the worker.
@@ -105,6 +107,7 @@
     own_end_ms: float | None = None
     free_by_ms: float = 0.0
     beside: dict[str, float] | None = None
+    has_started: bool = False
     proved_active: bool = False
     began_alone: bool = False
     isolation: Isolation = Isolation.NONE
@@ -151,12 +154,10 @@
     ----------
     started_ms
         Start time of the worker's incarnation that had the runs.
-    runs
-        Step, index of the task and run number of each.
     """
 
     started_ms: int
-    runs: list[tuple["Step", int, int]]
+    runs: list[Run]
 
 
 @dataclass(slots=True, eq=False)
@@ -237,6 +238,8 @@
         Indices of the tasks with runs that were lost with their workers.
     has_proved_task
         Whether a run of a task has been proved active.
+    may_have_lost_runs
+        Whether runs that a former leader ordered may have crashed their workers unseen.
     """
 
     job: "Job"
@@ -263,6 +266,7 @@
     held_by: str = ""
     lossy_tasks: set[int] = field(default_factory=set)
     has_proved_task: bool = False
+    may_have_lost_runs: bool = False
     pace: StepPace = field(default_factory=StepPace)
     charged: Resources = field(init=False)
     team: str = field(init=False)
@@ -298,6 +302,8 @@
         Advice on them has to be requested, and they have to be stored, before they are used again.
         """
         named = worker_ids & (self.selected | self.recorded)
+        if self.unsettled & worker_ids:
+            self.may_have_lost_runs = True
         self.unsettled -= worker_ids
         self.selected -= named
         self.recorded -= named
@@ -310,6 +316,14 @@
         return bool(named)
 
 
+@dataclass(frozen=True, slots=True)
+class KeptWorker:
+    """Task for which a worker is kept without other work."""
+
+    step: Step
+    task: Task
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """A job with its occurrences, which are created when they are due.
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
@@ -7,9 +7,11 @@
 """
 
 from collections.abc import Iterable, Sequence
+from dataclasses import replace
 from enum import StrEnum
 
-from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.cell import RUNS_PER_TERM, Cell
+from nutmeglb_decisions.queues.crashing_tasks import give_up_if_hopeless, is_cleared
 from nutmeglb_decisions.queues.state import (
     Isolation,
     PresumedLosses,
@@ -27,6 +29,9 @@
 # Losses of a lasting task are forgotten when one of its runs has been active for this long, many
 # times as long as a worker needs to return after a crash.
 LASTING_RESET_MS = 30_000.0
+# Names of the conditions that keep a suspect from starting.
+WAITS_FOR_TRIAL = "trial"
+WAITS_FOR_EMPTY_WORKER = "empty_worker"
 # Workers whose presumed losses are remembered until they answer.
 MAX_PRESUMED_WORKERS = 1_000
 
@@ -46,11 +51,7 @@
     """Record that a report which was requested at ``sent_ms`` shows a run active."""
     if sent_ms < run.ordered_ms + PROVING_MS or run.state == RunState.STOPPING:
         return
-    if not run.proved_active:
-        run.proved_active = True
-        run.step.has_proved_task = True
-        if run.isolation == Isolation.UNTIL_PROVED:
-            run.isolation = Isolation.NONE
+    _prove_active(run)
     task = run.step.tasks[run.index]
     if (
         task.losses is not None
@@ -61,6 +62,69 @@
         _forget_losses(cell, run.step, task)
 
 
+def record_start_answer(worker: Worker, started: Run) -> None:
+    """Record that a worker has accepted an order, which earlier starts have not prevented."""
+    for run in worker.runs.values():
+        if (
+            not run.proved_active
+            and run.state == RunState.RUNNING
+            and run.confirmed_ms is not None
+            and run.worker_started_ms == started.worker_started_ms
+            and started.ordered_ms >= run.confirmed_ms + PROVING_MS
+        ):
+            _prove_active(run)
+
+
+def _prove_active(run: Run) -> None:
+    if run.proved_active:
+        return
+    run.proved_active = True
+    run.step.has_proved_task = True
+    if run.isolation == Isolation.UNTIL_PROVED:
+        run.isolation = Isolation.NONE
+
+
+def next_proof_ms(worker: Worker, since_ms: float) -> float | None:
+    """Return when a report may first prove a suspect on a worker active, or ``None``.
+
+    Parameters
+    ----------
+    since_ms
+        Time at which the last report was requested.
+    """
+    if not worker.is_kept:
+        return None
+    proofs_ms = [
+        run.ordered_ms + PROVING_MS
+        for run in worker.runs.values()
+        if run.isolation != Isolation.NONE and not run.proved_active
+    ]
+    return min((proof_ms for proof_ms in proofs_ms if proof_ms > since_ms), default=None)
+
+
+def assume_unseen_losses(cell: Cell, step: Step) -> None:
+    """Count one loss of each waiting task of a step whose workers may have crashed unseen.
+
+    Under the former leader, the task may have crashed a worker shortly before the change of leader.
+    Only one such loss is assumed of a task: from then on the number of each run is stored first.
+    """
+    step.may_have_lost_runs = False
+    if is_cleared(step):
+        return
+    # A number that no run has: those of this term are higher, and those of former terms lower.
+    number = cell.term * RUNS_PER_TERM
+    waiting = [task for task in step.tasks if not (task.done or task.run or task.losses)]
+    for task in waiting:
+        task.losses = TaskLosses({number: Loss(False, False, False)})
+        step.lossy_tasks.add(task.index)
+    if waiting:
+        cell.mark_dirty(step.job)
+        cell.log_decision(
+            "losses_assumed", "a worker of the step was lost during a change of leader",
+            job=step.job.job_id, step=step.name, tasks=len(waiting),
+        )  # fmt: skip
+
+
 def record_losses(
     cell: Cell,
     worker: Worker,
@@ -72,7 +136,7 @@
     """Count and log runs that have ended with their worker.
 
     A run whose stop the worker had accepted does not count. One whose order is unanswered does,
-    because it may have started. The caller has ended the runs.
+    because it may have started, but proves no crash. The caller has ended the runs.
     """
     lost = [run for run in lost if not _had_stopped(run)]
     if lost:
@@ -83,7 +147,8 @@
         if task.done or run.step.job.final is not None:
             continue
         loss = Loss(
-            is_proved=evidence is LossEvidence.PROVED or _is_of_former_life(worker, run),
+            is_proved=run.has_started
+            and (evidence is LossEvidence.PROVED or _is_of_former_life(worker, run)),
             is_suspect=not run.proved_active,
             was_alone=run.began_alone,
         )
@@ -93,7 +158,9 @@
         task.losses.by_run[run.number] = loss
         task.losses.waits_since_ms = None
         cell.mark_dirty(run.step.job)
-        counted.append((run.step, run.index, run.number))
+        counted.append(run)
+    for run in counted:
+        give_up_if_hopeless(cell, run.step, run.step.tasks[run.index], wall_ms)
     if evidence is LossEvidence.PROVED:
         prove_losses(cell, worker.worker_id, wall_ms)
     elif counted:
@@ -117,8 +184,8 @@
         prove_losses(cell, worker.worker_id, wall_ms)
         return
     del cell.presumed_losses[worker.worker_id]
-    for step, index, number in presumed.runs:
-        withdraw(cell, step, index, number)
+    for run in presumed.runs:
+        withdraw(cell, run.step, run.index, run.number)
 
 
 def prove_losses(cell: Cell, worker_id: str, wall_ms: float) -> None:
@@ -126,13 +193,14 @@
     presumed = cell.presumed_losses.pop(worker_id, None)
     if presumed is None:
         return
-    for step, index, number in presumed.runs:
-        losses = step.tasks[index].losses
-        loss = losses.by_run.get(number) if losses else None
-        if losses is None or loss is None or loss.is_proved:
+    for run in presumed.runs:
+        task = run.step.tasks[run.index]
+        loss = task.losses.by_run.get(run.number) if task.losses else None
+        if task.losses is None or loss is None or loss.is_proved or not run.has_started:
             continue
-        losses.by_run[number] = Loss(True, loss.is_suspect, loss.was_alone)
-        cell.mark_dirty(step.job)
+        task.losses.by_run[run.number] = replace(loss, is_proved=True)
+        cell.mark_dirty(run.step.job)
+        give_up_if_hopeless(cell, run.step, task, wall_ms)
 
 
 def withdraw(cell: Cell, step: Step, index: int, number: int) -> None:
@@ -149,6 +217,13 @@
         _forget_losses(cell, step, task)
 
 
+def release_number(cell: Cell, step: Step, task: Task) -> None:
+    """Withdraw the reservation of a run number: the run does not start for now."""
+    if task.losses is not None and task.losses.reserved_run:
+        task.losses.reserved_run = 0
+        cell.mark_dirty(step.job)
+
+
 def next_number(cell: Cell, step: Step, tasks: Iterable[Task]) -> int | None:
     """Return the number of the next run of a task or gang, or ``None`` until it is stored.
 
@@ -186,7 +261,7 @@
         evidence,
         worker=worker.worker_id,
         runs=len(lost),
-        alone=any(run.began_alone for run in lost),
+        isolated=sum(run.began_alone for run in lost),
         suspects=" ".join(
             f"{run.task}:{run.number}:{now_ms - run.ordered_ms:.0f}" for run in suspects
         ),
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -45,6 +45,8 @@
     stray_runs
         Runs on the worker that belong to no unfinished job, and the time at which it accepted their
         stop, or ``None``. Their size may be unknown, so no task is placed beside them.
+    is_kept
+        Whether nothing is placed on the worker beside a task that may crash it.
     """
 
     info: QueueWorker
@@ -64,6 +66,7 @@
     consecutive_bad_runs: int = 0
     slowness: float = 1.0
     stray_runs: dict[tuple[str, int], float | None] = field(default_factory=dict)
+    is_kept: bool = False
     worker_id: str = field(init=False)
     started_ms: int = field(init=False)
     free: Resources = field(init=False)
@@ -80,7 +83,11 @@
         self._update_free()
 
     def accepts_starts(self, now_ms: float) -> bool:
-        """Return whether tasks may be placed on the worker, if it has the capacity."""
+        """Return whether any task may be placed on the worker, if it has the capacity."""
+        return not self.is_kept and self.is_usable(now_ms)
+
+    def is_usable(self, now_ms: float) -> bool:
+        """Return whether the worker may run tasks, which may have to be without other work."""
         return (
             self.settled
             and self.has_current_info
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
@@ -31,6 +31,10 @@
         "run_unresolved",
         "presumed_end_contradicted",
         "runs_lost",
+        "loss_withdrawn",
+        "losses_assumed",
+        "task_isolated",
+        "task_given_up",
     }
 )
 
--- /dev/null
+++ b/tests/unit/test_queue_crashing_tasks.py
@@ -0,0 +1,78 @@
+"""Tasks that crash the workers that start them are given up, and cost others little."""
+
+import pytest
+
+from tests.lib.queue_crash_world import FIRST_BAD, CrashWorld, draw_case
+from tests.lib.queue_world import WORKERS, replay
+
+ONE_TASK, TEN_TASKS, WIDE_TASKS, GANG, LASTING = range(FIRST_BAD, FIRST_BAD + 5)
+LONG_WORK = (("submit", 4),) * 6
+CASES = {
+    "one_task": [("submit", ONE_TASK), ("advance", 40_000)],
+    "ten_tasks": [("submit", TEN_TASKS), ("advance", 40_000)],
+    "tasks_of_half_a_worker": [("submit", WIDE_TASKS), ("advance", 40_000)],
+    "gang": [("submit", GANG), ("advance", 40_000)],
+    "lasting_task": [("submit", LASTING), ("advance", 40_000)],
+    "beside_long_work": [*LONG_WORK, ("advance", 1_500), ("submit", TEN_TASKS)],
+    "beside_short_work": [
+        ("submit", ONE_TASK), *(("submit", 0), ("submit", 6), ("advance", 300)) * 12
+    ],
+    "two_jobs_at_once": [("submit", ONE_TASK), ("submit", TEN_TASKS), ("submit", 6)],
+    "leader_replaced_after_each_crash": [
+        ("submit", ONE_TASK), *(("advance", 1_000), ("replace", 0), ("replace", 1)) * 20
+    ],
+    "leader_killed_after_each_crash": [
+        ("submit", ONE_TASK),
+        *(("advance", 4_000), ("kill", 0), ("advance", 4_000), ("kill", 1)) * 6,
+    ],
+    "answers_of_commits_lost": [
+        ("submit", ONE_TASK),
+        *(("store_fault", 0, "no_answer", 1_500), ("store_fault", 1, "no_answer", 1_500)) * 4,
+        ("advance", 20_000),
+    ],
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_crashing_task_is_given_up_within_its_budget_and_no_other_job_fails(name):
+    """The world checks the budget at each start, and the final state of every job."""
+    replay(CASES[name], make_world=CrashWorld)
+
+
+@pytest.mark.parametrize("kind", [ONE_TASK, TEN_TASKS, WIDE_TASKS, GANG])
+def test_crashing_job_causes_one_crash_more_than_its_first_wave_and_that_one_costs_no_other(kind):
+    """All tasks that start before the first crash is known belong to the first wave."""
+    world = CrashWorld()
+    try:
+        for _ in range(4):
+            world.apply("submit", 4)
+        world.apply("advance", 1_500)
+        world.apply("submit", kind)
+        world.apply("advance", 200)
+        first_wave = len(world.record.crashes)
+        world.finish()
+        crashes = world.crashes_of(f"{4:016x}")
+    finally:
+        world.close()
+    assert len(crashes) <= first_wave + 1
+    assert [crash.lost for crash in crashes[first_wave:]] == [()] * len(crashes[first_wave:])
+
+
+def test_healthy_jobs_complete_while_workers_restart_under_them():
+    """Crashes by chance, without a task that causes them, fail no job."""
+    restarts = [("restart", worker, 4_000, 3_000, 0.0) for worker in WORKERS]
+    steps = [
+        step for restart in restarts * 3 for step in (("submit", 2), ("advance", 1_100), restart)
+    ]
+    replay([("submit", 4), ("submit", 5), *steps], make_world=CrashWorld)
+
+
+def test_seeded_cases():
+    """Plays the cases of fixed seeds."""
+    failures = {}
+    for seed in range(40):
+        try:
+            replay(draw_case(seed), make_world=CrashWorld)
+        except AssertionError as error:
+            failures[seed] = str(error)
+    assert not failures
--- a/tests/unit/test_queue_worker_losses.py
+++ b/tests/unit/test_queue_worker_losses.py
@@ -102,6 +102,11 @@
     assert [each.rpartition(":")[0] for each in suspects] == ["b.0.0.0:1"]
 
 
+def add_worker(world: CellWorld, worker_id: str) -> None:
+    """List one worker more."""
+    world.show(*(each.info for each in world.cell.workers.values()), worker_info(worker_id))
+
+
 def losses_of(world: CellWorld, job_id: str) -> dict[int, str]:
     """Return the losses of the only task of a job by run number, as the evidence of each."""
     losses = world.cell.jobs[job_id].steps[0].tasks[0].losses
@@ -159,17 +164,18 @@
 def test_task_with_losses_starts_only_after_its_losses_and_run_number_are_stored():
     world = world_before_a_loss()
     restart(world)
+    add_worker(world, "w2")
     # Losses and the number of the run are stored in passes of their own.
     started = []
     for _ in range(4):
         stored = {
             task.index: task.losses.stored
-            for task in world.cell.jobs["b"].steps[0].tasks
+            for task in world.cell.jobs["a"].steps[0].tasks
             if task.losses is not None
         }
         placing.schedule(world.cell, 4, world.rng, world.now_ms, world.now_ms)
         for order in world.cell.take_effects():
-            if isinstance(order, StartTask) and order.task == "b.0.0.0":
+            if isinstance(order, StartTask) and order.task == "a.0.0.0":
                 started.append(order.run)
                 assert {number for _, number, _ in stored[0]} == {1, order.run}
         world.store()
@@ -179,13 +185,14 @@
 def test_run_that_may_have_started_under_the_former_leader_counts_as_lost():
     world = world_before_a_loss()
     restart(world)
+    add_worker(world, "w2")
     world.schedule()
-    assert [order.run for order in world.started if order.task == "b.0.0.0"] == [2]
+    assert [order.run for order in world.started if order.task == "a.0.0.0"] == [2]
     successor = next_leader(world, 1)
-    assert losses_of(successor, "b") == {1: "proved", 2: "presumed"}
-    successor.show(worker_info("w1"))
-    successor.report("w1", running=(RunningTask("b.0.0.0", 2, "", 10),))
-    assert losses_of(successor, "b") == {1: "proved"}
+    assert losses_of(successor, "a") == {1: "proved", 2: "presumed"}
+    successor.show(worker_info("w2"))
+    successor.report("w2", running=(RunningTask("a.0.0.0", 2, "", 10),))
+    assert losses_of(successor, "a") == {1: "proved"}
 
 
 @pytest.mark.parametrize(("stop", "counted"), [("answered", {}), ("unanswered", {1: "presumed"})])
