--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
@@ -8,10 +8,11 @@
 
 from collections.abc import Container
 
-from nutmeglb_decisions.queues import presumed_ends
+from nutmeglb_decisions.queues import presumed_ends, worker_losses
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.lifecycle import end_run, repeat_stop
 from nutmeglb_decisions.queues.state import Run, RunState
+from nutmeglb_decisions.queues.worker_losses import LossEvidence
 from nutmeglb_decisions.queues.worker_state import Worker
 
 # Outcome of a run that cannot be active any more, without a reported end.
@@ -48,6 +49,8 @@
             ended.append(run)
         elif not _is_stop_accepted(worker, run):
             _stop_absent_run(cell, run, now_ms)
+    lost = [run for run in ended if run.worker_started_ms != worker.started_ms]
+    worker_losses.record_losses(cell, worker, lost, LossEvidence.PROVED, now_ms, wall_ms)
     return ended
 
 
@@ -82,7 +85,9 @@
 
 
 def next_proof_ms(cell: Cell, worker: Worker, since_ms: float) -> float | None:
-    """Return when a report may first prove the end of a stopped run, or ``None`` if none waits.
+    """Return when a report may first prove what a run waits for, or ``None`` if none does.
+
+    A stopped run waits for its end, and a suspect for the proof that it is active.
 
     Parameters
     ----------
@@ -91,8 +96,15 @@
     """
     stopped_ms = [run.confirmed_ms for run in worker.runs.values() if _is_stopping(run)]
     stopped_ms += worker.stray_runs.values()
-    proofs_ms = [ms + cell.stop_ends_after_ms for ms in stopped_ms if ms is not None]
-    return min((proof_ms for proof_ms in proofs_ms if proof_ms > since_ms), default=None)
+    proofs_ms = [
+        ms + cell.stop_ends_after_ms
+        for ms in stopped_ms
+        if ms is not None and ms + cell.stop_ends_after_ms > since_ms
+    ]
+    suspect_proof_ms = worker_losses.next_proof_ms(worker, since_ms)
+    if suspect_proof_ms is not None:
+        proofs_ms.append(suspect_proof_ms)
+    return min(proofs_ms, default=None)
 
 
 def _is_stopping(run: Run) -> bool:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -2,12 +2,19 @@
 
 from collections.abc import Iterable
 
-from nutmeglb_decisions.queues import presumed_ends, speeds, stray_runs, takeover_wait
+from nutmeglb_decisions.queues import (
+    presumed_ends,
+    speeds,
+    stray_runs,
+    takeover_wait,
+    worker_losses,
+)
 from nutmeglb_decisions.queues.absent_runs import LOST, apply_absence
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.lifecycle import DONE, FAILED, apply_end, end_run, repeat_stop
 from nutmeglb_decisions.queues.names import TaskName, parse_task
 from nutmeglb_decisions.queues.state import Run, RunState, Task
+from nutmeglb_decisions.queues.worker_losses import LossEvidence
 from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.queues import EndedTask, QueueWorker, RunningTask, WorkerReport
 
@@ -114,12 +121,13 @@
 
 
 def end_all_runs(cell: Cell, worker: Worker, outcome: str, now_ms: float, wall_ms: float) -> None:
-    """End every run on a worker with the given outcome."""
+    """End every run on a worker whose leases have expired with the given outcome."""
     runs = list(worker.runs.values())
     log_ends(cell, worker, [(run.task, run.number, outcome) for run in runs])
     for run in runs:
         presumed_ends.record(cell, run, outcome, now_ms)
         end_run(cell, run, outcome, "", now_ms, wall_ms)
+    worker_losses.record_losses(cell, worker, runs, LossEvidence.PRESUMED, now_ms, wall_ms)
 
 
 def expire_silent_workers(cell: Cell, confirmed_ms: float, wall_ms: float) -> None:
@@ -176,6 +184,7 @@
     worker.unanswered_since_ms = None
     worker.is_replaced = False
     worker.last_report_ms = now_ms
+    worker_losses.record_answer(cell, worker, report.started_ms, wall_ms)
     new_ends = [ended for ended in report.ended if ended.number > worker.last_applied_end]
     log_ends(cell, worker, [(ended.task, ended.run, ended.outcome) for ended in new_ends])
     for ended in new_ends:
@@ -186,7 +195,7 @@
         _apply_end(cell, worker, ended, now_ms, wall_ms)
     running_by_key = {(running.task, running.run): running for running in report.running}
     for key, running in running_by_key.items():
-        _apply_running(cell, worker, key, running, now_ms)
+        _apply_running(cell, worker, key, running, sent_ms, now_ms)
     speeds.after_report(cell, worker, now_ms)
     if worker.first_answer_ms is None:
         worker.first_answer_ms = now_ms
@@ -203,7 +212,9 @@
     worker.settled = True
     for job in cell.active.values():
         for step in job.steps:
-            step.unsettled.discard(worker.worker_id)
+            if worker.worker_id in step.unsettled:
+                step.unsettled.discard(worker.worker_id)
+                step.may_have_lost_runs |= worker.started_ms > job.record.accepted_ms
 
 
 def _apply_end(cell: Cell, worker: Worker, ended: EndedTask, now_ms: float, wall_ms: float) -> None:
@@ -217,6 +228,7 @@
     step = cell.find_step(name.job_id, name.occurrence, name.step) if name else None
     if name is not None and step is not None and name.index < len(step.tasks):
         step.job.has_started = True
+        worker_losses.withdraw(cell, step, name.index, ended.run)
         apply_end(
             cell, step, name.index, ended.run, ended.outcome, ended.checkpoint, now_ms, wall_ms
         )
@@ -252,7 +264,12 @@
 
 
 def _apply_running(
-    cell: Cell, worker: Worker, key: tuple[str, int], running: RunningTask, now_ms: float
+    cell: Cell,
+    worker: Worker,
+    key: tuple[str, int],
+    running: RunningTask,
+    sent_ms: float,
+    now_ms: float,
 ) -> None:
     presumed_ends.log_contradiction(cell, worker.worker_id, key, "running", now_ms)
     run = worker.runs.get(key) or _adopt(cell, worker, running, now_ms)
@@ -266,6 +283,7 @@
     )
     if stop_is_overdue:
         repeat_stop(cell, run)
+    run.has_started = True
     if run.state == RunState.ORDERED:
         run.state = RunState.RUNNING
         run.confirmed_ms = now_ms
@@ -276,6 +294,7 @@
     run.activity = running.activity
     speeds.observe_progress(cell, worker, run, running.percent, now_ms)
     _track_activity(run, now_ms)
+    worker_losses.record_active(cell, run, sent_ms)
 
 
 def _track_activity(run: Run, now_ms: float) -> None:
@@ -296,6 +315,7 @@
     if name is None or step is None or not _is_adoptable(step.tasks, name, running.run):
         return None
     task = step.tasks[name.index]
+    worker_losses.withdraw(cell, step, name.index, running.run)
     expected_ms = cell.estimates.run_ms(
         step.job.record.queue.name, step.spec.estimate_ms, worker.slowness
     )
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -6,6 +6,7 @@
 from nutmeglb_decisions.queues.names import step_name, task_name
 from nutmeglb_decisions.queues.run_progress import RunProgress, StepPace
 from nutmeglb_decisions.queues.step_state import AdviceState, Forecast, GangPlan, RoomHold
+from nutmeglb_decisions.queues.task_losses import TaskLosses
 from nutmeglb_formats.models.queues import QueueJob, StepSpec
 from nutmeglb_formats.models.resources import Resources
 
@@ -31,6 +32,14 @@
     STOPPING = "stopping"
 
 
+class Isolation(StrEnum):
+    """How long no other work is placed beside a run, because its task may crash its worker."""
+
+    NONE = "none"
+    UNTIL_PROVED = "until_proved"
+    WHOLE_RUN = "whole_run"
+
+
 @dataclass(slots=True, eq=False)
 class Run:
     """One attempt to run a task on a worker. It uses capacity until its end is known.
@@ -64,6 +73,16 @@
         0 otherwise.
     beside
         Shares of the worker's processors that other kinds of tasks used at the start, if recorded.
+    has_started
+        Whether its worker has confirmed that it has started.
+    proved_active
+        Whether a report has shown it active long enough after its order that its start did not
+        crash the worker.
+    began_alone
+        Whether it was started on a worker without other work, on which nothing is placed until it
+        is proved active.
+    isolation
+        Whether other work may be placed beside it.
     """
 
     step: "Step"
@@ -88,6 +107,10 @@
     own_end_ms: float | None = None
     free_by_ms: float = 0.0
     beside: dict[str, float] | None = None
+    has_started: bool = False
+    proved_active: bool = False
+    began_alone: bool = False
+    isolation: Isolation = Isolation.NONE
 
     @property
     def task(self) -> str:
@@ -123,6 +146,20 @@
     silent_for_ms: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class PresumedLosses:
+    """Runs that are taken for lost because the lease of their silent worker expired.
+
+    Attributes
+    ----------
+    started_ms
+        Start time of the worker's incarnation that had the runs.
+    """
+
+    started_ms: int
+    runs: list[Run]
+
+
 @dataclass(slots=True, eq=False)
 class Task:
     """One task of a step.
@@ -141,6 +178,8 @@
     preempted_loss_ms
         Time in milliseconds that its last preemption cost. It is not preempted again until it has
         run that long.
+    losses
+        Runs that were lost with their workers; ``None`` without any.
     """
 
     index: int
@@ -151,6 +190,7 @@
     run: Run | None = None
     not_before_ms: float = 0.0
     preempted_loss_ms: float = 0.0
+    losses: TaskLosses | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -198,6 +238,12 @@
         Why the last pass made no plan for the step, which is a gang; empty if it has one.
     wait_cause, wait_cause_since_ms
         Last logged cause of its wait, and the time of the first of the consecutive lines with it.
+    lossy_tasks
+        Indices of the tasks with runs that were lost with their workers.
+    has_proved_task
+        Whether a run of a task has been proved active.
+    may_have_lost_runs
+        Whether runs that a former leader ordered may have crashed their workers unseen.
     """
 
     job: "Job"
@@ -225,6 +271,9 @@
     unplanned: str = ""
     wait_cause: str = ""
     wait_cause_since_ms: float = 0.0
+    lossy_tasks: set[int] = field(default_factory=set)
+    has_proved_task: bool = False
+    may_have_lost_runs: bool = False
     pace: StepPace = field(default_factory=StepPace)
     charged: Resources = field(init=False)
     team: str = field(init=False)
@@ -260,6 +309,8 @@
         Advice on them has to be requested, and they have to be stored, before they are used again.
         """
         named = worker_ids & (self.selected | self.recorded)
+        if self.unsettled & worker_ids:
+            self.may_have_lost_runs = True
         self.unsettled -= worker_ids
         self.selected -= named
         self.recorded -= named
@@ -272,6 +323,14 @@
         return bool(named)
 
 
+@dataclass(frozen=True, slots=True)
+class KeptWorker:
+    """Task for which a worker is kept without other work."""
+
+    step: Step
+    task: Task
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """A job with its occurrences, which are created when they are due.
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
@@ -31,6 +31,11 @@
         "job_idle",
         "run_unresolved",
         "presumed_end_contradicted",
+        "runs_lost",
+        "loss_withdrawn",
+        "losses_assumed",
+        "task_isolated",
+        "task_given_up",
     }
 )
 
