Let a new leader ask at their last addresses whether recorded workers have ended

Cause: entries of crashed workers leave the store after three heartbeats. A new leader knows the ids that are stored for a step, but not their addresses, so it cannot learn that they have ended.

The leader now stores the addresses of all workers it knows (record 707, a hint, at most once a second on change). The next leader recalls those that its steps wait for and calls them; the answer, or that of another worker at the address, ends the wait. Nothing is placed on them.

Failed before: there was no such record; without recall_workers, test_next_leader_does_not_wait_for_a_worker_without_an_entry_that_was_replaced fails (no such worker).

--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/queue_records.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/queue_records.py
@@ -168,6 +168,34 @@
     run_times: list[LearnedRunTimes]
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerAddress:
+    """Where an incarnation of a worker serves.
+
+    Attributes
+    ----------
+    started_ms
+        Wall-clock time in milliseconds at which the incarnation started.
+    """
+
+    worker_id: str
+    service: str
+    address: str
+    started_ms: int
+
+
+@record(707, 1)
+@dataclass(frozen=True, slots=True)
+class WorkerAddresses:
+    """Addresses of the workers that a leader knows, as a hint for the next one.
+
+    Entries of crashed workers leave the store, but steps wait for the workers that are stored as
+    possibly used. The next leader finds out at their addresses whether they have ended.
+    """
+
+    workers: list[WorkerAddress]
+
+
 def encode_queue_record(value: object) -> bytes:
     """Encode a registered record."""
     return cbor2.dumps(QUEUE_RECORDS.to_items(value))
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -16,7 +16,7 @@
 from nutmeglb._internal.queues.decision_log import DecisionLog
 from nutmeglb._internal.queues.election import TAKEOVER_FAILED
 from nutmeglb._internal.queues.inbox_reader import InboxReader
-from nutmeglb._internal.queues.learned_store import LearnedStore
+from nutmeglb._internal.queues.leader_hints import LeaderHints
 from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.load_reports import LoadReports
 from nutmeglb._internal.queues.loop_lag import LoopLag
@@ -135,7 +135,7 @@
         self._workers = WorkerLinks(
             self.cell, platform.workers, clock, log, term.fence, run_lease_ms, callbacks
         )
-        self._learned = LearnedStore(platform.store, self.cell, term.key_revision, metrics)
+        self._hints = LeaderHints(platform.store, self.cell, term.key_revision, metrics)
         self._background = BackgroundTasks()
         self._wake = asyncio.Event()
         self._idle_jobs = IdleJobMonitor()
@@ -258,7 +258,7 @@
             self._tick_loop(),
             self._load_reports.run(),
             self._prune_finished_loop(),
-            self._learned.run(),
+            self._hints.run(),
         ):
             self._background.spawn(self._run_guarded(loop))
         self._request_pass()
@@ -274,9 +274,7 @@
         """Load accepted jobs, progress and workers. Return whether everything was read."""
         if not await self._committer.load_counter():
             return False
-        stored, _ = await asyncio.gather(
-            stored_jobs.read_state(self._platform), self._learned.load()
-        )
+        stored, _ = await asyncio.gather(stored_jobs.read_state(self._platform), self._hints.load())
         if isinstance(stored, Err):
             logger.warning("takeover: state not loaded; retrying", cause=str(stored.err_value))
             return False
@@ -290,6 +288,7 @@
             lifecycle.cancel_job(self.cell, job_id, wall_ms)
         self._revision = state.inbox.revision
         reports.apply_worker_list(self.cell, state.workers, now_ms)
+        self._hints.recall_workers()
         self._workers.refresh()
         return True
 
