Keep an advice call free for the step that has waited longest for one

While under half of a service is in use, the step without a run and without a call for 1.5 s, longest first, gets the last call that the budget leaves in a pass. Short and long calls are separate.

Failed before: test_step_is_asked_about_although_better_ranked_ones_use_all_calls (no worker asked about).

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -70,10 +70,18 @@
 
 @dataclass(slots=True)
 class AdviceBudget:
-    """Total duration of long and of short advice calls that may still be started in one pass."""
+    """Total duration of long and of short advice calls that may still be started in one pass.
+
+    Attributes
+    ----------
+    turn, is_turn_long
+        Step for which the last call is kept free, or ``None``, and whether that is a long one.
+    """
 
     long_ms: float
     short_ms: float
+    turn: Step | None = None
+    is_turn_long: bool = False
 
     @classmethod
     def of(cls, cell: Cell, calling_instances: int, now_ms: float) -> "AdviceBudget":
@@ -95,6 +103,18 @@
         """Return the remaining budget for calls with the given expected duration."""
         return self.long_ms if cost_ms > LONG_CALL_MS else self.short_ms
 
+    def keep_free(self, step: Step, cost_ms: float) -> None:
+        """Keep the last call of this kind in this pass for a step."""
+        self.turn, self.is_turn_long = step, cost_ms > LONG_CALL_MS
+
+    def allows(self, step: Step, cost_ms: float) -> bool:
+        """Return whether a step may start a call with the given expected duration."""
+        available_ms = self.available_ms(cost_ms)
+        is_long = cost_ms > LONG_CALL_MS
+        if self.turn in (None, step) or is_long != self.is_turn_long:
+            return available_ms > 0
+        return available_ms > (LONG_CALL_MS_PER_INSTANCE if is_long else SHORT_CALL_MS_PER_INSTANCE)
+
     def charge(self, cost_ms: float) -> None:
         """Charge a call to the budget."""
         if cost_ms > LONG_CALL_MS:
@@ -207,7 +227,7 @@
     state = step.advice
     if timing is None or not is_due(step, now_ms):
         return
-    if budget.available_ms(timing.call_ms(1)) <= 0:
+    if not budget.allows(step, timing.call_ms(1)):
         return
     selected = _workers_to_name(cell, step, group, timing, rng, now_ms, start_ms)
     if not selected:
@@ -215,8 +235,11 @@
         return
     cost_ms = timing.call_ms(len(selected))
     state.call_deadline_ms = now_ms + cost_ms * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_EXTRA_MS
+    state.called_ms = now_ms
     cell.advice_calls[step.name] = (state.call_deadline_ms, cost_ms)
     budget.charge(cost_ms)
+    if budget.turn is step:
+        budget.turn = None
     ids = tuple(worker.worker_id for worker in selected)
     incarnations = tuple(worker.started_ms for worker in selected)
     cell.effects.append(RequestAdvice(step.name, ids, cost_ms, incarnations))
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Sequence
 
-from nutmeglb_decisions.queues import advice, overdue_gangs
+from nutmeglb_decisions.queues import advice, advice_turns, overdue_gangs
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.gang_plans import reserve_planned_capacity, update_plan
 from nutmeglb_decisions.queues.headroom import spare_cpu
@@ -81,6 +81,7 @@
     state.overdue = overdue_gangs.choose_overdue(cell, ranked, now_ms)
     for step in state.overdue.values():
         reserve_planned_capacity(step, cell.workers, state.reservations, now_ms, owner=step)
+    advice_turns.keep_call_free(cell, ranked, state.budget, now_ms)
     for before in cell.parts.before_pass:
         before(state, ranked)
     not_reached = _place_until(state, ranked, BEST_RANK_SHARE * max_worker_checks)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/step_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/step_state.py
@@ -24,6 +24,8 @@
         Time from which the step has had no run, as seen at the checks; ``None`` if it has one.
     widened_ms
         Time of the last call about further workers because the approved ones offered no room.
+    called_ms, turn_ms
+        Time of the last call, and of the last pass that kept a call free for the step.
     """
 
     asked: dict[str, int] = field(default_factory=dict)
@@ -33,6 +35,8 @@
     not_before_ms: float = 0.0
     idle_since_ms: float | None = None
     widened_ms: float = -math.inf
+    called_ms: float = -math.inf
+    turn_ms: float = -math.inf
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/unit/test_queue_advice_coverage.py
+++ b/tests/unit/test_queue_advice_coverage.py
@@ -115,3 +115,21 @@
             world.advise(again, *(w for w in again.workers if w in good))
         world.asked.clear()
     assert 1 <= calls <= duration_ms / WIDEN_AFTER_MS
+
+
+def test_step_is_asked_about_although_better_ranked_ones_use_all_calls():
+    """Guards against a job that is idle beside free capacity, since advice is never requested."""
+    world = CellWorld()
+    world.show(*(worker_info(f"w{n:02}") for n in range(12)))
+    last = world.add(job("last", step(), queue=ADVISED))
+    # It is too late to be useful, so all others go first.
+    last.accepted_ms -= 60_000.0
+    for number in range(20):
+        for each in range(8):
+            world.add(job(f"{number}-{each}", step(estimate_ms=100.0), queue=ADVISED))
+        world.schedule()
+        for call in world.asked:
+            world.advise(call)
+        world.asked.clear()
+        world.now_ms += 200.0
+    assert last.steps[0].advice.asked
