Check in virtual time that no job stays idle after workers crash

CrashWorld has twelve workers that crash and are replaced at their address by a worker with another id, gangs whose members break together, and advice calls of 0.5 s. After the faults it checks the rule LOST: no job idle for 3 s beside twice its capacity while under half is in use.

--- a/tests/lib/queue_gateway_model.py
+++ b/tests/lib/queue_gateway_model.py
@@ -10,6 +10,7 @@
 from tests.lib.queue_worker_model import FENCED
 
 TIMEOUT_MS = 400.0
+MS_PER_S = 1_000.0
 HOP_MS = 1.0
 # Per fate of a call: the delay of each of its executions, the one that is answered, and the delay
 # of the answer. The HTTP client sends each call at most once (test_http_resend.py), so no answered
--- a/tests/lib/queue_world.py
+++ b/tests/lib/queue_world.py
@@ -89,15 +89,15 @@
             config_key="op/config",
             workers_prefix="servers/",
             store=self.store,
-            workers=GatewayModel(world, number),
-            advice=None,
+            workers=world.make_gateway(number),
+            advice=world.make_advice(),
             decode_worker=decode_worker,
         )
         self._background = BackgroundTasks()
         self.leader = None
         links = LinksStub()
         self._lag = LoopLag(clock, MetricsRegistry())
-        self._advice = AdviceDispatcher(None, links, clock, self._lag)
+        self._advice = AdviceDispatcher(self._platform.advice, links, clock, self._lag)
         self._links = links
         self.election = Election(
             self._live, clock, self._rng, self.store, links,
@@ -142,7 +142,8 @@
     """Return the worker that an entry of the store names."""
     fields = json.loads(item.value)
     worker_id = item.key.removeprefix("servers/")
-    return Ok(worker_info(worker_id, fields["cpu"], started_ms=fields["born"]))
+    changes = {name: fields[name] for name in ("address",) if name in fields}
+    return Ok(worker_info(worker_id, fields["cpu"], started_ms=fields["born"], **changes))
 
 
 class World:
@@ -164,8 +165,7 @@
         self.cancelled = set()
         self._lives_of_processes = 0
         self._born = 1_000
-        for number, worker in enumerate(WORKERS):
-            self._begin_life(worker, CPU, 7_000.0 * number, 0.0)
+        self._begin_lives()
         self.processes = [ProcessModel(self, number, 0) for number in PROCESSES]
         self.advance(1_500)
 
@@ -173,6 +173,14 @@
         """Return what checks the starts and ends on the workers."""
         return SingleRunRecord(self)
 
+    def make_gateway(self, number):
+        """Return what carries the calls of an instance to the workers."""
+        return GatewayModel(self, number)
+
+    def make_advice(self):
+        """Return the advice service, or ``None`` if there is none."""
+        return
+
     def make_job(self, job_id, kind):
         """Return the record of a job of a kind."""
         queue = URGENT if kind == 0 else BATCH
@@ -204,6 +212,10 @@
         factor = 0.4 + 0.2 * (int(task.rpartition(".")[2]) * 7 % 5)
         return spec.needs.cpu_millis, spec.estimate_ms * factor
 
+    def _begin_lives(self):
+        for number, worker in enumerate(WORKERS):
+            self._begin_life(worker, CPU, 7_000.0 * number, 0.0)
+
     def _begin_life(self, worker, cpu, clock_start_ms, entry_lag_ms):
         self._born += 1_000
         rate = RATES[WORKERS.index(worker)]
--- /dev/null
+++ b/tests/unit/test_queue_crash_world.py
@@ -0,0 +1,36 @@
+"""No job stays idle after workers crash, whether or not others take their addresses.
+
+Guards against LOST: a job that could run and does not, while most of the capacity is free.
+"""
+
+import random
+
+import pytest
+
+from tests.lib.queue_crash_world import JOBS, SLOTS, CrashWorld
+from tests.lib.queue_world import replay
+
+SEEDS = range(12)
+STEPS = 30
+DURATIONS_MS = (50, 200, 500, 1_000)
+DOWN_MS = (500, 3_000, 3_000)
+
+
+def draw_case(seed):
+    """Return the steps of a case."""
+    rng = random.Random(seed)
+    steps = []
+    for _ in range(STEPS):
+        steps.append(("submit", rng.randrange(len(JOBS))))
+        if rng.random() < 0.5:
+            steps.append(("crash", rng.choice(SLOTS), rng.choice(DOWN_MS)))
+        steps.append(("advance", rng.choice(DURATIONS_MS)))
+    # Crashes just before the end of the faults.
+    for slot in rng.sample(SLOTS, 4):
+        steps += [("crash", slot, rng.choice(DOWN_MS)), ("advance", 50)]
+    return steps
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_job_is_idle_beside_free_capacity_after_workers_crash(seed):
+    replay(draw_case(seed), make_world=CrashWorld)
