Plan gangs only on workers that answer

Callers saw gangs wait longer than needed after a crash: an idle worker that is silent counts as free at once, so the plan preferred it to workers that would become free, until its entry expired.

Failed before: test_gang_does_not_plan_its_start_on_a_silent_worker (the plan kept w2).

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -339,7 +339,11 @@
         step.plan = None
         return math.inf
     state.reservation_attempts += 1
-    good = [w for w in group.workers if w.worker_id in allowed and w.settled]
+    good = [
+        worker
+        for worker in group.workers
+        if worker.worker_id in allowed and worker.settled and worker.unanswered_since_ms is None
+    ]
     queue = step.job.record.queue
     reserved = state.reserved_cpu.get(queue.service, 0)
     required_cpu = step.charged.cpu_millis * step.spec.count
--- a/tests/unit/test_queue_lost_workers.py
+++ b/tests/unit/test_queue_lost_workers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from nutmeglb_decisions.queues import lifecycle
+from nutmeglb_decisions.queues import lifecycle, orders
 from nutmeglb_decisions.queues.orders import StartOutcome
 from tests.lib.queues import CellWorld, job, step, worker_info
 from tests.lib.worker_link import Link
@@ -103,3 +103,20 @@
     asyncio.run(link.link.start(link.order))
     assert link.sent == []
     assert not link.worker.runs
+
+
+def test_gang_does_not_plan_its_start_on_a_silent_worker():
+    """Guards against a gang that waits for a worker that has crashed while others become free."""
+    world = CellWorld()
+    world.show(*(worker_info(f"w{n}") for n in range(3)))
+    world.add(job("b", step(2, cpu=10_000, estimate_ms=5_000.0)))
+    world.schedule()
+    busy = {order.worker_id for order in world.answer_starts()}
+    gang = world.add(job(JOB, step(2, cpu=16_000, gang=True)))
+    world.schedule()
+    (idle,) = {"w0", "w1", "w2"} - busy
+    assert idle in gang.steps[0].plan.counts
+    orders.unanswered(world.cell, world.worker(idle), world.now_ms)
+    world.now_ms += 100.0
+    world.schedule()
+    assert gang.steps[0].plan.counts.keys() == busy
