Record only workers that can be used among those that advice approves

Callers saw steps wait for up to 11.4 s after a change of leader for workers that had been lost before: an advice call that was outstanding when a worker fell silent or was replaced recorded it (again) for the step, although nothing was ever started there.

Failed before: both cases of test_worker_that_is_lost_during_a_call_is_not_recorded (w00 recorded).

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -353,8 +353,10 @@
     state.good.difference_update(named)
     state.good.update(approved)
     state.tickets.update({name: (ticket, expires_at_ms) for name, ticket in approved.items()})
-    if not state.good <= step.selected:
-        step.selected |= state.good
+    # Each leader waits for the recorded workers, so those that are lost already are left out.
+    usable = {worker.worker_id for worker in approved_workers(cell, step)}
+    if not usable <= step.selected:
+        step.selected |= usable
         cell.mark_dirty(step.job)
     cell.log_decision(
         "advice_answered",
--- a/tests/lib/queue_crash_world.py
+++ b/tests/lib/queue_crash_world.py
@@ -94,7 +94,7 @@
 
 
 class CrashWorld(World):
-    """Twelve workers that crash. Further steps of a case: ``crash`` and ``submit``."""
+    """Twelve workers that crash. Further steps of a case: ``crash`` and ``fault_at``."""
 
     def __init__(self):
         self.occupants = {}
@@ -153,6 +153,10 @@
         if down_ms is not None:
             self.simulation.at(down_ms, lambda: self._begin_slot(slot))
 
+    def fault_at(self, slot, call, fate, late_ms, count):
+        """Set what happens to the next calls of a kind to the present worker of a slot."""
+        self.fault(self.occupants[f"{slot}:1"].worker_id, call, fate, late_ms, count)
+
     # Observer of the workers.
 
     def on_start(self, life, run, sent_to, known_cpu):
--- a/tests/unit/test_queue_advice_coverage.py
+++ b/tests/unit/test_queue_advice_coverage.py
@@ -6,6 +6,7 @@
 
 from nutmeglb_decisions.queues import orders, reports
 from nutmeglb_decisions.queues.advice_coverage import WIDEN_AFTER_MS
+from nutmeglb_decisions.queues.ended_lives import OtherIncarnation, end_life
 from tests.lib.queues import ADVISED, CellWorld, job, step, worker_info
 
 JOB = "00000000000000aa"
@@ -133,3 +134,18 @@
         world.asked.clear()
         world.now_ms += 200.0
     assert last.steps[0].advice.asked
+
+
+@pytest.mark.parametrize("is_replaced", [True, False])
+def test_worker_that_is_lost_during_a_call_is_not_recorded(is_replaced):
+    """Guards against a next leader that waits for a worker on which nothing was ever started."""
+    world, call = world_with_call(2, step())
+    worker = world.worker("w00")
+    if is_replaced:
+        evidence = OtherIncarnation(worker.info.address, worker.started_ms, world.now_ms)
+        end_life(world.cell, worker, evidence, world.now_ms, world.now_ms)
+    else:
+        orders.unanswered(world.cell, worker, world.now_ms)
+    world.advise(call, "w00", "w01")
+    (waiting,) = world.cell.jobs[JOB].steps
+    assert waiting.recorded == waiting.selected == {"w01"}
--- a/tests/unit/test_queue_crash_world.py
+++ b/tests/unit/test_queue_crash_world.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from tests.lib.queue_cases import CALLS, FATE_NAMES, LATE_MS
 from tests.lib.queue_crash_world import JOBS, SLOTS, CrashWorld
-from tests.lib.queue_world import replay
+from tests.lib.queue_world import PROCESSES, replay
 
 SEEDS = range(12)
 STEPS = 30
@@ -34,3 +35,26 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_job_is_idle_beside_free_capacity_after_workers_crash(seed):
     replay(draw_case(seed), make_world=CrashWorld)
+
+
+def draw_faulty_case(seed):
+    """Return the steps of a case with lost, late and repeated calls and changes of leader."""
+    rng = random.Random(seed)
+    steps = []
+    for step in draw_case(seed):
+        steps.append(step)
+        if rng.random() < 0.3:
+            fate, late_ms = rng.choice(FATE_NAMES), rng.choice(LATE_MS)
+            count = rng.randint(1, 4)
+            steps.append(("fault_at", rng.choice(SLOTS), rng.choice(CALLS), fate, late_ms, count))
+        if rng.random() < 0.03:
+            steps.append(
+                (rng.choice(("kill", "pause", "resume", "replace")), rng.choice(PROCESSES))
+            )
+    return steps
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_task_runs_twice_when_workers_are_replaced_while_calls_are_lost_or_late(seed):
+    """Guards against a proof of the end of a run that a delayed order or answer contradicts."""
+    replay(draw_faulty_case(seed), make_world=CrashWorld)
