--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -4,7 +4,13 @@
 import random
 from collections.abc import Sequence
 
-from nutmeglb_decisions.queues import advice, isolation, overdue_gangs, worker_losses
+from nutmeglb_decisions.queues import (
+    advice,
+    advice_turns,
+    isolation,
+    overdue_gangs,
+    worker_losses,
+)
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.gang_plans import reserve_planned_capacity, update_plan
 from nutmeglb_decisions.queues.headroom import spare_cpu
@@ -82,6 +88,7 @@
     state.overdue = overdue_gangs.choose_overdue(cell, ranked, now_ms)
     for step in state.overdue.values():
         reserve_planned_capacity(step, cell.workers, state.reservations, now_ms, owner=step)
+    advice_turns.keep_call_free(cell, ranked, state.budget, now_ms)
     for before in cell.parts.before_pass:
         before(state, ranked)
     not_reached = _place_until(state, ranked, BEST_RANK_SHARE * max_worker_checks)
@@ -363,7 +370,11 @@
         step.plan = None
         return math.inf
     state.reservation_attempts += 1
-    good = [w for w in group.workers if w.worker_id in allowed and w.settled]
+    good = [
+        worker
+        for worker in group.workers
+        if worker.worker_id in allowed and worker.settled and worker.unanswered_since_ms is None
+    ]
     queue = step.job.record.queue
     reserved = state.reserved_cpu.get(queue.service, 0)
     required_cpu = step.charged.cpu_millis * step.spec.count
--- a/tests/unit/test_queue_advice_coverage.py
+++ b/tests/unit/test_queue_advice_coverage.py
@@ -6,6 +6,7 @@
 
 from nutmeglb_decisions.queues import orders, reports
 from nutmeglb_decisions.queues.advice_coverage import WIDEN_AFTER_MS
+from nutmeglb_decisions.queues.ended_lives import OtherIncarnation, end_life
 from tests.lib.queues import ADVISED, CellWorld, job, step, worker_info
 
 JOB = "00000000000000aa"
@@ -115,3 +116,36 @@
             world.advise(again, *(w for w in again.workers if w in good))
         world.asked.clear()
     assert 1 <= calls <= duration_ms / WIDEN_AFTER_MS
+
+
+def test_step_is_asked_about_although_better_ranked_ones_use_all_calls():
+    """Guards against a job that is idle beside free capacity, since advice is never requested."""
+    world = CellWorld()
+    world.show(*(worker_info(f"w{n:02}") for n in range(12)))
+    last = world.add(job("last", step(), queue=ADVISED))
+    # It is too late to be useful, so all others go first.
+    last.accepted_ms -= 60_000.0
+    for number in range(20):
+        for each in range(8):
+            world.add(job(f"{number}-{each}", step(estimate_ms=100.0), queue=ADVISED))
+        world.schedule()
+        for call in world.asked:
+            world.advise(call)
+        world.asked.clear()
+        world.now_ms += 200.0
+    assert last.steps[0].advice.asked
+
+
+@pytest.mark.parametrize("is_replaced", [True, False])
+def test_worker_that_is_lost_during_a_call_is_not_recorded(is_replaced):
+    """Guards against a next leader that waits for a worker on which nothing was ever started."""
+    world, call = world_with_call(2, step())
+    worker = world.worker("w00")
+    if is_replaced:
+        evidence = OtherIncarnation(worker.info.address, worker.started_ms, world.now_ms)
+        end_life(world.cell, worker, evidence, world.now_ms, world.now_ms)
+    else:
+        orders.unanswered(world.cell, worker, world.now_ms)
+    world.advise(call, "w00", "w01")
+    (waiting,) = world.cell.jobs[JOB].steps
+    assert waiting.recorded == waiting.selected == {"w01"}
