Release the workers kept for tasks that wait for something else

A worker kept empty for a suspect stayed kept while the task waited for its team's limit or a delay, and a gang was kept from the workers of its own last run, which accepted no start. A task has to ask for its worker in each pass; a gang keeps none beyond its run. A run that the next leader adopts is isolated as its losses require.

Failed on the code before: test_worker_is_released_when_its_task_waits_for_something_else: assert not True test_gang_is_not_kept_from_starting_by_the_workers_of_its_last_run: assert None is not None

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
@@ -6,8 +6,9 @@
 
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.lifecycle import finish_job
-from nutmeglb_decisions.queues.state import Isolation, JobState, Step, Task
+from nutmeglb_decisions.queues.state import Isolation, JobState, KeptWorker, Run, Step, Task
 from nutmeglb_decisions.queues.task_losses import TaskLosses
+from nutmeglb_decisions.queues.worker_state import Worker
 
 # Losses from which a task always runs without other work beside it, so that no further one costs
 # others their work.
@@ -44,6 +45,20 @@
     return Isolation.NONE
 
 
+def isolate(cell: Cell, worker: Worker, run: Run, now_ms: float) -> None:
+    """Place no other work beside a run as long as the losses of its task require."""
+    step, task = run.step, run.step.tasks[run.index]
+    run.isolation = isolation_of_gang(step) if step.spec.gang else isolation_of(step, task)
+    if run.isolation != Isolation.NONE:
+        keep_worker(cell, worker, step, task, now_ms)
+
+
+def keep_worker(cell: Cell, worker: Worker, step: Step, task: Task, now_ms: float) -> None:
+    """Place nothing else on a worker as long as a task runs there, or is about to."""
+    worker.is_kept = True
+    cell.kept_workers[worker.worker_id] = KeptWorker(step, task, now_ms)
+
+
 def is_cleared(step: Step) -> bool:
     """Return whether a task of a step has been proved active or has completed."""
     return step.has_proved_task or step.remaining < step.spec.count
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
@@ -26,6 +26,8 @@
 # The same of a lasting task, or while most of the capacity is free. Callers count a job that does
 # nothing for 3 s beside free capacity as stuck.
 MAX_IDLE_WAIT_MS = 2_000.0
+# Time after which a worker that its task has not asked for is no longer kept: many passes.
+MAX_UNUSED_MS = 2_000.0
 # Share of the workers of a service that may be kept empty for suspects; one in any case.
 MAX_KEPT_SHARE = 0.25
 
@@ -46,8 +48,13 @@
 
 
 def _is_needed(kept: KeptWorker, worker: Worker, now_ms: float) -> bool:
-    """Return whether a task still waits for a worker that empties."""
+    """Return whether a task still waits for a worker that empties.
+
+    A task that has not asked for its worker lately waits for something else, as a team's limit.
+    """
     task, step = kept.task, kept.step
+    if step.spec.gang or now_ms > kept.wanted_ms + MAX_UNUSED_MS:
+        return False
     waits = not task.done and task.run is None and step.job.final is None
     is_isolated = crashing_tasks.isolation_of(step, task) != Isolation.NONE
     return waits and is_isolated and worker.is_usable(now_ms) and not worker.info.draining
@@ -76,7 +83,6 @@
     if not isolated:
         return list(tasks)
     is_cleared = crashing_tasks.is_cleared(step)
-    step.held_by = worker_losses.WAITS_FOR_EMPTY_WORKER
     usable = [
         worker
         for worker in candidates
@@ -89,6 +95,8 @@
         if position and not state.admits(step, 1):
             break
         _place_suspect(state, step, task, group, usable, run_ms)
+        if task.run is None:
+            step.held_by = worker_losses.WAITS_FOR_EMPTY_WORKER
     if not is_cleared:
         return []
     return [task for task in tasks if task not in isolated]
@@ -130,34 +138,17 @@
         return
     number = worker_losses.next_number(cell, step, (task,))
     if number is None:
-        _keep(cell, worker, step, task)
+        crashing_tasks.keep_worker(cell, worker, step, task, state.now_ms)
         return
     began_alone = not worker.runs
     start_task(state, step, task, worker, number, run_ms)
     losses.waits_since_ms = None
     if task.run is not None:
         task.run.began_alone = began_alone
-        isolate(cell, worker, task.run)
+        crashing_tasks.isolate(cell, worker, task.run, state.now_ms)
         _log_isolated(state, task.run, losses, began_alone)
 
 
-def isolate(cell: Cell, worker: Worker, run: Run) -> None:
-    """Place no other work beside a run as long as its losses require."""
-    step, task = run.step, run.step.tasks[run.index]
-    gang = step.spec.gang
-    run.isolation = (
-        crashing_tasks.isolation_of_gang(step) if gang else crashing_tasks.isolation_of(step, task)
-    )
-    if run.isolation != Isolation.NONE:
-        _keep(cell, worker, step, task)
-
-
-def _keep(cell: Cell, worker: Worker, step: Step, task: Task) -> None:
-    """Place nothing else on a worker as long as a task runs there, or is about to."""
-    worker.is_kept = True
-    cell.kept_workers[worker.worker_id] = KeptWorker(step, task)
-
-
 def _log_isolated(state: SchedulingPass, run: Run, losses: TaskLosses, alone: bool) -> None:
     state.cell.log_decision(
         "task_isolated",
@@ -207,7 +198,9 @@
     """Keep the worker for a task that is expected to be without runs first."""
     cell, now_ms = state.cell, state.now_ms
     kept = [worker for worker in group if worker.is_kept]
-    if any(_is_kept_for(cell, worker, task) for worker in kept):
+    own = next((worker for worker in kept if _is_kept_for(cell, worker, task)), None)
+    if own is not None:
+        crashing_tasks.keep_worker(cell, own, step, task, now_ms)
         return
     if len(kept) >= max(1.0, MAX_KEPT_SHARE * len(group)):
         return
@@ -224,7 +217,7 @@
     empty_at_ms, worker_id = min(choices, default=(math.inf, ""))
     if not math.isfinite(empty_at_ms):
         return
-    _keep(cell, cell.workers[worker_id], step, task)
+    crashing_tasks.keep_worker(cell, cell.workers[worker_id], step, task, now_ms)
 
 
 def _empty_at_ms(worker: Worker, now_ms: float) -> float:
@@ -261,7 +254,7 @@
     for run in step.live_runs:
         worker = state.cell.workers[run.worker_id]
         run.began_alone = all(other.step is step for other in worker.runs.values())
-        isolate(state.cell, worker, run)
+        crashing_tasks.isolate(state.cell, worker, run, state.now_ms)
     for index in step.lossy_tasks:
         task = step.tasks[index]
         if task.losses is None or task.run is None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from nutmeglb_decisions.queues import (
+    crashing_tasks,
     presumed_ends,
     speeds,
     stray_runs,
@@ -331,6 +332,8 @@
     task.run = run
     task.last_run = max(task.last_run, running.run)
     step.job.has_started = True
+    if step.lossy_tasks:
+        crashing_tasks.isolate(cell, worker, run, now_ms)
     cell.log_decision(
         "run_adopted", "reported by its worker", task=run.task, worker=worker.worker_id
     )
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -318,10 +318,11 @@
 
 @dataclass(frozen=True, slots=True)
 class KeptWorker:
-    """Task for which a worker is kept without other work."""
+    """Task for which a worker is kept without other work, and when it last asked for it."""
 
     step: Step
     task: Task
+    wanted_ms: float
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/tests/unit/test_queue_isolation.py
@@ -0,0 +1,197 @@
+"""Tasks whose runs were lost with their workers start without other work beside them."""
+
+import pytest
+
+from nutmeglb_decisions.queues import lifecycle, reports, waiting
+from nutmeglb_decisions.queues.isolation import (
+    MAX_IDLE_WAIT_MS,
+    MAX_KEPT_SHARE,
+    MAX_UNUSED_MS,
+    MAX_WAIT_MS,
+)
+from nutmeglb_decisions.queues.task_losses import Loss, TaskLosses
+from nutmeglb_decisions.queues.worker_losses import PROVING_MS
+from nutmeglb_formats.models.queues import StepSpec
+from tests.lib.queues import CellWorld, job, step, worker_info
+
+PASS_MS = 100.0
+SUSPECT = Loss(is_proved=True, is_suspect=True, was_alone=False)
+BYSTANDER = Loss(is_proved=True, is_suspect=False, was_alone=False)
+
+
+def world_with_work(workers: int, busy_cpu: int, **busy: object) -> CellWorld:
+    """Return a world whose workers each run a long task that has been proved active."""
+    world = CellWorld()
+    world.show(*(worker_info(f"w{n}") for n in range(workers)))
+    for number in range(workers):
+        spec = step(1, busy_cpu, estimate_ms=60_000.0, **busy)
+        world.add(job(f"busy{number}", spec))
+    world.schedule()
+    world.answer_starts()
+    world.tick(PROVING_MS)
+    for number in range(workers):
+        world.report(f"w{number}")
+    return world
+
+
+def add_lost(world: CellWorld, spec: StepSpec, *losses: Loss, job_id: str = "lost") -> None:
+    """Add a job whose tasks all have the given losses."""
+    lost = world.add(job(job_id, spec))
+    for each in lost.steps[0].tasks:
+        each.losses = TaskLosses(dict(enumerate(losses, 1)))
+        each.last_run = len(losses)
+        lost.steps[0].lossy_tasks.add(each.index)
+    world.cell.mark_dirty(lost)
+
+
+def start_of(world: CellWorld, job_id: str, limit_ms: float) -> float | None:
+    """Return after which time the first task of a job starts, or ``None`` within the limit."""
+    waited_ms = 0.0
+    while waited_ms <= limit_ms:
+        world.schedule()
+        if any(order.task.startswith(job_id) for order in world.started):
+            return waited_ms
+        world.tick(PASS_MS)
+        waited_ms += PASS_MS
+    return None
+
+
+@pytest.mark.parametrize(
+    ("workers", "busy_cpu", "spec", "bound_ms"),
+    [
+        (2, 12_000, step(), MAX_WAIT_MS),
+        (1, 2_000, step(), MAX_IDLE_WAIT_MS),
+        (2, 12_000, step(lasting=True), MAX_IDLE_WAIT_MS),
+        (2, 12_000, step(2, gang=True), MAX_WAIT_MS),
+    ],
+    ids=["full_service", "idle_service", "lasting", "gang"],
+)
+@pytest.mark.parametrize("is_busy_lasting", [False, True])
+def test_wait_for_an_empty_worker_ends_although_no_worker_empties(
+    workers, busy_cpu, spec, bound_ms, is_busy_lasting
+):
+    world = world_with_work(workers, busy_cpu, lasting=is_busy_lasting)
+    add_lost(world, spec, SUSPECT)
+    waited_ms = start_of(world, "lost", 2 * MAX_WAIT_MS)
+    assert waited_ms is not None
+    assert bound_ms <= waited_ms <= bound_ms + 5 * PASS_MS
+
+
+def test_suspect_starts_at_once_on_an_empty_worker_and_nothing_is_placed_beside_it():
+    world = world_with_work(1, 2_000)
+    reports.apply_worker_list(world.cell, [worker_info("w0"), worker_info("w1")], world.now_ms)
+    world.report("w1")
+    add_lost(world, step(), SUSPECT)
+    assert start_of(world, "lost", PASS_MS) is not None
+    (order,) = world.answer_starts()
+    assert order.worker_id == "w1"
+    world.add(job("other", step(4, 4_000)))
+    world.schedule()
+    assert {each.worker_id for each in world.answer_starts()} == {"w0"}
+    world.tick(PROVING_MS)
+    world.report("w1")
+    world.schedule()
+    assert {each.worker_id for each in world.answer_starts()} == {"w1"}
+
+
+@pytest.mark.parametrize(
+    ("losses", "is_isolated"),
+    [((BYSTANDER,), False), ((SUSPECT,), True), ((BYSTANDER, BYSTANDER), True)],
+)
+def test_task_lost_once_after_it_was_proved_active_starts_as_usual(losses, is_isolated):
+    world = world_with_work(1, 2_000)
+    add_lost(world, step(), *losses)
+    started_ms = start_of(world, "lost", PASS_MS)
+    assert (started_ms is None) == is_isolated
+
+
+def test_one_suspect_of_a_job_is_tried_at_a_time_until_one_is_proved_active():
+    world = CellWorld()
+    world.show(*(worker_info(f"w{n}") for n in range(4)))
+    add_lost(world, step(3), SUSPECT)
+    start_of(world, "lost", PASS_MS)
+    (first,) = world.answer_starts()
+    world.tick(PROVING_MS)
+    world.schedule()
+    assert not world.started
+    world.report(first.worker_id)
+    start_of(world, "lost", PASS_MS)
+    assert len(world.answer_starts()) == 2
+
+
+def test_workers_kept_for_suspects_are_a_bounded_share():
+    workers = 8
+    world = world_with_work(workers, 12_000)
+    for number in range(workers):
+        add_lost(world, step(), SUSPECT, job_id=f"lost{number}")
+    world.schedule()
+    assert len(world.cell.kept_workers) == MAX_KEPT_SHARE * workers
+
+
+def test_worker_is_released_when_the_task_that_it_is_kept_for_is_cancelled():
+    world = world_with_work(1, 12_000)
+    add_lost(world, step(), SUSPECT)
+    world.schedule()
+    assert world.worker("w0").is_kept
+    lifecycle.cancel_job(world.cell, "lost", world.now_ms)
+    world.schedule()
+    assert not world.worker("w0").is_kept
+
+
+@pytest.mark.parametrize(
+    ("losses", "cause"),
+    [
+        ((SUSPECT, SUSPECT), None),
+        ((SUSPECT, Loss(True, True, True)), "a worker crashed at its start while it ran alone"),
+        ((SUSPECT, Loss(True, False, True)), None),
+        ((SUSPECT, Loss(False, True, True)), None),
+        ((BYSTANDER,) * 3, "its workers crashed in the maximum number of runs"),
+        ((Loss(False, True, True),) * 3, None),
+        (
+            (Loss(False, True, True),) * 4,
+            "its runs were lost with their workers the maximum number of times",
+        ),
+    ],
+)
+def test_task_is_given_up_only_on_evidence_against_it(losses, cause):
+    world = CellWorld()
+    world.show(worker_info("w0"))
+    add_lost(world, step(), *losses)
+    world.schedule()
+    lines = [line for line in world.cell.take_decisions() if line.kind == "task_given_up"]
+    assert [line.cause for line in lines] == ([cause] if cause else [])
+
+
+def test_wait_for_an_empty_worker_is_explained():
+    world = world_with_work(1, 12_000)
+    add_lost(world, step(), SUSPECT)
+    start_of(world, "lost", 4_000.0)
+    waiting.log_long_waits(world.cell, world.now_ms)
+    causes = [line.cause for line in world.cell.take_decisions() if line.kind == "step_waiting"]
+    assert causes == [
+        "runs were lost with their workers: it waits for a worker without other work, at most for"
+        " a bounded time"
+    ]
+
+
+def test_worker_is_released_when_its_task_waits_for_something_else():
+    """Guards against a worker that stays empty for a task that may not start at present."""
+    world = world_with_work(1, 12_000)
+    add_lost(world, step(), SUSPECT)
+    world.schedule()
+    assert world.worker("w0").is_kept
+    world.cell.jobs["lost"].steps[0].not_before_ms = world.now_ms + 60_000.0
+    world.tick(MAX_UNUSED_MS + PASS_MS)
+    world.schedule()
+    assert not world.worker("w0").is_kept
+
+
+def test_gang_is_not_kept_from_starting_by_the_workers_of_its_last_run():
+    world = CellWorld()
+    world.show(worker_info("w0"), worker_info("w1"))
+    add_lost(world, step(2, 16_000, gang=True), SUSPECT)
+    assert start_of(world, "lost", PASS_MS) is not None
+    for order in world.answer_starts():
+        world.end(order, "failed")
+    world.tick(1_000.0)
+    assert start_of(world, "lost", PASS_MS) is not None
