Give up a task only for crashes at its start, or after five losses

A run that was proved active is evidence against a crash at its start. The limits of three proved crashes and of four losses now need a last run that was not proved active; five losses end a task in any case, which is what callers allow (two starts after three crashes).

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
@@ -13,13 +13,15 @@
 # Losses from which a task always runs without other work beside it, so that no further one costs
 # others their work.
 LOSSES_BEFORE_ISOLATION = 2
-# Proved crashes after which a task is given up if it ran alone at the last one.
+# Proved crashes after which a task is given up if its last run was alone and not proved active.
 CRASHES_ALONE = 2
-# Proved crashes after which a task is given up in any case. Callers allow two starts more.
-MAX_CRASHES = 3
-# Losses of any evidence after which a task is given up. One more may not have been seen under a
-# former leader; with it callers allow no further start.
-MAX_LOSSES = 4
+# The same if it was not alone.
+MAX_CRASHES_AT_START = 3
+# Losses of any evidence after which a task is given up if its last run was not proved active. One
+# more may not have been seen under a former leader.
+MAX_LOSSES_AT_START = 4
+# Losses after which a task is given up in any case. Callers allow two starts after three crashes.
+MAX_LOSSES = 5
 
 
 def isolation_of(step: Step, task: Task) -> Isolation:
@@ -67,7 +69,7 @@
 def give_up_if_hopeless(cell: Cell, step: Step, task: Task, wall_ms: float) -> bool:
     """End a job as failed if a task of it crashes the workers that start it."""
     losses = task.losses
-    if losses is None or task.done or step.job.final is not None:
+    if losses is None or not losses.by_run or task.done or step.job.final is not None:
         return False
     is_at_work = task.run is not None and task.run.proved_active
     cause = "" if is_at_work else _cause(losses)
@@ -88,13 +90,15 @@
 
 def _cause(losses: TaskLosses) -> str:
     """Return why a task is given up, or an empty text."""
-    last = losses.last
-    if losses.proved >= MAX_CRASHES:
-        return "its workers crashed in the maximum number of runs"
-    if len(losses.by_run) >= MAX_LOSSES:
+    last, count = losses.last, len(losses.by_run)
+    if count >= MAX_LOSSES:
         return "its runs were lost with their workers the maximum number of times"
-    if losses.proved >= CRASHES_ALONE and last.is_proved and last.is_suspect and last.was_alone:
+    if not last.is_suspect:
+        return ""
+    if losses.proved >= CRASHES_ALONE and last.is_proved and last.was_alone:
         return "a worker crashed at its start while it ran alone"
+    if losses.proved >= MAX_CRASHES_AT_START or count >= MAX_LOSSES_AT_START:
+        return "workers were lost at its start too often"
     return ""
 
 
--- a/tests/lib/queue_crash_world.py
+++ b/tests/lib/queue_crash_world.py
@@ -85,6 +85,9 @@
 class CrashWorld(World):
     """World in which the kinds from ``FIRST_BAD`` on are jobs of crashing tasks."""
 
+    # Each crashing job takes a worker for several seconds, twice.
+    settle_ms = 180_000.0
+
     def make_record(self):
         """Return what checks the starts and ends on the workers."""
         return CrashRecord(self)
--- a/tests/unit/test_queue_crashing_tasks.py
+++ b/tests/unit/test_queue_crashing_tasks.py
@@ -1,11 +1,22 @@
 """Tasks that crash the workers that start them are given up, and cost others little."""
 
 import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from tests.lib.queue_crash_world import FIRST_BAD, CrashWorld, draw_case
-from tests.lib.queue_world import WORKERS, replay
+from tests.lib.queue_crash_world import (
+    BAD_JOBS,
+    DOWN_MS,
+    DURATIONS_MS,
+    FIRST_BAD,
+    CrashWorld,
+    draw_case,
+)
+from tests.lib.queue_world import CPU, JOBS, PROCESSES, WORKERS, replay
 
 ONE_TASK, TEN_TASKS, WIDE_TASKS, GANG, LASTING = range(FIRST_BAD, FIRST_BAD + 5)
+MAX_BAD_JOBS = 10
 LONG_WORK = (("submit", 4),) * 6
 CASES = {
     "one_task": [("submit", ONE_TASK), ("advance", 40_000)],
@@ -76,3 +87,73 @@
         except AssertionError as error:
             failures[seed] = str(error)
     assert not failures
+
+
+class CrashMachine(RuleBasedStateMachine):
+    """Draws crashing and healthy jobs, crashes by chance, cuts and changes of leader."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.world = CrashWorld()
+
+    @rule(kind=st.integers(FIRST_BAD, FIRST_BAD + len(BAD_JOBS) - 1))
+    def submit_crashing_job(self, kind: int) -> None:
+        if sum(self.world.is_bad(f"{job_id}.0.0.0") for job_id in self.world.jobs) < MAX_BAD_JOBS:
+            self.world.apply("submit", kind)
+
+    @rule(kind=st.integers(0, len(JOBS) - 1), repeat=st.integers(1, 3))
+    def submit(self, kind: int, repeat: int) -> None:
+        for _ in range(repeat):
+            self.world.apply("submit", kind)
+
+    @rule(duration_ms=st.sampled_from(DURATIONS_MS))
+    def advance(self, duration_ms: float) -> None:
+        self.world.apply("advance", duration_ms)
+
+    @rule(duration_ms=st.sampled_from(DURATIONS_MS))
+    def advance_again(self, duration_ms: float) -> None:
+        self.world.apply("advance", duration_ms)
+
+    @rule(worker=st.sampled_from(WORKERS), down_ms=st.sampled_from(DOWN_MS))
+    def restart(self, worker: str, down_ms: float) -> None:
+        self.world.apply("restart", worker, CPU, down_ms, 0.0)
+
+    @rule(worker=st.sampled_from(WORKERS), how=st.sampled_from(["both", "answers", "none"]))
+    def cut(self, worker: str, how: str) -> None:
+        self.world.apply("cut", worker, -1, how)
+
+    @rule(
+        worker=st.sampled_from(WORKERS),
+        call=st.sampled_from(["start", "stop", "hold"]),
+        fate=st.sampled_from(["lost", "no_answer", "slow_answer"]),
+    )
+    def fault(self, worker: str, call: str, fate: str) -> None:
+        self.world.apply("fault", worker, call, fate, 500, 2)
+
+    @rule(process=st.sampled_from(PROCESSES), name=st.sampled_from(["kill", "replace"]))
+    def change_leader(self, process: int, name: str) -> None:
+        self.world.apply(name, process)
+
+    @rule(process=st.sampled_from(PROCESSES), fate=st.sampled_from(["lost", "no_answer"]))
+    def store_fault(self, process: int, fate: str) -> None:
+        self.world.apply("store_fault", process, fate, 1_500)
+
+    def teardown(self) -> None:
+        """Every crashing job fails within its budget, and no other job fails."""
+        if hasattr(self, "world"):
+            try:
+                self.world.finish()
+            finally:
+                self.world.close()
+
+
+CrashMachine.TestCase.settings = settings(
+    max_examples=25,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    phases=[Phase.generate],
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestCrashMachine = CrashMachine.TestCase
