Keep the number of an adopted run stored until the run ends

A leader that adopted a run withdrew the loss assumed for it, and with it the only trace of the run: when its worker crashed and the leader changed again, the next leader did not count the crash. The number now stays reserved until the run ends.

Adds jobs whose tasks crash their workers 2.6 s after the start.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -313,7 +313,7 @@
     if name is None or step is None or not _is_adoptable(step.tasks, name, running.run):
         return None
     task = step.tasks[name.index]
-    worker_losses.withdraw(cell, step, name.index, running.run)
+    worker_losses.adopt_number(cell, step, task, running.run)
     expected_ms = cell.estimates.run_ms(
         step.job.record.queue.name, step.spec.estimate_ms, worker.slowness
     )
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
@@ -217,6 +217,14 @@
         _forget_losses(cell, step, task)
 
 
+def adopt_number(cell: Cell, step: Step, task: Task, number: int) -> None:
+    """Keep the number of an adopted run reserved, so that the next leader knows of it as well."""
+    withdraw(cell, step, task.index, number)
+    if task.losses is not None and task.losses.reserved_run != number:
+        task.losses.reserved_run = number
+        cell.mark_dirty(step.job)
+
+
 def release_number(cell: Cell, step: Step, task: Task) -> None:
     """Withdraw the reservation of a run number: the run does not start for now."""
     if task.losses is not None and task.losses.reserved_run:
--- a/tests/lib/queue_crash_world.py
+++ b/tests/lib/queue_crash_world.py
@@ -12,8 +12,10 @@
 from tests.lib.queue_world import CPU, JOBS, PROCESSES, WORKERS, World
 from tests.lib.queues import BATCH, job, step
 
-# Time from a start of a crashing task to the end of its worker.
+# Time from a start of a crashing task to the end of its worker; of some tasks it is longer.
 CRASHES_AFTER_MS = 10.0
+CRASHES_LATE_AFTER_MS = 2_600.0
+LATE = "crashes late"
 WORKER_DOWN_MS = 3_000.0
 # A task under which this many workers have crashed may be started this many times more, less one.
 CRASHES_IN_BUDGET = 3
@@ -28,7 +30,9 @@
     (step(3, 2_000),),
     (step(2, 1_000, gang=True),),
     (step(1, 1_000, lasting=True),),
+    (step(2, 1_000, estimate_ms=10_000.0),),
 )
+LATE_JOB = FIRST_BAD + len(BAD_JOBS) - 1
 STEPS_PER_CASE = 40
 DURATIONS_MS = (5, 60, 300, 1_500, 4_000)
 DOWN_MS = (200, 3_000, 8_000)
@@ -65,7 +69,9 @@
             self._starts_after_budget[run.task] += 1
             count = self._starts_after_budget[run.task]
             assert count < STARTS_AFTER_BUDGET, f"BUDGET {run.task}: started {count} times more"
-        self._world.simulation.at(CRASHES_AFTER_MS, lambda: self._crash(life, run))
+        is_late = self._world.jobs[run.task.partition(".")[0]].body == LATE
+        after_ms = CRASHES_LATE_AFTER_MS if is_late else CRASHES_AFTER_MS
+        self._world.simulation.at(after_ms, lambda: self._crash(life, run))
 
     def _crash(self, life, run):
         if not life.is_up or life.runs.get((run.task, run.number)) is not run:
@@ -96,11 +102,12 @@
         """Return the record of a job of a kind."""
         if kind < FIRST_BAD:
             return super().make_job(job_id, kind)
-        return job(job_id, *BAD_JOBS[kind - FIRST_BAD], queue=BATCH, body="crashes")
+        body = LATE if kind == LATE_JOB else "crashes"
+        return job(job_id, *BAD_JOBS[kind - FIRST_BAD], queue=BATCH, body=body)
 
     def is_bad(self, task):
         """Return whether a task crashes its worker."""
-        return self.jobs[task.partition(".")[0]].body == "crashes"
+        return self.jobs[task.partition(".")[0]].body in ("crashes", LATE)
 
     def crashes_of(self, job_id):
         """Return the crashes that the tasks of a job caused."""
--- a/tests/unit/test_queue_crashing_tasks.py
+++ b/tests/unit/test_queue_crashing_tasks.py
@@ -15,7 +15,7 @@
 )
 from tests.lib.queue_world import CPU, JOBS, PROCESSES, WORKERS, replay
 
-ONE_TASK, TEN_TASKS, WIDE_TASKS, GANG, LASTING = range(FIRST_BAD, FIRST_BAD + 5)
+ONE_TASK, TEN_TASKS, WIDE_TASKS, GANG, LASTING, LATE = range(FIRST_BAD, FIRST_BAD + 6)
 MAX_BAD_JOBS = 10
 LONG_WORK = (("submit", 4),) * 6
 CASES = {
@@ -24,6 +24,10 @@
     "tasks_of_half_a_worker": [("submit", WIDE_TASKS), ("advance", 40_000)],
     "gang": [("submit", GANG), ("advance", 40_000)],
     "lasting_task": [("submit", LASTING), ("advance", 40_000)],
+    "late_crash": [("submit", LATE), ("submit", 6), ("advance", 40_000)],
+    "late_crash_beside_changes_of_leader": [
+        ("submit", LATE), *(("advance", 4_000), ("replace", 0), ("replace", 1)) * 12
+    ],
     "beside_long_work": [*LONG_WORK, ("advance", 1_500), ("submit", TEN_TASKS)],
     "beside_short_work": [
         ("submit", ONE_TASK), *(("submit", 0), ("submit", 6), ("advance", 300)) * 12
