Take runs that end other than by their lease for proved losses

end_all_runs is also called for a worker that was replaced at its address; its runs, and those whose lease had expired before, then count as lost in a proved crash. Renames the library of the tests of crashing tasks. Failed on the code before: test_end_of_the_life_of_a_worker_proves_the_losses: assert {1: 'presumed'} == {1: 'proved'}

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -120,13 +120,15 @@
 
 
 def end_all_runs(cell: Cell, worker: Worker, outcome: str, now_ms: float, wall_ms: float) -> None:
-    """End every run on a worker whose leases have expired with the given outcome."""
+    """End every run on a worker with the given outcome, which names the evidence of their end."""
     runs = list(worker.runs.values())
     log_ends(cell, worker, [(run.task, run.number, outcome) for run in runs])
     for run in runs:
         presumed_ends.record(cell, run, outcome, now_ms)
         end_run(cell, run, outcome, "", now_ms, wall_ms)
-    worker_losses.record_losses(cell, worker, runs, LossEvidence.PRESUMED, now_ms, wall_ms)
+    is_presumed = outcome == presumed_ends.LEASE_EXPIRED
+    evidence = LossEvidence.PRESUMED if is_presumed else LossEvidence.PROVED
+    worker_losses.record_losses(cell, worker, runs, evidence, now_ms, wall_ms)
 
 
 def expire_silent_workers(cell: Cell, confirmed_ms: float, wall_ms: float) -> None:
--- a/tests/unit/test_queue_crashing_tasks.py
+++ b/tests/unit/test_queue_crashing_tasks.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from tests.lib.queue_crash_world import (
+from tests.lib.queue_crashing_tasks import (
     BAD_JOBS,
     DOWN_MS,
     DURATIONS_MS,
--- a/tests/unit/test_queue_worker_losses.py
+++ b/tests/unit/test_queue_worker_losses.py
@@ -6,6 +6,7 @@
 import pytest
 
 from nutmeglb_decisions.queues import lifecycle, orders, placing, progress, reports
+from nutmeglb_decisions.queues.absent_runs import LOST
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StartTask, StopTask
 from nutmeglb_decisions.queues.orders import StartOutcome
@@ -142,6 +143,16 @@
     assert losses_of(world, "a") == losses_of(world, "b") == {1: "proved"}
 
 
+@pytest.mark.parametrize("is_lapsed_before", [False, True])
+def test_end_of_the_life_of_a_worker_proves_the_losses(is_lapsed_before):
+    """Guards against counts that stay presumed after a worker has been replaced at its address."""
+    world = world_before_a_loss()
+    if is_lapsed_before:
+        let_leases_expire(world)
+    reports.end_all_runs(world.cell, world.worker("w1"), LOST, world.now_ms, world.now_ms)
+    assert losses_of(world, "a") == losses_of(world, "b") == {1: "proved"}
+
+
 def test_end_that_the_next_leader_reads_withdraws_the_loss():
     world = world_before_a_loss()
     let_leases_expire(world)
