--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
@@ -6,19 +6,22 @@
 
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.lifecycle import finish_job
-from nutmeglb_decisions.queues.state import Isolation, JobState, Step, Task
+from nutmeglb_decisions.queues.state import Isolation, JobState, KeptWorker, Run, Step, Task
 from nutmeglb_decisions.queues.task_losses import TaskLosses
+from nutmeglb_decisions.queues.worker_state import Worker
 
 # Losses from which a task always runs without other work beside it, so that no further one costs
 # others their work.
 LOSSES_BEFORE_ISOLATION = 2
-# Proved crashes after which a task is given up if it ran alone at the last one.
+# Proved crashes after which a task is given up if its last run was alone and not proved active.
 CRASHES_ALONE = 2
-# Proved crashes after which a task is given up in any case. Callers allow two starts more.
-MAX_CRASHES = 3
-# Losses of any evidence after which a task is given up. One more may not have been seen under a
-# former leader; with it callers allow no further start.
-MAX_LOSSES = 4
+# The same if it was not alone.
+MAX_CRASHES_AT_START = 3
+# Losses of any evidence after which a task is given up if its last run was not proved active. One
+# more may not have been seen under a former leader.
+MAX_LOSSES_AT_START = 4
+# Losses after which a task is given up in any case. Callers allow two starts after three crashes.
+MAX_LOSSES = 5
 
 
 def isolation_of(step: Step, task: Task) -> Isolation:
@@ -44,6 +47,20 @@
     return Isolation.NONE
 
 
+def isolate(cell: Cell, worker: Worker, run: Run, now_ms: float) -> None:
+    """Place no other work beside a run as long as the losses of its task require."""
+    step, task = run.step, run.step.tasks[run.index]
+    run.isolation = isolation_of_gang(step) if step.spec.gang else isolation_of(step, task)
+    if run.isolation != Isolation.NONE:
+        keep_worker(cell, worker, step, task, now_ms)
+
+
+def keep_worker(cell: Cell, worker: Worker, step: Step, task: Task, now_ms: float) -> None:
+    """Place nothing else on a worker as long as a task runs there, or is about to."""
+    worker.is_kept = True
+    cell.kept_workers[worker.worker_id] = KeptWorker(step, task, now_ms)
+
+
 def is_cleared(step: Step) -> bool:
     """Return whether a task of a step has been proved active or has completed."""
     return step.has_proved_task or step.remaining < step.spec.count
@@ -52,7 +69,7 @@
 def give_up_if_hopeless(cell: Cell, step: Step, task: Task, wall_ms: float) -> bool:
     """End a job as failed if a task of it crashes the workers that start it."""
     losses = task.losses
-    if losses is None or task.done or step.job.final is not None:
+    if losses is None or not losses.by_run or task.done or step.job.final is not None:
         return False
     is_at_work = task.run is not None and task.run.proved_active
     cause = "" if is_at_work else _cause(losses)
@@ -73,13 +90,15 @@
 
 def _cause(losses: TaskLosses) -> str:
     """Return why a task is given up, or an empty text."""
-    last = losses.last
-    if losses.proved >= MAX_CRASHES:
-        return "its workers crashed in the maximum number of runs"
-    if len(losses.by_run) >= MAX_LOSSES:
+    last, count = losses.last, len(losses.by_run)
+    if count >= MAX_LOSSES:
         return "its runs were lost with their workers the maximum number of times"
-    if losses.proved >= CRASHES_ALONE and last.is_proved and last.is_suspect and last.was_alone:
+    if not last.is_suspect:
+        return ""
+    if losses.proved >= CRASHES_ALONE and last.is_proved and last.was_alone:
         return "a worker crashed at its start while it ran alone"
+    if losses.proved >= MAX_CRASHES_AT_START or count >= MAX_LOSSES_AT_START:
+        return "workers were lost at its start too often"
     return ""
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from nutmeglb_decisions.queues import (
+    crashing_tasks,
     presumed_ends,
     speeds,
     stray_runs,
@@ -121,13 +122,15 @@
 
 
 def end_all_runs(cell: Cell, worker: Worker, outcome: str, now_ms: float, wall_ms: float) -> None:
-    """End every run on a worker whose leases have expired with the given outcome."""
+    """End every run on a worker with the given outcome, which names the evidence of their end."""
     runs = list(worker.runs.values())
     log_ends(cell, worker, [(run.task, run.number, outcome) for run in runs])
     for run in runs:
         presumed_ends.record(cell, run, outcome, now_ms)
         end_run(cell, run, outcome, "", now_ms, wall_ms)
-    worker_losses.record_losses(cell, worker, runs, LossEvidence.PRESUMED, now_ms, wall_ms)
+    is_presumed = outcome == presumed_ends.LEASE_EXPIRED
+    evidence = LossEvidence.PRESUMED if is_presumed else LossEvidence.PROVED
+    worker_losses.record_losses(cell, worker, runs, evidence, now_ms, wall_ms)
 
 
 def expire_silent_workers(cell: Cell, confirmed_ms: float, wall_ms: float) -> None:
@@ -315,7 +318,7 @@
     if name is None or step is None or not _is_adoptable(step.tasks, name, running.run):
         return None
     task = step.tasks[name.index]
-    worker_losses.withdraw(cell, step, name.index, running.run)
+    worker_losses.adopt_number(cell, step, task, running.run)
     expected_ms = cell.estimates.run_ms(
         step.job.record.queue.name, step.spec.estimate_ms, worker.slowness
     )
@@ -334,6 +337,8 @@
     task.run = run
     task.last_run = max(task.last_run, running.run)
     step.job.has_started = True
+    if step.lossy_tasks:
+        crashing_tasks.isolate(cell, worker, run, now_ms)
     cell.log_decision(
         "run_adopted", "reported by its worker", task=run.task, worker=worker.worker_id
     )
