Isolate a suspect also when other tasks of its step are healthy

Cause: a task that was lost at its start was cleared as soon as any task of its step proved healthy.

Failed before: test_crashing_job_causes_one_crash_more_than_its_first_wave_and_that_one_costs_no_other for a job with one crashing task of ten (3 crashes, 2 allowed).

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
@@ -27,15 +27,15 @@
 def isolation_of(step: Step, task: Task) -> Isolation:
     """Return how the next run of a task, or of the gang that it belongs to, is isolated.
 
-    Tasks of a step run the same program. So a suspect is cleared once any task of its step has
-    proved that it does not crash its worker at its start.
+    Healthy tasks of the same step prove nothing about a suspect: one task of many may crash its
+    workers, because of its data.
     """
     if task.losses is None:
         return Isolation.NONE
     if len(task.losses.by_run) >= LOSSES_BEFORE_ISOLATION:
         return Isolation.WHOLE_RUN
     is_suspect = any(loss.is_suspect for loss in task.losses.by_run.values())
-    return Isolation.UNTIL_PROVED if is_suspect and not is_cleared(step) else Isolation.NONE
+    return Isolation.UNTIL_PROVED if is_suspect else Isolation.NONE
 
 
 def isolation_of_gang(step: Step) -> Isolation:
--- a/tests/lib/queue_crashing_tasks.py
+++ b/tests/lib/queue_crashing_tasks.py
@@ -16,6 +16,7 @@
 CRASHES_AFTER_MS = 10.0
 CRASHES_LATE_AFTER_MS = 2_600.0
 LATE = "crashes late"
+ONE_OF_MANY = "its first task crashes"
 WORKER_DOWN_MS = 3_000.0
 # A task under which this many workers have crashed may be started this many times more, less one.
 CRASHES_IN_BUDGET = 3
@@ -31,8 +32,9 @@
     (step(2, 1_000, gang=True),),
     (step(1, 1_000, lasting=True),),
     (step(2, 1_000, estimate_ms=10_000.0),),
+    (step(10, 300, estimate_ms=2_000.0),),
 )
-LATE_JOB = FIRST_BAD + len(BAD_JOBS) - 1
+BODIES = {5: LATE, 6: ONE_OF_MANY}
 STEPS_PER_CASE = 40
 DURATIONS_MS = (5, 60, 300, 1_500, 4_000)
 DOWN_MS = (200, 3_000, 8_000)
@@ -63,7 +65,7 @@
     def on_start(self, life, run, sent_to, known_cpu):
         """Let a crashing task end its worker, unless its budget of starts is exceeded."""
         super().on_start(life, run, sent_to, known_cpu)
-        if not self._world.is_bad(run.task):
+        if not self._world.crashes_worker(run.task):
             return
         if self.crashes_under[run.task] >= CRASHES_IN_BUDGET:
             self._starts_after_budget[run.task] += 1
@@ -102,12 +104,18 @@
         """Return the record of a job of a kind."""
         if kind < FIRST_BAD:
             return super().make_job(job_id, kind)
-        body = LATE if kind == LATE_JOB else "crashes"
+        body = BODIES.get(kind - FIRST_BAD, "crashes")
         return job(job_id, *BAD_JOBS[kind - FIRST_BAD], queue=BATCH, body=body)
 
     def is_bad(self, task):
+        """Return whether a task belongs to a job with tasks that crash their workers."""
+        return self.jobs[task.partition(".")[0]].body in ("crashes", LATE, ONE_OF_MANY)
+
+    def crashes_worker(self, task):
         """Return whether a task crashes its worker."""
-        return self.jobs[task.partition(".")[0]].body in ("crashes", LATE)
+        is_first = task.endswith(".0")
+        body = self.jobs[task.partition(".")[0]].body
+        return self.is_bad(task) and (is_first or body != ONE_OF_MANY)
 
     def crashes_of(self, job_id):
         """Return the crashes that the tasks of a job caused."""
--- a/tests/unit/test_queue_crashing_tasks.py
+++ b/tests/unit/test_queue_crashing_tasks.py
@@ -15,13 +15,14 @@
 )
 from tests.lib.queue_world import CPU, JOBS, PROCESSES, WORKERS, replay
 
-ONE_TASK, TEN_TASKS, WIDE_TASKS, GANG, LASTING, LATE = range(FIRST_BAD, FIRST_BAD + 6)
+ONE_TASK, TEN_TASKS, WIDE_TASKS, GANG, LASTING, LATE, ONE_OF_TEN = range(FIRST_BAD, FIRST_BAD + 7)
 MAX_BAD_JOBS = 10
 LONG_WORK = (("submit", 4),) * 6
 CASES = {
     "one_task": [("submit", ONE_TASK), ("advance", 40_000)],
     "ten_tasks": [("submit", TEN_TASKS), ("advance", 40_000)],
     "tasks_of_half_a_worker": [("submit", WIDE_TASKS), ("advance", 40_000)],
+    "one_of_ten_tasks": [("submit", ONE_OF_TEN), ("advance", 40_000)],
     "gang": [("submit", GANG), ("advance", 40_000)],
     "lasting_task": [("submit", LASTING), ("advance", 40_000)],
     "late_crash": [("submit", LATE), ("submit", 6), ("advance", 40_000)],
@@ -54,7 +55,7 @@
     replay(CASES[name], make_world=CrashWorld)
 
 
-@pytest.mark.parametrize("kind", [ONE_TASK, TEN_TASKS, WIDE_TASKS, GANG])
+@pytest.mark.parametrize("kind", [ONE_TASK, TEN_TASKS, WIDE_TASKS, GANG, ONE_OF_TEN])
 def test_crashing_job_causes_one_crash_more_than_its_first_wave_and_that_one_costs_no_other(kind):
     """All tasks that start before the first crash is known belong to the first wave."""
     world = CrashWorld()
