Check worker entries for all their uses and leave out a bad one alone

Cause: an entry was checked for types only. On the code before, 37 of the 54 entries of tests/lib/odd_entries.py and all 7 ids were accepted: ports out of range, host names, paths, NUL and line feeds in addresses, ids that cannot be sent as a header, capacities below zero or of 63 bits, 60,000 labels, names of 900,000 characters. No entry ended a term there; the effects were a listed worker that was called in vain (an address with NUL, or an id with a line feed, raised in its link at every reading of the list, one log line each), a capacity that falsified the sum over all workers, and a warning twice a second for each malformed entry. When the entry of a worker with runs was replaced by one with the port 70000, its runs lapsed:

Deep nesting, numbers beyond a double, NaN and unreadable bytes were errors already, and are so now.

Change: one model (wire_workers) with bounds for each use: IP address and port 1 to 65535 without a name lookup, visible ASCII ids, amounts whose sums stay below 2**63, numbers of labels and lengths. WorkerEntries reads the list, logs an ignored entry once and when its fault changes, and counts its versions by field (nutmeglb_queue_entries_ignored_total). An unexpected exception in one entry, or in applying the list, is a defect line and no longer ends the term. A worker whose entry turns odd counts as unlisted; its last valid entry is used to renew and stop its runs.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from result import Err, Ok
+from result import Err
 
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.context import Metrics
@@ -26,6 +26,7 @@
 from nutmeglb._internal.queues.ports import Platform
 from nutmeglb._internal.queues.settings import QueueSection
 from nutmeglb._internal.queues.stored_jobs import Inbox
+from nutmeglb._internal.queues.worker_entries import WorkerEntries
 from nutmeglb._internal.queues.worker_link import EXPIRY_MARGIN_MS, LeaderCallbacks
 from nutmeglb._internal.queues.worker_links import WorkerLinks
 from nutmeglb._internal.telemetry.logs import get_logger
@@ -49,7 +50,7 @@
 from nutmeglb_decisions.queues.verdicts import LoadView
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.queue_records import Waits
-from nutmeglb_formats.models.queues import QueueConfig, QueueJob
+from nutmeglb_formats.models.queues import QueueConfig, QueueJob, QueueWorker
 
 logger = get_logger("leader")
 
@@ -135,6 +136,7 @@
         self._workers = WorkerLinks(
             self.cell, platform.workers, clock, log, term.fence, run_lease_ms, callbacks
         )
+        self._worker_entries = WorkerEntries(platform, metrics, log)
         self._learned = LearnedStore(platform.store, self.cell, term.key_revision, metrics)
         self._background = BackgroundTasks()
         self._wake = asyncio.Event()
@@ -247,7 +249,7 @@
         self._early_offers.clear()
         for loop in (
             self._committer.run(),
-            self._workers_loop(),
+            self._worker_entries.run(lambda: self._settings.list_ms, self._apply_workers),
             InboxReader(
                 self._platform.store,
                 self.cell.jobs,
@@ -275,7 +277,8 @@
         if not await self._committer.load_counter():
             return False
         stored, _ = await asyncio.gather(
-            stored_jobs.read_state(self._platform), self._learned.load()
+            stored_jobs.read_state(self._platform.store, self._worker_entries),
+            self._learned.load(),
         )
         if isinstance(stored, Err):
             logger.warning("takeover: state not loaded; retrying", cause=str(stored.err_value))
@@ -308,14 +311,10 @@
             self._committer.remove([keys.final(job_id) for job_id in old])
             await asyncio.sleep(PRUNE_INTERVAL_MS / MS_PER_S)
 
-    async def _workers_loop(self) -> None:
-        while True:
-            await asyncio.sleep(self._settings.list_ms / MS_PER_S)
-            workers = await stored_jobs.read_workers(self._platform)
-            if isinstance(workers, Ok):
-                reports.apply_worker_list(self.cell, workers.ok_value, self._clock.now_ms())
-                self._workers.refresh()
-                self._request_pass()
+    def _apply_workers(self, workers: list[QueueWorker]) -> None:
+        reports.apply_worker_list(self.cell, workers, self._clock.now_ms())
+        self._workers.refresh()
+        self._request_pass()
 
     def _apply_inbox(self, inbox: Inbox) -> None:
         for job in inbox.jobs:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/stored_jobs.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/stored_jobs.py
@@ -8,7 +8,8 @@
 from result import Err, Ok, Result
 
 from nutmeglb._internal.queues import keys
-from nutmeglb._internal.queues.ports import Platform, QueueStore, StoredItem
+from nutmeglb._internal.queues.ports import QueueStore, StoredItem
+from nutmeglb._internal.queues.worker_entries import WorkerEntries
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues.state import FINAL_STATES
 from nutmeglb_formats.exceptions import StoreError
@@ -42,13 +43,14 @@
     waits: Waits | None
 
 
-async def read_state(platform: Platform) -> Result[StoredState, StoreError]:
+async def read_state(
+    store: QueueStore, worker_entries: WorkerEntries
+) -> Result[StoredState, StoreError]:
     """Read the state from which a new leader schedules, in parallel."""
-    store = platform.store
     progress, inbox, workers, waits = await asyncio.gather(
         read_progress(store, keys.PROGRESS),
         read_inbox(store),
-        read_workers(platform),
+        worker_entries.read(),
         store.get(keys.WAITS),
     )
     if isinstance(progress, Err):
@@ -141,18 +143,3 @@
                     key=item.key,
                 )
     return Inbox(tuple(jobs), tuple(cancelled), revision)
-
-
-async def read_workers(platform: Platform) -> Result[list[QueueWorker], StoreError]:
-    """Read the entries of all workers."""
-    listing = await platform.store.range(platform.workers_prefix, large=True)
-    if isinstance(listing, Err):
-        return Err(listing.err_value)
-    workers = []
-    for item in listing.ok_value.items:
-        decoded = platform.decode_worker(item)
-        if isinstance(decoded, Err):
-            logger.warning("malformed worker entry ignored", cause=str(decoded.err_value))
-        else:
-            workers.append(decoded.ok_value)
-    return Ok(workers)
--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -21,7 +21,7 @@
     encode_queue_record,
 )
 from nutmeglb_formats.models.queues import StepProgress
-from nutmeglb_platform import wire, wire_config
+from nutmeglb_platform import wire, wire_config, wire_workers
 from nutmeglb_platform.store import _parse_answer, _parse_found_items
 from tests.lib.queues import ADVISED, job, step
 
@@ -48,7 +48,7 @@
 
 
 def test_worker_entry_is_decoded():
-    worker = wire.decode_worker("servers/", item(SERVER_ENTRY)).unwrap()
+    worker = wire_workers.decode_worker("servers/", item(SERVER_ENTRY)).unwrap()
     assert (worker.worker_id, worker.service, worker.domain) == ("w1", "pool", "z1")
     assert (worker.rack, worker.labels) == ("r1-3", frozenset({"a", "r1-3"}))
     assert (worker.capacity.cpu_millis, worker.capacity.memory_bytes) == (16_000, 32 << 20)
@@ -68,7 +68,7 @@
     ],
 )
 def test_malformed_worker_entry_is_an_error(change):
-    decoded = wire.decode_worker("servers/", item({**SERVER_ENTRY, **change}))
+    decoded = wire_workers.decode_worker("servers/", item({**SERVER_ENTRY, **change}))
     assert isinstance(decoded, Err)
     assert decoded.err_value.hint
 
@@ -148,7 +148,7 @@
 @given(JSON)
 def test_no_decoder_raises_on_json(value):
     data = json.dumps(value).encode()
-    wire.decode_worker("servers/", item(data))
+    wire_workers.decode_worker("servers/", item(data))
     wire_config.decode_config(item(data))
     wire.decode_job(data)
     wire.decode_report(value)
@@ -158,7 +158,7 @@
 @settings(max_examples=150, derandomize=True, deadline=None)
 @given(st.binary(max_size=200))
 def test_no_decoder_raises_on_bytes(data):
-    wire.decode_worker("servers/", item(data))
+    wire_workers.decode_worker("servers/", item(data))
     wire_config.decode_config(item(data))
     wire.decode_job(data)
     decode_queue_record(data, "key")
