Keep the other items of a page whose value is not base64 text

Cause: base64 text that is not ASCII raises ValueError, which is not binascii.Error. In a listing it left MetadataStore.range as an exception, which ends the term of each leader that reads the page. A value of another type made the whole page an error.

The store encodes the values itself, so another writer alone cannot bring this about.

A page without key, revision or end mark stays an error that is retried.

--- a/tests/unit/test_platform_store.py
+++ b/tests/unit/test_platform_store.py
@@ -70,6 +70,24 @@
     assert isinstance(found.err_value, StoreError)
 
 
+ODD_VALUES = ("e", "\u20ac", "eA==\u0660", 7, [], {}, True)
+
+
+@pytest.mark.parametrize("value", [*ODD_VALUES, None])
+def test_value_that_is_not_base64_leaves_the_other_items_of_a_page(value):
+    """Guards against one item whose value ends the term of each leader that lists it."""
+    items = [{**ITEM, "value": value}, OTHER_ITEM]
+    listing = asyncio.run(store_of(page(items, truncated=False)).range("p/")).unwrap()
+    assert [(item.key, item.value) for item in listing.items] == [("p/1", b""), ("p/2", b"x")]
+
+
+@pytest.mark.parametrize("value", ODD_VALUES)
+def test_value_that_is_not_base64_leaves_the_other_changes(value):
+    body = {"events": [{**ITEM, "value": value}, OTHER_ITEM], "as_of": 9}
+    changes = asyncio.run(store_of(Ok(Answer(200, body))).changes("p/", 3, 0)).unwrap().changes
+    assert [change.value for change in changes] == [b"", b"x"]
+
+
 @pytest.mark.parametrize("body", [{"as_of": 9}, {"events": None, "as_of": 9}, {"events": []}])
 def test_watch_without_a_field_is_an_error(body):
     """Guards against changes that are skipped since their revision seems to have none."""
