Refuse reports of workers whose numbers cannot be sent back

Cause: a report was accepted with a clock of "nan" or 1e300 and with ends numbered beyond 64 bits. Both are sent back in the next renewal, where int(nan) or the JSON encoder raised (TypeError: Integer exceeds 64-bit range). The link was created anew each time, so the worker was never found silent and the leases of its runs were never declared expired (read from the code). Null as task or checkpoint became the text "None". Infinite numbers raised OverflowError out of the decoder; JSON cannot carry them here, since orjson refuses them.

Change: clock, start, run and end numbers lie between 0 and 2**53, names and checkpoints are text, else the report is malformed and counts as unanswered. Percent and activity are rough figures that prove nothing about a run, so they are brought within their bounds instead.

--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -3,6 +3,7 @@
 import base64
 import itertools
 import json
+import math
 
 import pytest
 from hypothesis import given, settings
@@ -123,6 +124,54 @@
     assert (report.running, report.ended) == ((), ())
 
 
+def report_with(field, row, position, value):
+    rows = [list(fields) for fields in REPORT[field]]
+    rows[row][position] = value
+    return {**REPORT, field: rows}
+
+
+@pytest.mark.parametrize(
+    "report",
+    [
+        *({**REPORT, "clock_ms": value} for value in ("nan", "inf", 1e300, -5, 2**63)),
+        *({**REPORT, "born": value} for value in (math.inf, math.nan, 1e300, -3, 2**63)),
+        *(
+            report_with("finished", 0, 0, value)
+            for value in (2**64, 1e300, -1, "9" * 400, math.inf)
+        ),
+        *(report_with("running", 0, 1, value) for value in (2**64, 1e300, -1, math.inf, None)),
+        *(report_with("finished", 0, 2, value) for value in (2**64, -1)),
+        *(report_with("running", 0, position, None) for position in (0, 2, 3, 4)),
+        *(report_with("finished", 0, position, ["x"]) for position in (1, 3, 4)),
+    ],
+)
+def test_report_with_an_odd_number_or_text_is_malformed(report):
+    """Guards against a worker that is never found silent, since each renewal fails here.
+
+    The clock and the number of the last end are sent back, as whole numbers of up to 64 bits.
+    """
+    assert wire.decode_report(report) is None
+
+
+@pytest.mark.parametrize(
+    ("position", "value", "bounded"),
+    [
+        (3, -50, 0),
+        (3, 41.7, 41),
+        (3, 1e300, 100),
+        (3, math.inf, 100),
+        (4, -1, 0),
+        (4, 2**80, wire.MAX_CPU_MILLIS),
+    ],
+)
+def test_rough_figure_of_a_run_is_bounded(position, value, bounded):
+    """Guards against a run that counts as lost because of a figure that proves nothing."""
+    report = wire.decode_report(report_with("running", 0, position, value))
+    assert report is not None
+    run = report.running[0]
+    assert {3: run.percent, 4: run.activity}[position] == bounded
+
+
 ABSENT = "absent"
 
 
