--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/stored_jobs.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/stored_jobs.py
@@ -23,6 +23,8 @@
 
 logger = get_logger("stored jobs")
 
+MAX_AMOUNT = 2**63 - 1
+
 
 @dataclass(frozen=True, slots=True)
 class Inbox:
@@ -114,6 +116,20 @@
     )
 
 
+def _has_valid_figures(job: QueueJob) -> bool:
+    """Return whether the amounts and times of a job can be computed with.
+
+    Submissions are checked before they are stored, but earlier releases accepted any number.
+    """
+    amounts = [
+        amount
+        for step in job.steps
+        for amount in (step.needs.cpu_millis, step.needs.memory_bytes, step.needs.accelerators)
+    ]
+    times = [job.first_ms, job.interval_ms, *(step.estimate_ms for step in job.steps)]
+    return all(0 <= amount <= MAX_AMOUNT for amount in amounts) and all(map(math.isfinite, times))
+
+
 async def read_inbox(store: QueueStore) -> Result[Inbox, StoreError]:
     """Read all accepted jobs and cancellations."""
     listing = await store.range(keys.ACCEPTED, large=True)
@@ -135,7 +151,9 @@
             logger.error("malformed job skipped", key=item.key, cause=str(loaded.err_value))
         elif isinstance(loaded.ok_value, AcceptedJob):
             job = loaded.ok_value.job
-            if _has_valid_steps(job):
+            if not _has_valid_figures(job):
+                logger.error("job skipped: an amount or a time is out of range", key=item.key)
+            elif _has_valid_steps(job):
                 jobs.append(job)
             else:
                 logger.error(
--- a/tests/functional/test_queue_odd_entries.py
+++ b/tests/functional/test_queue_odd_entries.py
@@ -2,11 +2,14 @@
 
 import asyncio
 
+import pytest
+
 from standins.runner import RunnerStandin
 from tests.lib.odd_entries import ODD_ENTRIES, ODD_IDS, entry
 from tests.lib.queue_path import job_body, run_scenario
 
 JOB = "00000000000000aa"
+OTHER = "00000000000000bb"
 LEASE_MS = 10_000
 # Longer than a long poll, which does not extend the lease.
 RUN_LEASE_MS = 2_500
@@ -63,3 +66,25 @@
         await path.until(lambda: "w0" in workers and workers["w0"].settled)
 
     run_scenario(scenario, settings={"queues": QUEUES}, runners=1)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        {"steps": [{"count": 10_000, "cpu": 1e308}]},
+        {"steps": [{"count": 10_000, "cpu": 1e305, "gang": True}]},
+        {"steps": [{"estimate_ms": "inf"}]},
+    ],
+)
+def test_job_with_an_odd_number_does_not_end_the_term(body):
+    """Guards against one job that ends the term of each leader in turn."""
+
+    async def scenario(path):
+        term = path.leader.node._election.term
+        status, _ = await path.call("POST", OTHER, body)
+        await path.call("POST", JOB, job_body())
+        await path.until_state(JOB, "completed")
+        assert path.leader.node._election.term is term
+        assert status == 400
+
+    run_scenario(scenario, leader_lease_ms=LEASE_MS)
--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -102,6 +102,41 @@
     assert isinstance(wire.decode_job(json.dumps(body).encode()), Ok) == accepted
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *itertools.product(("cpu", "mem_mb", "gpu"), (1e308, 2**63, 2**70, "1e400")),
+        *itertools.product(("estimate_ms", "target_ms"), ("inf", "nan", 1e308)),
+        *itertools.product(("anti_affinity", "may_miss"), (1e300, -1)),
+        ("after", [1e300]),
+        ("count", 1e300),
+    ],
+)
+def test_step_with_an_odd_number_is_refused(field, value):
+    """Guards against an accepted job that ends the term of each leader that schedules it."""
+    body = json.dumps({"steps": [{}, {field: value}]}).encode()
+    assert isinstance(wire.decode_job(body), Err)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *itertools.product(("first_ms", "interval_ms"), ("nan", "inf", "-inf", 1e300)),
+        *itertools.product(("times",), (2**63, 1e300, -1)),
+    ],
+)
+def test_job_with_an_odd_time_is_refused(field, value):
+    body = json.dumps({"steps": [{}], "times": 2, field: value}).encode()
+    assert isinstance(wire.decode_job(body), Err)
+
+
+@pytest.mark.parametrize(
+    "body", [b"[" * 100_000 + b"]" * 100_000, b'{"steps": [{"cpu": 1e400}]}', b"\xff", b""]
+)
+def test_submission_that_cannot_be_read_is_refused(body):
+    assert isinstance(wire.decode_job(body), Err)
+
+
 REPORT = {
     "clock_ms": 5,
     "born": 2,
