Create the due occurrences of a job in parts

Cause: every 100 ms, all occurrences that were due were created in one loop. The number of occurrences and their interval come from the submission, so a job with a huge number that is due at once blocked the process and used up its memory, and the next leader did the same.

Change: one check creates at most 1,000 occurrences of a job, and none while the unfinished ones have 10,000 tasks, except that 10 occurrences may always overlap.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
@@ -9,6 +9,12 @@
 FAILED = "failed"
 # Delay before a task is started again after a failure or a refused start, to avoid a tight loop.
 RETRY_DELAY_MS = 100.0
+# Unfinished tasks of one job beyond which no further occurrences of it are created, except that
+# this many occurrences may always overlap.
+MAX_UNFINISHED_TASKS = 10_000
+MIN_UNFINISHED_OCCURRENCES = 10
+# Largest number of occurrences of a job that one check creates, since it blocks the process.
+MAX_OCCURRENCES_PER_CHECK = 1_000
 # Maximum delay between restarts of a lasting task that fails repeatedly.
 MAX_LASTING_RETRY_DELAY_MS = 2_000.0
 
@@ -27,16 +33,35 @@
 
 
 def create_due_occurrences(cell: Cell, wall_ms: float) -> None:
-    """Create the occurrences of repeated jobs that are due."""
+    """Create the occurrences of repeated jobs that are due.
+
+    Load pattern: a job whose occurrences are all due at once, by mistake or after a long outage. A
+    job has a limited number of unfinished tasks, and the others follow when occurrences complete.
+    """
     for job in cell.active.values():
         record = job.record
-        while job.next_occurrence < record.repeats:
+        if job.next_occurrence >= record.repeats:
+            continue
+        unfinished = len(job.occurrences.keys() - job.completed)
+        created = 0
+        while (
+            job.next_occurrence < record.repeats
+            and unfinished < _max_unfinished_occurrences(record)
+            and created < MAX_OCCURRENCES_PER_CHECK
+        ):
             number = job.next_occurrence
             if wall_ms < record.first_ms + number * record.interval_ms:
                 break
             job.next_occurrence += 1
             if number not in job.completed and number not in job.occurrences:
                 job.add_occurrence(number)
+                unfinished += 1
+                created += 1
+
+
+def _max_unfinished_occurrences(record: QueueJob) -> int:
+    tasks = sum(step.count for step in record.steps)
+    return max(MIN_UNFINISHED_OCCURRENCES, MAX_UNFINISHED_TASKS // max(1, tasks))
 
 
 def cancel_job(cell: Cell, job_id: str, wall_ms: float) -> bool:
