Refuse a configuration with durations that are not finite

The effect of such a configuration on a leader was not tried; the platform's store accepts only valid ones, so it cannot come about there.

The configuration counts as malformed and the last one holds. Deep nesting, 1e400, a version of 1e300 and unreadable bytes were errors already.

--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -85,6 +85,32 @@
     assert queue.advice is not None and queue.advice.call_ms(10) == 15.5
 
 
+@pytest.mark.parametrize("text", ["nan", "inf", "-inf"])
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda text: {"stretch": text},
+        lambda text: {"target_duration_ms": text},
+        lambda text: {"priority": text},
+        lambda text: {"advice": {"decide_ms": text, "valid_ms": 900}},
+        lambda text: {"advice": {"decide_ms": 1, "valid_ms": text}},
+    ],
+)
+def test_configuration_with_a_number_that_is_not_finite_is_an_error(change, text):
+    """Guards against durations that end the term of each leader. The last configuration holds."""
+    route = {"name": "r", "host": "h", "prefix": "/p/", "backend": "pool", **change(text)}
+    decoded = wire_config.decode_config(item({"version": 4, "routes": [route]}))
+    assert isinstance(decoded, Err)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"[" * 100_000 + b"]" * 100_000, b'{"version": 1e400}', b'{"version": 1e300}', b"\xff"],
+)
+def test_configuration_that_cannot_be_read_is_an_error(value):
+    assert isinstance(wire_config.decode_config(item(value)), Err)
+
+
 @pytest.mark.parametrize(
     ("body", "accepted"),
     [
