Test answers that cannot be read and entries at addresses of other processes

A worker entry with the address of an instance, the store or the advice service is called in vain and never used; a worker refuses an id that is not its own (421).

--- a/tests/functional/test_queue_odd_entries.py
+++ b/tests/functional/test_queue_odd_entries.py
@@ -88,3 +88,29 @@
         assert status == 400
 
     run_scenario(scenario, leader_lease_ms=LEASE_MS)
+
+
+def test_entries_with_an_address_of_another_process_are_not_used():
+    """Guards against tasks that are placed on a process that is no worker."""
+
+    async def scenario(path):
+        term = path.leader.node._election.term
+        addresses = {
+            "instance": path.entries[0].address,
+            "health": path.entries[1].health_address,
+            "peer": path.leader.node._links.bound_address,
+            "store": path.store.address,
+            "advice": path.advice.address,
+        }
+        for worker_id, address in addresses.items():
+            path.store.data.put(f"servers/{worker_id}", entry(address=address, born=1_000))
+        workers = path.leader.node._leader.cell.workers
+        await path.until(lambda: workers.keys() >= addresses.keys())
+        # Time for several calls to each address.
+        await asyncio.sleep(1.0)
+        await path.call("POST", JOB, job_body())
+        await path.until_state(JOB, "completed")
+        assert path.leader.node._election.term is term
+        assert not any(workers[name].settled for name in addresses)
+
+    run_scenario(scenario, leader_lease_ms=LEASE_MS)
--- a/tests/unit/test_platform_workers.py
+++ b/tests/unit/test_platform_workers.py
@@ -70,3 +70,11 @@
 @pytest.mark.parametrize("failure", list(CallFailure))
 def test_order_without_an_answer_has_an_unknown_outcome(failure):
     assert send_order(Err(failure), "start") == OrderAnswer(StartOutcome.UNKNOWN)
+
+
+@pytest.mark.parametrize("status", [421, 404, 200, 204])
+@pytest.mark.parametrize("body", [None, {}, [], {"clock_ms": 5}, "text"])
+def test_answer_of_another_process_is_no_report(status, body):
+    """Guards against a worker that is used at the address of another one, or of no worker."""
+    gateway = RunnerGateway(ScriptedHttp(Ok(Answer(status, body))), 100.0)
+    assert isinstance(asyncio.run(gateway.hold(worker_info(), 7, 0, None, 0)), Err)
