--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/stored_jobs.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/stored_jobs.py
@@ -8,7 +8,8 @@
 from result import Err, Ok, Result
 
 from nutmeglb._internal.queues import keys
-from nutmeglb._internal.queues.ports import Platform, QueueStore, StoredItem
+from nutmeglb._internal.queues.ports import QueueStore, StoredItem
+from nutmeglb._internal.queues.worker_entries import WorkerEntries
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues.state import FINAL_STATES
 from nutmeglb_formats.exceptions import StoreError
@@ -22,6 +23,8 @@
 
 logger = get_logger("stored jobs")
 
+MAX_AMOUNT = 2**63 - 1
+
 
 @dataclass(frozen=True, slots=True)
 class Inbox:
@@ -42,13 +45,14 @@
     waits: Waits | None
 
 
-async def read_state(platform: Platform) -> Result[StoredState, StoreError]:
+async def read_state(
+    store: QueueStore, worker_entries: WorkerEntries
+) -> Result[StoredState, StoreError]:
     """Read the state from which a new leader schedules, in parallel."""
-    store = platform.store
     progress, inbox, workers, waits = await asyncio.gather(
         read_progress(store, keys.PROGRESS),
         read_inbox(store),
-        read_workers(platform),
+        worker_entries.read(),
         store.get(keys.WAITS),
     )
     if isinstance(progress, Err):
@@ -112,6 +116,20 @@
     )
 
 
+def _has_valid_figures(job: QueueJob) -> bool:
+    """Return whether the amounts and times of a job can be computed with.
+
+    Submissions are checked before they are stored, but earlier releases accepted any number.
+    """
+    amounts = [
+        amount
+        for step in job.steps
+        for amount in (step.needs.cpu_millis, step.needs.memory_bytes, step.needs.accelerators)
+    ]
+    times = [job.first_ms, job.interval_ms, *(step.estimate_ms for step in job.steps)]
+    return all(0 <= amount <= MAX_AMOUNT for amount in amounts) and all(map(math.isfinite, times))
+
+
 async def read_inbox(store: QueueStore) -> Result[Inbox, StoreError]:
     """Read all accepted jobs and cancellations."""
     listing = await store.range(keys.ACCEPTED, large=True)
@@ -133,7 +151,9 @@
             logger.error("malformed job skipped", key=item.key, cause=str(loaded.err_value))
         elif isinstance(loaded.ok_value, AcceptedJob):
             job = loaded.ok_value.job
-            if _has_valid_steps(job):
+            if not _has_valid_figures(job):
+                logger.error("job skipped: an amount or a time is out of range", key=item.key)
+            elif _has_valid_steps(job):
                 jobs.append(job)
             else:
                 logger.error(
@@ -141,18 +161,3 @@
                     key=item.key,
                 )
     return Inbox(tuple(jobs), tuple(cancelled), revision)
-
-
-async def read_workers(platform: Platform) -> Result[list[QueueWorker], StoreError]:
-    """Read the entries of all workers."""
-    listing = await platform.store.range(platform.workers_prefix, large=True)
-    if isinstance(listing, Err):
-        return Err(listing.err_value)
-    workers = []
-    for item in listing.ok_value.items:
-        decoded = platform.decode_worker(item)
-        if isinstance(decoded, Err):
-            logger.warning("malformed worker entry ignored", cause=str(decoded.err_value))
-        else:
-            workers.append(decoded.ok_value)
-    return Ok(workers)
--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -3,6 +3,7 @@
 import base64
 import itertools
 import json
+import math
 
 import pytest
 from hypothesis import given, settings
@@ -21,7 +22,7 @@
     encode_queue_record,
 )
 from nutmeglb_formats.models.queues import StepProgress
-from nutmeglb_platform import wire, wire_config
+from nutmeglb_platform import wire, wire_config, wire_workers
 from nutmeglb_platform.store import _parse_answer, _parse_found_items
 from tests.lib.queues import ADVISED, job, step
 
@@ -48,7 +49,7 @@
 
 
 def test_worker_entry_is_decoded():
-    worker = wire.decode_worker("servers/", item(SERVER_ENTRY)).unwrap()
+    worker = wire_workers.decode_worker("servers/", item(SERVER_ENTRY)).unwrap()
     assert (worker.worker_id, worker.service, worker.domain) == ("w1", "pool", "z1")
     assert (worker.rack, worker.labels) == ("r1-3", frozenset({"a", "r1-3"}))
     assert (worker.capacity.cpu_millis, worker.capacity.memory_bytes) == (16_000, 32 << 20)
@@ -68,7 +69,7 @@
     ],
 )
 def test_malformed_worker_entry_is_an_error(change):
-    decoded = wire.decode_worker("servers/", item({**SERVER_ENTRY, **change}))
+    decoded = wire_workers.decode_worker("servers/", item({**SERVER_ENTRY, **change}))
     assert isinstance(decoded, Err)
     assert decoded.err_value.hint
 
@@ -84,6 +85,32 @@
     assert queue.advice is not None and queue.advice.call_ms(10) == 15.5
 
 
+@pytest.mark.parametrize("text", ["nan", "inf", "-inf"])
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda text: {"stretch": text},
+        lambda text: {"target_duration_ms": text},
+        lambda text: {"priority": text},
+        lambda text: {"advice": {"decide_ms": text, "valid_ms": 900}},
+        lambda text: {"advice": {"decide_ms": 1, "valid_ms": text}},
+    ],
+)
+def test_configuration_with_a_number_that_is_not_finite_is_an_error(change, text):
+    """Guards against durations that end the term of each leader. The last configuration holds."""
+    route = {"name": "r", "host": "h", "prefix": "/p/", "backend": "pool", **change(text)}
+    decoded = wire_config.decode_config(item({"version": 4, "routes": [route]}))
+    assert isinstance(decoded, Err)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"[" * 100_000 + b"]" * 100_000, b'{"version": 1e400}', b'{"version": 1e300}', b"\xff"],
+)
+def test_configuration_that_cannot_be_read_is_an_error(value):
+    assert isinstance(wire_config.decode_config(item(value)), Err)
+
+
 @pytest.mark.parametrize(
     ("body", "accepted"),
     [
@@ -101,6 +128,41 @@
     assert isinstance(wire.decode_job(json.dumps(body).encode()), Ok) == accepted
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *itertools.product(("cpu", "mem_mb", "gpu"), (1e308, 2**63, 2**70, "1e400")),
+        *itertools.product(("estimate_ms", "target_ms"), ("inf", "nan", 1e308)),
+        *itertools.product(("anti_affinity", "may_miss"), (1e300, -1)),
+        ("after", [1e300]),
+        ("count", 1e300),
+    ],
+)
+def test_step_with_an_odd_number_is_refused(field, value):
+    """Guards against an accepted job that ends the term of each leader that schedules it."""
+    body = json.dumps({"steps": [{}, {field: value}]}).encode()
+    assert isinstance(wire.decode_job(body), Err)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *itertools.product(("first_ms", "interval_ms"), ("nan", "inf", "-inf", 1e300)),
+        *itertools.product(("times",), (2**63, 1e300, -1)),
+    ],
+)
+def test_job_with_an_odd_time_is_refused(field, value):
+    body = json.dumps({"steps": [{}], "times": 2, field: value}).encode()
+    assert isinstance(wire.decode_job(body), Err)
+
+
+@pytest.mark.parametrize(
+    "body", [b"[" * 100_000 + b"]" * 100_000, b'{"steps": [{"cpu": 1e400}]}', b"\xff", b""]
+)
+def test_submission_that_cannot_be_read_is_refused(body):
+    assert isinstance(wire.decode_job(body), Err)
+
+
 REPORT = {
     "clock_ms": 5,
     "born": 2,
@@ -123,6 +185,54 @@
     assert (report.running, report.ended) == ((), ())
 
 
+def report_with(field, row, position, value):
+    rows = [list(fields) for fields in REPORT[field]]
+    rows[row][position] = value
+    return {**REPORT, field: rows}
+
+
+@pytest.mark.parametrize(
+    "report",
+    [
+        *({**REPORT, "clock_ms": value} for value in ("nan", "inf", 1e300, -5, 2**63)),
+        *({**REPORT, "born": value} for value in (math.inf, math.nan, 1e300, -3, 2**63)),
+        *(
+            report_with("finished", 0, 0, value)
+            for value in (2**64, 1e300, -1, "9" * 400, math.inf)
+        ),
+        *(report_with("running", 0, 1, value) for value in (2**64, 1e300, -1, math.inf, None)),
+        *(report_with("finished", 0, 2, value) for value in (2**64, -1)),
+        *(report_with("running", 0, position, None) for position in (0, 2, 3, 4)),
+        *(report_with("finished", 0, position, ["x"]) for position in (1, 3, 4)),
+    ],
+)
+def test_report_with_an_odd_number_or_text_is_malformed(report):
+    """Guards against a worker that is never found silent, since each renewal fails here.
+
+    The clock and the number of the last end are sent back, as whole numbers of up to 64 bits.
+    """
+    assert wire.decode_report(report) is None
+
+
+@pytest.mark.parametrize(
+    ("position", "value", "bounded"),
+    [
+        (3, -50, 0),
+        (3, 41.7, 41),
+        (3, 1e300, 100),
+        (3, math.inf, 100),
+        (4, -1, 0),
+        (4, 2**80, wire.MAX_CPU_MILLIS),
+    ],
+)
+def test_rough_figure_of_a_run_is_bounded(position, value, bounded):
+    """Guards against a run that counts as lost because of a figure that proves nothing."""
+    report = wire.decode_report(report_with("running", 0, position, value))
+    assert report is not None
+    run = report.running[0]
+    assert {3: run.percent, 4: run.activity}[position] == bounded
+
+
 ABSENT = "absent"
 
 
@@ -148,7 +258,7 @@
 @given(JSON)
 def test_no_decoder_raises_on_json(value):
     data = json.dumps(value).encode()
-    wire.decode_worker("servers/", item(data))
+    wire_workers.decode_worker("servers/", item(data))
     wire_config.decode_config(item(data))
     wire.decode_job(data)
     wire.decode_report(value)
@@ -158,7 +268,7 @@
 @settings(max_examples=150, derandomize=True, deadline=None)
 @given(st.binary(max_size=200))
 def test_no_decoder_raises_on_bytes(data):
-    wire.decode_worker("servers/", item(data))
+    wire_workers.decode_worker("servers/", item(data))
     wire_config.decode_config(item(data))
     wire.decode_job(data)
     decode_queue_record(data, "key")
