Let workers of the fleet stand-in crash under tasks and change size

Change: a step's action may name tasks that crash each worker 10 ms after their start. The worker refuses connections, and is back after 2.5 to 3.5 s at its address without any memory, under its id or a new one; calls that expect the old id are answered with 421. POST /resize changes a worker's capacity. The listener keeps its port reserved during a stop.

--- a/standins/light_http.py
+++ b/standins/light_http.py
@@ -1,6 +1,7 @@
 """Small HTTP/1.1 server whose handlers decide whether and how a response is sent."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -38,20 +39,31 @@
 
 
 class LightServer:
-    """Listener on a free port of the loopback interface."""
+    """Listener on a free port of the loopback interface, which it keeps while it is stopped."""
 
     def __init__(self, handler: Handler) -> None:
         self.address = ""
         self._handler = handler
+        self._reservation: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self, port: int = 0) -> None:
-        """Bind the listener."""
+    async def start(self) -> None:
+        """Bind the listener, after a stop to the same port."""
+        if self._reservation is None:
+            # Without this socket, another connection could be given the port during a stop.
+            self._reservation = _bind(0)
+        port = self._reservation.getsockname()[1]
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", port, limit=BODY_LIMIT_BYTES
+            self._serve, sock=_bind(port), limit=BODY_LIMIT_BYTES
         )
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        self.address = f"127.0.0.1:{port}"
+
+    def stop(self) -> None:
+        """Close the listener and all connections. Connections are refused until a start."""
+        if self._server is not None:
+            self._server.close()
+        self.close_connections()
 
     def close_connections(self) -> None:
         """Close all connections. The listener stays."""
@@ -94,6 +106,13 @@
             reused = True
 
 
+def _bind(port: int) -> socket.socket:
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind(("127.0.0.1", port))
+    return bound
+
+
 async def _read_request(reader: asyncio.StreamReader, reused: bool) -> LightRequest:
     head = (await reader.readuntil(HEAD_END)).decode("latin-1")
     first, *lines = head.rstrip("\r\n").split("\r\n")
--- a/standins/worker_fleet.py
+++ b/standins/worker_fleet.py
@@ -17,6 +17,8 @@
 MAX_LEASE_MS = 10_000.0
 STOP_TIMEOUT_S = 0.2
 GANG_TIMEOUT_S = 3.0
+# Time from the start of a task that crashes its workers to the crash.
+CRASH_AFTER_S = 0.01
 MAX_ENDS_PER_REPORT = 500
 DONE, FAILED, STOPPED, LAPSED = "done", "failed", "stopped", "lapsed"
 BROKEN, ALONE = "broken", "alone"
@@ -36,7 +38,15 @@
 
 @dataclass(slots=True)
 class FleetRun:
-    """A run on a worker. ``ends_as`` is empty for a run that never ends by itself."""
+    """A run on a worker.
+
+    Attributes
+    ----------
+    ends_as
+        Empty for a run that never ends by itself.
+    crashes_worker
+        Whether the worker's process ends soon after the start.
+    """
 
     task: str
     number: int
@@ -45,6 +55,7 @@
     work_s: float
     ends_as: str
     gang_size: int
+    crashes_worker: bool = False
     stopping: bool = False
 
     @property
@@ -63,6 +74,8 @@
         Whether reports contain a run that is being stopped as running.
     clock_rate, clock_ms_at_start
         The worker's own clock.
+    is_up
+        Whether the worker's process runs.
     barred
         Highest run of each task that was stopped or has ended.
     """
@@ -75,6 +88,7 @@
     clock_rate: float = 1.0
     clock_ms_at_start: float = 0.0
     born: int = 0
+    is_up: bool = True
     life: int = 0
     fence: int = 0
     lease_ms: float | None = None
@@ -130,6 +144,7 @@
         self.workers[worker.worker_id] = worker
         worker.life += 1
         worker.born = born
+        worker.is_up = True
         worker.started_s = now_s
         worker.clock_rate = self._rng.uniform(0.98, 1.0)
         worker.clock_ms_at_start = float(self._rng.randrange(0, 600_000))
@@ -138,17 +153,8 @@
         worker.lease_check_pending = False
         worker.barred = {}
         worker.finished = []
-        self._record(
-            {
-                "t": now_s,
-                "event": "boot",
-                "worker": worker.worker_id,
-                "life": worker.life,
-                "born": born,
-                "cpu": worker.kind.cpu,
-                "mem_mb": worker.kind.mem_mb,
-            }
-        )
+        kind = worker.kind
+        self._log_worker(worker, "boot", now_s, born=born, cpu=kind.cpu, mem_mb=kind.mem_mb)
 
     def crash(self, worker: FleetWorker, now_s: float) -> None:
         """End everything that runs on a worker without listing it."""
@@ -158,6 +164,18 @@
             if key in worker.runs:
                 self._end(worker, key, CRASHED, now_s)
 
+    def rename(self, worker: FleetWorker, worker_id: str) -> None:
+        """Give a worker that is down another id for its next life."""
+        del self.workers[worker.worker_id]
+        worker.worker_id = worker_id
+        self.workers[worker_id] = worker
+
+    def resize(self, worker: FleetWorker, kind: Kind, now_s: float) -> None:
+        """Change a worker's capacity. What runs there stays."""
+        self.advance(now_s)
+        worker.kind = kind
+        self._log_worker(worker, "resize", now_s, cpu=kind.cpu, mem_mb=kind.mem_mb)
+
     def call(
         self,
         worker_id: str,
@@ -222,12 +240,20 @@
         run = _decode_run(task, number, body["spec"])
         worker.runs[(task, number)] = run
         self._log(worker, "start", run, now_s, fence=worker.fence, late_s=late_s)
+        if run.crashes_worker:
+            self._at(now_s + CRASH_AFTER_S, lambda at_s: self._crash_under(worker, run, at_s))
         if run.gang_size:
             self._join_gang(worker, run, now_s)
         elif run.ends_as:
             self._end_later(worker, run, run.ends_as, now_s + run.work_s)
         return ""
 
+    def _crash_under(self, worker: FleetWorker, run: FleetRun, now_s: float) -> None:
+        if worker.runs.get((run.task, run.number)) is run:
+            self._log(worker, "crash", run, now_s)
+            worker.is_up = False
+            self.crash(worker, now_s)
+
     def _join_gang(self, worker: FleetWorker, run: FleetRun, now_s: float) -> None:
         members = self._gangs.setdefault(run.gang, {})
         members[run.task] = worker
@@ -277,9 +303,7 @@
             self._schedule_lease_check(worker)
             return
         worker.lease_ms = None
-        self._record(
-            {"t": now_s, "event": "lapse", "worker": worker.worker_id, "life": worker.life}
-        )
+        self._log_worker(worker, "lapse", now_s)
         for key in list(worker.runs):
             if key in worker.runs:
                 self._end(worker, key, LAPSED, now_s)
@@ -290,15 +314,7 @@
             return
         worker.acknowledged = last_seen
         worker.finished = [row for row in worker.finished if row[0] > last_seen]
-        self._record(
-            {
-                "t": now_s,
-                "event": "ack",
-                "worker": worker.worker_id,
-                "life": worker.life,
-                "last_seen": last_seen,
-            }
-        )
+        self._log_worker(worker, "ack", now_s, last_seen=last_seen)
 
     def _end_later(self, worker: FleetWorker, run: FleetRun, how: str, at_s: float) -> None:
         self._at(at_s, lambda due_s: self._end_if_present(worker, run, how, due_s))
@@ -329,19 +345,12 @@
     def _log(
         self, worker: FleetWorker, event: str, run: FleetRun, now_s: float, **fields: Any
     ) -> None:
-        self._record(
-            {
-                "t": now_s,
-                "event": event,
-                "worker": worker.worker_id,
-                "life": worker.life,
-                "task": run.task,
-                "run": run.number,
-                "cpu": run.cpu,
-                "mem_mb": run.mem_mb,
-                **fields,
-            }
-        )
+        needs = {"cpu": run.cpu, "mem_mb": run.mem_mb}
+        self._log_worker(worker, event, now_s, task=run.task, run=run.number, **needs, **fields)
+
+    def _log_worker(self, worker: FleetWorker, event: str, now_s: float, **fields: Any) -> None:
+        names = {"worker": worker.worker_id, "life": worker.life}
+        self._record({"t": now_s, "event": event, **names, **fields})
 
 
 def _decode_run(task: str, number: int, spec: str) -> FleetRun:
@@ -354,4 +363,6 @@
     elif draw > 1.0 - step.get("hang", 0.0):
         ends_as = ""
     work_s = step["work_ms"] / MS_PER_S * random.Random(task).uniform(0.7, 1.3)
-    return FleetRun(task, number, step["cpu"], step["mem_mb"], work_s, ends_as, step.get("gang", 0))
+    crashes_worker = int(task.split(".")[3]) in step.get("crash", ())
+    needs = step["cpu"], step["mem_mb"]
+    return FleetRun(task, number, *needs, work_s, ends_as, step.get("gang", 0), crashes_worker)
--- a/standins/worker_fleet_server.py
+++ b/standins/worker_fleet_server.py
@@ -1,8 +1,9 @@
 """Process that serves the workers of a fleet over HTTP, with faults set over a control listener.
 
 Control calls: ``POST /fault`` with ``workers``, ``kind``, ``for_s`` and the fields of the kind adds
-a fault; ``POST /restart`` with ``worker``, ``down_s`` and ``quiet``; ``GET /entries`` returns the
-entries for the metadata store; ``GET /usage`` returns the share of the capacity in use.
+a fault; ``POST /restart`` with ``worker``, ``down_s`` and ``quiet``; ``POST /resize`` with
+``worker``, ``cpu`` and ``mem_mb``; ``GET /entries`` returns the entries of the workers that are up,
+for the metadata store; ``GET /usage`` returns the share of the capacity in use.
 """
 
 import argparse
@@ -25,6 +26,8 @@
 DOMAINS = ("east", "north", "west")
 MS_PER_S = 1_000.0
 LATE_S = (2.0, 12.0)
+# A crashed worker is back after this time.
+RETURN_S = (2.5, 3.5)
 TICK_S = 0.01
 
 
@@ -56,14 +59,17 @@
         self._listed_stopping_share = arguments.listed_stopping_share
         self._kind_change_share = arguments.kind_change_share
         self._late_calls_cross_lives = bool(arguments.late_calls_cross_lives)
+        self._new_id_share = arguments.new_id_share
         self._rng = random.Random(f"fleet {seed}")
         self._record_file = record
         self._fleet = Fleet(random.Random(f"fleet state {seed}"), self._record)
         self._servers: dict[str, LightServer] = {}
         self._faults: dict[str, list[WorkerFault]] = {}
         self._closes_lost: dict[str, bool] = {}
+        self._domains: dict[str, str] = {}
         self._ended = asyncio.Event()
         self._late_calls: set[asyncio.Task[None]] = set()
+        self._returns: set[asyncio.Task[None]] = set()
         self._control = LightServer(self._handle_control)
         self._ids = [f"w{number:02d}" for number in range(arguments.workers)]
 
@@ -73,6 +79,7 @@
             worker = FleetWorker(worker_id, self._rng.choice(KINDS), f"r1-{number % RACKS}")
             worker.lists_stopping = self._rng.random() < self._listed_stopping_share
             self._closes_lost[worker_id] = self._rng.random() < 0.5
+            self._domains[worker_id] = DOMAINS[number % len(DOMAINS)]
             self._faults[worker_id] = []
             self._fleet.boot(worker, _wall_ms(), time.monotonic())
             self._servers[worker_id] = LightServer(self._handler(worker))
@@ -90,8 +97,27 @@
         if event["event"] in ("end", "boot"):
             self._ended.set()
             self._ended = asyncio.Event()
+        elif event["event"] == "crash":
+            worker = self._fleet.workers[event["worker"]]
+            self._servers[worker.worker_id].stop()
+            returning = asyncio.create_task(self._return(worker))
+            self._returns.add(returning)
+            returning.add_done_callback(self._returns.discard)
         self._record_file.write(json.dumps(event) + "\n")
 
+    async def _return(self, worker: FleetWorker) -> None:
+        """Start a crashed worker again, under its id or another one, at the same address."""
+        await asyncio.sleep(self._rng.uniform(*RETURN_S))
+        if self._rng.random() < self._new_id_share:
+            old = worker.worker_id
+            self._fleet.rename(worker, f"{old.partition('-')[0]}-{worker.life + 1}")
+            self._faults.pop(old)
+            self._faults[worker.worker_id] = []
+            for traits in (self._servers, self._closes_lost, self._domains):
+                traits[worker.worker_id] = traits.pop(old)
+        self._fleet.boot(worker, _wall_ms(), time.monotonic())
+        await self._servers[worker.worker_id].start()
+
     def _handler(self, worker: FleetWorker) -> Callable[[LightRequest], Awaitable[Reply]]:
         async def handle(request: LightRequest) -> Reply:
             return await self._handle(worker, request)
@@ -169,7 +195,9 @@
         return NoResponse.CLOSE if closes else NoResponse.SILENT
 
     async def _execute(self, worker: FleetWorker, name: str, request: LightRequest) -> Reply:
-        if request.headers.get("expect-instance") not in (None, worker.worker_id):
+        if not worker.is_up:
+            return NoResponse.CLOSE
+        if not _is_expected(worker, request):
             return 421, {"clock_ms": int(worker.clock_ms(time.monotonic())), "born": worker.born}
         life = worker.life
         deadline_s = time.monotonic() + request.body.get("wait_ms", 0) / MS_PER_S
@@ -183,7 +211,7 @@
                     await ended.wait()
             except TimeoutError:
                 break
-            if worker.life != life:
+            if worker.life != life or not worker.is_up:
                 return NoResponse.CLOSE
         return 200, self._fleet.report(worker, time.monotonic())
 
@@ -193,6 +221,7 @@
         life = worker.life
         await asyncio.sleep(delay_s)
         is_lost = worker.life != life and not self._late_calls_cross_lives
+        is_lost = is_lost or not worker.is_up or not _is_expected(worker, request)
         if is_lost or "down" in self._draw_faults(worker.worker_id):
             return
         body = {**request.body, "wait_ms": 0}
@@ -213,22 +242,26 @@
         match request.path:
             case "/fault":
                 until_s = time.monotonic() + body["for_s"]
-                for worker_id in body["workers"]:
+                for worker_id in self._faults.keys() & set(body["workers"]):
                     fault = WorkerFault(body["kind"], until_s, body.get("share", 1.0))
                     self._faults[worker_id].append(fault)
                 self._record({"t": time.monotonic(), "event": "fault", **body})
             case "/restart":
                 self._restart(body["worker"], body["down_s"], body.get("quiet", False))
+            case "/resize":
+                self._resize(body["worker"], Kind(body["cpu"], body["mem_mb"]))
             case "/usage":
                 return 200, self._usage()
             case "/entries":
-                workers = self._fleet.workers.values()
+                workers = [each for each in self._fleet.workers.values() if each.is_up]
                 return 200, {worker.worker_id: self._entry(worker) for worker in workers}
         return 200, {}
 
     def _restart(self, worker_id: str, down_s: float, quiet: bool) -> None:
         """Restart a worker. After a quiet restart its open connections are not closed."""
-        worker = self._fleet.workers[worker_id]
+        worker = self._fleet.workers.get(worker_id)
+        if worker is None or not worker.is_up:
+            return
         if self._rng.random() < self._kind_change_share:
             worker.kind = self._rng.choice(KINDS)
         # A worker's clock starts at its restart, and calls get no answer until it is up again.
@@ -237,17 +270,21 @@
             self._servers[worker_id].close_connections()
             self._faults[worker_id].append(WorkerFault("down", time.monotonic() + down_s, 1.0))
 
+    def _resize(self, worker_id: str, kind: Kind) -> None:
+        worker = self._fleet.workers.get(worker_id)
+        if worker is not None and worker.is_up:
+            self._fleet.resize(worker, kind, time.monotonic())
+
     def _usage(self) -> dict[str, float]:
         workers = self._fleet.workers.values()
         used = sum(run.cpu for worker in workers for run in worker.runs.values())
         return {"used": used, "cpu": sum(worker.kind.cpu for worker in workers)}
 
     def _entry(self, worker: FleetWorker) -> dict[str, Any]:
-        number = self._ids.index(worker.worker_id)
         return {
             "backend": "pool",
             "address": self._servers[worker.worker_id].address,
-            "zone": DOMAINS[number % len(DOMAINS)],
+            "zone": self._domains[worker.worker_id],
             "version": "v1",
             "slots": 8,
             "state": "ready",
@@ -259,6 +296,10 @@
         }
 
 
+def _is_expected(worker: FleetWorker, request: LightRequest) -> bool:
+    return request.headers.get("expect-instance") in (None, worker.worker_id)
+
+
 def _wall_ms() -> int:
     return int(time.time() * MS_PER_S)
 
@@ -282,6 +323,7 @@
     parser.add_argument("--listed_stopping_share", type=float, default=0.5)
     parser.add_argument("--kind_change_share", type=float, default=0.5)
     parser.add_argument("--late_calls_cross_lives", type=int, default=1)
+    parser.add_argument("--new_id_share", type=float, default=0.5)
     parser.add_argument("--record", required=True)
     parser.add_argument("--ports_file", required=True)
     arguments = parser.parse_args()
--- a/tests/unit/test_worker_fleet.py
+++ b/tests/unit/test_worker_fleet.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from standins.worker_fleet import Fleet, FleetWorker, Kind
+from standins.worker_fleet import CRASH_AFTER_S, Fleet, FleetWorker, Kind
 
 TASK = "00000000000000aa.0.0.0"
 PEER = "00000000000000aa.0.0.1"
@@ -154,3 +154,55 @@
     assert world.report(1.1, last_seen=0) == ([], [])
     assert world.start(1.2, task=PEER, run=1, fence=1) == "fence"
     assert world.start(1.2, task=PEER, run=1) == 200
+
+
+def test_task_crashes_each_worker_that_starts_it():
+    world = FleetWorld()
+    world.start(9.9, task=PEER, work_ms=60_000)
+    for life in (1, 2):
+        assert world.start(10.0 * life, run=life, crash=[0], work_ms=60_000) == 200
+        assert world.worker.is_up
+        world.fleet.advance(10.0 * life + CRASH_AFTER_S)
+        assert not world.worker.is_up
+        world.fleet.boot(world.worker, life + 1, 10.0 * life + 3.0)
+    assert world.worker.is_up
+    assert [e["life"] for e in world.events if e["event"] == "crash"] == [1, 2]
+    assert world.ends() == [(PEER, "crashed"), (TASK, "crashed"), (TASK, "crashed")]
+
+
+def test_other_task_of_the_step_crashes_no_worker():
+    world = FleetWorld()
+    world.start(task=PEER, crash=[0])
+    world.fleet.advance(5.0)
+    assert world.worker.is_up
+    assert world.ends() == [(PEER, "done")]
+
+
+def test_crash_breaks_gangs_on_other_workers():
+    world = FleetWorld()
+    world.start(gang=2, work_ms=60_000)
+    world.start(worker="b", task=PEER, gang=2, crash=[1], work_ms=60_000)
+    world.fleet.advance(1.0)
+    assert sorted(world.ends()) == [(TASK, "broken"), (PEER, "crashed")]
+    assert world.worker.is_up
+
+
+def test_renamed_worker_knows_nothing_of_before():
+    world = FleetWorld()
+    world.start(crash=[0], work_ms=60_000)
+    world.fleet.advance(1.0)
+    world.fleet.rename(world.worker, "c")
+    world.fleet.boot(world.worker, 2, 4.0)
+    assert sorted(world.fleet.workers) == ["b", "c"]
+    assert world.report(4.1, worker="c") == ([], [])
+    assert world.start(4.2, worker="c") == 200
+
+
+@pytest.mark.parametrize("cpu", [50, 5_000])
+def test_resized_worker_keeps_its_runs(cpu):
+    world = FleetWorld()
+    world.start(work_ms=60_000)
+    world.fleet.resize(world.worker, Kind(cpu, 500), 1.0)
+    assert world.report(1.1) == ([(TASK, 1)], [])
+    (event,) = [e for e in world.events if e["event"] == "resize"]
+    assert (event["worker"], event["t"], event["cpu"], event["mem_mb"]) == ("a", 1.0, cpu, 500)
