--- a/scripts/queue_soak_checks.py
+++ b/scripts/queue_soak_checks.py
@@ -1,12 +1,18 @@
-"""Checks of the queue soak on the record of the worker fleet: TWICE and LIMIT."""
+"""Checks of the queue soak on the record of the worker fleet: TWICE, LIMIT and BUDGET."""
 
 import heapq
 from collections import defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 DONE = "done"
+# A shrink counts this long after it, or after the end of what kept it from the instances: a beat of
+# the worker, and the time within which an instance has to act on what the store holds.
+SHRINK_S = 1.5 + 3.0
+# A task may be started this often after so many workers have crashed under it.
+CRASHES = 3
+STARTS_AFTER_CRASHES = 2
 
 
 @dataclass(slots=True)
@@ -28,6 +34,12 @@
     stop_s: float | None = None
     acknowledged_s: float | None = None
     lapsed_before_acknowledgement: bool = False
+    crashed_worker: bool = False
+
+    @property
+    def job(self) -> str:
+        """Return the id of the run's job."""
+        return self.task.partition(".")[0]
 
     @property
     def counts_as_done(self) -> bool:
@@ -41,12 +53,31 @@
 
 @dataclass(slots=True)
 class SeenViolation:
-    """A violation of a rule at a time, with the runs that show it."""
+    """A violation of a rule at a time, with the runs or the job that show it."""
 
     rule: str
     at_s: float
     runs: tuple[SeenRun, ...]
     detail: str = ""
+    job: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """Capacity of a worker from a time on."""
+
+    from_s: float
+    cpu: int
+    mem_mb: int
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """Crash of a worker under a task. ``bystanders``: the other runs that ended with it."""
+
+    at_s: float
+    task: str
+    bystanders: int
 
 
 @dataclass(slots=True)
@@ -54,7 +85,9 @@
     """The fleet's record, indexed."""
 
     runs: list[SeenRun] = field(default_factory=list)
-    capacities: dict[tuple[str, int], tuple[int, int]] = field(default_factory=dict)
+    sizes: dict[tuple[str, int], list[Size]] = field(default_factory=dict)
+    lives_end_s: dict[tuple[str, int], float] = field(default_factory=dict)
+    crashes: list[Crash] = field(default_factory=list)
     calls: list[dict[str, Any]] = field(default_factory=list)
 
 
@@ -67,7 +100,15 @@
         life = (event.get("worker", ""), event.get("life", 0))
         match event["event"]:
             case "boot":
-                record.capacities[life] = (event["cpu"], event["mem_mb"])
+                record.sizes[life] = [Size(event["t"], event["cpu"], event["mem_mb"])]
+                record.lives_end_s.setdefault((life[0], life[1] - 1), event["t"])
+            case "resize":
+                record.sizes[life].append(Size(event["t"], event["cpu"], event["mem_mb"]))
+            case "crash":
+                present = [run for key, run in active.items() if key[:2] == life]
+                record.crashes.append(Crash(event["t"], event["task"], len(present) - 1))
+                active[(*life, event["task"], event["run"])].crashed_worker = True
+                record.lives_end_s[life] = event["t"]
             case "start":
                 run = SeenRun(
                     *life,
@@ -102,9 +143,21 @@
     return record
 
 
-def check_record(record: FleetRecord) -> list[SeenViolation]:
-    """Return all violations in the order of their times."""
-    found = [*check_twice(record.runs), *check_limit(record.runs, record.capacities)]
+def check_record(
+    record: FleetRecord, store_disturbances: Sequence[tuple[float, float]] = ()
+) -> list[SeenViolation]:
+    """Return all violations in the order of their times.
+
+    Parameters
+    ----------
+    store_disturbances
+        Start and end of what kept changes in the store from instances.
+    """
+    found = [
+        *check_twice(record.runs),
+        *check_limit(record.runs, record.sizes, store_disturbances),
+        *check_budget(record.runs),
+    ]
     return sorted(found, key=lambda violation: violation.at_s)
 
 
@@ -121,19 +174,21 @@
 
 
 def check_limit(
-    runs: Iterable[SeenRun], capacities: dict[tuple[str, int], tuple[int, int]]
+    runs: Iterable[SeenRun],
+    sizes: dict[tuple[str, int], list[Size]],
+    store_disturbances: Sequence[tuple[float, float]] = (),
 ) -> Iterator[SeenViolation]:
     """Check that no start brings a worker over its capacity."""
     by_life: dict[tuple[str, int], list[SeenRun]] = defaultdict(list)
     for run in sorted(runs, key=lambda run: run.started_s):
         by_life[(run.worker, run.life)].append(run)
     for life, seen in by_life.items():
-        cpu, mem_mb = capacities[life]
         active: list[tuple[float, int, SeenRun]] = []
         for order, run in enumerate(seen):
             while active and active[0][0] <= run.started_s:
                 heapq.heappop(active)
             heapq.heappush(active, (run.ended_s, order, run))
+            cpu, mem_mb = _largest_size(sizes[life], run, store_disturbances)
             used = [each for _, _, each in active]
             used_cpu = sum(each.cpu for each in used)
             used_mem_mb = sum(each.mem_mb for each in used)
@@ -141,3 +196,39 @@
                 detail = f"{used_cpu} of {cpu} cpu, {used_mem_mb} of {mem_mb} MB"
                 others = tuple(each for each in used if each is not run)
                 yield SeenViolation("LIMIT", run.started_s, (run, *others), detail)
+
+
+def _largest_size(
+    sizes: Sequence[Size], run: SeenRun, disturbances: Iterable[tuple[float, float]]
+) -> tuple[int, int]:
+    """Return the largest capacity that the sender of a run's order could still assume."""
+    since_s = run.started_s - run.late_s - SHRINK_S
+    for start_s, end_s in sorted(disturbances, reverse=True):
+        if start_s < run.started_s and end_s > since_s:
+            since_s = min(since_s, start_s - SHRINK_S)
+    ends_s = [each.from_s for each in sizes[1:]] + [float("inf")]
+    assumed = [
+        size
+        for size, end_s in zip(sizes, ends_s, strict=True)
+        if size.from_s <= run.started_s and end_s > since_s
+    ]
+    return max(size.cpu for size in assumed), max(size.mem_mb for size in assumed)
+
+
+def check_budget(runs: Iterable[SeenRun]) -> Iterator[SeenViolation]:
+    """Check that a task which crashes its workers is soon started no more."""
+    by_task: dict[str, list[SeenRun]] = defaultdict(list)
+    for run in runs:
+        by_task[run.task].append(run)
+    for seen in by_task.values():
+        crashed_s = sorted(run.ended_s for run in seen if run.crashed_worker)
+        if len(crashed_s) < CRASHES:
+            continue
+        limit_s = crashed_s[CRASHES - 1]
+        seen.sort(key=lambda run: run.started_s)
+        # An order that was carried out late was sent before its start.
+        further = [run for run in seen if run.started_s - run.late_s > limit_s]
+        if len(further) > STARTS_AFTER_CRASHES:
+            detail = f"{len(crashed_s)} workers crashed, {len(further)} starts after {CRASHES}"
+            at_s = further[STARTS_AFTER_CRASHES].started_s
+            yield SeenViolation("BUDGET", at_s, tuple(seen), detail)
--- a/tests/unit/test_queue_soak.py
+++ b/tests/unit/test_queue_soak.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from scripts.queue_soak_checks import check_record, read_record
+from scripts.queue_soak_checks import SHRINK_S, check_record, read_record
+from scripts.queue_soak_jobs import describe_crashes
 from scripts.queue_soak_keys import MAX_LAG_S, KeyCall, KeyLife, KeyRecord, check_keys
 from scripts.queue_soak_logs import SoakLogs
 
@@ -102,6 +103,127 @@
     assert [violation.rule for violation in violations] == ["LIMIT"] * count
 
 
+def resize(t, cpu, worker="a", life=1):
+    return {
+        "t": t, "event": "resize", "worker": worker, "life": life, "cpu": cpu, "mem_mb": 100,
+    }  # fmt: skip
+
+
+SHRUNK_S = 20.0
+KNOWN_S = SHRUNK_S + SHRINK_S
+
+
+@pytest.mark.parametrize(
+    ("events", "disturbances", "count"),
+    [
+        ([resize(SHRUNK_S, 500), event(KNOWN_S - 0.1, "start", "a")], [], 0),
+        ([resize(SHRUNK_S, 500), event(KNOWN_S + 0.1, "start", "a")], [], 1),
+        ([resize(SHRUNK_S, 600), event(KNOWN_S + 0.1, "start", "a")], [], 0),
+        ([resize(SHRUNK_S, 500, "b"), event(KNOWN_S + 0.1, "start", "a")], [], 0),
+        ([resize(SHRUNK_S, 500), event(KNOWN_S + 0.1, "start", "a", late_s=2.0)], [], 0),
+        ([resize(SHRUNK_S, 500), event(KNOWN_S + 2.1, "start", "a", late_s=2.0)], [], 1),
+        ([resize(SHRUNK_S, 500), event(KNOWN_S + 0.1, "start", "a")], [(21.0, 22.0)], 0),
+        ([resize(SHRUNK_S, 500), event(22.1 + SHRINK_S, "start", "a")], [(21.0, 22.0)], 1),
+        ([resize(SHRUNK_S, 500), event(KNOWN_S + 0.1, "start", "a")], [(5.0, 9.0)], 1),
+        (
+            [
+                event(1.0, "start", "a"),
+                resize(SHRUNK_S, 500),
+                resize(40.0, 1_200),
+                event(40.1, "start", "a", task=OTHER),
+            ],
+            [],
+            0,
+        ),
+        (
+            [
+                event(1.0, "start", "a"),
+                resize(SHRUNK_S, 500),
+                event(KNOWN_S + 0.1, "start", "a", task=OTHER),
+                resize(40.0, 1_200),
+            ],
+            [],
+            1,
+        ),
+        (
+            [
+                resize(SHRUNK_S, 500),
+                resize(SHRUNK_S + 1.0, 1_000),
+                event(KNOWN_S + 0.1, "start", "a"),
+            ],
+            [],
+            0,
+        ),
+        (
+            [
+                resize(SHRUNK_S, 500),
+                boot("a", 2, SHRUNK_S + 1.0),
+                event(KNOWN_S + 0.1, "start", "a", life=2),
+            ],
+            [],
+            0,
+        ),
+    ],
+    ids=[
+        "not known yet", "known", "fits", "other worker", "sent before", "late but sent after",
+        "during an outage", "after an outage", "outage before", "grown", "grown later",
+        "back before", "next life",
+    ],
+)  # fmt: skip
+def test_start_on_a_shrunk_worker_is_found(events, disturbances, count):
+    violations = check_record(read_record([*BOOTS, *events]), disturbances)
+    assert [violation.rule for violation in violations] == ["LIMIT"] * count
+
+
+def crash_series(count, late=()):
+    """Return a worker's lives, each of which but the last ends by a run of the task."""
+    for life in range(1, count + 1):
+        t = 10.0 * life
+        late_s = 60.0 if life in late else 0.0
+        yield boot("c", life, t)
+        yield event(t + 1.0, "start", "c", run=life, life=life, late_s=late_s)
+        yield event(t + 1.01, "crash", "c", run=life, life=life)
+        yield end(t + 1.01, "c", "crashed", run=life, life=life)
+
+
+@pytest.mark.parametrize(
+    ("events", "found"),
+    [
+        (crash_series(3), []),
+        (crash_series(5), []),
+        (crash_series(6), [61.0]),
+        (crash_series(9), [61.0]),
+        (crash_series(6, late={6}), []),
+        (crash_series(7, late={6}), [71.0]),
+        ([e for e in crash_series(9) if e["event"] != "crash"], []),
+    ],
+    ids=["three", "two more", "three more", "many", "sent before", "one late", "bystander"],
+)
+def test_task_that_crashes_its_workers_without_end_is_found(events, found):
+    violations = check_record(read_record(events))
+    assert [(each.rule, each.at_s) for each in violations] == [("BUDGET", at_s) for at_s in found]
+
+
+def test_runs_that_end_with_a_crash_are_counted():
+    events = [
+        boot("a"),
+        FIRST,
+        event(1.1, "start", "a", task=OTHER, cpu=1),
+        event(1.2, "crash", "a"),
+        end(1.2, "a", "crashed"),
+        end(1.2, "a", "crashed", task=OTHER, run=1),
+        boot("a", 2, 4.0),
+        event(5.0, "start", "a", run=2, life=2),
+        event(5.01, "crash", "a", run=2, life=2),
+    ]
+    record = read_record(events)
+    assert [crash.bystanders for crash in record.crashes] == [1, 0]
+    assert record.lives_end_s == {("a", 0): 0.0, ("a", 1): 1.2, ("a", 2): 5.01}
+    assert describe_crashes(record.crashes) == {
+        "workers": 2, "tasks": 1, "most_of_a_task": 2, "bystanders": 1, "bystanders_per_crash": 0.5,
+    }  # fmt: skip
+
+
 def test_release_of_a_run_is_traced_to_its_line(tmp_path):
     step = TASK.rpartition(".")[0]
     lines = [
