Add crashing tasks, changing capacities and odd entries to the queue soak

The soak writes changed entries with the workers' next beat and removes those of workers that were silent for three beats. After the load, callers wait up to 45 s for their jobs before the record is checked. An instance that ends without a signal is a violation (EXIT), and is started again.

--- a/scripts/queue_soak.py
+++ b/scripts/queue_soak.py
@@ -1,6 +1,6 @@
 """Randomized run of queues on real processes under load and faults.
 
-Checked for TWICE, LIMIT and KEYS.
+Checked for TWICE, LIMIT, BUDGET, LOST, KEYS, and processes that end by themselves.
 """
 
 import argparse
@@ -15,9 +15,11 @@
 from pathlib import Path
 from typing import Any
 
-from scripts.queue_soak_cell import SoakCell
+from scripts.queue_soak_cell import CONFIG, SoakCell
 from scripts.queue_soak_checks import FleetRecord, SeenViolation, check_record, read_record
+from scripts.queue_soak_entries import WorkerEntries
 from scripts.queue_soak_faults import QueueFaults
+from scripts.queue_soak_jobs import Span, check_jobs, describe_crashes
 from scripts.queue_soak_keys import KeyChanges, check_keys
 from scripts.queue_soak_load import SoakLoad
 from scripts.queue_soak_logs import SoakLogs
@@ -27,11 +29,17 @@
 SHOWN_RUNS = 12
 # The end of a run that counts as done may be acknowledged after the last start.
 SETTLE_S = 3.0
+# After the last fault and the end of the load: limit until all jobs have ended, and the time from
+# which a job that waits is checked. The faults of workers last up to 8 s longer.
+FINISH_S = 45.0
+CALM_AFTER_S = 14.0
+WATCH_INTERVAL_S = 0.5
 # What the protocol leaves open, with default and meaning.
 FLEET_ARGUMENTS = {
     "listed_stopping_share": (0.5, "Share of the workers that list a run while it is stopped."),
     "kind_change_share": (0.5, "Share of the restarts that may change a worker's capacity."),
     "late_calls_cross_lives": (1, "Whether a late call has its effect on a restarted worker."),
+    "new_id_share": (0.5, "Share of the crashed workers that are back under another id."),
 }
 
 
@@ -40,10 +48,12 @@
     lines = [f"{violation.rule} at {violation.at_s:.3f}: {violation.detail}"]
     for run in violation.runs[:SHOWN_RUNS]:
         lines.append(f"  run {json.dumps(asdict(run))}")
-    if violation.rule == "TWICE":
+    if violation.rule in ("TWICE", "BUDGET"):
         task = violation.runs[0].task
         lines += [f"  call {json.dumps(c)}" for c in record.calls if c.get("task") == task]
         lines += [f"  log {json.dumps(line)}" for line in logs.about(violation.runs)]
+    elif violation.job:
+        lines += [f"  log {json.dumps(line)}" for line in logs.about_job(violation.job)]
     else:
         lines += [f"  log {json.dumps(line)}" for line in logs.releases(violation)]
     return "\n".join(lines)
@@ -66,24 +76,46 @@
         [f"--{name}={getattr(arguments, name)}" for name in FLEET_ARGUMENTS],
     )
     usage: list[float] = []
+    exits: list[SeenViolation] = []
+    loop = asyncio.get_running_loop()
     try:
         keys = KeyChanges(cell, arguments.seed)
         await cell.start(keys.store_first, keys.some_key)
         load = SoakLoad(cell, keys, arguments.seed, arguments.callers, arguments.longest_ms)
+        entries = WorkerEntries(cell)
+        await entries.start()
         load.start()
         keys.start()
-        faults = QueueFaults(cell, arguments.seed, arguments.faults.split(","))
+        kinds = arguments.faults.split(",")
+        faults = QueueFaults(cell, entries, load, arguments.seed, kinds)
         sampler = asyncio.create_task(_sample_usage(cell, usage))
+        watch = asyncio.create_task(_watch_processes(cell, exits))
         await faults.run(arguments.duration_s)
+        calm_s = loop.time() + CALM_AFTER_S
         sampler.cancel()
-        await load.stop()
+        await load.finish(FINISH_S)
+        calm = Span(calm_s, loop.time())
         await keys.stop()
         await asyncio.sleep(SETTLE_S)
+        watch.cancel()
+        await entries.stop()
         await cell.stop()
     finally:
         cell.kill()
+    context = {
+        "jobs": [asdict(job) for job in load.jobs],
+        "calm": asdict(calm),
+        "store_disturbances": faults.store_disturbances,
+    }
+    (directory / "context.json").write_text(json.dumps(context))
     record = read_record(read_events(cell.record_file))
-    violations = check_record(record) + check_keys(keys.record, faults.disturbances)
+    attempts = CONFIG["routes"][0]["attempts"]
+    violations = [
+        *check_record(record, faults.store_disturbances),
+        *check_jobs(load.jobs, record, attempts, calm),
+        *check_keys(keys.record, faults.disturbances),
+        *exits,
+    ]
     logs = SoakLogs([instance.log_file for instance in cell.instances])
     for violation in violations[:SHOWN_VIOLATIONS]:
         print(describe(violation, record, logs), file=sys.stderr)
@@ -94,6 +126,7 @@
         "keys": dict(sorted(keys.counts.items())),
         "jobs": dict(sorted(load.counts.items())),
         "runs": dict(sorted(Counter(run.how or "active" for run in record.runs).items())),
+        "crashes": describe_crashes(record.crashes),
         "usage": round(statistics.fmean(usage), 2) if usage else None,
         "errors": logs.errors(),
         "standin_errors": cell.standin_errors(),
@@ -113,6 +146,18 @@
             samples.append(usage["used"] / usage["cpu"])
 
 
+async def _watch_processes(cell: SoakCell, exits: list[SeenViolation]) -> None:
+    """Note processes that end without a signal, and start them again."""
+    while True:
+        await asyncio.sleep(WATCH_INTERVAL_S)
+        for instance in cell.instances:
+            if instance.has_ended_by_itself:
+                at_s = asyncio.get_running_loop().time()
+                detail = f"{instance.name} ended with status {instance.exit_status}"
+                exits.append(SeenViolation("EXIT", at_s, (), detail))
+                instance.start()
+
+
 def main() -> int:
     """Parse the arguments, run and return the exit status."""
     exit_on_sigterm()
--- a/scripts/queue_soak_cell.py
+++ b/scripts/queue_soak_cell.py
@@ -20,6 +20,7 @@
 DOMAINS = ("east", "north", "west")
 CALL_TIMEOUT_S = 5.0
 MAX_CLIENTS = 400
+ENDING_SIGNALS = (signal.SIGKILL, signal.SIGTERM)
 # Logged by asyncio for a connection whose handler has failed.
 UNHANDLED = "Task exception was never retrieved"
 PREFIXES = ("/jobs/", "/urgent/")
@@ -50,6 +51,7 @@
         self.name = name
         self.log_file = directory / f"{name}.log"
         self._settings_file = directory / f"{name}.ini"
+        self._is_ending = False
         self._process: subprocess.Popen[bytes] | None = None
         self.address, health, peer = (f"127.0.0.1:{port}" for port in _free_ports(3))
         self._settings_file.write_text(
@@ -69,8 +71,14 @@
         """Return the exit status, or ``None`` while the process runs."""
         return None if self._process is None else self._process.poll()
 
+    @property
+    def has_ended_by_itself(self) -> bool:
+        """Return whether the process has ended without a signal that ends it."""
+        return self.exit_status is not None and not self._is_ending
+
     def start(self) -> None:
         """Start the process. Its output is appended to the log."""
+        self._is_ending = False
         with self.log_file.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "nutmeglb_platform"],
@@ -83,11 +91,13 @@
     def send(self, number: signal.Signals) -> None:
         """Send a signal unless the process has ended."""
         if self._process is not None and self.running:
+            self._is_ending |= number in ENDING_SIGNALS
             self._process.send_signal(number)
 
     def kill(self) -> None:
         """Kill the process and reap it."""
         if self._process is not None:
+            self._is_ending |= self.running
             self._process.kill()
             self._process.wait()
 
@@ -161,8 +171,8 @@
         self._operator, *stores = (await self._store.ports())["listeners"]
         self._fleet_control = (await self._fleet.ports())["control"]
         await store_config()
-        for worker_id in await self.fleet("GET", "/entries"):
-            await self.write_entry(worker_id)
+        for worker_id, entry in (await self.fleet("GET", "/entries")).items():
+            await self.put(f"servers/{worker_id}", entry)
         for number, store in enumerate(stores):
             domain = DOMAINS[number % len(DOMAINS)]
             instance = Instance(f"edge-{number}", domain, store, self._directory)
@@ -212,17 +222,15 @@
 
     async def put(self, key: str, value: Any) -> bool:
         """Write an item as the operator. Return whether the store acknowledged it."""
-        encoded = base64.b64encode(json.dumps(value).encode()).decode()
-        puts = [{"key": key, "value": encoded, "lease": 0}]
+        return await self.put_bytes(key, json.dumps(value).encode())
+
+    async def put_bytes(self, key: str, value: bytes) -> bool:
+        """Write an item of any content. Return whether the store acknowledged it."""
+        puts = [{"key": key, "value": base64.b64encode(value).decode(), "lease": 0}]
         url = f"http://{self._operator}/v1/kv-txn"
         status, _ = await self.call("POST", url, {"expected_rev": [], "puts": puts})
         return status == 200
 
-    async def write_entry(self, worker_id: str) -> None:
-        """Write the current entry of a worker to the store."""
-        entries = await self.fleet("GET", "/entries")
-        await self.put(f"servers/{worker_id}", entries[worker_id])
-
     async def store(self, path: str, body: Any) -> Any:
         """Send a control call to the store."""
         return (await self.call("POST", f"http://{self._operator}{path}", body))[1]
--- a/scripts/queue_soak_faults.py
+++ b/scripts/queue_soak_faults.py
@@ -9,6 +9,8 @@
 from collections.abc import Awaitable, Callable
 
 from scripts.queue_soak_cell import SoakCell
+from scripts.queue_soak_entries import WorkerEntries, odd_entry
+from scripts.queue_soak_load import SoakLoad
 
 LEADER_KEY = "nutmeglb/leader"
 BUSY_LOOP = "import time\nend = time.monotonic() + {for_s}\nwhile time.monotonic() < end: pass"
@@ -17,6 +19,8 @@
 INSTANCE_KINDS = frozenset(
     {"freeze", "kill", "term", "refuse_leader", "store_down", "store_lossy", "busy"}
 )
+# Kinds that keep changes of entries from instances.
+STORE_KINDS = frozenset({"refuse_leader", "store_down", "store_lossy"})
 LONGEST_S = 8.0
 # Faults end this long before the end of the run, so that ends are still acknowledged.
 CALM_S = 4.0
@@ -29,12 +33,24 @@
     ----------
     disturbances
         Start and end of each fault that affects instances, in seconds of the monotonic clock.
+    store_disturbances
+        Those that keep changes in the store from instances.
     """
 
-    def __init__(self, cell: SoakCell, seed: int, kinds: list[str]) -> None:
+    def __init__(
+        self,
+        cell: SoakCell,
+        entries: WorkerEntries,
+        load: SoakLoad,
+        seed: int,
+        kinds: list[str],
+    ) -> None:
         self.counts: Counter[str] = Counter()
         self.disturbances: list[tuple[float, float]] = []
+        self.store_disturbances: list[tuple[float, float]] = []
         self._cell = cell
+        self._entries = entries
+        self._load = load
         self._rng = random.Random(f"faults {seed}")
         self._faults: dict[str, Callable[[], Awaitable[None]]] = {
             "lose": self._lose_answers,
@@ -53,18 +69,22 @@
             "store_lossy": self._store_lossy,
             "unlist": self._unlist_workers,
             "busy": self._starve,
+            "crashing_tasks": self._crash_workers,
+            "resize": self._resize_workers,
+            "odd_entry": self._write_odd_entry,
         }
         self._kinds = list(self._faults) if kinds == ["all"] else [k for k in kinds if k]
         # Some seeds have overlapping faults most of the time, others have calm in between.
         self._max_gap_s = self._rng.uniform(2.0, 10.0)
-        self._ids: list[str] = []
+        self._resized: set[str] = set()
+        self._odd_entries = 0
+        self._crashing_spans = 0
         self._busy: list[subprocess.Popen[bytes]] = []
 
     async def run(self, duration_s: float) -> None:
         """Start faults at random times, several at once, for the whole duration."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + duration_s
-        self._ids = sorted(await self._cell.fleet("GET", "/entries"))
         injected: list[asyncio.Task[None]] = []
         await asyncio.sleep(min(3.0, duration_s / 4))
         while self._kinds and loop.time() < end_s - CALM_S:
@@ -83,11 +103,15 @@
         print(f"queue soak: {start_s:.3f} {kind}", file=sys.stderr)
         await self._faults[kind]()
         if kind in INSTANCE_KINDS:
-            self.disturbances.append((start_s, max(loop.time(), start_s + LONGEST_S)))
+            disturbance = (start_s, max(loop.time(), start_s + LONGEST_S))
+            self.disturbances.append(disturbance)
+            if kind in STORE_KINDS:
+                self.store_disturbances.append(disturbance)
 
     def _some_workers(self, largest_share: float) -> list[str]:
         share = self._rng.uniform(0.05, largest_share)
-        return self._rng.sample(self._ids, max(1, round(share * len(self._ids))))
+        ids = self._entries.ids
+        return self._rng.sample(ids, min(len(ids), max(1, round(share * len(ids)))))
 
     async def _worker_fault(
         self, kind: str, workers: list[str], for_s: float, share: float = 1.0
@@ -97,7 +121,7 @@
 
     async def _lose_answers(self) -> None:
         share = self._rng.uniform(0.1, 0.6)
-        await self._worker_fault("lose", self._ids, self._rng.uniform(2, 10), share)
+        await self._worker_fault("lose", self._entries.ids, self._rng.uniform(2, 10), share)
 
     async def _delay_orders(self) -> None:
         share = self._rng.uniform(0.05, 0.4)
@@ -129,6 +153,7 @@
         quiet = self._rng.random() < 0.4
         workers = self._some_workers(0.2)
         cut_s = self._rng.uniform(0.5, 8)
+        self._entries.held.update(workers)
         if quiet:
             await self._worker_fault("cut", workers, cut_s)
         for worker_id in workers:
@@ -137,8 +162,9 @@
             await self._cell.fleet("POST", "/restart", body)
             await asyncio.sleep(self._rng.uniform(0, 0.2))
         await asyncio.sleep(self._rng.uniform(0, 4))
+        self._entries.held.difference_update(workers)
         for worker_id in workers:
-            await self._cell.write_entry(worker_id)
+            await self._entries.write(worker_id)
 
     async def _freeze_leader(self) -> None:
         leader = await self._cell.leader()
@@ -202,7 +228,7 @@
             await self._cell.store("/remove", {"key": f"servers/{worker_id}"})
         await asyncio.sleep(self._rng.uniform(0.5, 6))
         for worker_id in workers:
-            await self._cell.write_entry(worker_id)
+            await self._entries.write(worker_id)
 
     async def _starve(self) -> None:
         for_s = self._rng.uniform(1, 5)
@@ -210,3 +236,43 @@
             self._busy.append(
                 subprocess.Popen([sys.executable, "-c", BUSY_LOOP.format(for_s=for_s)])
             )
+
+    async def _crash_workers(self) -> None:
+        """Let some of the jobs that are submitted for a while have tasks that crash workers."""
+        self._load.crashing_share = self._rng.choice((0.05, 0.1, 0.3))
+        self._crashing_spans += 1
+        await asyncio.sleep(self._rng.uniform(3, 12))
+        self._crashing_spans -= 1
+        if not self._crashing_spans:
+            self._load.crashing_share = 0.0
+
+    async def _resize_workers(self) -> None:
+        """Shrink some workers, and let them grow again later."""
+        entries = await self._cell.fleet("GET", "/entries")
+        workers = [each for each in self._some_workers(0.5) if each in entries]
+        workers = [each for each in workers if each not in self._resized]
+        self._resized.update(workers)
+        full = {each: entries[each]["capacity"] for each in workers}
+        for worker_id, size in full.items():
+            await self._resize(worker_id, size, self._rng.uniform(0.1, 0.8))
+            await asyncio.sleep(self._rng.uniform(0, 0.1))
+        await asyncio.sleep(self._rng.uniform(2, 12))
+        for worker_id, size in full.items():
+            await self._resize(worker_id, size, 1.0)
+        self._resized.difference_update(workers)
+
+    async def _resize(self, worker_id: str, size: dict[str, int], share: float) -> None:
+        cpu, mem_mb = round(size["cpu"] * share), round(size["mem_mb"] * share)
+        await self._cell.fleet(
+            "POST", "/resize", {"worker": worker_id, "cpu": cpu, "mem_mb": mem_mb}
+        )
+
+    async def _write_odd_entry(self) -> None:
+        """Let an entry that names no worker to use stand among the others for a while."""
+        self._odd_entries += 1
+        key = f"servers/{self._rng.choice('az')}-odd-{self._odd_entries}"
+        kind, content = odd_entry(self._rng)
+        print(f"queue soak: entry {key} {kind}", file=sys.stderr)
+        await self._cell.put_bytes(key, content)
+        await asyncio.sleep(self._rng.uniform(2, 10))
+        await self._cell.store("/remove", {"key": key})
--- a/scripts/queue_soak_load.py
+++ b/scripts/queue_soak_load.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from scripts.queue_soak_cell import PREFIXES, SoakCell
+from scripts.queue_soak_jobs import SoakJob
 from scripts.queue_soak_keys import TEAMS, KeyChanges
 
 POLL_S = 0.5
@@ -14,15 +15,29 @@
 CANCELLED_SHARE = 0.15
 GANG_SHARE = 0.25
 FINAL_STATES = ("completed", "failed", "cancelled")
+# Tasks of a step that crash their workers, if the step has any.
+MOST_CRASHING = 2
+LAST_CALLS = 3
 
 
 class SoakLoad:
-    """A fixed number of callers, each with one open job at a time."""
+    """A fixed number of callers, each with one open job at a time.
+
+    Attributes
+    ----------
+    jobs
+        All accepted jobs.
+    crashing_share
+        Share of the new jobs that have tasks which crash their workers.
+    """
 
     def __init__(
         self, cell: SoakCell, keys: KeyChanges, seed: int, callers: int, longest_ms: int
     ) -> None:
         self.counts: Counter[str] = Counter()
+        self.jobs: list[SoakJob] = []
+        self.crashing_share = 0.0
+        self._is_closing = False
         self._cell = cell
         self._keys = keys
         self._seed = seed
@@ -37,6 +52,17 @@
             team = TEAMS[number % len(TEAMS)]
             self._tasks.append(asyncio.create_task(self._run_caller(rng, team)))
 
+    async def finish(self, limit_s: float) -> None:
+        """Submit no more jobs, and wait until the accepted ones have ended or until a limit."""
+        self._is_closing = True
+        await asyncio.wait(self._tasks, timeout=limit_s)
+        await self.stop()
+        rng = random.Random(self._seed)
+        for job in self.jobs:
+            for _ in range(LAST_CALLS if not job.state else 0):
+                if await self._is_ended(rng, job):
+                    break
+
     async def stop(self) -> None:
         """Stop the callers."""
         for task in self._tasks:
@@ -44,11 +70,16 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _run_caller(self, rng: random.Random, team: str) -> None:
-        while True:
-            path = rng.choice(PREFIXES) + f"{rng.getrandbits(64):016x}"
-            body = job_body(rng, self._longest_ms)
+        while not self._is_closing:
+            job_id = f"{rng.getrandbits(64):016x}"
+            path = rng.choice(PREFIXES) + job_id
+            is_crashing = rng.random() < self.crashing_share
+            body = job_body(rng, self._longest_ms, is_crashing=is_crashing)
             if await self._submit(rng, team, path, body):
-                await self._follow(rng, team, path)
+                now_s = asyncio.get_running_loop().time()
+                job = SoakJob(job_id, path, team, now_s, body["steps"], is_crashing)
+                self.jobs.append(job)
+                await self._follow(rng, job)
 
     async def _submit(self, rng: random.Random, team: str, path: str, body: dict[str, Any]) -> bool:
         for _ in range(10):
@@ -63,7 +94,7 @@
             await asyncio.sleep(rng.uniform(0.1, 0.5))
         return False
 
-    async def _follow(self, rng: random.Random, team: str, path: str) -> None:
+    async def _follow(self, rng: random.Random, job: SoakJob) -> None:
         loop = asyncio.get_running_loop()
         limit_s = loop.time() + JOB_LIMIT_S
         cancels = rng.random() < CANCELLED_SHARE
@@ -71,14 +102,21 @@
         while loop.time() < limit_s:
             await asyncio.sleep(POLL_S)
             if cancel_at_s is not None and loop.time() >= cancel_at_s:
-                status, _ = await self._call(rng, team, "DELETE", path)
+                job.is_cancelled = True
+                status, _ = await self._call(rng, job.team, "DELETE", job.path)
                 cancel_at_s = None if status in (200, 410) else cancel_at_s
-            status, content = await self._call(rng, team, "GET", path)
-            if status == 200 and content["state"] in FINAL_STATES:
-                self.counts[content["state"]] += 1
+            if await self._is_ended(rng, job):
                 return
         self.counts["unfinished"] += 1
 
+    async def _is_ended(self, rng: random.Random, job: SoakJob) -> bool:
+        status, content = await self._call(rng, job.team, "GET", job.path)
+        if status != 200 or content["state"] not in FINAL_STATES:
+            return False
+        job.state, job.ended_s = content["state"], asyncio.get_running_loop().time()
+        self.counts[job.state] += 1
+        return True
+
     async def _call(
         self, rng: random.Random, team: str, method: str, path: str, body: Any = None
     ) -> tuple[int, Any]:
@@ -89,8 +127,14 @@
         return await self._keys.call(team, rng.choice(running), method, path, body)
 
 
-def job_body(rng: random.Random, longest_ms: int) -> dict[str, Any]:
-    """Return a submission of one to three steps, some of which are gangs."""
+def job_body(rng: random.Random, longest_ms: int, *, is_crashing: bool = False) -> dict[str, Any]:
+    """Return a submission of one to three steps, some of which are gangs.
+
+    Parameters
+    ----------
+    is_crashing
+        Whether tasks of one step crash the workers that start them.
+    """
     steps: list[dict[str, Any]] = []
     actions = []
     for number in range(rng.choice((1, 1, 2, 3))):
@@ -113,4 +157,8 @@
                 "hang": 0.01,
             }
         )
+    if is_crashing:
+        number = rng.randrange(len(steps))
+        indexes = range(steps[number]["count"])
+        actions[number]["crash"] = rng.sample(indexes, rng.randint(1, MOST_CRASHING))
     return {"spec": json.dumps({"steps": actions}, separators=(",", ":")), "steps": steps}
--- a/scripts/queue_soak_logs.py
+++ b/scripts/queue_soak_logs.py
@@ -12,6 +12,7 @@
 # Lines about a worker or a leader are shown from this long before a violation.
 CONTEXT_S = 15.0
 ERROR_CHARACTERS = 100
+SHOWN_LINES_OF_JOB = 20
 RELEASE_KINDS = ("runs_ended", "start_refused")
 WORKER_KINDS = ("worker_silent", "worker_restarted", "worker_unlisted", "workers_waited_out")
 LEADER_MESSAGES = (
@@ -48,6 +49,11 @@
             or (_is_near(line, at_s) and _is_context(line, workers))
         ]
 
+    def about_job(self, job: str) -> list[dict[str, Any]]:
+        """Return the last lines that name a job."""
+        named = [line for line in self._lines if job in json.dumps(line)]
+        return named[-SHOWN_LINES_OF_JOB:]
+
     def errors(self) -> dict[str, int]:
         """Return how often each error is in the logs."""
         lines = [line for line in self._lines if line.get("level") in ("error", "critical")]
