Add an advice service to the queue soak

Cause: no queue of the soak had advice, so tickets that end with a worker's life or with their time, and gangs that may use only some workers, were not covered.

Change: the fleet stand-in answers POST /v1/advise for each instance in turn, approves a fixed share of the workers for a step, and refuses starts of such steps without a valid ticket. A third queue of the soak uses it. A job of it counts as idle only if approved workers have capacity.

--- a/scripts/queue_soak_cell.py
+++ b/scripts/queue_soak_cell.py
@@ -14,6 +14,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
+from standins.advice_book import DECIDE_MS, EACH_MS, VALID_MS
 from tests.lib.processes import ManagedProcess
 
 HOST = "q.example"
@@ -23,7 +24,11 @@
 ENDING_SIGNALS = (signal.SIGKILL, signal.SIGTERM)
 # Logged by asyncio for a connection whose handler has failed.
 UNHANDLED = "Task exception was never retrieved"
-PREFIXES = ("/jobs/", "/urgent/")
+# The last queue asks the advice service which workers may run a step.
+PREFIXES = ("/jobs/", "/urgent/", "/advised/")
+PRIORITIES = (1, 0, 1)
+ADVISED = PREFIXES[-1]
+ADVICE = {"decide_ms": DECIDE_MS, "each_ms": EACH_MS, "valid_ms": VALID_MS}
 CONFIG = {
     "version": 1,
     "routes": [
@@ -31,13 +36,14 @@
             "name": f"r-{number}",
             "host": HOST,
             "prefix": prefix,
-            "priority": 1 - number,
+            "priority": priority,
             "backend": "pool",
             "attempts": 4,
             "stretch": 2.0,
             "target_duration_ms": 2_000,
+            **({"advice": ADVICE} if prefix == ADVISED else {}),
         }
-        for number, prefix in enumerate(PREFIXES)
+        for number, (prefix, priority) in enumerate(zip(PREFIXES, PRIORITIES, strict=True))
     ],
     "backends": [{"name": "pool"}],
     "limits": {"max_body_bytes": 262_144},
@@ -47,7 +53,7 @@
 class Instance:
     """A platform instance as a process. Its standard output is kept in ``log_file``."""
 
-    def __init__(self, name: str, domain: str, store: str, directory: Path) -> None:
+    def __init__(self, name: str, domain: str, store: str, advice: str, directory: Path) -> None:
         self.name = name
         self.log_file = directory / f"{name}.log"
         self._settings_file = directory / f"{name}.ini"
@@ -57,7 +63,7 @@
         self._settings_file.write_text(
             f"[instance]\nid = {name}\nfailure_domain = {domain}\n"
             f"[listen]\ncaller = {self.address}\nhealth = {health}\npeer = {peer}\n"
-            f"[store]\naddress = {store}\n"
+            f"[store]\naddress = {store}\n[advice]\naddress = {advice}\n"
             "[queues]\nmax_run_lease_ms = 10000\n[log]\nlines_per_s = 100000\n"
         )
 
@@ -144,6 +150,7 @@
                 "-m",
                 "standins.worker_fleet_server",
                 f"--workers={workers}",
+                f"--instances={instances}",
                 *fleet_arguments,
                 f"--record={self.record_file}",
                 f"--ports_file={directory / 'fleet.ports.json'}",
@@ -169,13 +176,14 @@
         self._store.start()
         self._fleet.start()
         self._operator, *stores = (await self._store.ports())["listeners"]
-        self._fleet_control = (await self._fleet.ports())["control"]
+        fleet = await self._fleet.ports()
+        self._fleet_control = fleet["control"]
         await store_config()
         for worker_id, entry in (await self.fleet("GET", "/entries")).items():
             await self.put(f"servers/{worker_id}", entry)
-        for number, store in enumerate(stores):
+        for number, (store, advice) in enumerate(zip(stores, fleet["advice"], strict=True)):
             domain = DOMAINS[number % len(DOMAINS)]
-            instance = Instance(f"edge-{number}", domain, store, self._directory)
+            instance = Instance(f"edge-{number}", domain, store, advice, self._directory)
             instance.start()
             self.instances.append(instance)
         async with asyncio.timeout(30.0):
--- a/scripts/queue_soak_jobs.py
+++ b/scripts/queue_soak_jobs.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from scripts.queue_soak_checks import DONE, SHRINK_S, Crash, FleetRecord, SeenRun, SeenViolation
+from standins.advice_book import is_approved
 
 FAILED, CRASHED = "failed", "crashed"
 # The longest lease on the slowest clock, and a report: a run on a crashed worker may be taken for
@@ -30,6 +31,7 @@
     accepted_s: float
     steps: Sequence[Mapping[str, Any]]
     is_crashing: bool = False
+    is_advised: bool = False
     is_cancelled: bool = False
     state: str = ""
     ended_s: float = math.inf
@@ -118,25 +120,47 @@
     for start_s, end_s in [*spans, (limit_s, limit_s)]:
         gap_s = min(start_s, limit_s) - idle_s
         if gap_s > IDLE_S:
-            step = _due_step(job, runs, idle_s)
-            if step is not None and capacity.is_free(step, Span(idle_s, idle_s + gap_s)):
-                return idle_s
+            number = _due_step(job, runs, idle_s)
+            if number is not None:
+                step = f"{job.job_id}.0.{number}" if job.is_advised else ""
+                needs = _Needs(job.steps[number], step)
+                if capacity.is_free(needs, Span(idle_s, idle_s + gap_s)):
+                    return idle_s
         idle_s = max(idle_s, end_s)
     return None
 
 
-def _due_step(job: SoakJob, runs: Iterable[SeenRun], at_s: float) -> Mapping[str, Any] | None:
-    """Return the first step that is not done at a time."""
+def _due_step(job: SoakJob, runs: Iterable[SeenRun], at_s: float) -> int | None:
+    """Return the number of the first step that is not done at a time."""
     done: dict[int, set[str]] = defaultdict(set)
     for run in runs:
         if run.how == DONE and run.ended_s <= at_s:
             done[_step(run)].add(run.task)
     for number, step in enumerate(job.steps):
         if len(done[number]) < (1 if step.get("gang") else step["count"]):
-            return step
+            return number
     return None
 
 
+@dataclass(frozen=True, slots=True)
+class _Needs:
+    """Needs of a step. ``advised_step`` is empty for a step that may run on all workers."""
+
+    step: Mapping[str, Any]
+    advised_step: str
+
+    @property
+    def twice(self) -> int:
+        """Return how many tasks start together, twice over."""
+        return 2 * self.step["count"] if self.step.get("gang") else 2
+
+    def slots(self, worker_id: str, free_cpu: int, free_mem_mb: int) -> int:
+        """Return how many tasks fit into the free capacity of a worker."""
+        if self.advised_step and not is_approved(self.advised_step, worker_id):
+            return 0
+        return max(0, min(free_cpu // self.step["cpu"], free_mem_mb // self.step["mem_mb"]))
+
+
 class _Capacity:
     """Capacity and use of the workers over time."""
 
@@ -146,18 +170,17 @@
         for run in record.runs:
             self._runs[(run.worker, run.life)].append(run)
 
-    def is_free(self, step: Mapping[str, Any], span: Span) -> bool:
+    def is_free(self, needs: _Needs, span: Span) -> bool:
         """Return whether there is capacity for a step's tasks twice over for some seconds."""
-        count = 2 * step["count"] if step.get("gang") else 2
         free_samples = 0
         for number in range(int((span.end_s - span.start_s) / SAMPLE_S) + 1):
             at_s = span.start_s + number * SAMPLE_S
-            free_samples = free_samples + 1 if self._is_free_at(step, count, at_s) else 0
+            free_samples = free_samples + 1 if self._is_free_at(needs, at_s) else 0
             if free_samples > IDLE_S / SAMPLE_S:
                 return True
         return False
 
-    def _is_free_at(self, step: Mapping[str, Any], count: int, at_s: float) -> bool:
+    def _is_free_at(self, needs: _Needs, at_s: float) -> bool:
         fitting = all_cpu = all_used_cpu = all_mem_mb = all_used_mem_mb = 0
         for life, sizes in self._record.sizes.items():
             if not sizes[0].from_s <= at_s < self._record.lives_end_s.get(life, math.inf):
@@ -176,6 +199,6 @@
                 assumed = sizes[known - 1 : latest]
                 free_cpu = min(size.cpu for size in assumed) - used_cpu
                 free_mem_mb = min(size.mem_mb for size in assumed) - used_mem_mb
-                fitting += max(0, min(free_cpu // step["cpu"], free_mem_mb // step["mem_mb"]))
+                fitting += needs.slots(life[0], free_cpu, free_mem_mb)
         is_busy = all_used_cpu >= BUSY_SHARE * all_cpu or all_used_mem_mb >= BUSY_SHARE * all_mem_mb
-        return fitting >= count and not is_busy
+        return fitting >= needs.twice and not is_busy
--- a/scripts/queue_soak_load.py
+++ b/scripts/queue_soak_load.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from typing import Any
 
-from scripts.queue_soak_cell import PREFIXES, SoakCell
+from scripts.queue_soak_cell import ADVISED, PREFIXES, SoakCell
 from scripts.queue_soak_jobs import SoakJob
 from scripts.queue_soak_keys import TEAMS, KeyChanges
 
@@ -72,12 +72,14 @@
     async def _run_caller(self, rng: random.Random, team: str) -> None:
         while not self._is_closing:
             job_id = f"{rng.getrandbits(64):016x}"
-            path = rng.choice(PREFIXES) + job_id
+            prefix = rng.choice(PREFIXES)
+            path = prefix + job_id
             is_crashing = rng.random() < self.crashing_share
-            body = job_body(rng, self._longest_ms, is_crashing=is_crashing)
+            is_advised = prefix == ADVISED
+            body = job_body(rng, self._longest_ms, is_crashing=is_crashing, is_advised=is_advised)
             if await self._submit(rng, team, path, body):
                 now_s = asyncio.get_running_loop().time()
-                job = SoakJob(job_id, path, team, now_s, body["steps"], is_crashing)
+                job = SoakJob(job_id, path, team, now_s, body["steps"], is_crashing, is_advised)
                 self.jobs.append(job)
                 await self._follow(rng, job)
 
@@ -127,13 +129,17 @@
         return await self._keys.call(team, rng.choice(running), method, path, body)
 
 
-def job_body(rng: random.Random, longest_ms: int, *, is_crashing: bool = False) -> dict[str, Any]:
+def job_body(
+    rng: random.Random, longest_ms: int, *, is_crashing: bool = False, is_advised: bool = False
+) -> dict[str, Any]:
     """Return a submission of one to three steps, some of which are gangs.
 
     Parameters
     ----------
     is_crashing
         Whether tasks of one step crash the workers that start them.
+    is_advised
+        Whether the workers that run the tasks need a ticket of the advice service.
     """
     steps: list[dict[str, Any]] = []
     actions = []
@@ -155,6 +161,7 @@
                 "gang": count if is_gang else 0,
                 "fail": 0.02,
                 "hang": 0.01,
+                "advised": is_advised,
             }
         )
     if is_crashing:
--- a/standins/worker_fleet.py
+++ b/standins/worker_fleet.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from standins.advice_book import AdviceBook
+
 MS_PER_S = 1_000.0
 # Longest lease that a worker grants, longest time that a stop takes, and longest time that a member
 # of a gang waits for the others, from the users' platform specification.
@@ -56,6 +58,7 @@
     ends_as: str
     gang_size: int
     crashes_worker: bool = False
+    needs_ticket: bool = False
     stopping: bool = False
 
     @property
@@ -119,6 +122,7 @@
 
     def __init__(self, rng: random.Random, record: Callable[[dict[str, Any]], None]) -> None:
         self.workers: dict[str, FleetWorker] = {}
+        self.advice = AdviceBook()
         self._rng = rng
         self._record = record
         self._due: list[tuple[float, int, Callable[[float], None]]] = []
@@ -238,6 +242,8 @@
         if body["deadline_ms"] <= worker.clock_ms(now_s):
             return "late"
         run = _decode_run(task, number, body["spec"])
+        if run.needs_ticket and not self._permits(worker, task, body.get("ticket", ""), now_s):
+            return "ticket"
         worker.runs[(task, number)] = run
         self._log(worker, "start", run, now_s, fence=worker.fence, late_s=late_s)
         if run.crashes_worker:
@@ -248,6 +254,10 @@
             self._end_later(worker, run, run.ends_as, now_s + run.work_s)
         return ""
 
+    def _permits(self, worker: FleetWorker, task: str, ticket: str, now_s: float) -> bool:
+        step = task.rpartition(".")[0]
+        return self.advice.is_valid(ticket, step, worker.worker_id, worker.life, now_s)
+
     def _crash_under(self, worker: FleetWorker, run: FleetRun, now_s: float) -> None:
         if worker.runs.get((run.task, run.number)) is run:
             self._log(worker, "crash", run, now_s)
@@ -364,5 +374,14 @@
         ends_as = ""
     work_s = step["work_ms"] / MS_PER_S * random.Random(task).uniform(0.7, 1.3)
     crashes_worker = int(task.split(".")[3]) in step.get("crash", ())
-    needs = step["cpu"], step["mem_mb"]
-    return FleetRun(task, number, *needs, work_s, ends_as, step.get("gang", 0), crashes_worker)
+    return FleetRun(
+        task,
+        number,
+        step["cpu"],
+        step["mem_mb"],
+        work_s,
+        ends_as,
+        step.get("gang", 0),
+        crashes_worker,
+        step.get("advised", False),
+    )
--- a/standins/worker_fleet_server.py
+++ b/standins/worker_fleet_server.py
@@ -3,7 +3,8 @@
 Control calls: ``POST /fault`` with ``workers``, ``kind``, ``for_s`` and the fields of the kind adds
 a fault; ``POST /restart`` with ``worker``, ``down_s`` and ``quiet``; ``POST /resize`` with
 ``worker``, ``cpu`` and ``mem_mb``; ``GET /entries`` returns the entries of the workers that are up,
-for the metadata store; ``GET /usage`` returns the share of the capacity in use.
+for the metadata store; ``GET /usage`` returns the share of the capacity in use. Each instance has a
+listener of the advice service.
 """
 
 import argparse
@@ -18,6 +19,7 @@
 from typing import Any, TextIO
 
 from nutmeglb._internal.ports_file import write_ports_file
+from standins.advice_book import MAX_WAITING, MAX_WORKERS, VALID_MS, answer_delay_s, is_approved
 from standins.light_http import LightRequest, LightServer, NoResponse, Reply
 from standins.worker_fleet import Fleet, FleetWorker, Kind
 
@@ -71,10 +73,11 @@
         self._late_calls: set[asyncio.Task[None]] = set()
         self._returns: set[asyncio.Task[None]] = set()
         self._control = LightServer(self._handle_control)
+        self._advice = [LightServer(self._advice_handler()) for _ in range(arguments.instances)]
         self._ids = [f"w{number:02d}" for number in range(arguments.workers)]
 
-    async def start(self) -> str:
-        """Start all listeners and return the address of the control listener."""
+    async def start(self) -> dict[str, Any]:
+        """Start all listeners and return the addresses of those for control and advice."""
         for number, worker_id in enumerate(self._ids):
             worker = FleetWorker(worker_id, self._rng.choice(KINDS), f"r1-{number % RACKS}")
             worker.lists_stopping = self._rng.random() < self._listed_stopping_share
@@ -84,8 +87,9 @@
             self._fleet.boot(worker, _wall_ms(), time.monotonic())
             self._servers[worker_id] = LightServer(self._handler(worker))
             await self._servers[worker_id].start()
-        await self._control.start()
-        return self._control.address
+        for server in (self._control, *self._advice):
+            await server.start()
+        return {"control": self._control.address, "advice": [s.address for s in self._advice]}
 
     async def run(self) -> None:
         """Apply the events that are due, until cancelled."""
@@ -237,6 +241,39 @@
         self._faults[worker_id] = faults
         return {fault.kind for fault in faults if self._rng.random() < fault.share}
 
+    def _advice_handler(self) -> Callable[[LightRequest], Awaitable[Reply]]:
+        """Return a handler of one instance's calls, which are answered in turn."""
+        turn = asyncio.Lock()
+        waiting = 0
+
+        async def handle(request: LightRequest) -> Reply:
+            nonlocal waiting
+            if waiting >= MAX_WAITING:
+                return 429, {}
+            waiting += 1
+            try:
+                async with turn:
+                    return await self._advise(request.body["step"], request.body["workers"])
+            finally:
+                waiting -= 1
+
+        return handle
+
+    async def _advise(self, step: str, workers: list[str]) -> Reply:
+        if len(workers) > MAX_WORKERS:
+            return 400, {}
+        await asyncio.sleep(answer_delay_s(len(workers)))
+        present = [self._fleet.workers[each] for each in workers if each in self._fleet.workers]
+        good = [
+            [each.worker_id, self._issue(step, each)]
+            for each in present
+            if each.is_up and is_approved(step, each.worker_id)
+        ]
+        return 200, {"good": good, "valid_ms": VALID_MS}
+
+    def _issue(self, step: str, worker: FleetWorker) -> str:
+        return self._fleet.advice.issue(step, worker.worker_id, worker.life, time.monotonic())
+
     async def _handle_control(self, request: LightRequest) -> Reply:
         body = request.body
         match request.path:
@@ -306,7 +343,7 @@
 
 async def _main(arguments: argparse.Namespace, record: TextIO) -> None:
     server = FleetServer(arguments, record)
-    write_ports_file(arguments.ports_file, {"control": await server.start()})
+    write_ports_file(arguments.ports_file, await server.start())
     task = asyncio.create_task(server.run())
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
@@ -319,6 +356,7 @@
     """Parse the arguments and serve until SIGTERM."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--workers", type=int, default=40)
+    parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--listed_stopping_share", type=float, default=0.5)
     parser.add_argument("--kind_change_share", type=float, default=0.5)
--- a/tests/functional/test_worker_fleet_server.py
+++ b/tests/functional/test_worker_fleet_server.py
@@ -12,6 +12,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from standins import worker_fleet_server
+from standins.advice_book import is_approved
 from standins.worker_fleet_server import FleetServer
 
 TASK = "00000000000000aa.0.0.0"
@@ -37,17 +38,17 @@
 def run_scenario(scenario, monkeypatch, new_id_share=0.5):
     monkeypatch.setattr(worker_fleet_server, "RETURN_S", (0.3, 0.3))
     arguments = argparse.Namespace(
-        workers=2, seed=1, listed_stopping_share=0.5, kind_change_share=0.0,
+        workers=2, instances=1, seed=1, listed_stopping_share=0.5, kind_change_share=0.0,
         late_calls_cross_lives=1, new_id_share=new_id_share,
     )  # fmt: skip
 
     async def main():
         server = FleetServer(arguments, io.StringIO())
-        control = await server.start()
+        addresses = await server.start()
         task = asyncio.create_task(server.run())
         try:
             async with asyncio.timeout(20.0):
-                await scenario(control)
+                await scenario(addresses["control"], *addresses["advice"])
         finally:
             task.cancel()
 
@@ -60,7 +61,7 @@
 
 @pytest.mark.parametrize("new_id_share", [0.0, 1.0])
 def test_crashed_worker_refuses_connections_and_is_back_at_its_address(monkeypatch, new_id_share):
-    async def scenario(control):
+    async def scenario(control, advice):
         entry = (await entries(control))["w00"]
         address = entry["address"]
         clock_ms = (await call(address, "/v1/hold", {"last_seen": 0, "fence_token": 9}))[1]
@@ -88,7 +89,7 @@
 
 
 def test_entry_shows_a_changed_capacity(monkeypatch):
-    async def scenario(control):
+    async def scenario(control, advice):
         for cpu in (700, 9_000):
             await call(control, "/resize", {"worker": "w01", "cpu": cpu, "mem_mb": 64})
             capacity = (await entries(control))["w01"]["capacity"]
@@ -96,3 +97,18 @@
         assert (await call(control, "/resize", {"worker": "x", "cpu": 1, "mem_mb": 1}))[0] == 200
 
     run_scenario(scenario, monkeypatch)
+
+
+def test_advice_is_given_in_turn_and_refused_when_too_many_calls_wait(monkeypatch):
+    monkeypatch.setattr(worker_fleet_server, "MAX_WAITING", 3)
+
+    async def scenario(control, advice):
+        body = {"step": "00000000000000aa.0.0", "workers": ["w00", "w01", "gone"]}
+        calls = [call(advice, "/v1/advise", body) for _ in range(5)]
+        answers = await asyncio.gather(*calls)
+        assert sorted(status for status, _ in answers) == [200, 200, 200, 429, 429]
+        for content in [content for status, content in answers if status == 200]:
+            approved = [worker for worker, _ in content["good"]]
+            assert approved == [w for w in ("w00", "w01") if is_approved(body["step"], w)]
+
+    run_scenario(scenario, monkeypatch)
--- a/tests/unit/test_queue_soak_jobs.py
+++ b/tests/unit/test_queue_soak_jobs.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from scripts import queue_soak_jobs
 from scripts.queue_soak_checks import SeenRun, check_record, read_record
 from scripts.queue_soak_jobs import SoakJob, Span, check_jobs
 
@@ -132,6 +133,13 @@
     assert details(checked, record) == found
 
 
+@pytest.mark.parametrize("is_approving", [True, False])
+def test_job_is_idle_only_beside_workers_that_its_advice_approves(monkeypatch, is_approving):
+    monkeypatch.setattr(queue_soak_jobs, "is_approved", lambda step, worker_id: is_approving)
+    found = IDLE if is_approving else []
+    assert details(job("completed", 110.0, is_advised=True), record_of([])) == found
+
+
 @pytest.mark.parametrize(("busy_cpu", "found"), [(1_000, IDLE), (4_000, [])])
 def test_job_that_waits_while_half_of_the_capacity_is_used_is_not_idle(busy_cpu, found):
     busy = SeenRun("b", 1, "00000000000000bb.0.0.0", 1, busy_cpu, 10, 1.0)
--- a/tests/unit/test_worker_fleet.py
+++ b/tests/unit/test_worker_fleet.py
@@ -24,7 +24,7 @@
             self.fleet.boot(worker, 1, 0.0)
         self.worker = self.fleet.workers["a"]
 
-    def start(self, now_s=0.0, worker="a", task=TASK, run=1, lease_ms=5_000, **step):
+    def start(self, now_s=0.0, worker="a", task=TASK, run=1, lease_ms=5_000, ticket="", **step):
         actions = {"cpu": 100, "mem_mb": 10, "work_ms": 1_000, **step}
         clock_ms = self.fleet.workers[worker].clock_ms(now_s)
         body = {
@@ -33,6 +33,7 @@
             "spec": json.dumps({"steps": [actions]}),
             "deadline_ms": int(clock_ms + lease_ms),
             "fence_token": step.get("fence", 5),
+            "ticket": ticket,
         }
         status, content = self.fleet.call(worker, "run-start", body, now_s)
         return content.get("reason", status)
@@ -91,6 +92,15 @@
     assert world.start(1.0, run=run) == answer
 
 
+def test_start_that_needs_advice_is_refused_without_a_valid_ticket():
+    world = FleetWorld()
+    ticket = world.fleet.advice.issue(TASK.rpartition(".")[0], "a", 1, 0.0)
+    assert world.start(advised=True) == "ticket"
+    assert world.start(worker="b", advised=True, ticket=ticket) == "ticket"
+    assert world.start(advised=True, ticket=ticket) == 200
+    assert world.start(100.0, run=2, advised=True, ticket=ticket) == "ticket"
+
+
 def test_start_after_its_deadline_is_late():
     assert FleetWorld().start(lease_ms=0) == "late"
 
