Draw more odd entries that a parser of JSON accepts

Cause: most odd entries of the soak were refused as bytes that are no JSON, so the later uses of an entry, as an address, a figure or a part of a message, were hardly reached.

Change: nesting, figures and addresses that can be parsed but not used.

--- a/tests/unit/test_queue_soak_entries.py
+++ b/tests/unit/test_queue_soak_entries.py
@@ -73,17 +73,19 @@
     """Return whether an entry names a worker that can be called and added up."""
     try:
         entry = json.loads(content)
-        _, _, port = entry["address"].rpartition(":")
+        host, _, port = entry["address"].rpartition(":")
+        sound_host = host.replace(".", "").isdigit()
         sound_state = entry["state"] in ("ready", "draining")
         sound_labels = all(isinstance(label, str) for label in entry["labels"])
         cpu = entry["capacity"]["cpu"]
-        return sound_state and sound_labels and 0 < int(port) < 65_536 and cpu < 2**31
+        sound_figures = 0 < int(port) < 65_536 and 0 <= cpu < 2**31
+        return sound_host and sound_state and sound_labels and sound_figures
     except (ValueError, TypeError, KeyError, RecursionError):
         return False
 
 
 def test_odd_entries_of_all_kinds_name_no_worker():
-    drawn = dict(odd_entry(random.Random(seed)) for seed in range(300))
-    assert len(drawn) == 13
-    assert len(set(drawn.values())) == 13
+    drawn = dict(odd_entry(random.Random(seed)) for seed in range(500))
+    assert len(drawn) == 21
+    assert len(set(drawn.values())) == 21
     assert not [kind for kind, content in drawn.items() if is_sound(content)]
