Count odd entries that instances list as workers

Cause: an entry of another writer that an instance takes for a worker has no effect that the soak's checks see, as no such worker answers.

Change: the summary of a run has the number of odd entries in worker_listed lines. It is reported and not a violation.

--- a/scripts/queue_soak.py
+++ b/scripts/queue_soak.py
@@ -17,7 +17,7 @@
 
 from scripts.queue_soak_cell import CONFIG, SoakCell
 from scripts.queue_soak_checks import FleetRecord, SeenViolation, check_record, read_record
-from scripts.queue_soak_entries import WorkerEntries
+from scripts.queue_soak_entries import ODD, WorkerEntries
 from scripts.queue_soak_faults import QueueFaults
 from scripts.queue_soak_jobs import Span, check_jobs, describe_crashes
 from scripts.queue_soak_keys import KeyChanges, check_keys
@@ -127,6 +127,7 @@
         "jobs": dict(sorted(load.counts.items())),
         "runs": dict(sorted(Counter(run.how or "active" for run in record.runs).items())),
         "crashes": describe_crashes(record.crashes),
+        "odd_entries_listed": logs.listed(ODD),
         "usage": round(statistics.fmean(usage), 2) if usage else None,
         "errors": logs.errors(),
         "standin_errors": cell.standin_errors(),
--- a/scripts/queue_soak_entries.py
+++ b/scripts/queue_soak_entries.py
@@ -14,6 +14,8 @@
 # The workers' beats are spread over this many steps of a beat.
 PHASES = 5
 NESTING = 50_000
+# Part of the ids of odd entries.
+ODD = "-odd-"
 UNUSED_ADDRESS = "127.0.0.1:9"
 
 
--- a/scripts/queue_soak_faults.py
+++ b/scripts/queue_soak_faults.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 
 from scripts.queue_soak_cell import SoakCell
-from scripts.queue_soak_entries import WorkerEntries, odd_entry
+from scripts.queue_soak_entries import ODD, WorkerEntries, odd_entry
 from scripts.queue_soak_load import SoakLoad
 
 LEADER_KEY = "nutmeglb/leader"
@@ -270,7 +270,7 @@
     async def _write_odd_entry(self) -> None:
         """Let an entry that names no worker to use stand among the others for a while."""
         self._odd_entries += 1
-        key = f"servers/{self._rng.choice('az')}-odd-{self._odd_entries}"
+        key = f"servers/{self._rng.choice('az')}{ODD}{self._odd_entries}"
         kind, content = odd_entry(self._rng)
         print(f"queue soak: entry {key} {kind}", file=sys.stderr)
         await self._cell.put_bytes(key, content)
--- a/scripts/queue_soak_logs.py
+++ b/scripts/queue_soak_logs.py
@@ -54,6 +54,11 @@
         named = [line for line in self._lines if job in json.dumps(line)]
         return named[-SHOWN_LINES_OF_JOB:]
 
+    def listed(self, text: str) -> int:
+        """Return how many workers were listed whose id contains a text."""
+        listed = [line for line in self._lines if line.get("kind") == "worker_listed"]
+        return len({line["worker"] for line in listed if text in line["worker"]})
+
     def errors(self) -> dict[str, int]:
         """Return how often each error is in the logs."""
         lines = [line for line in self._lines if line.get("level") in ("error", "critical")]
--- a/tests/unit/test_queue_soak.py
+++ b/tests/unit/test_queue_soak.py
@@ -240,6 +240,15 @@
     assert logs.cause(violation) == "TWICE runs_ended lost"
 
 
+def test_workers_that_instances_list_are_counted(tmp_path):
+    lines = [
+        {"kind": "worker_listed", "worker": worker} for worker in ("a-odd-1", "a-odd-1", "w01")
+    ] + [{"kind": "worker_silent", "worker": "z-odd-2"}]
+    file = tmp_path / "edge-0.log"
+    file.write_text("\n".join(json.dumps(line) for line in lines))
+    assert SoakLogs([file]).listed("-odd-") == 1
+
+
 ADDED_S, REMOVED_S = 10.0, 20.0
 LIVES = {
     "k": KeyLife("one", ADDED_S, REMOVED_S, REMOVED_S + 0.1),
