Let no call act on a worker of the fleet stand-in that has just crashed

Cause: a crash is applied when the fleet's time advances, up to 10 ms late, and the check whether a worker is up came before. A start in between was carried out on the crashed worker and kept until its return. A report in between could list runs that ended with the crash.

Change: the fleet's call does nothing on a worker that is down, and the server advances the time before its checks.

Result: test_call_that_arrives_with_the_crash_has_no_effect failed for the three calls before and passes.

--- a/standins/worker_fleet.py
+++ b/standins/worker_fleet.py
@@ -188,8 +188,8 @@
         now_s: float,
         *,
         late_s: float = 0.0,
-    ) -> Answer:
-        """Carry out a call and return status and body of its answer.
+    ) -> Answer | None:
+        """Carry out a call and return status and body of its answer, or ``None`` if it is down.
 
         A ``hold`` is answered at once; use ``report`` for an answer after a wait.
 
@@ -200,6 +200,8 @@
         """
         self.advance(now_s)
         worker = self.workers[worker_id]
+        if not worker.is_up:
+            return None
         fence = body.get("fence_token", 0)
         if fence < worker.fence:
             return 409, self._content(worker, now_s, reason="fence")
--- a/standins/worker_fleet_server.py
+++ b/standins/worker_fleet_server.py
@@ -199,6 +199,7 @@
         return NoResponse.CLOSE if closes else NoResponse.SILENT
 
     async def _execute(self, worker: FleetWorker, name: str, request: LightRequest) -> Reply:
+        self._fleet.advance(time.monotonic())
         if not worker.is_up:
             return NoResponse.CLOSE
         if not _is_expected(worker, request):
@@ -206,6 +207,8 @@
         life = worker.life
         deadline_s = time.monotonic() + request.body.get("wait_ms", 0) / MS_PER_S
         reply = self._fleet.call(worker.worker_id, name, request.body, time.monotonic())
+        if reply is None:
+            return NoResponse.CLOSE
         if name != "hold" or reply[0] != 200:
             return reply
         while not worker.finished and time.monotonic() < deadline_s:
@@ -217,7 +220,11 @@
                 break
             if worker.life != life or not worker.is_up:
                 return NoResponse.CLOSE
-        return 200, self._fleet.report(worker, time.monotonic())
+        now_s = time.monotonic()
+        self._fleet.advance(now_s)
+        if worker.life != life or not worker.is_up:
+            return NoResponse.CLOSE
+        return 200, self._fleet.report(worker, now_s)
 
     async def _execute_late(
         self, worker: FleetWorker, name: str, request: LightRequest, delay_s: float
@@ -229,9 +236,10 @@
         if is_lost or "down" in self._draw_faults(worker.worker_id):
             return
         body = {**request.body, "wait_ms": 0}
-        status, content = self._fleet.call(
-            worker.worker_id, name, body, time.monotonic(), late_s=delay_s
-        )
+        answer = self._fleet.call(worker.worker_id, name, body, time.monotonic(), late_s=delay_s)
+        if answer is None:
+            return
+        status, content = answer
         event = self._order_event(worker, name, request, set())
         self._record(event | {"executed_late": status, "reason": content.get("reason", "")})
 
--- a/tests/unit/test_worker_fleet.py
+++ b/tests/unit/test_worker_fleet.py
@@ -180,6 +180,19 @@
     assert world.ends() == [(PEER, "crashed"), (TASK, "crashed"), (TASK, "crashed")]
 
 
+@pytest.mark.parametrize("name", ["run-start", "run-stop", "hold"])
+def test_call_that_arrives_with_the_crash_has_no_effect(name):
+    """Guards against a worker that answers a call, or starts a run, once it has crashed."""
+    world = FleetWorld()
+    world.start(crash=[0], work_ms=60_000)
+    body = {
+        "task": PEER, "run": 1, "fence_token": 5, "last_seen": 0, "deadline_ms": 10**9,
+        "spec": json.dumps({"steps": [{"cpu": 1, "mem_mb": 1, "work_ms": 1_000}]}),
+    }  # fmt: skip
+    assert world.fleet.call("a", name, body, 2 * CRASH_AFTER_S) is None
+    assert [e["task"] for e in world.events if e["event"] == "start"] == [TASK]
+
+
 def test_other_task_of_the_step_crashes_no_worker():
     world = FleetWorld()
     world.start(task=PEER, crash=[0])
