Count no free capacity on a worker that is kept for a suspect

A kept worker now offers no capacity, so that advice, records, plans and explanations count on others. A pass tries at most eight suspects of a step.

Losses that were only assumed no longer isolate a task.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
@@ -4,7 +4,7 @@
 worker may have crashed by itself. A second run without other work beside it tells the two apart.
 """
 
-from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.cell import RUNS_PER_TERM, Cell
 from nutmeglb_decisions.queues.lifecycle import finish_job
 from nutmeglb_decisions.queues.state import Isolation, JobState, KeptWorker, Run, Step, Task
 from nutmeglb_decisions.queues.task_losses import TaskLosses
@@ -25,14 +25,15 @@
 
 
 def isolation_of(step: Step, task: Task) -> Isolation:
-    """Return how the next run of a task, or of the gang that it belongs to, is isolated.
+    """Return how the next run of a task is isolated. Only assumed losses have no run's number.
 
     Tasks of a step run the same program. So a suspect is cleared once any task of its step has
     proved that it does not crash its worker at its start.
     """
     if task.losses is None:
         return Isolation.NONE
-    if len(task.losses.by_run) >= LOSSES_BEFORE_ISOLATION:
+    seen = [number for number in task.losses.by_run if number % RUNS_PER_TERM]
+    if len(seen) >= LOSSES_BEFORE_ISOLATION:
         return Isolation.WHOLE_RUN
     is_suspect = any(loss.is_suspect for loss in task.losses.by_run.values())
     return Isolation.UNTIL_PROVED if is_suspect and not is_cleared(step) else Isolation.NONE
@@ -57,10 +58,16 @@
 
 def keep_worker(cell: Cell, worker: Worker, step: Step, task: Task, now_ms: float) -> None:
     """Place nothing else on a worker as long as a task runs there, or is about to."""
-    worker.is_kept = True
+    worker.set_kept(True)
     cell.kept_workers[worker.worker_id] = KeptWorker(step, task, now_ms)
 
 
+def release_worker(cell: Cell, worker: Worker) -> None:
+    """Make a kept worker available again."""
+    cell.kept_workers.pop(worker.worker_id, None)
+    worker.set_kept(False)
+
+
 def is_cleared(step: Step) -> bool:
     """Return whether a task of a step has been proved active or has completed."""
     return step.has_proved_task or step.remaining < step.spec.count
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
@@ -28,6 +28,8 @@
 MAX_IDLE_WAIT_MS = 2_000.0
 # Time after which a worker that its task has not asked for is no longer kept: many passes.
 MAX_UNUSED_MS = 2_000.0
+# Suspects of one step that a pass tries to start, each with a search among all workers.
+MAX_SUSPECTS_PER_PASS = 8
 # Share of the workers of a service that may be kept empty for suspects; one in any case.
 MAX_KEPT_SHARE = 0.25
 
@@ -38,9 +40,10 @@
         worker = cell.workers.get(worker_id)
         if worker is not None and (_has_isolated_run(worker) or _is_needed(kept, worker, now_ms)):
             continue
-        del cell.kept_workers[worker_id]
-        if worker is not None:
-            worker.is_kept = False
+        if worker is None:
+            del cell.kept_workers[worker_id]
+        else:
+            crashing_tasks.release_worker(cell, worker)
 
 
 def _has_isolated_run(worker: Worker) -> bool:
@@ -73,7 +76,7 @@
     Parameters
     ----------
     group, candidates
-        Workers that may run the step, and those of them on which a task of it may start now.
+        Workers that may run the step; those of them with a ticket, if it needs one.
     """
     cell, now_ms = state.cell, state.now_ms
     for task in tasks:
@@ -83,12 +86,14 @@
     if not isolated:
         return list(tasks)
     is_cleared = crashing_tasks.is_cleared(step)
+    if cell.policy_of(step.job).advice is None:
+        candidates = group
     usable = [
         worker
         for worker in candidates
         if worker.worker_id in step.recorded and worker.is_usable(now_ms)
     ]
-    for position, task in enumerate(isolated):
+    for position, task in enumerate(isolated[:MAX_SUSPECTS_PER_PASS]):
         if not is_cleared and _has_trial(step.job):
             step.held_by = worker_losses.WAITS_FOR_TRIAL
             return []
@@ -125,27 +130,30 @@
         return
     if losses.waits_since_ms is None:
         losses.waits_since_ms = state.now_ms
-    own = [w for w in usable if not w.is_kept or _is_kept_for(cell, w, task)]
+    kept = [worker for worker in group if _is_kept_for(cell, worker, task)]
+    for worker in kept:
+        crashing_tasks.release_worker(cell, worker)
+    own = [worker for worker in usable if not worker.is_kept]
     empty = [worker for worker in own if not worker.runs]
-    kept = [worker for worker in empty if worker.is_kept]
-    reservations = Reservations() if kept else state.reservations
-    worker = choose_single(step, kept or empty, reservations, state.now_ms, run_ms)
-    if worker is None and _has_waited(state, step, losses):
-        worker = _with_least_work(step, own, state.now_ms, run_ms)
-    if worker is None:
+    kept_empty = [worker for worker in empty if worker in kept]
+    reservations = Reservations() if kept_empty else state.reservations
+    chosen = choose_single(step, kept_empty or empty, reservations, state.now_ms, run_ms)
+    if chosen is None and _has_waited(state, step, losses):
+        chosen = _with_least_work(step, own, state.now_ms, run_ms)
+    if chosen is None:
         worker_losses.release_number(cell, step, task)
-        _keep_worker(state, step, task, group)
+        _keep_worker(state, step, task, kept, group)
         return
     number = worker_losses.next_number(cell, step, (task,))
     if number is None:
-        crashing_tasks.keep_worker(cell, worker, step, task, state.now_ms)
+        crashing_tasks.keep_worker(cell, chosen, step, task, state.now_ms)
         return
-    began_alone = not worker.runs
-    start_task(state, step, task, worker, number, run_ms)
+    began_alone = not chosen.runs
+    start_task(state, step, task, chosen, number, run_ms)
     losses.waits_since_ms = None
     if task.run is not None:
         task.run.began_alone = began_alone
-        crashing_tasks.isolate(cell, worker, task.run, state.now_ms)
+        crashing_tasks.isolate(cell, chosen, task.run, state.now_ms)
         _log_isolated(state, task.run, losses, began_alone)
 
 
@@ -194,15 +202,19 @@
     return sum(run.charged.cpu_millis * (now_ms - run.ordered_ms) for run in worker.runs.values())
 
 
-def _keep_worker(state: SchedulingPass, step: Step, task: Task, group: Sequence[Worker]) -> None:
-    """Keep the worker for a task that is expected to be without runs first."""
+def _keep_worker(
+    state: SchedulingPass,
+    step: Step,
+    task: Task,
+    kept: Sequence[Worker],
+    group: Sequence[Worker],
+) -> None:
+    """Keep the worker for a task that is expected to be without runs first, or the former one."""
     cell, now_ms = state.cell, state.now_ms
-    kept = [worker for worker in group if worker.is_kept]
-    own = next((worker for worker in kept if _is_kept_for(cell, worker, task)), None)
-    if own is not None:
-        crashing_tasks.keep_worker(cell, own, step, task, now_ms)
+    for worker in kept[:1]:
+        crashing_tasks.keep_worker(cell, worker, step, task, now_ms)
         return
-    if len(kept) >= max(1.0, MAX_KEPT_SHARE * len(group)):
+    if sum(worker.is_kept for worker in group) >= max(1.0, MAX_KEPT_SHARE * len(group)):
         return
     allowed = step.recorded
     if cell.policy_of(step.job).advice is not None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -123,7 +123,7 @@
         step.plan = None
         return
     needs_advice = cell.policy_of(step.job).advice is not None
-    if needs_advice and not step.charged.fits_in(group.max_free):
+    if needs_advice and not step.lossy_tasks and not step.charged.fits_in(group.max_free):
         candidates = []
     elif needs_advice:
         candidates = advice.workers_with_ticket(cell, step, now_ms)
@@ -218,8 +218,6 @@
     selected ones are full and others have free capacity.
     """
     selected = step.selected
-    if cell.kept_workers:
-        with_free_capacity = [worker for worker in with_free_capacity if not worker.is_kept]
     missing = 0.0
     if now_ms >= step.record_check_ms:
         step.record_check_ms = now_ms + RECORD_CHECK_INTERVAL_MS
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -6,6 +6,8 @@
 from nutmeglb_formats.models.queues import QueueWorker
 from nutmeglb_formats.models.resources import Resources
 
+NO_RESOURCES = Resources()
+
 
 @dataclass(slots=True, eq=False)
 class Worker:
@@ -46,7 +48,8 @@
         Runs on the worker that belong to no unfinished job, and the time at which it accepted their
         stop, or ``None``. Their size may be unknown, so no task is placed beside them.
     is_kept
-        Whether nothing is placed on the worker beside a task that may crash it.
+        Whether nothing is placed on the worker beside a task that may crash it. No capacity counts
+        as free then, so that other work looks for other workers.
     """
 
     info: QueueWorker
@@ -117,6 +120,11 @@
         self.used = self.used - amount
         self._update_free()
 
+    def set_kept(self, is_kept: bool) -> None:
+        """Keep the worker for a task that may crash it, or make it available again."""
+        self.is_kept = is_kept
+        self._update_free()
+
     def _update_free(self) -> None:
-        self.free = self.info.capacity - self.used
+        self.free = NO_RESOURCES if self.is_kept else self.info.capacity - self.used
         self.utilization = self.used.dominant_share(self.info.capacity)
--- a/tests/unit/test_queue_isolation.py
+++ b/tests/unit/test_queue_isolation.py
@@ -12,6 +12,7 @@
 from nutmeglb_decisions.queues.task_losses import Loss, TaskLosses
 from nutmeglb_decisions.queues.worker_losses import PROVING_MS
 from nutmeglb_formats.models.queues import StepSpec
+from nutmeglb_formats.models.resources import Resources
 from tests.lib.queues import CellWorld, job, step, worker_info
 
 PASS_MS = 100.0
@@ -194,3 +195,21 @@
         world.end(order, "failed")
     world.tick(1_000.0)
     assert start_of(world, "lost", PASS_MS) is not None
+
+
+def test_kept_worker_offers_no_capacity_to_other_work():
+    """Guards against steps that wait beside free workers, as theirs is kept for a suspect."""
+    world = world_with_work(1, 12_000)
+    add_lost(world, step(1, 2_000), SUSPECT)
+    world.schedule()
+    kept = world.worker("w0")
+    assert kept.is_kept and kept.free == Resources()
+    world.add(job("other", step()))
+    world.schedule()
+    world.show(kept.info, worker_info("w1", 1_500))
+    world.schedule()
+    orders = [order for order in world.answer_starts() if order.task.startswith("other")]
+    assert [order.worker_id for order in orders] == ["w1"]
+    lifecycle.cancel_job(world.cell, "lost", world.now_ms)
+    world.schedule()
+    assert kept.free.cpu_millis == 4_000
