Assume an unseen loss also in steps with a healthy task

Two tasks of a job crashed their workers after 2.6 s. The first crash of one was not seen before the leader changed, and not assumed by the next one since a sibling had been proved active. The task was started three times more after three crashes.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 
 from nutmeglb_decisions.queues.cell import RUNS_PER_TERM, Cell
-from nutmeglb_decisions.queues.crashing_tasks import give_up_if_hopeless, is_cleared
+from nutmeglb_decisions.queues.crashing_tasks import give_up_if_hopeless
 from nutmeglb_decisions.queues.state import (
     Isolation,
     PresumedLosses,
@@ -109,8 +109,6 @@
     Only one such loss is assumed of a task: from then on the number of each run is stored first.
     """
     step.may_have_lost_runs = False
-    if is_cleared(step):
-        return
     # A number that no run has: those of this term are higher, and those of former terms lower.
     number = cell.term * RUNS_PER_TERM
     waiting = [task for task in step.tasks if not (task.done or task.run or task.losses)]
--- a/tests/unit/test_queue_crashing_tasks.py
+++ b/tests/unit/test_queue_crashing_tasks.py
@@ -83,9 +83,9 @@
 
 
 def test_seeded_cases():
-    """Plays the cases of fixed seeds."""
+    """Plays the cases of fixed seeds. In 2032 a sibling was active when a first crash was unseen."""
     failures = {}
-    for seed in range(40):
+    for seed in (*range(40), 2032):
         try:
             replay(draw_case(seed), make_world=CrashWorld)
         except AssertionError as error:
