Wait less for empty workers, and isolate no task for runs that no leader has seen

A run that no leader has seen counts for giving up, not for isolation; the wait is 4 s in place of 10 s, and an eighth of a service is kept at most.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
@@ -4,7 +4,7 @@
 worker may have crashed by itself. A second run without other work beside it tells the two apart.
 """
 
-from nutmeglb_decisions.queues.cell import RUNS_PER_TERM, Cell
+from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.lifecycle import finish_job
 from nutmeglb_decisions.queues.state import Isolation, JobState, KeptWorker, Run, Step, Task
 from nutmeglb_decisions.queues.task_losses import TaskLosses
@@ -25,15 +25,15 @@
 
 
 def isolation_of(step: Step, task: Task) -> Isolation:
-    """Return how the next run of a task is isolated. Only assumed losses have no run's number.
+    """Return how the next run of a task is isolated. Losses that no leader has seen do not count.
 
     Tasks of a step run the same program. So a suspect is cleared once any task of its step has
     proved that it does not crash its worker at its start.
     """
     if task.losses is None:
         return Isolation.NONE
-    seen = [number for number in task.losses.by_run if number % RUNS_PER_TERM]
-    if len(seen) >= LOSSES_BEFORE_ISOLATION:
+    seen = sum(not loss.is_assumed for loss in task.losses.by_run.values())
+    if seen >= LOSSES_BEFORE_ISOLATION:
         return Isolation.WHOLE_RUN
     is_suspect = any(loss.is_suspect for loss in task.losses.by_run.values())
     return Isolation.UNTIL_PROVED if is_suspect and not is_cleared(step) else Isolation.NONE
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
@@ -22,7 +22,7 @@
 from nutmeglb_decisions.queues.worker_state import Worker
 
 # Longest wait for a worker without runs: the time of a few short runs.
-MAX_WAIT_MS = 10_000.0
+MAX_WAIT_MS = 4_000.0
 # The same of a lasting task, or while most of the capacity is free. Callers count a job that does
 # nothing for 3 s beside free capacity as stuck.
 MAX_IDLE_WAIT_MS = 2_000.0
@@ -31,7 +31,7 @@
 # Suspects of one step that a pass tries to start, each with a search among all workers.
 MAX_SUSPECTS_PER_PASS = 8
 # Share of the workers of a service that may be kept empty for suspects; one in any case.
-MAX_KEPT_SHARE = 0.25
+MAX_KEPT_SHARE = 0.125
 
 
 def release_workers(cell: Cell, now_ms: float) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/task_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/task_losses.py
@@ -9,6 +9,7 @@
 _ALONE = 4
 # The run was about to start when the row was written.
 _RESERVED = 8
+_ASSUMED = 16
 
 # Index of the task, number of the run, and flags.
 LossRow = tuple[int, int, int]
@@ -28,16 +29,24 @@
         not crash the worker.
     was_alone
         Whether no other work was on the worker during the run.
+    is_assumed
+        Whether no leader has seen it: the run may have started, and been lost, while the leader
+        changed.
     """
 
     is_proved: bool
     is_suspect: bool
     was_alone: bool
+    is_assumed: bool = False
 
     @property
     def flags(self) -> int:
         """Return the flags of its stored row."""
-        return _PROVED * self.is_proved | _SUSPECT * self.is_suspect | _ALONE * self.was_alone
+        evidence = _PROVED * self.is_proved | _SUSPECT * self.is_suspect | _ALONE * self.was_alone
+        return evidence | _ASSUMED * self.is_assumed
+
+
+ASSUMED = Loss(is_proved=False, is_suspect=False, was_alone=False, is_assumed=True)
 
 
 @dataclass(slots=True, eq=False)
@@ -94,9 +103,12 @@
     for index, number, flags in rows:
         losses = found.setdefault(index, TaskLosses())
         if flags & _RESERVED:
-            losses.by_run.setdefault(number, Loss(False, True, False))
+            losses.by_run.setdefault(number, ASSUMED)
         else:
             losses.by_run[number] = Loss(
-                bool(flags & _PROVED), bool(flags & _SUSPECT), bool(flags & _ALONE)
+                bool(flags & _PROVED),
+                bool(flags & _SUSPECT),
+                bool(flags & _ALONE),
+                bool(flags & _ASSUMED),
             )
     return found
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
@@ -20,7 +20,7 @@
     Step,
     Task,
 )
-from nutmeglb_decisions.queues.task_losses import Loss, TaskLosses
+from nutmeglb_decisions.queues.task_losses import ASSUMED, Loss, TaskLosses
 from nutmeglb_decisions.queues.worker_state import Worker
 
 # A worker that a task crashes at its start is gone within the time of two calls that it does not
@@ -113,7 +113,7 @@
     number = cell.term * RUNS_PER_TERM
     waiting = [task for task in step.tasks if not (task.done or task.run or task.losses)]
     for task in waiting:
-        task.losses = TaskLosses({number: Loss(False, False, False)})
+        task.losses = TaskLosses({number: ASSUMED})
         step.lossy_tasks.add(task.index)
     if waiting:
         cell.mark_dirty(step.job)
