--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
@@ -25,14 +25,15 @@
 
 
 def isolation_of(step: Step, task: Task) -> Isolation:
-    """Return how the next run of a task, or of the gang that it belongs to, is isolated.
+    """Return how the next run of a task is isolated. Losses that no leader has seen do not count.
 
     Healthy tasks of the same step prove nothing about a suspect: one task of many may crash its
     workers, because of its data.
     """
     if task.losses is None:
         return Isolation.NONE
-    if len(task.losses.by_run) >= LOSSES_BEFORE_ISOLATION:
+    seen = sum(not loss.is_assumed for loss in task.losses.by_run.values())
+    if seen >= LOSSES_BEFORE_ISOLATION:
         return Isolation.WHOLE_RUN
     is_suspect = any(loss.is_suspect for loss in task.losses.by_run.values())
     return Isolation.UNTIL_PROVED if is_suspect else Isolation.NONE
@@ -57,10 +58,16 @@
 
 def keep_worker(cell: Cell, worker: Worker, step: Step, task: Task, now_ms: float) -> None:
     """Place nothing else on a worker as long as a task runs there, or is about to."""
-    worker.is_kept = True
+    worker.set_kept(True)
     cell.kept_workers[worker.worker_id] = KeptWorker(step, task, now_ms)
 
 
+def release_worker(cell: Cell, worker: Worker) -> None:
+    """Make a kept worker available again."""
+    cell.kept_workers.pop(worker.worker_id, None)
+    worker.set_kept(False)
+
+
 def is_cleared(step: Step) -> bool:
     """Return whether a task of a step has been proved active or has completed."""
     return step.has_proved_task or step.remaining < step.spec.count
