Give up a task after two crashes at its start instead of starting it beside others

Cause: a suspect that found no empty worker within its bound started beside others, also after two proved crashes at its start. Suspects did not ask advice about empty workers that had just joined.

Now such a task is given up at the end of the wait, and suspects ask about empty workers they were not asked about. The quick verdict after a crash alone needs a worker that refused connections within a second of the order: a healthy job had been given up whose run was done before its worker crashed, while the answers of that worker were lost (test_queue_churn_world, faulty case 10, which failed before with "FAILED: without cause").

Failed before: test_third_crash_of_a_task_costs_no_other_work_although_no_worker_empties, test_suspect_asks_about_empty_workers_while_its_approved_ones_have_other_work. The churn world accepts a failed job only if two workers crashed under one of its tasks, as the crash world does.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice_coverage.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice_coverage.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Sequence
 
-from nutmeglb_decisions.queues.state import Step
+from nutmeglb_decisions.queues.crashing_tasks import isolation_of
+from nutmeglb_decisions.queues.state import Isolation, Step
 from nutmeglb_decisions.queues.worker_selection import slots_on
 from nutmeglb_decisions.queues.worker_state import Worker
 
@@ -45,12 +46,29 @@
         Workers that advice approved, and workers that it was not asked about.
     """
     idle_since_ms = step.advice.idle_since_ms
-    if idle_since_ms is None or now_ms < max(
-        idle_since_ms + WIDEN_AFTER_MS, step.advice.widened_ms + WIDEN_AFTER_MS
+    needs_empty = _needs_empty_worker(step)
+    waits_since_ms = now_ms - WIDEN_AFTER_MS if needs_empty else idle_since_ms
+    if waits_since_ms is None or now_ms < WIDEN_AFTER_MS + max(
+        waits_since_ms, step.advice.widened_ms
     ):
         return []
     needed = step.spec.count if step.spec.gang else 1
-    usable = (worker for worker in good if worker.accepts_starts(now_ms))
-    if sum(slots_on(worker.free, step, 0) for worker in usable) >= needed:
+    if sum(_slots(step, worker, needs_empty, now_ms) for worker in good) >= needed:
         return []
-    return [w for w in unasked if w.accepts_starts(now_ms) and slots_on(w.free, step, 0)]
+    return [worker for worker in unasked if _slots(step, worker, needs_empty, now_ms)]
+
+
+def _needs_empty_worker(step: Step) -> bool:
+    """Return whether a task of a step waits for a worker without runs."""
+    waiting = (step.tasks[index] for index in step.lossy_tasks)
+    return any(
+        task.run is None and not task.done and isolation_of(step, task) != Isolation.NONE
+        for task in waiting
+    )
+
+
+def _slots(step: Step, worker: Worker, needs_empty: bool, now_ms: float) -> int:
+    """Return how many tasks of a step may start on a worker now."""
+    if not worker.accepts_starts(now_ms) or (needs_empty and worker.runs):
+        return 0
+    return slots_on(worker.free, step, 0)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
@@ -80,8 +80,15 @@
         return False
     is_at_work = task.run is not None and task.run.proved_active
     cause = "" if is_at_work else _cause(losses)
-    if not cause:
-        return False
+    if cause:
+        give_up(cell, step, task, losses, cause, wall_ms)
+    return bool(cause)
+
+
+def give_up(
+    cell: Cell, step: Step, task: Task, losses: TaskLosses, cause: str, wall_ms: float
+) -> None:
+    """End a job as failed because of a task, and log why."""
     cell.log_decision(
         "task_given_up",
         cause,
@@ -92,7 +99,15 @@
         runs=" ".join(_describe(number, losses) for number in sorted(losses.by_run)),
     )
     finish_job(cell, step.job, JobState.FAILED, wall_ms)
-    return True
+
+
+def must_run_alone(losses: TaskLosses) -> bool:
+    """Return whether a task starts only without other work beside it, or not at all.
+
+    Two workers have crashed at its start. A third crash must not cost others their work.
+    """
+    suspect = sum(loss.is_proved and loss.is_suspect for loss in losses.by_run.values())
+    return suspect >= CRASHES_ALONE
 
 
 def _cause(losses: TaskLosses) -> str:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ended_lives.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ended_lives.py
@@ -24,7 +24,7 @@
 
 from dataclasses import dataclass
 
-from nutmeglb_decisions.queues import reports, worker_losses
+from nutmeglb_decisions.queues import reports
 from nutmeglb_decisions.queues.absent_runs import LOST
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.state import Run
@@ -75,9 +75,6 @@
         worker.unanswered_since_ms = now_ms
     lost = list(worker.runs.values())
     reports.end_all_runs(cell, worker, LOST, now_ms, wall_ms)
-    worker_losses.record_losses(
-        cell, worker, lost, worker_losses.LossEvidence.PROVED, now_ms, wall_ms
-    )
     worker.stray_runs.clear()
     # A later incarnation under the same id is read before it is used.
     worker.settled = False
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
@@ -100,6 +100,8 @@
         if position and not state.admits(step, 1):
             break
         _place_suspect(state, step, task, group, usable, run_ms)
+        if step.job.final is not None:
+            return []
         if task.run is None:
             step.held_by = worker_losses.WAITS_FOR_EMPTY_WORKER
     if not is_cleared:
@@ -139,6 +141,10 @@
     reservations = Reservations() if kept_empty else state.reservations
     chosen = choose_single(step, kept_empty or empty, reservations, state.now_ms, run_ms)
     if chosen is None and _has_waited(state, step, losses):
+        if crashing_tasks.must_run_alone(losses):
+            cause = "workers crashed at its start twice, and none is without other work"
+            crashing_tasks.give_up(cell, step, task, losses, cause, state.wall_ms)
+            return
         chosen = _with_least_work(step, own, state.now_ms, run_ms)
     if chosen is None:
         worker_losses.release_number(cell, step, task)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -81,6 +81,8 @@
     began_alone
         Whether it was started on a worker without other work, on which nothing is placed until it
         is proved active.
+    is_gone_at_start
+        Whether no connection to its worker could be established right after its order.
     isolation
         Whether other work may be placed beside it.
     """
@@ -110,6 +112,7 @@
     has_started: bool = False
     proved_active: bool = False
     began_alone: bool = False
+    is_gone_at_start: bool = False
     isolation: Isolation = Isolation.NONE
 
     @property
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/task_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/task_losses.py
@@ -28,7 +28,7 @@
         Whether no report had shown the run active long enough after its order that its start did
         not crash the worker.
     was_alone
-        Whether no other work was on the worker during the run.
+        Whether no other work was on the worker, and the worker was gone right after the start.
     is_assumed
         Whether no leader has seen it: the run may have started, and been lost, while the leader
         changed.
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
@@ -29,6 +29,9 @@
 # Losses of a lasting task are forgotten when one of its runs has been active for this long, many
 # times as long as a worker needs to return after a crash.
 LASTING_RESET_MS = 30_000.0
+# A crashed worker refuses connections. One that a run crashed at its start does so by this time
+# after the order: the leader's next two calls.
+GONE_AFTER_MS = 1_000.0
 # Names of the conditions that keep a suspect from starting.
 WAITS_FOR_TRIAL = "trial"
 WAITS_FOR_EMPTY_WORKER = "empty_worker"
@@ -49,6 +52,7 @@
 
 def record_active(cell: Cell, run: Run, sent_ms: float) -> None:
     """Record that a report which was requested at ``sent_ms`` shows a run active."""
+    run.is_gone_at_start = False
     if sent_ms < run.ordered_ms + PROVING_MS or run.state == RunState.STOPPING:
         return
     _prove_active(run)
@@ -62,6 +66,15 @@
         _forget_losses(cell, run.step, task)
 
 
+def record_unreachable(worker: Worker, now_ms: float) -> None:
+    """Record that no connection to a worker could be established.
+
+    A worker that only does not answer may have completed its runs, and crashed later.
+    """
+    for run in worker.runs.values():
+        run.is_gone_at_start |= now_ms <= run.ordered_ms + GONE_AFTER_MS
+
+
 def record_start_answer(worker: Worker, started: Run) -> None:
     """Record that a worker has accepted an order, which earlier starts have not prevented."""
     for run in worker.runs.values():
@@ -148,7 +161,7 @@
             is_proved=run.has_started
             and (evidence is LossEvidence.PROVED or _is_of_former_life(worker, run)),
             is_suspect=not run.proved_active,
-            was_alone=run.began_alone,
+            was_alone=run.began_alone and run.is_gone_at_start,
         )
         if task.losses is None:
             task.losses = TaskLosses()
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -10,7 +10,14 @@
 from nutmeglb._internal.queues.authority import MAX_CLOCK_DRIFT
 from nutmeglb._internal.queues.ports import StartOrder, WorkerGateway
 from nutmeglb._internal.telemetry.logs import get_logger
-from nutmeglb_decisions.queues import absent_runs, ended_lives, orders, reports, speeds
+from nutmeglb_decisions.queues import (
+    absent_runs,
+    ended_lives,
+    orders,
+    reports,
+    speeds,
+    worker_losses,
+)
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import PaceTask, StartTask, StopTask
 from nutmeglb_decisions.queues.ended_lives import OtherIncarnation
@@ -166,6 +173,8 @@
                 return
             if answer.err_value.context.get("other_incarnation"):
                 self._end_life(sent_to)
+            if answer.err_value.context.get("not_sent"):
+                worker_losses.record_unreachable(worker, now_ms)
             if not self._is_excused(sent_ms):
                 await self._on_unanswered(now_ms)
             return
--- a/tests/lib/queue_churn_world.py
+++ b/tests/lib/queue_churn_world.py
@@ -7,7 +7,7 @@
 import asyncio
 import json
 import zlib
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import replace
 
 from result import Err, Ok
@@ -16,6 +16,7 @@
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_formats.exceptions import AgentError
 from nutmeglb_formats.models.queues import AdviceTiming
+from tests.lib.queue_crashing_tasks import CRASHES_TO_GIVE_UP
 from tests.lib.queue_gateway_model import HOP_MS, MS_PER_S, GatewayModel
 from tests.lib.queue_worker_model import Habits, Life
 from tests.lib.queue_world import UNLISTED_AFTER_MS, World
@@ -67,7 +68,7 @@
         if not refusal:
             return await super().hold(worker, fence, last_seen, deadline_ms, wait_ms)
         is_other = refusal == StartOutcome.OTHER_INCARNATION
-        context = {"fenced": False, "other_incarnation": is_other}
+        context = {"fenced": False, "other_incarnation": is_other, "not_sent": not is_other}
         return Err(AgentError("refused", context=context, hint="none"))
 
     async def _refusal(self, worker):
@@ -102,6 +103,7 @@
         self._lives_of_slot = defaultdict(int)
         self._started = defaultdict(set)
         self._broken = set()
+        self._crashes_under = Counter()
         super().__init__()
         self.config = replace(CONFIG, queues=(*CONFIG.queues, QUEUE))
 
@@ -175,6 +177,7 @@
     def on_crash(self, life):
         self.record.on_crash(life)
         self._broken |= {_step_run(task, number) for task, number in life.runs}
+        self._crashes_under.update(task for task, _ in life.runs)
 
     def gang_outcome(self, run):
         """Return how a run ends that has done its work."""
@@ -207,6 +210,20 @@
         assert not self._unfinished(), f"not completed: {self._unfinished()}"
         assert not self.defects, f"a process failed: {self.defects[0]}"
 
+    def _unfinished(self):
+        """Return the jobs without their expected end.
+
+        A job may fail if several workers crashed under one of its tasks, for whatever cause.
+        """
+        unfinished = []
+        for job_id, final in super()._unfinished():
+            crashes = [n for task, n in self._crashes_under.items() if task.startswith(job_id)]
+            may_fail = max(crashes, default=0) >= CRASHES_TO_GIVE_UP
+            assert may_fail or final != "failed", f"FAILED {job_id}: without cause"
+            if final != "failed":
+                unfinished.append((job_id, final))
+        return unfinished
+
     def _has_room_twice(self, job_id):
         lives = [life for life in self.lives.values() if life.is_up]
         free = [life.cpu - sum(run.cpu for run in life.runs.values()) for life in lives]
--- a/tests/lib/queue_crashing_tasks.py
+++ b/tests/lib/queue_crashing_tasks.py
@@ -95,6 +95,7 @@
 
     # Each crashing job takes a worker for several seconds, twice.
     settle_ms = 180_000.0
+    crashed_workers_refuse = True
 
     def make_record(self):
         """Return what checks the starts and ends on the workers."""
--- a/tests/lib/queue_gateway_model.py
+++ b/tests/lib/queue_gateway_model.py
@@ -63,6 +63,9 @@
 
     async def hold(self, worker, fence, last_seen, deadline_ms, wait_ms):
         """Renew the lease."""
+        if self._world.crashed_workers_refuse and not self._world.lives[worker.worker_id].is_up:
+            await asyncio.sleep(HOP_MS / MS_PER_S)
+            return Err(AgentError("refused", context={"not_sent": True}, hint="none"))
         report = await self._call(
             worker.worker_id,
             "hold",
@@ -107,6 +110,8 @@
         def arrive(is_answered):
             life = world.lives[worker_id]
             if life.is_up:
+                if world.crashed_workers_refuse:
+                    life.connections.append(deliver)
                 execute(life, respond if is_answered else ignore)
 
         for number, delay_ms in enumerate(delays):
--- a/tests/lib/queue_worker_model.py
+++ b/tests/lib/queue_worker_model.py
@@ -82,6 +82,8 @@
     last_end: int = 0
     waiters: list = field(default_factory=list)
     hangs_next: int = 0
+    # Ends the calls that have arrived and are not answered.
+    connections: list = field(default_factory=list)
 
     def __post_init__(self):
         self._origin_ms = self.simulation.now_ms
@@ -97,6 +99,8 @@
         self.observer.on_crash(self)
         self.runs.clear()
         self.waiters.clear()
+        for close in self.connections:
+            close(None)
 
     def start(self, order, sent_to, known_cpu, respond):
         """Handle an order to start a run, sent to a life by a leader that knew a capacity."""
--- a/tests/lib/queue_world.py
+++ b/tests/lib/queue_world.py
@@ -149,6 +149,9 @@
 class World:
     """Two instances, three workers and the store. Its public methods are the steps of a case."""
 
+    # Whether a crashed worker refuses connections, or is silent.
+    crashed_workers_refuse = False
+
     settle_ms = SETTLE_MS
 
     def __init__(self, agreements=""):
--- a/tests/unit/test_queue_advice_coverage.py
+++ b/tests/unit/test_queue_advice_coverage.py
@@ -4,9 +4,11 @@
 
 import pytest
 
-from nutmeglb_decisions.queues import orders, reports
+from nutmeglb_decisions.queues import advice_coverage, orders, reports
 from nutmeglb_decisions.queues.advice_coverage import WIDEN_AFTER_MS
 from nutmeglb_decisions.queues.ended_lives import OtherIncarnation, end_life
+from nutmeglb_decisions.queues.task_losses import Loss, TaskLosses
+from nutmeglb_formats.models.resources import Resources
 from tests.lib.queues import ADVISED, CellWorld, job, step, worker_info
 
 JOB = "00000000000000aa"
@@ -73,6 +75,24 @@
     assert len(world.started) == spec.count
 
 
+def test_suspect_asks_about_empty_workers_while_its_approved_ones_have_other_work():
+    """Guards against a task that waits for an empty worker while others are empty."""
+    world, call = world_with_call(45, step())
+    good = call.workers[:1]
+    world.worker(good[0]).charge(Resources(500))
+    world.worker(good[0]).runs[("other", 1)] = None
+    (waiting,) = world.cell.jobs[JOB].steps
+    waiting.tasks[0].losses = TaskLosses({1: Loss(True, True, False)})
+    waiting.lossy_tasks.add(0)
+    named = advice_coverage.further_workers(
+        waiting,
+        [world.worker(worker_id) for worker_id in good],
+        [worker for worker in world.cell.workers.values() if worker.worker_id not in call.workers],
+        world.now_ms,
+    )
+    assert len(named) == 45 - len(call.workers)
+
+
 def test_step_that_waits_beside_workers_with_room_makes_few_calls():
     """Guards against calls for waiting steps that keep others from being asked about."""
     world, call = world_with_call(100, step())
--- a/tests/unit/test_queue_isolation.py
+++ b/tests/unit/test_queue_isolation.py
@@ -9,6 +9,7 @@
     MAX_UNUSED_MS,
     MAX_WAIT_MS,
 )
+from nutmeglb_decisions.queues.state import JobState
 from nutmeglb_decisions.queues.task_losses import ASSUMED, Loss, TaskLosses
 from nutmeglb_decisions.queues.worker_losses import PROVING_MS
 from nutmeglb_formats.models.queues import StepSpec
@@ -217,3 +218,13 @@
     lifecycle.cancel_job(world.cell, "lost", world.now_ms)
     world.schedule()
     assert kept.free.cpu_millis == 4_000
+
+
+def test_third_crash_of_a_task_costs_no_other_work_although_no_worker_empties():
+    """Guards against a task that starts beside others after two crashes at its start."""
+    world = world_with_work(2, 12_000)
+    add_lost(world, step(), SUSPECT, SUSPECT)
+    assert start_of(world, "lost", 2 * MAX_WAIT_MS) is None
+    assert world.cell.finished["lost"].state == JobState.FAILED
+    (given_up,) = (each for each in world.cell.decisions if each.kind == "task_given_up")
+    assert given_up.cause.startswith("workers crashed at its start twice")
