--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -269,7 +269,11 @@
     advice_coverage.track_idle_time(step, now_ms)
     asked = state.asked
     unasked = [w for w in group.workers if asked.get(w.worker_id) != w.started_ms]
-    if unasked and missing and not advice_coverage.is_top_up(step, good, unasked):
+    if (
+        unasked
+        and missing
+        and not advice_coverage.is_top_up(step, good, len(unasked) / len(group.workers))
+    ):
         named = good + _with_most_free_capacity(step, unasked, missing, rng)
         return named[:MAX_WORKERS_PER_CALL]
     further = advice_coverage.further_workers(step, good, unasked, now_ms)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice_coverage.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice_coverage.py
@@ -14,6 +14,9 @@
 # A step that has no run asks about further workers after this time, and again at this interval. It
 # is half of the time for which users accept an idle job beside free capacity.
 WIDEN_AFTER_MS = 1_500.0
+# Up to this share of the workers may have joined since the calls of a step before it makes another
+# call about them. A larger share is a part of the service that the step has not covered yet.
+TOP_UP_SHARE = 0.2
 
 
 def track_idle_time(step: Step, now_ms: float) -> None:
@@ -24,14 +27,14 @@
         step.advice.idle_since_ms = now_ms
 
 
-def is_top_up(step: Step, good: Sequence[Worker], unasked: Sequence[Worker]) -> bool:
+def is_top_up(step: Step, good: Sequence[Worker], unasked_share: float) -> bool:
     """Return whether a step can do without the workers that it was not asked about, for a while.
 
     The approved workers can hold the step when empty, and only a few others have joined since. A
     call for each of them would take the place of calls of other steps.
     """
     slots = sum(slots_on(worker.info.capacity, step, 0) for worker in good)
-    return slots >= step.spec.count and len(unasked) < len(good)
+    return slots >= step.spec.count and unasked_share <= TOP_UP_SHARE
 
 
 def further_workers(
