Let workers change their capacity in the queue world

Change: a step `resize`, after which the entry follows at the next beat. LIMIT is checked as the rule says: a larger capacity counts at once, and a smaller one a beat and 3,000 ms later; an order that is carried out late is judged by the time at which it should have arrived.

--- a/tests/lib/queue_cases.py
+++ b/tests/lib/queue_cases.py
@@ -1,8 +1,8 @@
 """Random cases of the queue world by seed, and their reduction to the steps that matter.
 
-Run ``python -m tests.lib.queue_cases FIRST LAST [EXCLUDED ...]`` to play the cases of a range of
-seeds without the given kinds of steps or arguments. Each failed case is printed with its reduced
-steps.
+Run ``python -m tests.lib.queue_cases FIRST LAST [EXCLUDED ...] [+ADDED ...]`` to play the cases of
+a range of seeds without the given kinds of steps or arguments, and with added ones. Each failed
+case is printed with its reduced steps.
 """
 
 import random
@@ -21,6 +21,8 @@
 DOWN_MS = (5, 200, 2_001)
 ENTRY_LAGS_MS = (0, 400, 2_500)
 CAPACITIES = (CPU, CPU // 2, 2 * CPU)
+RESIZED = (0, CPU // 4, CPU // 2, CPU, 2 * CPU)
+RESIZE_LAGS_MS = (0, 700, 1_500)
 
 
 def draw_step(rng, name, workers=WORKERS):
@@ -38,6 +40,7 @@
         "restart": lambda: (
             worker, rng.choice(CAPACITIES), rng.choice(DOWN_MS), rng.choice(ENTRY_LAGS_MS),
         ),
+        "resize": lambda: (worker, rng.choice(RESIZED), rng.choice(RESIZE_LAGS_MS)),
         "unlist": lambda: (worker, rng.choice((600, 1_900))),
         "habit": lambda: (
             worker, rng.choice((5, 100, 200)), rng.random() < 0.5, rng.random() < 0.5,
@@ -63,11 +66,15 @@
 )  # fmt: skip
 
 
-def draw_case(seed, excluded=()):
-    """Return the steps of a case. Few kinds of faults and workers make them interact."""
+def draw_case(seed, excluded=(), added=()):
+    """Return the steps of a case. Few kinds of faults and workers make them interact.
+
+    ``added`` are kinds of steps that are drawn besides, as often as the faults of the case.
+    """
     rng = random.Random(seed)
     faults = rng.sample([name for name in FAULTS if name not in excluded], rng.randint(2, 5))
     workers = (*WORKERS, *[rng.choice(WORKERS)] * 4)
+    faults += added
     kinds = [*faults, *faults, "fault", "heal", *["submit"] * 4, *["advance"] * (4 + len(faults))]
     kinds = [kind for kind in kinds if kind not in excluded]
     steps = [("habit", worker, *draw_step(rng, "habit")[2:]) for worker in WORKERS]
@@ -113,11 +120,13 @@
     return steps, error
 
 
-def main(first, last, *excluded):
+def main(first, last, *kinds):
     """Play the cases of a range of seeds."""
+    added = [kind.removeprefix("+") for kind in kinds if kind.startswith("+")]
+    excluded = [kind for kind in kinds if not kind.startswith("+")]
     failed = 0
     for seed in range(int(first), int(last) + 1):
-        steps = draw_case(seed, excluded)
+        steps = draw_case(seed, excluded, added)
         error = failure_of(steps)
         if error is None:
             continue
--- a/tests/lib/queue_gateway_model.py
+++ b/tests/lib/queue_gateway_model.py
@@ -33,17 +33,18 @@
     def __init__(self, world, process):
         self._world = world
         self._process = process
-        self._known_cpu = {}
+        self._known_lives = {}
 
     async def start(self, worker, order):
         """Order a start."""
-        known_cpu = self._known_cpu.get(worker.worker_id, float("inf"))
+        known_life = self._known_lives.get(worker.worker_id)
+        sent_ms = self._world.simulation.now_ms
         sent_to = self._world.lives[worker.worker_id]
         self._world.record.on_order(self._process, worker.worker_id, order)
         answer = await self._call(
             worker.worker_id,
             "start",
-            lambda w, r: w.start(order, sent_to, known_cpu, r),
+            lambda w, r: w.start(order, sent_to, known_life, sent_ms, r),
             f"{order.task} {order.run} deadline {order.deadline_ms}",
         )
         return answer or OrderAnswer(StartOutcome.UNKNOWN)
@@ -75,7 +76,7 @@
         # A restart of the worker is known from its first report, so that its entry has to be read.
         life = self._world.lives[worker.worker_id]
         if report.started_ms == life.born:
-            self._known_cpu[worker.worker_id] = life.cpu
+            self._known_lives[worker.worker_id] = life
         return Ok(report)
 
     async def _call(self, worker_id, call, execute, text="", timeout_ms=TIMEOUT_MS):
--- a/tests/lib/queue_single_run.py
+++ b/tests/lib/queue_single_run.py
@@ -41,7 +41,8 @@
         Parameters
         ----------
         sent_to, known_cpu
-            Life of the worker when the order was sent, and the capacity that its sender knew.
+            Life of the worker when the order was sent; and the capacity that its sender knew if it
+            knew only a former life, or else 0.
         """
         world = self._world
         world.note(f"{life.worker_id} STARTS {run.task} {run.number}")
@@ -61,7 +62,7 @@
         self._starts[run.task].append((life.worker_id, run.number))
         for end in self._done[run.task]:
             assert not end.acknowledged, f"TWICE {run.task}: started after its end as done"
-        limit = max(life.cpu, known_cpu)
+        limit = max(run.counted_cpu, known_cpu)
         used = sum(known.cpu for known in life.runs.values() if not known.is_repeated)
         assert used <= limit, f"LIMIT {life.worker_id}: {used} of {limit}"
 
--- a/tests/lib/queue_worker_model.py
+++ b/tests/lib/queue_worker_model.py
@@ -10,13 +10,20 @@
 MAX_HOLD_MS = 10_000.0
 MAX_ENDS = 500
 FENCED = "fenced"
+# Interval at which a worker writes its entry, and the time for which a former, larger capacity
+# still counts after that (stable_ms and heartbeat_ms of the platform).
+BEAT_MS = 1_500.0
+STABLE_MS = 3_000.0
+# An order that is carried out later than this after it was sent was delayed on its way.
+ORDER_MS = 400.0
 
 
 @dataclass(eq=False)
 class RunModel:
     """A run that uses capacity on a worker.
 
-    ``is_repeated`` tells that a former life of the worker had barred the run.
+    ``is_repeated`` tells that a former life of the worker had barred the run. ``counted_cpu`` is
+    the capacity that its start is judged by.
     """
 
     task: str
@@ -25,6 +32,7 @@
     hangs: bool
     stopping: bool = False
     is_repeated: bool = False
+    counted_cpu: int = 0
 
 
 @dataclass
@@ -85,12 +93,24 @@
 
     def __post_init__(self):
         self._origin_ms = self.simulation.now_ms
+        # Former capacities and when each was replaced.
+        self._former_cpus = []
 
     @property
     def clock_ms(self):
         """Return the time on the worker's clock."""
         return self.clock_start_ms + (self.simulation.now_ms - self._origin_ms) * self.rate
 
+    def resize(self, cpu):
+        """Change the capacity while runs continue."""
+        self._former_cpus.append((self.simulation.now_ms, self.cpu))
+        self.cpu = cpu
+
+    def counted_cpu(self, since_ms):
+        """Return the largest capacity since a time. A shrunk one counts after a beat and longer."""
+        since_ms -= STABLE_MS + BEAT_MS
+        return max([self.cpu, *(cpu for until_ms, cpu in self._former_cpus if until_ms > since_ms)])
+
     def crash(self):
         """End this incarnation."""
         self.is_up = False
@@ -98,8 +118,8 @@
         self.runs.clear()
         self.waiters.clear()
 
-    def start(self, order, sent_to, known_cpu, respond):
-        """Handle an order to start a run, sent to a life by a leader that knew a capacity."""
+    def start(self, order, sent_to, known_life, sent_ms, respond):
+        """Handle an order to start a run, sent to a life by a leader that knew a life."""
         if not self._admits(order.fence, respond):
             return
         key = (order.task, order.run)
@@ -114,15 +134,20 @@
             respond(self._answer(StartOutcome.LATE))
         else:
             self._extend(order.deadline_ms)
-            self._begin(order, sent_to, known_cpu)
+            self._begin(order, sent_to, known_life, sent_ms)
             respond(self._answer(StartOutcome.STARTED))
 
-    def _begin(self, order, sent_to, known_cpu):
+    def _begin(self, order, sent_to, known_life, sent_ms):
         cpu, run_ms = self.observer.task_size(order.task)
         hangs = self.hangs_next > 0
         self.hangs_next -= hangs
         run = RunModel(order.task, order.run, cpu, hangs)
+        judged_ms = min(self.simulation.now_ms, sent_ms + ORDER_MS)
+        run.counted_cpu = self.counted_cpu(judged_ms)
         self.runs[(run.task, run.number)] = run
+        known_cpu = 0
+        if known_life is not self:
+            known_cpu = known_life.counted_cpu(judged_ms) if known_life else float("inf")
         self.observer.on_start(self, run, sent_to, known_cpu)
         if not hangs:
             self.simulation.at(run_ms, lambda: self._end(run, "done"))
--- a/tests/lib/queue_world.py
+++ b/tests/lib/queue_world.py
@@ -29,7 +29,7 @@
 from tests.lib.queue_gateway_model import GatewayModel
 from tests.lib.queue_single_run import SingleRunRecord
 from tests.lib.queue_store_model import StoreClient, StoreModel
-from tests.lib.queue_worker_model import Habits, Life
+from tests.lib.queue_worker_model import BEAT_MS, Habits, Life
 from tests.lib.queues import BATCH, CONFIG, URGENT, job, step, worker_info
 from tests.lib.virtual_time import Simulation
 
@@ -214,11 +214,11 @@
         self.lives[worker] = life
         self.simulation.at(entry_lag_ms, lambda: self._list_worker(life))
 
-    def _list_worker(self, life):
+    def _list_worker(self, life, retry_ms=500.0):
         if self.lives[life.worker_id] is not life or not life.is_up:
             return
         if self.store.is_down:
-            self.simulation.at(500.0, lambda: self._list_worker(life))
+            self.simulation.at(retry_ms, lambda: self._list_worker(life, retry_ms))
             return
         entry = json.dumps({"born": life.born, "cpu": life.cpu}).encode()
         self.store.put(f"servers/{life.worker_id}", entry)
@@ -283,6 +283,14 @@
         self.store.remove(f"servers/{worker}")
         self.simulation.at(duration_ms, lambda: self._list_worker(life))
 
+    def resize(self, worker, cpu, entry_lag_ms):
+        """Change the capacity of a live worker. Its entry shows it at the next beat."""
+        life = self.lives[worker]
+        if not life.is_up:
+            return
+        life.resize(max(cpu, CPU) if worker == WORKERS[-1] else cpu)
+        self.simulation.at(entry_lag_ms, lambda: self._list_worker(life, BEAT_MS))
+
     def habit(self, worker, stop_ms, hides, completes):
         """Set what a worker does where the protocol leaves it open."""
         habits = self.habits[worker]
