Start tasks only while the entries of workers prove their capacity

Cause: a leader without the store commands workers for 5 s by the capacities that it read last, and one that reads the store again just after an outage takes entries from before it for current. A capacity that shrank meanwhile counts one beat and stable_ms after the change, whether an entry shows it or not.

Change: an entry that was read may be one beat old, so it proves a capacity for stable_ms after the request was sent, less the timeout of an order. After a gap in the answers of the store the former reading counts until every worker had one beat to write its entry; a follower that takes over knows from its watch of the configuration since when the store has answered. The limit is checked when a task is placed and before each copy of its order is sent. queues.worker_stable_ms and queues.worker_beat_ms carry the figures of the platform.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from nutmeglb_decisions.queues.effects import Decision, Effect
+from nutmeglb_decisions.queues.entry_age import EntryAge
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.headroom import ClassUsage
 from nutmeglb_decisions.queues.interference import Interference
@@ -71,6 +72,8 @@
         Work lost to preemption under this leader.
     interference
         Which kinds of tasks slow each other down; ``None`` if that is not learned.
+    entry_age
+        Until when the entries of workers prove their capacity; without limit by default.
     """
 
     term: int
@@ -102,6 +105,7 @@
     parts: PassParts = field(default_factory=PassParts)
     preemption: PreemptionUsage = field(default_factory=PreemptionUsage)
     interference: Interference | None = None
+    entry_age: EntryAge = field(default_factory=EntryAge)
 
     def configure(self, config: QueueConfig) -> None:
         """Replace the queue configuration."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -26,11 +26,17 @@
     INVALID = "invalid"
     # Not sent, because the authority of this leader has expired.
     WITHHELD = "withheld"
+    # Not sent, because the entry of the worker is too old to prove its capacity.
+    STALE_ENTRY = "stale_entry"
     # Not sent, because there is no link to the worker.
     NO_LINK = "no_link"
     UNKNOWN = "unknown"
 
 
+# Outcomes that say nothing about the worker.
+WITHHELD_HERE = frozenset({StartOutcome.WITHHELD, StartOutcome.STALE_ENTRY})
+
+
 def apply_start_answer(
     cell: Cell,
     worker_id: str,
@@ -83,7 +89,7 @@
 
 
 def _avoid_worker(run: Run, worker: Worker, outcome: StartOutcome, now_ms: float) -> None:
-    if outcome == StartOutcome.WITHHELD:
+    if outcome in WITHHELD_HERE:
         return
     if outcome == StartOutcome.TICKET:
         run.step.advice.tickets.pop(worker.worker_id, None)
@@ -99,6 +105,11 @@
     return run is not None and run.state == RunState.ORDERED
 
 
+def withheld_cause(worker: Worker, now_ms: float) -> StartOutcome | None:
+    """Return why no start may be sent to a worker because of its capacity, ``None`` if one may."""
+    return StartOutcome.STALE_ENTRY if now_ms > worker.starts_until_ms else None
+
+
 def is_placed_on_current_incarnation(cell: Cell, worker_id: str, task: str, number: int) -> bool:
     """Return whether a worker has not restarted since a run was placed on it."""
     worker = cell.workers.get(worker_id)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -31,6 +31,7 @@
             cell.log_decision("worker_listed", "new entry", worker=worker_id, service=info.service)
         else:
             _apply_entry(cell, worker, info, now_ms)
+        worker.starts_until_ms = cell.entry_age.proven_until_ms
     gone = set()
     for worker_id, worker in list(cell.workers.items()):
         if worker_id in entries:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -1,5 +1,6 @@
 """State of a worker in the queue scheduler."""
 
+import math
 from dataclasses import dataclass, field
 
 from nutmeglb_decisions.queues.state import Run
@@ -32,6 +33,8 @@
     first_answer_ms
         Time of the first answer of the current incarnation, which has accepted the fencing token of
         this leader by then.
+    starts_until_ms
+        Time until which its entry proves its capacity, so that tasks may start.
     settled
         Whether the runs that former leaders left on the current incarnation are known.
     avoided_until_ms
@@ -57,6 +60,7 @@
     reported_started_ms: int | None = None
     former_report_ms: float = 0.0
     first_answer_ms: float | None = None
+    starts_until_ms: float = math.inf
     settled: bool = False
     avoided_until_ms: float = 0.0
     unanswered_since_ms: float | None = None
@@ -84,6 +88,7 @@
         return (
             self.settled
             and self.has_current_info
+            and now_ms <= self.starts_until_ms
             and not self.stray_runs
             and now_ms >= self.avoided_until_ms
             and self.unanswered_since_ms is None
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/config_watch.py
@@ -44,6 +44,8 @@
         How long the configuration is relied on without the store.
     wait_ms
         Longest wait of a watch call for a change.
+    on_answered
+        Called with the monotonic time when the store has answered a call.
 
     Attributes
     ----------
@@ -61,6 +63,7 @@
         on_unanswered: Callable[[], None],
         limits: AccessLimits,
         wait_ms: int = WATCH_TIMEOUT_MS,
+        on_answered: Callable[[float], None] = lambda _now_ms: None,
     ) -> None:
         self._platform = platform
         self._clock = clock
@@ -68,6 +71,7 @@
         self._on_unanswered = on_unanswered
         self._limits = limits
         self._wait_ms = wait_ms
+        self._on_answered = on_answered
         self._revision = 0
         self._seen_revision = 0
         self._malformed_revision = 0
@@ -138,6 +142,7 @@
     def _record_contact(self) -> float:
         """Record an answer of the store, and return the monotonic time."""
         self.last_contact_ms = self._clock.now_ms()
+        self._on_answered(self.last_contact_ms)
         return self.last_contact_ms
 
     async def _read(self, *, is_large: bool) -> bool:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from result import Err, Ok
+from result import Err
 
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.context import Metrics
@@ -28,6 +28,7 @@
 from nutmeglb._internal.queues.stored_jobs import Inbox
 from nutmeglb._internal.queues.worker_link import EXPIRY_MARGIN_MS, LeaderCallbacks
 from nutmeglb._internal.queues.worker_links import WorkerLinks
+from nutmeglb._internal.queues.worker_listing import WorkerListing
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import (
     advice,
@@ -44,6 +45,7 @@
 )
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import Effect, RequestAdvice
+from nutmeglb_decisions.queues.entry_age import StoreContact
 from nutmeglb_decisions.queues.idle_jobs import IdleJobMonitor
 from nutmeglb_decisions.queues.names import parse_task
 from nutmeglb_decisions.queues.verdicts import LoadView
@@ -76,6 +78,8 @@
         Called with the cause when this leader must step down.
     publish_metrics
         Called with the cell at each load report.
+    contact
+        Since when the store has answered this instance; by default since this leader first read it.
     """
 
     def __init__(
@@ -93,6 +97,7 @@
         on_lost: Callable[[str], None],
         metrics: Metrics | None = None,
         publish_metrics: Callable[[Cell], None] = lambda _cell: None,
+        contact: StoreContact | None = None,
     ) -> None:
         self._live = live
         self._clock = clock
@@ -135,6 +140,9 @@
         self._workers = WorkerLinks(
             self.cell, platform.workers, clock, log, term.fence, run_lease_ms, callbacks
         )
+        self._listing = WorkerListing(
+            self.cell, platform, clock, contact, live, self._workers, self._request_pass
+        )
         self._learned = LearnedStore(platform.store, self.cell, term.key_revision, metrics)
         self._background = BackgroundTasks()
         self._wake = asyncio.Event()
@@ -247,7 +255,7 @@
         self._early_offers.clear()
         for loop in (
             self._committer.run(),
-            self._workers_loop(),
+            self._listing.run(),
             InboxReader(
                 self._platform.store,
                 self.cell.jobs,
@@ -274,6 +282,7 @@
         """Load accepted jobs, progress and workers. Return whether everything was read."""
         if not await self._committer.load_counter():
             return False
+        sent_ms = self._clock.now_ms()
         stored, _ = await asyncio.gather(
             stored_jobs.read_state(self._platform), self._learned.load()
         )
@@ -289,8 +298,7 @@
         for job_id in state.inbox.cancelled:
             lifecycle.cancel_job(self.cell, job_id, wall_ms)
         self._revision = state.inbox.revision
-        reports.apply_worker_list(self.cell, state.workers, now_ms)
-        self._workers.refresh()
+        self._listing.apply(state.workers, sent_ms)
         return True
 
     async def _prune_finished_loop(self) -> None:
@@ -308,15 +316,6 @@
             self._committer.remove([keys.final(job_id) for job_id in old])
             await asyncio.sleep(PRUNE_INTERVAL_MS / MS_PER_S)
 
-    async def _workers_loop(self) -> None:
-        while True:
-            await asyncio.sleep(self._settings.list_ms / MS_PER_S)
-            workers = await stored_jobs.read_workers(self._platform)
-            if isinstance(workers, Ok):
-                reports.apply_worker_list(self.cell, workers.ok_value, self._clock.now_ms())
-                self._workers.refresh()
-                self._request_pass()
-
     def _apply_inbox(self, inbox: Inbox) -> None:
         for job in inbox.jobs:
             self._add_job(job)
@@ -334,6 +333,7 @@
         now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
         if self._term.authority.is_exclusive:
             reports.expire_silent_workers(self.cell, self._term.authority.confirmed_ms, wall_ms)
+        self._listing.log_age()
         speeds.apply_time(self.cell, now_ms)
         stuck_runs.stop_stuck_runs(self.cell, now_ms)
         slow_runs.move_slow_runs(self.cell, now_ms)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -26,6 +26,7 @@
 from nutmeglb._internal.telemetry.hybrid_clock import HybridLogicalClock
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues.effects import Decision
+from nutmeglb_decisions.queues.entry_age import StoreContact
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.exit_status import ExitStatus
 from nutmeglb_formats.models.queue_records import LeaderRecord
@@ -99,6 +100,7 @@
         self._part_metrics = PartMetrics(metrics)
         self._advice_dispatcher = AdviceDispatcher(platform.advice, self._links, clock, self._lag)
         self._gate = StoreGate(platform.store, self._store_changed)
+        self._store_contact = StoreContact.for_beat(settings.queues.worker_beat_ms)
         self.config = ConfigWatch(
             platform,
             clock,
@@ -106,6 +108,7 @@
             self._gate.check,
             limits_from(settings),
             wait_within(settings),
+            self._store_contact.record,
         )
         self.service = QueueService(
             clock,
@@ -252,6 +255,7 @@
             self._leadership_ended,
             self._metrics,
             self._part_metrics.publish,
+            self._store_contact,
         )
         await self._leader.start(config)
 
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
@@ -66,6 +66,15 @@
         200, ge=0, le=60_000, description="Longest time from the answer to a stop to its end."
     )
     worker_timeout_ms: float = Field(400, ge=20, le=30_000, description="Timeout of an order.")
+    worker_stable_ms: float = Field(
+        3_000,
+        ge=100,
+        le=600_000,
+        description="A former, larger capacity of a worker counts this long after a beat.",
+    )
+    worker_beat_ms: float = Field(
+        1_500, ge=10, le=60_000, description="Interval at which workers write their entries."
+    )
     list_ms: float = Field(500, ge=50, le=10_000, description="Between reads of the workers.")
     inbox_ms: float = Field(1_000, ge=50, le=10_000, description="Between reads of new jobs.")
     commit_ms: float = Field(30, ge=1, le=1_000, description="Between two commits.")
@@ -157,4 +166,13 @@
                 section="queues",
                 key="authority_ms",
             )
+        if queues.worker_stable_ms <= queues.worker_timeout_ms + queues.list_ms:
+            shortest_ms = queues.worker_timeout_ms + queues.list_ms
+            raise settings_fault(
+                "queues.worker_stable_ms must exceed queues.worker_timeout_ms and queues.list_ms "
+                "together",
+                f"Raise it above {shortest_ms:g} ms, or lower list_ms, so that tasks can start",
+                section="queues",
+                key="worker_stable_ms",
+            )
         return self
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -276,6 +276,10 @@
             if effect.ticket and sent_ms >= effect.ticket_expires_at_ms:
                 outcome = StartOutcome.TICKET
                 break
+            withheld = orders.withheld_cause(self.worker, sent_ms)
+            if withheld is not None:
+                outcome = withheld
+                break
             deadline_ms = self._extend_lease()
             if deadline_ms is None or not orders.is_placed_on_current_incarnation(*run):
                 outcome = StartOutcome.OTHER_INCARNATION
--- a/scripts/check_settings_docs.py
+++ b/scripts/check_settings_docs.py
@@ -33,6 +33,7 @@
 - `queues.leader_lease_ms` is at least twice `queues.renew_ms`.
 - `queues.authority_ms` is at least `queues.leader_lease_ms`.
 - `queues.max_run_lease_ms` shortens `queues.run_lease_ms`.
+- `queues.worker_stable_ms` exceeds `queues.worker_timeout_ms` and `queues.list_ms` together.
 """
 INTRODUCTION = """\
 # Settings of an entry instance
--- a/tests/lib/queue_path.py
+++ b/tests/lib/queue_path.py
@@ -118,6 +118,7 @@
                     "inbox_ms": 100,
                     "list_ms": 100,
                     "worker_timeout_ms": 150,
+                    "worker_beat_ms": 100,
                 },
                 "stop": {"balancer_notice_ms": 50},
                 **self.settings,
--- a/tests/lib/queue_world.py
+++ b/tests/lib/queue_world.py
@@ -4,6 +4,7 @@
 drawn, shrunk and replayed.
 """
 
+import asyncio
 import json
 import random
 from types import SimpleNamespace
@@ -19,6 +20,7 @@
 from nutmeglb._internal.queues.loop_lag import LoopLag
 from nutmeglb._internal.queues.settings import QueueSettings
 from nutmeglb._internal.telemetry.metrics import MetricsRegistry
+from nutmeglb_decisions.queues.entry_age import StoreContact
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.queue_records import (
     AcceptedJob,
@@ -95,6 +97,11 @@
         )
         self._background = BackgroundTasks()
         self.leader = None
+        self._contact = StoreContact.for_beat(BEAT_MS)
+        if not life:
+            # The store has answered the first processes for long.
+            self._contact.record(clock.now_ms())
+            self._contact.since_ms -= SETTLE_MS
         links = LinksStub()
         self._lag = LoopLag(clock, MetricsRegistry())
         self._advice = AdviceDispatcher(None, links, clock, self._lag)
@@ -104,6 +111,7 @@
             lambda: self._record, self._on_elected, self._on_stepped_down,
         )  # fmt: skip
         self.loop.call_soon(self.election.start)
+        self.loop.call_soon(lambda: self._background.spawn(self._watch_config()))
 
     def write(self, decisions):
         for decision in decisions:
@@ -119,11 +127,17 @@
     def defect(self, part, error):
         self._world.defects.append((part, error))
 
+    async def _watch_config(self):
+        while True:
+            if isinstance(await self.store.get("op/config"), Ok):
+                self._contact.record(self._clock.now_ms())
+            await asyncio.sleep(1.0)
+
     async def _on_elected(self, term):
         self._world.note(f"{self.name} leads term {term.number} fence {term.fence}")
         self.leader = Leader(
             self._live, self._clock, self._rng, self._platform, self._links, self._advice,
-            self, self._lag, term, self._record.incarnation, self._on_lost,
+            self, self._lag, term, self._record.incarnation, self._on_lost, contact=self._contact,
         )  # fmt: skip
         await self.leader.start(self._world.config)
 
--- a/tests/unit/test_queue_authority.py
+++ b/tests/unit/test_queue_authority.py
@@ -18,6 +18,7 @@
 from nutmeglb._internal.queues.settings import QueueSettings
 from nutmeglb._internal.queues.worker_link import MAX_EXCUSED_CALLS, MAX_START_ATTEMPTS
 from nutmeglb._internal.telemetry.metrics import MetricsRegistry
+from nutmeglb_decisions.queues.entry_age import EntryAge
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_formats.clock import ManualClock
 from nutmeglb_formats.exceptions import StoreError
@@ -99,6 +100,7 @@
     leader = _make_leader(
         clock, Authority(clock, LEASE_MS, AUTHORITY_LIMIT_MS, clock.now_ms() - age_ms)
     )
+    leader.cell.entry_age = EntryAge()
     world = CellWorld(now_ms=clock.now_ms(), cell=leader.cell)
     world.show(worker_info())
     world.add(job("a", step(), queue=BATCH))
--- /dev/null
+++ b/tests/unit/test_queue_resized_workers.py
@@ -0,0 +1,55 @@
+"""Workers whose capacity changes while they run, with the store down or the leader replaced.
+
+The world checks at each start that no worker is overfull by the capacity that counts: a larger one
+at once, a smaller one a beat and 3,000 ms after the change.
+"""
+
+import pytest
+
+from tests.lib.queue_world import replay
+
+LONG_OUTAGE = (("advance", 4_000), ("advance", 700))
+CASES = {
+    "leader_without_the_store_uses_a_capacity_that_has_shrunk": [
+        ("store_down", True),
+        ("resize", "w0", 1_000, 700),
+        ("submit", 5),
+        ("advance", 4_000),
+        ("advance", 160),
+    ],
+    "entry_is_outdated_just_after_the_store_is_back": [
+        ("resize", "w0", 0, 0),
+        ("store_down", True),
+        ("advance", 4_000),
+        ("advance", 530),
+        ("submit", 4),
+        ("store_up",),
+        ("advance", 2_000),
+    ],
+    "worker_grows_and_shrinks_around_the_begin_of_an_outage": [
+        ("resize", "w1", 8_000, 0),
+        ("advance", 1_500),
+        ("store_down", False),
+        ("resize", "w1", 4_000, 1_500),
+        *LONG_OUTAGE,
+        ("submit", 2),
+        ("submit", 2),
+        ("store_up",),
+        ("advance", 2_000),
+    ],
+    "tasks_wait_for_room_that_has_gone_during_an_outage": [
+        ("store_down", False),
+        ("advance", 1_500),
+        ("submit", 6),
+        ("resize", "w1", 1_000, 1_500),
+        ("advance", 4_600),
+        ("store_up",),
+        ("advance", 2_000),
+    ],
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_no_task_starts_by_a_capacity_that_is_not_proved(name):
+    """Guards against starts beyond a capacity that has shrunk while no entry could show it."""
+    replay(CASES[name])
--- /dev/null
+++ b/tests/unit/test_queue_worker_capacity.py
@@ -0,0 +1,137 @@
+"""The capacity of a worker is a fact with a time: when it counts, and for how long it is proved."""
+
+import asyncio
+
+import pytest
+from pydantic import ValidationError
+
+from nutmeglb._internal.queues.settings import QueueSettings
+from nutmeglb_decisions.queues.entry_age import CONTACT_SLACK_MS, EntryAge, StoreContact
+from nutmeglb_decisions.queues.orders import StartOutcome
+from tests.lib.queues import CellWorld, job, step, worker_info
+from tests.lib.worker_link import Link
+
+STABLE_MS = 3_000.0
+BEAT_MS = 1_500.0
+ORDER_MS = 400.0
+SECTIONS = {
+    "instance": {"id": "e1", "failure_domain": "z1"},
+    "listen": dict.fromkeys(("caller", "health", "peer"), "127.0.0.1:0"),
+    "store": {"address": "127.0.0.1:1"},
+}
+
+
+def list_workers(world, *infos, answering_since_ms=-BEAT_MS):
+    """List workers for a leader with age limits, at the time of the world."""
+    if world.cell.entry_age.max_age_ms > STABLE_MS:
+        world.cell.entry_age = EntryAge.of(STABLE_MS, BEAT_MS, ORDER_MS)
+    world.cell.entry_age.record_listing(world.now_ms, answering_since_ms)
+    world.show(*infos)
+
+
+@pytest.mark.parametrize(
+    ("answers_ms", "since_ms"),
+    [
+        ([100.0], 100.0),
+        ([100.0, 600.0, 1_100.0], 100.0),
+        # A watch that waits for a whole beat is answered after it.
+        ([100.0, 100.0 + BEAT_MS + CONTACT_SLACK_MS], 100.0),
+        ([100.0, 2_500.0, 3_000.0], 2_500.0),
+        ([100.0, 2_500.0, 2_400.0], 2_500.0),
+    ],
+)
+def test_outage_of_the_store_is_noticed_as_a_gap_between_its_answers(answers_ms, since_ms):
+    contact = StoreContact.for_beat(BEAT_MS)
+    for answered_ms in answers_ms:
+        contact.record(answered_ms)
+    assert contact.since_ms == since_ms
+
+
+@pytest.mark.parametrize(
+    ("listings", "proven_until_ms"),
+    [
+        # Pairs of the time of a listing and since when the store has answered.
+        ([], float("-inf")),
+        ([(10_000.0, 10_000.0)], float("-inf")),
+        ([(10_000.0, 8_500.0)], 12_600.0),
+        ([(10_000.0, 5_000.0), (10_500.0, 5_000.0)], 13_100.0),
+        # Just after an outage some entries are older than it.
+        ([(10_000.0, 5_000.0), (12_000.0, 12_000.0), (13_400.0, 12_000.0)], 12_600.0),
+        ([(10_000.0, 5_000.0), (12_000.0, 12_000.0), (13_500.0, 12_000.0)], 16_100.0),
+    ],
+)
+def test_listing_proves_the_capacity_until_a_change_that_it_misses_counts(
+    listings, proven_until_ms
+):
+    """A change that no entry shows yet is younger than a beat, so it counts after stable_ms."""
+    age = EntryAge.of(STABLE_MS, BEAT_MS, ORDER_MS)
+    for sent_ms, since_ms in listings:
+        age.record_listing(sent_ms, since_ms)
+    assert age.proven_until_ms == proven_until_ms
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "starts"), [(0.0, 1), (2_600.0, 1), (2_601.0, 0), (60_000.0, 0)]
+)
+def test_nothing_is_placed_by_an_entry_that_is_too_old(age_ms, starts):
+    """Guards against starts beyond a capacity that shrank while the store did not answer."""
+    world = CellWorld()
+    list_workers(world, worker_info())
+    world.add(job("a", step()))
+    world.now_ms += age_ms
+    world.schedule()
+    assert len(world.started) == starts
+
+
+def test_entry_read_again_lets_tasks_start():
+    world = CellWorld()
+    list_workers(world, worker_info())
+    world.add(job("a", step()))
+    world.now_ms += 60_000.0
+    world.schedule()
+    list_workers(world, worker_info(), answering_since_ms=world.now_ms)
+    world.schedule()
+    assert not world.started
+    list_workers(world, worker_info(), answering_since_ms=world.now_ms - BEAT_MS)
+    world.schedule()
+    assert len(world.started) == 1
+
+
+@pytest.mark.parametrize("age_ms", [-1.0, 1.0])
+def test_order_queued_before_its_entry_became_too_old_is_not_sent(age_ms):
+    """The age counts when the order is sent, however long ago the task was placed."""
+    link = Link()
+    link.worker.starts_until_ms = link.clock.now_ms() - age_ms
+    asyncio.run(link.link.start(link.order))
+    assert bool(link.sent) == (age_ms <= 0)
+    assert bool(link.worker.runs) == (age_ms <= 0)
+
+
+def test_entry_that_becomes_too_old_between_two_copies_leaves_the_outcome_unknown():
+    """Guards against a second run of a task whose first order may be carried out late."""
+    link = Link(answers=[StartOutcome.UNKNOWN], response_delay_ms=400.0)
+    link.worker.starts_until_ms = link.clock.now_ms()
+    asyncio.run(link.link.start(link.order))
+    assert len(link.sent) == 1
+    assert link.worker.runs
+    assert link.world.cell.take_effects()
+
+
+def test_worker_is_not_avoided_because_its_entry_was_too_old():
+    link = Link()
+    link.worker.starts_until_ms = link.clock.now_ms() - 1.0
+    asyncio.run(link.link.start(link.order))
+    assert link.worker.avoided_until_ms == 0.0
+
+
+@pytest.mark.parametrize(
+    ("stable_ms", "list_ms", "valid"), [(3_000, 500, True), (901, 500, True), (900, 500, False)]
+)
+def test_age_limit_that_no_start_can_meet_is_refused(stable_ms, list_ms, valid):
+    queues = {"worker_stable_ms": stable_ms, "list_ms": list_ms}
+    try:
+        QueueSettings.model_validate({**SECTIONS, "queues": queues})
+    except ValidationError as error:
+        assert not valid and "worker_stable_ms" in str(error)
+    else:
+        assert valid
