Count a larger capacity from its second reading, and ignore outdated entries

Cause: each reading of an entry replaced the capacity of its worker, so one reading that was delayed, or that showed a worker just before it shrank again, enlarged it at once.

Change: less capacity counts at once; more counts when a second reading shows it, unless the entry is of another incarnation, whose capacity is a new fact. An entry carries the revision of its item in the store, and one with a lower revision than the one applied is ignored. A change is logged as worker_resized with the former and new capacity and what is used.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/preemption.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/preemption.py
@@ -23,7 +23,7 @@
 from nutmeglb_decisions.queues.step_state import RoomHold
 from nutmeglb_decisions.queues.victim_choice import Victim, VictimClass, VictimSearch
 from nutmeglb_decisions.queues.waiting_order import startable_tasks
-from nutmeglb_decisions.queues.worker_selection import component_min, slots_on
+from nutmeglb_decisions.queues.worker_selection import slots_on
 from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_decisions.victims import Candidate, cheapest_victims
 from nutmeglb_formats.models.resources import Resources
@@ -175,7 +175,7 @@
         room = room - self._promised[worker.worker_id]
         for reservation in self._state.reservations.binding(worker.worker_id, step):
             if reservation.owner is None:
-                room = component_min(room, reservation.surplus)
+                room = room.component_min(reservation.surplus)
         return room
 
     def _free_at(self, worker: Worker, at_ms: float) -> Resources:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -10,6 +10,7 @@
 from nutmeglb_decisions.queues.state import Run, RunState, Task
 from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.queues import EndedTask, QueueWorker, RunningTask, WorkerReport
+from nutmeglb_formats.models.resources import Resources
 
 # Maximum number of ends in one report, from the platform's protocol. A report with this
 # many ends may be incomplete, so a run that is absent from it does not count as lost.
@@ -29,6 +30,9 @@
             worker = cell.workers[worker_id] = Worker(info, last_listed_ms=now_ms)
             speeds.begin_life(cell, worker)
             cell.log_decision("worker_listed", "new entry", worker=worker_id, service=info.service)
+        elif info.revision < worker.info.revision:
+            # A delayed answer of the store.
+            continue
         else:
             _apply_entry(cell, worker, info, now_ms)
         worker.starts_until_ms = cell.entry_age.proven_until_ms
@@ -64,11 +68,30 @@
         _change_incarnation(cell, worker, info.started_ms, "its entry", now_ms)
     if info.draining and not worker.info.draining:
         cell.log_decision("worker_draining", "marked in its entry", worker=worker.worker_id)
+    former = worker.info.capacity
     worker.update_info(info)
+    if worker.info.capacity != former:
+        _log_resized(cell, worker, former)
     worker.listed = True
     worker.last_listed_ms = now_ms
 
 
+def _log_resized(cell: Cell, worker: Worker, former: Resources) -> None:
+    cell.log_decision(
+        "worker_resized",
+        "another capacity in its entry",
+        worker=worker.worker_id,
+        former=_amounts(former),
+        new=_amounts(worker.info.capacity),
+        used=_amounts(worker.used),
+        runs=len(worker.runs),
+    )
+
+
+def _amounts(amount: Resources) -> str:
+    return f"{amount.cpu_millis}/{amount.memory_bytes}/{amount.accelerators}"
+
+
 def _change_incarnation(
     cell: Cell, worker: Worker, started_ms: int, source: str, now_ms: float
 ) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_selection.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_selection.py
@@ -249,18 +249,10 @@
     free = worker.free
     for reservation in reservations.binding(worker.worker_id, step):
         if end_ms > reservation.at_ms:
-            free = component_min(free, reservation.surplus)
+            free = free.component_min(reservation.surplus)
     return slots_on(free, step, 0)
 
 
-def component_min(first: Resources, second: Resources) -> Resources:
-    return Resources(
-        min(first.cpu_millis, second.cpu_millis),
-        min(first.memory_bytes, second.memory_bytes),
-        min(first.accelerators, second.accelerators),
-    )
-
-
 def _is_outside_preferred_rack(step: Step, worker: Worker) -> bool:
     rack = step.spec.preferred_rack
     return bool(rack) and worker.info.rack != rack
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -1,7 +1,7 @@
 """State of a worker in the queue scheduler."""
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from nutmeglb_decisions.queues.state import Run
 from nutmeglb_formats.models.queues import QueueWorker
@@ -15,13 +15,14 @@
     Attributes
     ----------
     info
-        Latest entry of the worker in the store, possibly that of a former incarnation.
+        Latest entry of the worker in the store, possibly that of a former incarnation. Its capacity
+        is the one that counts for starts: a larger one does so from its second reading on.
     started_ms
         Start time of the current incarnation, from its reports or its entry.
     used, free, utilization
-        Capacity charged by all runs, asserted to stay within the total; the free capacity; and the
-        largest used share of any resource. They are cached, because a pass reads them far more
-        often than they change.
+        Capacity charged by all runs; the free capacity, negative after the worker has shrunk below
+        what runs there; and the largest used share of any resource. They are cached, because a pass
+        reads them far more often than they change.
     last_applied_end
         Highest number of an end that was applied.
     lease_expires_at_ms
@@ -72,17 +73,31 @@
     started_ms: int = field(init=False)
     free: Resources = field(init=False)
     utilization: float = field(init=False)
+    _read_capacity: Resources = field(init=False)
 
     def __post_init__(self) -> None:
         self.worker_id = self.info.worker_id
         self.started_ms = self.info.started_ms
+        self._read_capacity = self.info.capacity
         self._update_free()
 
     def update_info(self, info: QueueWorker) -> None:
-        """Replace the entry of the worker with a newer one."""
-        self.info = info
+        """Replace the entry of the worker with a newer one.
+
+        Less capacity counts at once. More counts when a second reading shows it, so that no single
+        reading enlarges a worker; an entry of another incarnation has nothing to do with the last.
+        """
+        capacity = info.capacity
+        if not self._is_other_incarnation(info):
+            capacity = capacity.component_min(self._read_capacity)
+        self._read_capacity = info.capacity
+        self.info = info if capacity == info.capacity else replace(info, capacity=capacity)
         self._update_free()
 
+    def _is_other_incarnation(self, info: QueueWorker) -> bool:
+        started_ms = self.info.started_ms
+        return bool(info.started_ms and started_ms) and info.started_ms != started_ms
+
     def accepts_starts(self, now_ms: float) -> bool:
         """Return whether tasks may be placed on the worker, if it has the capacity."""
         return (
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/queues.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/queues.py
@@ -233,6 +233,8 @@
         worker does not announce it. Not used by the scheduler.
     machine
         Name of the machine, which stays the same over the lives of a worker; empty when unknown.
+    revision
+        Store revision of the entry; 0 when unknown.
     """
 
     worker_id: str
@@ -246,6 +248,7 @@
     started_ms: int
     remaining_ms: float | None = None
     machine: str = ""
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/resources.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/resources.py
@@ -35,6 +35,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def component_min(self, other: "Resources") -> "Resources":
+        """Return the smaller amount of each component."""
+        return Resources(
+            min(self.cpu_millis, other.cpu_millis),
+            min(self.memory_bytes, other.memory_bytes),
+            min(self.accelerators, other.accelerators),
+        )
+
     def scaled(self, factor: int) -> "Resources":
         """Return the vector multiplied by a whole number."""
         return Resources(
--- a/tests/unit/test_queue_worker_capacity.py
+++ b/tests/unit/test_queue_worker_capacity.py
@@ -1,11 +1,15 @@
 """The capacity of a worker is a fact with a time: when it counts, and for how long it is proved."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 from pydantic import ValidationError
+from result import Ok
 
+from nutmeglb._internal.queues.ports import Listing, StoredItem
 from nutmeglb._internal.queues.settings import QueueSettings
+from nutmeglb._internal.queues.stored_jobs import read_workers
 from nutmeglb_decisions.queues.entry_age import CONTACT_SLACK_MS, EntryAge, StoreContact
 from nutmeglb_decisions.queues.orders import StartOutcome
 from tests.lib.queues import CellWorld, job, step, worker_info
@@ -124,6 +128,61 @@
     assert link.worker.avoided_until_ms == 0.0
 
 
+# Rows of the listings of a worker, each its CPU, its start and the revision of its entry.
+@pytest.mark.parametrize(
+    ("listings", "counted_cpu"),
+    [
+        ([(4_000, 1, 5), (2_000, 1, 6)], 2_000),
+        ([(4_000, 1, 5), (0, 1, 6)], 0),
+        ([(4_000, 1, 5), (8_000, 1, 6)], 4_000),
+        ([(4_000, 1, 5), (8_000, 1, 6), (8_000, 1, 6)], 8_000),
+        ([(4_000, 1, 5), (8_000, 1, 6), (6_000, 1, 7)], 6_000),
+        ([(4_000, 1, 5), (2_000, 1, 6), (4_000, 1, 7)], 2_000),
+        ([(4_000, 1, 5), (8_000, 1, 6), (2_000, 1, 7), (8_000, 1, 8)], 2_000),
+        # A delayed answer of the store shows a former entry.
+        ([(8_000, 1, 5), (2_000, 1, 6), (8_000, 1, 5), (8_000, 1, 5)], 2_000),
+        # The capacity of another incarnation is a new fact.
+        ([(4_000, 1, 5), (8_000, 2, 6)], 8_000),
+        ([(4_000, 1, 5), (8_000, 0, 6)], 4_000),
+    ],
+)
+def test_single_or_outdated_reading_does_not_enlarge_a_worker(listings, counted_cpu):
+    """Guards against starts by a capacity that the worker had before, or may not have yet."""
+    world = CellWorld()
+    for cpu, started_ms, revision in listings:
+        world.show(worker_info(cpu=cpu, started_ms=started_ms, revision=revision))
+        world.report("w1", started_ms=world.worker("w1").info.started_ms)
+    world.add(job("a", step(20)))
+    world.schedule()
+    assert world.worker("w1").info.capacity.cpu_millis == counted_cpu
+    assert len(world.started) == counted_cpu // 1_000
+
+
+def test_change_of_capacity_is_logged_once_with_its_figures():
+    world = CellWorld()
+    for cpu in (4_000, 2_000, 2_000):
+        world.show(worker_info(cpu=cpu))
+    logged = [d for d in world.cell.take_decisions() if d.kind == "worker_resized"]
+    assert [dict(d.fields)["new"].partition("/")[0] for d in logged] == ["2000"]
+    assert dict(logged[0].fields)["former"].startswith("4000/")
+
+
+def test_entries_read_from_the_store_carry_their_revision():
+    """Without it, a delayed listing would replace a newer one."""
+    item = StoredItem("servers/w1", b"", 7)
+
+    async def list_items(prefix, *, large):
+        return Ok(Listing((item,), 9))
+
+    platform = SimpleNamespace(
+        workers_prefix="servers/",
+        store=SimpleNamespace(range=list_items),
+        decode_worker=lambda item: Ok(worker_info()),
+    )
+    (worker,) = asyncio.run(read_workers(platform)).ok_value
+    assert worker.revision == 7
+
+
 @pytest.mark.parametrize(
     ("stable_ms", "list_ms", "valid"), [(3_000, 500, True), (901, 500, True), (900, 500, False)]
 )
