Withhold a start from a worker that has shrunk since the task was placed

Cause: the free capacity was compared when a task was placed. An order that was queued then, or repeated after an unanswered attempt, was sent however small the worker had become meanwhile.

Change: before each copy of a start order, what is charged to the worker has to fit into its present capacity, or the order ends as 'shrunk'. Without an unanswered copy the run has not started and is released, so that the next order of the worker may fit; with one it is stopped, as after other refusals.

Result: 3 of the 5 rows of test_order_is_not_sent_to_a_worker_that_has_shrunk_since_the_task_was_placed failed before (assert 1 == 0 twice, assert 2 == 1), and test_withheld_order_leaves_the_smaller_capacity_to_the_other_orders (both orders were sent). They pass now.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -28,13 +28,15 @@
     WITHHELD = "withheld"
     # Not sent, because the entry of the worker is too old to prove its capacity.
     STALE_ENTRY = "stale_entry"
+    # Not sent, because the worker has less capacity than what is charged to it.
+    SHRUNK = "shrunk"
     # Not sent, because there is no link to the worker.
     NO_LINK = "no_link"
     UNKNOWN = "unknown"
 
 
 # Outcomes that say nothing about the worker.
-WITHHELD_HERE = frozenset({StartOutcome.WITHHELD, StartOutcome.STALE_ENTRY})
+WITHHELD_HERE = frozenset({StartOutcome.WITHHELD, StartOutcome.STALE_ENTRY, StartOutcome.SHRUNK})
 
 
 def apply_start_answer(
@@ -107,7 +109,9 @@
 
 def withheld_cause(worker: Worker, now_ms: float) -> StartOutcome | None:
     """Return why no start may be sent to a worker because of its capacity, ``None`` if one may."""
-    return StartOutcome.STALE_ENTRY if now_ms > worker.starts_until_ms else None
+    if now_ms > worker.starts_until_ms:
+        return StartOutcome.STALE_ENTRY
+    return None if worker.free.is_non_negative() else StartOutcome.SHRUNK
 
 
 def is_placed_on_current_incarnation(cell: Cell, worker_id: str, task: str, number: int) -> bool:
--- a/tests/lib/worker_link.py
+++ b/tests/lib/worker_link.py
@@ -24,6 +24,8 @@
         Time of each renewal for which the worker may wait for an end.
     next_report
         Report with which the worker answers renewals.
+    on_start
+        Called when a start order arrives.
     """
 
     def __init__(self, answers=(), response_delay_ms=0.0):
@@ -42,6 +44,7 @@
         self.next_report = WorkerReport(0.0, self.worker.info.started_ms, (), ())
         self.last_seen_sent = []
         self.waits_sent = []
+        self.on_start = lambda: None
         callbacks = LeaderCallbacks(
             lambda: None,
             _no_operation,
@@ -55,6 +58,7 @@
 
     async def start(self, worker, order):
         self.sent.append(order)
+        self.on_start()
         outcome = self.answers.pop(0) if self.answers else StartOutcome.STARTED
         self.clock.advance(self.response_delay_ms)
         return OrderAnswer(outcome)
--- a/tests/unit/test_queue_worker_capacity.py
+++ b/tests/unit/test_queue_worker_capacity.py
@@ -10,6 +10,7 @@
 from nutmeglb._internal.queues.ports import Listing, StoredItem
 from nutmeglb._internal.queues.settings import QueueSettings
 from nutmeglb._internal.queues.stored_jobs import read_workers
+from nutmeglb_decisions.queues.effects import StopTask
 from nutmeglb_decisions.queues.entry_age import CONTACT_SLACK_MS, EntryAge, StoreContact
 from nutmeglb_decisions.queues.orders import StartOutcome
 from tests.lib.queues import CellWorld, job, step, worker_info
@@ -121,6 +122,46 @@
     assert link.world.cell.take_effects()
 
 
+@pytest.mark.parametrize(
+    ("cpu", "answers", "sent"),
+    [
+        (16_000, [], 1),
+        (1_000, [], 1),
+        (999, [], 0),
+        (0, [], 0),
+        # It shrinks while the first copy is unanswered.
+        (999, [StartOutcome.UNKNOWN], 1),
+    ],
+)
+def test_order_is_not_sent_to_a_worker_that_has_shrunk_since_the_task_was_placed(
+    cpu, answers, sent
+):
+    """What is charged counts against the smaller capacity, also before a second copy is sent."""
+    link = Link(answers)
+    if answers:
+        link.on_start = lambda: link.worker.update_info(worker_info(cpu=cpu))
+    else:
+        link.worker.update_info(worker_info(cpu=cpu))
+    asyncio.run(link.link.start(link.order))
+    assert len(link.sent) == sent
+    # An unanswered copy may have started the run, so it is charged until its stop is proved.
+    assert bool(link.worker.runs) == bool(sent)
+    stops = [effect for effect in link.world.cell.take_effects() if isinstance(effect, StopTask)]
+    assert len(stops) == len(answers)
+
+
+def test_withheld_order_leaves_the_smaller_capacity_to_the_other_orders():
+    """Guards against withholding all orders of a worker where one of them is too much."""
+    link = Link()
+    link.world.add(job("b", step()))
+    link.world.schedule()
+    second = link.world.started[-1]
+    link.worker.update_info(worker_info(cpu=1_000))
+    asyncio.run(link.link.start(link.order))
+    asyncio.run(link.link.start(second))
+    assert [order.task for order in link.sent] == [second.task]
+
+
 def test_worker_is_not_avoided_because_its_entry_was_too_old():
     link = Link()
     link.worker.starts_until_ms = link.clock.now_ms() - 1.0
