Drop the plan of a gang whose worker has shrunk below its part

Cause: a plan was replaced only by a better one. When a planned worker had become too small for good and the gang fitted nowhere else, the plan stayed, and the pass went on reserving capacity for it.

Change: a plan that can never start is dropped before another one is searched for.

Result: two rows of test_plan_of_a_gang_on_a_shrunk_worker_is_redone_or_dropped failed before ({'w1': 4} == {} twice) and pass now. The other tests of test_queue_shrunk_workers.py, which passed before, cover what was reviewed and found right: runs that go on while nothing joins them, selected and advised workers that are replaced, held room that is given up, sizes of pools, and workers without any capacity. test_queue_equal_decisions.py passes unchanged.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/gang_plans.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/gang_plans.py
@@ -39,7 +39,10 @@
     if plan is not None and not plan.counts.keys() <= by_id.keys():
         plan = step.plan = None
     start_ms = None if plan is None else _start_ms(step, plan, by_id, now_ms)
-    if plan is not None and start_ms is not None:
+    if start_ms is None:
+        # A worker has shrunk below its part of the plan.
+        plan = step.plan = None
+    elif plan is not None:
         plan.start_ms = start_ms
         if now_ms < plan.next_review_ms:
             return start_ms
