Play seeded cases of workers that change their capacity

Cause: the fixed cases cover one order of events each.

Change: 52 seeds with the step 'resize', 20 of them with store outages only and 12 with preemption, and two fixed cases of instances that are cut off the store and of a leader that is replaced.

--- a/tests/unit/test_queue_resized_workers.py
+++ b/tests/unit/test_queue_resized_workers.py
@@ -4,9 +4,12 @@
 at once, a smaller one a beat and 3,000 ms after the change.
 """
 
+from functools import partial
+
 import pytest
 
-from tests.lib.queue_world import replay
+from tests.lib import queue_cases
+from tests.lib.queue_world import World, replay
 
 LONG_OUTAGE = (("advance", 4_000), ("advance", 700))
 CASES = {
@@ -37,6 +40,29 @@
         ("store_up",),
         ("advance", 2_000),
     ],
+    "entry_shows_it_but_the_instances_are_cut_off_the_store": [
+        ("resize", "w0", 1_000, 1_500),
+        *[("submit", 5)] * 7,
+        ("advance", 300),
+        ("store_cut", 0, True),
+        ("store_cut", 1, True),
+        ("advance", 4_000),
+        ("advance", 900),
+    ],
+    "leader_is_replaced_while_a_worker_shrinks": [
+        ("submit", 5),
+        ("submit", 5),
+        ("submit", 6),
+        ("advance", 60),
+        ("store_cut", 0, True),
+        ("resize", "w0", 1_000, 1_500),
+        ("replace", 1),
+        ("advance", 4_000),
+        ("kill", 1),
+        ("submit", 6),
+        ("resize", "w1", 0, 1_500),
+        ("advance", 4_000),
+    ],
     "tasks_wait_for_room_that_has_gone_during_an_outage": [
         ("store_down", False),
         ("advance", 1_500),
@@ -53,3 +79,30 @@
 def test_no_task_starts_by_a_capacity_that_is_not_proved(name):
     """Guards against starts beyond a capacity that has shrunk while no entry could show it."""
     replay(CASES[name])
+
+
+# All kinds of faults but outages of the store and what the instances do.
+EXCLUDED = (
+    "restart", "fault", "cut", "unlist", "habit", "health", "hang", "kill", "store_fault",
+)  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("agreements", "excluded", "added", "numbers"),
+    [
+        # 80 and 92 failed with LIMIT before the age of entries was limited.
+        ("", (), ["resize"], range(76, 96)),
+        # So did 1028, 1040 and 1043.
+        ("", EXCLUDED, ["resize", "store_down"], range(1_026, 1_046)),
+        ("pressure", (), ["resize"], range(300, 312)),
+    ],
+)
+def test_seeded_cases(agreements, excluded, added, numbers):
+    """Plays cases of fixed seeds. ``python -m tests.lib.queue_cases`` plays others."""
+    failures = {}
+    for number in numbers:
+        steps = queue_cases.draw_case(number, excluded, added)
+        error = queue_cases.failure_of(steps, partial(World, agreements))
+        if error is not None:
+            failures[number] = str(error)
+    assert not failures
