Name workers that have shrunk, or whose entries are too old, as the cause of a wait

Cause: the line of a waiting step said 'no free capacity' when a worker had less capacity than before, and nothing about entries that are too old.

Change: the explanation counts the reachable workers that would have room with the capacity that they had before in this incarnation, and names them as the cause if there is no room otherwise; workers whose entries are too old do not count as reachable.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/pools.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/pools.py
@@ -68,18 +68,10 @@
             continue
         for label in (ANY_LABEL, *worker.info.labels):
             key = (worker.info.service, label)
-            largest[key] = _component_max(largest.get(key, Resources()), worker.info.capacity)
+            largest[key] = largest.get(key, Resources()).component_max(worker.info.capacity)
     return [Pool(service, label, amount) for (service, label), amount in largest.items()]
 
 
-def _component_max(first: Resources, second: Resources) -> Resources:
-    return Resources(
-        max(first.cpu_millis, second.cpu_millis),
-        max(first.memory_bytes, second.memory_bytes),
-        max(first.accelerators, second.accelerators),
-    )
-
-
 def unservable_cause(record: QueueJob, pools: Iterable[Pool]) -> str:
     """Return why no worker can run some step of a job, or an empty string if workers can.
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
@@ -7,6 +7,7 @@
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.state import Step
 from nutmeglb_decisions.queues.worker_selection import slots_on
+from nutmeglb_decisions.queues.worker_state import Worker
 
 # The cause of a wait is logged after this time, and again at this interval. Advice takes up to two
 # seconds, so shorter waits are normal.
@@ -15,6 +16,11 @@
 CAUSES_BY_GATE = {
     quotas.GATE_NAME: "the limit of its team is reached, or kept for a better-ranked step of it",
 }
+SILENT = "its workers are silent or avoided"
+NO_CAPACITY = "no free capacity"
+NO_CAPACITY_FOR_ALL = "no free capacity for all members"
+SHRUNK = "workers have shrunk below what they had"
+STALE_ENTRIES = "the entries of its workers are too old to prove their capacity"
 # Maximum number of steps logged at once, longest waiting first.
 MAX_EXPLAINED = 8
 
@@ -36,6 +42,8 @@
         milliseconds until the outstanding call counts as lost, 0 if there is none.
     unsettled
         Workers that may hold runs of a former leader and have not answered.
+    shrunk
+        Reachable workers that would have room for a task with the capacity that they had before.
     """
 
     cause: str
@@ -48,6 +56,7 @@
     good: int
     call_left_ms: int
     unsettled: int
+    shrunk: int
 
 
 def explain(cell: Cell, step: Step, now_ms: float) -> WaitExplanation:
@@ -56,29 +65,34 @@
     needs_advice = cell.policy_of(step.job).advice is not None
     candidates = advice.workers_with_ticket(cell, step, now_ms) if needs_advice else eligible
     durable = [worker for worker in candidates if worker.worker_id in step.recorded]
-    reachable = [
-        worker
-        for worker in durable
-        if worker.settled
-        and worker.has_current_info
-        and not worker.stray_runs
-        and worker.unanswered_since_ms is None
-        and now_ms >= worker.avoided_until_ms
-    ]
+    reachable = [worker for worker in durable if worker.accepts_starts(now_ms)]
+    shrunk = sum(1 for worker in reachable if _had_room(step, worker))
     slots = [slots_on(worker.free, step, 0) for worker in reachable]
     roomy = sum(1 for count in slots if count)
     counts = (len(eligible), len(durable), len(reachable), roomy, sum(slots))
     call_left_ms = round(max(0.0, step.advice.call_deadline_ms - now_ms))
+    cause = _cause(step, now_ms, needs_advice, *counts)
+    if shrunk and cause in (NO_CAPACITY, NO_CAPACITY_FOR_ALL):
+        cause = SHRUNK
+    elif cause == SILENT and any(now_ms > worker.starts_until_ms for worker in durable):
+        cause = STALE_ENTRIES
     return WaitExplanation(
-        _cause(step, now_ms, needs_advice, *counts),
+        cause,
         *counts,
         asked=len(step.advice.asked),
         good=len(step.advice.good),
         call_left_ms=call_left_ms,
         unsettled=len(step.unsettled),
+        shrunk=shrunk,
     )
 
 
+def _had_room(step: Step, worker: Worker) -> bool:
+    """Return whether a worker has no room for a task only because it has shrunk."""
+    former_free = worker.largest_capacity - worker.used
+    return not slots_on(worker.free, step, 0) and slots_on(former_free, step, 0) > 0
+
+
 def _cause(
     step: Step,
     now_ms: float,
@@ -102,11 +116,11 @@
     if step.holds:
         return "runs are being stopped to make room for it"
     if not reachable:
-        return "its workers are silent or avoided"
+        return SILENT
     if not roomy:
-        return "no free capacity"
+        return NO_CAPACITY
     if step.spec.gang and slots < step.spec.count:
-        return "no free capacity for all members"
+        return NO_CAPACITY_FOR_ALL
     return "capacity reserved for a gang or used by better-ranked work"
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -23,6 +23,8 @@
         Capacity charged by all runs; the free capacity, negative after the worker has shrunk below
         what runs there; and the largest used share of any resource. They are cached, because a pass
         reads them far more often than they change.
+    largest_capacity
+        Largest amount of each resource that the present incarnation has shown.
     last_applied_end
         Highest number of an end that was applied.
     lease_expires_at_ms
@@ -73,12 +75,13 @@
     started_ms: int = field(init=False)
     free: Resources = field(init=False)
     utilization: float = field(init=False)
+    largest_capacity: Resources = field(init=False)
     _read_capacity: Resources = field(init=False)
 
     def __post_init__(self) -> None:
         self.worker_id = self.info.worker_id
         self.started_ms = self.info.started_ms
-        self._read_capacity = self.info.capacity
+        self._read_capacity = self.largest_capacity = self.info.capacity
         self._update_free()
 
     def update_info(self, info: QueueWorker) -> None:
@@ -90,6 +93,9 @@
         capacity = info.capacity
         if not self._is_other_incarnation(info):
             capacity = capacity.component_min(self._read_capacity)
+            self.largest_capacity = capacity.component_max(self.largest_capacity)
+        else:
+            self.largest_capacity = capacity
         self._read_capacity = info.capacity
         self.info = info if capacity == info.capacity else replace(info, capacity=capacity)
         self._update_free()
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/resources.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/resources.py
@@ -43,6 +43,14 @@
             min(self.accelerators, other.accelerators),
         )
 
+    def component_max(self, other: "Resources") -> "Resources":
+        """Return the larger amount of each component."""
+        return Resources(
+            max(self.cpu_millis, other.cpu_millis),
+            max(self.memory_bytes, other.memory_bytes),
+            max(self.accelerators, other.accelerators),
+        )
+
     def scaled(self, factor: int) -> "Resources":
         """Return the vector multiplied by a whole number."""
         return Resources(
--- a/tests/unit/test_queue_shrunk_workers.py
+++ b/tests/unit/test_queue_shrunk_workers.py
@@ -135,6 +135,44 @@
     assert [order.task.partition(".")[0] for order in world.started][:1] == ["u"]
 
 
+@pytest.mark.parametrize(
+    ("cpu", "running", "cause"),
+    [
+        (8_000, 8, "no free capacity"),
+        # Its former capacity would be full, too.
+        (4_000, 8, "no free capacity"),
+        (4_000, 4, waiting.SHRUNK),
+        (2_000, 4, waiting.SHRUNK),
+        (500, 0, waiting.SHRUNK),
+        (0, 0, waiting.SHRUNK),
+    ],
+)
+def test_wait_for_a_worker_that_has_shrunk_names_it(cpu, running, cause):
+    """Guards against a line that says no more than that there is no free capacity."""
+    world = CellWorld()
+    resize(world, w1=8_000)
+    if running:
+        start(world, "a", step(running, 1_000, estimate_ms=LONG_MS))
+    else:
+        _, orders = start(world, "a", step())
+        world.end(orders[0])
+    resize(world, w1=cpu)
+    added, orders = start(world, "b", step(2, 1_000))
+    explanation = waiting.explain(world.cell, added.steps[0], world.now_ms)
+    assert not orders
+    assert (explanation.cause, explanation.shrunk) == (cause, int(cause == waiting.SHRUNK))
+
+
+def test_wait_for_an_entry_that_is_too_old_is_named():
+    world = CellWorld()
+    resize(world, w1=8_000)
+    added = world.add(job("b", step()))
+    world.worker("w1").starts_until_ms = world.now_ms - 1.0
+    world.schedule()
+    explanation = waiting.explain(world.cell, added.steps[0], world.now_ms)
+    assert explanation.cause == waiting.STALE_ENTRIES
+
+
 def test_job_is_refused_after_the_last_large_worker_shrank_and_accepted_after_one_grew():
     """A size counts as available for the retention time after a worker last had it."""
     world = CellWorld()
