Bound the share of a run on a worker that has shrunk below it

Cause: the learned slow-downs divide what a run uses by the present capacity of its worker. On a worker that shrank to nothing, a run of 1,000 millicores counted as a thousandfold load.

Change: a run uses at most all of its worker.

Result: test_share_of_a_run_on_a_worker_without_capacity_is_bounded failed before ({'batch': 1000.0} == {'batch': 1.0}) and passes now.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/interference.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/interference.py
@@ -244,7 +244,8 @@
 
 
 def _share(worker: Worker, run: Run) -> float:
-    return run.charged.cpu_millis / max(1, worker.info.capacity.cpu_millis)
+    """Return the share of a worker that a run uses, at most all of one that has shrunk below it."""
+    return min(1.0, run.charged.cpu_millis / max(1, worker.info.capacity.cpu_millis))
 
 
 def _has_ceased(effect: float, error: float) -> bool:
--- a/tests/unit/test_queue_shrunk_workers.py
+++ b/tests/unit/test_queue_shrunk_workers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from nutmeglb_decisions.queues import composition, idle_jobs, pools, waiting
+from nutmeglb_decisions.queues import composition, idle_jobs, interference, pools, waiting
 from nutmeglb_decisions.queues.composition import PartOptions
 from nutmeglb_decisions.queues.preemption import PreemptionOptions
 from nutmeglb_formats.models.resources import Resources
@@ -173,6 +173,16 @@
     assert explanation.cause == waiting.STALE_ENTRIES
 
 
+def test_share_of_a_run_on_a_worker_without_capacity_is_bounded():
+    """Guards against an observation of a thousandfold load after a worker shrank to nothing."""
+    world = CellWorld()
+    resize(world, w1=8_000)
+    start(world, "a", step(2, 1_000, estimate_ms=LONG_MS))
+    resize(world, w1=0)
+    own, _ = world.worker("w1").runs.values()
+    assert interference.shares_beside(world.worker("w1"), own) == {"batch": 1.0}
+
+
 def test_job_is_refused_after_the_last_large_worker_shrank_and_accepted_after_one_grew():
     """A size counts as available for the retention time after a worker last had it."""
     world = CellWorld()
