--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
@@ -30,6 +30,8 @@
         "job_idle",
         "run_unresolved",
         "presumed_end_contradicted",
+        "starts_withheld",
+        "starts_resumed",
     }
 )
 
