Test since when a follower knows that the store has answered

Cause: the evidence by which a new leader relies on entries at once had no test of its own; the world of the cases models it.

Change: a table of the answers to the watch of the configuration.

--- a/tests/unit/test_config_watch.py
+++ b/tests/unit/test_config_watch.py
@@ -14,6 +14,7 @@
 from nutmeglb._internal.queues.ports import Changes, Listing, StoredItem
 from nutmeglb._internal.queues.settings import QueueSettings
 from nutmeglb_decisions.queues.access import AccessLimits, Admission, Denial
+from nutmeglb_decisions.queues.entry_age import StoreContact
 from nutmeglb_formats.clock import ManualClock
 from nutmeglb_formats.exceptions import StoredValueError, StoreUnavailable
 from nutmeglb_formats.models.queues import Queue, QueueConfig, Team
@@ -23,6 +24,7 @@
 FAILED = Err(StoreUnavailable("no answer", context={}, hint="none"))
 REFUSED = Err(StoreUnavailable("status 429", context={}, hint="none"))
 REFUSAL_MS = 4
+BEAT_MS = 1_500.0
 NONE = Ok(Changes((), 1))
 LOST = Ok(Changes((), 0, history_lost=True))
 QUEUE = Queue("q", "h", "/p/", "pool", 0, 1, 1.0, 0.0)
@@ -73,9 +75,11 @@
             config_key="config", store=self, decode_config=self._decode_config
         )
         self.unanswered = 0
+        self.contact = StoreContact.for_beat(BEAT_MS)
         self.watch = ConfigWatch(
-            platform, self.clock, self._record, self._count_unanswered, limits, wait_ms
-        )
+            platform, self.clock, self._record, self._count_unanswered, limits, wait_ms,
+            self.contact.record,
+        )  # fmt: skip
 
     def run(self):
         try:
@@ -136,6 +140,24 @@
 LIMITS = AccessLimits(2_600.0)
 
 
+@pytest.mark.parametrize(
+    ("answers", "since_ms"),
+    [
+        ([listing(1)], 0.0),
+        ([listing(1), Slow(NONE, 1_510.0), Slow(NONE, 1_510.0)], 0.0),
+        # A call that was only refused is no gap.
+        ([listing(1), REFUSED, Slow(NONE, 10.0)], 0.0),
+        ([listing(1), NONE, FAILED, Slow(NONE, 10.0)], 1_500.0 + CALL_TIMEOUT_MS + 10.0),
+        ([FAILED, REFUSED], None),
+    ],
+)
+def test_follower_knows_since_when_the_store_has_answered(answers, since_ms):
+    """Guards against a new leader that relies on entries from before an outage of the store."""
+    world = World(answers, LIMITS)
+    world.run()
+    assert world.contact.since_ms == (math.inf if since_ms is None else 10_000.0 + since_ms)
+
+
 @pytest.mark.parametrize("max_lag_ms", [2_000, 3_000, 4_000])
 def test_version_takes_effect_in_time_after_a_watch_went_silent(max_lag_ms):
     """Guards against an instance that serves an old version behind a dead connection.
