Keep the cost of applying unchanged entries low

Cause: the comparison of two readings and the copy that carries the revision were made for every entry at every listing.

Change: an entry with the same capacity only replaces the former one, and the revision is set by the decoder.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -69,8 +69,7 @@
     if info.draining and not worker.info.draining:
         cell.log_decision("worker_draining", "marked in its entry", worker=worker.worker_id)
     former = worker.info.capacity
-    worker.update_info(info)
-    if worker.info.capacity != former:
+    if worker.update_info(info):
         _log_resized(cell, worker, former)
     worker.listed = True
     worker.last_listed_ms = now_ms
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -84,13 +84,17 @@
         self._read_capacity = self.largest_capacity = self.info.capacity
         self._update_free()
 
-    def update_info(self, info: QueueWorker) -> None:
-        """Replace the entry of the worker with a newer one.
+    def update_info(self, info: QueueWorker) -> bool:
+        """Replace the entry of the worker with a newer one. Return whether its capacity changed.
 
         Less capacity counts at once. More counts when a second reading shows it, so that no single
         reading enlarges a worker; an entry of another incarnation has nothing to do with the last.
         """
-        capacity = info.capacity
+        capacity, former = info.capacity, self.info.capacity
+        is_unchanged = capacity == self._read_capacity and capacity == former
+        if is_unchanged and info.started_ms == self.info.started_ms:
+            self.info = info
+            return False
         if not self._is_other_incarnation(info):
             capacity = capacity.component_min(self._read_capacity)
             self.largest_capacity = capacity.component_max(self.largest_capacity)
@@ -99,6 +103,7 @@
         self._read_capacity = info.capacity
         self.info = info if capacity == info.capacity else replace(info, capacity=capacity)
         self._update_free()
+        return capacity != former
 
     def _is_other_incarnation(self, info: QueueWorker) -> bool:
         started_ms = self.info.started_ms
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/stored_jobs.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/stored_jobs.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
@@ -154,5 +154,5 @@
         if isinstance(decoded, Err):
             logger.warning("malformed worker entry ignored", cause=str(decoded.err_value))
         else:
-            workers.append(replace(decoded.ok_value, revision=item.revision))
+            workers.append(decoded.ok_value)
     return Ok(workers)
