Prolong a gap in the answers of the store by a call that fails right after it

Cause: after an outage, entries counted as current once the store had answered for a beat. A second outage within that beat that was shorter than the largest gap between two answers went unnoticed, and with it the only write by which a worker could have shown its smaller capacity.

Change: within a beat after a gap, a call without an answer, of the listing or of the watch of the configuration, begins the wait for a beat again. At other times a single lost call changes nothing.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/entry_age.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/entry_age.py
@@ -22,27 +22,31 @@
 
     Attributes
     ----------
-    max_gap_ms
-        Longest time between two answers that is no gap.
+    beat_ms
+        Interval at which workers write their entries.
     since_ms
         Time of the first answer after the last gap; infinite before the first answer.
     """
 
-    max_gap_ms: float
+    beat_ms: float
     since_ms: float = math.inf
     _last_ms: float = -math.inf
 
-    @classmethod
-    def for_beat(cls, beat_ms: float) -> "StoreContact":
-        """Return a contact without an answer yet, for workers that write once in ``beat_ms``."""
-        return cls(beat_ms + CONTACT_SLACK_MS)
-
     def record(self, answered_ms: float) -> None:
         """Record an answer of the store."""
-        if answered_ms - self._last_ms > self.max_gap_ms:
+        if answered_ms - self._last_ms > self.beat_ms + CONTACT_SLACK_MS:
             self.since_ms = answered_ms
         self._last_ms = max(self._last_ms, answered_ms)
 
+    def record_failure(self, failed_ms: float) -> None:
+        """Record a call without an answer. Within a beat after a gap, it prolongs the gap.
+
+        The workers may not have written since the gap. Later, a single lost call proves no outage.
+        """
+        if failed_ms - self.since_ms < self.beat_ms:
+            self.since_ms = math.inf
+            self._last_ms = -math.inf
+
 
 @dataclass(slots=True)
 class EntryAge:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -100,12 +100,12 @@
         self._part_metrics = PartMetrics(metrics)
         self._advice_dispatcher = AdviceDispatcher(platform.advice, self._links, clock, self._lag)
         self._gate = StoreGate(platform.store, self._store_changed)
-        self._store_contact = StoreContact.for_beat(settings.queues.worker_beat_ms)
+        self._store_contact = StoreContact(settings.queues.worker_beat_ms)
         self.config = ConfigWatch(
             platform,
             clock,
             self._configured,
-            self._gate.check,
+            self._store_unanswered,
             limits_from(settings),
             wait_within(settings),
             self._store_contact.record,
@@ -268,6 +268,10 @@
             await leader.stop()
         self._part_metrics.publish(None)
 
+    def _store_unanswered(self) -> None:
+        self._gate.check()
+        self._store_contact.record_failure(self._clock.now_ms())
+
     def _store_changed(self, answers: bool) -> None:
         kind = "store_regained" if answers else "store_lost"
         self._log.write([Decision(kind, "a call of a submission or a probe")])
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_listing.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_listing.py
@@ -46,7 +46,7 @@
         self._clock = clock
         self._live = live
         limits = live.current.queues
-        self._contact = contact or StoreContact.for_beat(limits.worker_beat_ms)
+        self._contact = contact or StoreContact(limits.worker_beat_ms)
         cell.entry_age = EntryAge.of(
             limits.worker_stable_ms, limits.worker_beat_ms, limits.worker_timeout_ms
         )
@@ -62,6 +62,8 @@
             workers = await stored_jobs.read_workers(self._platform)
             if isinstance(workers, Ok):
                 self.apply(workers.ok_value, sent_ms)
+            else:
+                self._contact.record_failure(self._clock.now_ms())
 
     def apply(self, workers: Iterable[QueueWorker], sent_ms: float) -> None:
         """Apply entries that were requested at ``sent_ms``, in one listing of the store."""
--- a/tests/lib/queue_world.py
+++ b/tests/lib/queue_world.py
@@ -97,7 +97,7 @@
         )
         self._background = BackgroundTasks()
         self.leader = None
-        self._contact = StoreContact.for_beat(BEAT_MS)
+        self._contact = StoreContact(BEAT_MS)
         if not life:
             # The store has answered the first processes for long.
             self._contact.record(clock.now_ms())
@@ -131,6 +131,8 @@
         while True:
             if isinstance(await self.store.get("op/config"), Ok):
                 self._contact.record(self._clock.now_ms())
+            else:
+                self._contact.record_failure(self._clock.now_ms())
             await asyncio.sleep(1.0)
 
     async def _on_elected(self, term):
--- a/tests/unit/test_config_watch.py
+++ b/tests/unit/test_config_watch.py
@@ -75,7 +75,7 @@
             config_key="config", store=self, decode_config=self._decode_config
         )
         self.unanswered = 0
-        self.contact = StoreContact.for_beat(BEAT_MS)
+        self.contact = StoreContact(BEAT_MS)
         self.watch = ConfigWatch(
             platform, self.clock, self._record, self._count_unanswered, limits, wait_ms,
             self.contact.record,
--- a/tests/unit/test_queue_resized_workers.py
+++ b/tests/unit/test_queue_resized_workers.py
@@ -63,6 +63,18 @@
         ("resize", "w1", 0, 1_500),
         ("advance", 4_000),
     ],
+    "second_outage_follows_before_the_worker_could_write_its_entry": [
+        ("resize", "w1", 0, 0),
+        ("store_down", False),
+        ("advance", 700),
+        ("submit", 2),
+        ("advance", 4_000),
+        ("heal",),
+        ("advance", 700),
+        ("submit", 2),
+        ("store_down", False),
+        ("advance", 700),
+    ],
     "tasks_wait_for_room_that_has_gone_during_an_outage": [
         ("store_down", False),
         ("advance", 1_500),
@@ -92,8 +104,8 @@
     [
         # 80 and 92 failed with LIMIT before the age of entries was limited.
         ("", (), ["resize"], range(76, 96)),
-        # So did 1028, 1040 and 1043.
-        ("", EXCLUDED, ["resize", "store_down"], range(1_026, 1_046)),
+        # So did 1028, 1040 and 1043; 1132 because of a second outage right after one.
+        ("", EXCLUDED, ["resize", "store_down"], [*range(1_026, 1_046), 1_132]),
         ("pressure", (), ["resize"], range(300, 312)),
     ],
 )
--- a/tests/unit/test_queue_worker_capacity.py
+++ b/tests/unit/test_queue_worker_capacity.py
@@ -42,12 +42,25 @@
     ],
 )
 def test_outage_of_the_store_is_noticed_as_a_gap_between_its_answers(answers_ms, since_ms):
-    contact = StoreContact.for_beat(BEAT_MS)
+    contact = StoreContact(BEAT_MS)
     for answered_ms in answers_ms:
         contact.record(answered_ms)
     assert contact.since_ms == since_ms
 
 
+@pytest.mark.parametrize(
+    ("failed_ms", "since_ms"), [(1_200.0, 1_700.0), (1_599.0, 1_700.0), (1_600.0, 100.0)]
+)
+def test_second_outage_within_a_beat_after_the_first_prolongs_the_gap(failed_ms, since_ms):
+    """Guards against entries of workers whose only beat between two outages was lost, too."""
+    contact = StoreContact(BEAT_MS)
+    contact.record(100.0)
+    contact.record(600.0)
+    contact.record_failure(failed_ms)
+    contact.record(1_700.0)
+    assert contact.since_ms == since_ms
+
+
 @pytest.mark.parametrize(
     ("listings", "proven_until_ms"),
     [
