--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -26,6 +26,10 @@
     INVALID = "invalid"
     # Not sent, because the authority of this leader has expired.
     WITHHELD = "withheld"
+    # Not sent, because the entry of the worker is too old to prove its capacity.
+    STALE_ENTRY = "stale_entry"
+    # Not sent, because the worker has less capacity than what is charged to it.
+    SHRUNK = "shrunk"
     # Not sent, because there is no link to the worker.
     NO_LINK = "no_link"
     # Certainly not received, since no connection to the worker could be established.
@@ -35,6 +39,8 @@
 
 # Outcomes that do not prove that a run never starts.
 NO_REFUSALS = frozenset({StartOutcome.STARTED, StartOutcome.STALE_RUN, StartOutcome.UNKNOWN})
+# Outcomes that say nothing about the worker.
+WITHHELD_HERE = frozenset({StartOutcome.WITHHELD, StartOutcome.STALE_ENTRY, StartOutcome.SHRUNK})
 
 
 def apply_start_answer(
@@ -102,7 +108,7 @@
 
 
 def _avoid_worker(run: Run, worker: Worker, outcome: StartOutcome, now_ms: float) -> None:
-    if outcome == StartOutcome.WITHHELD:
+    if outcome in WITHHELD_HERE:
         return
     if outcome == StartOutcome.TICKET:
         run.step.advice.tickets.pop(worker.worker_id, None)
@@ -118,6 +124,13 @@
     return run is not None and run.state == RunState.ORDERED
 
 
+def withheld_cause(worker: Worker, now_ms: float) -> StartOutcome | None:
+    """Return why no start may be sent to a worker because of its capacity, ``None`` if one may."""
+    if now_ms > worker.starts_until_ms:
+        return StartOutcome.STALE_ENTRY
+    return None if worker.free.is_non_negative() else StartOutcome.SHRUNK
+
+
 def is_placed_on_current_incarnation(cell: Cell, worker_id: str, task: str, number: int) -> bool:
     """Return whether a worker has not restarted since a run was placed on it."""
     worker = cell.workers.get(worker_id)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
@@ -39,6 +39,11 @@
     "no free capacity": "the end of runs on its workers",
     "no free capacity for all members": "the end of runs on its workers, or its plan",
 }
+SILENT = "its workers are silent or avoided"
+NO_CAPACITY = "no free capacity"
+NO_CAPACITY_FOR_ALL = "no free capacity for all members"
+SHRUNK = "workers have shrunk below what they had"
+STALE_ENTRIES = "the entries of its workers are too old to prove their capacity"
 # Maximum number of steps logged at once, longest waiting first.
 MAX_EXPLAINED = 8
 
@@ -69,6 +74,8 @@
         Why a gang has no plan; empty if it has one or needs none.
     ends
         What ends the wait.
+    shrunk
+        Reachable workers that would have room for a task with the capacity that they had before.
     """
 
     cause: str
@@ -87,6 +94,7 @@
     lease_left_ms: int
     unplanned: str
     ends: str
+    shrunk: int
 
 
 def explain(cell: Cell, step: Step, now_ms: float) -> WaitExplanation:
@@ -95,21 +103,18 @@
     needs_advice = cell.policy_of(step.job).advice is not None
     candidates = advice.workers_with_ticket(cell, step, now_ms) if needs_advice else eligible
     durable = [worker for worker in candidates if worker.worker_id in step.recorded]
-    reachable = [
-        worker
-        for worker in durable
-        if worker.settled
-        and worker.has_current_info
-        and not worker.stray_runs
-        and worker.unanswered_since_ms is None
-        and now_ms >= worker.avoided_until_ms
-    ]
+    reachable = [worker for worker in durable if worker.accepts_starts(now_ms)]
+    shrunk = sum(1 for worker in reachable if _had_room(step, worker))
     slots = [slots_on(worker.free, step, 0) for worker in reachable]
     roomy = sum(1 for count in slots if count)
     counts = (len(eligible), len(durable), len(reachable), roomy, sum(slots))
     call_left_ms = round(max(0.0, step.advice.call_deadline_ms - now_ms))
     held = _silent_workers_of_runs(cell, step)
     cause = RUNS_ON_SILENT_WORKERS if held else _cause(step, now_ms, needs_advice, *counts)
+    if shrunk and cause in (NO_CAPACITY, NO_CAPACITY_FOR_ALL):
+        cause = SHRUNK
+    elif cause == SILENT and any(now_ms > worker.starts_until_ms for worker in durable):
+        cause = STALE_ENTRIES
     allowed = advice.approved_workers(cell, step) if needs_advice else durable
     return WaitExplanation(
         cause,
@@ -130,6 +135,7 @@
         ),
         unplanned=step.unplanned,
         ends=ENDS_BY_CAUSE.get(cause, ""),
+        shrunk=shrunk,
     )
 
 
@@ -148,6 +154,12 @@
     return worker is not None and worker.unanswered_since_ms is not None
 
 
+def _had_room(step: Step, worker: Worker) -> bool:
+    """Return whether a worker has no room for a task only because it has shrunk."""
+    former_free = worker.largest_capacity - worker.used
+    return not slots_on(worker.free, step, 0) and slots_on(former_free, step, 0) > 0
+
+
 def _cause(
     step: Step,
     now_ms: float,
@@ -171,11 +183,11 @@
     if step.holds:
         return "runs are being stopped to make room for it"
     if not reachable:
-        return "its workers are silent or avoided"
+        return SILENT
     if not roomy:
-        return "no free capacity"
+        return NO_CAPACITY
     if step.spec.gang and slots < step.spec.count:
-        return "no free capacity for all members"
+        return NO_CAPACITY_FOR_ALL
     return "capacity reserved for a gang or used by better-ranked work"
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -1,6 +1,7 @@
 """State of a worker in the queue scheduler."""
 
-from dataclasses import dataclass, field
+import math
+from dataclasses import dataclass, field, replace
 
 from nutmeglb_decisions.queues.state import Run
 from nutmeglb_formats.models.queues import QueueWorker
@@ -16,13 +17,16 @@
     Attributes
     ----------
     info
-        Latest entry of the worker in the store, possibly that of a former incarnation.
+        Latest entry of the worker in the store, possibly that of a former incarnation. Its capacity
+        is the one that counts for starts: a larger one does so from its second reading on.
     started_ms
         Start time of the current incarnation, from its reports or its entry.
     used, free, utilization
-        Capacity charged by all runs, asserted to stay within the total; the free capacity; and the
-        largest used share of any resource. They are cached, because a pass reads them far more
-        often than they change.
+        Capacity charged by all runs; the free capacity, negative after the worker has shrunk below
+        what runs there; and the largest used share of any resource. They are cached, because a pass
+        reads them far more often than they change.
+    largest_capacity
+        Largest amount of each resource that the present incarnation has shown.
     last_applied_end
         Highest number of an end that was applied.
     lease_expires_at_ms
@@ -34,6 +38,8 @@
     first_answer_ms
         Time of the first answer of the current incarnation, which has accepted the fencing token of
         this leader by then.
+    starts_until_ms
+        Time until which its entry proves its capacity, so that tasks may start.
     settled
         Whether the runs that former leaders left on the current incarnation are known.
     is_replaced
@@ -64,6 +70,7 @@
     reported_started_ms: int | None = None
     former_report_ms: float = 0.0
     first_answer_ms: float | None = None
+    starts_until_ms: float = math.inf
     settled: bool = False
     is_replaced: bool = False
     avoided_until_ms: float = 0.0
@@ -77,16 +84,39 @@
     started_ms: int = field(init=False)
     free: Resources = field(init=False)
     utilization: float = field(init=False)
+    largest_capacity: Resources = field(init=False)
+    _read_capacity: Resources = field(init=False)
 
     def __post_init__(self) -> None:
         self.worker_id = self.info.worker_id
         self.started_ms = self.info.started_ms
+        self._read_capacity = self.largest_capacity = self.info.capacity
         self._update_free()
 
-    def update_info(self, info: QueueWorker) -> None:
-        """Replace the entry of the worker with a newer one."""
-        self.info = info
+    def update_info(self, info: QueueWorker) -> bool:
+        """Replace the entry of the worker with a newer one. Return whether its capacity changed.
+
+        Less capacity counts at once. More counts when a second reading shows it, so that no single
+        reading enlarges a worker; an entry of another incarnation has nothing to do with the last.
+        """
+        capacity, former = info.capacity, self.info.capacity
+        is_unchanged = capacity == self._read_capacity and capacity == former
+        if is_unchanged and info.started_ms == self.info.started_ms:
+            self.info = info
+            return False
+        if not self._is_other_incarnation(info):
+            capacity = capacity.component_min(self._read_capacity)
+            self.largest_capacity = capacity.component_max(self.largest_capacity)
+        else:
+            self.largest_capacity = capacity
+        self._read_capacity = info.capacity
+        self.info = info if capacity == info.capacity else replace(info, capacity=capacity)
         self._update_free()
+        return capacity != former
+
+    def _is_other_incarnation(self, info: QueueWorker) -> bool:
+        started_ms = self.info.started_ms
+        return bool(info.started_ms and started_ms) and info.started_ms != started_ms
 
     def accepts_starts(self, now_ms: float) -> bool:
         """Return whether any task may be placed on the worker, if it has the capacity."""
@@ -97,6 +127,7 @@
         return (
             self.settled
             and self.has_current_info
+            and now_ms <= self.starts_until_ms
             and not self.stray_runs
             and now_ms >= self.avoided_until_ms
             and self.unanswered_since_ms is None
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
@@ -36,6 +36,8 @@
         "losses_assumed",
         "task_isolated",
         "task_given_up",
+        "starts_withheld",
+        "starts_resumed",
     }
 )
 
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -29,6 +29,7 @@
 from nutmeglb._internal.queues.worker_entries import WorkerEntries
 from nutmeglb._internal.queues.worker_link import EXPIRY_MARGIN_MS, LeaderCallbacks
 from nutmeglb._internal.queues.worker_links import WorkerLinks
+from nutmeglb._internal.queues.worker_listing import WorkerListing
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import (
     advice,
@@ -45,12 +46,13 @@
 )
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import Effect, RequestAdvice
+from nutmeglb_decisions.queues.entry_age import StoreContact
 from nutmeglb_decisions.queues.idle_jobs import IdleJobMonitor
 from nutmeglb_decisions.queues.names import parse_task
 from nutmeglb_decisions.queues.verdicts import LoadView
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.queue_records import Waits
-from nutmeglb_formats.models.queues import QueueConfig, QueueJob, QueueWorker
+from nutmeglb_formats.models.queues import QueueConfig, QueueJob
 
 logger = get_logger("leader")
 
@@ -77,6 +79,8 @@
         Called with the cause when this leader must step down.
     publish_metrics
         Called with the cell at each load report.
+    contact
+        Since when the store has answered this instance; by default since this leader first read it.
     """
 
     def __init__(
@@ -94,6 +98,7 @@
         on_lost: Callable[[str], None],
         metrics: Metrics | None = None,
         publish_metrics: Callable[[Cell], None] = lambda _cell: None,
+        contact: StoreContact | None = None,
     ) -> None:
         self._live = live
         self._clock = clock
@@ -137,6 +142,9 @@
             self.cell, platform.workers, clock, log, term.fence, run_lease_ms, callbacks
         )
         self._worker_entries = WorkerEntries(platform, metrics, log)
+        self._listing = WorkerListing(
+            self.cell, self._worker_entries, clock, contact, live, self._workers, self._request_pass
+        )
         self._hints = LeaderHints(platform.store, self.cell, term.key_revision, metrics)
         self._background = BackgroundTasks()
         self._wake = asyncio.Event()
@@ -249,7 +257,7 @@
         self._early_offers.clear()
         for loop in (
             self._committer.run(),
-            self._worker_entries.run(lambda: self._settings.list_ms, self._apply_workers),
+            self._listing.run(),
             InboxReader(
                 self._platform.store,
                 self.cell.jobs,
@@ -276,6 +284,7 @@
         """Load accepted jobs, progress and workers. Return whether everything was read."""
         if not await self._committer.load_counter():
             return False
+        sent_ms = self._clock.now_ms()
         stored, _ = await asyncio.gather(
             stored_jobs.read_state(self._platform.store, self._worker_entries), self._hints.load()
         )
@@ -291,7 +300,7 @@
         for job_id in state.inbox.cancelled:
             lifecycle.cancel_job(self.cell, job_id, wall_ms)
         self._revision = state.inbox.revision
-        reports.apply_worker_list(self.cell, state.workers, now_ms)
+        self._listing.apply(state.workers, sent_ms)
         self._hints.recall_workers()
         self._workers.refresh()
         return True
@@ -311,11 +320,6 @@
             self._committer.remove([keys.final(job_id) for job_id in old])
             await asyncio.sleep(PRUNE_INTERVAL_MS / MS_PER_S)
 
-    def _apply_workers(self, workers: list[QueueWorker]) -> None:
-        reports.apply_worker_list(self.cell, workers, self._clock.now_ms())
-        self._workers.refresh()
-        self._request_pass()
-
     def _apply_inbox(self, inbox: Inbox) -> None:
         for job in inbox.jobs:
             self._add_job(job)
@@ -333,6 +337,7 @@
         now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
         if self._term.authority.is_exclusive:
             reports.expire_silent_workers(self.cell, self._term.authority.confirmed_ms, wall_ms)
+        self._listing.log_age()
         speeds.apply_time(self.cell, now_ms)
         stuck_runs.stop_stuck_runs(self.cell, now_ms)
         slow_runs.move_slow_runs(self.cell, now_ms)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_entries.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_entries.py
@@ -1,7 +1,7 @@
 """Reads the entries of the workers in the store. An entry that cannot be used is left out alone."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from result import Err, Ok, Result
 
@@ -41,18 +41,16 @@
         self._last_defect = ""
 
     async def run(
-        self, interval_ms: Callable[[], float], apply: Callable[[list[QueueWorker]], None]
+        self, interval_ms: Callable[[], float], refresh: Callable[[], Awaitable[None]]
     ) -> None:
-        """Read the list periodically, until cancelled. While it cannot be read, the last one holds.
+        """Call ``refresh``, which reads and applies the list, periodically until cancelled.
 
         An unexpected exception does not end the term, since the next leader reads the same list.
         """
         while True:
             await asyncio.sleep(interval_ms() / MS_PER_S)
             try:
-                workers = await self.read()
-                if isinstance(workers, Ok):
-                    apply(workers.ok_value)
+                await refresh()
             except InvariantViolation:
                 raise
             except Exception as error:
--- a/tests/lib/queue_world.py
+++ b/tests/lib/queue_world.py
@@ -4,6 +4,7 @@
 drawn, shrunk and replayed.
 """
 
+import asyncio
 import json
 import random
 from types import SimpleNamespace
@@ -19,6 +20,7 @@
 from nutmeglb._internal.queues.loop_lag import LoopLag
 from nutmeglb._internal.queues.settings import QueueSettings
 from nutmeglb._internal.telemetry.metrics import MetricsRegistry
+from nutmeglb_decisions.queues.entry_age import StoreContact
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.queue_records import (
     AcceptedJob,
@@ -29,7 +31,7 @@
 from tests.lib.queue_gateway_model import GatewayModel
 from tests.lib.queue_single_run import SingleRunRecord
 from tests.lib.queue_store_model import StoreClient, StoreModel
-from tests.lib.queue_worker_model import Habits, Life
+from tests.lib.queue_worker_model import BEAT_MS, Habits, Life
 from tests.lib.queues import BATCH, CONFIG, URGENT, job, step, worker_info
 from tests.lib.virtual_time import Simulation
 
@@ -95,6 +97,11 @@
         )
         self._background = BackgroundTasks()
         self.leader = None
+        self._contact = StoreContact(BEAT_MS)
+        if not life:
+            # The store has answered the first processes for long.
+            self._contact.record(clock.now_ms())
+            self._contact.since_ms -= SETTLE_MS
         links = LinksStub()
         self._lag = LoopLag(clock, MetricsRegistry())
         self._advice = AdviceDispatcher(self._platform.advice, links, clock, self._lag)
@@ -104,6 +111,7 @@
             lambda: self._record, self._on_elected, self._on_stepped_down,
         )  # fmt: skip
         self.loop.call_soon(self.election.start)
+        self.loop.call_soon(lambda: self._background.spawn(self._watch_config()))
 
     def write(self, decisions):
         for decision in decisions:
@@ -119,11 +127,19 @@
     def defect(self, part, error):
         self._world.defects.append((part, error))
 
+    async def _watch_config(self):
+        while True:
+            if isinstance(await self.store.get("op/config"), Ok):
+                self._contact.record(self._clock.now_ms())
+            else:
+                self._contact.record_failure(self._clock.now_ms())
+            await asyncio.sleep(1.0)
+
     async def _on_elected(self, term):
         self._world.note(f"{self.name} leads term {term.number} fence {term.fence}")
         self.leader = Leader(
             self._live, self._clock, self._rng, self._platform, self._links, self._advice,
-            self, self._lag, term, self._record.incarnation, self._on_lost,
+            self, self._lag, term, self._record.incarnation, self._on_lost, contact=self._contact,
         )  # fmt: skip
         await self.leader.start(self._world.config)
 
@@ -143,7 +159,11 @@
     fields = json.loads(item.value)
     worker_id = item.key.removeprefix("servers/")
     changes = {name: fields[name] for name in ("address",) if name in fields}
-    return Ok(worker_info(worker_id, fields["cpu"], started_ms=fields["born"], **changes))
+    return Ok(
+        worker_info(
+            worker_id, fields["cpu"], started_ms=fields["born"], revision=item.revision, **changes
+        )
+    )
 
 
 class World:
@@ -231,11 +251,11 @@
         self.lives[worker] = life
         self.simulation.at(entry_lag_ms, lambda: self._list_worker(life))
 
-    def _list_worker(self, life):
+    def _list_worker(self, life, retry_ms=500.0):
         if self.lives[life.worker_id] is not life or not life.is_up:
             return
         if self.store.is_down:
-            self.simulation.at(500.0, lambda: self._list_worker(life))
+            self.simulation.at(retry_ms, lambda: self._list_worker(life, retry_ms))
             return
         entry = json.dumps({"born": life.born, "cpu": life.cpu}).encode()
         self.store.put(f"servers/{life.worker_id}", entry)
@@ -300,6 +320,14 @@
         self.store.remove(f"servers/{worker}")
         self.simulation.at(duration_ms, lambda: self._list_worker(life))
 
+    def resize(self, worker, cpu, entry_lag_ms):
+        """Change the capacity of a live worker. Its entry shows it at the next beat."""
+        life = self.lives[worker]
+        if not life.is_up:
+            return
+        life.resize(max(cpu, CPU) if worker == WORKERS[-1] else cpu)
+        self.simulation.at(entry_lag_ms, lambda: self._list_worker(life, BEAT_MS))
+
     def habit(self, worker, stop_ms, hides, completes):
         """Set what a worker does where the protocol leaves it open."""
         habits = self.habits[worker]
--- a/tests/unit/test_platform_worker_entries.py
+++ b/tests/unit/test_platform_worker_entries.py
@@ -179,12 +179,12 @@
     reader.store.put("servers/w1", entry())
     lists = []
 
-    def apply(workers):
-        lists.append(workers)
+    async def refresh():
+        lists.append(await reader.entries.read())
         if len(lists) < 4:
             raise ValueError("unexpected list")
         raise InvariantViolation("ends the term", context={}, hint="")
 
     with pytest.raises(InvariantViolation):
-        asyncio.run(reader.entries.run(lambda: 0.0, apply))
+        asyncio.run(reader.entries.run(lambda: 0.0, refresh))
     assert len(reader.defects) == 1
