--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -9,12 +9,13 @@
 
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.context import Metrics
-from nutmeglb._internal.queues import keys, stored_jobs
+from nutmeglb._internal.queues import stored_jobs
 from nutmeglb._internal.queues.advice_dispatcher import AdviceDispatcher
 from nutmeglb._internal.queues.authority import MAX_CLOCK_DRIFT, Term
 from nutmeglb._internal.queues.commits import Committer
 from nutmeglb._internal.queues.decision_log import DecisionLog
 from nutmeglb._internal.queues.election import TAKEOVER_FAILED
+from nutmeglb._internal.queues.finished_jobs import keep_finished_jobs
 from nutmeglb._internal.queues.inbox_reader import InboxReader
 from nutmeglb._internal.queues.leader_hints import LeaderHints
 from nutmeglb._internal.queues.live_settings import LiveSettings
@@ -63,11 +64,6 @@
 # slowest link in the users' requirements. The limit equals the default time after which a store
 # outage ends the authority of a leader.
 TAKEOVER_TIMEOUT_MS = 5_000.0
-# The wall clock may jump by seconds, so finished jobs are kept this much longer.
-WALL_CLOCK_ERROR_MS = 30_000.0
-# Number of finished jobs whose keys are removed together, and the interval between removals.
-PRUNE_BATCH = 100
-PRUNE_INTERVAL_MS = 2_000.0
 
 
 class Leader:
@@ -267,7 +263,13 @@
             self._pass_loop(),
             self._tick_loop(),
             self._load_reports.run(),
-            self._prune_finished_loop(),
+            keep_finished_jobs(
+                self.cell,
+                self._platform.store,
+                self._committer,
+                self._clock,
+                lambda: self._settings.status_s,
+            ),
             self._hints.run(),
         ):
             self._background.spawn(self._run_guarded(loop))
@@ -305,21 +307,6 @@
         self._workers.refresh()
         return True
 
-    async def _prune_finished_loop(self) -> None:
-        """Load the states of finished jobs, then periodically remove the expired ones."""
-        while isinstance(
-            finished := await stored_jobs.read_progress(self._platform.store, keys.FINAL), Err
-        ):
-            await asyncio.sleep(RETRY_MS / MS_PER_S)
-        for job_id, found in finished.ok_value.items():
-            progress.restore_final(self.cell, job_id, found)
-        while True:
-            retention_ms = self._settings.status_s * MS_PER_S + WALL_CLOCK_ERROR_MS
-            before_ms = self._clock.wall_ms() - retention_ms
-            old = progress.forget_finished(self.cell, before_ms, PRUNE_BATCH)
-            self._committer.remove([keys.final(job_id) for job_id in old])
-            await asyncio.sleep(PRUNE_INTERVAL_MS / MS_PER_S)
-
     def _apply_inbox(self, inbox: Inbox) -> None:
         for job in inbox.jobs:
             self._add_job(job)
