Send no order to a kept worker that has shrunk below its runs

A worker that is kept for a suspect shows no free capacity, which counted as enough: its capacity was zero, not negative, so an order that was placed before a shrink was sent after it (LIMIT).

Before: test_order_is_not_sent_to_a_kept_worker_that_has_shrunk[True] assert None == <StartOutcome.SHRUNK: 'shrunk'>

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -128,7 +128,7 @@
     """Return why no start may be sent to a worker because of its capacity, ``None`` if one may."""
     if now_ms > worker.starts_until_ms:
         return StartOutcome.STALE_ENTRY
-    return None if worker.free.is_non_negative() else StartOutcome.SHRUNK
+    return StartOutcome.SHRUNK if worker.exceeds_capacity else None
 
 
 def is_placed_on_current_incarnation(cell: Cell, worker_id: str, task: str, number: int) -> bool:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -144,6 +144,11 @@
             self.info.started_ms and self.started_ms
         )
 
+    @property
+    def exceeds_capacity(self) -> bool:
+        """Return whether more is charged than the worker has, whether it is kept or not."""
+        return not (self.info.capacity - self.used).is_non_negative()
+
     def charge(self, amount: Resources) -> None:
         """Charge the capacity of a run."""
         self.used = self.used + amount
