End no run by an answer from an address that only another entry names

A valid entry of another writer for the id of a worker changed its address. The process there answers that it is another worker, which ended the runs of the worker although it was alive at its own address, so their tasks started a second time. An incarnation has one address, so with several ones its runs wait for their lease.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ended_lives.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ended_lives.py
@@ -13,6 +13,8 @@
 
 - The entry names another address by now, or another incarnation has been seen: the answer is about
   a former life, and the current one may run tasks.
+- Entries have named several addresses in the current incarnation. Another program may have written
+  one of them, so the worker may be at another address than the one that was called.
 - The worker itself has answered a call that was sent later than this one. Answers on different
   connections may overtake each other. The next renewal decides.
 - The start time of the worker is unknown, so that a later incarnation cannot be told apart.
@@ -88,6 +90,8 @@
         return "ignored: the worker has another address by now"
     if not evidence.started_ms or worker.started_ms != evidence.started_ms:
         return "ignored: the call was for another incarnation"
+    if worker.has_moved:
+        return "ignored: the incarnation has had entries with several addresses"
     confirmed_ms = (run.confirmed_ms for run in worker.runs.values())
     answered_ms = max((ms for ms in confirmed_ms if ms is not None), default=0.0)
     if max(answered_ms, worker.last_report_ms) > evidence.sent_ms:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -75,6 +75,8 @@
     # without a start time shows none.
     if info.started_ms and info.started_ms not in (worker.info.started_ms, worker.started_ms):
         _change_incarnation(cell, worker, info.started_ms, "its entry", now_ms)
+    elif info.address != worker.info.address:
+        worker.has_moved = True
     if info.draining and not worker.info.draining:
         cell.log_decision("worker_draining", "marked in its entry", worker=worker.worker_id)
     former = worker.info.capacity
@@ -119,6 +121,7 @@
     worker.started_ms = started_ms
     speeds.begin_life(cell, worker)
     worker.is_replaced = False
+    worker.has_moved = False
     worker.first_answer_ms = None
     worker.settled = False
     worker.lease_expires_at_ms = max(
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -55,6 +55,9 @@
     stray_runs
         Runs on the worker that belong to no unfinished job, and the time at which it accepted their
         stop, or ``None``. Their size may be unknown, so no task is placed beside them.
+    has_moved
+        Whether entries have named several addresses in the current incarnation. An incarnation has
+        one, so it is not known which of them is the worker's.
     is_kept
         Whether nothing is placed on the worker beside a task that may crash it. No capacity counts
         as free then, so that other work looks for other workers.
@@ -79,6 +82,7 @@
     consecutive_bad_runs: int = 0
     slowness: float = 1.0
     stray_runs: dict[tuple[str, int], float | None] = field(default_factory=dict)
+    has_moved: bool = False
     is_kept: bool = False
     worker_id: str = field(init=False)
     started_ms: int = field(init=False)
--- a/tests/unit/test_queue_ended_lives.py
+++ b/tests/unit/test_queue_ended_lives.py
@@ -106,6 +106,21 @@
     assert not world.started
 
 
+@pytest.mark.parametrize("started_ms", [STARTED_MS, 0], ids=["same life", "no start time"])
+def test_answer_from_an_address_that_only_another_entry_names_ends_no_run(started_ms):
+    """Guards against a second run after another writer has replaced the entry of a worker."""
+    world, _ = world_with_run_on_w1("running")
+    world.report("w1")
+    foreign = worker_info("w1", address=OTHER_ADDRESS, started_ms=started_ms, service="other")
+    reports.apply_worker_list(
+        world.cell, [foreign, worker_info("w2", address="10.0.0.3:1")], world.now_ms
+    )
+    world.now_ms += 100.0
+    # The worker has answered this leader at its former address.
+    assert other_incarnation_answers(world, address=OTHER_ADDRESS) == []
+    assert world.worker("w1").runs
+
+
 def test_replaced_worker_gets_no_task_until_it_reports():
     """A worker may start again under its id; its entry may still be that of the former life."""
     world, _ = world_with_run_on_w1("running")
