Reserve run numbers only for tasks for which there is room

A task with losses starts after the number of its run is stored. Until then nothing was charged to its worker, so the pass reserved a number for each waiting task of the step as soon as there was room for one. Each change of leader then counted a loss of each of them, and after four changes a healthy job without any crash was shown as failed.

Before: test_numbers_are_reserved_only_for_tasks_that_are_about_to_start assert [1, 2, 3, 4, 5, 6, ...] == [1] test_changes_of_leader_do_not_give_up_tasks_that_were_never_started Decision(kind='task_given_up', cause='its runs were lost with their workers the maximum number of times', ... losses 5, proved 0, runs 0:presumed 1:presumed 10001:presumed 20001:presumed 30001:presumed)

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -19,6 +19,7 @@
 from nutmeglb_decisions.queues.state import Step, Task
 from nutmeglb_decisions.queues.waiting_order import RankFunction, ranked_steps, startable_tasks
 from nutmeglb_decisions.queues.worker_selection import (
+    Reservation,
     Reservations,
     choose_gang,
     choose_single,
@@ -284,12 +285,23 @@
         if worker is None:
             return _next_capacity_ms(state, step, run_ms) if is_advice_due else math.inf
         number = worker_losses.next_number(state.cell, step, (task,))
-        if number is not None:
+        if number is None:
+            _hold_capacity(state, step, worker, run_ms)
+        else:
             start_task(state, step, task, worker, number, run_ms)
     # A suspect may start as soon as its worker is empty, for which it needs a valid ticket.
     return state.now_ms if step.held_by else None
 
 
+def _hold_capacity(state: SchedulingPass, step: Step, worker: Worker, run_ms: float) -> None:
+    """Keep room on a worker in this pass for a task that starts once its number is stored."""
+    reservations = state.reservations
+    if worker.worker_id not in state.held_for_numbers:
+        state.held_for_numbers.add(worker.worker_id)
+        reservations.add(worker.worker_id, Reservation(state.now_ms, worker.free))
+    reservations.charge(worker.worker_id, step, state.now_ms + run_ms * worker.slowness)
+
+
 def _leaves_headroom(state: SchedulingPass, step: Step) -> bool:
     """Return whether a task leaves the headroom for classes more urgent than the waiting gangs."""
     service = step.job.record.queue.service
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
@@ -43,6 +43,8 @@
     overdue
         Per service: the gang that may plan regardless of its tier and share. Its reservations are
         made first.
+    held_for_numbers
+        Workers with a reservation for tasks that start once their run numbers are stored.
     gates
         Limits on starts in this pass.
     lost_ms
@@ -66,6 +68,7 @@
     gang_priorities: dict[str, int] = field(default_factory=dict)
     spare_cpu: dict[tuple[str, int], int] = field(default_factory=dict)
     overdue: dict[str, Step] = field(default_factory=dict)
+    held_for_numbers: set[str] = field(default_factory=set)
     gates: tuple[StartGate, ...] = ()
     lost_ms: LostTime | None = None
 
