Count a run number as stored only until a commit without it begins

A number that was released, and reserved again while the commit of the release was in progress, was still taken for stored from the commit before. The run started although the stored record did not have its number, so that the next leader did not count a crash at this start.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
@@ -19,6 +19,21 @@
     return JobProgress(name, "", 0.0, sorted(job.completed), steps, job.record.team)
 
 
+def begin_commit(job: Job, progress: JobProgress) -> None:
+    """Count as stored only what a record that is about to be written contains as well.
+
+    A run number that was released and is reserved again meanwhile is in the stored record only
+    until this one replaces it.
+    """
+    for stored in progress.steps:
+        step = job.occurrences[stored.occurrence][stored.step]
+        rows = frozenset(_loss_rows(stored)) if step.lossy_tasks else frozenset()
+        for index in step.lossy_tasks:
+            losses = step.tasks[index].losses
+            if losses is not None:
+                losses.stored &= rows
+
+
 def committed(cell: Cell, job: Job, progress: JobProgress) -> None:
     """Apply the commit of a progress record of a job."""
     if progress.final:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/commits.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/commits.py
@@ -196,6 +196,7 @@
 
 def _encode_write(job: Job) -> _ProgressWrite:
     encoded, job_id = progress.encode(job), job.job_id
+    progress.begin_commit(job, encoded)
     if not encoded.final:
         return _ProgressWrite(job, encoded, keys.progress(job_id), ())
     removals = (keys.accepted(job_id), keys.cancelled(job_id), keys.progress(job_id))
--- a/tests/unit/test_queue_worker_losses.py
+++ b/tests/unit/test_queue_worker_losses.py
@@ -5,7 +5,15 @@
 import cbor2
 import pytest
 
-from nutmeglb_decisions.queues import lifecycle, orders, placing, progress, reports
+from nutmeglb._internal.queues.commits import _encode_write
+from nutmeglb_decisions.queues import (
+    lifecycle,
+    orders,
+    placing,
+    progress,
+    reports,
+    worker_losses,
+)
 from nutmeglb_decisions.queues.absent_runs import LOST
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StartTask, StopTask
@@ -193,6 +201,27 @@
     assert started == [2]
 
 
+def test_number_that_a_commit_in_progress_removes_counts_as_not_stored():
+    """Guards against a start that the next leader does not know of."""
+    world = world_before_a_loss()
+    restart(world)
+    world.store()
+    job_a = world.cell.jobs["a"]
+    (a_step,) = job_a.steps
+    tasks = a_step.tasks
+    assert worker_losses.next_number(world.cell, a_step, tasks) is None
+    world.store()
+    assert worker_losses.next_number(world.cell, a_step, tasks) == 2
+    worker_losses.release_number(world.cell, a_step, tasks[0])
+    world.cell.dirty.clear()
+    written = _encode_write(job_a).progress
+    assert worker_losses.next_number(world.cell, a_step, tasks) is None
+    progress.committed(world.cell, job_a, written)
+    assert worker_losses.next_number(world.cell, a_step, tasks) is None
+    world.store()
+    assert worker_losses.next_number(world.cell, a_step, tasks) == 2
+
+
 def test_run_that_may_have_started_under_the_former_leader_counts_as_lost():
     world = world_before_a_loss()
     restart(world)
