Ignore a report that was requested before another worker answered at its address

Failed before: test_report_requested_before_the_proof_does_not_bring_the_run_back[20.0-0] (assert 1 == 0).

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ended_lives.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/ended_lives.py
@@ -73,6 +73,7 @@
     if objection:
         return []
     worker.is_replaced = True
+    worker.replaced_ms = now_ms
     if worker.unanswered_since_ms is None:
         worker.unanswered_since_ms = now_ms
     lost = list(worker.runs.values())
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -203,7 +203,10 @@
 
     Each renewal has to be sent after the answer to the previous one. So a report always comes from
     the current incarnation, even with an earlier start time: the wall clock may have been set back.
+    A report that was requested before another worker answered at the address is outdated.
     """
+    if worker.is_replaced and sent_ms <= worker.replaced_ms:
+        return
     if report.started_ms != worker.started_ms:
         _change_incarnation(cell, worker, report.started_ms, "its report", now_ms)
     if worker.reported_started_ms != report.started_ms:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -42,8 +42,9 @@
         Time until which its entry proves its capacity, so that tasks may start.
     settled
         Whether the runs that former leaders left on the current incarnation are known.
-    is_replaced
-        Whether another worker has answered at its address, and the worker has not reported since.
+    is_replaced, replaced_ms
+        Whether another worker has answered at its address, and the worker has not reported since;
+        and the time of that answer.
     avoided_until_ms
         Time before which no task is placed on the worker.
     last_report_ms
@@ -76,6 +77,7 @@
     starts_until_ms: float = math.inf
     settled: bool = False
     is_replaced: bool = False
+    replaced_ms: float = 0.0
     avoided_until_ms: float = 0.0
     unanswered_since_ms: float | None = None
     last_report_ms: float = 0.0
--- a/tests/unit/test_queue_ended_lives.py
+++ b/tests/unit/test_queue_ended_lives.py
@@ -15,7 +15,7 @@
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_formats.exceptions import AgentError
 from nutmeglb_formats.models.queue_records import JobProgress
-from nutmeglb_formats.models.queues import StepProgress
+from nutmeglb_formats.models.queues import RunningTask, StepProgress, WorkerReport
 from nutmeglb_platform.http import Answer
 from nutmeglb_platform.workers import RunnerGateway
 from tests.lib.queues import BATCH, CellWorld, job, step, worker_info
@@ -121,6 +121,22 @@
     assert world.worker("w1").runs
 
 
+@pytest.mark.parametrize(("asked_ms_ago", "adopted"), [(20.0, 0), (-20.0, 1)])
+def test_report_requested_before_the_proof_does_not_bring_the_run_back(asked_ms_ago, adopted):
+    """Guards against a run that is adopted again from an answer that another one has overtaken."""
+    world, order = world_with_run_on_w1("running")
+    other_incarnation_answers(world)
+    proof_ms = world.now_ms
+    world.now_ms += 50.0
+    running = (RunningTask(order.task, order.run, "", 50, 1),)
+    report = WorkerReport(world.now_ms, STARTED_MS, running, ())
+    worker = world.worker("w1")
+    sent_ms = proof_ms - asked_ms_ago
+    reports.apply_report(world.cell, worker, report, sent_ms, world.now_ms, world.now_ms)
+    assert len(worker.runs) == adopted
+    assert worker.is_replaced == (not adopted)
+
+
 def test_replaced_worker_gets_no_task_until_it_reports():
     """A worker may start again under its id; its entry may still be that of the former life."""
     world, _ = world_with_run_on_w1("running")
