Keep the choice of an overdue gang, and bound its cost in a pass

The chosen gang stays chosen until it starts or plans by the usual conditions.

Failed before: test_chosen_gang_keeps_its_plan_from_pass_to_pass, test_gang_behind_many_that_their_workers_cannot_hold_starts.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -84,6 +84,8 @@
         Work lost to preemption under this leader.
     interference
         Which kinds of tasks slow each other down; ``None`` if that is not learned.
+    overdue_gangs
+        Per service: the gang that may plan its start although the usual conditions do not allow it.
     entry_age
         Until when the entries of workers prove their capacity; without limit by default.
     """
@@ -119,6 +121,7 @@
     parts: PassParts = field(default_factory=PassParts)
     preemption: PreemptionUsage = field(default_factory=PreemptionUsage)
     interference: Interference | None = None
+    overdue_gangs: dict[str, Step] = field(default_factory=dict)
     entry_age: EntryAge = field(default_factory=EntryAge)
 
     def configure(self, config: QueueConfig) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -7,12 +7,13 @@
 from nutmeglb_decisions.queues import (
     advice,
     advice_turns,
+    gang_reservations,
     isolation,
     overdue_gangs,
     worker_losses,
 )
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.gang_plans import reserve_planned_capacity, update_plan
+from nutmeglb_decisions.queues.gang_plans import reserve_planned_capacity
 from nutmeglb_decisions.queues.headroom import spare_cpu
 from nutmeglb_decisions.queues.ranking import Rank, Tier, rank_of
 from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass, start_task
@@ -28,11 +29,6 @@
 from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.exceptions import InvariantViolation
 
-# Share of the CPU of a gang's eligible workers that the waiting gangs of a service may reserve.
-# More would leave too little for work that ends before they start. A single gang may reserve more.
-MAX_RESERVED_SHARE = 0.3
-# Gangs whose expected start is computed in one pass. Bounded to keep the pass short.
-MAX_RESERVATION_ATTEMPTS = 16
 # Limit on worker checks, each of one step against one worker, so that a pass takes about 10 ms at
 # most while thousands of steps wait. A step that waits for advice or has no worker uses none.
 WORKER_CHECKS_PER_PASS = 20_000
@@ -346,7 +342,7 @@
     if assignment is None:
         good = advice.approved_workers(state.cell, step) if is_advice_due else []
         fits = choose_gang(step, good, state.reservations, state.now_ms, run_ms) is not None
-        at_ms = _plan_and_reserve(state, step, group)
+        at_ms = gang_reservations.plan_and_reserve(state, step, group)
         return state.now_ms if fits or state.now_ms < step.expects_room_until_ms else at_ms
     number = worker_losses.next_number(state.cell, step, step.tasks)
     if number is None:
@@ -358,48 +354,3 @@
     if step.lossy_tasks:
         isolation.isolate_gang(state, step)
     return None
-
-
-def _plan_and_reserve(state: SchedulingPass, step: Step, group: advice.WorkerGroup) -> float:
-    """Reserve capacity for a gang. Return its expected start, or infinity without a reservation."""
-    cell, now_ms = state.cell, state.now_ms
-    if step.holds:
-        return now_ms
-    timing = cell.policy_of(step.job).advice
-    allowed = step.recorded if timing is None else step.advice.good
-    rank = rank_of(step, step.job.accepted_ms, now_ms, cell.estimates)
-    is_overdue = state.overdue.get(cell.policy_of(step.job).service) is step
-    step.unplanned = ""
-    if not allowed:
-        step.unplanned = "no worker approved or stored"
-    elif rank.tier == Tier.TOO_LATE and not is_overdue:
-        step.unplanned = "too late to be useful"
-    elif state.reservation_attempts >= MAX_RESERVATION_ATTEMPTS and not is_overdue:
-        step.unplanned = "limit of plans in a pass"
-    if step.unplanned:
-        step.plan = None
-        return math.inf
-    state.reservation_attempts += 1
-    good = [
-        worker
-        for worker in group.workers
-        if worker.worker_id in allowed and worker.settled and worker.unanswered_since_ms is None
-    ]
-    queue = step.job.record.queue
-    reserved = state.reserved_cpu.get(queue.service, 0)
-    required_cpu = step.charged.cpu_millis * step.spec.count
-    room = MAX_RESERVED_SHARE * sum(n * size.cpu_millis for size, n in group.capacities.items())
-    exceeds_share = reserved + required_cpu > room and not is_overdue
-    if not good or (reserved and exceeds_share):
-        step.unplanned = "capacity reserved for other gangs" if good else "no worker is settled"
-        step.plan = None
-        return math.inf
-    at_ms = update_plan(step, good, now_ms)
-    if at_ms is None:
-        step.unplanned = "it does not fit on its workers"
-        return math.inf
-    reserve_planned_capacity(step, cell.workers, state.reservations, now_ms)
-    state.reserved_cpu[queue.service] = reserved + required_cpu
-    previous_priority = state.gang_priorities.get(queue.service, queue.priority)
-    state.gang_priorities[queue.service] = min(previous_priority, queue.priority)
-    return at_ms
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -239,6 +239,8 @@
         Name of the gate that kept the step from starting in the last pass; empty if none did.
     unplanned
         Why the last pass made no plan for the step, which is a gang; empty if it has one.
+    overdue_check_ms
+        Time of the next check whether its workers can hold the step, a gang without a plan.
     wait_cause, wait_cause_since_ms
         Last logged cause of its wait, and the time of the first of the consecutive lines with it.
     lossy_tasks
@@ -272,6 +274,7 @@
     expects_room_until_ms: float = 0.0
     held_by: str = ""
     unplanned: str = ""
+    overdue_check_ms: float = 0.0
     wait_cause: str = ""
     wait_cause_since_ms: float = 0.0
     lossy_tasks: set[int] = field(default_factory=set)
--- a/tests/unit/test_queue_overdue_gangs.py
+++ b/tests/unit/test_queue_overdue_gangs.py
@@ -110,3 +110,35 @@
     plans = [gang.steps[0].plan is not None for gang in gangs]
     assert plans == [True, has_plan]
     assert bool(gangs[1].steps[0].unplanned) == (not has_plan)
+
+
+def test_chosen_gang_keeps_its_plan_from_pass_to_pass():
+    """Guards against gangs that lose their plans to each other in each pass."""
+    world = world_of_workers()
+    world.add(job("long", step(WORKERS, cpu=12_000, max_per_worker=1, estimate_ms=60_000.0)))
+    world.schedule()
+    world.schedule()
+    world.answer_starts()
+    wide = step(40, cpu=10_550, gang=True, estimate_ms=60_000.0)
+    gangs = [world.add(job(name, wide)) for name in ("first", "second", "third")]
+    plans = []
+    for _ in range(12):
+        world.now_ms += PASS_MS
+        world.schedule()
+        plans.append([gang.steps[0].plan is not None for gang in gangs])
+    assert plans[3:] == [[True, True, False]] * 9
+
+
+def test_gang_behind_many_that_their_workers_cannot_hold_starts():
+    """Guards against a gang that is never considered behind others that no worker set can hold."""
+    world = world_of_workers()
+    stream = Stream(world, BATCH, 14, 0)
+    too_wide = step(200, cpu=10_550, gang=True, estimate_ms=2_000.0)
+    for number in range(70):
+        world.add(job(f"wide{number}", too_wide, queue=ADVISED)).accepted_ms -= 1e6
+    stream.run_pass()
+    gang = world.add(job("gang", GANG, queue=ADVISED))
+    gang.accepted_ms -= 9e5
+    for _ in range(200):
+        stream.run_pass()
+    assert sum(1 for task in stream.started if task.startswith("gang")) == COUNT
