--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
@@ -106,7 +106,8 @@
             step.held_by = worker_losses.WAITS_FOR_EMPTY_WORKER
     if not is_cleared:
         return []
-    return [task for task in tasks if task not in isolated]
+    isolated_indices = {task.index for task in isolated}
+    return [task for task in tasks if task.index not in isolated_indices]
 
 
 def _has_trial(job: Job) -> bool:
