--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -37,8 +37,8 @@
     UNKNOWN = "unknown"
 
 
-# Outcomes that do not prove that a run never starts.
-NO_REFUSALS = frozenset({StartOutcome.STARTED, StartOutcome.STALE_RUN, StartOutcome.UNKNOWN})
+# Outcomes after which the run may have started, or may still start.
+MAY_HAVE_STARTED = frozenset({StartOutcome.STARTED, StartOutcome.STALE_RUN, StartOutcome.UNKNOWN})
 # Outcomes that say nothing about the worker.
 WITHHELD_HERE = frozenset({StartOutcome.WITHHELD, StartOutcome.STALE_ENTRY, StartOutcome.SHRUNK})
 
@@ -66,7 +66,7 @@
     if worker is None or run is None:
         return
     if run.state == RunState.STOPPING:
-        if is_conclusive and outcome not in NO_REFUSALS:
+        if is_conclusive and outcome not in MAY_HAVE_STARTED:
             _end_refused_run(cell, run, outcome, now_ms, wall_ms)
         return
     if run.state == RunState.RUNNING:
