Withdraw the stored number of a run for which no worker can be chosen

Callers saw a healthy job as failed after several changes of leader.

Cause: the number of the next run of a task with losses is stored before its start. If its worker became full or silent in the meantime, the number stayed stored although nothing was ordered. Each new leader counted it as a presumed loss and stored the next one, up to the limit of five.

Change: the number is withdrawn once no worker could be chosen for the run for 250 ms. The time doubles with each withdrawal under one leader, so that a task for which capacity is rarely free still starts. The form of the record is unchanged. Losses of runs that were ordered count as before.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
@@ -150,7 +150,7 @@
         worker_losses.release_number(cell, step, task)
         _keep_worker(state, step, task, kept, group)
         return
-    number = worker_losses.next_number(cell, step, (task,))
+    number = worker_losses.next_number(cell, step, (task,), state.now_ms)
     if number is None:
         crashing_tasks.keep_worker(cell, chosen, step, task, state.now_ms)
         return
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -96,6 +96,9 @@
         reserve_planned_capacity(step, cell.workers, state.reservations, now_ms)
     not_reached.sort(key=lambda item: item[1].last_tried_ms)
     _place_until(state, not_reached, max_worker_checks)
+    for _, step in ranked:
+        if step.lossy_tasks:
+            worker_losses.release_unused_numbers(cell, step, now_ms)
     for after in cell.parts.after_pass:
         after(state, ranked)
 
@@ -283,7 +286,7 @@
         )
         if worker is None:
             return _next_capacity_ms(state, step, run_ms) if is_advice_due else math.inf
-        number = worker_losses.next_number(state.cell, step, (task,))
+        number = worker_losses.next_number(state.cell, step, (task,), state.now_ms)
         if number is not None:
             start_task(state, step, task, worker, number, run_ms)
     # A suspect may start as soon as its worker is empty, for which it needs a valid ticket.
@@ -336,7 +339,7 @@
         fits = choose_gang(step, good, state.reservations, state.now_ms, run_ms) is not None
         at_ms = _plan_and_reserve(state, step, group)
         return state.now_ms if fits or state.now_ms < step.expects_room_until_ms else at_ms
-    number = worker_losses.next_number(state.cell, step, step.tasks)
+    number = worker_losses.next_number(state.cell, step, step.tasks, state.now_ms)
     if number is None:
         return None
     step.plan = None
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/task_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/task_losses.py
@@ -1,5 +1,6 @@
 """Runs of a task that were lost with their workers."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -14,6 +15,8 @@
 # Index of the task, number of the run, and flags.
 LossRow = tuple[int, int, int]
 LOSS_ROW_ITEMS = 3
+# Time for which a number is first kept although no worker can be chosen for its run.
+MIN_UNUSED_MS = 250.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,12 +67,17 @@
         Rows as last stored.
     waits_since_ms
         Time from which the task has been waiting for a worker without other runs.
+    wanted_ms, max_unused_ms
+        When a worker was last chosen for the reserved run, and for how long the number is kept
+        while none can be.
     """
 
     by_run: dict[int, Loss] = field(default_factory=dict)
     reserved_run: int = 0
     stored: frozenset[LossRow] = frozenset()
     waits_since_ms: float | None = None
+    wanted_ms: float = -math.inf
+    max_unused_ms: float = MIN_UNUSED_MS
 
     @property
     def proved(self) -> int:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
@@ -243,7 +243,23 @@
         cell.mark_dirty(step.job)
 
 
-def next_number(cell: Cell, step: Step, tasks: Iterable[Task]) -> int | None:
+def release_unused_numbers(cell: Cell, step: Step, now_ms: float) -> None:
+    """Withdraw the reservations of a step for which no worker has been found for some time.
+
+    No order has been sent, so the next leader must not count a loss. The time doubles with each
+    withdrawal, so that a task for which capacity is rarely free still finds its number stored.
+    """
+    for index in step.lossy_tasks:
+        task = step.tasks[index]
+        losses = task.losses
+        if losses is None or task.run is not None or not losses.reserved_run:
+            continue
+        if now_ms > losses.wanted_ms + losses.max_unused_ms:
+            losses.max_unused_ms *= 2.0
+            release_number(cell, step, task)
+
+
+def next_number(cell: Cell, step: Step, tasks: Iterable[Task], now_ms: float) -> int | None:
     """Return the number of the next run of a task or gang, or ``None`` until it is stored.
 
     Only a task with losses waits: its losses, and the number of the run, are stored before the run
@@ -256,6 +272,7 @@
         losses = task.losses
         if losses is None:
             continue
+        losses.wanted_ms = now_ms
         if losses.reserved_run != number:
             losses.reserved_run = number
             cell.mark_dirty(step.job)
--- a/tests/unit/test_queue_crashing_tasks.py
+++ b/tests/unit/test_queue_crashing_tasks.py
@@ -94,6 +94,16 @@
     assert not failures
 
 
+# Seeds in which a healthy job was given up because numbers of runs that were never ordered counted
+# as losses under each new leader.
+SEEDS_OF_UNUSED_NUMBERS = (4071, 4099, 4165, 4248, 4270, 4335)
+
+
+@pytest.mark.parametrize("seed", SEEDS_OF_UNUSED_NUMBERS)
+def test_healthy_job_is_not_given_up_for_numbers_of_runs_that_were_never_ordered(seed):
+    replay(draw_case(seed), make_world=CrashWorld)
+
+
 class CrashMachine(RuleBasedStateMachine):
     """Draws crashing and healthy jobs, crashes by chance, cuts and changes of leader."""
 
--- a/tests/unit/test_queue_worker_losses.py
+++ b/tests/unit/test_queue_worker_losses.py
@@ -10,6 +10,7 @@
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StartTask, StopTask
 from nutmeglb_decisions.queues.orders import StartOutcome
+from nutmeglb_decisions.queues.task_losses import MIN_UNUSED_MS
 from nutmeglb_decisions.queues.worker_losses import LASTING_RESET_MS
 from nutmeglb_formats.codec import TypeRegistry
 from nutmeglb_formats.models.queue_records import (
@@ -206,6 +207,26 @@
     assert losses_of(successor, "a") == {1: "proved"}
 
 
+@pytest.mark.parametrize(
+    ("unused_ms", "counted"),
+    [(MIN_UNUSED_MS, {1: "proved", 2: "presumed"}), (MIN_UNUSED_MS + 1.0, {1: "proved"})],
+)
+def test_number_is_withdrawn_when_no_worker_can_be_chosen_for_its_run(unused_ms, counted):
+    """No order of the run was sent, so the next leader must not count a loss."""
+    world = world_before_a_loss()
+    restart(world)
+    add_worker(world, "w2")
+    losses = world.cell.jobs["a"].steps[0].tasks[0].losses
+    while not losses.reserved_run:
+        placing.schedule(world.cell, 4, world.rng, world.now_ms, world.now_ms)
+        world.store()
+    for worker_id in ("w1", "w2"):
+        orders.unanswered(world.cell, world.worker(worker_id), world.now_ms)
+    world.tick(unused_ms)
+    placing.schedule(world.cell, 4, world.rng, world.now_ms, world.now_ms)
+    assert losses_of(next_leader(world, 1), "a") == counted
+
+
 @pytest.mark.parametrize(("stop", "counted"), [("answered", {}), ("unanswered", {1: "presumed"})])
 def test_stopped_run_counts_only_if_its_stop_was_not_answered(stop, counted):
     world = world_before_a_loss()
