--- a/tests/unit/test_queue_churn_world.py
+++ b/tests/unit/test_queue_churn_world.py
@@ -12,8 +12,8 @@
 from tests.lib.queue_world import PROCESSES, replay
 
 SEEDS = range(12)
-# In 122, workers that had crashed had no entry when a new leader had to find out whether they run.
-FAULTY_SEEDS = (*SEEDS, 122)
+# Workers that had crashed had no entry when a new leader had to find out whether they run.
+FAULTY_SEEDS = (*SEEDS, 105, 122)
 STEPS = 30
 DURATIONS_MS = (50, 200, 500, 1_000)
 DOWN_MS = (500, 3_000, 3_000)
--- a/tests/unit/test_queue_crashing_tasks.py
+++ b/tests/unit/test_queue_crashing_tasks.py
@@ -104,6 +104,10 @@
     replay(draw_case(seed), make_world=CrashWorld)
 
 
+def test_healthy_job_is_not_given_up_for_numbers_stored_just_before_changes_of_leader():
+    replay(draw_case(5746), make_world=CrashWorld)
+
+
 class CrashMachine(RuleBasedStateMachine):
     """Draws crashing and healthy jobs, crashes by chance, cuts and changes of leader."""
 
