--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -93,6 +93,9 @@
         reserve_planned_capacity(step, cell.workers, state.reservations, now_ms)
     not_reached.sort(key=lambda item: item[1].last_tried_ms)
     _place_until(state, not_reached, max_worker_checks)
+    for _, step in ranked:
+        if step.lossy_tasks:
+            worker_losses.release_unused_numbers(cell, step, now_ms)
     for after in cell.parts.after_pass:
         after(state, ranked)
 
@@ -280,7 +283,7 @@
         )
         if worker is None:
             return _next_capacity_ms(state, step, run_ms) if is_advice_due else math.inf
-        number = worker_losses.next_number(state.cell, step, (task,))
+        number = worker_losses.next_number(state.cell, step, (task,), state.now_ms)
         if number is None:
             _hold_capacity(state, step, worker, run_ms)
         else:
@@ -344,7 +347,7 @@
         fits = choose_gang(step, good, state.reservations, state.now_ms, run_ms) is not None
         at_ms = gang_reservations.plan_and_reserve(state, step, group)
         return state.now_ms if fits or state.now_ms < step.expects_room_until_ms else at_ms
-    number = worker_losses.next_number(state.cell, step, step.tasks)
+    number = worker_losses.next_number(state.cell, step, step.tasks, state.now_ms)
     if number is None:
         return None
     step.plan = None
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader_hints.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader_hints.py
@@ -12,8 +12,9 @@
 from nutmeglb_formats.models.queue_records import WorkerAddresses
 
 # Workers of which a successor does not know the address are waited for until their leases end. A
-# record has about 12 kB for 176 workers, and is written only when they change.
-ADDRESS_INTERVAL_S = 1.0
+# record has about 12 kB for 176 workers, and is written only when they change, so also right after
+# the listing that shows a new one.
+ADDRESS_INTERVAL_S = 0.25
 
 
 class LeaderHints:
