--- a/tests/functional/test_queue_takeover.py
+++ b/tests/functional/test_queue_takeover.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from nutmeglb._internal.queues import election, leader
+from nutmeglb._internal.queues import election, finished_jobs, leader
 from nutmeglb._internal.queues.settings import MachineSection, QueueSettings
 from nutmeglb._internal.queues.strength import MAX_CAMPAIGN_DELAY_MS, campaign_delay_ms
 from nutmeglb_formats.models.queue_records import AcceptedJob, JobProgress, encode_queue_record
@@ -161,8 +161,8 @@
 
 def test_late_offer_of_a_pruned_job_does_not_start_it_again(monkeypatch):
     """Guards against a second start when the accepting instance was paused for minutes."""
-    monkeypatch.setattr(leader, "WALL_CLOCK_ERROR_MS", -119_900.0)
-    monkeypatch.setattr(leader, "PRUNE_INTERVAL_MS", 50.0)
+    monkeypatch.setattr(finished_jobs, "WALL_CLOCK_ERROR_MS", -119_900.0)
+    monkeypatch.setattr(finished_jobs, "PRUNE_INTERVAL_MS", 50.0)
 
     async def scenario(path):
         held = delay_offers(path)
@@ -193,8 +193,8 @@
 
 def test_states_of_old_jobs_are_removed(monkeypatch):
     """Guards against a store and a leader that grow with every job that ever ran."""
-    monkeypatch.setattr(leader, "WALL_CLOCK_ERROR_MS", -119_900.0)
-    monkeypatch.setattr(leader, "PRUNE_INTERVAL_MS", 50.0)
+    monkeypatch.setattr(finished_jobs, "WALL_CLOCK_ERROR_MS", -119_900.0)
+    monkeypatch.setattr(finished_jobs, "PRUNE_INTERVAL_MS", 50.0)
 
     async def scenario(path):
         await path.call("POST", JOB, job_body())
@@ -258,8 +258,8 @@
 
 @pytest.mark.parametrize("retention_s", [1.0, 3_600.0])
 def test_changed_state_retention_applies_at_once(monkeypatch, retention_s):
-    monkeypatch.setattr(leader, "WALL_CLOCK_ERROR_MS", -1_000.0)
-    monkeypatch.setattr(leader, "PRUNE_INTERVAL_MS", 50.0)
+    monkeypatch.setattr(finished_jobs, "WALL_CLOCK_ERROR_MS", -1_000.0)
+    monkeypatch.setattr(finished_jobs, "PRUNE_INTERVAL_MS", 50.0)
 
     async def scenario(path):
         live = path.leader.node._live
