--- a/tests/lib/team_world.py
+++ b/tests/lib/team_world.py
@@ -4,8 +4,8 @@
 
 from nutmeglb_formats.models.queues import Team
 from nutmeglb_formats.models.resources import Resources
-from tests.lib.queue_single_run import SingleRunRecord
 from tests.lib.queue_process import CLOCK_OFFSETS_MS
+from tests.lib.queue_single_run import SingleRunRecord
 from tests.lib.queue_world import World
 
 TEAMS = ("a", "b")
