Review: show that the connections of former leaders shut out the present one

Cause: an instance that stops leading keeps up to 24 connections to each runner, and a runner accepts 64; after several changes of the leader the present one cannot reach the runners.

--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -108,7 +108,10 @@
         self.runners: dict[str, subprocess.Popen[Any]] = {}
         self.runner_ports: dict[str, int] = {}
         self.store = ""
+        self.entry_stores: list[str] = []
         self.next_entry = 0
+        self.names: list[str] = []
+        self.health: list[str] = []
 
     def log(self, event: str, **fields: Any) -> None:
         """Append a line to the record."""
@@ -124,14 +127,16 @@
 
     async def start(self) -> None:
         """Start everything and wait until all entry processes are ready."""
-        store = self.spawn([sys.executable, str(STANDINS / "store.py")])
-        self.store = f"127.0.0.1:{await self.first_line(store)}"
+        store = self.spawn([sys.executable, str(STANDINS / "store.py"), str(self.entry_count)])
+        assert store.stdout is not None
+        ports = (await asyncio.to_thread(store.stdout.readline)).split()
+        self.store, *self.entry_stores = [f"127.0.0.1:{port}" for port in ports]
         await self.configure(self.config)
         for number in range(self.runner_count):
             await self.start_runner(f"i-{number:02d}")
         for _ in range(self.entry_count):
             self.start_entry()
-        async with asyncio.timeout(20):
+        async with asyncio.timeout(30):
             for health in self.health:
                 while (await http.request(health, "GET", "/v1/readyz"))[0] != 200:
                     await asyncio.sleep(0.1)
@@ -188,7 +193,7 @@
         role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["entry"]
         caller, health, peer = free_ports(3)
         zone = f"z{number % 3}"
-        fields = {
+        fields: dict[str, Any] = {
             "node_name": f"edge-{zone}-{number}",
             "role": "entry",
             "ip": "127.0.0.1",
@@ -212,27 +217,49 @@
                 **self.bounds,
             },
             "platform": {
-                "address": self.store,
+                "address": self.entry_stores[number],
                 "value_bytes": 1_048_576,
                 "min_ttl_ms": 1_000,
             },
         }
         settings = self.work / f"local-{number}.conf"
         settings.write_text(render((ROOT / role["template"]).read_text(), fields))
+        self.entries.append(self.run_entry(number))
+        self.callers.append(f"127.0.0.1:{caller}")
+        self.health.append(f"127.0.0.1:{health}")
+        self.names.append(fields["node_name"])
+
+    async def refuse(self, entry: int, for_s: float) -> None:
+        """Let the store turn one entry process away, while it serves the others."""
+        self.log("refused by the store", entry=entry, for_s=for_s)
+        body = {"listener": entry + 1, "for_s": for_s}
+        await http.request(self.store, "POST", "/control/refuse", body)
+
+    def run_entry(self, number: int) -> subprocess.Popen[Any]:
+        role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["entry"]
         words = role["run"].split()
         program = shutil.which(words[0])
         assert program is not None
         environment = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
         environment["PYTHONPATH"] = str(ROOT / "target/deps")
-        environment["NUTMEGLB_BOOT"] = str(settings)
-        output = (self.work / f"entry-{number}.log").open("w")
+        environment["NUTMEGLB_BOOT"] = str(self.work / f"local-{number}.conf")
+        output = (self.work / f"entry-{number}.log").open("a")
         process = subprocess.Popen(
             [program, *words[1:]], cwd=ROOT, env=environment, stdout=output, stderr=output
         )
         self.processes.append(process)
-        self.entries.append(process)
-        self.callers.append(f"127.0.0.1:{caller}")
-        self.health = [*getattr(self, "health", []), f"127.0.0.1:{health}"]
+        return process
+
+    def restart_entry(self, number: int) -> None:
+        """Start an entry process again that has ended, with its settings."""
+        self.entries[number] = self.run_entry(number)
+
+    async def leader(self) -> int:
+        """Return the number of the entry process whose name the leader key holds."""
+        path = "/v1/kv-key?key=nutmeglb/leader"
+        status, item = await http.request(self.store, "GET", path)
+        value = base64.b64decode(item["value"]) if status == 200 else b""
+        return next(n for n, name in enumerate(self.names) if name.encode() in value)
 
     async def call(
         self, entry: int, method: str, path: str, body: Any = None, key: str = "", log: bool = True
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -20,6 +20,8 @@
 
 MAX_HOLD_MS = 10_000.0
 MAX_ENDS = 500
+# The sheets of the deployments: "8 slots and 64 connections each".
+MAX_CONNECTIONS = 64
 STOP_S = 0.1
 TICK_S = 0.01
 
@@ -186,14 +188,18 @@
         parser.add_argument(f"--{name}", type=int, required=True)
     arguments = parser.parse_args()
     runner = Runner(arguments)
-    server = http.Server(runner.handle)
+    server = http.Server(runner.handle, max_connections=MAX_CONNECTIONS)
     await server.start(arguments.port)
     runner.log("up", born=runner.born, port=server.port)
     print(server.port, flush=True)
     beat = asyncio.create_task(runner.beat(server.port))
+    shown = (0, 0)
     while not beat.done():
         await asyncio.sleep(TICK_S)
         runner.advance()
+        if (server.connections, server.refused) != shown:
+            shown = (server.connections, server.refused)
+            runner.log("connections", open=shown[0], refused=shown[1])
 
 
 if __name__ == "__main__":
--- a/review/standins/standin_http.py
+++ b/review/standins/standin_http.py
@@ -29,12 +29,24 @@
 
 
 class Server:
-    """Serves JSON requests. A handler returns status and body, ``DROP`` or ``SILENT``."""
+    """Serves JSON requests. A handler returns status and body, ``DROP`` or ``SILENT``.
 
-    def __init__(self, handler: Handler) -> None:
+    Parameters
+    ----------
+    max_connections
+        Further connections are closed at once; 0 means no limit.
+    idle_s
+        A connection without a request for so long is closed.
+    """
+
+    def __init__(self, handler: Handler, max_connections: int = 0, idle_s: float = 300.0) -> None:
         self._handler = handler
+        self._max_connections = max_connections
+        self._idle_s = idle_s
         self._server: asyncio.Server | None = None
         self.port = 0
+        self.connections = 0
+        self.refused = 0
 
     async def start(self, port: int = 0) -> None:
         """Listen on a loopback port; 0 picks a free one."""
@@ -44,9 +56,15 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._max_connections and self.connections >= self._max_connections:
+            self.refused += 1
+            writer.close()
+            return
+        self.connections += 1
         try:
             while True:
-                call = await _read_call(reader)
+                async with asyncio.timeout(self._idle_s):
+                    call = await _read_call(reader)
                 reply = await self._handler(call)
                 if reply is DROP:
                     break
@@ -60,9 +78,10 @@
                 head += f"Content-Length: {len(body)}\r\n\r\n"
                 writer.write(head.encode() + body)
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+        except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
             pass
         finally:
+            self.connections -= 1
             writer.close()
 
 
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -1,6 +1,7 @@
 """Process that serves the platform's metadata store, as PROTOCOL.md describes it.
 
-Prints its port on the first line of its output and runs until it is terminated.
+Its argument is the number of entry processes. Prints its ports on the first line of its output,
+the operator's first, and runs until it is terminated.
 """
 
 import asyncio
@@ -19,7 +20,11 @@
 
 
 class Store:
-    """Items with revisions, leases, and the history that watches read."""
+    """Items with revisions, leases, and the history that watches read.
+
+    The first listener is that of the operator and the runners. Each entry process has one of its
+    own, which answers 503 for some time after ``POST /control/refuse`` on the first one.
+    """
 
     def __init__(self) -> None:
         self.revision = 1
@@ -28,6 +33,21 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.last_lease = 1_000
         self.changed = asyncio.Event()
+        self.refused_until_s: dict[int, float] = {}
+
+    def handler(self, listener: int) -> http.Handler:
+        """Return the handler of one listener."""
+
+        async def handle(call: http.Call) -> Any:
+            if call.path == "/control/refuse":
+                until_s = time.monotonic() + call.body["for_s"]
+                self.refused_until_s[call.body["listener"]] = until_s
+                return 200, {}
+            if time.monotonic() < self.refused_until_s.get(listener, 0.0):
+                return 503, {}
+            return await self.handle(call)
+
+        return handle
 
     async def handle(self, call: http.Call) -> Any:
         """Carry out a call."""
@@ -141,9 +161,10 @@
 async def main() -> None:
     """Serve until terminated."""
     store = Store()
-    server = http.Server(store.handle)
-    await server.start()
-    print(server.port, flush=True)
+    servers = [http.Server(store.handler(number)) for number in range(1 + int(sys.argv[1]))]
+    for server in servers:
+        await server.start()
+    print(*(server.port for server in servers), flush=True)
     while True:
         await asyncio.sleep(EXPIRY_CHECK_S)
         store.expire()
