--- a/review/1/case.py
+++ b/review/1/case.py
@@ -121,7 +121,7 @@
         if done_count < TASKS and is_idle:
             status, answer = await cell.call(0, "GET", job)
             idle.append(job)
-            print(f"job {job}: {done_count} of {TASKS} tasks done, nothing runs, GET {status} {answer}")
+            print(f"job {job}: {done_count} of {TASKS} tasks done, nothing runs, {status} {answer}")
     used = len(running) * TASK_CPU / (RUNNERS * RUNNER_CPU)
     peaks = {
         each["by"]: max(e["open"] for e in cell.events("connections") if e["by"] == each["by"])
@@ -130,7 +130,7 @@
     print(f"{len(accepted)} jobs accepted, {len(idle)} idle; {used:.0%} of the capacity in use")
     print(f"most open connections: {dict(sorted(peaks.items()))}")
     if idle and used < MAX_USED:
-        print(f"LOST: {FINISH_S:.0f} s after the traffic, for {IDLE_S:.0f} s, they have nothing running")
+        print(f"LOST: {FINISH_S:.0f} s after the traffic, for {IDLE_S:.0f} s, nothing of them runs")
         return RULE_BROKEN
     return RULE_HELD
 
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -17,7 +17,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
-import standin_http as http  # noqa: E402
+import standin_http as http
 
 MAX_HOLD_MS = 10_000.0
 MAX_ENDS = 500
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -12,7 +12,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
-import standin_http as http  # noqa: E402
+import standin_http as http
 
 MAX_PAGE_ITEMS = 500
 MAX_ENTRIES = 32
