Close the connections to workers when a term ends, and bound them over all leaders

Cause: all terms of an instance used one HTTP client. Stepping down cancelled the tasks that wait for answers, but closed nothing. An instance opened up to 24 connections to a worker, which accepts 64 of all instances together. While a worker closed each new connection, idle ones were avoided for 6 s after each attempt, and the long poll used the only connection while it extended the lease of runs that were to be stopped.

Change: a gateway with connections of its own belongs to a term and is closed with it. An instance opens at most five connections to a worker, so that eleven leaders which cannot close theirs leave room for the present one. Orders wait for one of four slots of their worker, stops first, and are checked after the wait. An unanswered stop is repeated before the next renewal.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -174,10 +174,19 @@
         )
 
 
+def unanswered_stops(worker: Worker) -> list[StopTask]:
+    """Return the stop orders that a worker has not answered, also of runs that no job needs."""
+    runs = [
+        (run.task, run.number)
+        for run in worker.runs.values()
+        if run.state == RunState.STOPPING and run.confirmed_ms is None
+    ]
+    stray_runs = [key for key, confirmed_ms in worker.stray_runs.items() if confirmed_ms is None]
+    return [StopTask(worker.worker_id, *key) for key in runs + stray_runs]
+
+
 def resend_stops(cell: Cell, worker: Worker) -> None:
     """Repeat the stop orders that a worker has not answered."""
-    for run in worker.runs.values():
-        if run.state == RunState.STOPPING and run.confirmed_ms is None:
-            order = StopTask(worker.worker_id, run.task, run.number)
-            if order not in cell.effects:
-                cell.effects.append(order)
+    for order in unanswered_stops(worker):
+        if order not in cell.effects:
+            cell.effects.append(order)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -17,6 +17,7 @@
 from nutmeglb._internal.queues.election import TAKEOVER_FAILED
 from nutmeglb._internal.queues.finished_jobs import keep_finished_jobs
 from nutmeglb._internal.queues.inbox_reader import InboxReader
+from nutmeglb._internal.queues.leader_callbacks import LeaderCallbacks
 from nutmeglb._internal.queues.leader_hints import LeaderHints
 from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.load_reports import LoadReports
@@ -28,7 +29,7 @@
 from nutmeglb._internal.queues.settings import QueueSection
 from nutmeglb._internal.queues.stored_jobs import Inbox
 from nutmeglb._internal.queues.worker_entries import WorkerEntries
-from nutmeglb._internal.queues.worker_link import EXPIRY_MARGIN_MS, LeaderCallbacks
+from nutmeglb._internal.queues.worker_link import EXPIRY_MARGIN_MS
 from nutmeglb._internal.queues.worker_links import WorkerLinks
 from nutmeglb._internal.queues.worker_listing import WorkerListing
 from nutmeglb._internal.telemetry.logs import get_logger
@@ -135,7 +136,7 @@
             lag.explains_missing_answer,
         )
         self._workers = WorkerLinks(
-            self.cell, platform.workers, clock, log, term.fence, run_lease_ms, callbacks
+            self.cell, platform.connect_workers(), clock, log, term.fence, run_lease_ms, callbacks
         )
         self._worker_entries = WorkerEntries(platform, metrics, log)
         self._listing = WorkerListing(
@@ -168,8 +169,10 @@
 
     async def stop(self) -> None:
         """Stop all background work. The next leader fences orders that are still in flight."""
-        await self._background.cancel()
-        await self._workers.stop()
+        try:
+            await self._background.cancel()
+        finally:
+            await self._workers.stop()
 
     async def flush_progress(self, timeout_ms: float) -> None:
         """Store unsaved progress before a planned handover, for up to ``timeout_ms``."""
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/ports.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/ports.py
@@ -10,6 +10,11 @@
 from nutmeglb_formats.exceptions import AgentError, NutmegError, StoredValueError, StoreError
 from nutmeglb_formats.models.queues import QueueConfig, QueueWorker, WorkerReport
 
+# Concurrent calls to one worker, each on a connection: a renewal, which may wait for an end, and
+# orders. A worker accepts 64 connections. Those of a former leader that is frozen, cut off or
+# without power stay open, so this leaves room for the present leader beside eleven such leaders.
+MAX_CALLS_PER_WORKER = 5
+
 
 @dataclass(frozen=True, slots=True)
 class StoredItem:
@@ -154,7 +159,10 @@
 
 
 class WorkerGateway(Protocol):
-    """Calls to workers. A call without an answer may have been executed."""
+    """Calls to workers during one term. A call without an answer may have been executed."""
+
+    def close(self) -> int:
+        """Close all connections. Return the number of calls that were in progress."""
 
     async def start(self, worker: QueueWorker, order: StartOrder) -> OrderAnswer:
         """Order a worker to start a run."""
@@ -223,9 +231,14 @@
     config_key: str
     workers_prefix: str
     store: QueueStore
-    workers: WorkerGateway
     advice: AdviceClient | None
 
+    def connect_workers(self) -> WorkerGateway:
+        """Return a gateway to the workers with connections of its own, to be closed by the caller.
+
+        Every worker limits the connections that it accepts from all instances together.
+        """
+
     async def decode_config(self, item: StoredItem) -> Result[QueueConfig, StoredValueError]:
         """Decode the operators' configuration. Other tasks run between parts of a large one."""
 
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import math
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 from result import Err
 
 from nutmeglb._internal.queues.authority import MAX_CLOCK_DRIFT
-from nutmeglb._internal.queues.ports import StartOrder, WorkerGateway
+from nutmeglb._internal.queues.leader_callbacks import LeaderCallbacks
+from nutmeglb._internal.queues.order_slots import OrderSlots
+from nutmeglb._internal.queues.ports import MAX_CALLS_PER_WORKER, StartOrder, WorkerGateway
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import (
     absent_runs,
@@ -29,8 +29,7 @@
 
 # Longest time that a worker waits in one call for the end of a run (from the platform's protocol).
 LONG_POLL_MS = 2_000
-# Longest wait while the stop of a run that no job needs is not accepted. It is repeated after each
-# report.
+# Longest wait while a stop is not answered. It is repeated after each report.
 STRAY_POLL_MS = 100
 # Added to every lease expiry for the network path of the last renewal.
 EXPIRY_MARGIN_MS = 150.0
@@ -51,35 +50,6 @@
 MS_PER_S = 1_000.0
 
 
-@dataclass(slots=True)
-class LeaderCallbacks:
-    """Functions of the leader that a worker link calls.
-
-    Attributes
-    ----------
-    changed
-        Called after a change of the cell.
-    flush_progress
-        Waits until all progress that is dirty now is stored.
-    fenced
-        Called with the worker's id when it has accepted a higher fencing token.
-    on_violation
-        Called with the cause when an invariant is violated.
-    may_command
-        Returns whether this leader may command workers now.
-    explains_missing_answer
-        Returns whether a stall of this process may be the reason that a call has no answer. Called
-        with the monotonic time at which the call was sent.
-    """
-
-    changed: Callable[[], None]
-    flush_progress: Callable[[], Awaitable[None]]
-    fenced: Callable[[str], None]
-    on_violation: Callable[[str], None]
-    may_command: Callable[[], bool]
-    explains_missing_answer: Callable[[float], bool]
-
-
 class WorkerLink:
     """Renews the lease of a worker's runs and sends orders to the worker."""
 
@@ -111,6 +81,9 @@
         self._restarted = asyncio.Event()
         self._unanswered_calls = 0
         self._excused_calls = 0
+        # One call of the worker's limit is left for renewals.
+        self._order_slots = OrderSlots(MAX_CALLS_PER_WORKER - 1)
+        self._has_unanswered_stop = False
 
     def poll_replaced(self) -> None:
         """Call a silent worker now, since another one is listed at its address."""
@@ -186,10 +159,26 @@
         self._last_report_sent_ms = sent_ms
         self._unanswered_calls = 0
         self._excused_calls = 0
-        orders.resend_stops(self._cell, worker)
         self._callbacks.changed()
+        await self._repeat_stops()
         await self._store_ends()
 
+    async def _repeat_stops(self) -> None:
+        """Repeat the stops that the worker has not answered.
+
+        Once one was not answered, they are sent before the next renewal and not beside it. The
+        renewal may otherwise occupy the only connection that is to be had, and extend the lease of
+        the runs to be stopped again and again.
+        """
+        if not self._has_unanswered_stop:
+            orders.resend_stops(self._cell, self.worker)
+            return
+        self._has_unanswered_stop = False
+        for effect in orders.unanswered_stops(self.worker):
+            await self.stop(effect)
+            if self._has_unanswered_stop:
+                return
+
     def _poll_wait_ms(self, now_ms: float) -> int:
         """Return how long the worker may wait for an end before it answers.
 
@@ -205,7 +194,7 @@
             needed_ms.append(learning_ms)
         if not self.worker.settled:
             needed_ms.append(self._cell.settles_at_ms(self.worker))
-        if None in self.worker.stray_runs.values():
+        if None in self.worker.stray_runs.values() or self._has_unanswered_stop:
             needed_ms.append(now_ms + STRAY_POLL_MS)
         return math.ceil(max(0.0, min(needed_ms) - now_ms))
 
@@ -289,6 +278,10 @@
 
     async def start(self, effect: StartTask) -> None:
         """Order a start, and retry if it is not answered."""
+        async with self._order_slots.reserve(is_urgent=False):
+            await self._start(effect)
+
+    async def _start(self, effect: StartTask) -> None:
         outcome = StartOutcome.UNKNOWN
         is_conclusive = True
         copies = 0
@@ -357,6 +350,10 @@
 
     async def stop(self, effect: StopTask) -> None:
         """Order a stop. An unconfirmed stop is repeated after the next renewal."""
+        async with self._order_slots.reserve(is_urgent=True):
+            await self._stop(effect)
+
+    async def _stop(self, effect: StopTask) -> None:
         if not self._callbacks.may_command():
             self.wake()
             return
@@ -383,10 +380,16 @@
             )
         if answer.outcome == StartOutcome.OTHER_INCARNATION:
             self._end_life(sent_to)
+        if answer.outcome in (StartOutcome.UNKNOWN, StartOutcome.NOT_DELIVERED):
+            self._has_unanswered_stop = True
         self.wake()
 
     async def pace(self, effect: PaceTask) -> None:
         """Set the pace of a run. The next report shows whether it took effect."""
+        async with self._order_slots.reserve(is_urgent=True):
+            await self._pace(effect)
+
+    async def _pace(self, effect: PaceTask) -> None:
         if not self._callbacks.may_command():
             return
         answer = await self._gateway.pace(
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_links.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_links.py
@@ -7,8 +7,10 @@
 
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.queues.decision_log import DecisionLog
+from nutmeglb._internal.queues.leader_callbacks import LeaderCallbacks
 from nutmeglb._internal.queues.ports import WorkerGateway
-from nutmeglb._internal.queues.worker_link import LeaderCallbacks, WorkerLink
+from nutmeglb._internal.queues.worker_link import WorkerLink
+from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import orders
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import PaceTask, StartTask, StopTask
@@ -16,6 +18,8 @@
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.exceptions import InvariantViolation
 
+logger = get_logger("workers")
+
 Order = StartTask | StopTask | PaceTask
 
 
@@ -119,8 +123,12 @@
         )
 
     async def stop(self) -> None:
-        """Close all links. The next leader fences orders that are still in flight."""
-        await self._background.cancel()
+        """Close all links and connections. The next leader fences orders still in flight."""
+        try:
+            await self._background.cancel()
+        finally:
+            calls = self._gateway.close()
+            logger.info("connections to workers closed", links=len(self._links), calls=calls)
 
     async def _run_link(self, link: WorkerLink) -> None:
         """Run a link. An unexpected exception only affects this worker."""
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -6,6 +6,7 @@
 
 import orjson
 from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
 from tornado.web import Application, RequestHandler
 
 MS_PER_S = 1_000.0
@@ -15,6 +16,8 @@
 # Number of ends in one report, from the users' platform specification.
 MAX_ENDS = 500
 ADVICE_VALID_MS = 2_000.0
+# Connections that a runner accepts, from the users' platform specification.
+MAX_CONNECTIONS = 64
 
 
 @dataclass
@@ -111,7 +114,12 @@
     def __init__(self) -> None:
         self.data = RunnerData()
         self.address = ""
-        self._server: HTTPServer | None = None
+        self._server: _LimitedServer | None = None
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._server._connections) if self._server is not None else 0
 
     async def start(self) -> None:
         """Bind the listener."""
@@ -162,8 +170,18 @@
         await _close(self._server)
 
 
-def _listen(handlers: list[Any]) -> tuple[HTTPServer, str]:
-    server = HTTPServer(Application(handlers, log_function=lambda _: None))
+class _LimitedServer(HTTPServer):
+    """Closes connections beyond ``MAX_CONNECTIONS`` at once."""
+
+    def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
+        if len(self._connections) >= MAX_CONNECTIONS:
+            stream.close()
+            return
+        super().handle_stream(stream, address)
+
+
+def _listen(handlers: list[Any]) -> tuple[_LimitedServer, str]:
+    server = _LimitedServer(Application(handlers, log_function=lambda _: None))
     server.listen(0, "127.0.0.1")
     (listener,) = server._sockets.values()
     return server, f"127.0.0.1:{listener.getsockname()[1]}"
--- a/tests/functional/test_http_caller.py
+++ b/tests/functional/test_http_caller.py
@@ -3,11 +3,17 @@
 import asyncio
 
 import pytest
-from result import Ok
+from result import Err, Ok
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
-from nutmeglb_platform.http import INITIAL_HANDLES, HttpCaller, max_worker_calls
+from nutmeglb_platform.http import (
+    CLOSED_CONNECTION_IDLE_S,
+    INITIAL_HANDLES,
+    CallFailure,
+    HttpCaller,
+    max_worker_calls,
+)
 
 CALLS = 6
 MAX_CALLS = 40
@@ -103,6 +109,80 @@
     run_scenario(scenario, max_connections_per_host)
 
 
+def test_calls_of_a_closed_client_end_and_its_connections_are_closed():
+    """Guards against connections that outlast the term of a leader.
+
+    A worker limits the connections of all instances together, so they would shut out the next one.
+    """
+
+    async def main():
+        server, caller, later = Server(), HttpCaller(MAX_CALLS), HttpCaller(MAX_CALLS)
+        url = server.start()
+        try:
+            await asyncio.gather(*(caller.call("GET", url, 300.0) for _ in range(CALLS)))
+            server.silent = set(server.connections)
+            calls = [asyncio.create_task(caller.call("GET", url, 9_000.0)) for _ in range(CALLS)]
+            await asyncio.sleep(0.05)
+            caller.close()
+            for call in calls:
+                assert await call == Err(CallFailure.UNANSWERED)
+            assert await caller.call("GET", url, 300.0) == Err(CallFailure.NOT_SENT)
+            # The descriptors of the closed connections are used again.
+            for _ in range(2 * CALLS):
+                assert isinstance(await later.call("GET", url, 300.0), Ok)
+            assert len([each for each in server.connections if not each.closed()]) == 1
+        finally:
+            later.close()
+            server.stop()
+
+    asyncio.run(main())
+
+
+def test_idle_connection_is_used_while_a_host_accepts_no_other():
+    """Guards against a worker that is shut out although a connection to it is open.
+
+    A connection that is refused, or closed at once, says nothing about those that are open.
+    """
+
+    async def main():
+        accepted = 0
+        ended = asyncio.Event()
+
+        async def serve(reader, writer):
+            nonlocal accepted
+            accepted += 1
+            if accepted > 1:
+                writer.close()
+                return
+            try:
+                while await reader.readuntil(b"}"):
+                    await asyncio.sleep(0.05)
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+            except asyncio.IncompleteReadError:
+                writer.close()
+                ended.set()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        caller = HttpCaller(MAX_CALLS)
+
+        async def send_order():
+            return await caller.call("POST", f"http://{host}:{port}/v1/run-stop", 500.0, {"run": 1})
+
+        try:
+            assert isinstance(await send_order(), Ok)
+            answers = await asyncio.gather(send_order(), send_order())
+            assert sorted(isinstance(answer, Ok) for answer in answers) == [False, True]
+            await asyncio.sleep(CLOSED_CONNECTION_IDLE_S + 0.1)
+            assert isinstance(await send_order(), Ok)
+        finally:
+            caller.close()
+            await ended.wait()
+            server.close()
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(("descriptors", "calls"), [(4_100, 1_550), (8_192, 3_596), (256, 8)])
 def test_calls_to_workers_fit_the_descriptors(descriptors, calls):
     assert max_worker_calls(descriptors) == calls
--- a/tests/functional/test_queue_defects.py
+++ b/tests/functional/test_queue_defects.py
@@ -64,7 +64,7 @@
 
 def test_defect_in_an_order_does_not_lose_the_task():
     async def scenario(path):
-        gateway = path.leader.node._platform.workers
+        gateway = path.leader.node._leader._workers._gateway
         start = gateway.start
         failures = []
 
--- a/tests/lib/queue_gateway_model.py
+++ b/tests/lib/queue_gateway_model.py
@@ -36,6 +36,10 @@
         self._process = process
         self._known_lives = {}
 
+    def close(self):
+        """Calls have no connections here."""
+        return 0
+
     async def start(self, worker, order):
         """Order a start."""
         known_life = self._known_lives.get(worker.worker_id)
--- a/tests/lib/queue_process.py
+++ b/tests/lib/queue_process.py
@@ -59,11 +59,12 @@
         self._record = LeaderRecord(self.name, f"{self.name}-{life}", "", 0, "")
         self._rng = random.Random(number)
         self._live = LiveSettings(world.settings(self.name))
+        gateway = world.make_gateway(number)
         self._platform = SimpleNamespace(
             config_key="op/config",
             workers_prefix="servers/",
             store=self.store,
-            workers=world.make_gateway(number),
+            connect_workers=lambda: gateway,
             advice=world.make_advice(),
             decode_worker=decode_worker,
         )
--- a/tests/unit/test_queue_authority.py
+++ b/tests/unit/test_queue_authority.py
@@ -72,7 +72,7 @@
         LiveSettings(QueueSettings.model_validate(SECTIONS)),
         clock,
         random.Random(1),
-        SimpleNamespace(store=None, workers=None),
+        SimpleNamespace(store=None, connect_workers=lambda: None),
         None,
         None,
         None,
--- a/tests/unit/test_queue_links.py
+++ b/tests/unit/test_queue_links.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from nutmeglb._internal.queues.worker_link import LONG_POLL_MS, LeaderCallbacks
+from nutmeglb._internal.queues.worker_link import LONG_POLL_MS, STRAY_POLL_MS, LeaderCallbacks
 from nutmeglb._internal.queues.worker_links import WorkerLinks
 from nutmeglb_decisions.queues import lifecycle, orders
 from nutmeglb_decisions.queues.effects import PaceTask, StopTask
@@ -39,7 +39,9 @@
     )
     log = SimpleNamespace(defect=lambda part, error: None)
     clock = ManualClock(world.now_ms)
-    return WorkerLinks(world.cell, SimpleNamespace(hold=hold), clock, log, 7, 6_000, callbacks)
+    return WorkerLinks(
+        world.cell, SimpleNamespace(hold=hold, close=lambda: 0), clock, log, 7, 6_000, callbacks
+    )
 
 
 def world_with_order():
@@ -126,6 +128,31 @@
     assert decision_causes(link.world, "stop_refused") == ([answer] if is_logged else [])
 
 
+def test_unanswered_stop_is_repeated_before_the_next_renewal():
+    """Guards against a renewal that occupies the only connection to a worker.
+
+    It extends the lease of the run to be stopped each time, so that the run never ends.
+    """
+    link = Link(answers=[StartOutcome.UNKNOWN, StartOutcome.STARTED, StartOutcome.STARTED])
+    (run,) = link.worker.runs.values()
+    lifecycle.stop_run(link.world.cell, run)
+    (order,) = link.world.cell.take_effects()
+    stop = (order.task, order.run)
+
+    async def scenario():
+        await link.link.stop(order)
+        await link.link._renew()
+        assert link.sent[0] == stop
+        assert link.sent[-1] == stop
+        assert len(link.sent) == 3
+        assert link.waits_sent == [STRAY_POLL_MS]
+        # The stop was accepted: the next renewal waits for the end of the run.
+        await link.link._renew()
+        assert len(link.sent) == 4
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ("ages_ms", "waits_ms"),
     [
