Count a planned leave of a worker for nothing, and only crashes against lasting tasks

Cause: a run that ended with its worker counted as lost whether the worker had crashed or had announced its leave, and five losses of any kind gave up any task. A new leader also counted run numbers that its predecessor had stored, and took each worker that is younger than the job for one that may have crashed. An announcement during an outage of the store was never read.

Change: announcements are remembered, written into the record of addresses (707, version 3) for the next leader, and read from the store's history when they were missed. Runs on such a worker count for nothing. What a former leader may not have seen counts only if a worker of the step was lost meanwhile. Vanished workers count for nothing against lasting tasks, which are kept apart and started at growing intervals instead.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -6,13 +6,13 @@
 from nutmeglb_decisions.queues.effects import Decision, Effect
 from nutmeglb_decisions.queues.entry_age import EntryAge
 from nutmeglb_decisions.queues.estimates import Estimates
+from nutmeglb_decisions.queues.finished_job import FinishedJob
 from nutmeglb_decisions.queues.headroom import ClassUsage
 from nutmeglb_decisions.queues.interference import Interference
 from nutmeglb_decisions.queues.lost_work import PreemptionUsage
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.run_sums import RunSums
 from nutmeglb_decisions.queues.state import (
-    FinishedJob,
     Job,
     KeptWorker,
     PresumedEnd,
@@ -72,6 +72,13 @@
         Per task and run number: runs whose end was inferred without a report of it.
     presumed_losses
         Per silent worker: runs that are taken for lost with it.
+    counted_losses
+        Per worker: the last runs that were counted as lost with it.
+    former_lives
+        Per worker: start time of the last incarnation before which the former leader knew and had
+        stored all ends of runs.
+    leaving_lives
+        Per worker that has announced that it leaves: start time of the incarnation that did.
     kept_workers
         Per worker on which nothing else is placed: the task that runs there or is about to.
     speeds
@@ -114,6 +121,9 @@
     ended_unsettled: list[Step] = field(default_factory=list)
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
     presumed_losses: dict[str, PresumedLosses] = field(default_factory=dict)
+    counted_losses: dict[str, list[Run]] = field(default_factory=dict)
+    former_lives: dict[str, int] = field(default_factory=dict)
+    leaving_lives: dict[str, int] = field(default_factory=dict)
     kept_workers: dict[str, KeptWorker] = field(default_factory=dict)
     speeds: Speeds = field(default_factory=Speeds)
     run_sums: RunSums = field(default_factory=RunSums)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
@@ -17,10 +17,11 @@
 CRASHES_ALONE = 2
 # The same if it was not alone.
 MAX_CRASHES_AT_START = 3
-# Losses of any evidence after which a task is given up if its last run was not proved active. One
-# more may not have been seen under a former leader.
+# Losses of any evidence after which a task is given up if its last run was not proved active, since
+# a worker that does not return proves no crash. One more may not have been seen under a former
+# leader. Only for tasks with a limited number of attempts.
 MAX_LOSSES_AT_START = 4
-# Losses after which a task is given up in any case. Callers allow two starts after three crashes.
+# The same for a task that crashes its workers late. Callers allow two starts after three crashes.
 MAX_LOSSES = 5
 
 
@@ -79,7 +80,7 @@
     if losses is None or not losses.by_run or task.done or step.job.final is not None:
         return False
     is_at_work = task.run is not None and task.run.proved_active
-    cause = "" if is_at_work else _cause(losses)
+    cause = "" if is_at_work else _cause(step, losses)
     if cause:
         give_up(cell, step, task, losses, cause, wall_ms)
     return bool(cause)
@@ -101,25 +102,31 @@
     finish_job(cell, step.job, JobState.FAILED, wall_ms)
 
 
-def must_run_alone(losses: TaskLosses) -> bool:
+def must_run_alone(step: Step, losses: TaskLosses) -> bool:
     """Return whether a task starts only without other work beside it, or not at all.
 
-    Two workers have crashed at its start. A third crash must not cost others their work.
+    Two workers have crashed at its start. A third crash must not cost others their work. A lasting
+    task is not given up for that.
     """
-    suspect = sum(loss.is_proved and loss.is_suspect for loss in losses.by_run.values())
-    return suspect >= CRASHES_ALONE
+    return not step.spec.lasting and losses.crashes_at_start >= CRASHES_ALONE
 
 
-def _cause(losses: TaskLosses) -> str:
-    """Return why a task is given up, or an empty text."""
-    last, count = losses.last, len(losses.by_run)
+def _cause(step: Step, losses: TaskLosses) -> str:
+    """Return why a task is given up, or an empty text.
+
+    A lasting task has to be started again however it ends. Only crashes count against it: callers
+    allow to give up a task under which workers have crashed.
+    """
+    last, count, proved = losses.last, len(losses.by_run), losses.proved
+    if step.spec.lasting:
+        count, proved = losses.restarts, losses.crashes_at_start
     if count >= MAX_LOSSES:
         return "its runs were lost with their workers the maximum number of times"
     if not last.is_suspect:
         return ""
-    if losses.proved >= CRASHES_ALONE and last.is_proved and last.was_alone:
+    if proved >= CRASHES_ALONE and last.is_proved and last.was_alone:
         return "a worker crashed at its start while it ran alone"
-    if losses.proved >= MAX_CRASHES_AT_START or count >= MAX_LOSSES_AT_START:
+    if proved >= MAX_CRASHES_AT_START or count >= MAX_LOSSES_AT_START:
         return "workers were lost at its start too often"
     return ""
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
@@ -142,7 +142,7 @@
     reservations = Reservations() if kept_empty else state.reservations
     chosen = choose_single(step, kept_empty or empty, reservations, state.now_ms, run_ms)
     if chosen is None and _has_waited(state, step, losses):
-        if crashing_tasks.must_run_alone(losses):
+        if crashing_tasks.must_run_alone(step, losses):
             cause = "workers crashed at its start twice, and none is without other work"
             crashing_tasks.give_up(cell, step, task, losses, cause, state.wall_ms)
             return
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -141,8 +141,7 @@
         candidates = _with_free_capacity(state, step, group.workers)
         _record_workers(cell, step, group.workers, candidates, now_ms)
     state.worker_checks += 1 + len(candidates)
-    if step.may_have_lost_runs:
-        worker_losses.assume_unseen_losses(cell, step)
+    worker_losses.settle_unseen_losses(cell, step)
     tasks = startable_tasks(step, now_ms)
     if step.lossy_tasks and not step.spec.gang:
         run_ms = _expected_run_ms(state, step)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
@@ -1,9 +1,10 @@
 """Encodes the progress of a job for the store, and restores it for a new leader."""
 
 from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.finished_job import FinishedJob
 from nutmeglb_decisions.queues.lifecycle import add_job
-from nutmeglb_decisions.queues.state import FinishedJob, Job, JobState, Step
-from nutmeglb_decisions.queues.task_losses import LOSS_ROW_ITEMS, LossRow, restore_losses
+from nutmeglb_decisions.queues.state import Job, JobState, Step
+from nutmeglb_decisions.queues.task_losses import LOSS_ROW_ITEMS, RESERVED, LossRow, restore_losses
 from nutmeglb_formats.models.queue_records import JobProgress
 from nutmeglb_formats.models.queues import QueueJob, StepProgress
 
@@ -143,3 +144,6 @@
         if 0 <= index < len(step.tasks) and not step.tasks[index].done:
             step.tasks[index].losses = losses
             step.lossy_tasks.add(index)
+            for number, loss in losses.by_run.items():
+                if loss is RESERVED:
+                    step.unseen_runs[index] = number
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -4,6 +4,7 @@
 
 from nutmeglb_decisions.queues import (
     crashing_tasks,
+    leaving_workers,
     presumed_ends,
     speeds,
     stray_runs,
@@ -35,6 +36,7 @@
     for worker_id, info in entries.items():
         worker = cell.workers.get(worker_id)
         if worker is None:
+            note_announcement(cell, info)
             worker = cell.workers[worker_id] = Worker(info, last_listed_ms=now_ms)
             speeds.begin_life(cell, worker)
             cell.log_decision("worker_listed", "new entry", worker=worker_id, service=info.service)
@@ -56,16 +58,18 @@
         is_idle = not worker.runs and not worker.stray_runs
         is_known = worker.settled or worker.is_replaced or not cell.takeover_wait_deadline_ms
         if is_idle and is_known:
-            del cell.workers[worker_id]
             gone.add(worker_id)
     if gone:
         forget_workers(cell, gone)
+    for worker_id in gone:
+        del cell.workers[worker_id]
 
 
 def forget_workers(cell: Cell, worker_ids: set[str]) -> None:
     """Remove idle workers from the stored progress, so that no later leader waits for them."""
+    lost = {each for each in worker_ids if not leaving_workers.has_left(cell, each)}
     for job in cell.active.values():
-        named = [step.forget_workers(worker_ids) for step in job.steps]
+        named = [step.forget_workers(worker_ids, lost) for step in job.steps]
         if any(named):
             cell.mark_dirty(job)
 
@@ -77,6 +81,7 @@
         _change_incarnation(cell, worker, info.started_ms, "its entry", now_ms)
     elif info.address != worker.info.address:
         worker.has_moved = True
+    note_announcement(cell, info)
     if info.draining and not worker.info.draining:
         cell.log_decision("worker_draining", "marked in its entry", worker=worker.worker_id)
     former = worker.info.capacity
@@ -86,6 +91,12 @@
     worker.last_listed_ms = now_ms
 
 
+def note_announcement(cell: Cell, info: QueueWorker) -> None:
+    """Apply what an entry says about a planned leave, perhaps after the worker has left."""
+    if leaving_workers.note_entry(cell, info):
+        worker_losses.withdraw_losses_of_life(cell, info.worker_id, info.started_ms)
+
+
 def _log_resized(cell: Cell, worker: Worker, former: Resources) -> None:
     cell.log_decision(
         "worker_resized",
@@ -119,6 +130,7 @@
         runs=len(worker.runs),
     )
     worker.started_ms = started_ms
+    worker.restarted_ms = now_ms
     speeds.begin_life(cell, worker)
     worker.is_replaced = False
     worker.has_moved = False
@@ -242,11 +254,16 @@
 
 def _mark_settled(cell: Cell, worker: Worker) -> None:
     worker.settled = True
+    known_ms = cell.former_lives.get(worker.worker_id)
+    is_restart = known_ms is not None and worker.started_ms != known_ms
+    is_planned = leaving_workers.has_returned(cell, worker.worker_id, worker.started_ms)
     for job in cell.active.values():
         for step in job.steps:
             if worker.worker_id in step.unsettled:
                 step.unsettled.discard(worker.worker_id)
-                step.may_have_lost_runs |= worker.started_ms > job.record.accepted_ms
+                may_be_restart = known_ms is None and worker.started_ms > job.record.accepted_ms
+                if (is_restart or may_be_restart) and not is_planned:
+                    step.may_have_lost_runs = step.has_restarted_worker = True
 
 
 def _apply_end(cell: Cell, worker: Worker, ended: EndedTask, now_ms: float, wall_ms: float) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -247,8 +247,12 @@
         Indices of the tasks with runs that were lost with their workers.
     has_proved_task
         Whether a run of a task has been proved active.
-    may_have_lost_runs
-        Whether runs that a former leader ordered may have crashed their workers unseen.
+    may_have_lost_runs, has_restarted_worker
+        Whether runs that a former leader ordered may have crashed their workers unseen, and whether
+        such a worker has answered as an incarnation that may have begun since.
+    unseen_runs
+        Per task with losses: number of the run that a former leader was about to start. It counts
+        as lost until all workers of the step are known.
     """
 
     job: "Job"
@@ -280,6 +284,8 @@
     lossy_tasks: set[int] = field(default_factory=set)
     has_proved_task: bool = False
     may_have_lost_runs: bool = False
+    has_restarted_worker: bool = False
+    unseen_runs: dict[int, int] = field(default_factory=dict)
     pace: StepPace = field(default_factory=StepPace)
     charged: Resources = field(init=False)
     team: str = field(init=False)
@@ -309,13 +315,18 @@
         """Return the name of the task with the given index."""
         return task_name(self.job.job_id, self.occurrence, self.number, index)
 
-    def forget_workers(self, worker_ids: set[str]) -> bool:
+    def forget_workers(self, worker_ids: set[str], lost: set[str]) -> bool:
         """Remove workers that certainly run nothing of the step. Return whether it had named any.
 
         Advice on them has to be requested, and they have to be stored, before they are used again.
+
+        Parameters
+        ----------
+        lost
+            Those of them that may have crashed.
         """
         named = worker_ids & (self.selected | self.recorded)
-        if self.unsettled & worker_ids:
+        if self.unsettled & lost:
             self.may_have_lost_runs = True
         self.unsettled -= worker_ids
         self.selected -= named
@@ -388,13 +399,3 @@
         ]
         self.occurrences[number] = steps
         return steps
-
-
-@dataclass(frozen=True, slots=True)
-class FinishedJob:
-    """Queue, final state, wall-clock end time and team of a finished job."""
-
-    queue: str
-    state: JobState
-    finished_ms: float
-    team: str = ""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/task_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/task_losses.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 # Flags of a stored row.
 _PROVED = 1
@@ -11,6 +11,7 @@
 # The run was about to start when the row was written.
 _RESERVED = 8
 _ASSUMED = 16
+_VANISHED = 32
 
 # Index of the task, number of the run, and flags.
 LossRow = tuple[int, int, int]
@@ -35,21 +36,26 @@
     is_assumed
         Whether no leader has seen it: the run may have started, and been lost, while the leader
         changed.
+    is_vanished
+        Whether the worker has not been back since, so that nothing shows that it has crashed.
     """
 
     is_proved: bool
     is_suspect: bool
     was_alone: bool
     is_assumed: bool = False
+    is_vanished: bool = False
 
     @property
     def flags(self) -> int:
         """Return the flags of its stored row."""
         evidence = _PROVED * self.is_proved | _SUSPECT * self.is_suspect | _ALONE * self.was_alone
-        return evidence | _ASSUMED * self.is_assumed
+        return evidence | _ASSUMED * self.is_assumed | _VANISHED * self.is_vanished
 
 
 ASSUMED = Loss(is_proved=False, is_suspect=False, was_alone=False, is_assumed=True)
+# The same for a run whose number a former leader had stored, until its workers are known.
+RESERVED = replace(ASSUMED, is_vanished=True)
 
 
 @dataclass(slots=True, eq=False)
@@ -84,6 +90,16 @@
         """Return the number of losses by a certain crash."""
         return sum(loss.is_proved for loss in self.by_run.values())
 
+    @property
+    def restarts(self) -> int:
+        """Return the number of losses after which the worker was back, and so had crashed."""
+        return sum(not loss.is_vanished for loss in self.by_run.values())
+
+    @property
+    def crashes_at_start(self) -> int:
+        """Return the number of losses by a certain crash at the start of the run."""
+        return sum(loss.is_proved and loss.is_suspect for loss in self.by_run.values())
+
     @property
     def last(self) -> Loss:
         """Return the loss of the latest run."""
@@ -111,12 +127,13 @@
     for index, number, flags in rows:
         losses = found.setdefault(index, TaskLosses())
         if flags & _RESERVED:
-            losses.by_run.setdefault(number, ASSUMED)
+            losses.by_run.setdefault(number, RESERVED)
         else:
             losses.by_run[number] = Loss(
                 bool(flags & _PROVED),
                 bool(flags & _SUSPECT),
                 bool(flags & _ALONE),
                 bool(flags & _ASSUMED),
+                bool(flags & _VANISHED),
             )
     return found
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from enum import StrEnum
 
+from nutmeglb_decisions.queues import leaving_workers
 from nutmeglb_decisions.queues.cell import RUNS_PER_TERM, Cell
 from nutmeglb_decisions.queues.crashing_tasks import give_up_if_hopeless
 from nutmeglb_decisions.queues.state import (
@@ -20,7 +21,7 @@
     Step,
     Task,
 )
-from nutmeglb_decisions.queues.task_losses import ASSUMED, Loss, TaskLosses
+from nutmeglb_decisions.queues.task_losses import ASSUMED, RESERVED, Loss, TaskLosses
 from nutmeglb_decisions.queues.worker_state import Worker
 
 # A worker that a task crashes at its start is gone within the time of two calls that it does not
@@ -32,10 +33,14 @@
 # A crashed worker refuses connections. One that a run crashed at its start does so by this time
 # after the order: the leader's next two calls.
 GONE_AFTER_MS = 1_000.0
+# Shortest interval between the starts of a lasting task whose runs are lost at their start. It
+# doubles with each loss. Callers allow 9 s without a run.
+MIN_RESTART_INTERVAL_MS = 500.0
+MAX_RESTART_INTERVAL_MS = 5_000.0
 # Names of the conditions that keep a suspect from starting.
 WAITS_FOR_TRIAL = "trial"
 WAITS_FOR_EMPTY_WORKER = "empty_worker"
-# Workers whose presumed losses are remembered until they answer.
+# Workers whose presumed or last losses are remembered.
 MAX_PRESUMED_WORKERS = 1_000
 
 
@@ -43,11 +48,13 @@
     """What shows that a run was lost with its worker.
 
     ``PROVED``: another incarnation has answered. ``PRESUMED``: the lease expired while the worker
-    was silent, so that it may only have been cut off.
+    was silent, so that it may only have been cut off. ``LEFT``: the worker had announced that it
+    leaves, which says nothing about its tasks.
     """
 
     PROVED = "proved"
     PRESUMED = "presumed"
+    LEFT = "left"
 
 
 def record_active(cell: Cell, run: Run, sent_ms: float) -> None:
@@ -115,7 +122,32 @@
     return min((proof_ms for proof_ms in proofs_ms if proof_ms > since_ms), default=None)
 
 
-def assume_unseen_losses(cell: Cell, step: Step) -> None:
+def settle_unseen_losses(cell: Cell, step: Step) -> None:
+    """Decide what counts of the runs that may have been lost while the leader changed."""
+    if step.may_have_lost_runs:
+        if step.has_restarted_worker:
+            _count_unseen_runs(cell, step)
+        step.unseen_runs.clear()
+        _assume_unseen_losses(cell, step)
+    elif step.unseen_runs and not step.unsettled:
+        # No worker of the step has crashed meanwhile, so no run has crashed one.
+        unseen, step.unseen_runs = step.unseen_runs, {}
+        for index, number in unseen.items():
+            run = step.tasks[index].run
+            if run is None or run.number != number:
+                withdraw(cell, step, index, number, "no worker of the step was lost")
+
+
+def _count_unseen_runs(cell: Cell, step: Step) -> None:
+    """Record that a worker has restarted on which runs may have been that no leader has seen."""
+    for index, number in step.unseen_runs.items():
+        losses = step.tasks[index].losses
+        if losses is not None and losses.by_run.get(number) is RESERVED:
+            losses.by_run[number] = ASSUMED
+            cell.mark_dirty(step.job)
+
+
+def _assume_unseen_losses(cell: Cell, step: Step) -> None:
     """Count one loss of each waiting task of a step whose workers may have crashed unseen.
 
     Under the former leader, the task may have crashed a worker shortly before the change of leader.
@@ -126,8 +158,10 @@
     number = cell.term * RUNS_PER_TERM
     waiting = [task for task in step.tasks if not (task.done or task.run or task.losses)]
     for task in waiting:
-        task.losses = TaskLosses({number: ASSUMED})
+        loss = replace(ASSUMED, is_vanished=not step.has_restarted_worker)
+        task.losses = TaskLosses({number: loss})
         step.lossy_tasks.add(task.index)
+    step.has_restarted_worker = False
     if waiting:
         cell.mark_dirty(step.job)
         cell.log_decision(
@@ -146,10 +180,15 @@
 ) -> None:
     """Count and log runs that have ended with their worker.
 
-    A run whose stop the worker had accepted does not count. One whose order is unanswered does,
-    because it may have started, but proves no crash. The caller has ended the runs.
+    A run whose stop the worker had accepted does not count, nor one on a worker that had announced
+    that it leaves. One whose order is unanswered does, because it may have started, but proves no
+    crash. The caller has ended the runs.
     """
     lost = [run for run in lost if not _had_stopped(run)]
+    left = [run for run in lost if _is_on_leaving_worker(cell, run)]
+    if left:
+        _log_losses(cell, worker, left, LossEvidence.LEFT, now_ms)
+        lost = [run for run in lost if run not in left]
     if lost:
         _log_losses(cell, worker, lost, evidence, now_ms)
     counted = []
@@ -162,14 +201,19 @@
             and (evidence is LossEvidence.PROVED or _is_of_former_life(worker, run)),
             is_suspect=not run.proved_active,
             was_alone=run.began_alone and run.is_gone_at_start,
+            is_vanished=evidence is LossEvidence.PRESUMED and not _is_of_former_life(worker, run),
         )
         if task.losses is None:
             task.losses = TaskLosses()
             run.step.lossy_tasks.add(task.index)
         task.losses.by_run[run.number] = loss
         task.losses.waits_since_ms = None
+        if run.step.spec.lasting and loss.is_suspect:
+            _delay_restart(task, run)
         cell.mark_dirty(run.step.job)
         counted.append(run)
+    if counted:
+        _remember_counted(cell, worker.worker_id, counted)
     for run in counted:
         give_up_if_hopeless(cell, run.step, run.step.tasks[run.index], wall_ms)
     if evidence is LossEvidence.PROVED:
@@ -183,6 +227,26 @@
             del cell.presumed_losses[next(iter(cell.presumed_losses))]
 
 
+def _remember_counted(cell: Cell, worker_id: str, counted: Sequence[Run]) -> None:
+    """Remember the losses with one incarnation of a worker, in case that it had left as planned."""
+    life_ms = counted[-1].worker_started_ms
+    former = cell.counted_losses.pop(worker_id, [])
+    same_life = [run for run in former if run.worker_started_ms == life_ms]
+    cell.counted_losses[worker_id] = [*same_life, *counted]
+    while len(cell.counted_losses) > MAX_PRESUMED_WORKERS:
+        del cell.counted_losses[next(iter(cell.counted_losses))]
+
+
+def withdraw_losses_of_life(cell: Cell, worker_id: str, started_ms: int) -> None:
+    """Withdraw the losses with an incarnation whose announcement that it leaves was read late."""
+    presumed = cell.presumed_losses.get(worker_id)
+    if presumed is not None and presumed.started_ms == started_ms:
+        del cell.presumed_losses[worker_id]
+    for run in cell.counted_losses.get(worker_id, ()):
+        if run.worker_started_ms == started_ms:
+            withdraw(cell, run.step, run.index, run.number, "its worker had announced its leave")
+
+
 def record_answer(cell: Cell, worker: Worker, started_ms: int, wall_ms: float) -> None:
     """Settle the presumed losses of a worker that answers again.
 
@@ -207,20 +271,22 @@
     for run in presumed.runs:
         task = run.step.tasks[run.index]
         loss = task.losses.by_run.get(run.number) if task.losses else None
-        if task.losses is None or loss is None or loss.is_proved or not run.has_started:
+        if task.losses is None or loss is None or loss.is_proved:
             continue
-        task.losses.by_run[run.number] = replace(loss, is_proved=True)
+        task.losses.by_run[run.number] = replace(loss, is_proved=run.has_started, is_vanished=False)
         cell.mark_dirty(run.step.job)
         give_up_if_hopeless(cell, run.step, task, wall_ms)
 
 
-def withdraw(cell: Cell, step: Step, index: int, number: int) -> None:
-    """Withdraw the loss of a run that its worker reports: the worker has not crashed."""
+def withdraw(
+    cell: Cell, step: Step, index: int, number: int, cause: str = "its worker answers"
+) -> None:
+    """Withdraw the loss of a run: by default its worker reports it, so it has not crashed."""
     task = step.tasks[index]
     if task.losses is None or task.losses.by_run.pop(number, None) is None:
         return
     cell.log_decision(
-        "loss_withdrawn", "its worker answers", job=step.job.job_id,
+        "loss_withdrawn", cause, job=step.job.job_id,
         task=step.task_name(index), run=number,
     )  # fmt: skip
     cell.mark_dirty(step.job)
@@ -305,6 +371,17 @@
     )
 
 
+def _delay_restart(task: Task, run: Run) -> None:
+    """Start a lasting task less often, the more of its runs were lost at their start."""
+    seen = sum(loss.is_suspect for loss in task.losses.by_run.values()) if task.losses else 0
+    interval_ms = min(MAX_RESTART_INTERVAL_MS, MIN_RESTART_INTERVAL_MS * 2.0**seen)
+    task.not_before_ms = max(task.not_before_ms, run.ordered_ms + interval_ms)
+
+
+def _is_on_leaving_worker(cell: Cell, run: Run) -> bool:
+    return leaving_workers.has_announced(cell, run.worker_id, run.worker_started_ms)
+
+
 def _had_stopped(run: Run) -> bool:
     """Return whether the incarnation that had a run has accepted a stop of it."""
     return run.stop_accepted_by is not None and run.stop_accepted_by == run.worker_started_ms
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -49,6 +49,8 @@
         Time before which no task is placed on the worker.
     last_report_ms
         Time of the last report.
+    restarted_ms
+        Time at which another incarnation was seen, or runs of the former one were last known.
     consecutive_bad_runs
         Failed or stuck runs since the last completed one.
     slowness
@@ -81,6 +83,7 @@
     avoided_until_ms: float = 0.0
     unanswered_since_ms: float | None = None
     last_report_ms: float = 0.0
+    restarted_ms: float = -math.inf
     consecutive_bad_runs: int = 0
     slowness: float = 1.0
     stray_runs: dict[tuple[str, int], float | None] = field(default_factory=dict)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/queue_records.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/queue_records.py
@@ -1,6 +1,6 @@
 """Stored records of queues. Each is ``[type code, version, fields]`` in CBOR. Codes 700 to 799."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import cbor2
@@ -184,16 +184,27 @@
     started_ms: int
 
 
-@record(707, 1)
+@record(707, 3, added=2)
 @dataclass(frozen=True, slots=True)
 class WorkerAddresses:
     """Addresses of the workers that a leader knows, as a hint for the next one.
 
     Entries of crashed workers leave the store, but steps wait for the workers that are stored as
     possibly used. The next leader finds out at their addresses whether they have ended.
+
+    Attributes
+    ----------
+    leaving
+        Worker id and start time of the incarnations that have announced that they leave. Added in
+        version 2.
+    unsettled
+        Workers whose runs of a former incarnation may not be stored as ended yet. Added in
+        version 3.
     """
 
     workers: list[WorkerAddress]
+    leaving: list[tuple[str, int]] = field(default_factory=list)
+    unsettled: list[str] = field(default_factory=list)
 
 
 def encode_queue_record(value: object) -> bytes:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -142,7 +142,7 @@
         self._listing = WorkerListing(
             self.cell, self._worker_entries, clock, contact, live, self._workers, self._request_pass
         )
-        self._hints = LeaderHints(platform.store, self.cell, term.key_revision, metrics)
+        self._hints = LeaderHints(platform.store, self.cell, clock, term.key_revision, metrics)
         self._background = BackgroundTasks()
         self._wake = asyncio.Event()
         self._idle_jobs = IdleJobMonitor()
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader_hints.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader_hints.py
@@ -9,6 +9,7 @@
 from nutmeglb._internal.queues.ports import QueueStore
 from nutmeglb_decisions.queues import worker_addresses
 from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.queue_records import WorkerAddresses
 
 # Workers of which a successor does not know the address are waited for until their leases end. A
@@ -21,9 +22,15 @@
     """Reads the hints at a takeover, and writes them during the term."""
 
     def __init__(
-        self, store: QueueStore, cell: Cell, key_revision: int, metrics: Metrics | None
+        self,
+        store: QueueStore,
+        cell: Cell,
+        clock: Clock,
+        key_revision: int,
+        metrics: Metrics | None,
     ) -> None:
         self._cell = cell
+        self._clock = clock
         self._learned = LearnedStore(store, cell, key_revision, metrics)
         self._addresses = HintRecord(store, keys.ADDRESSES, WorkerAddresses, key_revision)
         self._former: WorkerAddresses | None = None
@@ -43,5 +50,6 @@
 
     async def _run_addresses(self) -> None:
         while True:
-            await self._addresses.save(worker_addresses.encode(self._cell))
+            record = worker_addresses.encode(self._cell, self._clock.now_ms())
+            await self._addresses.save(record)
             await asyncio.sleep(ADDRESS_INTERVAL_S)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_entries.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_entries.py
@@ -1,7 +1,7 @@
 """Reads the entries of the workers in the store. An entry that cannot be used is left out alone."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 from result import Err, Ok, Result
 
@@ -38,6 +38,8 @@
         # Revision and cause by the key of the entry.
         self._reported: dict[str, tuple[int, str]] = {}
         self._is_full = False
+        self._revision = 0
+        self._former_revision = 0
         self._last_defect = ""
 
     async def run(
@@ -63,6 +65,7 @@
         listing = await self._platform.store.range(self._platform.workers_prefix, large=True)
         if isinstance(listing, Err):
             return Err(listing.err_value)
+        self._former_revision, self._revision = self._revision, listing.ok_value.revision
         workers = []
         ignored = set()
         for item in listing.ok_value.items:
@@ -75,6 +78,24 @@
             del self._reported[key]
         return Ok(workers)
 
+    async def read_changes(self, worker_ids: Collection[str]) -> list[QueueWorker]:
+        """Return all entries of some workers since the listing before the last one, in order.
+
+        Those between the two were not read, as during an outage. Without an answer, or after too
+        long an outage, there are none.
+        """
+        prefix = self._platform.workers_prefix
+        found = await self._platform.store.changes(prefix, self._former_revision, 0)
+        if isinstance(found, Err) or found.ok_value.history_lost:
+            return []
+        keys = {prefix + worker_id for worker_id in worker_ids}
+        entries = [
+            self._decode(change)
+            for change in found.ok_value.changes
+            if isinstance(change, StoredItem) and change.key in keys
+        ]
+        return [worker for worker in entries if worker is not None]
+
     def _decode(self, item: StoredItem) -> QueueWorker | None:
         try:
             decoded = self._platform.decode_worker(item)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_listing.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_listing.py
@@ -7,7 +7,7 @@
 from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.worker_entries import WorkerEntries
 from nutmeglb._internal.queues.worker_links import WorkerLinks
-from nutmeglb_decisions.queues import reports
+from nutmeglb_decisions.queues import leaving_workers, reports
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.entry_age import EntryAge, StoreContact
 from nutmeglb_formats.clock import Clock
@@ -60,10 +60,25 @@
         sent_ms = self._clock.now_ms()
         workers = await self._entries.read()
         if isinstance(workers, Ok):
+            await self._note_ended(workers.ok_value)
             self.apply(workers.ok_value, sent_ms)
         else:
             self._contact.record_failure(self._clock.now_ms())
 
+    async def _note_ended(self, workers: Iterable[QueueWorker]) -> None:
+        """Find out which incarnations that have ended had announced that they leave."""
+        listed = {worker.worker_id: worker.started_ms for worker in workers}
+        ended = [
+            worker.worker_id
+            for worker in self._cell.workers.values()
+            if worker.listed
+            and listed.get(worker.worker_id) != worker.info.started_ms
+            and not leaving_workers.has_left(self._cell, worker.worker_id)
+        ]
+        if ended:
+            for info in await self._entries.read_changes(ended):
+                reports.note_announcement(self._cell, info)
+
     def apply(self, workers: Iterable[QueueWorker], sent_ms: float) -> None:
         """Apply entries that were requested at ``sent_ms``, in one listing of the store."""
         now_ms = self._clock.now_ms()
--- a/tests/lib/queue_process.py
+++ b/tests/lib/queue_process.py
@@ -134,6 +134,11 @@
     changes = {name: fields[name] for name in ("address",) if name in fields}
     return Ok(
         worker_info(
-            worker_id, fields["cpu"], started_ms=fields["born"], revision=item.revision, **changes
+            worker_id,
+            fields["cpu"],
+            started_ms=fields["born"],
+            revision=item.revision,
+            draining=fields.get("draining", False),
+            **changes,
         )
     )
--- a/tests/unit/test_queue_worker_addresses.py
+++ b/tests/unit/test_queue_worker_addresses.py
@@ -14,6 +14,7 @@
 from nutmeglb._internal.queues.ports import Commit, StoredItem
 from nutmeglb_decisions.queues import progress, reports, worker_addresses
 from nutmeglb_decisions.queues.ended_lives import OtherIncarnation, end_life
+from nutmeglb_formats.clock import ManualClock
 from nutmeglb_formats.exceptions import StoreOutcomeUnknown
 from nutmeglb_formats.models.queue_records import (
     Counter,
@@ -59,7 +60,7 @@
 
 def load(world, values):
     store = FakeStore(values)
-    hints = LeaderHints(store, world.cell, KEY_REVISION, None)
+    hints = LeaderHints(store, world.cell, ManualClock(world.now_ms), KEY_REVISION, None)
     asyncio.run(hints.load())
     hints.recall_workers()
     return store, hints
@@ -132,4 +133,5 @@
     asyncio.run(scenario())
     written = [puts[0] for expected, puts in store.writes if expected == {keys.LEADER: 7}]
     assert [put.key for put in written] == [keys.ADDRESSES] * 2
-    assert written[-1].value == encode_queue_record(worker_addresses.encode(world.cell))
+    stored = worker_addresses.encode(world.cell, world.now_ms)
+    assert written[-1].value == encode_queue_record(stored)
