Name the condition that keeps starts from each worker in the lines of waiting steps

Cause: step_waiting and job_idle said that workers are silent or avoided, or full, but not which of the conditions of a start holds each of them, and since when.

Change: held_workers and held_in_service, as CONDITION:WORKERS:MILLISECONDS.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
@@ -3,7 +3,7 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from nutmeglb_decisions.queues import advice, quotas, worker_losses
+from nutmeglb_decisions.queues import advice, quotas, worker_conditions, worker_losses
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.state import Run, Step
 from nutmeglb_decisions.queues.worker_selection import slots_on
@@ -76,6 +76,9 @@
         What ends the wait.
     shrunk
         Reachable workers that would have room for a task with the capacity that they had before.
+    held_workers, held_in_service
+        What keeps starts from its durable workers, and from the eligible ones
+        (``worker_conditions``).
     """
 
     cause: str
@@ -95,6 +98,8 @@
     unplanned: str
     ends: str
     shrunk: int
+    held_workers: str
+    held_in_service: str
 
 
 def explain(cell: Cell, step: Step, now_ms: float) -> WaitExplanation:
@@ -136,6 +141,8 @@
         unplanned=step.unplanned,
         ends=ENDS_BY_CAUSE.get(cause, ""),
         shrunk=shrunk,
+        held_workers=worker_conditions.summarize(cell, durable, now_ms),
+        held_in_service=worker_conditions.summarize(cell, eligible, now_ms),
     )
 
 
