Keep fewer workers for suspects, and let the steps that wait longest take turns

Cause, as far as the logs show: most workers are gone or kept for suspects. A task that was lost twice had a worker of its own for its whole run, although nearly all such losses are beside a suspect that had just been started. A suspect beside other work was proved active only by the answer to the long poll in flight. Steps that are too late go last, and renew their tickets only when a worker is expected to open.

Change: a loss beside a suspect is told from one without, and stored as a flag. Three of the former or two of the latter keep a worker for a whole run; losses as a suspect keep it until the run is proved active. Reports are requested every half second while workers are kept. The four steps of idle jobs that have waited longest go first then, and renew their tickets. Runs on silent workers do not count as capacity in use.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
@@ -10,9 +10,11 @@
 from nutmeglb_decisions.queues.task_losses import TaskLosses
 from nutmeglb_decisions.queues.worker_state import Worker
 
-# Losses from which a task always runs without other work beside it, so that no further one costs
-# others their work.
-LOSSES_BEFORE_ISOLATION = 2
+# Losses after their start from which a task always runs without other work beside it, so that no
+# further one costs others their work: with a start just before the crash on the worker, which may
+# have caused it instead, and without one.
+EXPLAINED_BEFORE_ISOLATION = 3
+UNEXPLAINED_BEFORE_ISOLATION = 2
 # Proved crashes after which a task is given up if its last run was alone and not proved active.
 CRASHES_ALONE = 2
 # The same if it was not alone.
@@ -33,10 +35,12 @@
     """
     if task.losses is None:
         return Isolation.NONE
-    seen = sum(not loss.is_assumed for loss in task.losses.by_run.values())
-    if seen >= LOSSES_BEFORE_ISOLATION:
+    losses = task.losses.by_run.values()
+    later = [loss for loss in losses if not loss.is_assumed and not loss.is_suspect]
+    unexplained = sum(not loss.is_beside_suspect for loss in later)
+    if unexplained >= UNEXPLAINED_BEFORE_ISOLATION or len(later) >= EXPLAINED_BEFORE_ISOLATION:
         return Isolation.WHOLE_RUN
-    is_suspect = any(loss.is_suspect for loss in task.losses.by_run.values())
+    is_suspect = any(loss.is_suspect for loss in losses)
     return Isolation.UNTIL_PROVED if is_suspect else Isolation.NONE
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/idle_jobs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/idle_jobs.py
@@ -74,13 +74,17 @@
 
 
 def utilization_by_service(cell: Cell) -> dict[str, float]:
-    """Return the share of the CPU in use for each service with listed workers."""
+    """Return the share of the CPU in use for each service with listed workers.
+
+    What runs on a worker that does not answer may have ended with it, and does not count.
+    """
     used: dict[str, int] = {}
     total: dict[str, int] = {}
     for worker in cell.workers.values():
         if worker.listed:
             service = worker.info.service
-            used[service] = used.get(service, 0) + worker.used.cpu_millis
+            in_use = worker.used.cpu_millis if worker.unanswered_since_ms is None else 0
+            used[service] = used.get(service, 0) + in_use
             total[service] = total.get(service, 0) + worker.info.capacity.cpu_millis
     return {service: used[service] / amount for service, amount in total.items() if amount}
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -8,6 +8,7 @@
     advice,
     advice_turns,
     gang_reservations,
+    idle_turns,
     isolation,
     overdue_gangs,
     worker_losses,
@@ -75,6 +76,8 @@
     isolation.release_workers(cell, now_ms)
     state.prepare_parts()
     ranked = ranked_steps(cell, now_ms, wall_ms, rank)
+    state.turns = idle_turns.choose_turns(cell, ranked, now_ms)
+    ranked = idle_turns.put_first(ranked, state.turns)
     for position, (_, step) in enumerate(ranked):
         if step.plan is not None:
             reserve_planned_capacity(step, cell.workers, state.planned, now_ms, position)
@@ -154,6 +157,9 @@
         start_ms = _place_gang(state, step, ready, group, is_advice_due)
     else:
         start_ms = _place_singles(state, step, tasks, ready, is_advice_due)
+    if start_ms is not None and step in state.turns:
+        # It has tickets whenever one of its workers opens.
+        start_ms = now_ms
     if start_ms is not None and is_advice_due:
         state.worker_checks += len(group.workers)
         advice.request_if_due(cell, step, group, state.budget, state.rng, now_ms, start_ms)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
@@ -1,6 +1,7 @@
 """State of one scheduling pass, and the start of a task in it."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from nutmeglb_decisions.invariants import LEDGER_CAPACITY, require
@@ -43,6 +44,8 @@
     overdue
         Per service: the gang that may plan regardless of its tier and share. Its reservations are
         made first.
+    turns
+        Steps that go first, since their jobs have been idle beside free capacity.
     held_for_numbers
         Workers with a reservation for tasks that start once their run numbers are stored.
     gates
@@ -68,6 +71,7 @@
     gang_priorities: dict[str, int] = field(default_factory=dict)
     spare_cpu: dict[tuple[str, int], int] = field(default_factory=dict)
     overdue: dict[str, Step] = field(default_factory=dict)
+    turns: Sequence[Step] = ()
     held_for_numbers: set[str] = field(default_factory=set)
     gates: tuple[StartGate, ...] = ()
     lost_ms: LostTime | None = None
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/task_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/task_losses.py
@@ -12,6 +12,7 @@
 _RESERVED = 8
 _ASSUMED = 16
 _VANISHED = 32
+_BESIDE_SUSPECT = 64
 
 # Index of the task, number of the run, and flags.
 LossRow = tuple[int, int, int]
@@ -38,6 +39,9 @@
         changed.
     is_vanished
         Whether the worker has not been back since, so that nothing shows that it has crashed.
+    is_beside_suspect
+        Whether the run was no suspect, and was lost with one: its worker crashed right after
+        another start.
     """
 
     is_proved: bool
@@ -45,12 +49,14 @@
     was_alone: bool
     is_assumed: bool = False
     is_vanished: bool = False
+    is_beside_suspect: bool = False
 
     @property
     def flags(self) -> int:
         """Return the flags of its stored row."""
         evidence = _PROVED * self.is_proved | _SUSPECT * self.is_suspect | _ALONE * self.was_alone
-        return evidence | _ASSUMED * self.is_assumed | _VANISHED * self.is_vanished
+        evidence |= _ASSUMED * self.is_assumed | _VANISHED * self.is_vanished
+        return evidence | _BESIDE_SUSPECT * self.is_beside_suspect
 
 
 ASSUMED = Loss(is_proved=False, is_suspect=False, was_alone=False, is_assumed=True)
@@ -135,5 +141,6 @@
                 bool(flags & _ALONE),
                 bool(flags & _ASSUMED),
                 bool(flags & _VANISHED),
+                bool(flags & _BESIDE_SUSPECT),
             )
     return found
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
@@ -192,6 +192,7 @@
     if lost:
         _log_losses(cell, worker, lost, evidence, now_ms)
     counted = []
+    has_suspect = any(not run.proved_active for run in lost)
     for run in lost:
         task = run.step.tasks[run.index]
         if task.done or run.step.job.final is not None:
@@ -201,6 +202,7 @@
             and (evidence is LossEvidence.PROVED or _is_of_former_life(worker, run)),
             is_suspect=not run.proved_active,
             was_alone=run.began_alone and run.is_gone_at_start,
+            is_beside_suspect=run.proved_active and has_suspect,
             is_vanished=evidence is LossEvidence.PRESUMED and not _is_of_former_life(worker, run),
         )
         if task.losses is None:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -81,7 +81,6 @@
         self._restarted = asyncio.Event()
         self._unanswered_calls = 0
         self._excused_calls = 0
-        # One call of the worker's limit is left for renewals.
         self._order_slots = OrderSlots(MAX_CALLS_PER_WORKER - 1)
         self._has_unanswered_stop = False
 
@@ -129,8 +128,7 @@
         is_idle = worker.settled and not worker.runs and not worker.stray_runs
         wait_ms = self._poll_wait_ms(sent_ms) if is_renewal and not is_idle else 0
         deadline_ms = self._extend_lease() if is_renewal else None
-        has_unstored_ends = worker.last_applied_end > self._last_stored_end
-        if has_unstored_ends:
+        if worker.last_applied_end > self._last_stored_end:
             wait_ms = 0
         # After an unanswered call or an idle time the worker may have restarted. Acknowledging ends
         # would then make it discard ends that it has not reported yet.
@@ -183,7 +181,7 @@
         """Return how long the worker may wait for an end before it answers.
 
         The next report is requested as soon as it can prove the end of a stopped run, or settle the
-        worker.
+        worker. While workers are kept for suspects, one that starts meanwhile waits for a proof.
         """
         proof_ms = absent_runs.next_proof_ms(self._cell, self.worker, self._last_report_sent_ms)
         needed_ms = [now_ms + LONG_POLL_MS]
@@ -194,6 +192,8 @@
             needed_ms.append(learning_ms)
         if not self.worker.settled:
             needed_ms.append(self._cell.settles_at_ms(self.worker))
+        if self._cell.kept_workers:
+            needed_ms.append(now_ms + worker_losses.PROVING_MS)
         if None in self.worker.stray_runs.values() or self._has_unanswered_stop:
             needed_ms.append(now_ms + STRAY_POLL_MS)
         return math.ceil(max(0.0, min(needed_ms) - now_ms))
--- a/tests/unit/test_queue_isolation.py
+++ b/tests/unit/test_queue_isolation.py
@@ -1,15 +1,17 @@
 """Tasks whose runs were lost with their workers start without other work beside them."""
 
+from dataclasses import replace
+
 import pytest
 
-from nutmeglb_decisions.queues import lifecycle, reports, waiting
+from nutmeglb_decisions.queues import crashing_tasks, lifecycle, reports, waiting
 from nutmeglb_decisions.queues.isolation import (
     MAX_IDLE_WAIT_MS,
     MAX_KEPT_SHARE,
     MAX_UNUSED_MS,
     MAX_WAIT_MS,
 )
-from nutmeglb_decisions.queues.state import JobState
+from nutmeglb_decisions.queues.state import Isolation, JobState
 from nutmeglb_decisions.queues.task_losses import ASSUMED, Loss, TaskLosses
 from nutmeglb_decisions.queues.worker_losses import PROVING_MS
 from nutmeglb_formats.models.queues import StepSpec
@@ -19,6 +21,7 @@
 PASS_MS = 100.0
 SUSPECT = Loss(is_proved=True, is_suspect=True, was_alone=False)
 BYSTANDER = Loss(is_proved=True, is_suspect=False, was_alone=False)
+BESIDE_SUSPECT = replace(BYSTANDER, is_beside_suspect=True)
 
 
 def world_with_work(workers: int, busy_cpu: int, **busy: object) -> CellWorld:
@@ -112,6 +115,51 @@
     assert (started_ms is None) == is_isolated
 
 
+@pytest.mark.parametrize(
+    ("losses", "isolation"),
+    [
+        ((BYSTANDER,), Isolation.NONE),
+        ((BESIDE_SUSPECT,) * 2, Isolation.NONE),
+        ((BESIDE_SUSPECT,) * 3, Isolation.WHOLE_RUN),
+        ((BYSTANDER, BESIDE_SUSPECT), Isolation.NONE),
+        ((BYSTANDER,) * 2, Isolation.WHOLE_RUN),
+        ((SUSPECT,) * 3, Isolation.UNTIL_PROVED),
+        ((SUSPECT, BYSTANDER), Isolation.UNTIL_PROVED),
+        ((SUSPECT, BYSTANDER, BYSTANDER), Isolation.WHOLE_RUN),
+        ((ASSUMED,) * 3, Isolation.NONE),
+    ],
+)
+def test_isolation_follows_from_what_the_losses_show(losses, isolation):
+    world = CellWorld()
+    add_lost(world, step(), *losses)
+    (added,) = world.cell.jobs["lost"].steps
+    assert crashing_tasks.isolation_of(added, added.tasks[0]) == isolation
+
+
+def test_work_that_was_lost_beside_suspects_does_not_keep_a_worker_each():
+    """Guards against healthy work that is idle beside nearly empty workers.
+
+    Each of them was kept for one task that had been lost twice beside a task that crashes workers.
+    """
+    world = CellWorld()
+    world.show(*(worker_info(f"w{n}") for n in range(3)))
+    add_lost(world, step(24), BESIDE_SUSPECT, BESIDE_SUSPECT)
+    world.schedule()
+    assert len(world.answer_starts()) == 24
+
+
+def test_suspect_that_was_lost_twice_keeps_its_worker_only_until_it_is_proved_active():
+    world = CellWorld()
+    world.show(worker_info("w0"))
+    add_lost(world, step(estimate_ms=60_000.0), SUSPECT, SUSPECT)
+    start_of(world, "lost", PASS_MS)
+    world.answer_starts()
+    world.add(job("other", step()))
+    assert start_of(world, "other", PROVING_MS - PASS_MS) is None
+    world.report("w0")
+    assert start_of(world, "other", PASS_MS) is not None
+
+
 def test_one_suspect_of_a_job_is_tried_at_a_time_until_one_is_proved_active():
     world = CellWorld()
     world.show(*(worker_info(f"w{n}") for n in range(4)))
--- a/tests/unit/test_queue_links.py
+++ b/tests/unit/test_queue_links.py
@@ -10,6 +10,8 @@
 from nutmeglb_decisions.queues import lifecycle, orders
 from nutmeglb_decisions.queues.effects import PaceTask, StopTask
 from nutmeglb_decisions.queues.orders import StartOutcome
+from nutmeglb_decisions.queues.state import KeptWorker
+from nutmeglb_decisions.queues.worker_losses import PROVING_MS
 from nutmeglb_formats.clock import ManualClock
 from nutmeglb_formats.models.queues import RunningTask, WorkerReport
 from tests.lib.queues import STOP_ENDS_AFTER_MS, CellWorld, job, step, worker_info
@@ -175,6 +177,17 @@
     assert link.waits_sent == waits_ms
 
 
+@pytest.mark.parametrize(("is_kept", "wait_ms"), [(True, PROVING_MS), (False, LONG_POLL_MS)])
+def test_reports_are_requested_more_often_while_workers_are_kept_for_suspects(is_kept, wait_ms):
+    """Guards against a worker that stays kept for the rest of a long poll."""
+    link = Link()
+    (run,) = link.worker.runs.values()
+    if is_kept:
+        link.world.cell.kept_workers["w2"] = KeptWorker(run.step, run.step.tasks[0], 0.0)
+    asyncio.run(link.link._renew())
+    assert link.waits_sent == [wait_ms]
+
+
 def test_idle_worker_that_does_not_answer_is_polled_until_it_does():
     """Guards against a worker that stays unused after a short network partition."""
 
--- a/tests/unit/test_queue_worker_losses.py
+++ b/tests/unit/test_queue_worker_losses.py
@@ -18,7 +18,7 @@
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StartTask, StopTask
 from nutmeglb_decisions.queues.orders import StartOutcome
-from nutmeglb_decisions.queues.task_losses import MIN_UNUSED_MS
+from nutmeglb_decisions.queues.task_losses import MIN_UNUSED_MS, restore_losses
 from nutmeglb_decisions.queues.worker_losses import LASTING_RESET_MS
 from nutmeglb_formats.codec import TypeRegistry
 from nutmeglb_formats.models.queue_records import (
@@ -172,6 +172,19 @@
     assert losses_of(successor, "b") == {}
 
 
+@pytest.mark.parametrize("has_suspect", [True, False])
+def test_loss_beside_a_suspect_is_told_from_one_without(has_suspect):
+    world = world_before_a_loss()
+    if not has_suspect:
+        world.tick(2_000.0)
+        world.report("w1")
+    restart(world)
+    task = world.cell.jobs["a"].steps[0].tasks[0]
+    (loss,) = task.losses.by_run.values()
+    assert (loss.is_beside_suspect, loss.is_suspect) == (has_suspect, False)
+    assert restore_losses(task.losses.rows(0))[0].by_run == task.losses.by_run
+
+
 @pytest.mark.parametrize("repeats", [1, 3])
 def test_loss_counts_once_and_under_each_leader(repeats):
     world = world_before_a_loss()
