Use up an admission of the gates with each start, and set a step at fault aside

Cause: a step asked the gates once for one task. The task that was lost with its worker was started on that admission, and then another one. The invariant quota ended the term of each leader, since the next one placed the same step.

Change: the pass owns the admission. Each start uses one up, and whoever starts one more task asks again. A step that violates an invariant while it is placed is set aside for 5 s and logged as step_defect; members of a gang that were started in that pass are stopped. The test worlds fail on each such line, so that they still find violations.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
@@ -93,11 +93,11 @@
         for worker in candidates
         if worker.worker_id in step.recorded and worker.is_usable(now_ms)
     ]
-    for position, task in enumerate(isolated[:MAX_SUSPECTS_PER_PASS]):
+    for task in isolated[:MAX_SUSPECTS_PER_PASS]:
         if not is_cleared and _has_trial(step.job):
             step.held_by = worker_losses.WAITS_FOR_TRIAL
             return []
-        if position and not state.admits(step, 1):
+        if not state.admits_next(step):
             break
         _place_suspect(state, step, task, group, usable, run_ms)
         if step.job.final is not None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -16,6 +16,7 @@
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.gang_plans import reserve_planned_capacity
 from nutmeglb_decisions.queues.headroom import spare_cpu
+from nutmeglb_decisions.queues.lifecycle import stop_run
 from nutmeglb_decisions.queues.ranking import Rank, Tier, rank_of
 from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass, start_task
 from nutmeglb_decisions.queues.state import Step, Task
@@ -28,7 +29,6 @@
     slots_on,
 )
 from nutmeglb_decisions.queues.worker_state import Worker
-from nutmeglb_formats.exceptions import InvariantViolation
 
 # Limit on worker checks, each of one step against one worker, so that a pass takes about 10 ms at
 # most while thousands of steps wait. A step that waits for advice or has no worker uses none.
@@ -113,18 +113,23 @@
         step.last_tried_ms = state.now_ms
         try:
             _place_step(state, step)
-        except InvariantViolation:
-            raise
         except Exception as error:
-            _defer_after_defect(state.cell, step, error, state.now_ms)
+            _set_aside(state, step, error)
         _log_placed(state, step, step_rank)
     return []
 
 
-def _defer_after_defect(cell: Cell, step: Step, error: Exception, now_ms: float) -> None:
-    """Defer a step whose placement raised an unexpected error, so that all others proceed."""
-    step.not_before_ms = now_ms + DEFECT_RETRY_MS
-    cell.log_decision("step_defect", repr(error), job=step.job.job_id, step=step.name)
+def _set_aside(state: SchedulingPass, step: Step, error: Exception) -> None:
+    """Defer a step whose placement raised an unexpected error, so that all others proceed.
+
+    A violated invariant does not end the term either: the next leader would place the same step.
+    Members of a gang that were started in this pass have not been ordered yet, and are stopped.
+    """
+    if step.spec.gang:
+        for run in state.placed:
+            stop_run(state.cell, run)
+    step.not_before_ms = state.now_ms + DEFECT_RETRY_MS
+    state.cell.log_decision("step_defect", repr(error), job=step.job.job_id, step=step.name)
 
 
 def _place_step(state: SchedulingPass, step: Step) -> None:
@@ -277,9 +282,8 @@
         Whether to compute the time, which only an advice request needs. Otherwise it is infinite.
     """
     run_ms = _expected_run_ms(state, step)
-    for position, task in enumerate(tasks):
-        # The gates have admitted the first task already.
-        if position and not state.admits(step, 1):
+    for task in tasks:
+        if not state.admits_next(step):
             return None
         if not _leaves_headroom(state, step):
             return math.inf
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/scheduling_pass.py
@@ -44,6 +44,8 @@
     overdue
         Per service: the gang that may plan regardless of its tier and share. Its reservations are
         made first.
+    admitted_step, admitted_starts
+        Step that the gates admitted last, and how many more of its tasks may start for that.
     turns
         Steps that go first, since their jobs have been idle beside free capacity.
     held_for_numbers
@@ -72,6 +74,8 @@
     spare_cpu: dict[tuple[str, int], int] = field(default_factory=dict)
     overdue: dict[str, Step] = field(default_factory=dict)
     turns: Sequence[Step] = ()
+    admitted_step: Step | None = None
+    admitted_starts: int = 0
     held_for_numbers: set[str] = field(default_factory=set)
     gates: tuple[StartGate, ...] = ()
     lost_ms: LostTime | None = None
@@ -89,13 +93,27 @@
 
     def admits(self, step: Step, count: int) -> bool:
         """Return whether all gates admit the start of ``count`` tasks of a step."""
+        self.admitted_step, self.admitted_starts = step, 0
         for gate in self.gates:
             if not gate.admits(step, count):
                 step.held_by = gate.name
                 return False
         step.held_by = ""
+        self.admitted_starts = count
         return True
 
+    def admits_next(self, step: Step) -> bool:
+        """Return whether one more task may start: an admission that is left, or a new one."""
+        is_left = self.admitted_step is step and self.admitted_starts > 0
+        return is_left or self.admits(step, 1)
+
+    def use_admission(self, step: Step) -> None:
+        """Use up the admission of one start, which covers no second one."""
+        for gate in self.gates:
+            gate.record_start(step)
+        if self.admitted_step is step:
+            self.admitted_starts -= 1
+
 
 def start_task(
     state: SchedulingPass, step: Step, task: Task, worker: Worker, number: int, run_ms: float
@@ -114,6 +132,7 @@
         worker=worker.worker_id,
         task=run.task,
     )
+    state.use_admission(step)
     _charge_spare(state, worker, charged.cpu_millis)
     worker.charge(charged)
     # The order, sent after this pass, also renews the lease, possibly long after the last renewal.
@@ -121,8 +140,6 @@
         worker.lease_expires_at_ms, now_ms + cell.lease_expiry_after_ms
     )
     worker.runs[(run.task, number)] = run
-    for gate in state.gates:
-        gate.record_start(step)
     for observer in cell.parts.observers:
         observer.record_start(run, worker)
     state.reservations.charge(worker.worker_id, step, expected_end_ms)
--- a/tests/lib/queue_process.py
+++ b/tests/lib/queue_process.py
@@ -88,6 +88,8 @@
 
     def write(self, decisions):
         for decision in decisions:
+            if decision.kind == "step_defect":
+                self._world.defects.append(decision)
             fields = " ".join(f"{name}={value}" for name, value in decision.fields)
             self._world.note(
                 f"{self.name} {decision.kind} ({decision.cause}) {decision.task}{decision.worker}"
--- a/tests/lib/queues.py
+++ b/tests/lib/queues.py
@@ -112,6 +112,12 @@
         effects: list[Effect] = []
         for _ in range(3):
             placing.schedule(self.cell, 4, self.rng, self.now_ms, self.now_ms)
+            violations = [
+                line
+                for line in self.cell.decisions
+                if line.kind == "step_defect" and "InvariantViolation" in line.cause
+            ]
+            assert not violations, violations
             self.store()
             effects += self.cell.take_effects()
         self.started += [e for e in effects if isinstance(e, StartTask)]
