Forget losses after the time for which an announcement may be read

Cause: runs that were counted as lost were remembered without a limit in time, with their jobs, and a loss of a job that had ended could be withdrawn.

Change: they are remembered for 30 s, which is longer than the store's history, and losses of ended jobs stay.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -30,6 +30,14 @@
 RUNS_PER_TERM = 10_000
 
 
+@dataclass(frozen=True, slots=True)
+class CountedLosses:
+    """Runs that were counted as lost with one incarnation of a worker, and the time of the last."""
+
+    counted_ms: float
+    runs: list[Run]
+
+
 @dataclass(slots=True)
 class Cell:
     """Jobs and workers as one leader knows them, and the effects that are pending.
@@ -73,7 +81,7 @@
     presumed_losses
         Per silent worker: runs that are taken for lost with it.
     counted_losses
-        Per worker: the last runs that were counted as lost with it.
+        Per worker: the runs that were counted as lost with its last incarnation, for a while.
     former_lives
         Per worker: start time of the last incarnation before which the former leader knew and had
         stored all ends of runs.
@@ -121,7 +129,7 @@
     ended_unsettled: list[Step] = field(default_factory=list)
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
     presumed_losses: dict[str, PresumedLosses] = field(default_factory=dict)
-    counted_losses: dict[str, list[Run]] = field(default_factory=dict)
+    counted_losses: dict[str, CountedLosses] = field(default_factory=dict)
     former_lives: dict[str, int] = field(default_factory=dict)
     leaving_lives: dict[str, int] = field(default_factory=dict)
     kept_workers: dict[str, KeptWorker] = field(default_factory=dict)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -251,8 +251,7 @@
         Whether runs that a former leader ordered may have crashed their workers unseen, and whether
         such a worker has answered as an incarnation that may have begun since.
     unseen_runs
-        Per task with losses: number of the run that a former leader was about to start. It counts
-        as lost until all workers of the step are known.
+        Per task with losses: number of the run that the former leader was about to start.
     """
 
     job: "Job"
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 
 from nutmeglb_decisions.queues import leaving_workers
-from nutmeglb_decisions.queues.cell import RUNS_PER_TERM, Cell
+from nutmeglb_decisions.queues.cell import RUNS_PER_TERM, Cell, CountedLosses
 from nutmeglb_decisions.queues.crashing_tasks import give_up_if_hopeless
 from nutmeglb_decisions.queues.state import (
     Isolation,
@@ -40,7 +40,9 @@
 # Names of the conditions that keep a suspect from starting.
 WAITS_FOR_TRIAL = "trial"
 WAITS_FOR_EMPTY_WORKER = "empty_worker"
-# Workers whose presumed or last losses are remembered.
+# Time after a loss for which an announcement may still be read: the store's history is shorter.
+ANNOUNCEMENT_READ_MS = 30_000.0
+# Workers whose presumed losses are remembered until they answer.
 MAX_PRESUMED_WORKERS = 1_000
 
 
@@ -215,7 +217,7 @@
         cell.mark_dirty(run.step.job)
         counted.append(run)
     if counted:
-        _remember_counted(cell, worker.worker_id, counted)
+        _remember_counted(cell, worker.worker_id, counted, now_ms)
     for run in counted:
         give_up_if_hopeless(cell, run.step, run.step.tasks[run.index], wall_ms)
     if evidence is LossEvidence.PROVED:
@@ -229,14 +231,16 @@
             del cell.presumed_losses[next(iter(cell.presumed_losses))]
 
 
-def _remember_counted(cell: Cell, worker_id: str, counted: Sequence[Run]) -> None:
+def _remember_counted(cell: Cell, worker_id: str, counted: Sequence[Run], now_ms: float) -> None:
     """Remember the losses with one incarnation of a worker, in case that it had left as planned."""
+    former = cell.counted_losses.pop(worker_id, None)
     life_ms = counted[-1].worker_started_ms
-    former = cell.counted_losses.pop(worker_id, [])
-    same_life = [run for run in former if run.worker_started_ms == life_ms]
-    cell.counted_losses[worker_id] = [*same_life, *counted]
-    while len(cell.counted_losses) > MAX_PRESUMED_WORKERS:
-        del cell.counted_losses[next(iter(cell.counted_losses))]
+    same_life = [run for run in former.runs if run.worker_started_ms == life_ms] if former else []
+    cell.counted_losses[worker_id] = CountedLosses(now_ms, [*same_life, *counted])
+    for known_id, known in list(cell.counted_losses.items()):
+        if now_ms <= known.counted_ms + ANNOUNCEMENT_READ_MS:
+            break
+        del cell.counted_losses[known_id]
 
 
 def withdraw_losses_of_life(cell: Cell, worker_id: str, started_ms: int) -> None:
@@ -244,8 +248,9 @@
     presumed = cell.presumed_losses.get(worker_id)
     if presumed is not None and presumed.started_ms == started_ms:
         del cell.presumed_losses[worker_id]
-    for run in cell.counted_losses.get(worker_id, ()):
-        if run.worker_started_ms == started_ms:
+    counted = cell.counted_losses.get(worker_id)
+    for run in counted.runs if counted is not None else ():
+        if run.worker_started_ms == started_ms and run.step.job.final is None:
             withdraw(cell, run.step, run.index, run.number, "its worker had announced its leave")
 
 
