Do not send starts that waited while their worker did not answer another order

With four orders to a worker at once, each start of a burst would wait for the timeouts of those before it, so that the last of 20 on a worker that does not answer would fail after seconds.

Change: such a start is not sent. Nothing of it was, so its task is placed again at once. How long a worker may wait with its answer is decided in a module without I/O.

Measured: the new test fails on the code before, which sends the second start.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -11,11 +11,10 @@
 from nutmeglb._internal.queues.ports import MAX_CALLS_PER_WORKER, StartOrder, WorkerGateway
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import (
-    absent_runs,
     ended_lives,
     orders,
+    poll_wait,
     reports,
-    speeds,
     worker_losses,
 )
 from nutmeglb_decisions.queues.cell import Cell
@@ -27,10 +26,6 @@
 
 logger = get_logger("workers")
 
-# Longest time that a worker waits in one call for the end of a run (from the platform's protocol).
-LONG_POLL_MS = 2_000
-# Longest wait while a stop is not answered. It is repeated after each report.
-STRAY_POLL_MS = 100
 # Added to every lease expiry for the network path of the last renewal.
 EXPIRY_MARGIN_MS = 150.0
 # Attempts to order a start without an answer. The run is stopped after them, so that an order that
@@ -83,6 +78,7 @@
         self._excused_calls = 0
         self._order_slots = OrderSlots(MAX_CALLS_PER_WORKER - 1)
         self._has_unanswered_stop = False
+        self._unanswered_order_ms = -math.inf
 
     def poll_replaced(self) -> None:
         """Call a silent worker now, since another one is listed at its address."""
@@ -126,7 +122,7 @@
         # therefore only queried, without a renewal.
         is_renewal = worker.first_answer_ms is not None and not self._unanswered_calls
         is_idle = worker.settled and not worker.runs and not worker.stray_runs
-        wait_ms = self._poll_wait_ms(sent_ms) if is_renewal and not is_idle else 0
+        wait_ms = self._longest_wait_ms(sent_ms) if is_renewal and not is_idle else 0
         deadline_ms = self._extend_lease() if is_renewal else None
         if worker.last_applied_end > self._last_stored_end:
             wait_ms = 0
@@ -177,26 +173,10 @@
             if self._has_unanswered_stop:
                 return
 
-    def _poll_wait_ms(self, now_ms: float) -> int:
-        """Return how long the worker may wait for an end before it answers.
-
-        The next report is requested as soon as it can prove the end of a stopped run, or settle the
-        worker. While workers are kept for suspects, one that starts meanwhile waits for a proof.
-        """
-        proof_ms = absent_runs.next_proof_ms(self._cell, self.worker, self._last_report_sent_ms)
-        needed_ms = [now_ms + LONG_POLL_MS]
-        if proof_ms is not None:
-            needed_ms.append(proof_ms)
-        learning_ms = speeds.next_report_ms(self._cell, self.worker, now_ms)
-        if learning_ms is not None:
-            needed_ms.append(learning_ms)
-        if not self.worker.settled:
-            needed_ms.append(self._cell.settles_at_ms(self.worker))
-        if self._cell.kept_workers:
-            needed_ms.append(now_ms + worker_losses.PROVING_MS)
-        if None in self.worker.stray_runs.values() or self._has_unanswered_stop:
-            needed_ms.append(now_ms + STRAY_POLL_MS)
-        return math.ceil(max(0.0, min(needed_ms) - now_ms))
+    def _longest_wait_ms(self, now_ms: float) -> int:
+        return poll_wait.longest_wait_ms(
+            self._cell, self.worker, self._last_report_sent_ms, now_ms, self._has_unanswered_stop
+        )
 
     def _receiver(self) -> OtherIncarnation:
         """Return what an answer of another incarnation to a call sent now would prove."""
@@ -278,10 +258,11 @@
 
     async def start(self, effect: StartTask) -> None:
         """Order a start, and retry if it is not answered."""
+        wanted_ms = self._clock.now_ms()
         async with self._order_slots.reserve(is_urgent=False):
-            await self._start(effect)
+            await self._start(effect, wanted_ms)
 
-    async def _start(self, effect: StartTask) -> None:
+    async def _start(self, effect: StartTask, wanted_ms: float) -> None:
         outcome = StartOutcome.UNKNOWN
         is_conclusive = True
         copies = 0
@@ -303,6 +284,10 @@
             if effect.ticket and sent_ms >= effect.ticket_expires_at_ms:
                 outcome = StartOutcome.TICKET
                 break
+            if is_conclusive and self._unanswered_order_ms > wanted_ms:
+                # The worker did not answer an order while this one waited for a slot.
+                outcome = StartOutcome.NOT_DELIVERED
+                break
             withheld = orders.withheld_cause(self.worker, sent_ms)
             if withheld is not None:
                 outcome = withheld
@@ -336,6 +321,7 @@
             is_conclusive = False
             if not self._is_excused(sent_ms):
                 copies += 1
+                self._unanswered_order_ms = self._clock.now_ms()
         orders.apply_start_answer(
             *run,
             outcome,
--- a/tests/unit/test_queue_links.py
+++ b/tests/unit/test_queue_links.py
@@ -5,16 +5,19 @@
 
 import pytest
 
-from nutmeglb._internal.queues.worker_link import LONG_POLL_MS, STRAY_POLL_MS, LeaderCallbacks
+from nutmeglb._internal.queues.leader_callbacks import LeaderCallbacks
+from nutmeglb._internal.queues.order_slots import OrderSlots
+from nutmeglb._internal.queues.ports import OrderAnswer
 from nutmeglb._internal.queues.worker_links import WorkerLinks
 from nutmeglb_decisions.queues import lifecycle, orders
 from nutmeglb_decisions.queues.effects import PaceTask, StopTask
 from nutmeglb_decisions.queues.orders import StartOutcome
+from nutmeglb_decisions.queues.poll_wait import LONG_POLL_MS, STRAY_POLL_MS
 from nutmeglb_decisions.queues.state import KeptWorker
 from nutmeglb_decisions.queues.worker_losses import PROVING_MS
 from nutmeglb_formats.clock import ManualClock
 from nutmeglb_formats.models.queues import RunningTask, WorkerReport
-from tests.lib.queues import STOP_ENDS_AFTER_MS, CellWorld, job, step, worker_info
+from tests.lib.queues import BATCH, STOP_ENDS_AFTER_MS, CellWorld, job, step, worker_info
 from tests.lib.worker_link import Link
 
 JOB = "00000000000000aa"
@@ -177,6 +180,33 @@
     assert link.waits_sent == waits_ms
 
 
+@pytest.mark.parametrize("outcome", [StartOutcome.UNKNOWN, StartOutcome.STARTED])
+def test_starts_that_wait_for_a_slot_of_a_worker_that_does_not_answer_are_not_sent(outcome):
+    """Guards against a burst of starts of which each waits for the timeouts of others."""
+    link = Link()
+    link.link._order_slots = OrderSlots(1)
+    link.world.add(job("b", step(), queue=BATCH))
+    link.world.schedule()
+    first, second = link.order, link.world.started[-1]
+    assert (first.task, second.task) == ("a.0.0.0", "b.0.0.0")
+
+    async def start(worker, order):
+        link.sent.append(order.task)
+        await asyncio.sleep(0)
+        link.clock.advance(400.0)
+        return OrderAnswer(outcome)
+
+    link.start = start
+
+    async def scenario():
+        await asyncio.gather(link.link.start(first), link.link.start(second))
+
+    asyncio.run(scenario())
+    is_answered = outcome == StartOutcome.STARTED
+    assert link.sent == ([first.task, second.task] if is_answered else [first.task] * 2)
+    assert ((second.task, second.run) in link.worker.runs) == is_answered
+
+
 @pytest.mark.parametrize(("is_kept", "wait_ms"), [(True, PROVING_MS), (False, LONG_POLL_MS)])
 def test_reports_are_requested_more_often_while_workers_are_kept_for_suspects(is_kept, wait_ms):
     """Guards against a worker that stays kept for the rest of a long poll."""
