Count a run with a stored number as lost only if its own worker has ended

Cause: the number of the next run of a task with losses is stored before the run is ordered. The next leader counted it as a loss if any worker of the step had restarted or was lost meanwhile. So each of several leaders in a row counted a run that its predecessor had never ordered, up to the limit of five. Undecided numbers became losses for good when the record was written again.

Change: the record also names the workers and incarnations on which the run may start, and the run starts only on these. The next leader counts it only if one of them has ended without having announced its leave. Records of former releases are read as before; these ignore the new field.

Evidence: task_given_up listed five presumed losses with the numbers of five terms for a task that was never ordered. Tests that looked at unseen_runs or at the uncounted losses were changed with the state: a number is now undecided until its worker is known, and the new test checks each of the outcomes.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
@@ -12,7 +12,7 @@
 import math
 from collections.abc import Sequence
 
-from nutmeglb_decisions.queues import crashing_tasks, worker_losses
+from nutmeglb_decisions.queues import crashing_tasks, run_numbers, worker_losses
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.idle_jobs import LOW_UTILIZATION, utilization_by_service
 from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass, start_task
@@ -140,7 +140,10 @@
     empty = [worker for worker in own if not worker.runs]
     kept_empty = [worker for worker in empty if worker in kept]
     reservations = Reservations() if kept_empty else state.reservations
-    chosen = choose_single(step, kept_empty or empty, reservations, state.now_ms, run_ms)
+    stored = run_numbers.reserved_workers((task,), kept_empty or empty)
+    chosen = choose_single(step, stored, reservations, state.now_ms, run_ms)
+    if chosen is None:
+        chosen = choose_single(step, kept_empty or empty, reservations, state.now_ms, run_ms)
     if chosen is None and _has_waited(state, step, losses):
         if crashing_tasks.must_run_alone(step, losses):
             cause = "workers crashed at its start twice, and none is without other work"
@@ -148,10 +151,10 @@
             return
         chosen = _with_least_work(step, own, state.now_ms, run_ms)
     if chosen is None:
-        worker_losses.release_number(cell, step, task)
+        run_numbers.release_number(cell, step, task)
         _keep_worker(state, step, task, kept, group)
         return
-    number = worker_losses.next_number(cell, step, (task,), state.now_ms)
+    number = run_numbers.next_number(cell, step, (task,), (chosen,), state.now_ms)
     if number is None:
         crashing_tasks.keep_worker(cell, chosen, step, task, state.now_ms)
         return
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
@@ -127,7 +127,7 @@
         return
     _save_checkpoint(step, task, checkpoint)
     if task.losses is not None and 0 < task.losses.reserved_run <= number:
-        task.losses.reserved_run = 0
+        task.losses.reserved_run, task.losses.reserved_lives = 0, ()
         cell.mark_dirty(job)
     if step.spec.lasting:
         failures = len(task.failed_runs) + 1 if outcome == FAILED else 0
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -11,7 +11,8 @@
     idle_turns,
     isolation,
     overdue_gangs,
-    worker_losses,
+    run_numbers,
+    unseen_runs,
 )
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.gang_plans import reserve_planned_capacity
@@ -98,7 +99,7 @@
     _place_until(state, not_reached, max_worker_checks)
     for _, step in ranked:
         if step.lossy_tasks:
-            worker_losses.release_unused_numbers(cell, step, now_ms)
+            run_numbers.release_unused_numbers(cell, step, now_ms)
     for after in cell.parts.after_pass:
         after(state, ranked)
 
@@ -149,7 +150,7 @@
         candidates = _with_free_capacity(state, step, group.workers)
         _record_workers(cell, step, group.workers, candidates, now_ms)
     state.worker_checks += 1 + len(candidates)
-    worker_losses.settle_unseen_losses(cell, step)
+    unseen_runs.settle_unseen_losses(cell, step)
     tasks = startable_tasks(step, now_ms)
     if step.lossy_tasks and not step.spec.gang:
         run_ms = _expected_run_ms(state, step)
@@ -287,12 +288,10 @@
             return None
         if not _leaves_headroom(state, step):
             return math.inf
-        worker = choose_single(
-            step, ready, state.reservations, state.now_ms, run_ms, state.planned, state.lost_ms
-        )
+        worker = _choose_worker(state, step, task, ready, run_ms)
         if worker is None:
             return _next_capacity_ms(state, step, run_ms) if is_advice_due else math.inf
-        number = worker_losses.next_number(state.cell, step, (task,), state.now_ms)
+        number = run_numbers.next_number(state.cell, step, (task,), (worker,), state.now_ms)
         if number is None:
             _hold_capacity(state, step, worker, run_ms)
         else:
@@ -301,6 +300,20 @@
     return state.now_ms if step.held_by else None
 
 
+def _choose_worker(
+    state: SchedulingPass, step: Step, task: Task, ready: Sequence[Worker], run_ms: float
+) -> Worker | None:
+    """Return the worker for a task: the one that is stored for its next run, or else the best."""
+    stored = run_numbers.reserved_workers((task,), ready) if task.losses else []
+    for workers in (stored, ready):
+        worker = choose_single(
+            step, workers, state.reservations, state.now_ms, run_ms, state.planned, state.lost_ms
+        )
+        if worker is not None:
+            return worker
+    return None
+
+
 def _hold_capacity(state: SchedulingPass, step: Step, worker: Worker, run_ms: float) -> None:
     """Keep room on a worker in this pass for a task that starts once its number is stored."""
     reservations = state.reservations
@@ -350,19 +363,25 @@
         ready = isolation.workers_for_gang(state, step, ready)
         if step.job.final is not None:
             return None
-    assignment = choose_gang(step, ready, state.reservations, state.now_ms, run_ms, state.lost_ms)
+    assignment = None
+    for workers in (run_numbers.reserved_workers(step.tasks, ready), ready):
+        if assignment is None:
+            assignment = choose_gang(
+                step, workers, state.reservations, state.now_ms, run_ms, state.lost_ms
+            )
     if assignment is None:
         good = advice.approved_workers(state.cell, step) if is_advice_due else []
         fits = choose_gang(step, good, state.reservations, state.now_ms, run_ms) is not None
         at_ms = gang_reservations.plan_and_reserve(state, step, group)
         return state.now_ms if fits or state.now_ms < step.expects_room_until_ms else at_ms
-    number = worker_losses.next_number(state.cell, step, step.tasks, state.now_ms)
+    chosen = [state.cell.workers[worker_id] for worker_id in assignment.worker_ids]
+    number = run_numbers.next_number(state.cell, step, step.tasks, chosen, state.now_ms)
     if number is None:
         return None
     step.plan = None
     step.unplanned = ""
-    for task, worker_id in zip(step.tasks, assignment.worker_ids, strict=True):
-        start_task(state, step, task, state.cell.workers[worker_id], number, run_ms)
+    for task, worker in zip(step.tasks, chosen, strict=True):
+        start_task(state, step, task, worker, number, run_ms)
     if step.lossy_tasks:
         isolation.isolate_gang(state, step)
     return None
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
@@ -4,7 +4,12 @@
 from nutmeglb_decisions.queues.finished_job import FinishedJob
 from nutmeglb_decisions.queues.lifecycle import add_job
 from nutmeglb_decisions.queues.state import Job, JobState, Step
-from nutmeglb_decisions.queues.task_losses import LOSS_ROW_ITEMS, RESERVED, LossRow, restore_losses
+from nutmeglb_decisions.queues.task_losses import (
+    LOSS_ROW_ITEMS,
+    LifeRow,
+    LossRow,
+    restore_losses,
+)
 from nutmeglb_formats.models.queue_records import JobProgress
 from nutmeglb_formats.models.queues import QueueJob, StepProgress
 
@@ -28,7 +33,7 @@
     """
     for stored in progress.steps:
         step = job.occurrences[stored.occurrence][stored.step]
-        rows = frozenset(_loss_rows(stored)) if step.lossy_tasks else frozenset()
+        rows = _stored_rows(stored) if step.lossy_tasks else frozenset()
         for index in step.lossy_tasks:
             losses = step.tasks[index].losses
             if losses is not None:
@@ -105,13 +110,10 @@
     workers = sorted(step.selected | step.recorded)
     if step.spec.lasting:
         failures = []
-    losses = [
-        list(row)
-        for task in step.tasks
-        if task.losses is not None and not task.done
-        for row in task.losses.rows(task.index)
-    ]
-    return StepProgress(step.occurrence, step.number, workers, done, failures, losses)
+    lossy = [(t.index, t.losses) for t in step.tasks if t.losses is not None and not t.done]
+    losses = [list(row) for index, each in lossy for row in each.rows(index)]
+    reserved = [row for index, each in lossy for row in each.life_rows(index)]
+    return StepProgress(step.occurrence, step.number, workers, done, failures, losses, reserved)
 
 
 def _loss_rows(stored: StepProgress) -> list[LossRow]:
@@ -119,8 +121,12 @@
     return [(row[0], row[1], row[2]) for row in stored.losses if len(row) == LOSS_ROW_ITEMS]
 
 
+def _stored_rows(stored: StepProgress) -> frozenset[LossRow | LifeRow]:
+    return frozenset([*_loss_rows(stored), *stored.reserved])
+
+
 def _apply_stored_losses(step: Step, stored: StepProgress) -> None:
-    rows = frozenset(_loss_rows(stored))
+    rows = _stored_rows(stored)
     for index in step.lossy_tasks:
         losses = step.tasks[index].losses
         if losses is not None:
@@ -140,10 +146,9 @@
         if index < len(step.tasks):
             failed = step.failed_runs if step.spec.gang else step.tasks[index].failed_runs
             failed.add(number)
-    for index, losses in restore_losses(_loss_rows(stored)).items():
+    for index, losses in restore_losses(_loss_rows(stored), stored.reserved).items():
         if 0 <= index < len(step.tasks) and not step.tasks[index].done:
             step.tasks[index].losses = losses
             step.lossy_tasks.add(index)
-            for number, loss in losses.by_run.items():
-                if loss is RESERVED:
-                    step.unseen_runs[index] = number
+            if losses.unseen:
+                step.unseen_tasks.add(index)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -6,9 +6,11 @@
     crashing_tasks,
     leaving_workers,
     presumed_ends,
+    run_numbers,
     speeds,
     stray_runs,
     takeover_wait,
+    unseen_runs,
     worker_losses,
 )
 from nutmeglb_decisions.queues.absent_runs import LOST, apply_absence
@@ -249,21 +251,8 @@
         ended_runs = apply_absence(cell, worker, running_by_key, sent_ms, now_ms, wall_ms)
         log_ends(cell, worker, [(run.task, run.number, LOST) for run in ended_runs])
         if not worker.settled and sent_ms >= cell.settles_at_ms(worker):
-            _mark_settled(cell, worker)
-
-
-def _mark_settled(cell: Cell, worker: Worker) -> None:
-    worker.settled = True
-    known_ms = cell.former_lives.get(worker.worker_id)
-    is_restart = known_ms is not None and worker.started_ms != known_ms
-    is_planned = leaving_workers.has_returned(cell, worker.worker_id, worker.started_ms)
-    for job in cell.active.values():
-        for step in job.steps:
-            if worker.worker_id in step.unsettled:
-                step.unsettled.discard(worker.worker_id)
-                may_be_restart = known_ms is None and worker.started_ms > job.record.accepted_ms
-                if (is_restart or may_be_restart) and not is_planned:
-                    step.may_have_lost_runs = step.has_restarted_worker = True
+            worker.settled = True
+            unseen_runs.record_settled(cell, worker)
 
 
 def _apply_end(cell: Cell, worker: Worker, ended: EndedTask, now_ms: float, wall_ms: float) -> None:
@@ -364,7 +353,7 @@
     if name is None or step is None or not _is_adoptable(step.tasks, name, running.run):
         return None
     task = step.tasks[name.index]
-    worker_losses.adopt_number(cell, step, task, running.run)
+    run_numbers.adopt_number(cell, step, task, running.run, worker)
     expected_ms = cell.estimates.run_ms(
         step.job.record.queue.name, step.spec.estimate_ms, worker.slowness
     )
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -250,8 +250,8 @@
     may_have_lost_runs, has_restarted_worker
         Whether runs that a former leader ordered may have crashed their workers unseen, and whether
         such a worker has answered as an incarnation that may have begun since.
-    unseen_runs
-        Per task with losses: number of the run that the former leader was about to start.
+    unseen_tasks
+        Indices of the tasks with runs that a former leader was about to start.
     """
 
     job: "Job"
@@ -284,7 +284,7 @@
     has_proved_task: bool = False
     may_have_lost_runs: bool = False
     has_restarted_worker: bool = False
-    unseen_runs: dict[int, int] = field(default_factory=dict)
+    unseen_tasks: set[int] = field(default_factory=set)
     pace: StepPace = field(default_factory=StepPace)
     charged: Resources = field(init=False)
     team: str = field(init=False)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/task_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/task_losses.py
@@ -16,6 +16,10 @@
 
 # Index of the task, number of the run, and flags.
 LossRow = tuple[int, int, int]
+# Worker id and start time of one of its incarnations.
+Life = tuple[str, int]
+# Index of the task, number of the run, and an incarnation of a worker on which it was to start.
+LifeRow = tuple[int, int, str, int]
 LOSS_ROW_ITEMS = 3
 # Time for which a number is first kept although no worker can be chosen for its run.
 MIN_UNUSED_MS = 250.0
@@ -60,21 +64,27 @@
 
 
 ASSUMED = Loss(is_proved=False, is_suspect=False, was_alone=False, is_assumed=True)
-# The same for a run whose number a former leader had stored, until its workers are known.
+# The same for a run whose number a former leader had stored, and whose worker has vanished.
 RESERVED = replace(ASSUMED, is_vanished=True)
 
 
 @dataclass(slots=True, eq=False)
 class TaskLosses:
-    """The losses of one task. Its next run starts once they are stored together with its number.
+    """The losses of one task.
+
+    Its next run starts once they are stored together with its number and where it is to start.
 
     Attributes
     ----------
     by_run
         Losses by run number, so that none counts twice.
-    reserved_run
-        Number that the next run is to have; 0 if none is to start. Under the next leader the run
-        counts as lost unless a worker reports it.
+    reserved_run, reserved_lives
+        Number that the next run is to have, 0 if none is to start; and the incarnations of workers
+        on which it may start, of which a gang has several. Under the next leader the run counts as
+        lost only if one of them has ended.
+    unseen
+        Per number that a former leader had stored: the incarnations on which the run was to start.
+        They do not count as long as they may be alive. Empty if a former release has stored it.
     stored
         Rows as last stored.
     waits_since_ms
@@ -86,7 +96,9 @@
 
     by_run: dict[int, Loss] = field(default_factory=dict)
     reserved_run: int = 0
-    stored: frozenset[LossRow] = frozenset()
+    reserved_lives: tuple[Life, ...] = ()
+    unseen: dict[int, tuple[Life, ...]] = field(default_factory=dict)
+    stored: frozenset[LossRow | LifeRow] = frozenset()
     waits_since_ms: float | None = None
     wanted_ms: float = -math.inf
     max_unused_ms: float = MIN_UNUSED_MS
@@ -114,26 +126,46 @@
     def rows(self, index: int) -> list[LossRow]:
         """Return the rows to store for the task with the given index."""
         rows = [(index, number, loss.flags) for number, loss in sorted(self.by_run.items())]
-        if self.reserved_run:
-            rows.append((index, self.reserved_run, _RESERVED))
-        return rows
+        return rows + [(index, number, _RESERVED) for number in self._reserved_numbers()]
+
+    def life_rows(self, index: int) -> list[LifeRow]:
+        """Return the rows to store on where the runs with reserved numbers are to start."""
+        return [
+            (index, number, *life)
+            for number, lives in self._reserved_numbers().items()
+            for life in lives
+        ]
+
+    def _reserved_numbers(self) -> dict[int, tuple[Life, ...]]:
+        own = {self.reserved_run: self.reserved_lives} if self.reserved_run else {}
+        return self.unseen | own
 
     def is_stored(self, index: int) -> bool:
         """Return whether all rows are stored."""
-        return self.stored.issuperset(self.rows(index))
+        return self.stored.issuperset([*self.rows(index), *self.life_rows(index)])
+
+    def withdraw(self, number: int) -> bool:
+        """Remove what counts or may count of a run. Return whether there was anything."""
+        return (self.by_run.pop(number, None), self.unseen.pop(number, None)) != (None, None)
 
 
-def restore_losses(rows: Iterable[LossRow]) -> dict[int, TaskLosses]:
+def restore_losses(
+    rows: Iterable[LossRow], life_rows: Iterable[LifeRow] = ()
+) -> dict[int, TaskLosses]:
     """Return the losses by task that a former leader stored.
 
     A run that was about to start may have started and crashed its worker before the former leader
-    knew. It counts as lost until a worker reports it.
+    knew. Whether it counts is decided when its workers are known.
     """
+    lives: dict[tuple[int, int], tuple[Life, ...]] = {}
+    for index, number, worker_id, started_ms in life_rows:
+        key = (index, number)
+        lives[key] = (*lives.get(key, ()), (worker_id, started_ms))
     found: dict[int, TaskLosses] = {}
     for index, number, flags in rows:
         losses = found.setdefault(index, TaskLosses())
         if flags & _RESERVED:
-            losses.by_run.setdefault(number, RESERVED)
+            losses.unseen[number] = lives.get((index, number), ())
         else:
             losses.by_run[number] = Loss(
                 bool(flags & _PROVED),
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_addresses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_addresses.py
@@ -40,7 +40,7 @@
         worker_id
         for job in cell.active.values()
         for step in job.steps
-        if step.unsettled or step.unseen_runs or step.may_have_lost_runs
+        if step.unsettled or step.unseen_tasks or step.may_have_lost_runs
         for worker_id in step.recorded
     }
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
@@ -6,12 +6,12 @@
 so that they are the same under each leader.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import replace
 from enum import StrEnum
 
 from nutmeglb_decisions.queues import leaving_workers
-from nutmeglb_decisions.queues.cell import RUNS_PER_TERM, Cell, CountedLosses
+from nutmeglb_decisions.queues.cell import Cell, CountedLosses
 from nutmeglb_decisions.queues.crashing_tasks import give_up_if_hopeless
 from nutmeglb_decisions.queues.state import (
     Isolation,
@@ -21,7 +21,7 @@
     Step,
     Task,
 )
-from nutmeglb_decisions.queues.task_losses import ASSUMED, RESERVED, Loss, TaskLosses
+from nutmeglb_decisions.queues.task_losses import Loss, TaskLosses
 from nutmeglb_decisions.queues.worker_state import Worker
 
 # A worker that a task crashes at its start is gone within the time of two calls that it does not
@@ -124,54 +124,6 @@
     return min((proof_ms for proof_ms in proofs_ms if proof_ms > since_ms), default=None)
 
 
-def settle_unseen_losses(cell: Cell, step: Step) -> None:
-    """Decide what counts of the runs that may have been lost while the leader changed."""
-    if step.may_have_lost_runs:
-        if step.has_restarted_worker:
-            _count_unseen_runs(cell, step)
-        step.unseen_runs.clear()
-        _assume_unseen_losses(cell, step)
-    elif step.unseen_runs and not step.unsettled:
-        # No worker of the step has crashed meanwhile, so no run has crashed one.
-        unseen, step.unseen_runs = step.unseen_runs, {}
-        for index, number in unseen.items():
-            run = step.tasks[index].run
-            if run is None or run.number != number:
-                withdraw(cell, step, index, number, "no worker of the step was lost")
-
-
-def _count_unseen_runs(cell: Cell, step: Step) -> None:
-    """Record that a worker has restarted on which runs may have been that no leader has seen."""
-    for index, number in step.unseen_runs.items():
-        losses = step.tasks[index].losses
-        if losses is not None and losses.by_run.get(number) is RESERVED:
-            losses.by_run[number] = ASSUMED
-            cell.mark_dirty(step.job)
-
-
-def _assume_unseen_losses(cell: Cell, step: Step) -> None:
-    """Count one loss of each waiting task of a step whose workers may have crashed unseen.
-
-    Under the former leader, the task may have crashed a worker shortly before the change of leader.
-    Only one such loss is assumed of a task: from then on the number of each run is stored first.
-    """
-    step.may_have_lost_runs = False
-    # A number that no run has: those of this term are higher, and those of former terms lower.
-    number = cell.term * RUNS_PER_TERM
-    waiting = [task for task in step.tasks if not (task.done or task.run or task.losses)]
-    for task in waiting:
-        loss = replace(ASSUMED, is_vanished=not step.has_restarted_worker)
-        task.losses = TaskLosses({number: loss})
-        step.lossy_tasks.add(task.index)
-    step.has_restarted_worker = False
-    if waiting:
-        cell.mark_dirty(step.job)
-        cell.log_decision(
-            "losses_assumed", "a worker of the step was lost during a change of leader",
-            job=step.job.job_id, step=step.name, tasks=len(waiting),
-        )  # fmt: skip
-
-
 def record_losses(
     cell: Cell,
     worker: Worker,
@@ -290,69 +242,17 @@
 ) -> None:
     """Withdraw the loss of a run: by default its worker reports it, so it has not crashed."""
     task = step.tasks[index]
-    if task.losses is None or task.losses.by_run.pop(number, None) is None:
+    if task.losses is None or not task.losses.withdraw(number):
         return
     cell.log_decision(
         "loss_withdrawn", cause, job=step.job.job_id,
         task=step.task_name(index), run=number,
     )  # fmt: skip
     cell.mark_dirty(step.job)
-    if not task.losses.by_run:
+    if not task.losses.by_run and not task.losses.unseen:
         _forget_losses(cell, step, task)
 
 
-def adopt_number(cell: Cell, step: Step, task: Task, number: int) -> None:
-    """Keep the number of an adopted run reserved, so that the next leader knows of it as well."""
-    withdraw(cell, step, task.index, number)
-    if task.losses is not None and task.losses.reserved_run != number:
-        task.losses.reserved_run = number
-        cell.mark_dirty(step.job)
-
-
-def release_number(cell: Cell, step: Step, task: Task) -> None:
-    """Withdraw the reservation of a run number: the run does not start for now."""
-    if task.losses is not None and task.losses.reserved_run:
-        task.losses.reserved_run = 0
-        cell.mark_dirty(step.job)
-
-
-def release_unused_numbers(cell: Cell, step: Step, now_ms: float) -> None:
-    """Withdraw the reservations of a step for which no worker has been found for some time.
-
-    No order has been sent, so the next leader must not count a loss. The time doubles with each
-    withdrawal, so that a task for which capacity is rarely free still finds its number stored.
-    """
-    for index in step.lossy_tasks:
-        task = step.tasks[index]
-        losses = task.losses
-        if losses is None or task.run is not None or not losses.reserved_run:
-            continue
-        if now_ms > losses.wanted_ms + losses.max_unused_ms:
-            losses.max_unused_ms *= 2.0
-            release_number(cell, step, task)
-
-
-def next_number(cell: Cell, step: Step, tasks: Iterable[Task], now_ms: float) -> int | None:
-    """Return the number of the next run of a task or gang, or ``None`` until it is stored.
-
-    Only a task with losses waits: its losses, and the number of the run, are stored before the run
-    starts, so that the next leader knows of it.
-    """
-    tasks = list(tasks)
-    number = cell.next_run_number(max(task.last_run for task in tasks))
-    is_stored = True
-    for task in tasks:
-        losses = task.losses
-        if losses is None:
-            continue
-        losses.wanted_ms = now_ms
-        if losses.reserved_run != number:
-            losses.reserved_run = number
-            cell.mark_dirty(step.job)
-        is_stored &= losses.is_stored(task.index)
-    return number if is_stored else None
-
-
 def _forget_losses(cell: Cell, step: Step, task: Task) -> None:
     task.losses = None
     step.lossy_tasks.discard(task.index)
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/queues.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/queues.py
@@ -329,6 +329,9 @@
     losses
         Rows of the index of a task, the number of a run that was lost with its worker, and flags.
         Releases that do not know the field ignore it, and records without losses leave it out.
+    reserved
+        Rows of the index of a task, the number of a run that is about to start, and the id and the
+        start time of a worker on which it may start. Ignored and left out like ``losses``.
     """
 
     occurrence: int
@@ -337,3 +340,6 @@
     done: list[int] = field(default_factory=list)
     failures: list[list[int]] = field(default_factory=list)
     losses: list[list[int]] = field(default_factory=list, metadata=OMITTED_IF_EMPTY)
+    reserved: list[tuple[int, int, str, int]] = field(
+        default_factory=list, metadata=OMITTED_IF_EMPTY
+    )
--- a/tests/unit/test_queue_leaving_workers.py
+++ b/tests/unit/test_queue_leaving_workers.py
@@ -9,6 +9,7 @@
     ended_lives,
     progress,
     reports,
+    unseen_runs,
     worker_addresses,
     worker_losses,
 )
@@ -160,7 +161,7 @@
         reports.forget_workers(successor.cell, {"w1"})
     (added,) = successor.cell.jobs["a"].steps
     assert not added.unsettled
-    worker_losses.settle_unseen_losses(successor.cell, added)
+    unseen_runs.settle_unseen_losses(successor.cell, added)
     assert bool(losses_of(successor, "a")) != has_announced
 
 
@@ -180,10 +181,15 @@
     before = losses_of(successor, "a")
     assert before.keys() == {1, order.run}
     (added,) = successor.cell.jobs["a"].steps
-    lost = added.unsettled if is_lost else set()
-    reports.forget_workers(successor.cell, set(lost))
-    added.unsettled.clear()
-    worker_losses.settle_unseen_losses(successor.cell, added)
+    if is_lost:
+        reports.forget_workers(successor.cell, set(added.unsettled))
+    else:
+        reports.apply_worker_list(successor.cell, infos, successor.now_ms)
+        successor.tick(2_000.0)
+        for info in infos:
+            successor.report(info.worker_id, running=())
+    assert not added.unsettled
+    unseen_runs.settle_unseen_losses(successor.cell, added)
     assert losses_of(successor, "a").keys() == ({1, order.run} if is_lost else {1})
 
 
@@ -264,4 +270,6 @@
     encoded = progress.encode(world.cell.jobs["a"])
     successor = CellWorld()
     progress.restore(successor.cell, added.job.record, encoded, 0.0, 0.0)
-    assert successor.cell.jobs["a"].steps[0].unseen_runs == {0: 2}
+    (restored,) = successor.cell.jobs["a"].steps
+    assert restored.unseen_tasks == {0}
+    assert restored.tasks[0].losses.unseen == {2: ()}
--- a/tests/unit/test_queue_quotas.py
+++ b/tests/unit/test_queue_quotas.py
@@ -14,10 +14,10 @@
     quotas,
     ranking,
     reports,
+    run_numbers,
     takeover_wait,
     verdicts,
     waiting,
-    worker_losses,
 )
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_decisions.queues.run_sums import RunSums
@@ -70,7 +70,8 @@
         task.last_run = 1
         added.lossy_tasks.add(task.index)
         # Its number is stored while the limit of the team is reached.
-        worker_losses.next_number(world.cell, added, (task,), world.now_ms)
+        worker = world.worker(sorted(world.cell.workers)[task.index])
+        run_numbers.next_number(world.cell, added, (task,), (worker,), world.now_ms)
     world.store()
     for _ in range(4):
         world.schedule()
--- a/tests/unit/test_queue_worker_losses.py
+++ b/tests/unit/test_queue_worker_losses.py
@@ -12,7 +12,7 @@
     placing,
     progress,
     reports,
-    worker_losses,
+    run_numbers,
 )
 from nutmeglb_decisions.queues.absent_runs import LOST
 from nutmeglb_decisions.queues.cell import Cell
@@ -120,8 +120,10 @@
 def losses_of(world: CellWorld, job_id: str) -> dict[int, str]:
     """Return the losses of the only task of a job by run number, as the evidence of each."""
     losses = world.cell.jobs[job_id].steps[0].tasks[0].losses
-    by_run = losses.by_run if losses else {}
-    return {n: "proved" if loss.is_proved else "presumed" for n, loss in by_run.items()}
+    if losses is None:
+        return {}
+    counted = {n: "proved" if each.is_proved else "presumed" for n, each in losses.by_run.items()}
+    return counted | dict.fromkeys(losses.unseen, "undecided")
 
 
 def next_leader(world: CellWorld, term: int) -> CellWorld:
@@ -210,7 +212,8 @@
         for order in world.cell.take_effects():
             if isinstance(order, StartTask) and order.task == "a.0.0.0":
                 started.append(order.run)
-                assert {number for _, number, _ in stored[0]} == {1, order.run}
+                assert {row[1] for row in stored[0]} == {1, order.run}
+                assert (0, order.run, order.worker_id, 1_000) in stored[0]
         world.store()
     assert started == [2]
 
@@ -222,36 +225,54 @@
     world.store()
     job_a = world.cell.jobs["a"]
     (a_step,) = job_a.steps
-    tasks = a_step.tasks
-    assert worker_losses.next_number(world.cell, a_step, tasks, world.now_ms) is None
+    tasks, workers = a_step.tasks, list(world.cell.workers.values())
+    assert run_numbers.next_number(world.cell, a_step, tasks, workers, world.now_ms) is None
     world.store()
-    assert worker_losses.next_number(world.cell, a_step, tasks, world.now_ms) == 2
-    worker_losses.release_number(world.cell, a_step, tasks[0])
+    assert run_numbers.next_number(world.cell, a_step, tasks, workers, world.now_ms) == 2
+    run_numbers.release_number(world.cell, a_step, tasks[0])
     world.cell.dirty.clear()
     written = _encode_write(job_a).progress
-    assert worker_losses.next_number(world.cell, a_step, tasks, world.now_ms) is None
+    assert run_numbers.next_number(world.cell, a_step, tasks, workers, world.now_ms) is None
     progress.committed(world.cell, job_a, written)
-    assert worker_losses.next_number(world.cell, a_step, tasks, world.now_ms) is None
+    assert run_numbers.next_number(world.cell, a_step, tasks, workers, world.now_ms) is None
     world.store()
-    assert worker_losses.next_number(world.cell, a_step, tasks, world.now_ms) == 2
+    assert run_numbers.next_number(world.cell, a_step, tasks, workers, world.now_ms) == 2
 
 
-def test_run_that_may_have_started_under_the_former_leader_counts_as_lost():
+@pytest.mark.parametrize(
+    ("started_ms", "is_running", "found"),
+    [
+        (1_000, True, {1: "proved"}),
+        (1_000, False, {1: "proved"}),
+        (2_000, False, {1: "proved", 2: "presumed"}),
+    ],
+)
+def test_run_with_a_stored_number_counts_only_if_its_worker_was_lost(started_ms, is_running, found):
+    """Guards against a healthy job that is given up for runs that no leader has ordered."""
     world = world_before_a_loss()
     restart(world)
     add_worker(world, "w2")
+    # Its first worker is kept for the other task, so another one is stored for it.
+    world.schedule()
     world.schedule()
-    assert [order.run for order in world.started if order.task == "a.0.0.0"] == [2]
+    assert [(o.run, o.worker_id) for o in world.started if o.task == "a.0.0.0"] == [(2, "w2")]
     successor = next_leader(world, 1)
-    assert losses_of(successor, "a") == {1: "proved", 2: "presumed"}
-    successor.show(worker_info("w2"))
-    successor.report("w2", running=(RunningTask("a.0.0.0", 2, "", 10),))
-    assert losses_of(successor, "a") == {1: "proved"}
+    assert losses_of(successor, "a") == {1: "proved", 2: "undecided"}
+    # Until it is decided, it is stored as it was found.
+    assert losses_of(next_leader(successor, 2), "a") == {1: "proved", 2: "undecided"}
+    successor.show(worker_info("w1", started_ms=9_000), worker_info("w2", started_ms=started_ms))
+    runs = (RunningTask("a.0.0.0", 2, "", 10),) if is_running else ()
+    for _ in range(2):
+        successor.report("w2", running=runs)
+        successor.report("w1", running=())
+        successor.tick(STOP_ENDS_AFTER_MS)
+    placing.schedule(successor.cell, 4, successor.rng, successor.now_ms, successor.now_ms)
+    assert losses_of(successor, "a") == found
 
 
 @pytest.mark.parametrize(
     ("unused_ms", "counted"),
-    [(MIN_UNUSED_MS, {1: "proved", 2: "presumed"}), (MIN_UNUSED_MS + 1.0, {1: "proved"})],
+    [(MIN_UNUSED_MS, {1: "proved", 2: "undecided"}), (MIN_UNUSED_MS + 1.0, {1: "proved"})],
 )
 def test_number_is_withdrawn_when_no_worker_can_be_chosen_for_its_run(unused_ms, counted):
     """No order of the run was sent, so the next leader must not count a loss."""
