Use up an admission also for a run whose number is being stored

Seen by callers: nothing by itself. A team with room for one task had numbers stored for all lost tasks of a step at once, each of which the next leader looked at as a run that may have started.

Cause: an admission was used up by an order only. While the number of a run is being stored, the pass went on to the next task of the step with the same admission.

Change: the run uses up its admission in each pass that waits for its number, also as a suspect or as a gang, so that the rest of the team's work is admitted beside it.

Evidence: before the change, 6 of 6 cases of test_numbers_are_reserved_for_no_more_runs_than_a_team_may_have fail; with room for one task, six numbers were reserved.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
@@ -156,6 +156,7 @@
         return
     number = run_numbers.next_number(cell, step, (task,), (chosen,), state.now_ms)
     if number is None:
+        state.use_admission(step)
         crashing_tasks.keep_worker(cell, chosen, step, task, state.now_ms)
         return
     began_alone = not chosen.runs
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -293,6 +293,7 @@
             return _next_capacity_ms(state, step, run_ms) if is_advice_due else math.inf
         number = run_numbers.next_number(state.cell, step, (task,), (worker,), state.now_ms)
         if number is None:
+            state.use_admission(step)
             _hold_capacity(state, step, worker, run_ms)
         else:
             start_task(state, step, task, worker, number, run_ms)
@@ -377,6 +378,8 @@
     chosen = [state.cell.workers[worker_id] for worker_id in assignment.worker_ids]
     number = run_numbers.next_number(state.cell, step, step.tasks, chosen, state.now_ms)
     if number is None:
+        for _ in step.tasks:
+            state.use_admission(step)
         return None
     step.plan = None
     step.unplanned = ""
