Retry a step after an unexpected error soon, then less and less often

Seen by callers: a step whose placement raises once has nothing running for 5 s, while callers take a job for stuck after 3 s. One that always raises is tried every 5 s for ever.

Cause: the time of a deferral was fixed, and an error in the ranking of a step or in a part around the steps ended the term instead, under each leader.

Change: a step is tried again after 250 ms, and after twice the time at each further error without a start, up to a minute. step_defect has the count and the time, and step_waiting names the deferral. Parts around the steps are left out of the pass in which they raise, with part_defect.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -38,6 +38,14 @@
     runs: list[Run]
 
 
+@dataclass(slots=True)
+class PartErrors:
+    """Unexpected errors of one part under this leader, and when the next one is logged."""
+
+    count: int = 0
+    next_line_ms: float = -math.inf
+
+
 @dataclass(slots=True)
 class Cell:
     """Jobs and workers as one leader knows them, and the effects that are pending.
@@ -101,6 +109,8 @@
         Which kinds of tasks slow each other down; ``None`` if that is not learned.
     overdue_gangs
         Per service: the gang that may plan its start although the usual conditions do not allow it.
+    part_errors
+        Unexpected errors by the name of the part that raised them.
     entry_age
         Until when the entries of workers prove their capacity; without limit by default.
     """
@@ -141,6 +151,7 @@
     interference: Interference | None = None
     overdue_gangs: dict[str, Step] = field(default_factory=dict)
     entry_age: EntryAge = field(default_factory=EntryAge)
+    part_errors: dict[str, PartErrors] = field(default_factory=dict)
 
     def configure(self, config: QueueConfig) -> None:
         """Replace the queue configuration."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections.abc import Sequence
+from functools import partial
 
 from nutmeglb_decisions.queues import (
     advice,
@@ -12,6 +13,7 @@
     isolation,
     overdue_gangs,
     run_numbers,
+    set_aside,
     unseen_runs,
 )
 from nutmeglb_decisions.queues.cell import Cell
@@ -43,9 +45,6 @@
 # more slowly.
 RECORD_CHECK_INTERVAL_MS = 500.0
 
-# A step whose placement raised an unexpected error is tried again after this time.
-DEFECT_RETRY_MS = 5_000.0
-
 
 def schedule(
     cell: Cell,
@@ -91,7 +90,7 @@
         reserve_planned_capacity(step, cell.workers, state.reservations, now_ms, owner=step)
     advice_turns.keep_call_free(cell, ranked, state.budget, now_ms)
     for before in cell.parts.before_pass:
-        before(state, ranked)
+        set_aside.contain(cell, _name_of(before), now_ms, partial(before, state, ranked))
     not_reached = _place_until(state, ranked, BEST_RANK_SHARE * max_worker_checks)
     for _, step in not_reached:
         reserve_planned_capacity(step, cell.workers, state.reservations, now_ms)
@@ -101,7 +100,11 @@
         if step.lossy_tasks:
             run_numbers.release_unused_numbers(cell, step, now_ms)
     for after in cell.parts.after_pass:
-        after(state, ranked)
+        set_aside.contain(cell, _name_of(after), now_ms, partial(after, state, ranked))
+
+
+def _name_of(function: object) -> str:
+    return getattr(function, "__name__", type(function).__name__)
 
 
 def _place_until(
@@ -115,12 +118,15 @@
         try:
             _place_step(state, step)
         except Exception as error:
-            _set_aside(state, step, error)
+            _defer(state, step, error)
+        else:
+            if state.placed:
+                step.deferral.failures = 0
         _log_placed(state, step, step_rank)
     return []
 
 
-def _set_aside(state: SchedulingPass, step: Step, error: Exception) -> None:
+def _defer(state: SchedulingPass, step: Step, error: Exception) -> None:
     """Defer a step whose placement raised an unexpected error, so that all others proceed.
 
     A violated invariant does not end the term either: the next leader would place the same step.
@@ -129,8 +135,7 @@
     if step.spec.gang:
         for run in state.placed:
             stop_run(state.cell, run)
-    step.not_before_ms = state.now_ms + DEFECT_RETRY_MS
-    state.cell.log_decision("step_defect", repr(error), job=step.job.job_id, step=step.name)
+    set_aside.defer_step(state.cell, step, error, state.now_ms)
 
 
 def _place_step(state: SchedulingPass, step: Step) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -5,7 +5,7 @@
 
 from nutmeglb_decisions.queues.names import step_name, task_name
 from nutmeglb_decisions.queues.run_progress import RunProgress, StepPace
-from nutmeglb_decisions.queues.step_state import AdviceState, Forecast, GangPlan, RoomHold
+from nutmeglb_decisions.queues.step_state import AdviceState, Deferral, Forecast, GangPlan, RoomHold
 from nutmeglb_decisions.queues.task_losses import TaskLosses
 from nutmeglb_formats.models.queues import QueueJob, StepSpec
 from nutmeglb_formats.models.resources import Resources
@@ -214,8 +214,8 @@
         Number of tasks that have not completed.
     failed_runs
         Numbers of the failed runs of a gang.
-    not_before_ms
-        Time before which no task starts, after an error in the placement of the step.
+    deferral
+        Until when no task starts, after an unexpected error of the step.
     runnable_since_ms, wait_logged_ms
         Time from which the step could start; time of the last log line on why it has not.
     last_tried_ms
@@ -266,7 +266,7 @@
     advice: AdviceState = field(default_factory=AdviceState)
     remaining: int = 0
     failed_runs: set[int] = field(default_factory=set)
-    not_before_ms: float = 0.0
+    deferral: Deferral = field(default_factory=Deferral)
     runnable_since_ms: float | None = None
     wait_logged_ms: float = 0.0
     last_tried_ms: float = 0.0
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/step_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/step_state.py
@@ -39,6 +39,14 @@
     turn_ms: float = -math.inf
 
 
+@dataclass(slots=True, eq=False)
+class Deferral:
+    """Consecutive unexpected errors of a step without a start, and until when it is deferred."""
+
+    failures: int = 0
+    until_ms: float = 0.0
+
+
 @dataclass(slots=True, eq=False)
 class GangPlan:
     """Workers on which a gang waits for capacity.
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
@@ -24,12 +24,14 @@
         " active or ends"
     ),
 }
+DEFERRED = "an unexpected error of nutmeglb defers it, see step_defect"
 RUNS_ON_SILENT_WORKERS = "its runs may be active on workers that do not answer"
 # What ends a wait, by its cause. Other causes end with the next pass or with the gate.
 ENDS_BY_CAUSE = {
     RUNS_ON_SILENT_WORKERS: "a proof that they have ended, or the expiry of their leases",
     "workers of a former leader have not answered": "their answers, or the takeover wait",
     "no worker of the service has the label": "a new worker",
+    DEFERRED: "its next attempt, after twice the time at each further error",
     "advice call outstanding": "its answer or its timeout",
     "advice approved no worker": "a new worker",
     "advice not requested yet": "the budget of advice calls",
@@ -181,6 +183,8 @@
         return "workers of a former leader have not answered"
     if not eligible:
         return "no worker of the service has the label"
+    if now_ms < step.deferral.until_ms:
+        return DEFERRED
     if step.held_by:
         return CAUSES_BY_GATE.get(step.held_by, step.held_by)
     if needs_advice and not durable:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting_order.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting_order.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import replace
 
+from nutmeglb_decisions.queues import set_aside
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.estimates import Estimates
 from nutmeglb_decisions.queues.parts import OrderTerm, OrderValue, Place
@@ -22,11 +23,15 @@
         for step in runnable_steps(job):
             if step.runnable_since_ms is None:
                 step.runnable_since_ms = now_ms
-            if startable_tasks(step, now_ms):
-                start_ms = due_ms(job, step, now_ms, wall_ms)
-                step_rank = rank(step, start_ms, now_ms, cell.estimates)
+            if not startable_tasks(step, now_ms):
+                continue
+            try:
+                step_rank = rank(step, due_ms(job, step, now_ms, wall_ms), now_ms, cell.estimates)
                 if order:
                     step_rank = _with_terms(step_rank, step, order)
+            except Exception as error:
+                set_aside.defer_step(cell, step, error, now_ms)
+            else:
                 ranked.append((step_rank, step))
     ranked.sort(key=lambda item: item[0].key)
     return ranked
@@ -60,7 +65,7 @@
 
 def startable_tasks(step: Step, now_ms: float) -> list[Task]:
     """Return the tasks that may start now; for a gang either all or none."""
-    if step.unsettled or now_ms < step.not_before_ms:
+    if step.unsettled or now_ms < step.deferral.until_ms:
         return []
     if step.spec.gang:
         if any(task.run or now_ms < task.not_before_ms for task in step.tasks):
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
@@ -26,6 +26,8 @@
         "start_refused",
         "order_not_sent",
         "step_defect",
+        "part_defect",
+        "job_set_aside",
         "defect",
         "step_waiting",
         "job_idle",
--- a/tests/lib/queue_process.py
+++ b/tests/lib/queue_process.py
@@ -23,6 +23,8 @@
 from tests.lib.queue_worker_model import BEAT_MS
 from tests.lib.queues import worker_info
 
+# Lines that name an unexpected error, which no case may cause.
+DEFECTS = ("step_defect", "part_defect", "job_set_aside")
 CLOCK_OFFSETS_MS = (0.0, 1_000_000.0)
 # For how long the store has answered the first processes.
 ANSWERED_FOR_MS = 60_000.0
@@ -88,7 +90,7 @@
 
     def write(self, decisions):
         for decision in decisions:
-            if decision.kind == "step_defect":
+            if decision.kind in DEFECTS:
                 self._world.defects.append(decision)
             fields = " ".join(f"{name}={value}" for name, value in decision.fields)
             self._world.note(
--- a/tests/unit/test_queue_isolation.py
+++ b/tests/unit/test_queue_isolation.py
@@ -233,7 +233,7 @@
     add_lost(world, step(), SUSPECT)
     world.schedule()
     assert world.worker("w0").is_kept
-    world.cell.jobs["lost"].steps[0].not_before_ms = world.now_ms + 60_000.0
+    world.cell.jobs["lost"].steps[0].deferral.until_ms = world.now_ms + 60_000.0
     world.tick(MAX_UNUSED_MS + PASS_MS)
     world.schedule()
     assert not world.worker("w0").is_kept
