Contain errors of one check, worker or stored record instead of ending each term

Seen by callers: nothing yet.

Cause: an error was attributed to the process and not to its input, which each next leader reads as well.

Change: periodic checks are contained one by one. A job whose progress cannot be restored is not scheduled by this leader, remains accepted and can be cancelled. A worker whose reports raise, also by a violated invariant, counts as silent, so that its runs end with their lease. Malformed rows of stored failures are ignored like those of losses.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
@@ -66,8 +66,8 @@
 
 def cancel_job(cell: Cell, job_id: str, wall_ms: float) -> bool:
     """Cancel a job whose cancellation is stored. Return whether it was unfinished."""
-    job = cell.active.get(job_id)
-    if job is None:
+    job = cell.jobs.get(job_id)
+    if job is None or job.final is not None:
         return False
     cell.log_decision("job_cancelled", "requested by the caller", job=job_id)
     finish_job(cell, job, JobState.CANCELLED, wall_ms)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/progress.py
@@ -13,6 +13,9 @@
 from nutmeglb_formats.models.queue_records import JobProgress
 from nutmeglb_formats.models.queues import QueueJob, StepProgress
 
+# Index of the task, and number of its failed run.
+FAILURE_ROW_ITEMS = 2
+
 
 def encode(job: Job) -> JobProgress:
     """Return the progress of a job to store; only the final state for a finished job."""
@@ -75,13 +78,25 @@
     job.completed = set(progress.completed)
     for stored in progress.steps:
         steps = job.occurrences.get(stored.occurrence) or job.add_occurrence(stored.occurrence)
-        if stored.step < len(steps):
+        if 0 <= stored.step < len(steps):
             _restore_step(steps[stored.step], stored)
     # Recorded workers do not prove a start, because they are stored before one. Live and ended runs
     # prove it once their workers answer.
     job.has_started = bool(job.completed) or any(s.done or s.failures for s in progress.steps)
 
 
+def set_job_aside(cell: Cell, record: QueueJob, error: Exception, now_ms: float) -> None:
+    """Keep a job that could not be restored from its stored progress, without scheduling it.
+
+    It remains accepted, and may be cancelled. Another leader, or a release that knows the record,
+    restores it.
+    """
+    add_job(cell, record, now_ms)
+    cell.active.pop(record.job_id, None)
+    cell.dirty.pop(record.job_id, None)
+    cell.log_decision("job_set_aside", repr(error), job=record.job_id)
+
+
 def restore_final(cell: Cell, job_id: str, progress: JobProgress) -> None:
     """Keep the final state of a finished job for status queries."""
     state = JobState(progress.final)
@@ -116,6 +131,11 @@
     return StepProgress(step.occurrence, step.number, workers, done, failures, losses, reserved)
 
 
+def _failure_rows(stored: StepProgress) -> list[tuple[int, int]]:
+    """Return the stored rows of failures, without malformed ones."""
+    return [(row[0], row[1]) for row in stored.failures if len(row) == FAILURE_ROW_ITEMS]
+
+
 def _loss_rows(stored: StepProgress) -> list[LossRow]:
     """Return the stored rows of losses, without malformed ones."""
     return [(row[0], row[1], row[2]) for row in stored.losses if len(row) == LOSS_ROW_ITEMS]
@@ -139,11 +159,11 @@
     step.unsettled = set(stored.workers)
     step.advice.good = set(stored.workers)
     for index in stored.done:
-        if index < len(step.tasks) and not step.tasks[index].done:
+        if 0 <= index < len(step.tasks) and not step.tasks[index].done:
             step.tasks[index].done = True
             step.remaining -= 1
-    for index, number in stored.failures:
-        if index < len(step.tasks):
+    for index, number in _failure_rows(stored):
+        if 0 <= index < len(step.tasks):
             failed = step.failed_runs if step.spec.gang else step.tasks[index].failed_runs
             failed.add(number)
     for index, losses in restore_losses(_loss_rows(stored), stored.reserved).items():
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -9,7 +9,7 @@
 
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.context import Metrics
-from nutmeglb._internal.queues import stored_jobs
+from nutmeglb._internal.queues import periodic_checks, stored_jobs
 from nutmeglb._internal.queues.advice_dispatcher import AdviceDispatcher
 from nutmeglb._internal.queues.authority import MAX_CLOCK_DRIFT, Term
 from nutmeglb._internal.queues.commits import Committer
@@ -39,12 +39,7 @@
     lifecycle,
     placing,
     progress,
-    reports,
-    slow_runs,
-    speeds,
-    stuck_runs,
     takeover_wait,
-    waiting,
 )
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import Effect, RequestAdvice
@@ -131,7 +126,6 @@
             self._request_pass,
             self._committer.flush_progress,
             self._on_fenced,
-            on_lost,
             lambda: term.authority.may_command,
             lag.explains_missing_answer,
         )
@@ -301,7 +295,10 @@
         self._set_takeover_wait(start_ms, state.waits)
         for job in state.inbox.jobs:
             found = state.progress.get(job.job_id)
-            progress.restore(self.cell, job, found, now_ms, wall_ms)
+            try:
+                progress.restore(self.cell, job, found, now_ms, wall_ms)
+            except Exception as error:
+                progress.set_job_aside(self.cell, job, error, now_ms)
         for job_id in state.inbox.cancelled:
             lifecycle.cancel_job(self.cell, job_id, wall_ms)
         self._revision = state.inbox.revision
@@ -324,16 +321,14 @@
 
     def tick(self) -> None:
         """Apply time-based changes, such as lease expiry and due occurrences of jobs."""
-        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
-        if self._term.authority.is_exclusive:
-            reports.expire_silent_workers(self.cell, self._term.authority.confirmed_ms, wall_ms)
-        self._listing.log_age()
-        speeds.apply_time(self.cell, now_ms)
-        stuck_runs.stop_stuck_runs(self.cell, now_ms)
-        slow_runs.move_slow_runs(self.cell, now_ms)
-        waiting.log_long_waits(self.cell, now_ms)
-        self._idle_jobs.poll(self.cell, now_ms)
-        lifecycle.create_due_occurrences(self.cell, wall_ms)
+        periodic_checks.run(
+            self.cell,
+            self._term.authority,
+            self._listing,
+            self._idle_jobs,
+            self._clock.now_ms(),
+            self._clock.wall_ms(),
+        )
         self._request_pass()
 
     async def _pass_loop(self) -> None:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader_callbacks.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader_callbacks.py
@@ -16,8 +16,6 @@
         Waits until all progress that is dirty now is stored.
     fenced
         Called with the worker's id when it has accepted a higher fencing token.
-    on_violation
-        Called with the cause when an invariant is violated.
     may_command
         Returns whether this leader may command workers now.
     explains_missing_answer
@@ -28,6 +26,5 @@
     changed: Callable[[], None]
     flush_progress: Callable[[], Awaitable[None]]
     fenced: Callable[[str], None]
-    on_violation: Callable[[str], None]
     may_command: Callable[[], bool]
     explains_missing_answer: Callable[[float], bool]
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_links.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_links.py
@@ -16,7 +16,6 @@
 from nutmeglb_decisions.queues.effects import PaceTask, StartTask, StopTask
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_formats.clock import Clock
-from nutmeglb_formats.exceptions import InvariantViolation
 
 logger = get_logger("workers")
 
@@ -131,17 +130,20 @@
             logger.info("connections to workers closed", links=len(self._links), calls=calls)
 
     async def _run_link(self, link: WorkerLink) -> None:
-        """Run a link. An unexpected exception only affects this worker."""
+        """Run a link. An unexpected exception only affects this worker.
+
+        The next leader would read the same report, so also a violated invariant does not end the
+        term. The worker counts as silent: nothing starts there, and its runs end with their lease
+        unless a later report is applied.
+        """
         worker = link.worker
         try:
             await link.run()
-        except InvariantViolation as error:
-            self._log.defect(f"worker {worker.worker_id}", error)
-            self._callbacks.on_violation(f"invariant violated: {error}")
         except Exception as error:
             self._log.defect(f"worker {worker.worker_id}", error)
             # The next refresh creates a new link, which queries the worker's runs again.
             worker.settled = False
+            orders.unanswered(self._cell, worker, self._clock.now_ms())
             if self._links.get(worker.worker_id) is link:
                 del self._links[worker.worker_id]
                 del self._tasks[worker.worker_id]
--- a/tests/lib/worker_link.py
+++ b/tests/lib/worker_link.py
@@ -49,7 +49,6 @@
             lambda: None,
             _no_operation,
             lambda worker_id: None,
-            lambda cause: None,
             lambda: self.may_command,
             lambda sent_ms: self.excused,
         )
--- a/tests/unit/test_queue_leases_and_records.py
+++ b/tests/unit/test_queue_leases_and_records.py
@@ -67,7 +67,6 @@
             lambda: None,
             flush_progress,
             lambda w: None,
-            lambda c: None,
             lambda: True,
             lambda s: False,
         )
--- a/tests/unit/test_queue_links.py
+++ b/tests/unit/test_queue_links.py
@@ -38,7 +38,6 @@
         lambda: world.now_ms,
         wait_forever,
         lambda _: None,
-        lambda _: None,
         lambda: True,
         lambda _: False,
     )
