Keep the room of a gang while the number of its run is being stored

Seen by callers: nothing by itself. A gang that was lost with a worker may find its workers taken by work behind it, as often as its number is stored.

Cause: a single task holds its room in the pass that waits for its number, a gang did not. Since the workers are stored with the number, other ones take one more commit, and the eight that are kept were fewer than a wide gang needs.

Change: each member holds its room like a single task. The record keeps twice as many workers as a gang needs, so those chosen before remain.

Evidence: before, lower-ranked work starts on the workers of the gang (test_gang_whose_number_is_being_stored_keeps_its_room), and eight of twelve workers are kept.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -383,8 +383,9 @@
     chosen = [state.cell.workers[worker_id] for worker_id in assignment.worker_ids]
     number = run_numbers.next_number(state.cell, step, step.tasks, chosen, state.now_ms)
     if number is None:
-        for _ in step.tasks:
+        for worker in chosen:
             state.use_admission(step)
+            _hold_capacity(state, step, worker, run_ms)
         return None
     step.plan = None
     step.unplanned = ""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/run_numbers.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/run_numbers.py
@@ -11,7 +11,8 @@
 from nutmeglb_decisions.queues.task_losses import Life
 from nutmeglb_decisions.queues.worker_state import Worker
 
-# Workers that are stored for the next run of a task, unless a gang needs more at once.
+# Workers that are stored for the next run of a task. For a gang that needs more than half as many
+# these are twice those that it needs.
 MAX_RESERVED_LIVES = 8
 
 
@@ -99,8 +100,8 @@
     if not lives:
         return ()
     others = [life for life in known if life not in lives]
-    kept = max(0, MAX_RESERVED_LIVES - len(lives))
-    return (*others[len(others) - kept :], *lives) if kept < len(others) else (*others, *lives)
+    kept = max(MAX_RESERVED_LIVES, 2 * len(lives)) - len(lives)
+    return (*others[max(0, len(others) - kept) :], *lives)
 
 
 def _covers(stored: Sequence[Life], lives: Sequence[Life]) -> bool:
--- a/tests/unit/test_queue_admissions.py
+++ b/tests/unit/test_queue_admissions.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from nutmeglb_decisions.queues import placing
+from nutmeglb_decisions.queues import placing, run_numbers
 from nutmeglb_decisions.queues.effects import StartTask
 from nutmeglb_decisions.queues.task_losses import ASSUMED, Loss, TaskLosses
-from tests.lib.queues import job, step
+from tests.lib.queues import job, step, worker_info
 from tests.unit.test_queue_quotas import running, team_world
 
 CPU = 9_000
@@ -70,3 +70,33 @@
         worker.slowness = 2.0 if worker.worker_id == stored else 0.5
     assert run_pass(world) == ["lost.0.0.0"]
     assert added.tasks[0].run.worker_id == stored
+
+
+def test_gang_whose_number_is_being_stored_keeps_its_room():
+    """Guards against a gang that finds its workers taken each time its number is stored."""
+    world, added = world_with_losses(6, 6, ASSUMED, gang=True)
+    (later,) = world.add(job("later", step(6, cpu=CPU))).steps
+    later.recorded = later.selected = set(world.cell.workers)
+    for _ in range(3):
+        assert run_pass(world) == []
+    world.store()
+    assert len(run_pass(world)) == 6
+    assert all(task.run for task in added.tasks)
+
+
+@pytest.mark.parametrize("members", [1, 6])
+def test_workers_chosen_before_remain_stored_for_a_run(members):
+    """Guards against a run whose number is stored again for each choice of other workers."""
+    world, added = world_with_losses(12, members, ASSUMED, gang=members > 1)
+    world.show(*(worker_info(f"w{n}") for n in range(12)))
+    workers = list(world.cell.workers.values())
+    for first in range(len(workers) - members + 1):
+        chosen = workers[first : first + members]
+        run_numbers.next_number(world.cell, added, added.tasks, chosen, world.now_ms)
+    lives = added.tasks[0].losses.reserved_lives
+    assert set(lives) == {(each.worker_id, 1_000) for each in workers[-len(lives) :]}
+    assert len(lives) == max(run_numbers.MAX_RESERVED_LIVES, 2 * members)
+    world.store()
+    for first in range(len(workers) - len(lives), len(workers) - members + 1):
+        chosen = workers[first : first + members]
+        assert run_numbers.next_number(world.cell, added, added.tasks, chosen, world.now_ms) == 2
