Test the records of workers for runs with stored numbers, and malformed rows

Rows of failures that are malformed are ignored since the containment of stored records; no test covered them. Former releases ignore the workers of a run, as the table of both releases shows now.

--- a/tests/unit/test_queue_worker_losses.py
+++ b/tests/unit/test_queue_worker_losses.py
@@ -347,14 +347,22 @@
 FORMER_STEP_FIELDS = ("occurrence", "step", "workers", "done", "failures")
 
 
-@pytest.mark.parametrize("losses", [[], [[0, 3, 5], [0, 4, 8]]], ids=["none", "two"])
-def test_former_and_present_releases_read_the_progress_of_each_other(losses):
+TWO_LOSSES = [[0, 3, 5], [0, 4, 8]]
+
+
+@pytest.mark.parametrize(
+    ("losses", "reserved"),
+    [([], []), (TWO_LOSSES, []), (TWO_LOSSES, [(0, 4, "w1", 900), (0, 4, "w2", 800)])],
+    ids=["none", "losses", "losses_and_workers"],
+)
+def test_former_and_present_releases_read_the_progress_of_each_other(losses, reserved):
     """A former release ignores losses; without any, the record is the one that it would write."""
-    steps = [StepProgress(0, 1, ["w1"], [2], [[0, 1]], losses)]
+    steps = [StepProgress(0, 1, ["w1"], [2], [[0, 1]], losses, reserved)]
     encoded = encode_queue_record(JobProgress("q", "", 0.0, [], steps))
     code, version, (*others, items) = cbor2.loads(encoded)
     assert (code, version) == (702, 1)
-    assert set(items[0]) == {*FORMER_STEP_FIELDS, *(["losses"] if losses else [])}
+    added = [name for name, rows in (("losses", losses), ("reserved", reserved)) if rows]
+    assert set(items[0]) == {*FORMER_STEP_FIELDS, *added}
     former = TypeRegistry()
     former.register(702, 2, added=1)(FormerProgress)
     read = former.from_items([code, version, [*others, items]])
@@ -364,6 +372,25 @@
     assert decode_queue_record(encoded, "st").ok_value.steps == steps
 
 
+@pytest.mark.parametrize("row", [[], [0], [0, 1, 2], [9, 1], [-1, 1]])
+def test_malformed_rows_of_failures_are_ignored(row):
+    """Guards against a stored record on which the takeover of each leader fails."""
+    world = CellWorld()
+    stored = JobProgress("batch", "", 0.0, [], [StepProgress(0, 0, [], [-1, 9], [row, [0, 1]])])
+    progress.restore(world.cell, job("b", step()), stored, 0.0, 0.0)
+    (restored,) = world.cell.jobs["b"].steps
+    assert restored.tasks[0].failed_runs == {1}
+    assert restored.remaining == 1
+
+
+@pytest.mark.parametrize("row", [(0, 9, "w1", 900), (9, 2, "w1", 900), (-1, 2, "w1", 900)])
+def test_rows_of_workers_for_other_runs_are_ignored(row):
+    world = CellWorld()
+    steps = [StepProgress(0, 0, [], [], [], [[0, 2, 8]], [row, (0, 2, "w2", 800)])]
+    progress.restore(world.cell, job("b", step()), JobProgress("q", "", 0.0, [], steps), 0.0, 0.0)
+    assert world.cell.jobs["b"].steps[0].tasks[0].losses.unseen == {2: (("w2", 800),)}
+
+
 @pytest.mark.parametrize("row", [[], [0, 1], [9, 1, 1], [-1, 1, 1]])
 def test_malformed_rows_of_losses_are_ignored(row):
     world = CellWorld()
