--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
@@ -15,7 +15,6 @@
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.queues import keys
 from nutmeglb._internal.queues.authority import MAX_CLOCK_DRIFT, Authority, Term
-from nutmeglb._internal.queues.known_leader import KnownLeader
 from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.peer_links import PeerLinks
 from nutmeglb._internal.queues.ports import Commit, QueueStore, StoredItem, StoredPut
@@ -56,6 +55,9 @@
 CONNECTED_CHECK_MS = 10_000.0
 WATCH_TIMEOUT_MS = 10_000
 RETRY_MS = 100.0
+# Minimum interval between replacements of leaders whose lease has not ended. A leader that only
+# this instance cannot reach must not be replaced repeatedly.
+MIN_REPLACEMENT_INTERVAL_MS = 5_000.0
 # Time for a follower's test read of the store and its reply. A slow store takes 350 ms for a read.
 PROBE_TIMEOUT_MS = 500.0
 # Timeout of the leader's own test read, so that its successor can start before the lease ends.
@@ -100,7 +102,9 @@
         self._background = BackgroundTasks()
         self._wake = asyncio.Event()
         self._term: Term | None = None
-        self._known_leader = KnownLeader(clock, own)
+        self._ended_incarnation = ""
+        self._last_replacement_ms = -MIN_REPLACEMENT_INTERVAL_MS
+        self._leader_record: LeaderRecord | None = None
         self._resigned = False
         self._is_releasing = False
         self._is_probing = False
@@ -128,8 +132,8 @@
 
     def note_leader_connection_lost(self, process_gone: bool) -> None:
         """Check the leader key immediately, since the connection to the leader was lost."""
-        if process_gone:
-            self._known_leader.note_ended()
+        if process_gone and self._leader_record:
+            self._ended_incarnation = self._leader_record.incarnation
         self._wake.set()
 
     @property
@@ -285,7 +289,7 @@
         return any(_store_answered(answer) for answer in answers)
 
     def _on_resigned(self, sender: str, message: LeaderResigned) -> None:
-        self._known_leader.note_resigned(message.incarnation)
+        self._ended_incarnation = message.incarnation
         self._wake.set()
 
     async def _on_probe(self, sender: str, message: StoreProbe) -> StoreProbeResult:
@@ -304,8 +308,8 @@
             logger.error("leader record malformed; retrying", cause=str(loaded.err_value))
             return LEADER_CHECK_MS
         record: LeaderRecord = loaded.ok_value
-        self._known_leader.note_record(record)
-        if self._known_leader.is_replaceable():
+        self._leader_record = record
+        if self._is_replaceable(record):
             return await self._campaign(item)
         self._links.follow(record)
         if self._watch is None or self._watch.done():
@@ -320,6 +324,15 @@
         if found.ok_value.changes or found.ok_value.history_lost:
             self._wake.set()
 
+    def _is_replaceable(self, record: LeaderRecord) -> bool:
+        """Return whether the leader's process has ended although its lease has not."""
+        own = self._own_record()
+        if record.instance_id == own.instance_id and record.incarnation != own.incarnation:
+            return True
+        now_ms = self._clock.now_ms()
+        gone = self._ended_incarnation == record.incarnation
+        return gone and now_ms - self._last_replacement_ms >= MIN_REPLACEMENT_INTERVAL_MS
+
     async def _campaign(self, former: StoredItem | None) -> float:
         if self._resigned:
             return LEADER_CHECK_MS
@@ -339,11 +352,8 @@
             if isinstance(loaded, Err):
                 logger.error("stored term malformed; retrying", cause=str(loaded.err_value))
                 return LEADER_CHECK_MS
-            last = loaded.ok_value
-            number = last.number + 1
-            no_former_orders = last.writer == NO_WRITER or self._known_leader.can_no_longer_order(
-                last.number, self._settings.authority_ms
-            )
+            number = loaded.ok_value.number + 1
+            no_former_orders = loaded.ok_value.writer == NO_WRITER
         return await self._claim(former, item.revision if item else 0, number, no_former_orders)
 
     async def _claim(
@@ -371,7 +381,7 @@
         if commit is None or not commit.applied:
             return RETRY_MS
         if former is not None:
-            self._known_leader.note_replaced(sent_ms)
+            self._last_replacement_ms = sent_ms
         self._links.follow(None)
         settings = self._settings
         authority = Authority(self._clock, settings.leader_lease_ms, settings.authority_ms, sent_ms)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -244,8 +244,6 @@
             jobs=len(self.cell.active),
             workers=len(self.cell.workers),
             took_ms=round(self.cell.started_ms - start_ms),
-            former_orders_end="known" if self._term.no_former_orders else "unknown",
-            longest_wait_ms=round(self._takeover_wait.deadline_ms - start_ms),
         )
         for job, revision in self._early_offers:
             self.offer(job, revision)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/peer_links.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/peer_links.py
@@ -186,7 +186,10 @@
         self._on_lost(False)
 
     async def _open(self, leader: LeaderRecord) -> Result[Connection, bool]:
-        """Return the connection, or as error whether the leader's process has certainly ended."""
+        """Return the connection, or as error whether the leader's process seems to have ended.
+
+        That proves nothing: also a cut between failure domains may refuse connections.
+        """
         try:
             connection = await connect(
                 f"ws://{leader.address}{PEER_PATH}",
