--- a/review/common-2/runners.py
+++ b/review/common-2/runners.py
@@ -9,7 +9,7 @@
 import random
 import time
 
-from http1 import CLOSE, Server
+from http1 import CLOSE, SILENT, Server
 
 MAX_ENDS = 500
 TICK_S = 0.01
@@ -73,13 +73,15 @@
         self.seq = 0
         self.runs = {}
         self.lives = 0
+        # Seconds after which the next order to start a task is carried out, without an answer.
+        self.late_s = None
 
     async def boot(self):
         """Begin a life, which knows nothing of the ones before."""
         self.lives += 1
         self.is_up = True
         self.born = int(time.time() * 1_000)
-        self.clock_start_ms = self.fleet.rng.randrange(1_000, 600_000)
+        self.clock_start_ms = self.fleet.rng.randrange(*self.fleet.clock_starts_ms)
         self.clock_rate = self.fleet.rng.uniform(0.98, 1.0)
         self.booted_s = self.fleet.now_s
         self.fence = 0
@@ -145,10 +147,25 @@
     async def _handle(self, request):
         if not self.is_up:
             return CLOSE
+        if self.late_s is not None and request.path == "/v1/run-start":
+            late_s, self.late_s = self.late_s, None
+            self.fleet.spawn(self._carry_out_late(request, late_s))
+            return SILENT
         life = self.lives
         reply = await self._answer(request)
         return reply if self.is_up and life == self.lives else CLOSE
 
+    async def _carry_out_late(self, request, late_s):
+        """Carry out a call that got no answer, as the runner that serves at the address by then."""
+        shown = f"{request.body['task']} run {request.body['run']}"
+        self.fleet.record(f"runner {self.name} leaves the order to start {shown} unanswered")
+        await asyncio.sleep(late_s)
+        if self.is_up:
+            reply = await self._answer(request)
+            self.fleet.record(
+                f"runner {self.name} carries that order out after {late_s} s: {reply}"
+            )
+
     async def _answer(self, request):
         body = request.body
         if request.headers.get("expect-instance", self.id) != self.id:
@@ -224,6 +241,9 @@
         if body.get("deadline_ms"):
             self._extend(body["deadline_ms"])
         self.seen = max(self.seen, body.get("last_seen", 0))
+        for number, task, run, how, _ in self.ends:
+            if number <= self.seen:
+                self.fleet.taken_note_of[task, run] = how
         self.ends = [row for row in self.ends if row[0] > self.seen]
         ends_s = self.fleet.now_s + min(body.get("wait_ms", 0), 2_000) / 1_000
         life = self.lives
@@ -286,13 +306,21 @@
         # Per end: time, task, run, runner's name, how.
         self.ended = []
         self.quiet_prefix = None
+        # How the runs ended of which an instance has taken note, by task and run.
+        self.taken_note_of = {}
         self.shows_reports = False
-        self._gangs = {}
+        self.clock_starts_ms = (1_000, 600_000)
+        self._tasks = set()
 
     @property
     def now_s(self):
         return asyncio.get_running_loop().time()
 
+    def spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def add(self, name, cpu=16_000, mem_mb=65_536, rack="r1-1"):
         runner = Runner(self, name, cpu, mem_mb, rack)
         self.runners.append(runner)
