--- a/review/8/case.py
+++ b/review/8/case.py
@@ -59,4 +59,4 @@
     cell.record("the store answers again")
 
 
-main(FOLDER, scenario)
+main(FOLDER, scenario, instances=4)
