--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
@@ -23,6 +23,7 @@
     cpu_share: float = Field(1.0, gt=0, le=1, description="Share of each of its cores.")
     cores_shown: float = Field(1.0, gt=0, le=1_024, description="Cores that the share is of.")
     link_mbps: float = Field(1_000.0, gt=0, description="Bandwidth of its link in Mbit/s.")
+    memory_mb: int = Field(300, ge=64, description="Memory that a process may use, in MiB.")
     max_descriptors: int = Field(4_096, ge=256, description="Descriptors that a process may open.")
 
     @property
--- a/packages/nutmeglb/src/nutmeglb/_internal/settings/models.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/settings/models.py
@@ -24,6 +24,13 @@
     region: str = Field("", max_length=64, description="Region of the failure domain.")
 
 
+class MachineSection(Section):
+    """What a process of this instance may use."""
+
+    memory_mb: int = Field(512, ge=64, description="Memory that a process may use, in MiB.")
+    max_descriptors: int = Field(4_096, ge=256, description="Descriptors that a process may open.")
+
+
 class ListenSection(Section):
     """Addresses as ``ip:port``. Port 0 picks a free port."""
 
@@ -145,6 +152,7 @@
     """All settings."""
 
     instance: InstanceSection
+    machine: MachineSection = MachineSection()
     listen: ListenSection = ListenSection()
     store: StoreSection
     platform: PlatformSection
--- a/scripts/queue_soak_cell.py
+++ b/scripts/queue_soak_cell.py
@@ -53,20 +53,37 @@
 class Instance:
     """A platform instance as a process. Its standard output is kept in ``log_file``."""
 
-    def __init__(self, name: str, domain: str, store: str, advice: str, directory: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        domain: str,
+        store: str,
+        advice: str,
+        directory: Path,
+        extra_settings: str = "",
+    ) -> None:
         self.name = name
         self.log_file = directory / f"{name}.log"
         self._settings_file = directory / f"{name}.ini"
         self._is_ending = False
         self._process: subprocess.Popen[bytes] | None = None
-        self.address, health, peer = (f"127.0.0.1:{port}" for port in _free_ports(3))
+        self.address, self.health_address, self.peer_address = (
+            f"127.0.0.1:{port}" for port in _free_ports(3)
+        )
         self._settings_file.write_text(
             f"[instance]\nid = {name}\nfailure_domain = {domain}\n"
-            f"[listen]\ncaller = {self.address}\nhealth = {health}\npeer = {peer}\n"
+            f"[listen]\ncaller = {self.address}\nhealth = {self.health_address}\n"
+            f"peer = {self.peer_address}\n"
             f"[store]\naddress = {store}\n[advice]\naddress = {advice}\n"
-            "[queues]\nmax_run_lease_ms = 10000\n[log]\nlines_per_s = 100000\n"
+            "[queues]\nmax_run_lease_ms = 10000\n[log]\nlines_per_s = 100000\n" + extra_settings
         )
 
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def running(self) -> bool:
         """Return whether the process runs."""
@@ -117,6 +134,8 @@
         Directory of settings, logs and the fleet's record.
     fleet_arguments
         Arguments of the fleet for what the protocol leaves open.
+    extra_settings
+        Further sections of the settings of each instance.
     """
 
     def __init__(
@@ -126,10 +145,12 @@
         instances: int,
         workers: int,
         fleet_arguments: Sequence[str],
+        extra_settings: str = "",
     ) -> None:
         self.record_file = directory / "record.jsonl"
         self.instances: list[Instance] = []
         self._directory = directory
+        self._extra_settings = extra_settings
         self._count = instances
         common = [f"--seed={seed}"]
         self._store = ManagedProcess(
@@ -183,7 +204,9 @@
             await self.put(f"servers/{worker_id}", entry)
         for number, (store, advice) in enumerate(zip(stores, fleet["advice"], strict=True)):
             domain = DOMAINS[number % len(DOMAINS)]
-            instance = Instance(f"edge-{number}", domain, store, advice, self._directory)
+            instance = Instance(
+                f"edge-{number}", domain, store, advice, self._directory, self._extra_settings
+            )
             instance.start()
             self.instances.append(instance)
         async with asyncio.timeout(30.0):
