Test crowds that submit jobs, each with an id of its own

A body of 1.2 KB can describe 640,000 tasks, and one of 262,144 bytes is kept as a text of four bytes a character. Callers saw the leader run out of memory, or stop answering while it created tasks.

Jobs of many steps pass. Crowd and bounds of the other cases are as they were.

--- a/tests/functional/test_crowds.py
+++ b/tests/functional/test_crowds.py
@@ -12,6 +12,7 @@
 from tests.lib.crowd import BYTES_PER_MIB, OpenCrowd, ProcessWatch
 from tests.lib.crowd_payloads import (
     crowd_of,
+    crowd_of_jobs,
     pipelined,
     unfinished_body,
     unfinished_chunks,
@@ -57,6 +58,35 @@
     "whole bodies of a long list": crowd_of(200, whole_body(JOB, LONG_LIST, "application/json")),
     "whole forms": crowd_of(100, whole_body(JOB, FORM, "application/x-www-form-urlencoded")),
 }
+# Jobs that stay: no worker has the label that they require.
+STAYING_STEP = b'{"cpu": 1, "requires": "none such", '
+WIDE_JOB = (
+    b'{"steps": ['
+    + STAYING_STEP
+    + b'"image": "'
+    + "\U0001f600".encode()
+    + b"a" * (BODY_BYTES - 100)
+    + b'"}]}'
+)
+LISTED_JOB = (
+    b'{"steps": [{}, ' + STAYING_STEP + b'"after": [' + b",".join([b"0"] * 131_000) + b"]}]}"
+)
+WIDE_SPEC_JOB = (
+    b'{"spec": "'
+    + "\U0001f600".encode()
+    + b"a" * 3_900
+    + b'", "steps": ['
+    + b",".join([STAYING_STEP + b'"estimate_ms": 1}'] * 64)
+    + b"]}"
+)
+# A body of a few KB that describes 640,000 tasks.
+COUNTED_JOB = b'{"steps": [' + b",".join([b'{"count": 10000}'] * 64) + b"]}"
+JOB_CROWDS = {
+    "jobs of many tasks": crowd_of_jobs(10, 10, PREFIXES[0], HOST, COUNTED_JOB),
+    "jobs of wide text": crowd_of_jobs(50, 20, PREFIXES[0], HOST, WIDE_JOB),
+    "jobs of a long list": crowd_of_jobs(50, 20, PREFIXES[0], HOST, LISTED_JOB),
+    "jobs of many steps": crowd_of_jobs(50, 60, PREFIXES[0], HOST, WIDE_SPEC_JOB),
+}
 HEALTH_CROWDS = {
     "bodies at once": crowd_of(300, unfinished_body(READY, BODY_BYTES, BODY_BYTES)),
     "small chunks": crowd_of(300, unfinished_chunks(READY, BODY_BYTES, 256, 262_144)),
@@ -123,6 +153,11 @@
     check_crowd(tmp_path, CALLER_CROWDS[name], "caller")
 
 
+@pytest.mark.parametrize("name", JOB_CROWDS)
+def test_crowd_that_submits_jobs(tmp_path, name):
+    check_crowd(tmp_path, JOB_CROWDS[name], "caller")
+
+
 @pytest.mark.parametrize("name", HEALTH_CROWDS)
 def test_crowd_at_the_health_address(tmp_path, name):
     check_crowd(tmp_path, HEALTH_CROWDS[name], "health")
