Bound connections to the peer listener whose handshake is not complete

Callers saw an instance run out of memory or descriptors when strangers connected to the address for other instances: until the handshake is complete nothing tells them apart, and each connection could hold a header block of up to 1 MB, or nothing, for 5 s.

HandshakeGate admits such connections with the same ConnectionTable as the HTTP listeners: a limited number, at most 8 KiB each, and a new one replaces one without progress for a second. Once the secret was shown, a connection no longer counts. Both programs use it.

--- a/packages/nutmeglb/src/nutmeglb/_internal/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/node.py
@@ -18,6 +18,7 @@
 from nutmeglb._internal.lifecycle import Lifecycle, LifecycleState
 from nutmeglb._internal.node_status import NodeStatus
 from nutmeglb._internal.peers.bus import Bus, LocalState
+from nutmeglb._internal.peers.handshakes import HandshakeGate
 from nutmeglb._internal.ports_file import write_ports_file
 from nutmeglb._internal.routing.assembly import create_routing
 from nutmeglb._internal.settings.models import Settings
@@ -26,6 +27,7 @@
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb._internal.telemetry.metrics import MetricsRegistry
 from nutmeglb._internal.ticket_filing import TicketFiling
+from nutmeglb_decisions.intake.limits import limit_handshakes
 from nutmeglb_decisions.membership import MemberChanged
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.exit_status import ExitStatus
@@ -50,7 +52,11 @@
         instance = settings.instance
         events = EventRing(instance.id, clock, settings.log.timeline_events)
         instances = PolledInstanceList(settings, clock, metrics)
-        bus = Bus(settings, clock, rng, instances, metrics, self._member_changed, events)
+        machine = settings.machine
+        gate = HandshakeGate(
+            limit_handshakes(machine.memory_mb, machine.max_descriptors), clock, metrics
+        )
+        bus = Bus(settings, clock, rng, instances, metrics, gate, self._member_changed, events)
         store = StoreClient(settings.store, instance.id, clock, rng, metrics)
         self._events = events
         self._bus = bus
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/bus.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/bus.py
@@ -18,6 +18,7 @@
 from nutmeglb._internal.peers.dispatch import MessageDispatcher
 from nutmeglb._internal.peers.faults import FaultSwitch
 from nutmeglb._internal.peers.handshake import PeerIdentity, handshake_headers
+from nutmeglb._internal.peers.handshakes import HandshakeGate
 from nutmeglb._internal.peers.link import Link, LinkCallbacks
 from nutmeglb._internal.peers.links import LinkTable
 from nutmeglb._internal.peers.server import PeerServer
@@ -69,6 +70,8 @@
 
     Parameters
     ----------
+    gate
+        Bounds the connections to this instance whose handshake is not complete.
     on_member_change
         Called with every change of a member's state.
     hybrid_clock
@@ -84,6 +87,7 @@
         rng: random.Random,
         instances: InstanceList,
         metrics: Metrics,
+        gate: HandshakeGate,
         on_member_change: Callable[[MemberChanged], None] = lambda change: None,
         hybrid_clock: FrameClock | None = None,
     ) -> None:
@@ -108,6 +112,7 @@
             self._own_id,
             self._run_incoming,
             lambda: self._refused_connections.inc(),
+            gate,
         )
         headers = handshake_headers(settings.peer.secret, self._own_id, self._domain)
         self._dialer = Dialer(
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/server.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/server.py
@@ -6,6 +6,7 @@
 from websockets.http11 import Request, Response
 
 from nutmeglb._internal.peers.handshake import PeerIdentity, check_request, peer_identity
+from nutmeglb._internal.peers.handshakes import GatedConnection, HandshakeGate
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_formats.wire.envelope import BATCH_LIMIT_BYTES
 
@@ -25,6 +26,8 @@
         ``ip:port``; port 0 picks a free port.
     on_connection
         Runs a connection until it closes.
+    gate
+        Bounds the connections whose handshake is not complete.
     ping_s
         Interval and timeout of keep-alive pings in seconds; ``None`` disables them.
     """
@@ -36,6 +39,7 @@
         own_id: str,
         on_connection: Callable[[ServerConnection, PeerIdentity], Awaitable[None]],
         on_refused: Callable[[], None],
+        gate: HandshakeGate,
         ping_s: float | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
@@ -45,6 +49,7 @@
         self._own_id = own_id
         self._on_connection = on_connection
         self._on_refused = on_refused
+        self._gate = gate
         self._ping_s = ping_s
         self._server: Server | None = None
 
@@ -63,6 +68,8 @@
             self._host,
             self._port,
             process_request=self._check_handshake,
+            # websockets only calls this with the arguments of the class.
+            create_connection=self._gate.create_connection,  # type: ignore[arg-type]
             compression=None,
             ping_interval=self._ping_s,
             ping_timeout=self._ping_s,
@@ -86,6 +93,8 @@
         return refusal
 
     async def _handle_connection(self, connection: ServerConnection) -> None:
+        assert isinstance(connection, GatedConnection)
+        connection.complete_handshake()
         name = peer_identity(connection.request) if connection.request else None
         if name is not None:
             await self._on_connection(connection, name)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -8,6 +8,7 @@
 
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.context import Metrics
+from nutmeglb._internal.peers.handshakes import HandshakeGate
 from nutmeglb._internal.queues.advice_dispatcher import AdviceDispatcher
 from nutmeglb._internal.queues.authority import Term
 from nutmeglb._internal.queues.config_watch import ConfigWatch, limits_from, wait_within
@@ -25,6 +26,7 @@
 from nutmeglb._internal.queues.succession import LeadershipHandover
 from nutmeglb._internal.telemetry.hybrid_clock import HybridLogicalClock
 from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_decisions.intake.limits import limit_handshakes
 from nutmeglb_decisions.queues.effects import Decision
 from nutmeglb_decisions.queues.entry_age import StoreContact
 from nutmeglb_formats.clock import Clock
@@ -95,6 +97,11 @@
             settings.listen.peer,
             hybrid_clock,
             lambda gone: self._election.note_leader_connection_lost(gone),
+            HandshakeGate(
+                limit_handshakes(settings.machine.memory_mb, settings.machine.max_descriptors),
+                clock,
+                metrics,
+            ),
         )
         self._lag = LoopLag(clock, metrics)
         self._part_metrics = PartMetrics(metrics)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/peer_links.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/peer_links.py
@@ -17,6 +17,7 @@
 from nutmeglb._internal.peers.correlation import Correlator, peer_error
 from nutmeglb._internal.peers.dispatch import MessageDispatcher
 from nutmeglb._internal.peers.handshake import PEER_PATH, PeerIdentity, handshake_headers
+from nutmeglb._internal.peers.handshakes import HandshakeGate
 from nutmeglb._internal.peers.link import Link, LinkCallbacks
 from nutmeglb._internal.peers.server import PeerServer
 from nutmeglb._internal.telemetry.hybrid_clock import HybridLogicalClock
@@ -48,6 +49,8 @@
     on_lost
         Called when the connection to the leader fails or ends, with whether the leader's process
         has certainly ended.
+    gate
+        Bounds the connections to this instance whose handshake is not complete.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         address: str,
         hybrid_clock: HybridLogicalClock,
         on_lost: Callable[[bool], None],
+        gate: HandshakeGate,
     ) -> None:
         self._clock = clock
         self._instance_id = instance_id
@@ -72,7 +76,13 @@
         # Followers read the secret from the leader record in the store.
         self.secret = secrets.token_hex(SECRET_BYTES)
         self._server = PeerServer(
-            address, self.secret, instance_id, self._on_accepted, lambda: None, PING_INTERVAL_S
+            address,
+            self.secret,
+            instance_id,
+            self._on_accepted,
+            lambda: None,
+            gate,
+            PING_INTERVAL_S,
         )
         self._callbacks = LinkCallbacks(
             self._on_message,
--- a/tests/lib/peers.py
+++ b/tests/lib/peers.py
@@ -5,11 +5,14 @@
 from collections.abc import Callable
 
 from nutmeglb._internal.peers.bus import Bus
+from nutmeglb._internal.peers.handshakes import HandshakeGate
 from nutmeglb._internal.settings.models import Settings
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.instances import Instance, InstanceRole
 from tests.lib.metrics import RecordingMetrics
 
+MAX_HANDSHAKES = 64
+
 SECRET = "correct horse"
 HEARTBEAT_MS = 50.0
 WAIT_TIMEOUT_S = 20.0
@@ -65,7 +68,8 @@
         """Start a bus and add it to the instance list."""
         settings = peer_settings(instance_id, domain, fault_file)
         metrics = self.metrics[instance_id] = RecordingMetrics()
-        bus = Bus(settings, Clock(), random.Random(instance_id), self.list, metrics)
+        gate = HandshakeGate(MAX_HANDSHAKES, Clock(), metrics)
+        bus = Bus(settings, Clock(), random.Random(instance_id), self.list, metrics, gate)
         await bus.start()
         self.buses[instance_id] = bus
         entry = Instance(instance_id, InstanceRole.ENTRY, domain, bus.bound_address)
