Bound what callers of urgent requests hold

Callers of an instance with the product's own interface saw the same as those of queues: bodies of 1,000,000 bytes that never ended, header blocks and connections were held without a limit, and whole bodies in several copies while they were forwarded.

CallerListener uses the bounded listener with half of the memory for clients. A refusal for want of room states the outcome `not-run`, the reason `queue_full` and a hint, as other refusals do. Bodies beyond routing.body_limit_bytes are refused as before.

--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/listener.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/listener.py
@@ -6,14 +6,15 @@
 from http import HTTPStatus
 from typing import Any
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
-from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler, stream_request_body
 
 from nutmeglb._internal.context import Context
+from nutmeglb._internal.intake.listener import BoundedListener
+from nutmeglb._internal.intake.requests import Refusal, RequestCosts
 from nutmeglb._internal.routing.exchange import REQUEST_ID_HEADER, Payload
 from nutmeglb._internal.routing.runner import IncomingRequest, RequestRunner, RunningRequest
+from nutmeglb_decisions.intake.limits import divide_descriptors, limit_listener
 from nutmeglb_decisions.routing.request_types import Answer, RequestInfo
 from nutmeglb_formats.identifiers import new_id
 from nutmeglb_formats.models.config import RequestClass, Service
@@ -26,7 +27,11 @@
 # An oversized body is read and discarded up to this multiple of the limit, so that the caller can
 # read the refusal. Beyond it the connection is closed.
 DISCARD_FACTOR = 4
-READ_BUFFER_BYTES = 2 * 1024 * 1024
+HEADER_LIMIT_BYTES = 64 * 1_024
+# A body is held once while it is read, and twice while it is forwarded to an endpoint.
+PROCESSING_FACTOR = 4.0
+# Part of the memory for clients.
+INTAKE_SHARE = 0.5
 # Disables tornado's own limit, which refuses a body without an outcome header and a reason.
 UNLIMITED_BYTES = 1 << 62
 CONSUMED_HEADERS = frozenset(
@@ -52,6 +57,7 @@
     RefusalReason.BODY_TOO_LARGE: "Send a body within routing.body_limit_bytes",
 }
 NOT_RUN_HINT = "The request was not run; it is safe to retry"
+NO_ROOM_HINT = "Retry later; requests of other callers take up the memory of this instance"
 UNKNOWN_HINT = "The request may have run; check its effect before a retry"
 
 
@@ -73,7 +79,7 @@
         self._ctx = ctx
         self._runner = runner
         self._is_draining = False
-        self._server: HTTPServer | None = None
+        self._listener: BoundedListener | None = None
         self._address = ""
 
     @property
@@ -83,20 +89,32 @@
 
     async def start(self) -> None:
         """Bind the listener."""
-        host, port = self._ctx.settings.listen.caller.rsplit(":", 1)
-        sockets = bind_sockets(int(port), host)
-        self._address = f"{host}:{sockets[0].getsockname()[1]}"
         routes = [(r"/services/[^/]+(?:/.*)?", CallerHandler, {"listener": self})]
         # There is no access log: outcomes are in the metrics and the timeline.
         application = Application(
             routes, default_handler_class=UnknownPathHandler, log_function=lambda handler: None
         )
-        self._server = HTTPServer(
+        machine = self._ctx.settings.machine
+        costs = RequestCosts(
+            self.body_limit_bytes, HEADER_LIMIT_BYTES, PROCESSING_FACTOR, parses_forms=True
+        )
+        limits = limit_listener(
+            machine.memory_mb,
+            INTAKE_SHARE,
+            divide_descriptors(machine.max_descriptors).callers,
+            costs.largest_request_bytes,
+        )
+        self._listener = BoundedListener(
+            "caller",
             application,
-            max_body_size=UNLIMITED_BYTES,
-            max_buffer_size=READ_BUFFER_BYTES,
+            limits,
+            costs,
+            self._ctx.clock,
+            self._ctx.metrics,
+            _no_room_refusal(),
+            max_body_bytes=UNLIMITED_BYTES,
         )
-        self._server.add_sockets(sockets)
+        self._address = self._listener.listen(self._ctx.settings.listen.caller)
 
     async def drain(self, deadline_ms: float) -> None:
         """Stop accepting connections and finish the requests in flight.
@@ -104,16 +122,15 @@
         Requests on open connections are still served, and each response closes its connection.
         """
         self._is_draining = True
-        if self._server is not None:
-            self._server.stop()
+        if self._listener is not None:
+            self._listener.stop_accepting()
         await self._runner.drain(deadline_ms)
 
     async def stop(self) -> None:
         """Close the listener and every connection."""
-        if self._server is not None:
-            self._server.stop()
-            await self._server.close_all_connections()
-            self._server = None
+        if self._listener is not None:
+            await self._listener.close()
+            self._listener = None
 
     def status(self) -> Mapping[str, object]:
         """Return the address and whether the listener is draining."""
@@ -335,6 +352,16 @@
         )
 
 
+def _no_room_refusal() -> Refusal:
+    """Return the answer to a request that is refused before it is read."""
+    body = {
+        "kind": "RequestRefused",
+        "reason": RefusalReason.QUEUE_FULL.value,
+        "hint": NO_ROOM_HINT,
+    }
+    return Refusal({OUTCOME_HEADER: RequestOutcome.NOT_RUN.value}, json.dumps(body).encode())
+
+
 def _invalid_request(reason: str, hint: str) -> InvalidRequest:
     return InvalidRequest(HTTPStatus.BAD_REQUEST, reason, hint)
 
