Bound what clients of the administration interface hold

Operators saw an instance run out of memory or descriptors: bodies of 1,000,000 bytes were read and kept before the token was checked, and connections were not limited.

AdminServer uses the bounded listener with a third of the memory for clients, and charges an answer that is not read, since metrics and lists are large. Its timeouts stay as they were.

--- a/packages/nutmeglb/src/nutmeglb/_internal/admin/server.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/admin/server.py
@@ -3,13 +3,18 @@
 from collections.abc import Mapping
 from typing import Any
 
-from tornado import httpserver, httputil, netutil, routing, web
+from tornado import httputil, routing, web
 
 from nutmeglb._internal.admin import commands, queries
 from nutmeglb._internal.admin.authentication import Authenticator
 from nutmeglb._internal.admin.handlers import AdminHandler, UnknownPathHandler, logger
 from nutmeglb._internal.admin.services import AdminServices
-from nutmeglb._internal.settings.models import TokensSection
+from nutmeglb._internal.context import Metrics
+from nutmeglb._internal.intake.listener import BoundedListener
+from nutmeglb._internal.intake.requests import RequestCosts
+from nutmeglb._internal.settings.models import MachineSection, TokensSection
+from nutmeglb_decisions.intake.limits import divide_descriptors, limit_listener
+from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.ticket import TICKET_LIMIT_BYTES
 
 # A ticket is the largest body.
@@ -17,6 +22,13 @@
 HEADER_LIMIT_BYTES = 16 * 1024
 BODY_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 60.0
+# A ticket or a job is held as text and as what it is decoded into. Metrics and lists of jobs and
+# workers are the largest answers.
+COSTS = RequestCosts(
+    BODY_LIMIT_BYTES, HEADER_LIMIT_BYTES, processing_factor=4.0, answer_bytes=256 * 1_024
+)
+# Part of the memory for clients.
+INTAKE_SHARE = 0.35
 
 _ID_PATTERN = r"([A-Za-z0-9._-]{1,200})"
 _AUTHENTICATED_PATHS: tuple[tuple[str, str, type[AdminHandler]], ...] = (
@@ -64,11 +76,30 @@
 
     name = "admin"
 
-    def __init__(self, address: str, tokens: TokensSection, services: AdminServices) -> None:
+    def __init__(
+        self,
+        address: str,
+        tokens: TokensSection,
+        services: AdminServices,
+        machine: MachineSection,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
         self._listen_address = address
         self._services = services
-        self._application = _create_application(services, Authenticator(tokens))
-        self._server: httpserver.HTTPServer | None = None
+        descriptors = divide_descriptors(machine.max_descriptors).health
+        self._listener = BoundedListener(
+            "admin",
+            _create_application(services, Authenticator(tokens)),
+            limit_listener(
+                machine.memory_mb, INTAKE_SHARE, descriptors, COSTS.largest_request_bytes
+            ),
+            COSTS,
+            clock,
+            metrics,
+            idle_timeout_s=IDLE_TIMEOUT_S,
+            body_timeout_s=BODY_TIMEOUT_S,
+        )
         self._bound_address = ""
 
     @property
@@ -84,17 +115,7 @@
         OSError
             When the address cannot be bound.
         """
-        host, _, port = self._listen_address.rpartition(":")
-        sockets = netutil.bind_sockets(int(port), host.strip("[]"))
-        self._server = httpserver.HTTPServer(
-            self._application,
-            max_body_size=BODY_LIMIT_BYTES,
-            max_header_size=HEADER_LIMIT_BYTES,
-            body_timeout=BODY_TIMEOUT_S,
-            idle_connection_timeout=IDLE_TIMEOUT_S,
-        )
-        self._server.add_sockets(sockets)
-        self._bound_address = f"{host}:{sockets[0].getsockname()[1]}"
+        self._bound_address = self._listener.listen(self._listen_address)
         logger.info("Listening", address=self._bound_address)
 
     async def drain(self, deadline_ms: float) -> None:
@@ -102,10 +123,7 @@
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
-        if self._server is not None:
-            self._server.stop()
-            await self._server.close_all_connections()
-            self._server = None
+        await self._listener.close()
 
     def status(self) -> Mapping[str, object]:
         """Return values for the status query."""
--- a/packages/nutmeglb/src/nutmeglb/_internal/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/node.py
@@ -92,6 +92,9 @@
             AdminServices(
                 TicketFiling(self._ctx, configuration), jobs, status, events, metrics.render
             ),
+            machine,
+            clock,
+            metrics,
         )
         events.set_epoch_source(lambda: leadership.epoch)
         bus.set_local_state(self._local_state)
--- a/tests/lib/admin_fakes.py
+++ b/tests/lib/admin_fakes.py
@@ -8,10 +8,10 @@
 
 from nutmeglb._internal.admin.server import AdminServer
 from nutmeglb._internal.admin.services import AdminServices
-from nutmeglb._internal.settings.models import TokensSection
+from nutmeglb._internal.settings.models import MachineSection, TokensSection
 from nutmeglb._internal.telemetry.events import EventRing
 from nutmeglb._internal.telemetry.metrics import MetricsRegistry
-from nutmeglb_formats.clock import ManualClock
+from nutmeglb_formats.clock import Clock, ManualClock
 from nutmeglb_formats.exceptions import NotFound, NutmegError, TicketConflict
 from nutmeglb_formats.models.admin import FiledTicket, InstanceView, TeamView, WorkerView
 from nutmeglb_formats.models.jobs import JobSpec, JobState, JobView, WaitReason
@@ -146,7 +146,9 @@
         services = AdminServices(
             self.tickets, self.jobs, self.status, self.events, self.metrics.render
         )
-        self.server = AdminServer("127.0.0.1:0", TOKENS, services)
+        self.server = AdminServer(
+            "127.0.0.1:0", TOKENS, services, MachineSection(), Clock(), MetricsRegistry()
+        )
 
 
 @contextlib.asynccontextmanager
