Keep long names of a submission as digests, and each predecessor of a step once

Callers saw the leader run out of memory after jobs of legal size were accepted: an image, a label or a rack of 262,000 characters is kept as a text of four bytes a character if one of them is wide, and `after` could name one step 131,000 times.

Names of more than 200 characters are replaced by their digest, since they are only compared, and no worker has a label of that length. Repeated predecessors are dropped.

--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -303,3 +303,20 @@
         {"items": [{"key": "a", "revision": 0}, {"key": "b", "revision": 3, "value": value}]}
     )
     assert list(present_items) == ["b"]
+
+
+def test_long_names_and_repeated_predecessors_are_shortened():
+    """Guards against a body of a legal size that is kept as a text of several times its size."""
+    names = {"requires": "r" * 50_000, "affinity": "f" * 201, "image": "\U0001f600" * 201}
+    text = (
+        '{"steps": [{}, {"after": [0, 0, 0], "requires": "%s", "affinity": "%s", "image": "%s"}]}'
+    )
+    first, second = (
+        wire.decode_job((text % tuple(names.values())).encode()).ok_value.steps[1] for _ in range(2)
+    )
+    assert first == second
+    assert first.after == (0,)
+    kept = (first.required_label, first.preferred_rack, first.image)
+    assert len(set(kept)) == 3 and all(len(name) <= 200 for name in kept)
+    short = wire.decode_job(b'{"steps": [{"requires": "%s"}]}' % (b"r" * 200)).ok_value.steps[0]
+    assert short.required_label == "r" * 200
