Bound the memory of accepted jobs at the leader

Callers saw each leader in turn stop answering, or end: a body of 1.2 KB with 64 steps of 10,000 tasks takes 243 MB (380 bytes a task) and blocks the process for 5 s while the tasks are created, on any machine and with a single request.

A submission that would take over a quarter of the memory that the leader has left for jobs is refused with Retry-After (verdicts.too_large_for_leader). The leader tells the others how large a job may be while that is less than 10 MiB (peer message 609, version 3); 10 MiB are some 26,000 tasks, and the jobs of the users' deployments have a few hundred. A job that was accepted all the same stays accepted, and its tasks are created when there is room (job_deferred). The room is counted from the jobs every 250 ms, and what is added meanwhile on top.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
@@ -2,6 +2,7 @@
 
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StopTask
+from nutmeglb_decisions.queues.job_room import occurrence_bytes, record_bytes
 from nutmeglb_decisions.queues.state import Job, JobState, Run, RunState, Step, Task
 from nutmeglb_formats.models.queues import QueueJob
 
@@ -20,43 +21,68 @@
 
 
 def add_job(cell: Cell, record: QueueJob, now_ms: float, accepted_ms: float | None = None) -> bool:
-    """Add an accepted job. Return false if it is already known."""
+    """Add an accepted job. Return false if it is already known.
+
+    Its tasks are created now, or by ``create_due_occurrences`` when there is room for them.
+    """
     if record.job_id in cell.jobs or record.job_id in cell.finished:
         return False
     job = Job(record, now_ms if accepted_ms is None else accepted_ms)
     cell.jobs[record.job_id] = job
     cell.active[record.job_id] = job
-    if not record.repeats:
-        job.next_occurrence = 1
-        job.add_occurrence(0)
+    cell.job_room.add(record_bytes(record))
+    if not record.repeats and not _create_occurrence(cell, job):
+        room = cell.job_room
+        cell.log_decision(
+            "job_deferred",
+            "the tasks of the job exceed the free memory for jobs",
+            job=record.job_id,
+            needed_bytes=occurrence_bytes(record),
+            used_bytes=room.used_bytes,
+            room_bytes=room.room_bytes,
+        )
+    return True
+
+
+def _create_occurrence(cell: Cell, job: Job) -> bool:
+    """Create the next occurrence of a job, unless there is no room for its tasks."""
+    number, added_bytes = job.next_occurrence, occurrence_bytes(job.record)
+    if number in job.completed or number in job.occurrences:
+        job.next_occurrence += 1
+        return True
+    if not cell.job_room.fits(added_bytes):
+        return False
+    cell.job_room.add(added_bytes)
+    job.next_occurrence += 1
+    job.add_occurrence(number)
     return True
 
 
 def create_due_occurrences(cell: Cell, wall_ms: float) -> None:
-    """Create the occurrences of repeated jobs that are due.
+    """Create the occurrences of repeated jobs that are due, and those of jobs that await room.
 
     Load pattern: a job whose occurrences are all due at once, by mistake or after a long outage. A
     job has a limited number of unfinished tasks, and the others follow when occurrences complete.
     """
     for job in cell.active.values():
         record = job.record
-        if job.next_occurrence >= record.repeats:
+        if job.next_occurrence >= job.total_occurrences:
             continue
         unfinished = len(job.occurrences.keys() - job.completed)
         created = 0
         while (
-            job.next_occurrence < record.repeats
+            job.next_occurrence < job.total_occurrences
             and unfinished < _max_unfinished_occurrences(record)
             and created < MAX_OCCURRENCES_PER_CHECK
         ):
             number = job.next_occurrence
-            if wall_ms < record.first_ms + number * record.interval_ms:
+            if record.repeats and wall_ms < record.first_ms + number * record.interval_ms:
+                break
+            is_new = number not in job.completed and number not in job.occurrences
+            if not _create_occurrence(cell, job):
                 break
-            job.next_occurrence += 1
-            if number not in job.completed and number not in job.occurrences:
-                job.add_occurrence(number)
-                unfinished += 1
-                created += 1
+            unfinished += is_new
+            created += is_new
 
 
 def _max_unfinished_occurrences(record: QueueJob) -> int:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/verdicts.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/verdicts.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from nutmeglb_decisions.queues import pools
+from nutmeglb_decisions.queues import job_room, pools
 from nutmeglb_decisions.queues.pools import Pool
 from nutmeglb_decisions.queues.team_limits import effective_limit, exceeds_limit
 from nutmeglb_formats.models.queues import QueueConfig, QueueJob
@@ -44,12 +44,15 @@
         The same by queue and team.
     pools
         What the workers can run; empty if unknown.
+    largest_job_bytes
+        Memory at the leader that a job may take at most.
     """
 
     refusing: Mapping[str, float] = field(default_factory=dict)
     refusing_teams: Mapping[tuple[str, str], float] = field(default_factory=dict)
     pools: Sequence[Pool] = ()
     config: QueueConfig | None = None
+    largest_job_bytes: float = job_room.DEFAULT_LARGEST_JOB_BYTES
 
 
 RefusalRule = Callable[[QueueJob, LoadView], Refusal | None]
@@ -61,6 +64,14 @@
     return Refusal(cause, pools.UNSERVABLE_RETRY_MS) if cause else None
 
 
+def too_large_for_leader(job: QueueJob, view: LoadView) -> Refusal | None:
+    """Refuse a job that would take a large part of the free memory of the leader."""
+    if job_room.state_bytes(job) <= view.largest_job_bytes:
+        return None
+    cause = "the job needs too much of the free memory for jobs"
+    return Refusal(cause, job_room.RETRY_MS)
+
+
 def wider_than_team_limit(job: QueueJob, view: LoadView) -> Refusal | None:
     """Refuse a job with a gang, or a single task, that exceeds the limit of its team."""
     team = view.config.teams.get(job.team) if view.config and view.config.teams else None
@@ -88,6 +99,7 @@
 
 
 RULES: tuple[RefusalRule, ...] = (
+    too_large_for_leader,
     unservable,
     wider_than_team_limit,
     team_overloaded,
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/wire/queues.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/wire/queues.py
@@ -117,7 +117,7 @@
     refused: bool
 
 
-@message(609, 2, latest_wins=True, added=1)
+@message(609, 3, latest_wins=True, added=2)
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Sent by the leader to all followers: queues that refuse new jobs at the moment.
@@ -129,10 +129,14 @@
     refusing_teams
         Rows of queue, team and time in milliseconds until the queue may accept jobs of the team
         again. Added in version 2.
+    largest_job_bytes
+        Memory at the leader in bytes that a job may take at most; 0 means that the default of
+        ``job_room`` applies. Added in version 3.
     """
 
     refusing: list[tuple[str, float]]
     refusing_teams: list[tuple[str, str, float]] = field(default_factory=list)
+    largest_job_bytes: int = 0
 
 
 @message(613, 1, latest_wins=True)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/load_reports.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/load_reports.py
@@ -7,6 +7,7 @@
 from nutmeglb._internal.queues.pool_reports import pools_report
 from nutmeglb_decisions.queues import admission, team_admission
 from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.job_room import DEFAULT_LARGEST_JOB_BYTES
 from nutmeglb_decisions.queues.pools import Pools
 from nutmeglb_decisions.queues.verdicts import LoadView
 from nutmeglb_formats.clock import Clock
@@ -49,6 +50,7 @@
             now_ms = self._clock.now_ms()
             self._publish_metrics(self._cell)
             pools.refresh(self._cell, now_ms)
+            self._cell.job_room.refresh(self._cell.jobs)
             self.load = _load_of(self._cell, pools, now_ms)
             reports = _reports(self.load)
             if reports != sent or now_ms - sent_ms >= REPEAT_MS:
@@ -59,12 +61,26 @@
 
 
 def _load_of(cell: Cell, pools: Pools, now_ms: float) -> LoadView:
-    known = pools.known_pools(now_ms)
+    known, largest_bytes = pools.known_pools(now_ms), cell.job_room.largest_job_bytes
     if cell.config is not None and cell.config.teams:
-        return LoadView(refusing_teams=team_admission.refusing_teams(cell), pools=known)
-    return LoadView(refusing=admission.refusing_queues(cell, now_ms), pools=known)
+        return LoadView(
+            refusing_teams=team_admission.refusing_teams(cell),
+            pools=known,
+            largest_job_bytes=largest_bytes,
+        )
+    return LoadView(
+        refusing=admission.refusing_queues(cell, now_ms),
+        pools=known,
+        largest_job_bytes=largest_bytes,
+    )
 
 
 def _reports(load: LoadView) -> tuple[LoadReport, PoolsReport]:
     rows = [(*names, retry_ms) for names, retry_ms in sorted(load.refusing_teams.items())]
-    return LoadReport(sorted(load.refusing.items()), rows), pools_report(load.pools)
+    refusing, largest_bytes = sorted(load.refusing.items()), load.largest_job_bytes
+    # Without the field, which former releases do not know, the default applies.
+    if largest_bytes >= DEFAULT_LARGEST_JOB_BYTES:
+        report = LoadReport(refusing, rows)
+    else:
+        report = LoadReport(refusing, rows, max(1, int(largest_bytes)))
+    return report, pools_report(load.pools)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -18,6 +18,7 @@
 from nutmeglb_decisions.queues import admission, queries, verdicts
 from nutmeglb_decisions.queues.access import ANY_CALLER, Caller
 from nutmeglb_decisions.queues.effects import Decision
+from nutmeglb_decisions.queues.job_room import DEFAULT_LARGEST_JOB_BYTES
 from nutmeglb_decisions.queues.pools import Pool
 from nutmeglb_decisions.queues.queries import JobStatus
 from nutmeglb_decisions.queues.verdicts import LoadView
@@ -99,6 +100,7 @@
         self._pending: dict[str, tuple[int, float]] = {}
         self._refusing: dict[str, float] = {}
         self._refusing_teams: dict[tuple[str, str], float] = {}
+        self._largest_job_bytes = DEFAULT_LARGEST_JOB_BYTES
         self._load_report_ms = 0.0
         self._pools: list[Pool] = []
         links.on(JobOffered, self._on_offered)
@@ -205,7 +207,9 @@
             return replace(leader.load, config=config)
         if self._clock.now_ms() - self._load_report_ms > MAX_LOAD_REPORT_AGE_MS:
             return LoadView(config=config)
-        return LoadView(self._refusing, self._refusing_teams, self._pools, config)
+        return LoadView(
+            self._refusing, self._refusing_teams, self._pools, config, self._largest_job_bytes
+        )
 
     async def _find_known(self, job_id: str) -> JobStatus | None:
         """Return the status of a job that is known to be accepted already, else ``None``.
@@ -296,6 +300,7 @@
         self._refusing_teams = {
             (queue, team): retry_ms for queue, team, retry_ms in message.refusing_teams
         }
+        self._largest_job_bytes = message.largest_job_bytes or DEFAULT_LARGEST_JOB_BYTES
         self._load_report_ms = self._clock.now_ms()
 
     def _on_pools(self, sender: str, message: PoolsReport) -> None:
