Limit what the kernel holds for connections to the peer listener before their handshake

Found by playing the crowds with 2,500 connections at the limits of a real machine (160 MB, 3,075 descriptors): the kernel held 54 MB unread for connections that were not accepted yet or in their handshake, since the listener had the default receive buffer. Such bytes count toward the memory of the process.

The listening socket has the small buffer of the other listeners, and a connection gets a larger one when its handshake is complete. The room for jobs is a fifth of the memory instead of a quarter, and the default limit of a job 8 MiB (21,000 tasks) instead of 10: the crowd of jobs of many steps took 147 MB of the 160 at this size.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/job_room.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/job_room.py
@@ -14,7 +14,7 @@
 
 BYTES_PER_MIB = 1_048_576
 # Part of the memory of a process for accepted jobs.
-JOB_SHARE = 0.25
+JOB_SHARE = 0.2
 # A job takes at most this part of the free room.
 LARGEST_JOB_SHARE = 0.25
 # Memory of a job, a step and a task, without texts and lists.
@@ -26,7 +26,7 @@
 WIDE_CHARACTER_BYTES = 4
 # What instances accept of which the leader has not told them anything: the largest job on the
 # smallest machine that has no jobs.
-DEFAULT_LARGEST_JOB_BYTES = 10 * BYTES_PER_MIB
+DEFAULT_LARGEST_JOB_BYTES = 8 * BYTES_PER_MIB
 # Retry-After of a job that is too large at the moment.
 RETRY_MS = 2_000.0
 
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/handshakes.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/handshakes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 from typing import Any
 
 from websockets.asyncio.server import ServerConnection
@@ -17,6 +18,8 @@
 
 # The handshake of an instance has a few hundred bytes.
 MAX_HANDSHAKE_BYTES = 8 * 1_024
+# Receive buffer of an instance. The kernel limits and doubles it.
+PEER_RECEIVE_BUFFER_BYTES = 512 * 1_024
 
 
 class HandshakeGate:
@@ -95,6 +98,8 @@
         self._gate.leave(self._number)
 
     def complete_handshake(self) -> None:
-        """Note that the other side is an instance of this cell."""
+        """Note that the other side is an instance of this cell, which may send more at once."""
         self._is_complete = True
+        connection = self.transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PEER_RECEIVE_BUFFER_BYTES)
         self._gate.leave(self._number)
--- a/packages/nutmeglb/src/nutmeglb/_internal/peers/server.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/peers/server.py
@@ -1,13 +1,16 @@
 """Listener for connections from other entry instances."""
 
+import socket
 from collections.abc import Awaitable, Callable
 
+from tornado.netutil import bind_sockets
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.http11 import Request, Response
 
 from nutmeglb._internal.peers.handshake import PeerIdentity, check_request, peer_identity
 from nutmeglb._internal.peers.handshakes import GatedConnection, HandshakeGate
 from nutmeglb._internal.telemetry.logs import get_logger
+from nutmeglb_decisions.intake.limits import RECEIVE_BUFFER_BYTES
 from nutmeglb_formats.wire.envelope import BATCH_LIMIT_BYTES
 
 logger = get_logger("peers")
@@ -15,6 +18,8 @@
 OPEN_TIMEOUT_S = 5.0
 # A peer that does not answer pings does not answer a close frame either.
 CLOSE_TIMEOUT_S = 1.0
+# Connections that the kernel holds until they are accepted.
+BACKLOG = 100
 
 
 class PeerServer:
@@ -63,10 +68,13 @@
 
     async def start(self) -> None:
         """Bind the listener."""
+        (listener,) = bind_sockets(self._port, self._host, backlog=BACKLOG)
+        # Accepted connections inherit the size until their handshake is complete.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._server = await serve(
             self._handle_connection,
-            self._host,
-            self._port,
+            sock=listener,
+            backlog=BACKLOG,
             process_request=self._check_handshake,
             # websockets only calls this with the arguments of the class.
             create_connection=self._gate.create_connection,  # type: ignore[arg-type]
