Show jobs of a queue that was replaced under another name

JobHandler compared the name of the queue at the acceptance with that of the queue that the call selects.

shows_job, in the decisions on access, also shows a job whose queue is no longer configured; the check of the caller's team stays.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/access.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/access.py
@@ -78,6 +78,26 @@
     caller: Caller
 
 
+def shows_job(admission: Admission, config: QueueConfig | None, queue_name: str, team: str) -> bool:
+    """Return whether an admitted call shows a job.
+
+    A job belongs to the address that it was submitted to. When its queue has been replaced by one
+    with another name, the stored name of its queue is no longer configured.
+
+    Parameters
+    ----------
+    queue_name
+        Name of the queue at the acceptance of the job.
+    team
+        Team of the job; empty if it has none.
+    """
+    if not admission.caller.may_see(team):
+        return False
+    if queue_name == admission.queue.name:
+        return True
+    return config is not None and all(queue.name != queue_name for queue in config.queues)
+
+
 class QueueIndex:
     """Queues by host and path prefix.
 
--- a/tests/unit/test_keys.py
+++ b/tests/unit/test_keys.py
@@ -20,6 +20,7 @@
     Denial,
     QueueIndex,
     decide_access,
+    shows_job,
 )
 from nutmeglb_formats.models.queues import Queue
 from nutmeglb_formats.models.resources import Resources
@@ -241,3 +242,21 @@
     assert len(decoded.queues) == 1_900 and len(decoded.team_names_by_key) == 4_600
     rows = len(routes) + len(tenants)
     assert turns >= rows / wire_config.SLICE_SIZE
+
+
+@pytest.mark.parametrize(
+    ("queue_name", "team", "caller", "shown"),
+    [
+        ("/p/", "", Caller(), True),
+        ("/other/", "", Caller(), False),
+        ("/removed/", "", Caller(), True),
+        ("/removed/", "one", Caller("two"), False),
+        ("/removed/", "one", Caller("one"), True),
+    ],
+)
+def test_job_of_a_queue_that_was_replaced_is_shown(queue_name, team, caller, shown):
+    """Guards against accepted jobs that are answered 410 after a change (review, case 10)."""
+    routes = [{**ROUTE, "name": "/p/"}, {**ROUTE, "name": "/other/", "prefix": "/other/"}]
+    admission = Admission(queue(), caller)
+    assert shows_job(admission, config(None, routes=routes), queue_name, team) == shown
+    assert not shows_job(admission, None, "/removed/", team)
