--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/intake/connections.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/intake/connections.py
@@ -272,9 +272,8 @@
             stalled = self._stalled_requests(now_ms)
             victims = self._victims_for(connection, request_bytes, stalled)
         if victims is not None:
-            return Reserved(
-                Verdict.ADMITTED, tuple(self._admit(connection, request_bytes, victims, now_ms))
-            )
+            closed = self._admit(connection, request_bytes, victims, now_ms)
+            return Reserved(Verdict.ADMITTED, tuple(closed))
         if not may_wait or request_bytes > self._largest_bytes:
             return Reserved(Verdict.REFUSED)
         connection.wanted_bytes = request_bytes
@@ -345,11 +344,8 @@
 
         An address that has most of the connections gives one up first.
         """
-        stalled = [
-            each
-            for each in self._connections.values()
-            if _is_closable(each) and _is_stalled(each, now_ms)
-        ]
+        connections = self._connections.values()
+        stalled = [each for each in connections if _is_closable(each) and _is_stalled(each, now_ms)]
         if not stalled:
             return None
         counts = Counter(each.address for each in self._connections.values())
--- a/packages/nutmeglb/src/nutmeglb/_internal/intake/listener.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/intake/listener.py
@@ -71,7 +71,6 @@
     ) -> None:
         self._table = ConnectionTable(limits)
         self._report = IntakeReport(name, self._table, metrics)
-        self._application = application
         self._costs = costs
         self._clock = clock
         self._refusal = refusal
@@ -83,6 +82,7 @@
         self._tick: asyncio.TimerHandle | None = None
         self._tick_due_ms = 0.0
         self._server = _Server(
+            application,
             self,
             chunk_size=READ_CHUNK_BYTES,
             max_header_size=costs.header_bytes,
@@ -289,9 +289,14 @@
     """Serves HTTP on the streams of a listener."""
 
     # Tornado's own subclasses also differ from the base class in this signature.
-    def initialize(self, listener: BoundedListener, **options: Any) -> None:  # type: ignore[override]
+    def initialize(  # type: ignore[override]
+        self,
+        application: HTTPServerConnectionDelegate,
+        listener: BoundedListener,
+        **options: Any,
+    ) -> None:
         self._listener = listener
-        super().initialize(listener._application, **options)
+        super().initialize(application, **options)
 
     def start_request(self, server_conn: Any, request_conn: HTTPConnection) -> HTTPMessageDelegate:
         stream = server_conn.stream
--- a/tests/functional/test_intake_listener.py
+++ b/tests/functional/test_intake_listener.py
@@ -48,9 +48,12 @@
         self._served.left += 1
         super().on_connection_close()
 
-    def post(self):
+    async def post(self):
         self._served.bodies.append((self._size, {}))
-        self.finish(b"%d" % self._size)
+        if self.request.query == "hold":
+            await self._served.release.wait()
+        if not self._served.left:
+            self.finish(b"%d" % self._size)
 
 
 def run_with_listener(scenario, limits=LIMITS, costs=COSTS):
@@ -227,10 +230,11 @@
     run_with_listener(scenario)
 
 
-def test_request_whose_client_has_left_is_charged_until_its_handler_ends():
+@pytest.mark.parametrize("path", ["/hold", "/stream?hold"])
+def test_request_whose_client_has_left_is_charged_until_its_handler_ends(path):
     async def scenario(served):
         _, writer = await connect(served)
-        writer.write(head("/hold", LARGE_BYTES) + b"x" * LARGE_BYTES)
+        writer.write(head(path, LARGE_BYTES) + b"x" * LARGE_BYTES)
         await until(lambda: served.bodies)
         writer.close()
         await until(lambda: served.listener.table.connections == 0)
