--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/intake/connections.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/intake/connections.py
@@ -17,7 +17,7 @@
 STALL_MS = 1_000.0
 # The same for a request that is still being read after this time, however often a byte arrives.
 SLOW_REQUEST_MS = 10_000.0
-# A request waits this long for room. Room that a stalled connection holds is free by then.
+# A request waits this long for memory. What a stalled connection holds is free by then.
 MAX_WAIT_MS = 1_500.0
 # A refused request is read and discarded for this long, so that its client can read the refusal.
 LINGER_MS = 1_000.0
@@ -302,7 +302,7 @@
     def _victims_for(
         self, connection: _Connection, request_bytes: int, stalled: Iterable[_Connection]
     ) -> list[_Connection] | None:
-        """Return the fewest stalled connections whose room is needed, or ``None``."""
+        """Return the fewest stalled connections whose memory suffices, or ``None``."""
         added = request_bytes - connection.request_bytes
         total = self._request_bytes + added
         large = self._large_bytes
@@ -331,7 +331,7 @@
         return not self._is_large(request_bytes) or large <= self._largest_bytes
 
     def _stalled_requests(self, now_ms: float) -> list[_Connection]:
-        """Return connections whose room may be taken, those without progress for longest first."""
+        """Return connections that may be closed for a request, the idlest first."""
         stalled = [
             each
             for each in self._connections.values()
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/intake/limits.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/intake/limits.py
@@ -16,7 +16,7 @@
 # Objects of a connection and of the request on it, without its header block and body.
 CONNECTION_OBJECT_BYTES = 16 * KIB
 CONNECTION_BYTES = CONNECTION_OBJECT_BYTES + 2 * RECEIVE_BUFFER_BYTES
-# Part of the room for requests that only small requests may use.
+# Part of the memory for requests that only small requests may use.
 SMALL_RESERVE_SHARE = 0.25
 # Charge up to which a request counts as small.
 SMALL_REQUEST_BYTES = 64 * KIB
@@ -44,9 +44,9 @@
     connections
         Most connections at once.
     request_bytes
-        Room for header blocks, bodies and what they are decoded into.
+        Memory for header blocks, bodies and what they are decoded into.
     small_reserve_bytes
-        Part of the room that only small requests may use.
+        Part of that memory which only small requests may use.
     small_request_bytes
         Charge up to which a request counts as small.
     """
@@ -95,9 +95,9 @@
 
 def limit_handshakes(memory_mb: int, max_descriptors: int) -> int:
     """Return how many connections of other instances may be in their opening handshake."""
-    room_bytes = int(HANDSHAKE_SHARE * intake_bytes(memory_mb))
+    budget_bytes = int(HANDSHAKE_SHARE * intake_bytes(memory_mb))
     descriptors = divide_descriptors(max_descriptors).handshakes
-    return max(MIN_CONNECTIONS, min(descriptors, room_bytes // HANDSHAKE_BYTES))
+    return max(MIN_CONNECTIONS, min(descriptors, budget_bytes // HANDSHAKE_BYTES))
 
 
 def limit_listener(
@@ -113,13 +113,13 @@
         Part of the memory for clients that this listener has. The parts of all HTTP listeners of a
         process and ``HANDSHAKE_SHARE`` add up to 1 at most.
     descriptors
-        Most connections, if the memory suffices. Connections take at most half of the room.
+        Most connections, if the memory suffices. They take at most half of it.
     largest_request_bytes
         Charge of the largest legal request. One of them fits at least, so that it is served when
         nothing else is in progress.
     """
-    room_bytes = int(share * intake_bytes(memory_mb))
-    connections = max(MIN_CONNECTIONS, min(descriptors, room_bytes // 2 // CONNECTION_BYTES))
+    budget_bytes = int(share * intake_bytes(memory_mb))
+    connections = max(MIN_CONNECTIONS, min(descriptors, budget_bytes // 2 // CONNECTION_BYTES))
     least_bytes = int(largest_request_bytes / (1 - SMALL_RESERVE_SHARE)) + 1
-    request_bytes = max(least_bytes, room_bytes - connections * CONNECTION_BYTES)
+    request_bytes = max(least_bytes, budget_bytes - connections * CONNECTION_BYTES)
     return ListenerLimits(connections, request_bytes, int(request_bytes * SMALL_RESERVE_SHARE))
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -9,7 +9,7 @@
 from nutmeglb_decisions.queues.finished_job import FinishedJob
 from nutmeglb_decisions.queues.headroom import ClassUsage
 from nutmeglb_decisions.queues.interference import Interference
-from nutmeglb_decisions.queues.job_room import JobRoom
+from nutmeglb_decisions.queues.job_memory import JobMemory
 from nutmeglb_decisions.queues.lost_work import PreemptionUsage
 from nutmeglb_decisions.queues.parts import PassParts
 from nutmeglb_decisions.queues.run_sums import RunSums
@@ -114,7 +114,7 @@
         Unexpected errors by the name of the part that raised them.
     entry_age
         Until when the entries of workers prove their capacity; without limit by default.
-    job_room
+    job_memory
         Memory that the jobs take; without limit by default.
     """
 
@@ -154,7 +154,7 @@
     interference: Interference | None = None
     overdue_gangs: dict[str, Step] = field(default_factory=dict)
     entry_age: EntryAge = field(default_factory=EntryAge)
-    job_room: JobRoom = field(default_factory=JobRoom)
+    job_memory: JobMemory = field(default_factory=JobMemory)
     part_errors: dict[str, PartErrors] = field(default_factory=dict)
 
     def configure(self, config: QueueConfig) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/job_room.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/job_memory.py
@@ -2,8 +2,8 @@
 
 Load pattern: submissions of legal size whose steps have many tasks, or many submissions with long
 texts. A body of 2 KB can describe hundreds of thousands of tasks. Such a job is refused while it
-would take a large part of the free memory, so that ordinary jobs find room. A job that was accepted
-all the same is known, but its tasks are only created when there is room for them.
+would take a large part of the free memory, so that ordinary jobs fit. A job that was accepted all
+the same is known, but its tasks are only created when there is memory for them.
 """
 
 import math
@@ -15,7 +15,7 @@
 BYTES_PER_MIB = 1_048_576
 # Part of the memory of a process for accepted jobs.
 JOB_SHARE = 0.2
-# A job takes at most this part of the free room.
+# A job takes at most this part of the free memory for jobs.
 LARGEST_JOB_SHARE = 0.25
 # Memory of a job, a step and a task, without texts and lists.
 JOB_BYTES = 1_500
@@ -31,7 +31,7 @@
 RETRY_MS = 2_000.0
 
 
-def room_bytes(memory_mb: int) -> int:
+def job_limit_bytes(memory_mb: int) -> int:
     """Return the memory of a process for accepted jobs."""
     return int(memory_mb * BYTES_PER_MIB * JOB_SHARE)
 
@@ -52,11 +52,11 @@
     return record_bytes(record) + occurrence_bytes(record)
 
 
-class JobRoom:
+class JobMemory:
     """Memory that the jobs of a leader take, as last counted, and what was added since."""
 
-    def __init__(self, room_bytes: float = math.inf) -> None:
-        self._room_bytes = room_bytes
+    def __init__(self, limit_bytes: float = math.inf) -> None:
+        self._limit_bytes = limit_bytes
         self._used_bytes = 0
         self._sizes: dict[str, tuple[int, int]] = {}
 
@@ -66,18 +66,18 @@
         return self._used_bytes
 
     @property
-    def room_bytes(self) -> float:
+    def limit_bytes(self) -> float:
         """Return the memory for all jobs."""
-        return self._room_bytes
+        return self._limit_bytes
 
     @property
     def largest_job_bytes(self) -> float:
         """Return the size of the largest job that may be accepted."""
-        return max(0.0, self._room_bytes - self._used_bytes) * LARGEST_JOB_SHARE
+        return max(0.0, self._limit_bytes - self._used_bytes) * LARGEST_JOB_SHARE
 
     def fits(self, added_bytes: int) -> bool:
-        """Return whether there is room for more state."""
-        return self._used_bytes + added_bytes <= self._room_bytes
+        """Return whether more state may be created."""
+        return self._used_bytes + added_bytes <= self._limit_bytes
 
     def add(self, added_bytes: int) -> None:
         """Count state that was created."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
@@ -2,7 +2,7 @@
 
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StopTask
-from nutmeglb_decisions.queues.job_room import occurrence_bytes, record_bytes
+from nutmeglb_decisions.queues.job_memory import occurrence_bytes, record_bytes
 from nutmeglb_decisions.queues.state import Job, JobState, Run, RunState, Step, Task
 from nutmeglb_formats.models.queues import QueueJob
 
@@ -23,43 +23,43 @@
 def add_job(cell: Cell, record: QueueJob, now_ms: float, accepted_ms: float | None = None) -> bool:
     """Add an accepted job. Return false if it is already known.
 
-    Its tasks are created now, or by ``create_due_occurrences`` when there is room for them.
+    Its tasks are created now, or by ``create_due_occurrences`` when there is memory for them.
     """
     if record.job_id in cell.jobs or record.job_id in cell.finished:
         return False
     job = Job(record, now_ms if accepted_ms is None else accepted_ms)
     cell.jobs[record.job_id] = job
     cell.active[record.job_id] = job
-    cell.job_room.add(record_bytes(record))
+    cell.job_memory.add(record_bytes(record))
     if not record.repeats and not _create_occurrence(cell, job):
-        room = cell.job_room
+        memory = cell.job_memory
         cell.log_decision(
             "job_deferred",
             "the tasks of the job exceed the free memory for jobs",
             job=record.job_id,
             needed_bytes=occurrence_bytes(record),
-            used_bytes=room.used_bytes,
-            room_bytes=room.room_bytes,
+            used_bytes=memory.used_bytes,
+            limit_bytes=memory.limit_bytes,
         )
     return True
 
 
 def _create_occurrence(cell: Cell, job: Job) -> bool:
-    """Create the next occurrence of a job, unless there is no room for its tasks."""
+    """Create the next occurrence of a job, unless there is no memory for its tasks."""
     number, added_bytes = job.next_occurrence, occurrence_bytes(job.record)
     if number in job.completed or number in job.occurrences:
         job.next_occurrence += 1
         return True
-    if not cell.job_room.fits(added_bytes):
+    if not cell.job_memory.fits(added_bytes):
         return False
-    cell.job_room.add(added_bytes)
+    cell.job_memory.add(added_bytes)
     job.next_occurrence += 1
     job.add_occurrence(number)
     return True
 
 
 def create_due_occurrences(cell: Cell, wall_ms: float) -> None:
-    """Create the occurrences of repeated jobs that are due, and those of jobs that await room.
+    """Create the occurrences of repeated jobs that are due, and those of jobs that await memory.
 
     Load pattern: a job whose occurrences are all due at once, by mistake or after a long outage. A
     job has a limited number of unfinished tasks, and the others follow when occurrences complete.
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/verdicts.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/verdicts.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from nutmeglb_decisions.queues import job_room, pools
+from nutmeglb_decisions.queues import job_memory, pools
 from nutmeglb_decisions.queues.pools import Pool
 from nutmeglb_decisions.queues.team_limits import effective_limit, exceeds_limit
 from nutmeglb_formats.models.queues import QueueConfig, QueueJob
@@ -52,7 +52,7 @@
     refusing_teams: Mapping[tuple[str, str], float] = field(default_factory=dict)
     pools: Sequence[Pool] = ()
     config: QueueConfig | None = None
-    largest_job_bytes: float = job_room.DEFAULT_LARGEST_JOB_BYTES
+    largest_job_bytes: float = job_memory.DEFAULT_LARGEST_JOB_BYTES
 
 
 RefusalRule = Callable[[QueueJob, LoadView], Refusal | None]
@@ -66,10 +66,10 @@
 
 def too_large_for_leader(job: QueueJob, view: LoadView) -> Refusal | None:
     """Refuse a job that would take a large part of the free memory of the leader."""
-    if job_room.state_bytes(job) <= view.largest_job_bytes:
+    if job_memory.state_bytes(job) <= view.largest_job_bytes:
         return None
     cause = "the job needs too much of the free memory for jobs"
-    return Refusal(cause, job_room.RETRY_MS)
+    return Refusal(cause, job_memory.RETRY_MS)
 
 
 def wider_than_team_limit(job: QueueJob, view: LoadView) -> Refusal | None:
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/wire/queues.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/wire/queues.py
@@ -131,7 +131,7 @@
         again. Added in version 2.
     largest_job_bytes
         Memory at the leader in bytes that a job may take at most; 0 means that the default of
-        ``job_room`` applies. Added in version 3.
+        ``job_memory`` applies. Added in version 3.
     """
 
     refusing: list[tuple[str, float]]
--- a/packages/nutmeglb/src/nutmeglb/_internal/intake/listener.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/intake/listener.py
@@ -129,7 +129,7 @@
             self._tick.cancel()
             self._tick = None
 
-    # RoomKeeper
+    # RequestCharges
 
     def reserve(self, number: int, request_bytes: int) -> Verdict:
         """Raise the charge of a request."""
--- a/packages/nutmeglb/src/nutmeglb/_internal/intake/report.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/intake/report.py
@@ -23,7 +23,7 @@
             "nutmeglb_intake_refused_total", "Requests and connections refused, by cause."
         )
         self._closed = metrics.counter(
-            "nutmeglb_intake_closed_total", "Connections closed to make room, by cause."
+            "nutmeglb_intake_closed_total", "Connections closed in favour of others, by cause."
         )
         self._connections = metrics.gauge(
             "nutmeglb_intake_connections", "Open connections of clients."
@@ -43,7 +43,7 @@
         self._log("refused a client: a limit of the listener is reached", cause)
 
     def note_closed(self, cause: Cause, count: int) -> None:
-        """Count connections that were closed to make room, or since their refusal was not read."""
+        """Count connections closed in favour of others, or since their refusal was not read."""
         if count:
             self._closed.inc(float(count), listener=self._listener, cause=cause.value)
             self._log("closed connections of clients without progress", cause, closed=count)
--- a/packages/nutmeglb/src/nutmeglb/_internal/intake/requests.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/intake/requests.py
@@ -1,4 +1,4 @@
-"""Admits the parts of one request before they are read, and refuses it when there is no room."""
+"""Admits the parts of one request before they are read, and refuses it for want of memory."""
 
 import asyncio
 from collections.abc import Awaitable, Callable, Mapping
@@ -19,7 +19,7 @@
 KIB = 1_024
 # Objects of a header field beyond its text.
 FIELD_BYTES = 256
-# A body that is being read, with the room by which its buffer grows ahead.
+# A body that is being read, with the part by which its buffer grows ahead.
 READ_FACTOR = 1.25
 # A chunked body is charged this much until it exceeds it, and then like the largest body.
 FIRST_CHUNKED_BYTES = 16 * KIB
@@ -65,13 +65,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """Answer to a request for which there is no room. It promises that the request never runs."""
+    """Answer to a request for which there is no memory. It promises that the request never runs."""
 
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b"{}"
 
 
-class RoomKeeper(Protocol):
+class RequestCharges(Protocol):
     """Keeps the charges of the connections of a listener."""
 
     def reserve(self, number: int, request_bytes: int) -> Verdict:
@@ -88,18 +88,18 @@
 
 
 class BoundedRequest(HTTPMessageDelegate):
-    """Passes the parts of a request on to its handler as far as there is room."""
+    """Passes the parts of a request on to its handler as far as there is memory for them."""
 
     def __init__(
         self,
-        keeper: RoomKeeper,
+        charges: RequestCharges,
         number: int,
         connection: HTTPConnection,
         inner: HTTPMessageDelegate,
         costs: RequestCosts,
         refusal: Refusal,
     ) -> None:
-        self._keeper = keeper
+        self._charges = charges
         self._number = number
         self._connection = connection
         self._inner = inner
@@ -115,7 +115,7 @@
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
-        """Reserve room for the body, and start the handler."""
+        """Reserve memory for the body, and start the handler."""
         assert isinstance(start_line, RequestStartLine)
         self._method = start_line.method
         self._header_charge = _header_charge(headers)
@@ -144,15 +144,15 @@
         return self._inner.data_received(chunk)
 
     def finish(self) -> None:
-        """Process the request, now or when there is room for what is made of its body."""
+        """Process the request, now or when there is memory for what is made of its body."""
         if self._is_refused:
             self._connection.finish()
             return
         processing_bytes = int(self._costs.processing_factor * self._received_bytes)
         wanted = self._header_charge + processing_bytes + self._costs.answer_bytes
-        verdict = self._keeper.reserve(self._number, wanted)
+        verdict = self._charges.reserve(self._number, wanted)
         if verdict is Verdict.WAITING:
-            self._keeper.wait(self._number).add_done_callback(self._finish_waiting)
+            self._charges.wait(self._number).add_done_callback(self._finish_waiting)
         else:
             self._finish_decided(verdict is Verdict.ADMITTED)
 
@@ -169,7 +169,7 @@
 
     def _finish_decided(self, is_admitted: bool) -> None:
         if is_admitted:
-            self._keeper.note_running(self._number)
+            self._charges.note_running(self._number)
             self._inner.finish()
         else:
             self._refuse()
@@ -179,11 +179,11 @@
         self, body_bytes: int, action: Callable[[], Awaitable[None] | None]
     ) -> Awaitable[None] | None:
         wanted = self._header_charge + int(READ_FACTOR * body_bytes)
-        verdict = self._keeper.reserve(self._number, wanted)
+        verdict = self._charges.reserve(self._number, wanted)
         if verdict is Verdict.ADMITTED:
             return action()
         if verdict is Verdict.WAITING:
-            return self._wait(self._keeper.wait(self._number), action)
+            return self._wait(self._charges.wait(self._number), action)
         self._refuse()
         return None
 
@@ -202,7 +202,7 @@
         if self._is_started:
             self._inner.on_connection_close()
         self._is_refused = True
-        self._keeper.note_refused(self._number)
+        self._charges.note_refused(self._number)
         headers = HTTPHeaders(
             {
                 "Connection": "close",
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -45,7 +45,7 @@
 from nutmeglb_decisions.queues.effects import Effect, RequestAdvice
 from nutmeglb_decisions.queues.entry_age import StoreContact
 from nutmeglb_decisions.queues.idle_jobs import IdleJobMonitor
-from nutmeglb_decisions.queues.job_room import JobRoom, room_bytes
+from nutmeglb_decisions.queues.job_memory import JobMemory, job_limit_bytes
 from nutmeglb_decisions.queues.names import parse_task
 from nutmeglb_decisions.queues.verdicts import LoadView
 from nutmeglb_formats.clock import Clock
@@ -111,7 +111,7 @@
             settings.max_stop_ms / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS,
             settings.max_run_lease_ms / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS,
         )
-        self.cell.job_room = JobRoom(room_bytes(live.current.machine.memory_mb))
+        self.cell.job_memory = JobMemory(job_limit_bytes(live.current.machine.memory_mb))
         if term.number > 0:
             self.cell.former_orders_end_ms = None
         self._committer = Committer(
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/load_reports.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/load_reports.py
@@ -7,7 +7,7 @@
 from nutmeglb._internal.queues.pool_reports import pools_report
 from nutmeglb_decisions.queues import admission, team_admission
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.job_room import DEFAULT_LARGEST_JOB_BYTES
+from nutmeglb_decisions.queues.job_memory import DEFAULT_LARGEST_JOB_BYTES
 from nutmeglb_decisions.queues.pools import Pools
 from nutmeglb_decisions.queues.verdicts import LoadView
 from nutmeglb_formats.clock import Clock
@@ -50,7 +50,7 @@
             now_ms = self._clock.now_ms()
             self._publish_metrics(self._cell)
             pools.refresh(self._cell, now_ms)
-            self._cell.job_room.refresh(self._cell.jobs)
+            self._cell.job_memory.refresh(self._cell.jobs)
             self.load = _load_of(self._cell, pools, now_ms)
             reports = _reports(self.load)
             if reports != sent or now_ms - sent_ms >= REPEAT_MS:
@@ -61,7 +61,7 @@
 
 
 def _load_of(cell: Cell, pools: Pools, now_ms: float) -> LoadView:
-    known, largest_bytes = pools.known_pools(now_ms), cell.job_room.largest_job_bytes
+    known, largest_bytes = pools.known_pools(now_ms), cell.job_memory.largest_job_bytes
     if cell.config is not None and cell.config.teams:
         return LoadView(
             refusing_teams=team_admission.refusing_teams(cell),
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -18,7 +18,7 @@
 from nutmeglb_decisions.queues import admission, queries, verdicts
 from nutmeglb_decisions.queues.access import ANY_CALLER, Caller
 from nutmeglb_decisions.queues.effects import Decision
-from nutmeglb_decisions.queues.job_room import DEFAULT_LARGEST_JOB_BYTES
+from nutmeglb_decisions.queues.job_memory import DEFAULT_LARGEST_JOB_BYTES
 from nutmeglb_decisions.queues.pools import Pool
 from nutmeglb_decisions.queues.queries import JobStatus
 from nutmeglb_decisions.queues.verdicts import LoadView
--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/listener.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/listener.py
@@ -57,7 +57,7 @@
     RefusalReason.BODY_TOO_LARGE: "Send a body within routing.body_limit_bytes",
 }
 NOT_RUN_HINT = "The request was not run; it is safe to retry"
-NO_ROOM_HINT = "Retry later; requests of other callers take up the memory of this instance"
+NO_MEMORY_HINT = "Retry later; requests of other callers take up the memory of this instance"
 UNKNOWN_HINT = "The request may have run; check its effect before a retry"
 
 
@@ -111,7 +111,7 @@
             costs,
             self._ctx.clock,
             self._ctx.metrics,
-            _no_room_refusal(),
+            _no_memory_refusal(),
             max_body_bytes=UNLIMITED_BYTES,
         )
         self._address = self._listener.listen(self._ctx.settings.listen.caller)
@@ -352,12 +352,12 @@
         )
 
 
-def _no_room_refusal() -> Refusal:
+def _no_memory_refusal() -> Refusal:
     """Return the answer to a request that is refused before it is read."""
     body = {
         "kind": "RequestRefused",
         "reason": RefusalReason.QUEUE_FULL.value,
-        "hint": NO_ROOM_HINT,
+        "hint": NO_MEMORY_HINT,
     }
     return Refusal({OUTCOME_HEADER: RequestOutcome.NOT_RUN.value}, json.dumps(body).encode())
 
--- a/tests/unit/test_intake_limits.py
+++ b/tests/unit/test_intake_limits.py
@@ -64,12 +64,12 @@
     found = limit_listener(memory_mb, share, descriptors, largest)
     assert largest <= found.request_bytes - found.small_reserve_bytes
     assert found.connections >= limits.MIN_CONNECTIONS
-    room = share * intake_bytes(memory_mb)
-    if 2 * largest < room / 2 and room > 4 * limits.MIN_CONNECTIONS * CONNECTION_BYTES:
-        assert found.total_bytes <= room
+    budget = share * intake_bytes(memory_mb)
+    if 2 * largest < budget / 2 and budget > 4 * limits.MIN_CONNECTIONS * CONNECTION_BYTES:
+        assert found.total_bytes <= budget
 
 
-def test_shares_of_the_listeners_of_a_process_leave_room_for_handshakes():
+def test_shares_of_the_listeners_of_a_process_leave_a_part_for_handshakes():
     for shares in (
         (frontend.CALLER_SHARE, frontend.HEALTH_SHARE),
         (routing.INTAKE_SHARE, admin.INTAKE_SHARE),
--- a/tests/unit/test_queue_job_room.py
+++ b/tests/unit/test_queue_job_memory.py
@@ -9,13 +9,13 @@
 from nutmeglb._internal.queues.load_reports import _reports
 from nutmeglb_decisions.queues import lifecycle, progress, queries
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.job_room import (
+from nutmeglb_decisions.queues.job_memory import (
     DEFAULT_LARGEST_JOB_BYTES,
     LARGEST_JOB_SHARE,
-    JobRoom,
+    JobMemory,
+    job_limit_bytes,
     occurrence_bytes,
     record_bytes,
-    room_bytes,
     state_bytes,
 )
 from nutmeglb_decisions.queues.state import Job, JobState
@@ -31,8 +31,8 @@
 WIDE = "\U0001f600"
 
 
-def cell_with_room(size):
-    return Cell(0, 1_000.0, 100.0, job_room=JobRoom(size))
+def cell_with_limit(size):
+    return Cell(0, 1_000.0, 100.0, job_memory=JobMemory(size))
 
 
 @pytest.mark.parametrize(
@@ -76,28 +76,28 @@
 
 
 def test_smallest_machine_accepts_the_default_when_it_is_empty():
-    room = JobRoom(room_bytes(SMALLEST_MACHINE_MB))
-    assert room.largest_job_bytes >= DEFAULT_LARGEST_JOB_BYTES
-    room.add(int(0.9 * room.room_bytes))
-    assert room.largest_job_bytes == pytest.approx(
-        0.1 * LARGEST_JOB_SHARE * room.room_bytes, rel=0.01
+    memory = JobMemory(job_limit_bytes(SMALLEST_MACHINE_MB))
+    assert memory.largest_job_bytes >= DEFAULT_LARGEST_JOB_BYTES
+    memory.add(int(0.9 * memory.limit_bytes))
+    assert memory.largest_job_bytes == pytest.approx(
+        0.1 * LARGEST_JOB_SHARE * memory.limit_bytes, rel=0.01
     )
 
 
 def test_count_is_taken_anew_from_the_jobs():
-    cell = cell_with_room(MIB)
+    cell = cell_with_limit(MIB)
     record = job("a", step(100))
     lifecycle.add_job(cell, record, 0.0)
-    assert cell.job_room.used_bytes == record_bytes(record) + occurrence_bytes(record)
-    cell.job_room.refresh(cell.jobs)
-    assert cell.job_room.used_bytes == record_bytes(record) + occurrence_bytes(record)
-    cell.job_room.refresh({})
-    assert cell.job_room.used_bytes == 0
+    assert cell.job_memory.used_bytes == record_bytes(record) + occurrence_bytes(record)
+    cell.job_memory.refresh(cell.jobs)
+    assert cell.job_memory.used_bytes == record_bytes(record) + occurrence_bytes(record)
+    cell.job_memory.refresh({})
+    assert cell.job_memory.used_bytes == 0
 
 
-def test_tasks_of_a_job_beyond_the_room_are_created_later():
+def test_tasks_of_a_job_beyond_the_limit_are_created_later():
     """A job that was accepted by an instance that knew less of the load is not lost."""
-    cell = cell_with_room(100_000)
+    cell = cell_with_limit(100_000)
     first, second = job("a", step(200)), job("b", step(200))
     for record in (first, second):
         assert lifecycle.add_job(cell, record, 0.0)
@@ -109,15 +109,15 @@
     assert waiting.steps == []
     lifecycle.finish_job(cell, cell.jobs["a"], JobState.CANCELLED, 0.0)
     del cell.jobs["a"]
-    cell.job_room.refresh(cell.jobs)
+    cell.job_memory.refresh(cell.jobs)
     lifecycle.create_due_occurrences(cell, 0.0)
     assert [len(each.tasks) for each in waiting.steps] == [200]
     lifecycle.create_due_occurrences(cell, 0.0)
     assert list(waiting.occurrences) == [0]
 
 
-def test_progress_of_a_job_beyond_the_room_is_restored():
-    cell = cell_with_room(10_000)
+def test_progress_of_a_job_beyond_the_limit_is_restored():
+    cell = cell_with_limit(10_000)
     record = job("a", step(200))
     stored = JobProgress("q", "", 0.0, [], [StepProgress(0, 0, done=[3])])
     progress.restore(cell, record, stored, 0.0, 0.0)
