--- a/tests/functional/test_crowds.py
+++ b/tests/functional/test_crowds.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import resource
+from pathlib import Path
 
 import pytest
 
@@ -26,6 +28,7 @@
 BODY_BYTES = 262_144
 HEADER_BYTES = 16_384
 ANSWER_LIMIT_S = 60.0
+SPARE_DESCRIPTORS = 60
 POLL_INTERVAL_S = 0.2
 ORDINARY_JOB = {"spec": "text", "steps": [{"count": 1, "cpu": 100, "mem_mb": 10}]}
 JOB = (f"{PREFIXES[0]}{'a' * 16}", HOST)
@@ -163,6 +166,32 @@
     check_crowd(tmp_path, HEALTH_CROWDS[name], "health")
 
 
+def test_process_that_has_fewer_descriptors_than_its_settings_say(tmp_path):
+    """Guards against an accept loop that spins, so that nobody is answered."""
+
+    async def main():
+        cell = SoakCell(tmp_path, 1, 1, 2, ())
+        try:
+            await cell.start(lambda: cell.put("op/config", CONFIG), lambda: "")
+            (instance,) = cell.instances
+            limit = len(list(Path(f"/proc/{instance.pid}/fd").iterdir())) + SPARE_DESCRIPTORS
+            resource.prlimit(instance.pid, resource.RLIMIT_NOFILE, (limit, limit))
+
+            async def submit():
+                path = f"{PREFIXES[0]}{'b' * 16}"
+                return (await cell.submit(0, "POST", path, ORDINARY_JOB))[0]
+
+            async with OpenCrowd(crowd_of(300, []), instance.address) as client:
+                await client.has_sent()
+                await answered(submit)
+            await answered(submit)
+            assert instance.running
+        finally:
+            cell.kill()
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("name", PEER_CROWDS)
 def test_crowd_at_the_peer_address(tmp_path, name):
     check_crowd(tmp_path, PEER_CROWDS[name], "peer")
