Give back the charge of a request whose answer cannot be written

When a client resets its connection after its request was read, the handler may finish while the connection still counts as processing. end_run changed nothing then, and closing the connection kept the charge for a handler that had ended already. A stranger could use up all of the memory for requests in this way, with nothing but small requests and resets, until ordinary callers were refused for ever.

The end of a handler now always ends the processing, also when ending the answer raises. Closing the connection then releases its charge.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/intake/connections.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/intake/connections.py
@@ -162,11 +162,13 @@
         else:
             self._remove(connection)
 
-    def end_run(self, number: int) -> None:
-        """Note that a request has been processed, whether or not its client is still there."""
+    def end_run(self, number: int, now_ms: float) -> None:
+        """Note that a request has been processed, whether or not its answer can be written."""
         connection = self._connections.get(number)
         if connection is not None and connection.phase is Phase.ABANDONED:
             self._remove(connection)
+        else:
+            self.answer(number, now_ms)
 
     def note_progress(self, number: int, now_ms: float) -> None:
         """Note that bytes have arrived on a connection or have left it."""
--- a/packages/nutmeglb/src/nutmeglb/_internal/intake/listener.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/intake/listener.py
@@ -158,7 +158,7 @@
 
     def end_run(self, number: int) -> None:
         """Note that the handler of a request has finished."""
-        self._table.end_run(number)
+        self._table.end_run(number, self._clock.now_ms())
         self._decide()
 
     # Connections
--- a/packages/nutmeglb/src/nutmeglb/_internal/intake/observed.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/intake/observed.py
@@ -38,5 +38,7 @@
 
     def finish(self) -> None:
         """End the answer."""
-        self._connection.finish()
-        self._on_finish()
+        try:
+            self._connection.finish()
+        finally:
+            self._on_finish()
--- a/tests/functional/test_intake_listener.py
+++ b/tests/functional/test_intake_listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import socket
+import struct
 from types import SimpleNamespace
 
 import pytest
@@ -29,6 +30,11 @@
         self._served.bodies.append((len(self.request.body), dict(self.request.arguments)))
         if self.request.path == "/hold":
             await self._served.release.wait()
+        if self.request.path.startswith("/closes"):
+            # The same as a reset that arrives before the answer is written.
+            self.request.connection.stream.close()
+        if self.request.path.endswith("raises"):
+            raise RuntimeError("raised by the test")
         self.finish(b"%d" % len(self.request.body))
 
     def get(self):
@@ -245,6 +251,38 @@
     run_with_listener(scenario)
 
 
+@pytest.mark.parametrize("path", ["/x", "/stream"])
+def test_clients_that_reset_their_connection_leave_no_charge(path):
+    """Guards against a handler that finishes as its client leaves, and keeps its charge."""
+
+    async def scenario(served):
+        host, _, port = served.address
+        for number in range(100):
+            with socket.create_connection((host, int(port))) as client:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                client.sendall(head(path, 1_000) + b"x" * 1_000)
+                # The server reads the request before the reset arrives, or after it.
+                if number % 2:
+                    await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        await until(lambda: served.listener.table.connections == 0)
+        assert served.listener.table.request_bytes == 0
+
+    run_with_listener(scenario)
+
+
+@pytest.mark.parametrize("path", ["/closes", "/closes-and-raises"])
+def test_answer_that_cannot_be_written_leaves_no_charge(path):
+    async def scenario(served):
+        _, writer = await connect(served)
+        writer.write(head(path, 1_000) + b"x" * 1_000)
+        await until(lambda: served.bodies)
+        await until(lambda: served.listener.table.connections == 0)
+        assert served.listener.table.request_bytes == 0
+
+    run_with_listener(scenario)
+
+
 def test_header_block_without_an_end_is_closed_when_it_exceeds_the_room():
     async def scenario(served):
         reader, writer = await connect(served)
--- a/tests/unit/test_intake_connections.py
+++ b/tests/unit/test_intake_connections.py
@@ -165,10 +165,18 @@
     table.run(number, 0.0)
     table.close(number)
     assert (table.connections, table.request_bytes) == (0, LARGE)
-    table.end_run(number)
+    table.end_run(number, 0.0)
     assert table.request_bytes == 0
 
 
+def test_request_that_was_processed_as_its_client_left_is_no_longer_charged():
+    table, (number,) = table_with([LARGE])
+    table.run(number, 0.0)
+    table.end_run(number, 0.0)
+    table.close(number)
+    assert (table.connections, table.request_bytes) == (0, 0)
+
+
 @pytest.mark.parametrize("phase", [Phase.IDLE, Phase.RUNNING])
 def test_shortage_of_descriptors_closes_no_running_request(phase):
     table, (number,) = table_with([SMALL])
@@ -208,12 +216,12 @@
 
     @rule(number=numbers)
     def end_run(self, number):
-        self.table.end_run(number)
+        self.table.end_run(number, 0.0)
 
     @rule(number=consumes(numbers))
     def close(self, number):
         self.table.close(number)
-        self.table.end_run(number)
+        self.table.end_run(number, 0.0)
         assert self.table.phase_of(number) is None
 
     @rule(passed_ms=st.sampled_from([1.0, 100.0, 1_000.0, 20_000.0]))
@@ -233,7 +241,7 @@
     def teardown(self):
         for number in range(1, self.table._next_number):
             self.table.close(number)
-            self.table.end_run(number)
+            self.table.end_run(number, 0.0)
         assert (self.table.connections, self.table.request_bytes) == (0, 0)
         assert self.table._large_bytes == 0
         assert not self.table.needs_time
