Release the body of a caller that leaves before its end

Callers of urgent requests could make an instance run out of memory by sending a body short of its end and leaving, again and again: the connection gave back its charge, but CallerHandler overrides on_connection_close without calling Tornado's, so its coroutine waited for ever, and the cycle of handler, request and body stayed until a full garbage collection.

--- a/packages/nutmeglb/src/nutmeglb/_internal/routing/listener.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/routing/listener.py
@@ -260,7 +260,10 @@
 
     def on_connection_close(self) -> None:
         """End the request because its caller has disconnected."""
+        super().on_connection_close()
         self._is_caller_gone = True
+        # References in a cycle would keep the body until the next full garbage collection.
+        self._body.clear()
         if self._running_request is not None:
             self._running_request.caller_gone()
 
--- a/tests/functional/test_crowds.py
+++ b/tests/functional/test_crowds.py
@@ -166,6 +166,28 @@
     check_crowd(tmp_path, HEALTH_CROWDS[name], "health")
 
 
+def test_callers_that_leave_before_the_end_of_their_body(tmp_path):
+    """Guards against bodies that stay in memory after their connection, uncounted."""
+
+    async def main():
+        cell = SoakCell(tmp_path, 1, 1, 2, (), SETTINGS)
+        try:
+            await cell.start(lambda: cell.put("op/config", CONFIG), lambda: "")
+            (instance,) = cell.instances
+            crowd = crowd_of(40, unfinished_body(JOB, BODY_BYTES, BODY_BYTES))
+            async with ProcessWatch(instance.pid, [instance.address]) as watch:
+                for _ in range(30):
+                    async with OpenCrowd(crowd, instance.address) as client:
+                        await client.has_sent()
+                watch.observe()
+                assert instance.running
+                assert watch.peak_memory_bytes <= MEMORY_MB * BYTES_PER_MIB
+        finally:
+            cell.kill()
+
+    asyncio.run(main())
+
+
 def test_process_that_has_fewer_descriptors_than_its_settings_say(tmp_path):
     """Guards against an accept loop that spins, so that nobody is answered."""
 
--- a/tests/functional/test_crowds_of_instance.py
+++ b/tests/functional/test_crowds_of_instance.py
@@ -107,3 +107,22 @@
             assert entry.process.running
 
     asyncio.run(main())
+
+
+def test_callers_that_leave_before_the_end_of_their_body():
+    """Guards against bodies that stay in memory after their connection, uncounted."""
+
+    async def main():
+        async with Cluster(LAYOUT) as cluster:
+            (entry,) = cluster.entries()
+            address = entry.ports["caller"]
+            crowd = crowd_of(10, unfinished_body(SERVICE, BODY_BYTES, BODY_BYTES))
+            async with ProcessWatch(entry.process.pid, [address]) as watch:
+                for _ in range(30):
+                    async with OpenCrowd(crowd, address) as client:
+                        await client.has_sent()
+                watch.observe()
+                assert entry.process.running
+                assert watch.peak_memory_bytes <= MEMORY_MB * BYTES_PER_MIB
+
+    asyncio.run(main())
