--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/intake/connections.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/intake/connections.py
@@ -138,7 +138,8 @@
     def open(self, address: str, now_ms: float) -> Opened:
         """Admit a new connection, if need be in place of one that makes no progress."""
         closed: tuple[int, ...] = ()
-        if self.connections >= self._limits.connections:
+        # A request whose client has gone keeps its place, since its objects are still there.
+        if len(self._connections) >= self._limits.connections:
             victim = self._stalled_connection(now_ms)
             if victim is None:
                 return Opened(None)
@@ -152,7 +153,7 @@
     def close(self, number: int) -> None:
         """Release the charges of a connection. Does nothing if it is closed already.
 
-        A request that is being processed keeps its charge until ``end_run``.
+        A request that is being processed keeps its charge and its place until ``end_run``.
         """
         connection = self._connections.get(number)
         if connection is None or connection.phase is Phase.ABANDONED:
--- a/tests/unit/test_intake_connections.py
+++ b/tests/unit/test_intake_connections.py
@@ -169,6 +169,22 @@
     assert table.request_bytes == 0
 
 
+def test_requests_whose_clients_have_gone_keep_their_places():
+    """Guards against any number of requests in progress, of clients that leave at once."""
+    table = ConnectionTable(LIMITS)
+    numbers = []
+    for _ in range(LIMITS.connections):
+        number = table.open("a", 0.0).number
+        table.reserve(number, 0, 0.0)
+        table.run(number, 0.0)
+        table.close(number)
+        numbers.append(number)
+    assert table.connections == 0
+    assert table.open("b", 60_000.0).number is None
+    table.end_run(numbers[0], 60_000.0)
+    assert table.open("b", 60_000.0).number is not None
+
+
 def test_request_that_was_processed_as_its_client_left_is_no_longer_charged():
     table, (number,) = table_with([LARGE])
     table.run(number, 0.0)
