--- a/tests/functional/test_intake_listener.py
+++ b/tests/functional/test_intake_listener.py
@@ -13,8 +13,9 @@
 from nutmeglb._internal.intake.listener import BoundedListener
 from nutmeglb._internal.intake.requests import Refusal, RequestCosts
 from nutmeglb._internal.telemetry.metrics import MetricsRegistry
+from nutmeglb_decisions.intake.connections import STALL_MS
 from nutmeglb_decisions.intake.limits import ListenerLimits
-from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.clock import Clock, ManualClock
 
 LIMITS = ListenerLimits(6, 60_000, 15_000, 6_000)
 COSTS = RequestCosts(32_000, 8_192, 1.0)
@@ -62,7 +63,7 @@
             self.finish(b"%d" % self._size)
 
 
-def run_with_listener(scenario, limits=LIMITS, costs=COSTS):
+def run_with_listener(scenario, limits=LIMITS, costs=COSTS, clock=None):
     async def main():
         served = SimpleNamespace(bodies=[], release=asyncio.Event(), left=0)
         application = Application(
@@ -74,7 +75,9 @@
         )
         refusal = Refusal({"X-Outcome": "not-run"}, b'{"kind": "Refused"}')
         metrics = MetricsRegistry()
-        listener = BoundedListener("test", application, limits, costs, Clock(), metrics, refusal)
+        listener = BoundedListener(
+            "test", application, limits, costs, clock or Clock(), metrics, refusal
+        )
         served.listener = listener
         served.metrics = metrics
         served.address = listener.listen("127.0.0.1:0").rpartition(":")
@@ -295,12 +298,14 @@
 
 
 def test_connections_beyond_the_limit_replace_idle_ones_only():
+    clock = ManualClock()
+
     async def scenario(served):
         idle = [await connect(served) for _ in range(LIMITS.connections)]
         await until(lambda: served.listener.table.connections == LIMITS.connections)
         reader, _ = await connect(served)
         assert await reader.read() == b""
-        await asyncio.sleep(1.1)
+        clock.advance(STALL_MS)
         assert (await post(served, "/x", 10))[0] == 200
         assert await idle[0][0].read() == b""
         assert served.listener.table.connections <= LIMITS.connections
@@ -308,7 +313,7 @@
         assert 'nutmeglb_intake_refused_total{cause="connections",listener="test"} 1' in text
         assert 'nutmeglb_intake_closed_total{cause="connections",listener="test"} 1' in text
 
-    run_with_listener(scenario)
+    run_with_listener(scenario, clock=clock)
 
 
 class _ListenerWithoutDescriptors:
--- a/tests/functional/test_peer_handshakes.py
+++ b/tests/functional/test_peer_handshakes.py
@@ -12,14 +12,14 @@
 from nutmeglb._internal.telemetry.metrics import MetricsRegistry
 from nutmeglb_decisions.intake.connections import STALL_MS
 from nutmeglb_decisions.intake.limits import RECEIVE_BUFFER_BYTES
-from nutmeglb_formats.clock import Clock
+from nutmeglb_formats.clock import Clock, ManualClock
 
 SECRET = "peer-secret-for-tests"
 HANDSHAKES = 4
 LIMIT_S = 20.0
 
 
-def run_with_server(scenario):
+def run_with_server(scenario, clock=None):
     async def main():
         accepted = []
 
@@ -28,7 +28,7 @@
             await connection.wait_closed()
 
         metrics = MetricsRegistry()
-        gate = HandshakeGate(HANDSHAKES, Clock(), metrics)
+        gate = HandshakeGate(HANDSHAKES, clock or Clock(), metrics)
         server = PeerServer("127.0.0.1:0", SECRET, "own", hold, lambda: None, gate)
         await server.start()
         try:
@@ -58,11 +58,13 @@
 
 
 def test_instances_connect_while_strangers_hold_all_places():
+    clock = ManualClock()
+
     async def scenario(address, accepted, metrics):
         strangers = [await open_raw(address) for _ in range(HANDSHAKES)]
         reader, _ = await open_raw(address)
         assert await is_closed(reader)
-        await asyncio.sleep(STALL_MS / 1_000 + 0.1)
+        clock.advance(STALL_MS)
         peers = [await connect_peer(address, number) for number in range(2 * HANDSHAKES)]
         assert len(accepted) == 2 * HANDSHAKES
         assert await is_closed(strangers[0][0])
@@ -71,7 +73,7 @@
         for peer in peers:
             await peer.close()
 
-    run_with_server(scenario)
+    run_with_server(scenario, clock)
 
 
 @pytest.mark.parametrize("size", [MAX_HANDSHAKE_BYTES + 1, 1_000_000])
