--- a/tests/functional/test_queue_connections.py
+++ b/tests/functional/test_queue_connections.py
@@ -1,6 +1,8 @@
 """Connections of all instances together to one worker, which accepts a limited number."""
 
 import asyncio
+import socket
+import sys
 from pathlib import Path
 
 import pytest
@@ -21,12 +23,14 @@
 def open_connections(runner):
     """Return the number of connections that leaders keep open to a runner.
 
-    The runner counts one that was closed until it has read so, perhaps beside its replacement.
+    The runner counts one that was closed until it has read so, perhaps beside its replacement. The
+    whole address is compared, since a client of another process may have the same port number.
     """
-    port = int(runner.address.rpartition(":")[2])
+    host, _, port = runner.address.rpartition(":")
+    address = f"{int.from_bytes(socket.inet_aton(host), sys.byteorder):08X}:{int(port):04X}"
     rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
     peers = [row[2] for row in rows if row[3] == ESTABLISHED]
-    return sum(int(peer.rpartition(":")[2], 16) == port for peer in peers)
+    return peers.count(address)
 
 
 def test_former_leaders_do_not_shut_out_the_present_one():
