Bar the submissions of a job that is cancelled before it is stored

Cause: a cancellation that found no job was answered from that read. A write of the submission that the store executes late requires only the absence of the job and of its final state, which the cancellation did not change. An instance that was still repeating the submission stored it as well.

Change: a cancellation that finds no job stores marks before it answers, unless a job or a final state is stored. Each write that accepts a job requires the absence of the marks for its address and team. A submission that meets one is answered 410, since callers submit again after 503. A cancellation whose write has no known outcome is answered 504 instead of 503. Its attempts pause after a failure. The lines cancel_stored (outcome) and cancel_not_stored name what was found.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/keys.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/keys.py
@@ -10,6 +10,7 @@
 ACCEPTED = PREFIX + "in/"
 PROGRESS = PREFIX + "st/"
 FINAL = PREFIX + "fin/"
+WITHDRAWN = PREFIX + "wd/"
 CANCEL_SUFFIX = ".cancel"
 
 
@@ -23,6 +24,11 @@
     return ACCEPTED + job_id + CANCEL_SUFFIX
 
 
+def withdrawn(job_id: str, scope: str) -> str:
+    """Return the key whose presence bars submissions of a job, for one address and its teams."""
+    return f"{WITHDRAWN}{job_id}/{scope}"
+
+
 def progress(job_id: str) -> str:
     """Return the key of an unfinished job's progress, which only the leader writes."""
     return PROGRESS + job_id
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -13,7 +13,7 @@
 from nutmeglb._internal.queues.peer_links import PeerLinks
 from nutmeglb._internal.queues.pool_reports import pools_from
 from nutmeglb._internal.queues.store_gate import StoreGate
-from nutmeglb._internal.queues.submissions import Submission, Submissions
+from nutmeglb._internal.queues.submissions import Cancellation, Submission, Submissions
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import admission, queries, verdicts
 from nutmeglb_decisions.queues.access import JobCall, find_queue_key
@@ -156,21 +156,28 @@
         if outcome == Submission.ACCEPTED:
             self._log_decision("job_accepted", "stored", job, leader=self._links.leader_id)
             self._background.spawn(self._offer(job, stored.revision))
+        elif outcome == Submission.WITHDRAWN:
+            self._log_decision("job_refused", "cancelled before it was stored", job)
         elif outcome not in (Submission.REPEATED, Submission.ID_TAKEN):
             self._log_decision(
                 "job_refused", "not confirmed by the store", job, outcome=outcome.value
             )
         return SubmitAnswer(outcome, admission.outage_retry_ms(job))
 
-    async def cancel(self, call: JobCall, deadline_ms: float) -> Result[bool, NutmegError]:
-        """Cancel a job durably. Return whether the job that the call is about exists."""
+    async def cancel(self, call: JobCall, deadline_ms: float) -> Result[Cancellation, NutmegError]:
+        """Cancel a job durably, also one whose submission may still be stored."""
         cancelled = await self._submissions.cancel(call, deadline_ms)
         if isinstance(cancelled, Err):
-            return Err(cancelled.err_value)
-        if cancelled.ok_value:
-            self._log.write([Decision("cancel_stored", "requested by the caller", job=call.job_id)])
+            error = cancelled.err_value
+            self._log.write([Decision("cancel_not_stored", str(error), job=call.job_id)])
+            return Err(error)
+        if cancelled.ok_value != Cancellation.NOT_FOUND:
+            fields = (("outcome", cancelled.ok_value.value),)
+            cause = "requested by the caller"
+            self._log.write([Decision("cancel_stored", cause, job=call.job_id, fields=fields)])
+        if cancelled.ok_value == Cancellation.STORED:
             self._background.spawn(self._notify_cancelled(call.job_id))
-        return Ok(cancelled.ok_value)
+        return cancelled
 
     async def status(self, call: JobCall) -> Result[JobStatus | None, NutmegError]:
         """Return the state of the job that a call is about, or ``None`` if there is none."""
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/submissions.py
@@ -1,4 +1,9 @@
-"""Durable acceptance and cancellation of jobs by any instance, independent of the leader."""
+"""Durable acceptance and cancellation of jobs by any instance, independent of the leader.
+
+The answer to a cancellation holds for every write of a submission that may still take effect:
+either the job is stored and the cancellation with it, or marks are stored whose absence each such
+write requires (``withdrawal_marks``).
+"""
 
 import asyncio
 from collections.abc import Mapping
@@ -10,12 +15,18 @@
 from nutmeglb._internal.queues import keys
 from nutmeglb._internal.queues.ports import Commit, QueueStore, StoredItem, StoredPut
 from nutmeglb._internal.queues.store_gate import StoreGate
+from nutmeglb._internal.queues.withdrawal_marks import (
+    TooManyWithdrawals,
+    WithdrawalMarks,
+    absent_marks,
+    is_barred,
+)
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues.access import JobCall
 from nutmeglb_decisions.queues.queries import JobStatus
 from nutmeglb_decisions.queues.state import JobState
 from nutmeglb_formats.clock import Clock
-from nutmeglb_formats.exceptions import StoreError, StoreOutcomeUnknown
+from nutmeglb_formats.exceptions import NotReady, NutmegError, StoreError, StoreOutcomeUnknown
 from nutmeglb_formats.models.queue_records import (
     AcceptedJob,
     JobProgress,
@@ -39,6 +50,7 @@
 
     ``UNKNOWN`` means that the job may be accepted now or later. The caller must submit it again
     with the same id. ``ID_TAKEN`` means that the id belongs to a job that the caller may not see.
+    ``WITHDRAWN`` means that the job was cancelled before it was stored, and never runs.
     """
 
     ACCEPTED = "accepted"
@@ -46,6 +58,7 @@
     NOT_ACCEPTED = "not_accepted"
     UNKNOWN = "unknown"
     ID_TAKEN = "id_taken"
+    WITHDRAWN = "withdrawn"
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,13 +69,38 @@
     revision: int = 0
 
 
+class Cancellation(StrEnum):
+    """Outcome of a cancellation.
+
+    ``STORED`` means that the job is cancelled or has ended. ``BARRED`` means that no job is stored,
+    and that no submission of it that may be in progress takes effect. ``NOT_FOUND`` means that the
+    id belongs to a job that the call is not about.
+    """
+
+    STORED = "stored"
+    BARRED = "barred"
+    NOT_FOUND = "not_found"
+
+
 @dataclass(frozen=True, slots=True)
 class _JobRecords:
-    """Stored records of a job."""
+    """Stored records of a job.
+
+    Attributes
+    ----------
+    revision
+        Revision of the key of the accepted job; 0 if it is absent.
+    progress
+        Progress or final state; ``None`` if it is absent or malformed.
+    progress_is_final
+        Whether the key of the final state is present.
+    """
 
     accepted: StoredItem | None
+    revision: int
     cancelled: bool
     progress: JobProgress | None
+    progress_is_final: bool
 
 
 class Submissions:
@@ -72,6 +110,7 @@
         self._store = store
         self._clock = clock
         self._gate = gate
+        self._marks = WithdrawalMarks(store, clock)
         # Jobs whose last attempt here had an unknown outcome, with its time, oldest first.
         self._unresolved: dict[str, float] = {}
 
@@ -102,7 +141,7 @@
         value = encode_queue_record(AcceptedJob(job))
         revision = 0
         while True:
-            expected = {key: revision, keys.final(job.job_id): 0}
+            expected = _acceptance_conditions(job, revision)
             committed = await self._store.commit(expected, [StoredPut(key, value)])
             if isinstance(committed, Err):
                 self._gate.record_failure()
@@ -119,9 +158,9 @@
                 return StoredSubmission(Submission.ACCEPTED, commit.revision)
             present = commit.found or {}
             found = present.get(key)
-            if found is None or not _is_withdrawn(found):
+            if found is None or not _is_withdrawn(found) or is_barred(job, present):
                 self._unresolved.pop(job.job_id, None)
-                return _existing(present, call)
+                return _existing(job, present, call)
             revision = found.revision
 
     def _refuse(self, job_id: str) -> StoredSubmission:
@@ -153,8 +192,7 @@
             if not self._gate.allows_writes:
                 await asyncio.sleep(RETRY_MS / MS_PER_S)
                 continue
-            expected = {key: revision, keys.final(job.job_id): 0}
-            committed = await self._store.commit(expected, [put])
+            committed = await self._store.commit(_acceptance_conditions(job, revision), [put])
             if isinstance(committed, Err):
                 self._gate.record_failure()
                 continue
@@ -165,43 +203,57 @@
                 logger.info("submission accepted after an unanswered write", job=job.job_id)
                 accepted = found.revision if found is not None else commit.revision
                 return StoredSubmission(Submission.ACCEPTED, accepted)
-            if found is not None and _is_withdrawn(found):
+            if found is not None and _is_withdrawn(found) and not is_barred(job, present):
                 return StoredSubmission(Submission.NOT_ACCEPTED)
             # Another submission of the job was accepted, which may have run or ended already.
-            return _existing(present, call)
+            return _existing(job, present, call)
         return StoredSubmission(Submission.UNKNOWN)
 
-    async def cancel(self, call: JobCall, deadline_ms: float) -> Result[bool, StoreError]:
-        """Store a cancellation. Return whether the job that the call is about exists.
+    async def cancel(self, call: JobCall, deadline_ms: float) -> Result[Cancellation, NutmegError]:
+        """Store a cancellation.
+
+        The error is ``StoreOutcomeUnknown`` if it may take effect all the same.
 
         Parameters
         ----------
         deadline_ms
             Monotonic time until which failed calls are retried.
         """
+        unknown: NutmegError | None = None
         while True:
-            found = await self._read_job(call.job_id)
-            if isinstance(found, Err):
-                if self._clock.now_ms() < deadline_ms:
-                    await asyncio.sleep(RETRY_MS / MS_PER_S)
-                    continue
-                return Err(found.err_value)
-            records = found.ok_value
-            if not call.concerns(*_owner_of(records.accepted, records.progress)):
-                return Ok(False)
-            if records.accepted is None:
-                return Ok(records.progress is not None)
-            if records.cancelled:
-                return Ok(True)
-            key = keys.cancelled(call.job_id)
-            committed = await self._store.commit(
-                {key: 0, records.accepted.key: records.accepted.revision},
-                [StoredPut(key, b"1")],
-            )
-            if isinstance(committed, Ok) and committed.ok_value.applied:
-                return Ok(True)
-            if isinstance(committed, Err) and self._clock.now_ms() >= deadline_ms:
-                return Err(committed.err_value)
+            attempt = await self._try_to_cancel(call)
+            if isinstance(attempt, Ok):
+                return attempt
+            error = attempt.err_value
+            if isinstance(error, StoreOutcomeUnknown):
+                unknown = error
+            is_over = self._clock.now_ms() >= deadline_ms
+            if is_over or isinstance(error, TooManyWithdrawals):
+                return Err(unknown or error)
+            await asyncio.sleep(RETRY_MS / MS_PER_S)
+
+    async def _try_to_cancel(self, call: JobCall) -> Result[Cancellation, NutmegError]:
+        found = await self._read_job(call.job_id)
+        if isinstance(found, Err):
+            return Err(found.err_value)
+        records = found.ok_value
+        exists = records.accepted is not None or records.progress is not None
+        if exists and not call.concerns(*_owner_of(records.accepted, records.progress)):
+            return Ok(Cancellation.NOT_FOUND)
+        if records.cancelled or records.progress_is_final:
+            return Ok(Cancellation.STORED if exists else Cancellation.NOT_FOUND)
+        committed: Result[Commit, NutmegError]
+        if records.accepted is not None:
+            key, accepted = keys.cancelled(call.job_id), records.accepted
+            conditions = {key: 0, accepted.key: accepted.revision}
+            committed = _widen(await self._store.commit(conditions, [StoredPut(key, b"1")]))
+        else:
+            committed = await self._marks.put(call, records.revision)
+        if isinstance(committed, Err):
+            return Err(committed.err_value)
+        if not committed.ok_value.applied:
+            return Err(NotReady("The records of the job have changed", hint="Retry the call"))
+        return Ok(Cancellation.STORED if exists else Cancellation.BARRED)
 
     async def status(self, job_id: str) -> Result[JobStatus | None, StoreError]:
         """Return the state of a job according to the store, or ``None`` if it is unknown."""
@@ -233,9 +285,11 @@
             return Err(listing.err_value)
         items = {item.key: item for item in listing.ok_value.items}
         accepted = items.get(keys.accepted(job_id))
+        revision = accepted.revision if accepted is not None else 0
         if accepted is not None and _is_withdrawn(accepted):
             accepted = None
         progress: JobProgress | None = None
+        is_final = False
         unfinished_keys = [keys.progress(job_id)] if accepted else []
         for key in (*unfinished_keys, keys.final(job_id)):
             stored = await self._store.get(key)
@@ -243,10 +297,12 @@
                 return Err(stored.err_value)
             if stored.ok_value is not None:
                 progress = _decode_progress(stored.ok_value)
+                is_final = key == keys.final(job_id)
                 break
         if progress is not None and progress.final:
             accepted = None
-        return Ok(_JobRecords(accepted, keys.cancelled(job_id) in items, progress))
+        is_cancelled = keys.cancelled(job_id) in items
+        return Ok(_JobRecords(accepted, revision, is_cancelled, progress, is_final))
 
 
 def _decode_progress(item: StoredItem) -> JobProgress | None:
@@ -268,10 +324,27 @@
     return (progress.queue, progress.team) if progress is not None else ("", "")
 
 
-def _existing(present: Mapping[str, StoredItem], call: JobCall) -> StoredSubmission:
-    """Return the outcome of a submission whose id has a job in the store already."""
+def _widen(result: Result[Commit, StoreError]) -> Result[Commit, NutmegError]:
+    return result if isinstance(result, Ok) else Err(result.err_value)
+
+
+def _acceptance_conditions(job: QueueJob, revision: int) -> dict[str, int]:
+    """Return the conditions of the write that accepts a job."""
+    return {
+        keys.accepted(job.job_id): revision,
+        keys.final(job.job_id): 0,
+        **absent_marks(job),
+    }
+
+
+def _existing(job: QueueJob, present: Mapping[str, StoredItem], call: JobCall) -> StoredSubmission:
+    """Return the outcome of a submission whose id has a job, or a mark, in the store already."""
     accepted = present.get(keys.accepted(call.job_id))
     final = present.get(keys.final(call.job_id))
+    if accepted is not None and _is_withdrawn(accepted):
+        accepted = None
+    if accepted is None and final is None and is_barred(job, present):
+        return StoredSubmission(Submission.WITHDRAWN)
     progress = _decode_progress(final) if final is not None else None
     is_own = call.concerns(*_owner_of(accepted, progress))
     return StoredSubmission(Submission.REPEATED if is_own else Submission.ID_TAKEN)
--- a/tests/lib/queue_path.py
+++ b/tests/lib/queue_path.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -217,6 +217,10 @@
         response = await AsyncHTTPClient().fetch(request, raise_error=False)
         return response.code, json.loads(response.body or b"null")
 
+    def background(self, call: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Start a call that is answered while the test goes on."""
+        return asyncio.get_running_loop().create_task(call)
+
     async def ready(self, entry: int = 0) -> bool:
         """Return the result of the balancer's readiness check."""
         url = f"http://{self.entries[entry].health_address}/v1/readyz"
