Bound the stored progress of a job with many due occurrences

Cause: all occurrences of a job share one record, which had 1.1 MB with the workers of each. The store takes 1 MiB, refused the write, and the leader repeated it for ever. store.value_bytes was not used.

Change: while the record of a job is larger than a quarter of store.value_bytes, divided by its steps, occurrences without stored workers wait (a gate of the pass, record_size). step_waiting names the wait, and the line of a failed commit its cause.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/advice.py
@@ -13,7 +13,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from nutmeglb_decisions.queues import advice_coverage
+from nutmeglb_decisions.queues import advice_coverage, record_size
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import RequestAdvice
 from nutmeglb_decisions.queues.state import Step
@@ -360,8 +360,7 @@
     # Each leader waits for the recorded workers, so those that are lost already are left out.
     usable = {worker.worker_id for worker in approved_workers(cell, step)}
     if not usable <= step.selected:
-        step.selected |= usable
-        cell.mark_dirty(step.job)
+        record_size.select_workers(cell, step, usable)
     cell.log_decision(
         "advice_answered",
         "workers approved",
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/composition.py
@@ -1,9 +1,10 @@
 """Decides which optional parts of the scheduler are active for a configuration."""
 
+import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, fields
 
-from nutmeglb_decisions.queues import interference, quotas, team_shares
+from nutmeglb_decisions.queues import interference, quotas, record_size, team_shares
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.interference import Interference
 from nutmeglb_decisions.queues.parts import PassParts
@@ -23,10 +24,13 @@
         Bounds of preemption; ``None`` if it is off.
     keep_apart
         Whether kinds of tasks that slow each other down are learned and kept apart.
+    value_bytes
+        Largest value that the store takes; without limit by default.
     """
 
     preemption: PreemptionOptions | None = None
     keep_apart: bool = False
+    value_bytes: float = math.inf
 
 
 def configure(cell: Cell, config: QueueConfig, options: PartOptions) -> None:
@@ -51,6 +55,8 @@
     config: QueueConfig, options: PartOptions, learned: Interference | None
 ) -> Iterator[PassParts]:
     """Yield the active parts, in the order in which they act on a pass."""
+    if math.isfinite(options.value_bytes):
+        yield PassParts(gates=(record_size.gate(options.value_bytes),))
     rate_term = team_shares.order_term(config)
     if rate_term is not None:
         yield PassParts(order_terms=(rate_term,))
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/placing.py
@@ -12,6 +12,7 @@
     idle_turns,
     isolation,
     overdue_gangs,
+    record_size,
     run_numbers,
     set_aside,
     unseen_runs,
@@ -257,13 +258,13 @@
     if not unselected:
         return
     unselected.sort(key=lambda worker: -slots_on(worker.free, step, 0))
-    held = 0
+    held, added = 0, []
     for number, worker in enumerate(unselected):
         if number >= WORKERS_PER_RECORD and held >= missing:
             break
-        selected.add(worker.worker_id)
+        added.append(worker.worker_id)
         held += slots_on(worker.info.capacity, step, 0)
-    cell.mark_dirty(step.job)
+    record_size.select_workers(cell, step, added)
 
 
 def _expected_run_ms(state: SchedulingPass, step: Step) -> float:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
@@ -3,7 +3,7 @@
 from dataclasses import asdict, dataclass
 from typing import Any
 
-from nutmeglb_decisions.queues import advice, quotas, worker_conditions, worker_losses
+from nutmeglb_decisions.queues import advice, quotas, record_size, worker_conditions, worker_losses
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.state import Run, Step
 from nutmeglb_decisions.queues.worker_selection import slots_on
@@ -14,6 +14,7 @@
 EXPLAIN_AFTER_MS = 4_000.0
 # Causes of waits by the gate that did not admit a start.
 CAUSES_BY_GATE = {
+    record_size.GATE_NAME: "the stored progress of its job is large until other occurrences end",
     quotas.GATE_NAME: "the limit of its team is reached, or kept for a better-ranked step of it",
     worker_losses.WAITS_FOR_EMPTY_WORKER: (
         "runs were lost with their workers: it waits for a worker without other work, at most for"
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/commits.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/commits.py
@@ -15,7 +15,7 @@
 from nutmeglb._internal.queues.authority import Term
 from nutmeglb._internal.queues.ports import QueueStore, StoredItem, StoredPut
 from nutmeglb._internal.telemetry.logs import get_logger
-from nutmeglb_decisions.queues import progress
+from nutmeglb_decisions.queues import progress, record_size
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.state import Job
 from nutmeglb_formats.clock import Clock
@@ -41,6 +41,7 @@
     job: Job
     progress: JobProgress
     key: str
+    value: bytes
     removals: tuple[str, ...]
 
 
@@ -159,7 +160,7 @@
     async def _store_batch(self, batch: Sequence[_ProgressWrite]) -> bool:
         """Store a batch, retrying without limit. Return false when the leadership has ended."""
         counter, puts = self._next_counter()
-        puts += [StoredPut(write.key, encode_queue_record(write.progress)) for write in batch]
+        puts += [StoredPut(write.key, write.value) for write in batch]
         removals = [key for write in batch for key in write.removals]
         return await self.commit(counter, puts, removals)
 
@@ -172,8 +173,9 @@
         while True:
             committed = await self._store.commit(expected, puts, removals)
             if isinstance(committed, Err):
-                unknown = isinstance(committed.err_value, StoreOutcomeUnknown)
-                logger.warning("commit failed; retrying", unknown=unknown)
+                error = committed.err_value
+                unknown = isinstance(error, StoreOutcomeUnknown)
+                logger.warning("commit failed; retrying", unknown=unknown, cause=str(error))
                 await asyncio.sleep(delay_ms / MS_PER_S)
                 delay_ms = min(MAX_RETRY_MS, 2 * delay_ms)
                 continue
@@ -197,10 +199,12 @@
 def _encode_write(job: Job) -> _ProgressWrite:
     encoded, job_id = progress.encode(job), job.job_id
     progress.begin_commit(job, encoded)
+    value = encode_queue_record(encoded)
+    record_size.record_encoded(job, len(value), encoded.completed)
     if not encoded.final:
-        return _ProgressWrite(job, encoded, keys.progress(job_id), ())
+        return _ProgressWrite(job, encoded, keys.progress(job_id), value, ())
     removals = (keys.accepted(job_id), keys.cancelled(job_id), keys.progress(job_id))
-    return _ProgressWrite(job, encoded, keys.final(job_id), removals)
+    return _ProgressWrite(job, encoded, keys.final(job_id), value, removals)
 
 
 def _batches(writes: Sequence[_ProgressWrite]) -> list[list[_ProgressWrite]]:
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -159,7 +159,7 @@
 
     async def start(self, config: QueueConfig) -> None:
         """Start the takeover: load the state from the store, then renew the leases of workers."""
-        composition.configure(self.cell, config, part_options(self._settings))
+        composition.configure(self.cell, config, part_options(self._live.current))
         self._background.spawn(self._lag.run())
         self._background.spawn(self._run_guarded(self._take_over()))
 
@@ -180,7 +180,7 @@
 
     def configure(self, config: QueueConfig) -> None:
         """Apply a new configuration."""
-        composition.configure(self.cell, config, part_options(self._settings))
+        composition.configure(self.cell, config, part_options(self._live.current))
         self._request_pass()
 
     def offer(self, job: QueueJob, revision: int) -> None:
