Leave out lasting work from the capacity that gangs plan with

Cause: a lasting task counted as a run that takes longer than expected, so the plan of the gang always began within seconds. As the gang was overdue, its plan bound all other steps.

Change: lasting tasks have no expected end. The plans of gangs and the choice of an overdue gang count the capacity that lasting tasks leave.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/gang_plans.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/gang_plans.py
@@ -5,9 +5,10 @@
 expected to end before the gang starts may still use that capacity.
 """
 
+import math
 from collections.abc import Mapping, Sequence
 
-from nutmeglb_decisions.queues.state import Run, Step
+from nutmeglb_decisions.queues.state import Run, RunState, Step
 from nutmeglb_decisions.queues.step_state import GangPlan
 from nutmeglb_decisions.queues.worker_selection import Reservation, Reservations, slots_on
 from nutmeglb_decisions.queues.worker_state import Worker
@@ -23,12 +24,23 @@
 
 
 def expected_end_ms(run: Run, now_ms: float) -> float:
-    """Return when a run is expected to end, at the earliest ``now_ms``."""
+    """Return when a run is expected to end, at the earliest ``now_ms``.
+
+    A lasting task runs until its job is cancelled, so its end is infinitely far away.
+    """
+    if run.step.spec.lasting and run.state != RunState.STOPPING:
+        return math.inf
     if run.expected_end_ms > now_ms:
         return run.expected_end_ms
     return now_ms + OVERDUE_EXTENSION_SHARE * (now_ms - run.ordered_ms)
 
 
+def capacity_without_lasting(worker: Worker) -> Resources:
+    """Return the capacity of a worker when all runs have ended that end by themselves."""
+    lasting = (run.charged for run in worker.runs.values() if run.step.spec.lasting)
+    return worker.info.capacity - sum(lasting, Resources())
+
+
 def update_plan(step: Step, good: Sequence[Worker], now_ms: float) -> float | None:
     """Create, keep or replace the plan of a gang.
 
@@ -102,7 +114,7 @@
     """
     options = []
     for worker in good:
-        slots = slots_on(worker.info.capacity, step, 0)
+        slots = slots_on(capacity_without_lasting(worker), step, 0)
         if slots:
             count = min(slots, step.spec.count)
             ready_ms = _ready_ms(step, worker, count, now_ms)
@@ -129,7 +141,8 @@
     for run in sorted(worker.runs.values(), key=lambda run: expected_end_ms(run, now_ms)):
         free = free + run.charged
         if slots_on(free, step, 0) >= count:
-            return expected_end_ms(run, now_ms)
+            end_ms = expected_end_ms(run, now_ms)
+            return end_ms if math.isfinite(end_ms) else None
     return None
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/overdue_gangs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/overdue_gangs.py
@@ -10,6 +10,7 @@
 
 from nutmeglb_decisions.queues.advice import approved_workers, eligible
 from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.gang_plans import capacity_without_lasting
 from nutmeglb_decisions.queues.idle_jobs import LOW_UTILIZATION, utilization_by_service
 from nutmeglb_decisions.queues.ranking import LATE_FACTOR, Rank, Tier, forecast_of
 from nutmeglb_decisions.queues.state import Step
@@ -81,9 +82,9 @@
 
 
 def _can_hold(cell: Cell, step: Step) -> bool:
-    """Return whether the workers that a gang may use can hold it when they are empty."""
+    """Return whether the workers that a gang may use can hold it when other runs have ended."""
     if cell.policy_of(step.job).advice is not None:
         workers = approved_workers(cell, step)
     else:
         workers = [w for w in eligible(cell, step) if w.worker_id in step.recorded]
-    return sum(slots_on(worker.info.capacity, step, 0) for worker in workers) >= step.spec.count
+    return sum(slots_on(capacity_without_lasting(w), step, 0) for w in workers) >= step.spec.count
--- a/tests/unit/test_queue_overdue_gangs.py
+++ b/tests/unit/test_queue_overdue_gangs.py
@@ -142,3 +142,39 @@
     for _ in range(200):
         stream.run_pass()
     assert sum(1 for task in stream.started if task.startswith("gang")) == COUNT
+
+
+@pytest.mark.parametrize(
+    ("members", "lasting_count", "gang_starts"), [(8, 1, False), (7, 1, True), (8, 0, True)]
+)
+@pytest.mark.parametrize("waited_ms", [0.0, 18_000.0, 1e6], ids=["timely", "too late", "aged"])
+def test_gang_that_lasting_work_leaves_no_room_for_holds_no_workers(
+    members, lasting_count, gang_starts, waited_ms
+):
+    """Guards against urgent jobs that never start beside idle workers (review, case 9)."""
+    world = CellWorld()
+    world.show(*(worker_info(f"w{number}", CPU) for number in range(8)))
+    if lasting_count:
+        world.add(job("lasting", step(lasting_count, cpu=1_000, lasting=True)))
+        world.schedule()
+        world.answer_starts()
+    world.now_ms += 20_000.0
+    world.show(*(worker_info(f"w{number}", CPU) for number in range(8)))
+    gang = world.add(job("gang", step(members, cpu=CPU, gang=True), queue=BATCH))
+    gang.accepted_ms -= waited_ms
+    for _ in range(5):
+        world.now_ms += PASS_MS
+        world.schedule()
+    started = {order.task for order in world.answer_starts()}
+    assert any(task.startswith("gang") for task in started) == gang_starts
+    if gang_starts:
+        return
+    urgent = [
+        world.add(job(f"urgent{n}", step(cpu=CPU // 4, estimate_ms=60_000.0), queue=URGENT))
+        for n in range(3)
+    ]
+    for _ in range(5):
+        world.now_ms += PASS_MS
+        world.schedule()
+    started = {order.task for order in world.answer_starts()}
+    assert started == {f"{added.job_id}.0.0.0" for added in urgent}
