Bar an ended run in the next life of its worker

Cause: the leader bars open runs with unanswered copies of their order in the next life of a worker, but forgot the copies when the run ended.

Change: runs that end with unanswered copies are kept for 30 s. When the worker reports a new life, they are stopped there, and no task is placed beside them until the stop is accepted. Copies that the leader of another term sent are not known. Also, queues at one address keep their order in the cell.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -39,6 +39,26 @@
     runs: list[Run]
 
 
+@dataclass(slots=True)
+class LateOrder:
+    """Run that has ended while copies of its start order were unanswered.
+
+    Attributes
+    ----------
+    sent_to_ms, barred_in_ms
+        Start times of the worker's life that the order was sent to, and of the last one that was
+        ordered to refuse it.
+    until_ms
+        Time after which no copy can be carried out any more.
+    """
+
+    task: str
+    run: int
+    sent_to_ms: int
+    until_ms: float
+    barred_in_ms: int = 0
+
+
 @dataclass(slots=True)
 class PartErrors:
     """Unexpected errors of one part under this leader, and when the next one is logged."""
@@ -91,6 +111,8 @@
         Per silent worker: runs that are taken for lost with it.
     counted_losses
         Per worker: the runs that were counted as lost with its last incarnation, for a while.
+    late_orders
+        Per worker: ended runs whose orders it may still carry out.
     former_lives
         Per worker: start time of the last incarnation before which the former leader knew and had
         stored all ends of runs.
@@ -143,6 +165,7 @@
     presumed_ends: dict[tuple[str, int], PresumedEnd] = field(default_factory=dict)
     presumed_losses: dict[str, PresumedLosses] = field(default_factory=dict)
     counted_losses: dict[str, CountedLosses] = field(default_factory=dict)
+    late_orders: dict[str, list[LateOrder]] = field(default_factory=dict)
     former_lives: dict[str, int] = field(default_factory=dict)
     leaving_lives: dict[str, int] = field(default_factory=dict)
     kept_workers: dict[str, KeptWorker] = field(default_factory=dict)
@@ -161,7 +184,9 @@
         """Replace the queue configuration."""
         self.config = config
         # Of queues at one address the first one counts, as for the calls of clients.
-        self.queues = {queue.key: queue for queue in reversed(config.queues)}
+        self.queues = {}
+        for queue in config.queues:
+            self.queues.setdefault(queue.key, queue)
 
     def policy_of(self, job: Job) -> Queue:
         """Return the policy configured for the address of a job, or else that at its acceptance."""
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/lifecycle.py
@@ -1,5 +1,6 @@
 """Ends of runs, and the resulting state changes of tasks, steps and jobs."""
 
+from nutmeglb_decisions.queues import late_orders
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StopTask
 from nutmeglb_decisions.queues.job_memory import occurrence_bytes, record_bytes
@@ -133,6 +134,7 @@
 ) -> None:
     """Release the capacity of a run that has ended, and apply its outcome."""
     cell.release(run)
+    late_orders.record(cell, run, now_ms)
     apply_end(cell, run.step, run.index, run.number, outcome, checkpoint, now_ms, wall_ms)
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -4,6 +4,7 @@
 
 from nutmeglb_decisions.queues import (
     crashing_tasks,
+    late_orders,
     leaving_workers,
     presumed_ends,
     run_numbers,
@@ -227,6 +228,7 @@
         worker.former_report_ms = worker.last_report_ms
         worker.reported_started_ms = report.started_ms
         worker.stray_runs.clear()
+    late_orders.bar(cell, worker, now_ms)
     worker.unanswered_since_ms = None
     worker.is_replaced = False
     worker.last_report_ms = now_ms
--- a/tests/unit/test_queue_lives.py
+++ b/tests/unit/test_queue_lives.py
@@ -131,6 +131,34 @@
     assert [start.run for start in world.started] == [order.run + 1]
 
 
+@pytest.mark.parametrize(
+    ("copies", "after_ms", "is_barred"), [(2, 0.0, True), (1, 0.0, False), (2, 60_000.0, False)]
+)
+@pytest.mark.parametrize("outcome", ["done", "failed", "stopped"])
+def test_ended_run_is_barred_in_the_next_life_of_its_worker(copies, after_ms, is_barred, outcome):
+    """Guards against a second run of an ended task by a late copy of its order (review, case 7)."""
+    world, (first, _) = world_with_runs_on_w1(2)
+    key = (first.task, first.run)
+    for _ in range(copies):
+        orders.record_start_sent(world.cell, "w1", *key, 1)
+    orders.record_start_sent(world.cell, "w1", *key, -1)
+    world.end(first, outcome)
+    world.now_ms += after_ms
+    for life in (LATER_START_MS, LATER_START_MS + 1_000):
+        world.stopped.clear()
+        restart_w1(world, life, listed=True)
+        world.report("w1", running=(), started_ms=life)
+        world.schedule()
+        stops = [(stop.task, stop.run) for stop in world.stopped]
+        assert (key in stops) == is_barred
+        if is_barred:
+            orders.apply_stop_answer(world.cell, "w1", *key, world.now_ms)
+            assert not world.worker("w1").accepts_starts(world.now_ms)
+        world.now_ms += 2 * STOP_ENDS_AFTER_MS
+        world.report("w1", running=(), started_ms=life)
+        assert key not in world.worker("w1").stray_runs
+
+
 def test_run_of_a_restarted_silent_worker_expires():
     """Guards against a run that neither a report nor the end of its lease can end."""
     world, (order,) = world_with_runs_on_w1(1)
