Bound the address in the line job_not_shown

Callers choose the path of a call, which may have 64 KB, and the line contained it whole. It now has 200 characters at the most. Also formats late_orders.py, which the check of the formatter refused.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/late_orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/late_orders.py
@@ -5,7 +5,6 @@
 stop that the new life accepts bars the run number there.
 """
 
-
 from nutmeglb_decisions.queues import stray_runs
 from nutmeglb_decisions.queues.cell import Cell, LateOrder
 from nutmeglb_decisions.queues.state import Run
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/service.py
@@ -50,11 +50,14 @@
 MAX_OFFER_MS = 4_000.0
 # Interval of the checks for a leader to offer such a job to.
 OFFER_CHECK_MS = 30.0
+# Callers choose the paths of their calls, which may be as long as a header block.
+MAX_LOGGED_ADDRESS = 200
 MS_PER_S = 1_000.0
 
 
 def _describe_hidden_job(call: JobCall, status: JobStatus) -> Decision:
-    fields = (("queue", status.queue), ("asked_at", call.address.queue))
+    asked_at = call.address.queue[:MAX_LOGGED_ADDRESS]
+    fields = (("queue", status.queue), ("asked_at", asked_at))
     return Decision(
         "job_not_shown", "it is of another address or team", job=call.job_id, fields=fields
     )
