Count only workers in the size of a job's record that holds occurrences

A job whose record was large by the ends of its own tasks would have waited for ever, once all workers in the record had left: found on reading the change of the bound again, not seen on a run. The size that holds occurrences now has the workers only, which the end of other occurrences removes. test_job_with_a_large_record_goes_on_after_all_its_workers_were_replaced failed before in both cases.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/record_size.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/record_size.py
@@ -6,12 +6,11 @@
 record. Later steps of an occurrence do not wait, since it stays in the record until its last ends.
 """
 
-from collections.abc import Callable, Iterable, Sequence
-
-import cbor2
+from collections.abc import Callable, Collection, Iterable
 
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.state import Job, Step
+from nutmeglb_formats.models.queue_records import JobProgress
 
 GATE_NAME = "record_size"
 # Part of the largest value of the store. Steps may need more workers later, and the ends and losses
@@ -36,7 +35,7 @@
         The other steps of the occurrences that are stored already are expected to need as much.
         """
         job = step.job
-        if job.record_bytes * len(job.record.steps) < self._limit_bytes:
+        if job.stored_worker_bytes * len(job.record.steps) < self._limit_bytes:
             return True
         return any(other.selected for other in job.occurrences[step.occurrence])
 
@@ -53,13 +52,19 @@
     """Select workers to be stored for a step, before a task is sent to them."""
     added = set(worker_ids) - step.selected
     step.selected |= added
-    step.job.record_bytes += STEP_BYTES + sum(len(name) + WORKER_BYTES for name in added)
+    step.job.stored_worker_bytes += _size_bytes(added)
     cell.mark_dirty(step.job)
 
 
-def record_encoded(job: Job, size_bytes: int, completed: Sequence[int]) -> None:
-    """Note the size of the record of a job that is about to be written.
+def record_encoded(job: Job, encoded: JobProgress) -> None:
+    """Note the size of the workers in the record of a job that is about to be written.
 
-    The numbers of completed occurrences stay in it for good, so no occurrence waits for them.
+    Ends and losses of tasks are not counted: no later end of another occurrence removes them.
     """
-    job.record_bytes = size_bytes - len(cbor2.dumps(completed))
+    job.stored_worker_bytes = sum(
+        _size_bytes(stored.workers) for stored in encoded.steps if stored.workers
+    )
+
+
+def _size_bytes(worker_ids: Collection[str]) -> int:
+    return STEP_BYTES + sum(len(name) + WORKER_BYTES for name in worker_ids)
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -363,8 +363,8 @@
         before it is known.
     final
         Final state. Callers see it once it is stored.
-    record_bytes
-        Size of the stored progress of its steps when last encoded, and what was added since.
+    stored_worker_bytes
+        Size of the workers in its stored progress when last encoded, and what was added since.
     """
 
     record: QueueJob
@@ -377,7 +377,7 @@
     exceeds_rate: bool | None = None
     final: JobState | None = None
     finished_wall_ms: float = 0.0
-    record_bytes: int = 0
+    stored_worker_bytes: int = 0
 
     def __post_init__(self) -> None:
         self.queue_key = self.record.queue.key
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/commits.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/commits.py
@@ -200,7 +200,7 @@
     encoded, job_id = progress.encode(job), job.job_id
     progress.begin_commit(job, encoded)
     value = encode_queue_record(encoded)
-    record_size.record_encoded(job, len(value), encoded.completed)
+    record_size.record_encoded(job, encoded)
     if not encoded.final:
         return _ProgressWrite(job, encoded, keys.progress(job_id), value, ())
     removals = (keys.accepted(job_id), keys.cancelled(job_id), keys.progress(job_id))
--- a/tests/unit/test_queue_record_size.py
+++ b/tests/unit/test_queue_record_size.py
@@ -74,3 +74,19 @@
     assert held
     cause = waiting.explain(world.cell, held[0], world.now_ms).cause
     assert cause == "the stored progress of its job is large until other occurrences end"
+
+
+@pytest.mark.parametrize("repeats", [0, 2])
+def test_job_with_a_large_record_goes_on_after_all_its_workers_were_replaced(world, repeats):
+    """Guards against a job that waits for ever for its own ends to leave the record."""
+    count = VALUE_BYTES
+    record = replace(job("a", step(count, cpu=16_000, estimate_ms=1.0)), repeats=repeats)
+    added = world.add(record)
+    lifecycle.create_due_occurrences(world.cell, 1.0)
+    for task in added.steps[0].tasks[: count - 1]:
+        task.done = True
+    added.steps[0].remaining = 1
+    world.cell.mark_dirty(added)
+    world.store()
+    world.schedule()
+    assert added.steps[0].tasks[-1].run is not None
