--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -15,11 +15,11 @@
 from nutmeglb_decisions.queues.run_sums import RunSums
 from nutmeglb_decisions.queues.state import (
     Job,
-    KeptWorker,
     PresumedEnd,
     PresumedLosses,
     Run,
     Step,
+    Task,
 )
 from nutmeglb_decisions.queues.team_rates import TeamRates
 from nutmeglb_decisions.queues.worker_speed import Speeds
@@ -39,6 +39,15 @@
     runs: list[Run]
 
 
+@dataclass(frozen=True, slots=True)
+class KeptWorker:
+    """Task for which a worker is kept without other work, and when it last asked for it."""
+
+    step: Step
+    task: Task
+    wanted_ms: float
+
+
 @dataclass(slots=True)
 class LateOrder:
     """Run that has ended while copies of its start order were unanswered.
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/crashing_tasks.py
@@ -4,9 +4,9 @@
 worker may have crashed by itself. A second run without other work beside it tells the two apart.
 """
 
-from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.cell import Cell, KeptWorker
 from nutmeglb_decisions.queues.lifecycle import finish_job
-from nutmeglb_decisions.queues.state import Isolation, JobState, KeptWorker, Run, Step, Task
+from nutmeglb_decisions.queues.state import Isolation, JobState, Run, Step, Task
 from nutmeglb_decisions.queues.task_losses import TaskLosses
 from nutmeglb_decisions.queues.worker_state import Worker
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/isolation.py
@@ -13,10 +13,10 @@
 from collections.abc import Sequence
 
 from nutmeglb_decisions.queues import crashing_tasks, run_numbers, worker_losses
-from nutmeglb_decisions.queues.cell import Cell
+from nutmeglb_decisions.queues.cell import Cell, KeptWorker
 from nutmeglb_decisions.queues.idle_jobs import LOW_UTILIZATION, utilization_by_service
 from nutmeglb_decisions.queues.scheduling_pass import SchedulingPass, start_task
-from nutmeglb_decisions.queues.state import Isolation, Job, KeptWorker, Run, Step, Task
+from nutmeglb_decisions.queues.state import Isolation, Job, Run, Step, Task
 from nutmeglb_decisions.queues.task_losses import TaskLosses
 from nutmeglb_decisions.queues.worker_selection import Reservations, choose_single
 from nutmeglb_decisions.queues.worker_state import Worker
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -339,15 +339,6 @@
         return bool(named)
 
 
-@dataclass(frozen=True, slots=True)
-class KeptWorker:
-    """Task for which a worker is kept without other work, and when it last asked for it."""
-
-    step: Step
-    task: Task
-    wanted_ms: float
-
-
 @dataclass(slots=True, eq=False)
 class Job:
     """A job with its occurrences, which are created when they are due.
--- a/packages/nutmeglb-formats/src/nutmeglb_formats/models/queue_records.py
+++ b/packages/nutmeglb-formats/src/nutmeglb_formats/models/queue_records.py
@@ -29,6 +29,9 @@
 class WithdrawnJob:
     """Value of ``in/<job id>`` after a submission was refused whose write may still be in flight.
 
+    Written by earlier releases only. Cancellations of jobs that are not stored use keys of their
+    own instead (``withdrawal_marks``).
+
     Attributes
     ----------
     nonce
--- a/tests/functional/test_queue_replaced.py
+++ b/tests/functional/test_queue_replaced.py
@@ -2,24 +2,18 @@
 
 import pytest
 
-from tests.lib.queue_path import HOST, PREFIX, job_body, run_scenario
+from tests.lib.queue_path import (
+    OTHER_PREFIX,
+    OTHER_ROUTE,
+    PREFIX,
+    ROUTE,
+    job_body,
+    run_scenario,
+)
 
 JOB = "00000000000000aa"
 ENDED, RUNNING, WAITING = "00000000000000e0", "00000000000000a0", "00000000000000b0"
 STATES = {ENDED: "completed", RUNNING: "running", WAITING: "queued"}
-OTHER_PREFIX = "/other/"
-# Fields of the queue "r-1" at PREFIX and of the queue "r-2" at OTHER_PREFIX.
-ROUTE = {
-    "name": "r-1",
-    "host": HOST,
-    "prefix": PREFIX,
-    "priority": 0,
-    "backend": "pool",
-    "attempts": 2,
-    "stretch": 2.0,
-    "target_duration_ms": 1_000,
-}
-OTHER = {**ROUTE, "name": "r-2", "prefix": OTHER_PREFIX, "priority": 1}
 
 
 def body_filling_a_worker():
@@ -48,21 +42,25 @@
 # Per event: the versions of the configuration in turn, the status of a job at its own address, and
 # that at the other address.
 EVENTS = {
-    "renamed": ([[{**ROUTE, "name": "r-9"}, OTHER]], 200, 410),
-    "names swapped": ([[{**ROUTE, "name": "r-2"}, {**OTHER, "name": "r-1"}]], 200, 410),
-    "name moved to another address": ([[{**OTHER, "name": "r-1"}]], 404, 410),
-    "removed": ([[OTHER]], 404, 410),
-    "removed and added again": ([[OTHER], [ROUTE, OTHER]], 200, 410),
-    "removed and added under another name": ([[OTHER], [OTHER, {**ROUTE, "name": "r"}]], 200, 410),
+    "renamed": ([[{**ROUTE, "name": "r-9"}, OTHER_ROUTE]], 200, 410),
+    "names swapped": ([[{**ROUTE, "name": "r-2"}, {**OTHER_ROUTE, "name": "r-1"}]], 200, 410),
+    "name moved to another address": ([[{**OTHER_ROUTE, "name": "r-1"}]], 404, 410),
+    "removed": ([[OTHER_ROUTE]], 404, 410),
+    "removed and added again": ([[OTHER_ROUTE], [ROUTE, OTHER_ROUTE]], 200, 410),
+    "removed and added under another name": (
+        [[OTHER_ROUTE], [OTHER_ROUTE, {**ROUTE, "name": "r"}]],
+        200,
+        410,
+    ),
     "longer prefix of another queue": (
-        [[ROUTE, OTHER, {**OTHER, "name": "r-3", "prefix": PREFIX + "0000"}]],
+        [[ROUTE, OTHER_ROUTE, {**OTHER_ROUTE, "name": "r-3", "prefix": PREFIX + "0000"}]],
         200,
         410,
     ),
-    "only a shorter prefix is left": ([[{**OTHER, "name": "r-3", "prefix": "/"}]], 200, 410),
-    "host changed": ([[{**ROUTE, "host": "new.example"}, OTHER]], 404, 410),
-    "service changed": ([[{**ROUTE, "backend": "new"}, OTHER]], 200, 410),
-    "type changed": ([[{**ROUTE, "type": "idempotent"}, OTHER]], 200, 410),
+    "only a shorter prefix is left": ([[{**OTHER_ROUTE, "name": "r-3", "prefix": "/"}]], 200, 410),
+    "host changed": ([[{**ROUTE, "host": "new.example"}, OTHER_ROUTE]], 404, 410),
+    "service changed": ([[{**ROUTE, "backend": "new"}, OTHER_ROUTE]], 200, 410),
+    "type changed": ([[{**ROUTE, "type": "idempotent"}, OTHER_ROUTE]], 200, 410),
 }
 
 
@@ -84,7 +82,7 @@
                 if status == 200:
                     await path.until_state(job, state, entry)
 
-    run_scenario(scenario, config={"routes": [ROUTE, OTHER]}, runners=1)
+    run_scenario(scenario, config={"routes": [ROUTE, OTHER_ROUTE]}, runners=1)
 
 
 def test_job_is_neither_cancelled_nor_repeated_nor_counted_at_another_address():
@@ -92,7 +90,7 @@
 
     async def scenario(path):
         await submit_jobs_in_all_states(path)
-        swapped = [{**ROUTE, "name": "r-2"}, {**OTHER, "name": "r-1"}]
+        swapped = [{**ROUTE, "name": "r-2"}, {**OTHER_ROUTE, "name": "r-1"}]
         await configure(path, swapped)
         for entry in range(len(path.entries)):
             for job, state in STATES.items():
@@ -106,7 +104,7 @@
         assert (await path.call("DELETE", WAITING))[0] == 200
         await path.until_state(WAITING, "cancelled")
 
-    run_scenario(scenario, config={"routes": [ROUTE, OTHER]}, runners=1)
+    run_scenario(scenario, config={"routes": [ROUTE, OTHER_ROUTE]}, runners=1)
 
 
 def test_job_of_a_queue_whose_name_moved_keeps_its_own_attempts():
@@ -116,14 +114,16 @@
         path.runners[0].data.run_ms = 60_000.0
         assert (await path.call("POST", JOB, body_filling_a_worker()))[0] == 200
         await path.until_state(JOB, "running")
-        await configure(path, [{**ROUTE, "name": "r-2"}, {**OTHER, "name": "r-1", "attempts": 1}])
+        await configure(
+            path, [{**ROUTE, "name": "r-2"}, {**OTHER_ROUTE, "name": "r-1", "attempts": 1}]
+        )
         data = path.runners[0].data
         (run,) = data.running
         data.end_run(run, "failed")
         await path.until(lambda: len(data.started) == 2)
         assert await path.call("GET", JOB) == (200, {"state": "running"})
 
-    run_scenario(scenario, config={"routes": [ROUTE, OTHER]}, runners=1)
+    run_scenario(scenario, config={"routes": [ROUTE, OTHER_ROUTE]}, runners=1)
 
 
 def test_job_of_a_queue_that_was_replaced_is_found():
--- a/tests/functional/test_queue_withdrawals.py
+++ b/tests/functional/test_queue_withdrawals.py
@@ -3,22 +3,17 @@
 import pytest
 
 from standins.metadata_store import Fault
-from tests.lib.queue_path import HOST, PREFIX, job_body, run_scenario
+from tests.lib.queue_path import (
+    OTHER_PREFIX,
+    OTHER_ROUTE,
+    PREFIX,
+    ROUTE,
+    job_body,
+    run_scenario,
+)
 
 JOB = "00000000000000aa"
 MARKER = "00000000000000ff"
-OTHER_PREFIX = "/other/"
-ROUTE = {
-    "name": "r-1",
-    "host": HOST,
-    "prefix": PREFIX,
-    "priority": 0,
-    "backend": "pool",
-    "attempts": 2,
-    "stretch": 2.0,
-    "target_duration_ms": 1_000,
-}
-ROUTES = [ROUTE, {**ROUTE, "name": "r-2", "prefix": OTHER_PREFIX}]
 TEAMS = [{"name": "one", "api_keys": ["k1"]}, {"name": "two", "api_keys": ["k2"]}]
 
 
@@ -112,7 +107,7 @@
         path.heal()
         await path.until_state(JOB, "completed", other, key="k1")
 
-    run_scenario(scenario, entries=3, config={"routes": ROUTES, "tenants": TEAMS})
+    run_scenario(scenario, entries=3, config={"routes": [ROUTE, OTHER_ROUTE], "tenants": TEAMS})
 
 
 @pytest.mark.parametrize(("fault", "status"), [(Fault.LOSE_ANSWERS, 504), (Fault.REFUSE, 503)])
--- a/tests/lib/queue_path.py
+++ b/tests/lib/queue_path.py
@@ -23,21 +23,22 @@
 WAIT_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.02
 LEADER_LEASE_MS = 600
+OTHER_PREFIX = "/other/"
+# Two queues without advice.
+ROUTE = {
+    "name": "r-1",
+    "host": HOST,
+    "prefix": PREFIX,
+    "priority": 0,
+    "backend": "pool",
+    "attempts": 2,
+    "stretch": 2.0,
+    "target_duration_ms": 1_000,
+}
+OTHER_ROUTE = {**ROUTE, "name": "r-2", "prefix": OTHER_PREFIX, "priority": 1}
 CONFIG = {
     "version": 1,
-    "routes": [
-        {
-            "name": "r-1",
-            "host": HOST,
-            "prefix": PREFIX,
-            "priority": 0,
-            "backend": "pool",
-            "attempts": 2,
-            "stretch": 2.0,
-            "target_duration_ms": 1_000,
-            "advice": {"decide_ms": 5.0, "each_ms": 0.1, "valid_ms": 2_000},
-        }
-    ],
+    "routes": [{**ROUTE, "advice": {"decide_ms": 5.0, "each_ms": 0.1, "valid_ms": 2_000}}],
     "backends": [{"name": "pool"}],
     "limits": {"max_body_bytes": 262_144},
 }
--- a/tests/unit/test_queue_links.py
+++ b/tests/unit/test_queue_links.py
@@ -10,10 +10,10 @@
 from nutmeglb._internal.queues.ports import OrderAnswer
 from nutmeglb._internal.queues.worker_links import WorkerLinks
 from nutmeglb_decisions.queues import lifecycle, orders
+from nutmeglb_decisions.queues.cell import KeptWorker
 from nutmeglb_decisions.queues.effects import PaceTask, StopTask
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_decisions.queues.poll_wait import LONG_POLL_MS, STRAY_POLL_MS
-from nutmeglb_decisions.queues.state import KeptWorker
 from nutmeglb_decisions.queues.worker_losses import PROVING_MS
 from nutmeglb_formats.clock import ManualClock
 from nutmeglb_formats.models.queues import RunningTask, WorkerReport
--- a/tests/unit/test_queue_worker_conditions.py
+++ b/tests/unit/test_queue_worker_conditions.py
@@ -3,7 +3,8 @@
 import pytest
 
 from nutmeglb_decisions.queues import orders, waiting
-from nutmeglb_decisions.queues.state import Isolation, KeptWorker
+from nutmeglb_decisions.queues.cell import KeptWorker
+from nutmeglb_decisions.queues.state import Isolation
 from nutmeglb_decisions.queues.worker_conditions import Condition, condition_of, summarize
 from tests.lib.queues import CellWorld, job, step, worker_info
 
