--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
@@ -38,7 +38,11 @@
     address: Address = Field(description="``ip:port`` of the store.")
     # A healthy store answers within milliseconds. A slow store in the users' examples took 350 ms.
     call_timeout_ms: float = Field(700, ge=50, le=30_000, description="Timeout of one call.")
-    value_bytes: int = Field(1_048_576, ge=1_000, description="Largest value.")
+    value_bytes: int = Field(
+        1_048_576,
+        ge=1_000,
+        description="Largest value. A quarter bounds the workers in the progress of a job.",
+    )
     min_lease_ms: int = Field(1_000, ge=1, description="Shortest lease.")
 
 
