Log how a worker was silent and how its silence ended

A call on a new connection that is accepted and not answered is now told apart (CONNECTED_UNANSWERED), counted per worker and shown in runs_lost. The first report after a silence writes worker_answers_again with both clocks and with the runs that were taken for ended and are shown running or done. No decision uses any of it.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
@@ -275,6 +275,8 @@
             f"{run.task}:{run.number}:{now_ms - run.ordered_ms:.0f}" for run in suspects
         ),
         report_age_ms=round(now_ms - worker.last_report_ms),
+        connected_calls=worker.connected_calls,
+        unconfirmed=sum(run.confirmed_ms is None for run in lost),
     )
 
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -49,6 +49,9 @@
         Time before which no task is placed on the worker.
     last_report_ms
         Time of the last report.
+    connected_calls
+        Renewals since the last answer for which the worker accepted a new connection without
+        answering; 0 again after one for which no connection could be established.
     restarted_ms
         Time at which another incarnation was seen, or runs of the former one were last known.
     consecutive_bad_runs
@@ -83,6 +86,7 @@
     avoided_until_ms: float = 0.0
     unanswered_since_ms: float | None = None
     last_report_ms: float = 0.0
+    connected_calls: int = 0
     restarted_ms: float = -math.inf
     consecutive_bad_runs: int = 0
     slowness: float = 1.0
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -9,12 +9,14 @@
 from nutmeglb._internal.queues.leader_callbacks import LeaderCallbacks
 from nutmeglb._internal.queues.order_slots import OrderSlots
 from nutmeglb._internal.queues.ports import MAX_CALLS_PER_WORKER, StartOrder, WorkerGateway
+from nutmeglb._internal.queues.worker_clock import WorkerClock
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import (
     ended_lives,
     orders,
     poll_wait,
     reports,
+    silent_workers,
     worker_losses,
 )
 from nutmeglb_decisions.queues.cell import Cell
@@ -69,8 +71,7 @@
         # The attributes below refer to the incarnation of the worker that started at this time.
         self._started_ms = worker.started_ms
         self._last_stored_end = 0
-        self._worker_clock_ms = 0.0
-        self._worker_clock_read_ms: float | None = None
+        self._worker_clock = WorkerClock()
         self._last_call_answered = False
         self._last_report_sent_ms = 0.0
         self._restarted = asyncio.Event()
@@ -140,15 +141,20 @@
                 return
             if answer.err_value.context.get("other_incarnation"):
                 self._end_life(sent_to)
-            if answer.err_value.context.get("not_sent"):
+            is_refused = bool(answer.err_value.context.get("not_sent"))
+            if is_refused:
                 worker_losses.record_unreachable(worker, now_ms)
+            is_connected = bool(answer.err_value.context.get("connected"))
+            silent_workers.record_unanswered(worker, is_connected, is_refused)
             if not self._is_excused(sent_ms):
                 await self._on_unanswered(now_ms)
             return
         report = answer.ok_value
+        clock_gap = self._worker_clock.gap(report.clock_ms, now_ms)
+        silent_workers.record_answer(self._cell, worker, report, clock_gap, now_ms)
         reports.apply_report(self._cell, worker, report, sent_ms, now_ms, self._clock.wall_ms())
         self._reset_after_restart()
-        self._record_clock(report.clock_ms, now_ms)
+        self._worker_clock.record(report.clock_ms, now_ms)
         self._last_call_answered = True
         self._last_report_sent_ms = sent_ms
         self._unanswered_calls = 0
@@ -228,14 +234,10 @@
         if self.worker.started_ms != self._started_ms:
             self._started_ms = self.worker.started_ms
             self._last_stored_end = 0
-            self._worker_clock_read_ms = None
+            self._worker_clock.reset()
             self._last_call_answered = False
             self._unanswered_calls = 0
 
-    def _record_clock(self, clock_ms: float, now_ms: float) -> None:
-        self._worker_clock_ms = clock_ms
-        self._worker_clock_read_ms = now_ms
-
     def _extend_lease(self) -> int | None:
         """Record the expiry of a new lease, and return its end on the worker's clock.
 
@@ -248,13 +250,13 @@
             Milliseconds, or ``None`` if the clock of this incarnation has not been read.
         """
         self._reset_after_restart()
-        if self._worker_clock_read_ms is None:
-            return None
         now_ms = self._clock.now_ms()
-        age_ms = now_ms - self._worker_clock_read_ms
+        worker_clock_ms = self._worker_clock.earliest_ms(now_ms)
+        if worker_clock_ms is None:
+            return None
         max_lease_ms = self._lease_ms / (1 - MAX_CLOCK_DRIFT)
         orders.extend_lease(self.worker, now_ms + max_lease_ms + EXPIRY_MARGIN_MS)
-        return int(self._worker_clock_ms + age_ms * (1 - MAX_CLOCK_DRIFT) + self._lease_ms)
+        return int(worker_clock_ms + self._lease_ms)
 
     async def start(self, effect: StartTask) -> None:
         """Order a start, and retry if it is not answered."""
--- a/tests/lib/worker_link.py
+++ b/tests/lib/worker_link.py
@@ -53,7 +53,7 @@
             lambda sent_ms: self.excused,
         )
         self.link = WorkerLink(self.world.cell, self.worker, self, self.clock, 7, 6_000, callbacks)
-        self.link._record_clock(0.0, self.clock.now_ms())
+        self.link._worker_clock.record(0.0, self.clock.now_ms())
 
     async def start(self, worker, order):
         self.sent.append(order)
