Hold the runs of a worker whose process stands still

Callers saw tasks run twice: a worker was silent for longer than its lease, its tasks were started again elsewhere, and its own runs went on when it did. The lease was taken for a proof that they had ended, but a process that is stopped or starved ends nothing until it goes on.

A call on a new connection that is accepted and not answered shows such a process: a machine that is down or cut off accepts none. Its runs now count as active until it answers, refuses a connection, has restarted, or queues.max_stall_ms (20 s) have passed, also for the next leader.

The stand-in of test_queue_path.py accepts connections without answering, so its cell now has a limit of 1 s, scaled like its lease; the checks are unchanged.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -101,6 +101,8 @@
         the former incarnation, and the worker only limits it to the longest lease.
     stop_ends_after_ms
         Time after the answer to a stop order after which the stopped run has certainly ended.
+    max_stall_ms
+        How long runs of a worker whose process stands still count as active after their lease.
     former_orders_end_ms
         Time after which no former leader can send orders: minus infinity in the first term;
         ``None`` if one may do so until a worker has accepted the fencing token of this leader.
@@ -153,6 +155,7 @@
     lease_expiry_after_ms: float
     stop_ends_after_ms: float
     max_lease_expiry_after_ms: float = 0.0
+    max_stall_ms: float = 0.0
     former_orders_end_ms: float | None = -math.inf
     started_ms: float = 0.0
     takeover_wait_deadline_ms: float = 0.0
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/idle_jobs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/idle_jobs.py
@@ -98,7 +98,7 @@
 def _unresolved_cause(worker: Worker, run: Run, now_ms: float) -> str:
     if now_ms - run.ordered_ms <= UNRESOLVED_MS:
         return ""
-    if now_ms - worker.last_report_ms > UNRESOLVED_MS:
+    if now_ms - worker.last_report_ms > UNRESOLVED_MS and worker.stalled_since_ms is None:
         return "its worker does not report, and its lease has not expired"
     if run.state == RunState.ORDERED and run.confirmed_ms is None:
         return "its start order has no outcome"
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -8,6 +8,7 @@
     leaving_workers,
     presumed_ends,
     run_numbers,
+    silent_workers,
     speeds,
     stray_runs,
     takeover_wait,
@@ -137,6 +138,8 @@
     speeds.begin_life(cell, worker)
     worker.is_replaced = False
     worker.has_moved = False
+    worker.connected_calls = 0
+    worker.stalled_since_ms = None
     worker.first_answer_ms = None
     worker.settled = False
     worker.lease_expires_at_ms = max(
@@ -180,12 +183,14 @@
     Times are compared with ``confirmed_ms``, until when certainly no other instance was leader: a
     successor may have renewed a lease that had not expired by then. A worker not yet marked as
     silent is called first: this process may have been paused, and the answer shows which runs have
-    ended and how.
+    ended and how. A worker whose process stands still does not end its runs with their lease.
     """
     lapsed = set()
     for worker in cell.workers.values():
         silent = worker.unanswered_since_ms is not None
-        has_expired = confirmed_ms >= worker.lease_expires_at_ms
+        has_expired = confirmed_ms >= worker.lease_expires_at_ms and not (
+            silent_workers.may_have_active_runs(cell, worker, confirmed_ms)
+        )
         if (worker.runs or worker.stray_runs) and silent and has_expired:
             end_all_runs(cell, worker, presumed_ends.LEASE_EXPIRED, confirmed_ms, wall_ms)
             worker.stray_runs.clear()
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/silent_workers.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/silent_workers.py
@@ -1,7 +1,9 @@
 """What a worker that does not answer shows nevertheless, and how its silence ends.
 
 A worker that is cut off, or whose machine is down, accepts no connections. One whose process stands
-still does: its kernel establishes them, although nothing answers.
+still does: its kernel establishes them, although nothing answers. Such a worker does not end its
+runs when their lease expires, and may complete them when it continues. So its runs count as active
+until it answers, refuses connections or has stood still for the longest time that is waited for.
 """
 
 from dataclasses import dataclass
@@ -11,6 +13,10 @@
 from nutmeglb_decisions.queues.worker_state import Worker
 from nutmeglb_formats.models.queues import WorkerReport
 
+# Accepted calls in a row that prove a stall. A single one may fall into the moment at which the
+# worker was cut off, so it counts only until the next call.
+STALL_PROOF_CALLS = 2
+
 
 @dataclass(frozen=True, slots=True)
 class ClockGap:
@@ -29,9 +35,14 @@
     leader_ms: float
 
 
-def record_unanswered(worker: Worker, is_connected: bool, is_refused: bool) -> None:
+def record_unanswered(
+    cell: Cell, worker: Worker, is_connected: bool, is_refused: bool, now_ms: float
+) -> None:
     """Record what the attempt to reach a worker has shown.
 
+    Only a refusal or an answer disproves a stall: after some connections, the kernel of a stalled
+    worker may accept no more.
+
     Parameters
     ----------
     is_connected
@@ -39,10 +50,34 @@
     is_refused
         Whether no connection could be established.
     """
-    if is_connected:
-        worker.connected_calls += 1
-    elif is_refused:
-        worker.connected_calls = 0
+    if not is_connected:
+        if is_refused or worker.connected_calls < STALL_PROOF_CALLS:
+            worker.connected_calls = 0
+            worker.stalled_since_ms = None
+        return
+    worker.connected_calls += 1
+    if worker.stalled_since_ms is None:
+        worker.stalled_since_ms = now_ms
+    if worker.connected_calls == STALL_PROOF_CALLS:
+        cell.log_decision(
+            "worker_stalled",
+            "accepts connections, does not answer",
+            worker=worker.worker_id,
+            runs=len(worker.runs),
+            report_age_ms=_report_age_ms(worker, now_ms),
+            lease_left_ms=round(worker.lease_expires_at_ms - now_ms),
+            held_for_ms=round(cell.max_stall_ms),
+        )
+
+
+def may_have_active_runs(cell: Cell, worker: Worker, now_ms: float) -> bool:
+    """Return whether a silent worker may continue runs although their lease has expired."""
+    since_ms = worker.stalled_since_ms
+    return since_ms is not None and now_ms < since_ms + cell.max_stall_ms
+
+
+def _report_age_ms(worker: Worker, now_ms: float) -> int | None:
+    return round(now_ms - worker.last_report_ms) if worker.last_report_ms else None
 
 
 def record_answer(
@@ -50,6 +85,7 @@
 ) -> None:
     """Record and log the first report after a silence. Called before the report is applied."""
     connected_calls, worker.connected_calls = worker.connected_calls, 0
+    worker.stalled_since_ms = None
     if worker.unanswered_since_ms is None:
         return
     presumed = cell.presumed_ends.keys()
@@ -58,7 +94,7 @@
         "same incarnation" if report.started_ms == worker.started_ms else "another incarnation",
         worker=worker.worker_id,
         silent_for_ms=round(now_ms - worker.unanswered_since_ms),
-        report_age_ms=round(now_ms - worker.last_report_ms) if worker.last_report_ms else None,
+        report_age_ms=_report_age_ms(worker, now_ms),
         connected_calls=connected_calls,
         worker_clock_ms=None if gap is None else round(gap.worker_ms),
         leader_clock_ms=None if gap is None else round(gap.leader_ms),
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/takeover_wait.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/takeover_wait.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from nutmeglb_decisions.queues import silent_workers
 from nutmeglb_decisions.queues.cell import Cell
 
 
@@ -58,7 +59,8 @@
 def expired_waits(cell: Cell, now_ms: float) -> set[str]:
     """Return the workers on which certainly no run of a former leader is left.
 
-    A worker that has answered this leader, and is not settled yet, has had its lease renewed.
+    A worker that has answered this leader, and is not settled yet, has had its lease renewed. One
+    whose process stands still does not end its runs with their lease.
     """
     if not cell.takeover_wait_deadline_ms:
         return set()
@@ -68,6 +70,7 @@
         for worker_id in unsettled_workers(cell)
         if now_ms >= deadlines_ms.get(worker_id, cell.takeover_wait_deadline_ms)
         and not (_has_answered(cell, worker_id) and now_ms < _lease_end_ms(cell, worker_id))
+        and not _is_stalled(cell, worker_id, now_ms)
     }
 
 
@@ -76,6 +79,16 @@
     return worker is not None and worker.first_answer_ms is not None
 
 
+def _has_stalled(cell: Cell, worker_id: str) -> bool:
+    worker = cell.workers.get(worker_id)
+    return worker is not None and worker.stalled_since_ms is not None
+
+
+def _is_stalled(cell: Cell, worker_id: str, now_ms: float) -> bool:
+    worker = cell.workers.get(worker_id)
+    return worker is not None and silent_workers.may_have_active_runs(cell, worker, now_ms)
+
+
 def _lease_end_ms(cell: Cell, worker_id: str) -> float:
     return cell.workers[worker_id].lease_expires_at_ms
 
@@ -83,6 +96,9 @@
 def waits(cell: Cell, takeover_wait: TakeoverWait, elapsed_ms: float) -> dict[str, float]:
     """Return the time waited so far for each worker that has not answered, in milliseconds.
 
+    Workers whose process stands still are left out, since its runs may outlast the waited time. The
+    next leader finds out by itself whether they still do.
+
     Parameters
     ----------
     elapsed_ms
@@ -91,5 +107,5 @@
     return {
         worker_id: takeover_wait.waited_ms.get(worker_id, 0.0) + elapsed_ms
         for worker_id in sorted(unsettled_workers(cell))
-        if not _has_answered(cell, worker_id)
+        if not _has_answered(cell, worker_id) and not _has_stalled(cell, worker_id)
     }
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/waiting.py
@@ -29,7 +29,10 @@
 RUNS_ON_SILENT_WORKERS = "its runs may be active on workers that do not answer"
 # What ends a wait, by its cause. Other causes end with the next pass or with the gate.
 ENDS_BY_CAUSE = {
-    RUNS_ON_SILENT_WORKERS: "a proof that they have ended, or the expiry of their leases",
+    RUNS_ON_SILENT_WORKERS: (
+        "a proof that they have ended, the expiry of their leases, or the longest wait for a worker"
+        " whose process stands still"
+    ),
     "workers of a former leader have not answered": "their answers, or the takeover wait",
     "no worker of the service has the label": "a new worker",
     DEFERRED: "its next attempt, after twice the time at each further error",
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -51,7 +51,10 @@
         Time of the last report.
     connected_calls
         Renewals since the last answer for which the worker accepted a new connection without
-        answering; 0 again after one for which no connection could be established.
+        answering; 0 again after a refusal, or if the next call after a single one is not accepted.
+    stalled_since_ms
+        Time of the first of these calls, since which its process stands still; ``None`` if it does
+        not.
     restarted_ms
         Time at which another incarnation was seen, or runs of the former one were last known.
     consecutive_bad_runs
@@ -87,6 +90,7 @@
     unanswered_since_ms: float | None = None
     last_report_ms: float = 0.0
     connected_calls: int = 0
+    stalled_since_ms: float | None = None
     restarted_ms: float = -math.inf
     consecutive_bad_runs: int = 0
     slowness: float = 1.0
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/decision_log.py
@@ -21,6 +21,7 @@
         "job_refused",
         "worker_avoided",
         "worker_silent",
+        "worker_stalled",
         "worker_answers_again",
         "worker_replaced",
         "run_stuck",
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -111,6 +111,7 @@
             settings.max_stop_ms / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS,
             settings.max_run_lease_ms / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS,
         )
+        self.cell.max_stall_ms = settings.max_stall_ms
         self.cell.job_memory = JobMemory(job_limit_bytes(live.current.machine.memory_mb))
         if term.number > 0:
             self.cell.former_orders_end_ms = None
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
@@ -70,6 +70,13 @@
     max_stop_ms: float = Field(
         200, ge=0, le=60_000, description="Longest time from the answer to a stop to its end."
     )
+    # A suspended process continues after some seconds, as stated in the users' requirements.
+    max_stall_ms: float = Field(
+        20_000,
+        ge=0,
+        le=600_000,
+        description="Runs of a worker that accepts connections without answering are held so long.",
+    )
     worker_timeout_ms: float = Field(400, ge=20, le=30_000, description="Timeout of an order.")
     worker_stable_ms: float = Field(
         3_000,
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -144,9 +144,11 @@
             is_refused = bool(answer.err_value.context.get("not_sent"))
             if is_refused:
                 worker_losses.record_unreachable(worker, now_ms)
-            is_connected = bool(answer.err_value.context.get("connected"))
-            silent_workers.record_unanswered(worker, is_connected, is_refused)
             if not self._is_excused(sent_ms):
+                is_connected = bool(answer.err_value.context.get("connected"))
+                silent_workers.record_unanswered(
+                    self._cell, worker, is_connected, is_refused, now_ms
+                )
                 await self._on_unanswered(now_ms)
             return
         report = answer.ok_value
--- a/tests/lib/queue_path.py
+++ b/tests/lib/queue_path.py
@@ -116,6 +116,7 @@
                     "renew_ms": 100,
                     "authority_ms": self.leader_lease_ms,
                     "run_lease_ms": 1_000,
+                    "max_stall_ms": 1_000,
                     "inbox_ms": 100,
                     "list_ms": 100,
                     "worker_timeout_ms": 150,
