Let workers of the queue model stand still, kill late, and be cut off after a handover

A worker's process may be stopped or its machine suspended, with its clock running on or not. Calls that arrive meanwhile are kept in order, and an unanswered call on a new connection says that it was established.

--- a/tests/lib/queue_cases.py
+++ b/tests/lib/queue_cases.py
@@ -23,6 +23,8 @@
 CAPACITIES = (CPU, CPU // 2, 2 * CPU)
 RESIZED = (0, CPU // 4, CPU // 2, CPU, 2 * CPU)
 RESIZE_LAGS_MS = (0, 700, 1_500)
+STALLS_MS = (300, 3_000, 7_000, 9_000, 14_000)
+KILLS_MS = (0, 100, 400, 1_000)
 
 
 def draw_step(rng, name, workers=WORKERS):
@@ -45,6 +47,14 @@
         "habit": lambda: (
             worker, rng.choice((5, 100, 200)), rng.random() < 0.5, rng.random() < 0.5,
         ),
+        "stall_for": lambda: (
+            worker, rng.choice(STALLS_MS), rng.random() < 0.5, rng.random() < 0.5,
+        ),
+        "suspend_for": lambda: (
+            worker, rng.choice(STALLS_MS), rng.random() < 0.5, rng.random() < 0.5,
+        ),
+        "wake": lambda: (worker,),
+        "late_kill": lambda: (worker, rng.choice(KILLS_MS)),
         "health": lambda: (worker, rng.random() < 0.6),
         "hang": lambda: (worker, rng.randint(1, 3)),
         "pause": lambda: (process,),
@@ -104,14 +114,14 @@
     )
 
 
-def reduce_case(steps, error):
+def reduce_case(steps, error, make_world=World):
     """Remove steps while the same kind of failure remains."""
     size = max(1, len(steps) // 2)
     while size:
         start = 0
         while start < len(steps):
             shorter = steps[:start] + steps[start + size :]
-            found = failure_of(shorter)
+            found = failure_of(shorter, make_world)
             if found is not None and kind_of(found) == kind_of(error):
                 steps, error = shorter, found
             else:
--- a/tests/lib/queue_gateway_model.py
+++ b/tests/lib/queue_gateway_model.py
@@ -35,6 +35,8 @@
         self._world = world
         self._process = process
         self._known_lives = {}
+        # Per worker: the life with which idle connections are kept, and their number.
+        self._kept_connections = {}
 
     def close(self):
         """Calls have no connections here."""
@@ -46,7 +48,7 @@
         sent_ms = self._world.simulation.now_ms
         sent_to = self._world.lives[worker.worker_id]
         self._world.record.on_order(self._process, worker.worker_id, order)
-        answer = await self._call(
+        answer, _ = await self._call(
             worker.worker_id,
             "start",
             lambda w, r: w.start(order, sent_to, known_life, sent_ms, r),
@@ -56,14 +58,14 @@
 
     async def stop(self, worker, task, run, fence):
         """Order a stop."""
-        answer = await self._call(
+        answer, _ = await self._call(
             worker.worker_id, "stop", lambda w, r: w.stop(task, run, fence, r), f"{task} {run}"
         )
         return answer or OrderAnswer(StartOutcome.UNKNOWN)
 
     async def pace(self, worker, task, run, percent, fence):
         """Set a pace."""
-        answer = await self._call(worker.worker_id, "pace", lambda w, r: w.pace(fence, r))
+        answer, _ = await self._call(worker.worker_id, "pace", lambda w, r: w.pace(fence, r))
         return answer or OrderAnswer(StartOutcome.UNKNOWN)
 
     async def hold(self, worker, fence, last_seen, deadline_ms, wait_ms):
@@ -71,7 +73,7 @@
         if self._world.crashed_workers_refuse and not self._world.lives[worker.worker_id].is_up:
             await asyncio.sleep(HOP_MS / MS_PER_S)
             return Err(AgentError("refused", context={"not_sent": True}, hint="none"))
-        report = await self._call(
+        report, is_connected = await self._call(
             worker.worker_id,
             "hold",
             lambda w, r: w.hold(fence, last_seen, deadline_ms, wait_ms, r),
@@ -80,6 +82,8 @@
         )
         if report is None or report == FENCED:
             context = {"fenced": report == FENCED}
+            if is_connected:
+                context["connected"] = True
             return Err(AgentError("no report", context=context, hint="none"))
         # A restart of the worker is known from its first report, so that its entry has to be read.
         life = self._world.lives[worker.worker_id]
@@ -88,6 +92,10 @@
         return Ok(report)
 
     async def _call(self, worker_id, call, execute, text="", timeout_ms=TIMEOUT_MS):
+        """Return the answer, and whether a new connection was established that had none.
+
+        The answer is ``None`` if there is none.
+        """
         world, simulation = self._world, self._world.simulation
         loop = asyncio.get_running_loop()
         future = loop.create_future()
@@ -101,6 +109,11 @@
                 f"e{self._process} -> {worker_id} {call} {text} {fate or 'cut'[:3 * (not delays)]}"
             )
 
+        life = world.lives[worker_id]
+        is_established = life.accepts_connections and bool(delays)
+        is_established &= not self._is_cut(worker_id, "answers")
+        uses_kept = self._take_connection(life)
+
         def deliver(answer):
             if not future.done():
                 future.set_result(answer)
@@ -117,16 +130,30 @@
             if life.is_up:
                 if world.crashed_workers_refuse:
                     life.connections.append(deliver)
-                execute(life, respond if is_answered else ignore)
+                life.receive(lambda: execute(life, respond if is_answered else ignore))
 
         for number, delay_ms in enumerate(delays):
             delay_ms = late_ms if delay_ms == LATE else delay_ms
             simulation.at(delay_ms, lambda n=number: arrive(n == answered))
         try:
             async with asyncio.timeout(timeout_ms / 1_000):
-                return await future
+                answer = await future
         except TimeoutError:
-            return None
+            return None, is_established and not uses_kept
+        self._keep_connection(life)
+        return answer, False
+
+    def _take_connection(self, life):
+        """Return whether there is an idle connection with a life, which is used then."""
+        known, number = self._kept_connections.get(life.worker_id, (life, 0))
+        if known is not life or not number:
+            return False
+        self._kept_connections[life.worker_id] = (life, number - 1)
+        return True
+
+    def _keep_connection(self, life):
+        known, number = self._kept_connections.get(life.worker_id, (life, 0))
+        self._kept_connections[life.worker_id] = (life, number + 1 if known is life else 1)
 
     def _is_cut(self, worker_id, direction):
         how = self._world.cuts.get((worker_id, self._process), "none")
--- a/tests/lib/queue_process.py
+++ b/tests/lib/queue_process.py
@@ -88,6 +88,11 @@
         self.loop.call_soon(self.election.start)
         self.loop.call_soon(lambda: self._background.spawn(self._watch_config()))
 
+    def hand_over(self):
+        """Release the leadership as planned, with the waits for the successor."""
+        if self.leader is not None:
+            self._background.spawn(self.election.hand_over(self.leader.waits))
+
     def write(self, decisions):
         for decision in decisions:
             if decision.kind in DEFECTS:
--- a/tests/lib/queue_single_run.py
+++ b/tests/lib/queue_single_run.py
@@ -52,13 +52,7 @@
         run.is_repeated = was_barred and sent_to is not life
         if run.is_repeated:
             return
-        active = [
-            (other.worker_id, known.number, "stopping" if known.stopping else "active")
-            for other in world.lives.values()
-            for known in other.runs.values()
-            if known.task == run.task and known is not run and not known.is_repeated
-        ]
-        assert not active, f"TWICE {run.task}: {life.worker_id} {run.number} beside {active}"
+        self._check_alone(life, run)
         self._starts[run.task].append((life.worker_id, run.number))
         for end in self._done[run.task]:
             assert not end.acknowledged, f"TWICE {run.task}: started after its end as done"
@@ -66,6 +60,25 @@
         used = sum(known.cpu for known in life.runs.values() if not known.is_repeated)
         assert used <= limit, f"LIMIT {life.worker_id}: {used} of {limit}"
 
+    def on_woken(self, life):
+        """Check the runs of a life that has stood still: they did not count as up until now."""
+        self._world.note(f"{life.worker_id} goes on with {list(life.runs)}")
+        for run in life.runs.values():
+            if not run.is_repeated:
+                self._check_alone(life, run)
+
+    def _check_alone(self, life, run):
+        active = [
+            (other.worker_id, known.number, "stopping" if known.stopping else "active")
+            for other in self._world.lives.values()
+            for known in other.runs.values()
+            if known.task == run.task
+            and known is not run
+            and not known.is_repeated
+            and not other.is_stalled
+        ]
+        assert not active, f"TWICE {run.task}: {life.worker_id} {run.number} beside {active}"
+
     def on_end(self, life, ended):
         """Record the end of a run."""
         self._world.note(f"{life.worker_id} ENDS {ended.task} {ended.run} {ended.outcome}")
--- a/tests/lib/queue_worker_model.py
+++ b/tests/lib/queue_worker_model.py
@@ -5,6 +5,7 @@
 from nutmeglb._internal.queues.ports import OrderAnswer
 from nutmeglb_decisions.queues.orders import StartOutcome
 from nutmeglb_formats.models.queues import EndedTask, RunningTask, WorkerReport
+from tests.lib.queue_process_time import ProcessTime
 
 # Longest lease that a worker grants.
 MAX_HOLD_MS = 10_000.0
@@ -49,12 +50,16 @@
         Whether a run that is being stopped ends as done.
     is_unhealthy
         Whether all calls are answered as unhealthy and have no effect.
+    kill_ms
+        Time from the end of a lease, or from the end of a stall during which it ended, until the
+        runs are killed.
     """
 
     stop_ms: float = 50.0
     hides_stopping: bool = False
     completes_when_stopped: bool = False
     is_unhealthy: bool = False
+    kill_ms: float = 0.0
 
 
 @dataclass(eq=False)
@@ -94,14 +99,62 @@
     connections: list = field(default_factory=list)
 
     def __post_init__(self):
-        self._origin_ms = self.simulation.now_ms
+        self._time = ProcessTime(self.simulation, self.rate, self.clock_start_ms)
+        # Calls that have arrived during a stall, ``None`` if the machine accepts none.
+        self._kept_calls = None
+        self._ends_first = False
+        self.stalls = 0
         # Former capacities and when each was replaced.
         self._former_cpus = []
 
     @property
     def clock_ms(self):
         """Return the time on the worker's clock."""
-        return self.clock_start_ms + (self.simulation.now_ms - self._origin_ms) * self.rate
+        return self._time.clock_ms
+
+    @property
+    def is_stalled(self):
+        """Return whether the process stands still."""
+        return self._time.is_stalled
+
+    @property
+    def accepts_connections(self):
+        """Return whether the machine accepts connections, perhaps without its process."""
+        return self.is_up and not (self.is_stalled and self._kept_calls is None)
+
+    def stall(self, clock_stands_still, ends_first, accepts_connections):
+        """Let the process stand still, and perhaps its clock.
+
+        Parameters
+        ----------
+        ends_first
+            Whether it completes runs and handles calls before it checks the lease afterwards.
+        accepts_connections
+            Whether calls are kept, and handled afterwards, or lost.
+        """
+        self.stalls += 1
+        self._time.stall(clock_stands_still)
+        self._ends_first = ends_first
+        self._kept_calls = [] if accepts_connections else None
+
+    def wake(self):
+        """Let the process go on."""
+        run_overdue = self._time.resume()
+        kept_calls, self._kept_calls = self._kept_calls or [], None
+        if not self._ends_first and not self.habits.kill_ms:
+            self._check_lease()
+        self.observer.on_woken(self)
+        run_overdue()
+        for execute in kept_calls:
+            execute()
+        self._schedule_check()
+
+    def receive(self, execute):
+        """Handle a call that has arrived, now or after a stall."""
+        if not self.is_stalled:
+            execute()
+        elif self._kept_calls is not None:
+            self._kept_calls.append(execute)
 
     def resize(self, cpu):
         """Change the capacity while runs continue."""
@@ -116,6 +169,7 @@
     def crash(self):
         """End this incarnation."""
         self.is_up = False
+        self._kept_calls = None
         self.observer.on_crash(self)
         self.runs.clear()
         self.waiters.clear()
@@ -154,7 +208,7 @@
             known_cpu = known_life.counted_cpu(judged_ms) if known_life else float("inf")
         self.observer.on_start(self, run, sent_to, known_cpu)
         if not hangs:
-            self.simulation.at(run_ms, lambda: self._end(run, "done"))
+            self._time.at(run_ms, lambda: self._end(run, "done"))
 
     def stop(self, task, number, fence, respond):
         """Handle an order to stop a run."""
@@ -165,7 +219,7 @@
         if run is not None and not run.stopping:
             run.stopping = True
             outcome = "done" if self.habits.completes_when_stopped else "stopped"
-            self.simulation.at(self.habits.stop_ms, lambda: self._end(run, outcome))
+            self._time.at(self.habits.stop_ms, lambda: self._end(run, outcome))
         respond(self._answer(StartOutcome.STARTED))
 
     def pace(self, fence, respond):
@@ -188,7 +242,7 @@
             return
         waiter = [respond]
         self.waiters.append(waiter)
-        self.simulation.at(wait_ms, lambda: self._answer_waiter(waiter))
+        self._time.at(wait_ms, lambda: self._answer_waiter(waiter))
 
     def _answer_waiter(self, waiter):
         if self.is_up and waiter in self.waiters:
@@ -220,10 +274,16 @@
         deadline_ms = min(deadline_ms, self.clock_ms + MAX_HOLD_MS)
         if deadline_ms > self.deadline_ms:
             self.deadline_ms = deadline_ms
-            self.simulation.at((deadline_ms - self.clock_ms) / self.rate + 0.001, self._check_lease)
+            self._schedule_check()
+
+    def _schedule_check(self):
+        remaining_ms = max(0.0, self.deadline_ms - self.clock_ms) / self.rate + 0.001
+        self.simulation.at(remaining_ms + self.habits.kill_ms, self._check_lease)
 
     def _check_lease(self):
-        if self.is_up and self.clock_ms >= self.deadline_ms:
+        if not self.is_up or self.is_stalled:
+            return
+        if self.clock_ms >= self.deadline_ms:
             self.observer.on_lapsed(self)
             for run in list(self.runs.values()):
                 self._end(run, "lapsed")
--- a/tests/lib/queue_world.py
+++ b/tests/lib/queue_world.py
@@ -19,7 +19,7 @@
 from tests.lib.queue_process import ProcessModel
 from tests.lib.queue_single_run import SingleRunRecord
 from tests.lib.queue_store_model import StoreModel
-from tests.lib.queue_worker_model import BEAT_MS, Habits, Life
+from tests.lib.queue_worker_model import BEAT_MS, MAX_HOLD_MS, Habits, Life
 from tests.lib.queues import BATCH, CONFIG, URGENT, job, step
 from tests.lib.virtual_time import Simulation
 
@@ -29,6 +29,8 @@
 CPU = 4_000
 # How long a worker that has crashed stays listed.
 UNLISTED_AFTER_MS = 3_000.0
+# How long the entry of a worker remains without a heartbeat.
+ENTRY_EXPIRES_MS = 4_500.0
 # Time after the faults in which every job has to end, far above all leases and back-offs.
 SETTLE_MS = 60_000.0
 JOBS = (
@@ -41,6 +43,9 @@
     (step(12, 500, estimate_ms=700.0),),
     (step(6, 500, estimate_ms=300.0), step(8, 500, estimate_ms=1_500.0, after=(0,))),
 )
+# Its task lasts longer than the longest lease of a worker.
+LONG_JOB = (step(1, 500, estimate_ms=40_000.0),)
+LONG = "long"
 
 
 class World:
@@ -86,7 +91,8 @@
     def make_job(self, job_id, kind):
         """Return the record of a job of a kind."""
         queue = URGENT if kind == 0 else BATCH
-        return job(job_id, *JOBS[kind % len(JOBS)], queue=queue)
+        steps = LONG_JOB if kind == LONG else JOBS[kind % len(JOBS)]
+        return job(job_id, *steps, queue=queue)
 
     def settings(self, name):
         """Return the settings of an instance."""
@@ -95,7 +101,10 @@
                 "instance": {"id": name, "failure_domain": "z1"},
                 "listen": dict.fromkeys(("caller", "health", "peer"), "127.0.0.1:0"),
                 "store": {"address": "127.0.0.1:1"},
-                "queues": {"agreements": self.agreements},
+                "queues": {
+                    "agreements": self.agreements,
+                    "max_run_lease_ms": round(MAX_HOLD_MS),
+                },
             }
         )
 
@@ -129,7 +138,7 @@
         self.simulation.at(entry_lag_ms, lambda: self._list_worker(life))
 
     def _list_worker(self, life, retry_ms=500.0):
-        if self.lives[life.worker_id] is not life or not life.is_up:
+        if self.lives[life.worker_id] is not life or not life.is_up or life.is_stalled:
             return
         if self.store.is_down:
             self.simulation.at(retry_ms, lambda: self._list_worker(life, retry_ms))
@@ -171,7 +180,14 @@
         self.fates[(worker, call)] = [(fate, late_ms)] * count
 
     def cut(self, worker, process, how):
-        """Cut a worker off: "both", "calls", "answers" or "none"; from all instances if -1."""
+        """Cut a worker off: "both", "calls", "answers" or "none"; from all instances if -1.
+
+        A worker that stands still cannot be cut off, because nothing would distinguish it then from
+        one that is only cut off.
+        """
+        if self.lives[worker].is_stalled and how != "none":
+            self.note(f"{worker} stands still and is not cut off")
+            return
         for number in PROCESSES if process < 0 else (process,):
             self.cuts[(worker, number)] = how
 
@@ -211,6 +227,58 @@
         habits.stop_ms, habits.hides_stopping = stop_ms, hides
         habits.completes_when_stopped = completes
 
+    def stall(self, worker, clock_stands_still, ends_first, accepts_connections=True):
+        """Let the process of a worker stand still, unless the worker is cut off.
+
+        Parameters
+        ----------
+        ends_first
+            Whether the process completes runs and handles calls before it checks their lease when
+            it goes on.
+        accepts_connections
+            Whether its machine goes on and accepts connections, or stands still as well.
+        """
+        life = self.lives[worker]
+        is_cut = any(self.cuts.get((worker, number), "none") != "none" for number in PROCESSES)
+        if not life.is_up or life.is_stalled or is_cut:
+            return
+        life.stall(clock_stands_still, ends_first, accepts_connections)
+        number = life.stalls
+        self.simulation.at(ENTRY_EXPIRES_MS, lambda: self._unlist_stalled(life, number))
+
+    def stall_for(self, worker, duration_ms, *arguments):
+        """Let the process of a worker stand still for a while, or until it is healed."""
+        life = self.lives[worker]
+        former = life.stalls
+        self.stall(worker, *arguments)
+        if life.stalls > former:
+            self.simulation.at(duration_ms, lambda: self._wake(life, former + 1))
+
+    def suspend(self, worker, clock_stands_still, ends_first):
+        """Let a machine stand still, which accepts no connections then."""
+        self.stall(worker, clock_stands_still, ends_first, accepts_connections=False)
+
+    def suspend_for(self, worker, duration_ms, *arguments):
+        """Let a machine stand still for a while."""
+        self.stall_for(worker, duration_ms, *arguments, False)
+
+    def wake(self, worker):
+        """Let a worker that stands still go on. Its entry is there again at once."""
+        self._wake(self.lives[worker], self.lives[worker].stalls)
+
+    def _wake(self, life, stall):
+        if life.is_up and life.is_stalled and life.stalls == stall:
+            life.wake()
+            self._list_worker(life)
+
+    def _unlist_stalled(self, life, stall):
+        if life.is_up and life.is_stalled and life.stalls == stall:
+            self._unlist_dead(life)
+
+    def late_kill(self, worker, kill_ms):
+        """Set how long after the end of a lease a worker kills its runs."""
+        self.habits[worker].kill_ms = kill_ms
+
     def health(self, worker, healthy):
         self.habits[worker].is_unhealthy = not healthy
 
@@ -237,6 +305,13 @@
         election = self.processes[process].election
         self.processes[process].loop.call_soon(election.note_leader_connection_lost, True)
 
+    def hand_over(self, process):
+        """Let an instance release its leadership as planned, and others campaign first."""
+        self.processes[process].loop.call_soon(self.processes[process].hand_over)
+
+    def submit_long(self):
+        self.submit(LONG)
+
     def store_down(self, pauses_leases):
         self.store.set_down(True, pauses_leases)
 
@@ -256,6 +331,8 @@
         """End all faults that last."""
         self.cuts.clear()
         self.store_up()
+        for worker in self.lives:
+            self.wake(worker)
         for habits in self.habits.values():
             habits.is_unhealthy = False
         for number in PROCESSES:
