Count the time that a worker takes to end its runs after their lease

Callers saw tasks run twice: a task of a silent worker starts elsewhere 150 ms after the longest lease on the slowest clock. These 150 ms are for the network; a worker also needs time to end its runs. A stop may take 200 ms, on which the platform's pages say nothing for a lease, and a busy process begins late.

queues.max_kill_ms (1 s) is counted after each lease, the longest one included, in one place (lease_bounds.py). A silent worker's tasks start elsewhere after 7.3 s instead of 6.3 s, after an unplanned loss of a leader after 12.4 s instead of 11.4 s. A task that must be always active may be idle for 9 s.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -19,6 +19,7 @@
 from nutmeglb._internal.queues.inbox_reader import InboxReader
 from nutmeglb._internal.queues.leader_callbacks import LeaderCallbacks
 from nutmeglb._internal.queues.leader_hints import LeaderHints
+from nutmeglb._internal.queues.lease_bounds import new_cell
 from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.load_reports import LoadReports
 from nutmeglb._internal.queues.loop_lag import LoopLag
@@ -29,7 +30,6 @@
 from nutmeglb._internal.queues.settings import QueueSection
 from nutmeglb._internal.queues.stored_jobs import Inbox
 from nutmeglb._internal.queues.worker_entries import WorkerEntries
-from nutmeglb._internal.queues.worker_link import EXPIRY_MARGIN_MS
 from nutmeglb._internal.queues.worker_links import WorkerLinks
 from nutmeglb._internal.queues.worker_listing import WorkerListing
 from nutmeglb._internal.telemetry.logs import get_logger
@@ -104,14 +104,7 @@
         self._term = term
         self._on_lost = on_lost
         settings = live.current.queues
-        run_lease_ms = settings.lease_of_runs_ms
-        self.cell = Cell(
-            term.number,
-            run_lease_ms / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS,
-            settings.max_stop_ms / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS,
-            settings.max_run_lease_ms / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS,
-        )
-        self.cell.max_stall_ms = settings.max_stall_ms
+        self.cell = new_cell(term.number, settings)
         self.cell.job_memory = JobMemory(job_limit_bytes(live.current.machine.memory_mb))
         if term.number > 0:
             self.cell.former_orders_end_ms = None
@@ -133,7 +126,13 @@
             lag.explains_missing_answer,
         )
         self._workers = WorkerLinks(
-            self.cell, platform.connect_workers(), clock, log, term.fence, run_lease_ms, callbacks
+            self.cell,
+            platform.connect_workers(),
+            clock,
+            log,
+            term.fence,
+            settings.lease_of_runs_ms,
+            callbacks,
         )
         self._worker_entries = WorkerEntries(platform, metrics, log)
         self._listing = WorkerListing(
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/settings.py
@@ -70,6 +70,13 @@
     max_stop_ms: float = Field(
         200, ge=0, le=60_000, description="Longest time from the answer to a stop to its end."
     )
+    # Ending a run takes as long as a stop, and a busy process begins late.
+    max_kill_ms: float = Field(
+        1_000,
+        ge=0,
+        le=60_000,
+        description="Longest time from the end of a lease to that of its runs.",
+    )
     # A suspended process continues after some seconds, as stated in the users' requirements.
     max_stall_ms: float = Field(
         20_000,
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -5,7 +5,6 @@
 
 from result import Err
 
-from nutmeglb._internal.queues.authority import MAX_CLOCK_DRIFT
 from nutmeglb._internal.queues.leader_callbacks import LeaderCallbacks
 from nutmeglb._internal.queues.order_slots import OrderSlots
 from nutmeglb._internal.queues.ports import MAX_CALLS_PER_WORKER, StartOrder, WorkerGateway
@@ -28,8 +27,6 @@
 
 logger = get_logger("workers")
 
-# Added to every lease expiry for the network path of the last renewal.
-EXPIRY_MARGIN_MS = 150.0
 # Attempts to order a start without an answer. The run is stopped after them, so that an order that
 # arrives late has no effect.
 MAX_START_ATTEMPTS = 2
@@ -256,8 +253,7 @@
         worker_clock_ms = self._worker_clock.earliest_ms(now_ms)
         if worker_clock_ms is None:
             return None
-        max_lease_ms = self._lease_ms / (1 - MAX_CLOCK_DRIFT)
-        orders.extend_lease(self.worker, now_ms + max_lease_ms + EXPIRY_MARGIN_MS)
+        orders.extend_lease(self.worker, now_ms + self._cell.lease_expiry_after_ms)
         return int(worker_clock_ms + self._lease_ms)
 
     async def start(self, effect: StartTask) -> None:
--- a/tests/unit/test_queue_leases_and_records.py
+++ b/tests/unit/test_queue_leases_and_records.py
@@ -7,8 +7,9 @@
 from result import Ok
 
 from nutmeglb._internal.queues.authority import MAX_CLOCK_DRIFT
+from nutmeglb._internal.queues.lease_bounds import NETWORK_MARGIN_MS
 from nutmeglb._internal.queues.ports import OrderAnswer
-from nutmeglb._internal.queues.worker_link import EXPIRY_MARGIN_MS, LeaderCallbacks, WorkerLink
+from nutmeglb._internal.queues.worker_link import LeaderCallbacks, WorkerLink
 from nutmeglb_decisions.queues import placing, progress, ranking, reports
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StartTask
@@ -57,7 +58,7 @@
     async def scenario():
         clock = ManualClock()
         gateway = SlowWorker(clock)
-        cell = Cell(0, LEASE_MS / (1 - MAX_CLOCK_DRIFT) + EXPIRY_MARGIN_MS, STOP_ENDS_AFTER_MS)
+        cell = Cell(0, LEASE_MS / (1 - MAX_CLOCK_DRIFT) + NETWORK_MARGIN_MS, STOP_ENDS_AFTER_MS)
         worker = cell.workers["w1"] = Worker(worker_info())
 
         async def flush_progress():
