Count runs of an unknown life of their worker with the longest lease

Cause: a worker that restarts under its id takes a deadline for the clock of its former life, and only shortens it to the longest lease (10 s). An order that reached such a life before its first report was counted with the ordered lease, so its task started again up to 3.9 s before the run had ended.

Change: a run whose life neither a report nor the clock in the answer to its order has shown, or that has an unanswered copy of its order, ends at its worker's longest lease after the last call that carried a deadline, including the time for which an order may wait in the client. All other runs of the worker end as before, and count as beside a suspect when the order of one that remains was last. The worker stays recorded for its steps until its last run has ended. The expiry of leases moves to lease_expiry.py.

Tasks with such an order on a silent worker wait 4.1 s longer (11.35 s instead of 7.27 s after the last call with a deadline).

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -101,6 +101,8 @@
         the former incarnation, and the worker only limits it to the longest lease.
     stop_ends_after_ms
         Time after the answer to a stop order after which the stopped run has certainly ended.
+    max_kill_ms
+        Time that is contained in both of them, in which a worker ends its runs after their lease.
     max_stall_ms
         How long runs of a worker whose process stands still count as active after their lease.
     former_orders_end_ms
@@ -155,6 +157,7 @@
     lease_expiry_after_ms: float
     stop_ends_after_ms: float
     max_lease_expiry_after_ms: float = 0.0
+    max_kill_ms: float = 0.0
     max_stall_ms: float = 0.0
     former_orders_end_ms: float | None = -math.inf
     started_ms: float = 0.0
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -8,10 +8,8 @@
     leaving_workers,
     presumed_ends,
     run_numbers,
-    silent_workers,
     speeds,
     stray_runs,
-    takeover_wait,
     unseen_runs,
     worker_losses,
 )
@@ -166,8 +164,14 @@
 
 
 def end_all_runs(cell: Cell, worker: Worker, outcome: str, now_ms: float, wall_ms: float) -> None:
-    """End every run on a worker with the given outcome, which names the evidence of their end."""
-    runs = list(worker.runs.values())
+    """End every run on a worker with the given outcome."""
+    end_runs(cell, worker, list(worker.runs.values()), outcome, now_ms, wall_ms)
+
+
+def end_runs(
+    cell: Cell, worker: Worker, runs: list[Run], outcome: str, now_ms: float, wall_ms: float
+) -> None:
+    """End runs on a worker with the given outcome, which names the evidence of their end."""
     log_ends(cell, worker, [(run.task, run.number, outcome) for run in runs])
     for run in runs:
         presumed_ends.record(cell, run, outcome, now_ms)
@@ -177,40 +181,6 @@
     worker_losses.record_losses(cell, worker, runs, evidence, now_ms, wall_ms)
 
 
-def expire_silent_workers(cell: Cell, confirmed_ms: float, wall_ms: float) -> None:
-    """End the runs of silent workers whose leases have certainly expired.
-
-    Times are compared with ``confirmed_ms``, until when certainly no other instance was leader: a
-    successor may have renewed a lease that had not expired by then. A worker not yet marked as
-    silent is called first: this process may have been paused, and the answer shows which runs have
-    ended and how. A worker whose process stands still does not end its runs with their lease.
-    """
-    lapsed = set()
-    for worker in cell.workers.values():
-        silent = worker.unanswered_since_ms is not None
-        has_expired = confirmed_ms >= worker.lease_expires_at_ms and not (
-            silent_workers.may_have_active_runs(cell, worker, confirmed_ms)
-        )
-        if (worker.runs or worker.stray_runs) and silent and has_expired:
-            end_all_runs(cell, worker, presumed_ends.LEASE_EXPIRED, confirmed_ms, wall_ms)
-            worker.stray_runs.clear()
-            # The worker is called until it answers, because it may report earlier ends and can
-            # then be used again.
-            worker.settled = False
-            lapsed.add(worker.worker_id)
-    if lapsed:
-        forget_workers(cell, lapsed)
-    expired_waits = takeover_wait.expired_waits(cell, confirmed_ms)
-    if expired_waits:
-        cell.log_decision(
-            "workers_waited_out", "no answer in this term", workers=len(expired_waits)
-        )
-        forget_workers(cell, expired_waits)
-    if confirmed_ms >= cell.takeover_wait_deadline_ms and not takeover_wait.unsettled_workers(cell):
-        cell.takeover_wait_deadline_ms = 0.0
-        cell.ended_unsettled.clear()
-
-
 def apply_report(
     cell: Cell,
     worker: Worker,
@@ -328,7 +298,7 @@
     )
     if stop_is_overdue:
         repeat_stop(cell, run)
-    run.has_started = True
+    run.has_started = run.is_life_known = True
     if run.state == RunState.ORDERED:
         run.state = RunState.RUNNING
         run.confirmed_ms = now_ms
@@ -365,7 +335,7 @@
     run = Run(
         step, name.index, running.run, worker.worker_id, step.charged, now_ms,
         now_ms + expected_ms, RunState.RUNNING, now_ms, resumed=True,
-        worker_started_ms=worker.started_ms,
+        worker_started_ms=worker.started_ms, is_life_known=True,
     )  # fmt: skip
     worker.stray_runs.pop((running.task, running.run), None)
     worker.runs[(running.task, running.run)] = run
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/state.py
@@ -49,11 +49,11 @@
     confirmed_ms
         Time of the worker's answer to the start order or to the stop order; ``None`` while it is
         unknown whether the worker has the run or may still receive it.
-    worker_started_ms
-        Start time of the worker's incarnation for which the run was placed. Another one may have
-        less capacity, or other runs.
-    stop_accepted_by
-        Start time of the worker's incarnation that has accepted a stop, or ``None``.
+    worker_started_ms, stop_accepted_by
+        Start times of the worker's incarnation for which the run was placed, and of the one that
+        has accepted a stop, or ``None``. Another one may have less capacity, or other runs.
+    is_life_known
+        Whether an answer or a report has shown which incarnation has the run.
     unanswered_orders
         Number of copies of the start order that are not answered. Each may still be carried out.
     expected_end_ms
@@ -98,6 +98,7 @@
     confirmed_ms: float | None = None
     worker_started_ms: int = 0
     stop_accepted_by: int | None = None
+    is_life_known: bool = False
     unanswered_orders: int = 0
     percent: int = 100
     wanted_percent: int = 100
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_losses.py
@@ -136,7 +136,7 @@
 
     A run whose stop the worker had accepted does not count, nor one on a worker that had announced
     that it leaves. One whose order is unanswered does, because it may have started, but proves no
-    crash. The caller has ended the runs.
+    crash. The caller has ended the runs. Others on the worker may be suspects as well.
     """
     lost = [run for run in lost if not _had_stopped(run)]
     left = [run for run in lost if _is_on_leaving_worker(cell, run)]
@@ -146,7 +146,7 @@
     if lost:
         _log_losses(cell, worker, lost, evidence, now_ms)
     counted = []
-    has_suspect = any(not run.proved_active for run in lost)
+    has_suspect = any(not run.proved_active for run in (*lost, *worker.runs.values()))
     for run in lost:
         task = run.step.tasks[run.index]
         if task.done or run.step.job.final is not None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -31,6 +31,8 @@
         Highest number of an end that was applied.
     lease_expires_at_ms
         Time at which all runs on the worker have certainly ended if no renewal arrives.
+    longest_lease_expires_at_ms
+        The same for runs that may be active in an incarnation that is not known.
     reported_started_ms
         Start time of the incarnation that sent the last report; ``None`` before the first one.
     former_report_ms
@@ -79,6 +81,7 @@
     last_listed_ms: float = 0.0
     last_applied_end: int = 0
     lease_expires_at_ms: float = 0.0
+    longest_lease_expires_at_ms: float = 0.0
     reported_started_ms: int | None = None
     former_report_ms: float = 0.0
     first_answer_ms: float | None = None
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/periodic_checks.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/periodic_checks.py
@@ -6,8 +6,8 @@
 from nutmeglb._internal.queues.authority import Authority
 from nutmeglb._internal.queues.worker_listing import WorkerListing
 from nutmeglb_decisions.queues import (
+    lease_expiry,
     lifecycle,
-    reports,
     set_aside,
     slow_runs,
     speeds,
@@ -43,4 +43,4 @@
 
 def _expire_silent_workers(cell: Cell, authority: Authority, wall_ms: float) -> None:
     if authority.is_exclusive:
-        reports.expire_silent_workers(cell, authority.confirmed_ms, wall_ms)
+        lease_expiry.expire_silent_workers(cell, authority.confirmed_ms, wall_ms)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_clock.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_clock.py
@@ -31,3 +31,8 @@
         if self._read_ms is None:
             return None
         return self._clock_ms + (now_ms - self._read_ms) * (1 - MAX_CLOCK_DRIFT)
+
+
+def longest_lease_ms(deadline_ms: float, clock_ms: float) -> float:
+    """Return the longest time until a deadline on a worker's clock, which shows ``clock_ms``."""
+    return (deadline_ms - clock_ms) / (1 - MAX_CLOCK_DRIFT)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -8,7 +8,7 @@
 from nutmeglb._internal.queues.leader_callbacks import LeaderCallbacks
 from nutmeglb._internal.queues.order_slots import OrderSlots
 from nutmeglb._internal.queues.ports import MAX_CALLS_PER_WORKER, StartOrder, WorkerGateway
-from nutmeglb._internal.queues.worker_clock import WorkerClock
+from nutmeglb._internal.queues.worker_clock import WorkerClock, longest_lease_ms
 from nutmeglb._internal.telemetry.logs import get_logger
 from nutmeglb_decisions.queues import (
     ended_lives,
@@ -16,6 +16,7 @@
     poll_wait,
     reports,
     silent_workers,
+    unknown_life_leases,
     worker_losses,
 )
 from nutmeglb_decisions.queues.cell import Cell
@@ -254,6 +255,7 @@
         if worker_clock_ms is None:
             return None
         orders.extend_lease(self.worker, now_ms + self._cell.lease_expiry_after_ms)
+        unknown_life_leases.record_deadline(self._cell, self.worker, now_ms)
         return int(worker_clock_ms + self._lease_ms)
 
     async def start(self, effect: StartTask) -> None:
@@ -308,8 +310,15 @@
             orders.record_start_sent(*run, 1)
             sent_to = self._receiver()
             answer = await self._gateway.start(self.worker.info, order)
+            # The call may have waited in the client until now.
+            unknown_life_leases.record_deadline(self._cell, self.worker, self._clock.now_ms())
             if answer.outcome != StartOutcome.UNKNOWN:
                 orders.record_start_sent(*run, -1)
+            if answer.outcome == StartOutcome.STARTED and answer.clock_ms is not None:
+                # A later life may have answered, by whose clock the lease is longer.
+                lease_ms = longest_lease_ms(deadline_ms, answer.clock_ms)
+                lease_end_ms = self._clock.now_ms() + lease_ms
+                unknown_life_leases.record_start_answer(*run, sent_ms, lease_end_ms)
             if answer.fenced:
                 self._callbacks.fenced(self.worker.worker_id)
                 return
--- a/tests/lib/queue_world.py
+++ b/tests/lib/queue_world.py
@@ -55,6 +55,8 @@
     crashed_workers_refuse = False
 
     settle_ms = SETTLE_MS
+    # Rate of each worker's clock.
+    rates = RATES
 
     def __init__(self, agreements=""):
         self.agreements = agreements
@@ -129,7 +131,7 @@
 
     def _begin_life(self, worker, cpu, clock_start_ms, entry_lag_ms):
         self._born += 1_000
-        rate = RATES[WORKERS.index(worker)]
+        rate = self.rates[WORKERS.index(worker)]
         life = Life(
             worker, self._born, cpu, rate, clock_start_ms,
             self.simulation, self.record, self.habits[worker],
--- a/tests/lib/queues.py
+++ b/tests/lib/queues.py
@@ -3,7 +3,14 @@
 import random
 from dataclasses import dataclass, field, replace
 
-from nutmeglb_decisions.queues import advice, lifecycle, placing, progress, reports
+from nutmeglb_decisions.queues import (
+    advice,
+    lease_expiry,
+    lifecycle,
+    placing,
+    progress,
+    reports,
+)
 from nutmeglb_decisions.queues.access import (
     ANY_CALLER,
     Admission,
@@ -188,4 +195,4 @@
     def tick(self, duration_ms: float) -> None:
         """Advance the clock and end the runs whose lease has expired."""
         self.now_ms += duration_ms
-        reports.expire_silent_workers(self.cell, self.now_ms, self.now_ms)
+        lease_expiry.expire_silent_workers(self.cell, self.now_ms, self.now_ms)
