Count the longest lease from the first answer of a worker to a new leader

Cause: a former leader may have sent a deadline for a former life of the worker up to that answer. After a planned stop, when no longer wait applies, a run that was adopted from the first report counted with the ordered lease, and its task started again up to 3.9 s before it had ended.

Change: the first answer of each life of a worker to a leader extends the counted lease to the longest one, except in the first term before any restart. From then on the worker refuses calls of former leaders.

Result: run_is_adopted_after_a_planned_stop fails with TWICE without the change and passes with it. Tasks wait longer if their worker falls silent within 4.1 s after that answer, by the rest of these 4.1 s.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -10,6 +10,7 @@
     run_numbers,
     speeds,
     stray_runs,
+    unknown_life_leases,
     unseen_runs,
     worker_losses,
 )
@@ -222,6 +223,7 @@
     speeds.after_report(cell, worker, now_ms)
     if worker.first_answer_ms is None:
         worker.first_answer_ms = now_ms
+        unknown_life_leases.record_first_answer(cell, worker, now_ms)
     ended_keys = [(ended.task, ended.run) for ended in report.ended]
     stray_runs.forget_ended(cell, worker, ended_keys, running_by_key, sent_ms)
     if len(report.ended) < MAX_ENDS_PER_REPORT:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/unknown_life_leases.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/unknown_life_leases.py
@@ -11,6 +11,8 @@
   which a later life may carry out. Each call that carries a deadline may give it the longest lease.
 """
 
+import math
+
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.state import Run
 from nutmeglb_decisions.queues.worker_state import Worker
@@ -26,6 +28,18 @@
     )
 
 
+def record_first_answer(cell: Cell, worker: Worker, now_ms: float) -> None:
+    """Count the longest lease from the first answer of a life to this leader.
+
+    Until then, a former leader may have sent a deadline for another life. From then on the worker
+    refuses its calls.
+    """
+    if cell.term > 0 or worker.restarted_ms > -math.inf:
+        worker.lease_expires_at_ms = max(
+            worker.lease_expires_at_ms, now_ms + cell.max_lease_expiry_after_ms
+        )
+
+
 def record_start_answer(
     cell: Cell, worker_id: str, task: str, number: int, sent_ms: float, lease_end_ms: float
 ) -> None:
--- a/tests/unit/test_queue_lease_of_unknown_life.py
+++ b/tests/unit/test_queue_lease_of_unknown_life.py
@@ -13,6 +13,8 @@
 RESTART = ("restart", "w0", 4_000, 5, 60_000)
 LONG_TASK = ("submit", 4)
 STARTED = ("until", " STARTS ")
+# Its new entry is read by the next leader only.
+RESTART_SHOWN = ("restart", "w0", 4_000, 5, 10)
 CUT = ("cut", "w0", -1, "both")
 # The run has outlasted the ordered lease, but not yet the longest one.
 WAIT = ("advance", 14_000)
@@ -46,6 +48,15 @@
         ("fault", "w0", "start", "slow", 0, 1),
         STARTED,
     ],
+    "run_is_adopted_after_a_planned_stop": [
+        IDLE,
+        RESTART_SHOWN,
+        ("advance", 20),
+        LONG_TASK,
+        STARTED,
+        ("resign", 1),
+        ("until", "run_adopted"),
+    ],
 }
 
 
