Let a successor wait longer after a planned stop if a run may outlast its orders

Cause: a leader that stops as planned notes that no order can follow, and its successor then waits for the ordered lease only (6.3 s). A run of an unknown life of its worker lasts up to 10.2 s.

Change: the note is left out while a start was answered by an unknown life, or a silent worker has a run of one. The successor then waits for workers without an answer as after any other change (12.4 s).

Result: worker_is_cut_off_before_a_planned_stop fails with TWICE without the change and passes with it. Orders that are in flight do not count, so the gap remains for a restart during the planned stop itself.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/unknown_life_leases.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/unknown_life_leases.py
@@ -14,7 +14,7 @@
 import math
 
 from nutmeglb_decisions.queues.cell import Cell
-from nutmeglb_decisions.queues.state import Run
+from nutmeglb_decisions.queues.state import Run, RunState
 from nutmeglb_decisions.queues.worker_state import Worker
 
 # An order times out before its answer can be late by this much.
@@ -78,3 +78,17 @@
         return []
     has_longest_expired = confirmed_ms >= worker.longest_lease_expires_at_ms
     return [run for run in worker.runs.values() if has_longest_expired or not has_unknown_life(run)]
+
+
+def may_outlast_orders(cell: Cell) -> bool:
+    """Return whether a known order may have a lease that exceeds the ordered one.
+
+    Its worker has answered it in an unknown life, or is silent. Orders that are merely in flight
+    do not count, since under load there is always one.
+    """
+    return any(
+        has_unknown_life(run)
+        and (run.state == RunState.RUNNING or worker.unanswered_since_ms is not None)
+        for worker in cell.workers.values()
+        for run in worker.runs.values()
+    )
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
@@ -142,26 +142,32 @@
         is_excluded = self._resigned or self._clock.now_ms() < self._cooldown_until_ms
         return 0.0 if is_excluded else strength_of(self._live.current.machine)
 
-    async def resign(self, waits: WaitsFunction = tuple) -> None:
+    async def resign(
+        self, waits: WaitsFunction = tuple, has_long_leases: Callable[[], bool] = lambda: False
+    ) -> None:
         """Release the leadership permanently, so that another instance takes over immediately.
 
         Parameters
         ----------
         waits
             Returns how long leaders have waited for each worker, to be stored for the successor.
+        has_long_leases
+            Returns whether a run may have a longer lease than was ordered.
         """
         self._resigned = True
-        await self._release("planned stop", waits)
+        await self._release("planned stop", waits, has_long_leases)
 
-    async def hand_over(self, waits: WaitsFunction) -> None:
+    async def hand_over(self, waits: WaitsFunction, has_long_leases: Callable[[], bool]) -> None:
         """Release the leadership and let other instances campaign first.
 
         Does nothing while the store does not answer, since nobody could be elected then.
         """
         if await self._store_answers_here():
-            await self._release(HANDED_OVER, waits)
+            await self._release(HANDED_OVER, waits, has_long_leases)
 
-    async def _release(self, cause: str, waits: WaitsFunction) -> None:
+    async def _release(
+        self, cause: str, waits: WaitsFunction, has_long_leases: Callable[[], bool]
+    ) -> None:
         term = self._term
         if term is None or self._is_releasing:
             return
@@ -170,7 +176,7 @@
         self._is_releasing = True
         try:
             # No orders are sent from here on, so the stored waits cover every order of this term.
-            await self._store_release(term, waits())
+            await self._store_release(term, waits(), has_long_leases())
             ended = await self._store.lease_revoke(term.lease)
         finally:
             self._is_releasing = False
@@ -178,15 +184,18 @@
             logger.warning("lease not revoked; it expires by itself", cause=str(ended.err_value))
         await self.step_down(cause)
 
-    async def _store_release(self, term: Term, waited: Sequence[tuple[str, float]]) -> None:
+    async def _store_release(
+        self, term: Term, waited: Sequence[tuple[str, float]], has_long_leases: bool
+    ) -> None:
         """Remove the leader key, and store records that let the successor wait less for workers.
 
         The term is only marked as free of orders once it is old enough that the former leader can
-        no longer send any either.
+        no longer send any either. The longer wait that follows otherwise covers the longest lease.
         """
         puts = [StoredPut(keys.WAITS, encode_queue_record(Waits(term.number, list(waited))))]
         age_ms = (self._clock.now_ms() - term.claimed_ms) * (1 - MAX_CLOCK_DRIFT)
-        if term.no_former_orders or age_ms >= self._settings.authority_ms:
+        is_free = term.no_former_orders or age_ms >= self._settings.authority_ms
+        if is_free and not has_long_leases:
             puts.append(StoredPut(keys.TERM, encode_queue_record(Counter(term.number, NO_WRITER))))
         stored = await self._store.commit({keys.LEADER: term.key_revision}, puts, [keys.LEADER])
         if isinstance(stored, Err):
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -40,6 +40,7 @@
     placing,
     progress,
     takeover_wait,
+    unknown_life_leases,
 )
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import Effect, RequestAdvice
@@ -218,6 +219,11 @@
         )
         return list(takeover_wait.waits(self.cell, self._takeover_wait, elapsed_ms).items())
 
+    @property
+    def has_long_leases(self) -> bool:
+        """Return whether a run may have a longer lease than was ordered."""
+        return unknown_life_leases.may_outlast_orders(self.cell)
+
     def _set_takeover_wait(self, start_ms: float, waits: Waits | None) -> None:
         """Set how long to wait for workers that may still run tasks of former leaders."""
         authority_ms = self._settings.authority_ms / (1 - MAX_CLOCK_DRIFT)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -202,7 +202,7 @@
         logger.info("draining", balancer_notice_ms=limits.balancer_notice_ms)
         frontend.begin_drain()
         await self._store_progress()
-        await self._election.resign(self._waits)
+        await self._election.resign(self._waits, self._has_long_leases)
         # Counts only time in which the process ran, since the balancer cannot check a paused one.
         for _ in range(int(limits.balancer_notice_ms / MS_PER_S / POLL_INTERVAL_S)):
             await asyncio.sleep(POLL_INTERVAL_S)
@@ -227,7 +227,7 @@
 
     async def _hand_over(self) -> None:
         await self._store_progress()
-        await self._election.hand_over(self._waits)
+        await self._election.hand_over(self._waits, self._has_long_leases)
 
     async def _store_progress(self) -> None:
         if self._leader is not None:
@@ -236,6 +236,9 @@
     def _waits(self) -> list[tuple[str, float]]:
         return self._leader.waits() if self._leader is not None else []
 
+    def _has_long_leases(self) -> bool:
+        return self._leader is not None and self._leader.has_long_leases
+
     def _own_record(self) -> LeaderRecord:
         return LeaderRecord(
             self._live.current.instance.id,
--- a/tests/lib/queue_lease_world.py
+++ b/tests/lib/queue_lease_world.py
@@ -40,7 +40,8 @@
         process = self.processes[number]
 
         async def release():
-            waits = process.leader.waits if process.leader is not None else tuple
-            await process.election.resign(waits)
+            leader = process.leader
+            if leader is not None:
+                await process.election.resign(leader.waits, lambda: leader.has_long_leases)
 
         process.loop.call_soon(lambda: process._background.spawn(release()))
--- a/tests/lib/queue_process.py
+++ b/tests/lib/queue_process.py
@@ -90,8 +90,10 @@
 
     def hand_over(self):
         """Release the leadership as planned, with the waits for the successor."""
-        if self.leader is not None:
-            self._background.spawn(self.election.hand_over(self.leader.waits))
+        leader = self.leader
+        if leader is not None:
+            handing_over = self.election.hand_over(leader.waits, lambda: leader.has_long_leases)
+            self._background.spawn(handing_over)
 
     def write(self, decisions):
         for decision in decisions:
--- a/tests/unit/test_queue_lease_of_unknown_life.py
+++ b/tests/unit/test_queue_lease_of_unknown_life.py
@@ -57,6 +57,16 @@
         ("resign", 1),
         ("until", "run_adopted"),
     ],
+    "worker_is_cut_off_before_a_planned_stop": [
+        IDLE,
+        RESTART,
+        ("advance", 20),
+        LONG_TASK,
+        STARTED,
+        ("advance", 2),
+        CUT,
+        ("resign", 1),
+    ],
 }
 
 
@@ -136,3 +146,32 @@
     assert worker.worker_id in world.cell.active["b"].steps[0].recorded
     world.tick(LONGEST_MS - LEASE_MS)
     assert not worker.runs
+
+
+@pytest.mark.parametrize(
+    ("granted_ms", "is_silent", "is_reported", "expected"),
+    [
+        # In flight, answered by the known life, by an unknown one, then shown by a report.
+        (None, False, False, False),
+        (6_100.0, False, False, False),
+        (10_200.0, False, False, True),
+        (10_200.0, False, True, False),
+        (None, True, False, True),
+        (6_100.0, True, False, False),
+    ],
+)
+def test_orders_are_ruled_out_for_the_successor_only_if_no_known_lease_is_longer(
+    granted_ms, is_silent, is_reported, expected
+):
+    world = world_with_run()
+    (run,) = world.cell.active["a"].steps[0].live_runs
+    if granted_ms is not None:
+        world.answer_starts()
+        unknown_life_leases.record_start_answer(
+            world.cell, run.worker_id, run.task, run.number, 0.0, granted_ms
+        )
+    if is_reported:
+        world.report(run.worker_id)
+    if is_silent:
+        orders.unanswered(world.cell, world.worker(run.worker_id), world.now_ms)
+    assert unknown_life_leases.may_outlast_orders(world.cell) == expected
