--- a/tests/lib/queue_world.py
+++ b/tests/lib/queue_world.py
@@ -57,6 +57,8 @@
     settle_ms = SETTLE_MS
     # Rate of each worker's clock.
     rates = RATES
+    # Settings of the queues that differ from the defaults.
+    queue_settings = {}
 
     def __init__(self, agreements=""):
         self.agreements = agreements
@@ -106,6 +108,7 @@
                 "queues": {
                     "agreements": self.agreements,
                     "max_run_lease_ms": round(MAX_HOLD_MS),
+                    **self.queue_settings,
                 },
             }
         )
