--- a/standins/worker_fleet.py
+++ b/standins/worker_fleet.py
@@ -5,15 +5,13 @@
 
 import heapq
 import itertools
-import json
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 from standins.advice_book import AdviceBook
+from standins.worker_fleet_state import DONE, FleetRun, FleetWorker, Kind, decode_run
 
-MS_PER_S = 1_000.0
 # Longest lease that a worker grants, longest time that a stop takes, and longest time that a member
 # of a gang waits for the others, from the users' platform specification.
 MAX_LEASE_MS = 10_000.0
@@ -22,93 +20,14 @@
 # Time from the start of a task that crashes its workers to the crash.
 CRASH_AFTER_S = 0.01
 MAX_ENDS_PER_REPORT = 500
-DONE, FAILED, STOPPED, LAPSED = "done", "failed", "stopped", "lapsed"
+STOPPED, LAPSED = "stopped", "lapsed"
 BROKEN, ALONE = "broken", "alone"
 # Not from the protocol: the worker's process has ended.
 CRASHED = "crashed"
 
 Answer = tuple[int, dict[str, Any]]
-
-
-@dataclass(frozen=True, slots=True)
-class Kind:
-    """Capacity of a worker."""
-
-    cpu: int
-    mem_mb: int
-
-
-@dataclass(slots=True)
-class FleetRun:
-    """A run on a worker.
-
-    Attributes
-    ----------
-    ends_as
-        Empty for a run that never ends by itself.
-    crashes_worker
-        Whether the worker's process ends soon after the start.
-    """
-
-    task: str
-    number: int
-    cpu: int
-    mem_mb: int
-    work_s: float
-    ends_as: str
-    gang_size: int
-    crashes_worker: bool = False
-    needs_ticket: bool = False
-    stopping: bool = False
-
-    @property
-    def gang(self) -> tuple[str, int]:
-        """Return the key of the run's gang."""
-        return self.task.rpartition(".")[0], self.number
-
-
-@dataclass(slots=True)
-class FleetWorker:
-    """One worker.
-
-    Attributes
-    ----------
-    lists_stopping
-        Whether reports contain a run that is being stopped as running.
-    clock_rate, clock_ms_at_start
-        The worker's own clock.
-    is_up
-        Whether the worker's process runs.
-    barred
-        Highest run of each task that was stopped or has ended.
-    """
-
-    worker_id: str
-    kind: Kind
-    rack: str
-    lists_stopping: bool = True
-    started_s: float = 0.0
-    clock_rate: float = 1.0
-    clock_ms_at_start: float = 0.0
-    born: int = 0
-    is_up: bool = True
-    life: int = 0
-    fence: int = 0
-    lease_ms: float | None = None
-    lease_check_pending: bool = False
-    runs: dict[tuple[str, int], FleetRun] = field(default_factory=dict)
-    barred: dict[str, int] = field(default_factory=dict)
-    finished: list[list[Any]] = field(default_factory=list)
-    ends: int = 0
-    acknowledged: int = 0
-
-    def clock_ms(self, now_s: float) -> float:
-        """Return the worker's clock."""
-        return self.clock_ms_at_start + (now_s - self.started_s) * MS_PER_S * self.clock_rate
-
-    def real_s(self, clock_ms: float) -> float:
-        """Return the real time at which the worker's clock shows a value."""
-        return self.started_s + (clock_ms - self.clock_ms_at_start) / MS_PER_S / self.clock_rate
+Record = Callable[[dict[str, Any]], None]
+DueEvent = tuple[float, int, bool, Callable[[float], None]]
 
 
 class Fleet:
@@ -120,12 +39,13 @@
         Called with every event.
     """
 
-    def __init__(self, rng: random.Random, record: Callable[[dict[str, Any]], None]) -> None:
+    def __init__(self, rng: random.Random, record: Record) -> None:
         self.workers: dict[str, FleetWorker] = {}
         self.advice = AdviceBook()
         self._rng = rng
         self._record = record
-        self._due: list[tuple[float, int, Callable[[float], None]]] = []
+        # Time, sequence number, whether it is a check of a lease, and effect of an event.
+        self._due: list[DueEvent] = []
         self._sequence = itertools.count()
         self._gangs: dict[tuple[str, int], dict[str, FleetWorker]] = {}
 
@@ -137,7 +57,7 @@
     def advance(self, now_s: float) -> None:
         """Apply all events that are due, in order and with their own times."""
         while self._due and self._due[0][0] <= now_s:
-            due_s, _, apply = heapq.heappop(self._due)
+            due_s, _, _, apply = heapq.heappop(self._due)
             apply(due_s)
 
     def boot(self, worker: FleetWorker, born: int, now_s: float) -> None:
@@ -158,7 +78,8 @@
         worker.barred = {}
         worker.finished = []
         kind = worker.kind
-        self._log_worker(worker, "boot", now_s, born=born, cpu=kind.cpu, mem_mb=kind.mem_mb)
+        needs = {"cpu": kind.cpu, "mem_mb": kind.mem_mb, "labels": worker.labels}
+        self._log_worker(worker, "boot", now_s, born=born, **needs)
 
     def crash(self, worker: FleetWorker, now_s: float) -> None:
         """End everything that runs on a worker without listing it."""
@@ -243,7 +164,7 @@
             return "old"
         if body["deadline_ms"] <= worker.clock_ms(now_s):
             return "late"
-        run = _decode_run(task, number, body["spec"])
+        run = decode_run(task, number, body["spec"])
         if run.needs_ticket and not self._permits(worker, task, body.get("ticket", ""), now_s):
             return "ticket"
         worker.runs[(task, number)] = run
@@ -307,6 +228,7 @@
         self._at(
             worker.real_s(worker.lease_ms),
             lambda at_s: self._check_lease(worker, at_s) if worker.life == life else None,
+            is_lease=True,
         )
 
     def _check_lease(self, worker: FleetWorker, now_s: float) -> None:
@@ -314,6 +236,9 @@
         if worker.lease_ms is None or now_s < worker.real_s(worker.lease_ms):
             self._schedule_lease_check(worker)
             return
+        self._lapse(worker, now_s)
+
+    def _lapse(self, worker: FleetWorker, now_s: float) -> None:
         worker.lease_ms = None
         self._log_worker(worker, "lapse", now_s)
         for key in list(worker.runs):
@@ -351,8 +276,8 @@
             if present is not None and how != ALONE:
                 self._end(member, (task, run.number), DONE if how == DONE else BROKEN, now_s)
 
-    def _at(self, at_s: float, apply: Callable[[float], None]) -> None:
-        heapq.heappush(self._due, (at_s, next(self._sequence), apply))
+    def _at(self, at_s: float, apply: Callable[[float], None], *, is_lease: bool = False) -> None:
+        heapq.heappush(self._due, (at_s, next(self._sequence), is_lease, apply))
 
     def _log(
         self, worker: FleetWorker, event: str, run: FleetRun, now_s: float, **fields: Any
@@ -363,27 +288,3 @@
     def _log_worker(self, worker: FleetWorker, event: str, now_s: float, **fields: Any) -> None:
         names = {"worker": worker.worker_id, "life": worker.life}
         self._record({"t": now_s, "event": event, **names, **fields})
-
-
-def _decode_run(task: str, number: int, spec: str) -> FleetRun:
-    """Return a run. The job's text tells what the tasks of each step do."""
-    step = json.loads(spec)["steps"][int(task.split(".")[2])]
-    draw = random.Random(f"{task} {number}").random()
-    ends_as = DONE
-    if draw < step.get("fail", 0.0):
-        ends_as = FAILED
-    elif draw > 1.0 - step.get("hang", 0.0):
-        ends_as = ""
-    work_s = step["work_ms"] / MS_PER_S * random.Random(task).uniform(0.7, 1.3)
-    crashes_worker = int(task.split(".")[3]) in step.get("crash", ())
-    return FleetRun(
-        task,
-        number,
-        step["cpu"],
-        step["mem_mb"],
-        work_s,
-        ends_as,
-        step.get("gang", 0),
-        crashes_worker,
-        step.get("advised", False),
-    )
--- a/standins/worker_fleet_server.py
+++ b/standins/worker_fleet_server.py
@@ -4,7 +4,9 @@
 a fault; ``POST /restart`` with ``worker``, ``down_s`` and ``quiet``; ``POST /resize`` with
 ``worker``, ``cpu`` and ``mem_mb``; ``GET /entries`` returns the entries of the workers that are up,
 for the metadata store; ``GET /usage`` returns the share of the capacity in use. Each instance has a
-listener of the advice service.
+listener of the advice service. Several such processes may serve one platform: the shared one
+without a name knows the members of gangs and issues the tickets, and the workers of the others lack
+the label that steps with gangs require.
 """
 
 import argparse
@@ -14,7 +16,6 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TextIO
 
@@ -22,6 +23,8 @@
 from standins.advice_book import MAX_WAITING, MAX_WORKERS, VALID_MS, answer_delay_s, is_approved
 from standins.light_http import LightRequest, LightServer, NoResponse, Reply
 from standins.worker_fleet import Fleet, FleetWorker, Kind
+from standins.worker_fleet_faults import FleetFaults, WorkerFault
+from standins.worker_fleet_stops import ProcessClock, StoppableFleet, draw_flavour
 
 KINDS = (Kind(4_000, 16_384), Kind(6_000, 16_384), Kind(8_000, 32_768), Kind(16_000, 65_536))
 RACKS = 4
@@ -33,40 +36,30 @@
 TICK_S = 0.01
 
 
-@dataclass(frozen=True, slots=True)
-class WorkerFault:
-    """A fault of one worker until a time.
-
-    Attributes
-    ----------
-    kind
-        ``cut``: no effect and no response. ``mute``: effect and no response. ``lose``: the response
-        is lost, as the worker's flavour says. ``late``: effect seconds later and no response.
-        ``unhealthy``: refused with 429 or 503. ``slow``: delays before and after the effect.
-        ``down``: all connections are closed.
-    share
-        Share of the calls that the fault applies to.
-    """
-
-    kind: str
-    until_s: float
-    share: float
-
-
 class FleetServer:
     """Serves all workers of a fleet."""
 
     def __init__(self, arguments: argparse.Namespace, record: TextIO) -> None:
-        seed = arguments.seed
+        # The shared process has no name.
+        self._process: str = arguments.process
+        name = f"{self._process} {arguments.seed}".strip()
         self._listed_stopping_share = arguments.listed_stopping_share
         self._kind_change_share = arguments.kind_change_share
         self._late_calls_cross_lives = bool(arguments.late_calls_cross_lives)
         self._new_id_share = arguments.new_id_share
-        self._rng = random.Random(f"fleet {seed}")
+        self._rng = random.Random(f"fleet {name}")
         self._record_file = record
-        self._fleet = Fleet(random.Random(f"fleet state {seed}"), self._record)
+        self._now_s: Callable[[], float] = time.monotonic
+        state_rng = random.Random(f"fleet state {name}")
+        if self._process:
+            flavour = draw_flavour(random.Random(f"flavour {name}"), arguments.clock)
+            stoppable = StoppableFleet(state_rng, self._record, flavour, self._process)
+            self._now_s = ProcessClock(stoppable.resume).now_s
+            self._fleet: Fleet = stoppable
+        else:
+            self._fleet = Fleet(state_rng, self._record)
         self._servers: dict[str, LightServer] = {}
-        self._faults: dict[str, list[WorkerFault]] = {}
+        self._faults = FleetFaults(self._rng)
         self._closes_lost: dict[str, bool] = {}
         self._domains: dict[str, str] = {}
         self._ended = asyncio.Event()
@@ -74,17 +67,18 @@
         self._returns: set[asyncio.Task[None]] = set()
         self._control = LightServer(self._handle_control)
         self._advice = [LightServer(self._advice_handler()) for _ in range(arguments.instances)]
-        self._ids = [f"w{number:02d}" for number in range(arguments.workers)]
+        self._ids = [f"{self._process}w{number:02d}" for number in range(arguments.workers)]
 
     async def start(self) -> dict[str, Any]:
         """Start all listeners and return the addresses of those for control and advice."""
-        for number, worker_id in enumerate(self._ids):
+        for number, worker_id in enumerate(self._ids, sum(self._process.encode())):
             worker = FleetWorker(worker_id, self._rng.choice(KINDS), f"r1-{number % RACKS}")
             worker.lists_stopping = self._rng.random() < self._listed_stopping_share
+            worker.is_shared = not self._process
             self._closes_lost[worker_id] = self._rng.random() < 0.5
             self._domains[worker_id] = DOMAINS[number % len(DOMAINS)]
-            self._faults[worker_id] = []
-            self._fleet.boot(worker, _wall_ms(), time.monotonic())
+            self._faults.add_worker(worker_id)
+            self._fleet.boot(worker, _wall_ms(), self._now_s())
             self._servers[worker_id] = LightServer(self._handler(worker))
             await self._servers[worker_id].start()
         for server in (self._control, *self._advice):
@@ -95,7 +89,7 @@
         """Apply the events that are due, until cancelled."""
         while True:
             await asyncio.sleep(TICK_S)
-            self._fleet.advance(time.monotonic())
+            self._fleet.advance(self._now_s())
 
     def _record(self, event: dict[str, Any]) -> None:
         if event["event"] in ("end", "boot"):
@@ -115,11 +109,10 @@
         if self._rng.random() < self._new_id_share:
             old = worker.worker_id
             self._fleet.rename(worker, f"{old.partition('-')[0]}-{worker.life + 1}")
-            self._faults.pop(old)
-            self._faults[worker.worker_id] = []
+            self._faults.rename(old, worker.worker_id)
             for traits in (self._servers, self._closes_lost, self._domains):
                 traits[worker.worker_id] = traits.pop(old)
-        self._fleet.boot(worker, _wall_ms(), time.monotonic())
+        self._fleet.boot(worker, _wall_ms(), self._now_s())
         await self._servers[worker.worker_id].start()
 
     def _handler(self, worker: FleetWorker) -> Callable[[LightRequest], Awaitable[Reply]]:
@@ -138,7 +131,7 @@
             reply = NoResponse.SILENT
         elif "unhealthy" in kinds:
             status = self._rng.choice((429, 503))
-            reply = (status, {"clock_ms": int(worker.clock_ms(time.monotonic()))})
+            reply = (status, {"clock_ms": int(worker.clock_ms(self._now_s()))})
         elif "late" in kinds:
             delay_s = self._rng.uniform(*LATE_S)
             event["late_s"] = round(delay_s, 3)
@@ -154,7 +147,7 @@
         if not isinstance(reply, NoResponse) and "running" in reply[1]:
             event["running"] = [row[:2] for row in reply[1]["running"]]
             event["finished"] = [row[0] for row in reply[1]["finished"]]
-        event["replied"] = time.monotonic()
+        event["replied"] = self._now_s()
         self._record(event)
         return reply
 
@@ -163,7 +156,7 @@
     ) -> dict[str, Any]:
         shown = ("task", "run", "fence_token", "last_seen", "deadline_ms", "wait_ms")
         return {
-            "t": time.monotonic(),
+            "t": self._now_s(),
             "event": "call",
             "call": name,
             "worker": worker.worker_id,
@@ -186,7 +179,7 @@
         lost = "lose" in kinds
         if lost and self._closes_lost[worker.worker_id] and self._rng.random() < 0.5:
             return NoResponse.CLOSE
-        event["executed"] = time.monotonic()
+        event["executed"] = self._now_s()
         reply = await self._execute(worker, name, request)
         if "slow" in kinds:
             await asyncio.sleep(self._rng.uniform(0, 0.6))
@@ -199,28 +192,28 @@
         return NoResponse.CLOSE if closes else NoResponse.SILENT
 
     async def _execute(self, worker: FleetWorker, name: str, request: LightRequest) -> Reply:
-        self._fleet.advance(time.monotonic())
+        self._fleet.advance(self._now_s())
         if not worker.is_up:
             return NoResponse.CLOSE
         if not _is_expected(worker, request):
-            return 421, {"clock_ms": int(worker.clock_ms(time.monotonic())), "born": worker.born}
+            return 421, {"clock_ms": int(worker.clock_ms(self._now_s())), "born": worker.born}
         life = worker.life
-        deadline_s = time.monotonic() + request.body.get("wait_ms", 0) / MS_PER_S
-        reply = self._fleet.call(worker.worker_id, name, request.body, time.monotonic())
+        deadline_s = self._now_s() + request.body.get("wait_ms", 0) / MS_PER_S
+        reply = self._fleet.call(worker.worker_id, name, request.body, self._now_s())
         if reply is None:
             return NoResponse.CLOSE
         if name != "hold" or reply[0] != 200:
             return reply
-        while not worker.finished and time.monotonic() < deadline_s:
+        while not worker.finished and self._now_s() < deadline_s:
             ended = self._ended
             try:
-                async with asyncio.timeout(deadline_s - time.monotonic()):
+                async with asyncio.timeout(deadline_s - self._now_s()):
                     await ended.wait()
             except TimeoutError:
                 break
             if worker.life != life or not worker.is_up:
                 return NoResponse.CLOSE
-        now_s = time.monotonic()
+        now_s = self._now_s()
         self._fleet.advance(now_s)
         if worker.life != life or not worker.is_up:
             return NoResponse.CLOSE
@@ -236,7 +229,7 @@
         if is_lost or "down" in self._draw_faults(worker.worker_id):
             return
         body = {**request.body, "wait_ms": 0}
-        answer = self._fleet.call(worker.worker_id, name, body, time.monotonic(), late_s=delay_s)
+        answer = self._fleet.call(worker.worker_id, name, body, self._now_s(), late_s=delay_s)
         if answer is None:
             return
         status, content = answer
@@ -244,10 +237,7 @@
         self._record(event | {"executed_late": status, "reason": content.get("reason", "")})
 
     def _draw_faults(self, worker_id: str) -> set[str]:
-        now_s = time.monotonic()
-        faults = [fault for fault in self._faults[worker_id] if fault.until_s > now_s]
-        self._faults[worker_id] = faults
-        return {fault.kind for fault in faults if self._rng.random() < fault.share}
+        return self._faults.draw(worker_id, self._now_s())
 
     def _advice_handler(self) -> Callable[[LightRequest], Awaitable[Reply]]:
         """Return a handler of one instance's calls, which are answered in turn."""
@@ -280,17 +270,16 @@
         return 200, {"good": good, "valid_ms": VALID_MS}
 
     def _issue(self, step: str, worker: FleetWorker) -> str:
-        return self._fleet.advice.issue(step, worker.worker_id, worker.life, time.monotonic())
+        return self._fleet.advice.issue(step, worker.worker_id, worker.life, self._now_s())
 
     async def _handle_control(self, request: LightRequest) -> Reply:
         body = request.body
         match request.path:
             case "/fault":
-                until_s = time.monotonic() + body["for_s"]
-                for worker_id in self._faults.keys() & set(body["workers"]):
-                    fault = WorkerFault(body["kind"], until_s, body.get("share", 1.0))
-                    self._faults[worker_id].append(fault)
-                self._record({"t": time.monotonic(), "event": "fault", **body})
+                until_s = self._now_s() + body["for_s"]
+                fault = WorkerFault(body["kind"], until_s, body.get("share", 1.0))
+                self._faults.add(body["workers"], fault)
+                self._record({"t": self._now_s(), "event": "fault", **body})
             case "/restart":
                 self._restart(body["worker"], body["down_s"], body.get("quiet", False))
             case "/resize":
@@ -310,15 +299,16 @@
         if self._rng.random() < self._kind_change_share:
             worker.kind = self._rng.choice(KINDS)
         # A worker's clock starts at its restart, and calls get no answer until it is up again.
-        self._fleet.boot(worker, _wall_ms() + int(down_s * MS_PER_S), time.monotonic())
+        self._fleet.boot(worker, _wall_ms() + int(down_s * MS_PER_S), self._now_s())
         if not quiet:
             self._servers[worker_id].close_connections()
-            self._faults[worker_id].append(WorkerFault("down", time.monotonic() + down_s, 1.0))
+            down = WorkerFault("down", self._now_s() + down_s, 1.0)
+            self._faults.add([worker_id], down)
 
     def _resize(self, worker_id: str, kind: Kind) -> None:
         worker = self._fleet.workers.get(worker_id)
         if worker is not None and worker.is_up:
-            self._fleet.resize(worker, kind, time.monotonic())
+            self._fleet.resize(worker, kind, self._now_s())
 
     def _usage(self) -> dict[str, float]:
         workers = self._fleet.workers.values()
@@ -335,7 +325,7 @@
             "state": "ready",
             "cold_remaining_ms": 0,
             "capacity": {"cpu": worker.kind.cpu, "mem_mb": worker.kind.mem_mb, "gpu": 0},
-            "labels": ["a", worker.rack],
+            "labels": worker.labels,
             "born": worker.born,
             "seq": 1,
         }
@@ -370,6 +360,8 @@
     parser.add_argument("--kind_change_share", type=float, default=0.5)
     parser.add_argument("--late_calls_cross_lives", type=int, default=1)
     parser.add_argument("--new_id_share", type=float, default=0.5)
+    parser.add_argument("--process", default="", help="Name of a process that may be stopped.")
+    parser.add_argument("--clock", default="any", help="'runs on', 'stands still' or 'any'.")
     parser.add_argument("--record", required=True)
     parser.add_argument("--ports_file", required=True)
     arguments = parser.parse_args()
--- a/tests/functional/test_worker_fleet_server.py
+++ b/tests/functional/test_worker_fleet_server.py
@@ -39,7 +39,7 @@
     monkeypatch.setattr(worker_fleet_server, "RETURN_S", (0.3, 0.3))
     arguments = argparse.Namespace(
         workers=2, instances=1, seed=1, listed_stopping_share=0.5, kind_change_share=0.0,
-        late_calls_cross_lives=1, new_id_share=new_id_share,
+        late_calls_cross_lives=1, new_id_share=new_id_share, process="", clock="any",
     )  # fmt: skip
 
     async def main():
