--- a/scripts/queue_soak.py
+++ b/scripts/queue_soak.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import logging
+import random
 import statistics
 import sys
 import tempfile
@@ -16,49 +17,37 @@
 from typing import Any
 
 from scripts.queue_soak_cell import CONFIG, SoakCell
-from scripts.queue_soak_checks import FleetRecord, SeenViolation, check_record, read_record
+from scripts.queue_soak_checks import SeenViolation, check_record, read_record
 from scripts.queue_soak_entries import ODD, WorkerEntries
 from scripts.queue_soak_faults import QueueFaults
 from scripts.queue_soak_jobs import Span, check_jobs, describe_crashes
 from scripts.queue_soak_keys import KeyChanges, check_keys
 from scripts.queue_soak_load import SoakLoad
 from scripts.queue_soak_logs import SoakLogs
+from scripts.queue_soak_stops import merge_events
+from scripts.queue_soak_trace import describe
 from tests.lib.processes import exit_on_sigterm
 
 SHOWN_VIOLATIONS = 20
-SHOWN_RUNS = 12
 # The end of a run that counts as done may be acknowledged after the last start.
 SETTLE_S = 3.0
 # After the last fault and the end of the load: limit until all jobs have ended, and the time from
 # which a job that waits is checked. The faults of workers last up to 8 s longer.
 FINISH_S = 45.0
 CALM_AFTER_S = 14.0
+# Numbers of workers in a process that may be stopped.
+PROCESS_SIZES = (1, 1, 2, 4)
 WATCH_INTERVAL_S = 0.5
 # What the protocol leaves open, with default and meaning.
-FLEET_ARGUMENTS = {
+FLEET_ARGUMENTS: dict[str, tuple[Any, str]] = {
     "listed_stopping_share": (0.5, "Share of the workers that list a run while it is stopped."),
     "kind_change_share": (0.5, "Share of the restarts that may change a worker's capacity."),
     "late_calls_cross_lives": (1, "Whether a late call has its effect on a restarted worker."),
+    "clock": ("any", "After a stop of a process: 'runs on', 'stands still' or 'any'."),
     "new_id_share": (0.5, "Share of the crashed workers that are back under another id."),
 }
 
 
-def describe(violation: SeenViolation, record: FleetRecord, logs: SoakLogs) -> str:
-    """Return a violation with its runs, the calls about them, and the lines of the logs."""
-    lines = [f"{violation.rule} at {violation.at_s:.3f}: {violation.detail}"]
-    for run in violation.runs[:SHOWN_RUNS]:
-        lines.append(f"  run {json.dumps(asdict(run))}")
-    if violation.rule in ("TWICE", "BUDGET"):
-        task = violation.runs[0].task
-        lines += [f"  call {json.dumps(c)}" for c in record.calls if c.get("task") == task]
-        lines += [f"  log {json.dumps(line)}" for line in logs.about(violation.runs)]
-    elif violation.job:
-        lines += [f"  log {json.dumps(line)}" for line in logs.about_job(violation.job)]
-    else:
-        lines += [f"  log {json.dumps(line)}" for line in logs.releases(violation)]
-    return "\n".join(lines)
-
-
 def read_events(path: Path) -> list[dict[str, Any]]:
     """Read a record."""
     with path.open() as lines:
@@ -67,6 +56,7 @@
 
 async def run(arguments: argparse.Namespace) -> int:
     """Run once, print one JSON line and return the exit status."""
+    sizes_rng = random.Random(f"processes {arguments.seed}")
     directory = Path(tempfile.mkdtemp(prefix=f"queue-soak-{arguments.seed}-"))
     cell = SoakCell(
         directory,
@@ -74,6 +64,7 @@
         arguments.instances,
         arguments.workers,
         [f"--{name}={getattr(arguments, name)}" for name in FLEET_ARGUMENTS],
+        stoppable=[sizes_rng.choice(PROCESS_SIZES) for _ in range(arguments.worker_processes)],
     )
     usage: list[float] = []
     exits: list[SeenViolation] = []
@@ -81,7 +72,8 @@
     try:
         keys = KeyChanges(cell, arguments.seed)
         await cell.start(keys.store_first, keys.some_key)
-        load = SoakLoad(cell, keys, arguments.seed, arguments.callers, arguments.longest_ms)
+        work_ms = (arguments.shortest_ms, arguments.longest_ms)
+        load = SoakLoad(cell, keys, arguments.seed, arguments.callers, work_ms)
         entries = WorkerEntries(cell)
         await entries.start()
         load.start()
@@ -108,7 +100,8 @@
         "store_disturbances": faults.store_disturbances,
     }
     (directory / "context.json").write_text(json.dumps(context))
-    record = read_record(read_events(cell.record_file))
+    records = [read_events(process.record_file) for process in cell.fleet_processes.all]
+    record = read_record(merge_events([*records, cell.fleet_processes.signals]))
     attempts = CONFIG["routes"][0]["attempts"]
     violations = [
         *check_record(record, faults.store_disturbances),
@@ -128,6 +121,7 @@
         "runs": dict(sorted(Counter(run.how or "active" for run in record.runs).items())),
         "crashes": describe_crashes(record.crashes),
         "odd_entries_listed": logs.listed(ODD),
+        "stops": sum(len(spans) for spans in record.stops.values()),
         "usage": round(statistics.fmean(usage), 2) if usage else None,
         "errors": logs.errors(),
         "standin_errors": cell.standin_errors(),
@@ -169,7 +163,11 @@
     parser.add_argument("--duration_s", type=float, default=60.0)
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--workers", type=int, default=40)
+    parser.add_argument(
+        "--worker_processes", type=int, default=3, help="Processes of workers that may be stopped."
+    )
     parser.add_argument("--callers", type=int, default=60)
+    parser.add_argument("--shortest_ms", type=int, default=300, help="Shortest estimate of tasks.")
     parser.add_argument("--longest_ms", type=int, default=4_000, help="Longest estimate of tasks.")
     parser.add_argument("--faults", default="all", help="Kinds of faults, separated by commas.")
     for name, (default, text) in FLEET_ARGUMENTS.items():
--- a/scripts/queue_soak_cell.py
+++ b/scripts/queue_soak_cell.py
@@ -14,6 +14,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
+from scripts.queue_soak_fleet import FleetProcesses
 from standins.advice_book import DECIDE_MS, EACH_MS, VALID_MS
 from tests.lib.processes import ManagedProcess
 
@@ -136,6 +137,8 @@
         Arguments of the fleet for what the protocol leaves open.
     extra_settings
         Further sections of the settings of each instance.
+    stoppable
+        Number of workers of each process that may be stopped. They are part of ``workers``.
     """
 
     def __init__(
@@ -146,8 +149,8 @@
         workers: int,
         fleet_arguments: Sequence[str],
         extra_settings: str = "",
+        stoppable: Sequence[int] = (),
     ) -> None:
-        self.record_file = directory / "record.jsonl"
         self.instances: list[Instance] = []
         self._directory = directory
         self._extra_settings = extra_settings
@@ -164,22 +167,12 @@
                 *common,
             ],
         )
-        self._fleet = ManagedProcess(
-            "fleet",
+        self.fleet_processes = FleetProcesses(
             directory,
-            [
-                "-m",
-                "standins.worker_fleet_server",
-                f"--workers={workers}",
-                f"--instances={instances}",
-                *fleet_arguments,
-                f"--record={self.record_file}",
-                f"--ports_file={directory / 'fleet.ports.json'}",
-                *common,
-            ],
+            [workers - sum(stoppable), *stoppable],
+            [f"--instances={instances}", *fleet_arguments, *common],
         )
         self._operator = ""
-        self._fleet_control = ""
 
     async def start(
         self, store_config: Callable[[], Awaitable[None]], key: Callable[[], str]
@@ -195,14 +188,12 @@
         """
         AsyncHTTPClient.configure(None, max_clients=MAX_CLIENTS)
         self._store.start()
-        self._fleet.start()
         self._operator, *stores = (await self._store.ports())["listeners"]
-        fleet = await self._fleet.ports()
-        self._fleet_control = fleet["control"]
+        advices = await self.fleet_processes.start()
         await store_config()
         for worker_id, entry in (await self.fleet("GET", "/entries")).items():
             await self.put(f"servers/{worker_id}", entry)
-        for number, (store, advice) in enumerate(zip(stores, fleet["advice"], strict=True)):
+        for number, (store, advice) in enumerate(zip(stores, advices, strict=True)):
             domain = DOMAINS[number % len(DOMAINS)]
             instance = Instance(
                 f"edge-{number}", domain, store, advice, self._directory, self._extra_settings
@@ -215,24 +206,26 @@
 
     async def stop(self) -> None:
         """Stop the fleet and the store, whose records are then complete, and kill the rest."""
-        for process in (self._fleet, self._store):
-            process.send(signal.SIGTERM)
-        for process in (self._fleet, self._store):
-            if process.running:
-                await process.wait(10.0)
+        self._store.send(signal.SIGTERM)
+        await self.fleet_processes.stop()
+        if self._store.running:
+            await self._store.wait(10.0)
         self.kill()
 
     def standin_errors(self) -> int:
         """Return the number of unexpected exceptions in the stand-ins."""
-        texts = [process.log_file.read_text() for process in (self._store, self._fleet)]
+        texts = [process.log_file.read_text() for process in (self._store, *self._fleet_managed())]
         return sum(text.count(UNHANDLED) for text in texts)
 
+    def _fleet_managed(self) -> list[ManagedProcess]:
+        return [process.managed for process in self.fleet_processes.all]
+
     def kill(self) -> None:
         """Kill all processes."""
         for instance in self.instances:
             instance.send(signal.SIGCONT)
             instance.kill()
-        self._fleet.kill()
+        self.fleet_processes.kill()
         self._store.kill()
 
     async def leader(self) -> int | None:
@@ -267,8 +260,12 @@
         return (await self.call("POST", f"http://{self._operator}{path}", body))[1]
 
     async def fleet(self, method: str, path: str, body: Any = None) -> Any:
-        """Send a control call to the fleet."""
-        return (await self.call(method, f"http://{self._fleet_control}{path}", body))[1]
+        """Send a control call to the processes of the fleet that are not stopped."""
+
+        async def send(method: str, url: str, body: Any, timeout_s: float) -> Any:
+            return (await self.call(method, url, body, timeout_s=timeout_s))[1]
+
+        return await self.fleet_processes.call(send, method, path, body)
 
     async def submit(
         self, instance: int, method: str, path: str, body: Any = None, key: str = ""
@@ -277,7 +274,14 @@
         url = f"http://{self.instances[instance].address}{path}"
         return await self.call(method, url, body, key)
 
-    async def call(self, method: str, url: str, body: Any = None, key: str = "") -> tuple[int, Any]:
+    async def call(
+        self,
+        method: str,
+        url: str,
+        body: Any = None,
+        key: str = "",
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, Any]:
         """Send a request and return status and decoded body."""
         request = HTTPRequest(
             url,
@@ -285,7 +289,7 @@
             headers={"Host": HOST, "Deadline-Ms": "3000", "Key": key},
             body=json.dumps(body) if body is not None else None,
             allow_nonstandard_methods=True,
-            request_timeout=CALL_TIMEOUT_S,
+            request_timeout=timeout_s,
         )
         try:
             response = await AsyncHTTPClient().fetch(request, raise_error=False)
--- a/scripts/queue_soak_checks.py
+++ b/scripts/queue_soak_checks.py
@@ -2,10 +2,20 @@
 
 import heapq
 from collections import defaultdict
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
+from scripts.queue_soak_stops import (
+    RESUMED,
+    Spans,
+    first_moment_up,
+    stop_spans,
+    stops_of,
+    time_up,
+)
+from standins.worker_fleet_state import SHARED
+
 DONE = "done"
 # A shrink counts this long after it, or after the end of what kept it from the instances: a beat of
 # the worker, and the time within which an instance has to act on what the store holds.
@@ -35,6 +45,7 @@
     acknowledged_s: float | None = None
     lapsed_before_acknowledgement: bool = False
     crashed_worker: bool = False
+    process: str = ""
 
     @property
     def job(self) -> str:
@@ -89,11 +100,17 @@
     lives_end_s: dict[tuple[str, int], float] = field(default_factory=dict)
     crashes: list[Crash] = field(default_factory=list)
     calls: list[dict[str, Any]] = field(default_factory=list)
+    labels: dict[tuple[str, int], Sequence[str]] = field(default_factory=dict)
+    # Stops of each process that may be stopped, and what tells about them.
+    stops: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    resumes: list[dict[str, Any]] = field(default_factory=list)
+    lapses: list[dict[str, Any]] = field(default_factory=list)
 
 
 def read_record(events: Iterable[dict[str, Any]]) -> FleetRecord:
     """Index the events of a fleet, which are in the order of their times."""
-    record = FleetRecord()
+    events = list(events)
+    record = FleetRecord(stops=stop_spans(events))
     active: dict[tuple[str, int, str, int], SeenRun] = {}
     unacknowledged: dict[tuple[str, int], list[SeenRun]] = defaultdict(list)
     for event in events:
@@ -101,6 +118,7 @@
         match event["event"]:
             case "boot":
                 record.sizes[life] = [Size(event["t"], event["cpu"], event["mem_mb"])]
+                record.labels[life] = event.get("labels", (SHARED,))
                 record.lives_end_s.setdefault((life[0], life[1] - 1), event["t"])
             case "resize":
                 record.sizes[life].append(Size(event["t"], event["cpu"], event["mem_mb"]))
@@ -119,6 +137,7 @@
                     event["t"],
                     event.get("fence", 0),
                     event.get("late_s", 0.0),
+                    process=event.get("process", ""),
                 )
                 active[(*life, run.task, run.number)] = run
                 record.runs.append(run)
@@ -129,6 +148,7 @@
                 run.ended_s, run.how, run.end = event["t"], event["how"], event["end"]
                 unacknowledged[life].append(run)
             case "lapse":
+                record.lapses.append(event)
                 for run in unacknowledged[life]:
                     run.lapsed_before_acknowledgement = True
             case "ack":
@@ -140,6 +160,8 @@
                 ]
             case "call":
                 record.calls.append(event)
+            case _ if event["event"] == RESUMED:
+                record.resumes.append(event)
     return record
 
 
@@ -154,29 +176,53 @@
         Start and end of what kept changes in the store from instances.
     """
     found = [
-        *check_twice(record.runs),
-        *check_limit(record.runs, record.sizes, store_disturbances),
+        *check_twice(record.runs, record.stops),
+        *check_limit(record.runs, record.sizes, store_disturbances, record.stops),
         *check_budget(record.runs),
     ]
     return sorted(found, key=lambda violation: violation.at_s)
 
 
-def check_twice(runs: Iterable[SeenRun]) -> Iterator[SeenViolation]:
-    """Check that no two runs of a task overlap, and that none starts after one that is done."""
+def check_twice(
+    runs: Iterable[SeenRun], stops: Mapping[str, Spans] | None = None
+) -> Iterator[SeenViolation]:
+    """Check that no two runs of a task overlap, and that none starts after one that is done.
+
+    Parameters
+    ----------
+    stops
+        Stops of each process. Meanwhile, no run on its workers counts as active.
+    """
     by_task: dict[str, list[SeenRun]] = defaultdict(list)
     for run in sorted(runs, key=lambda run: run.started_s):
         for earlier in by_task[run.task]:
             if earlier.ended_s > run.started_s:
-                yield SeenViolation("TWICE", run.started_s, (earlier, run), "at the same time")
+                yield from _check_overlap(earlier, run, stops or {})
             elif earlier.counts_as_done:
                 yield SeenViolation("TWICE", run.started_s, (earlier, run), "after its end")
         by_task[run.task].append(run)
 
 
+def _check_overlap(
+    earlier: SeenRun, run: SeenRun, stops: Mapping[str, Spans]
+) -> Iterator[SeenViolation]:
+    """Check that two runs whose times overlap were not both on workers that are up."""
+    both = (run.started_s, max(run.started_s, min(earlier.ended_s, run.ended_s)))
+    away = [*stops_of(stops, earlier.process), *stops_of(stops, run.process)]
+    at_s = first_moment_up(both, away)
+    if at_s is None:
+        return
+    detail = "at the same time"
+    if at_s > run.started_s:
+        detail += f" after a stop, for {time_up(both, away):.3f} s"
+    yield SeenViolation("TWICE", at_s, (earlier, run), detail)
+
+
 def check_limit(
     runs: Iterable[SeenRun],
     sizes: dict[tuple[str, int], list[Size]],
     store_disturbances: Sequence[tuple[float, float]] = (),
+    stops: Mapping[str, Spans] | None = None,
 ) -> Iterator[SeenViolation]:
     """Check that no start brings a worker over its capacity."""
     by_life: dict[tuple[str, int], list[SeenRun]] = defaultdict(list)
@@ -188,7 +234,9 @@
             while active and active[0][0] <= run.started_s:
                 heapq.heappop(active)
             heapq.heappush(active, (run.ended_s, order, run))
-            cpu, mem_mb = _largest_size(sizes[life], run, store_disturbances)
+            # An order may have waited in a buffer during a stop.
+            held_up = [*store_disturbances, *stops_of(stops or {}, run.process)]
+            cpu, mem_mb = _largest_size(sizes[life], run, held_up)
             used = [each for _, _, each in active]
             used_cpu = sum(each.cpu for each in used)
             used_mem_mb = sum(each.mem_mb for each in used)
--- a/scripts/queue_soak_faults.py
+++ b/scripts/queue_soak_faults.py
@@ -10,6 +10,7 @@
 
 from scripts.queue_soak_cell import SoakCell
 from scripts.queue_soak_entries import ODD, WorkerEntries, odd_entry
+from scripts.queue_soak_fleet import FleetProcess
 from scripts.queue_soak_load import SoakLoad
 
 LEADER_KEY = "nutmeglb/leader"
@@ -22,6 +23,9 @@
 # Kinds that keep changes of entries from instances.
 STORE_KINDS = frozenset({"refuse_leader", "store_down", "store_lossy"})
 LONGEST_S = 8.0
+# Stops of workers' processes, and the longest pause of one that is starved.
+STOP_S = (2.0, 14.0)
+LONGEST_PAUSE_S = 0.9
 # Faults end this long before the end of the run, so that ends are still acknowledged.
 CALM_S = 4.0
 
@@ -69,6 +73,8 @@
             "store_lossy": self._store_lossy,
             "unlist": self._unlist_workers,
             "busy": self._starve,
+            "stop_workers": self._stop_workers,
+            "starve_workers": self._starve_workers,
             "crashing_tasks": self._crash_workers,
             "resize": self._resize_workers,
             "odd_entry": self._write_odd_entry,
@@ -77,6 +83,7 @@
         # Some seeds have overlapping faults most of the time, others have calm in between.
         self._max_gap_s = self._rng.uniform(2.0, 10.0)
         self._resized: set[str] = set()
+        self._signalled: set[FleetProcess] = set()
         self._odd_entries = 0
         self._crashing_spans = 0
         self._busy: list[subprocess.Popen[bytes]] = []
@@ -237,6 +244,39 @@
                 subprocess.Popen([sys.executable, "-c", BUSY_LOOP.format(for_s=for_s)])
             )
 
+    def _some_processes(self) -> list[FleetProcess]:
+        """Return some of the worker processes that no signals are sent to."""
+        free = [p for p in self._cell.fleet_processes.stoppable if p not in self._signalled]
+        return self._rng.sample(free, self._rng.randint(1, len(free))) if free else []
+
+    async def _stop_workers(self) -> None:
+        """Stop processes of workers at one moment, and let them go on at one or at several."""
+        processes = self._some_processes()
+        self._signalled.update(processes)
+        for process in processes:
+            self._cell.fleet_processes.pause(process)
+        await asyncio.sleep(self._rng.uniform(*STOP_S))
+        for process in processes:
+            self._cell.fleet_processes.resume(process)
+            await asyncio.sleep(self._rng.choice((0.0, self._rng.uniform(0, 1))))
+        self._signalled.difference_update(processes)
+
+    async def _starve_workers(self) -> None:
+        """Let processes of workers run for a small share of the time."""
+        processes = self._some_processes()
+        self._signalled.update(processes)
+        for_s = self._rng.uniform(4, 15)
+        longest_s = self._rng.uniform(0.15, LONGEST_PAUSE_S)
+        await asyncio.gather(
+            *(
+                self._cell.fleet_processes.starve(
+                    process, for_s, lambda: self._rng.uniform(0.1, longest_s)
+                )
+                for process in processes
+            )
+        )
+        self._signalled.difference_update(processes)
+
     async def _crash_workers(self) -> None:
         """Let some of the jobs that are submitted for a while have tasks that crash workers."""
         self._load.crashing_share = self._rng.choice((0.05, 0.1, 0.3))
--- a/scripts/queue_soak_jobs.py
+++ b/scripts/queue_soak_jobs.py
@@ -9,6 +9,7 @@
 
 from scripts.queue_soak_checks import DONE, SHRINK_S, Crash, FleetRecord, SeenRun, SeenViolation
 from standins.advice_book import is_approved
+from standins.worker_fleet_state import SHARED
 
 FAILED, CRASHED = "failed", "crashed"
 # The longest lease on the slowest clock, and a report: a run on a crashed worker may be taken for
@@ -154,10 +155,16 @@
         """Return how many tasks start together, twice over."""
         return 2 * self.step["count"] if self.step.get("gang") else 2
 
-    def slots(self, worker_id: str, free_cpu: int, free_mem_mb: int) -> int:
+    def may_use(self, worker_id: str, labels: Sequence[str]) -> bool:
+        """Return whether a worker may run tasks of the step."""
+        if self.step.get("requires", "") not in ("", *labels):
+            return False
+        if self.advised_step and SHARED not in labels:
+            return False
+        return not self.advised_step or is_approved(self.advised_step, worker_id)
+
+    def slots(self, free_cpu: int, free_mem_mb: int) -> int:
         """Return how many tasks fit into the free capacity of a worker."""
-        if self.advised_step and not is_approved(self.advised_step, worker_id):
-            return 0
         return max(0, min(free_cpu // self.step["cpu"], free_mem_mb // self.step["mem_mb"]))
 
 
@@ -195,10 +202,10 @@
             all_used_mem_mb += used_mem_mb
             # A new worker, or growth, is known to the instances some time later.
             known = bisect.bisect_right(sizes, at_s - SHRINK_S, key=lambda size: size.from_s)
-            if known:
+            if known and needs.may_use(life[0], self._record.labels[life]):
                 assumed = sizes[known - 1 : latest]
                 free_cpu = min(size.cpu for size in assumed) - used_cpu
                 free_mem_mb = min(size.mem_mb for size in assumed) - used_mem_mb
-                fitting += needs.slots(life[0], free_cpu, free_mem_mb)
+                fitting += needs.slots(free_cpu, free_mem_mb)
         is_busy = all_used_cpu >= BUSY_SHARE * all_cpu or all_used_mem_mb >= BUSY_SHARE * all_mem_mb
         return fitting >= needs.twice and not is_busy
--- a/scripts/queue_soak_load.py
+++ b/scripts/queue_soak_load.py
@@ -9,6 +9,7 @@
 from scripts.queue_soak_cell import ADVISED, PREFIXES, SoakCell
 from scripts.queue_soak_jobs import SoakJob
 from scripts.queue_soak_keys import TEAMS, KeyChanges
+from standins.worker_fleet_state import SHARED
 
 POLL_S = 0.5
 JOB_LIMIT_S = 60.0
@@ -32,7 +33,12 @@
     """
 
     def __init__(
-        self, cell: SoakCell, keys: KeyChanges, seed: int, callers: int, longest_ms: int
+        self,
+        cell: SoakCell,
+        keys: KeyChanges,
+        seed: int,
+        callers: int,
+        work_ms: tuple[int, int],
     ) -> None:
         self.counts: Counter[str] = Counter()
         self.jobs: list[SoakJob] = []
@@ -42,7 +48,8 @@
         self._keys = keys
         self._seed = seed
         self._callers = callers
-        self._longest_ms = longest_ms
+        self._work_ms = work_ms
+        self._gang_label = SHARED if cell.fleet_processes.stoppable else ""
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -76,7 +83,13 @@
             path = prefix + job_id
             is_crashing = rng.random() < self.crashing_share
             is_advised = prefix == ADVISED
-            body = job_body(rng, self._longest_ms, is_crashing=is_crashing, is_advised=is_advised)
+            body = job_body(
+                rng,
+                self._work_ms,
+                is_crashing=is_crashing,
+                is_advised=is_advised,
+                gang_label=self._gang_label,
+            )
             if await self._submit(rng, team, path, body):
                 now_s = asyncio.get_running_loop().time()
                 job = SoakJob(job_id, path, team, now_s, body["steps"], is_crashing, is_advised)
@@ -130,12 +143,21 @@
 
 
 def job_body(
-    rng: random.Random, longest_ms: int, *, is_crashing: bool = False, is_advised: bool = False
+    rng: random.Random,
+    work_ms: tuple[int, int],
+    *,
+    is_crashing: bool = False,
+    is_advised: bool = False,
+    gang_label: str = "",
 ) -> dict[str, Any]:
     """Return a submission of one to three steps, some of which are gangs.
 
     Parameters
     ----------
+    work_ms
+        Shortest and longest estimate.
+    gang_label
+        Label that the workers of gangs need, if any.
     is_crashing
         Whether tasks of one step crash the workers that start them.
     is_advised
@@ -146,18 +168,20 @@
     for number in range(rng.choice((1, 1, 2, 3))):
         is_gang = rng.random() < GANG_SHARE
         count = rng.randint(2, 6) if is_gang else rng.randint(3, 20)
-        work_ms = round(rng.uniform(300, longest_ms))
+        estimate_ms = round(rng.uniform(*work_ms))
         needs = {"cpu": rng.choice((250, 500, 1_000, 2_000)), "mem_mb": rng.choice((128, 1_024))}
-        step = {"count": count, **needs, "estimate_ms": work_ms}
+        step = {"count": count, **needs, "estimate_ms": estimate_ms}
         if is_gang:
             step["gang"] = True
+            if gang_label:
+                step["requires"] = gang_label
         if number:
             step["after"] = [number - 1]
         steps.append(step)
         actions.append(
             {
                 **needs,
-                "work_ms": work_ms,
+                "work_ms": estimate_ms,
                 "gang": count if is_gang else 0,
                 "fail": 0.02,
                 "hang": 0.01,
--- a/scripts/queue_soak_logs.py
+++ b/scripts/queue_soak_logs.py
@@ -14,7 +14,9 @@
 ERROR_CHARACTERS = 100
 SHOWN_LINES_OF_JOB = 20
 RELEASE_KINDS = ("runs_ended", "start_refused")
-WORKER_KINDS = ("worker_silent", "worker_restarted", "worker_unlisted", "workers_waited_out")
+WORKER_KINDS = (
+    "worker_silent", "worker_restarted", "worker_unlisted", "workers_waited_out", "runs_lost",
+)  # fmt: skip
 LEADER_MESSAGES = (
     "election: leadership gained",
     "election: leadership lost",
--- a/standins/worker_fleet_server.py
+++ b/standins/worker_fleet_server.py
@@ -161,6 +161,7 @@
             "call": name,
             "worker": worker.worker_id,
             "life": worker.life,
+            "clock_ms": int(worker.clock_ms(self._now_s())),
             "reused": request.reused,
             **{key: request.body[key] for key in shown if key in request.body},
             **({"faults": sorted(kinds)} if kinds else {}),
