--- a/scripts/queue_soak.py
+++ b/scripts/queue_soak.py
@@ -25,7 +25,7 @@
 from scripts.queue_soak_load import SoakLoad
 from scripts.queue_soak_logs import SoakLogs
 from scripts.queue_soak_stops import merge_events
-from scripts.queue_soak_trace import describe
+from scripts.queue_soak_trace import describe, describe_pairs
 from tests.lib.processes import exit_on_sigterm
 
 SHOWN_VIOLATIONS = 20
@@ -126,6 +126,7 @@
         "errors": logs.errors(),
         "standin_errors": cell.standin_errors(),
         "releases": dict(Counter(logs.cause(violation) for violation in violations)),
+        "pairs": describe_pairs(violations, record),
         "violations": dict(Counter(violation.rule for violation in violations)),
         "directory": str(directory),
     }
--- a/scripts/queue_soak_checks.py
+++ b/scripts/queue_soak_checks.py
@@ -17,6 +17,8 @@
 from standins.worker_fleet_state import SHARED
 
 DONE = "done"
+# Ends of runs that work until then.
+WORKED = (DONE, "failed", "stopped")
 # A shrink counts this long after it, or after the end of what kept it from the instances: a beat of
 # the worker, and the time within which an instance has to act on what the store holds.
 SHRINK_S = 1.5 + 3.0
@@ -207,9 +209,13 @@
     earlier: SeenRun, run: SeenRun, stops: Mapping[str, Spans]
 ) -> Iterator[SeenViolation]:
     """Check that two runs whose times overlap were not both on workers that are up."""
-    both = (run.started_s, max(run.started_s, min(earlier.ended_s, run.ended_s)))
+    ending = earlier if earlier.ended_s <= run.ended_s else run
+    both = (run.started_s, max(run.started_s, ending.ended_s))
     away = [*stops_of(stops, earlier.process), *stops_of(stops, run.process)]
     at_s = first_moment_up(both, away)
+    if at_s is None and ending.how in WORKED:
+        # A run that ends by its work at the end of a stop has gone on.
+        at_s = first_moment_up((ending.ended_s, ending.ended_s), away)
     if at_s is None:
         return
     detail = "at the same time"
--- a/scripts/queue_soak_trace.py
+++ b/scripts/queue_soak_trace.py
@@ -2,7 +2,8 @@
 
 import itertools
 import json
-from collections.abc import Iterator
+from collections import Counter
+from collections.abc import Iterable, Iterator
 from dataclasses import asdict
 from typing import Any
 
@@ -37,6 +38,31 @@
     return "\n".join(lines)
 
 
+def describe_pairs(violations: Iterable[SeenViolation], record: FleetRecord) -> dict[str, int]:
+    """Return how often each kind of two runs at once was seen: first resumption, and both ends."""
+    kinds: Counter[str] = Counter()
+    for violation in violations:
+        if violation.rule != "TWICE":
+            continue
+        first, second = violation.runs
+        processes = {first.process, second.process} - {""}
+        noted = [e for e in record.resumes if e["process"] in processes]
+        resumed = next((e for e in reversed(noted) if e["t"] <= violation.at_s), None)
+        ends = f"{first.how or 'active'} and {second.how or 'active'}"
+        kinds[f"{_flavour(resumed)}: {ends}"] += 1
+    return dict(sorted(kinds.items()))
+
+
+def _flavour(resumed: dict[str, Any] | None) -> str:
+    if resumed is None:
+        return "no stop"
+    if resumed["clock_stands_still"]:
+        return "clock stood still"
+    order = "ends" if resumed["ends_first"] else "lapse"
+    renews = ", renews" if resumed["renews_lapsed"] and resumed["lateness_s"] else ""
+    return f"clock ran on, {order} first, {resumed['lateness_s']:.2f} s late{renews}"
+
+
 def _stops(violation: SeenViolation, run: SeenRun, record: FleetRecord) -> Iterator[str]:
     """Return lines on a run's worker: stops, resumptions, lapses, and the calls around them."""
     since_s = violation.at_s - SHOWN_BEFORE_S
