--- a/scripts/queue_soak.py
+++ b/scripts/queue_soak.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 from collections import Counter
+from collections.abc import Iterable, Iterator
 from dataclasses import asdict
 from pathlib import Path
 from typing import Any
@@ -22,13 +23,14 @@
 from scripts.queue_soak_faults import QueueFaults
 from scripts.queue_soak_jobs import Span, check_jobs, describe_crashes
 from scripts.queue_soak_keys import KeyChanges, check_keys
-from scripts.queue_soak_load import SoakLoad
+from scripts.queue_soak_load import SoakLoad, extra_time_s
 from scripts.queue_soak_logs import SoakLogs
 from scripts.queue_soak_stops import merge_events
 from scripts.queue_soak_trace import describe, describe_pairs
 from tests.lib.processes import exit_on_sigterm
 
-SHOWN_VIOLATIONS = 20
+# Of each rule.
+SHOWN_VIOLATIONS = 10
 # The end of a run that counts as done may be acknowledged after the last start.
 SETTLE_S = 3.0
 # After the last fault and the end of the load: limit until all jobs have ended, and the time from
@@ -48,6 +50,15 @@
 }
 
 
+def first_of_each_rule(violations: Iterable[SeenViolation]) -> Iterator[SeenViolation]:
+    """Return the violations to show, so that many of one rule do not hide another one."""
+    seen: Counter[str] = Counter()
+    for violation in violations:
+        seen[violation.rule] += 1
+        if seen[violation.rule] <= SHOWN_VIOLATIONS:
+            yield violation
+
+
 def read_events(path: Path) -> list[dict[str, Any]]:
     """Read a record."""
     with path.open() as lines:
@@ -85,7 +96,7 @@
         await faults.run(arguments.duration_s)
         calm_s = loop.time() + CALM_AFTER_S
         sampler.cancel()
-        await load.finish(FINISH_S)
+        await load.finish(FINISH_S + extra_time_s(arguments.longest_ms))
         calm = Span(calm_s, loop.time())
         await keys.stop()
         await asyncio.sleep(SETTLE_S)
@@ -110,7 +121,7 @@
         *exits,
     ]
     logs = SoakLogs([instance.log_file for instance in cell.instances])
-    for violation in violations[:SHOWN_VIOLATIONS]:
+    for violation in first_of_each_rule(violations):
         print(describe(violation, record, logs), file=sys.stderr)
     summary = {
         "seed": arguments.seed,
--- a/scripts/queue_soak_load.py
+++ b/scripts/queue_soak_load.py
@@ -12,7 +12,11 @@
 from standins.worker_fleet_state import SHARED
 
 POLL_S = 0.5
+# For jobs whose tasks take up to this time.
 JOB_LIMIT_S = 60.0
+USUAL_MS = 4_000
+# The tasks of each of up to three steps run twice, one after the other.
+RUNS_IN_SERIES = 6
 CANCELLED_SHARE = 0.15
 GANG_SHARE = 0.25
 FINAL_STATES = ("completed", "failed", "cancelled")
@@ -21,6 +25,11 @@
 LAST_CALLS = 3
 
 
+def extra_time_s(longest_ms: int) -> float:
+    """Return how much more time jobs need whose tasks take longer than usual."""
+    return RUNS_IN_SERIES * max(0, longest_ms - USUAL_MS) / 1_000.0
+
+
 class SoakLoad:
     """A fixed number of callers, each with one open job at a time.
 
@@ -111,7 +120,7 @@
 
     async def _follow(self, rng: random.Random, job: SoakJob) -> None:
         loop = asyncio.get_running_loop()
-        limit_s = loop.time() + JOB_LIMIT_S
+        limit_s = loop.time() + JOB_LIMIT_S + extra_time_s(self._work_ms[1])
         cancels = rng.random() < CANCELLED_SHARE
         cancel_at_s = loop.time() + rng.uniform(0.2, 4.0) if cancels else None
         while loop.time() < limit_s:
--- a/scripts/queue_soak_logs.py
+++ b/scripts/queue_soak_logs.py
@@ -74,7 +74,7 @@
             for line in self._lines
             if line.get("kind") in RELEASE_KINDS
             and line.get("at_ms", 0.0) <= at_ms
-            and any(_names(line, run) for run in violation.runs if run.ended_s > violation.at_s)
+            and any(_names(line, run) for run in violation.runs if run.ended_s >= violation.at_s)
         ]
 
     def cause(self, violation: SeenViolation) -> str:
