--- a/scripts/queue_soak_trace.py
+++ b/scripts/queue_soak_trace.py
@@ -1,6 +1,5 @@
 """What the fleet's record tells about a violation: runs, calls, and stops of worker processes."""
 
-import itertools
 import json
 from collections import Counter
 from collections.abc import Iterable, Iterator
@@ -10,6 +9,7 @@
 from scripts.queue_soak_checks import FleetRecord, SeenRun, SeenViolation
 from scripts.queue_soak_logs import SoakLogs
 
+MS_PER_S = 1_000.0
 SHOWN_RUNS = 12
 # Stops and lapses are shown if they end this long before a violation, or later.
 SHOWN_BEFORE_S = 15.0
@@ -73,6 +73,10 @@
         ):
             yield f"lapse {json.dumps(event)}"
     calls = [call for call in record.calls if call["worker"] == run.worker]
+    second_s = max(run.started_s for run in violation.runs)
+    granted = [call for call in calls if call["t"] < second_s and _may_grant(call)]
+    if granted and run.started_s < second_s:
+        yield f"last lease before the second start {_shown(granted[-1])}"
     for start_s, end_s in record.stops.get(run.process, ()):
         if end_s < max(since_s, run.started_s) or start_s > min(until_s, run.ended_s):
             continue
@@ -80,11 +84,14 @@
         for event in record.resumes:
             if event["process"] == run.process and event["t"] == end_s:
                 yield f"resume {json.dumps(event)}"
-        granted = [call for call in calls if call["t"] < start_s and _may_grant(call)]
+        before = [call for call in calls if call["t"] < start_s]
+        granted = [call for call in before if _may_grant(call)]
         if granted:
             yield f"last lease before the stop {_shown(granted[-1])}"
-        after = (call for call in calls if call["t"] >= end_s)
-        for call in itertools.islice(after, SHOWN_CALLS):
+        after = [call for call in calls if call["t"] >= end_s]
+        if before and after:
+            yield f"clock over the stop {_advance(before[-1], after[0])}"
+        for call in after[:SHOWN_CALLS]:
             yield f"call after the stop {_shown(call)}"
 
 
@@ -92,5 +99,12 @@
     return "deadline_ms" in call and "executed" in call and call.get("reason") != "fence"
 
 
+def _advance(before: dict[str, Any], after: dict[str, Any]) -> str:
+    if "clock_ms" not in before or before["life"] != after["life"]:
+        return "unknown, the worker restarted"
+    clock_ms = after["clock_ms"] - before["clock_ms"]
+    return f"{clock_ms} ms on the worker in {(after['t'] - before['t']) * MS_PER_S:.0f} ms"
+
+
 def _shown(call: dict[str, Any]) -> str:
     return json.dumps({key: call[key] for key in CALL_FIELDS if key in call})
--- a/tests/unit/test_queue_soak_stops.py
+++ b/tests/unit/test_queue_soak_stops.py
@@ -154,21 +154,26 @@
 
 def test_description_tells_the_stop_its_resumption_and_the_lease_before_it(tmp_path):
     hold = {"event": "call", "call": "hold", "worker": "a", "life": 1, "deadline_ms": 6_000}
+    clocks = [{"clock_ms": clock_ms} for clock_ms in (500, 900)]
     events = [
         boot("a"), boot("b"), FIRST,
         hold | {"t": 1.5, "executed": 1.5, "reply": 200},
-        hold | {"t": 1.6, "reply": "silent"},
+        hold | clocks[0] | {"t": 1.6, "reply": "silent"},
         STOPPED, SECOND, CONTINUED, NOTED,
-        hold | {"t": 9.2, "executed": 9.2, "reply": 200},
+        hold | clocks[1] | {"t": 9.2, "executed": 9.2, "reply": 200},
         lapse(9.3, "a"), end(9.3, "a", "lapsed"),
     ]  # fmt: skip
     record = read_record(events)
     (violation,) = check_record(record)
     lines = describe(violation, record, SoakLogs([])).splitlines()
-    starts = ["lapse ", "stop of p1 from 2.000 to 9.100", "resume ", "last lease before", "call af"]
+    starts = [
+        "lapse ", "last lease before the second start", "stop of p1 from 2.000 to 9.100", "resume ",
+        "last lease before the stop", "clock over the stop 400 ms on the worker in 7600 ms",
+        "call after the stop",
+    ]  # fmt: skip
     shown = [line.strip() for line in lines if not line.strip().startswith(("run ", "TWICE"))]
-    assert [line.startswith(start) for line, start in zip(shown, starts, strict=True)] == [True] * 5
-    assert '"t": 1.5' in shown[3]
+    assert [line[: len(start)] for line, start in zip(shown, starts, strict=True)] == starts
+    assert '"t": 1.5' in shown[1] and '"t": 1.5' in shown[4]
 
 
 @pytest.mark.parametrize(
