--- a/scripts/queue_soak.py
+++ b/scripts/queue_soak.py
@@ -90,7 +90,8 @@
         load.start()
         keys.start()
         kinds = arguments.faults.split(",")
-        faults = QueueFaults(cell, entries, load, arguments.seed, kinds)
+        longest_s = arguments.longest_stop_s
+        faults = QueueFaults(cell, entries, load, arguments.seed, kinds, longest_s)
         sampler = asyncio.create_task(_sample_usage(cell, usage))
         watch = asyncio.create_task(_watch_processes(cell, exits))
         await faults.run(arguments.duration_s)
@@ -181,6 +182,9 @@
     parser.add_argument("--callers", type=int, default=60)
     parser.add_argument("--shortest_ms", type=int, default=300, help="Shortest estimate of tasks.")
     parser.add_argument("--longest_ms", type=int, default=4_000, help="Longest estimate of tasks.")
+    parser.add_argument(
+        "--longest_stop_s", type=float, default=14.0, help="Longest stop of a worker process."
+    )
     parser.add_argument("--faults", default="all", help="Kinds of faults, separated by commas.")
     for name, (default, text) in FLEET_ARGUMENTS.items():
         parser.add_argument(f"--{name}", type=type(default), default=default, help=text)
--- a/scripts/queue_soak_faults.py
+++ b/scripts/queue_soak_faults.py
@@ -23,8 +23,8 @@
 # Kinds that keep changes of entries from instances.
 STORE_KINDS = frozenset({"refuse_leader", "store_down", "store_lossy"})
 LONGEST_S = 8.0
-# Stops of workers' processes, and the longest pause of one that is starved.
-STOP_S = (2.0, 14.0)
+# Shortest stop of a worker's process, and the longest pause of one that is starved.
+SHORTEST_STOP_S = 2.0
 LONGEST_PAUSE_S = 0.9
 # Faults end this long before the end of the run, so that ends are still acknowledged.
 CALM_S = 4.0
@@ -48,6 +48,7 @@
         load: SoakLoad,
         seed: int,
         kinds: list[str],
+        longest_stop_s: float,
     ) -> None:
         self.counts: Counter[str] = Counter()
         self.disturbances: list[tuple[float, float]] = []
@@ -83,6 +84,7 @@
         # Some seeds have overlapping faults most of the time, others have calm in between.
         self._max_gap_s = self._rng.uniform(2.0, 10.0)
         self._resized: set[str] = set()
+        self._longest_stop_s = longest_stop_s
         self._signalled: set[FleetProcess] = set()
         self._odd_entries = 0
         self._crashing_spans = 0
@@ -255,7 +257,7 @@
         self._signalled.update(processes)
         for process in processes:
             self._cell.fleet_processes.pause(process)
-        await asyncio.sleep(self._rng.uniform(*STOP_S))
+        await asyncio.sleep(self._rng.uniform(SHORTEST_STOP_S, self._longest_stop_s))
         for process in processes:
             self._cell.fleet_processes.resume(process)
             await asyncio.sleep(self._rng.choice((0.0, self._rng.uniform(0, 1))))
