--- a/scripts/queue_soak_load.py
+++ b/scripts/queue_soak_load.py
@@ -9,9 +9,14 @@
 from scripts.queue_soak_cell import ADVISED, PREFIXES, SoakCell
 from scripts.queue_soak_jobs import SoakJob
 from scripts.queue_soak_keys import TEAMS, KeyChanges
+from standins.worker_fleet_state import SHARED
 
 POLL_S = 0.5
+# For jobs whose tasks take up to this time.
 JOB_LIMIT_S = 60.0
+USUAL_MS = 4_000
+# The tasks of each of up to three steps run twice, one after the other.
+RUNS_IN_SERIES = 6
 CANCELLED_SHARE = 0.15
 GANG_SHARE = 0.25
 FINAL_STATES = ("completed", "failed", "cancelled")
@@ -20,6 +25,11 @@
 LAST_CALLS = 3
 
 
+def extra_time_s(longest_ms: int) -> float:
+    """Return how much more time jobs need whose tasks take longer than usual."""
+    return RUNS_IN_SERIES * max(0, longest_ms - USUAL_MS) / 1_000.0
+
+
 class SoakLoad:
     """A fixed number of callers, each with one open job at a time.
 
@@ -32,7 +42,12 @@
     """
 
     def __init__(
-        self, cell: SoakCell, keys: KeyChanges, seed: int, callers: int, longest_ms: int
+        self,
+        cell: SoakCell,
+        keys: KeyChanges,
+        seed: int,
+        callers: int,
+        work_ms: tuple[int, int],
     ) -> None:
         self.counts: Counter[str] = Counter()
         self.jobs: list[SoakJob] = []
@@ -42,7 +57,8 @@
         self._keys = keys
         self._seed = seed
         self._callers = callers
-        self._longest_ms = longest_ms
+        self._work_ms = work_ms
+        self._gang_label = SHARED if cell.fleet_processes.stoppable else ""
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -76,7 +92,13 @@
             path = prefix + job_id
             is_crashing = rng.random() < self.crashing_share
             is_advised = prefix == ADVISED
-            body = job_body(rng, self._longest_ms, is_crashing=is_crashing, is_advised=is_advised)
+            body = job_body(
+                rng,
+                self._work_ms,
+                is_crashing=is_crashing,
+                is_advised=is_advised,
+                gang_label=self._gang_label,
+            )
             if await self._submit(rng, team, path, body):
                 now_s = asyncio.get_running_loop().time()
                 job = SoakJob(job_id, path, team, now_s, body["steps"], is_crashing, is_advised)
@@ -98,7 +120,7 @@
 
     async def _follow(self, rng: random.Random, job: SoakJob) -> None:
         loop = asyncio.get_running_loop()
-        limit_s = loop.time() + JOB_LIMIT_S
+        limit_s = loop.time() + JOB_LIMIT_S + extra_time_s(self._work_ms[1])
         cancels = rng.random() < CANCELLED_SHARE
         cancel_at_s = loop.time() + rng.uniform(0.2, 4.0) if cancels else None
         while loop.time() < limit_s:
@@ -130,12 +152,21 @@
 
 
 def job_body(
-    rng: random.Random, longest_ms: int, *, is_crashing: bool = False, is_advised: bool = False
+    rng: random.Random,
+    work_ms: tuple[int, int],
+    *,
+    is_crashing: bool = False,
+    is_advised: bool = False,
+    gang_label: str = "",
 ) -> dict[str, Any]:
     """Return a submission of one to three steps, some of which are gangs.
 
     Parameters
     ----------
+    work_ms
+        Shortest and longest estimate.
+    gang_label
+        Label that the workers of gangs need, if any.
     is_crashing
         Whether tasks of one step crash the workers that start them.
     is_advised
@@ -146,18 +177,20 @@
     for number in range(rng.choice((1, 1, 2, 3))):
         is_gang = rng.random() < GANG_SHARE
         count = rng.randint(2, 6) if is_gang else rng.randint(3, 20)
-        work_ms = round(rng.uniform(300, longest_ms))
+        estimate_ms = round(rng.uniform(*work_ms))
         needs = {"cpu": rng.choice((250, 500, 1_000, 2_000)), "mem_mb": rng.choice((128, 1_024))}
-        step = {"count": count, **needs, "estimate_ms": work_ms}
+        step = {"count": count, **needs, "estimate_ms": estimate_ms}
         if is_gang:
             step["gang"] = True
+            if gang_label:
+                step["requires"] = gang_label
         if number:
             step["after"] = [number - 1]
         steps.append(step)
         actions.append(
             {
                 **needs,
-                "work_ms": work_ms,
+                "work_ms": estimate_ms,
                 "gang": count if is_gang else 0,
                 "fail": 0.02,
                 "hang": 0.01,
--- a/scripts/queue_soak_logs.py
+++ b/scripts/queue_soak_logs.py
@@ -14,7 +14,9 @@
 ERROR_CHARACTERS = 100
 SHOWN_LINES_OF_JOB = 20
 RELEASE_KINDS = ("runs_ended", "start_refused")
-WORKER_KINDS = ("worker_silent", "worker_restarted", "worker_unlisted", "workers_waited_out")
+WORKER_KINDS = (
+    "worker_silent", "worker_restarted", "worker_unlisted", "workers_waited_out", "runs_lost",
+)  # fmt: skip
 LEADER_MESSAGES = (
     "election: leadership gained",
     "election: leadership lost",
@@ -72,7 +74,7 @@
             for line in self._lines
             if line.get("kind") in RELEASE_KINDS
             and line.get("at_ms", 0.0) <= at_ms
-            and any(_names(line, run) for run in violation.runs if run.ended_s > violation.at_s)
+            and any(_names(line, run) for run in violation.runs if run.ended_s >= violation.at_s)
         ]
 
     def cause(self, violation: SeenViolation) -> str:
