Move what a resigning leader stores to a module of its own

The facts for the successor are one value (ReleaseFacts), collected after the last order. No change of behaviour; the tests of the handover pass the new type.

--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/election.py
@@ -7,14 +7,20 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from result import Err, Ok, Result
 
 from nutmeglb._internal.background import BackgroundTasks
 from nutmeglb._internal.queues import keys
-from nutmeglb._internal.queues.authority import MAX_CLOCK_DRIFT, Authority, Term
+from nutmeglb._internal.queues.authority import Authority, Term
+from nutmeglb._internal.queues.leader_release import (
+    NO_WRITER,
+    ReleaseFacts,
+    ReleaseFactsFunction,
+    release_puts,
+)
 from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.peer_links import PeerLinks
 from nutmeglb._internal.queues.ports import Commit, QueueStore, StoredItem, StoredPut
@@ -26,7 +32,6 @@
 from nutmeglb_formats.models.queue_records import (
     Counter,
     LeaderRecord,
-    Waits,
     decode_queue_record,
     encode_queue_record,
 )
@@ -36,10 +41,6 @@
 
 # Cause of a lost leadership: the instance could not load the state to schedule from.
 TAKEOVER_FAILED = "the jobs, their progress or the workers could not be read from the store"
-# Returns pairs of a worker id and the milliseconds that leaders have waited for that worker.
-WaitsFunction = Callable[[], Sequence[tuple[str, float]]]
-# Writer of the stored term once no present or former leader can send orders any more.
-NO_WRITER = ""
 # Cause of a lost leadership: a follower on a stronger machine can lead.
 HANDED_OVER = "handed over to a follower on a stronger machine"
 # An instance that stepped down for one of these causes delays its campaigns by COOLDOWN_DELAY_MS
@@ -142,32 +143,20 @@
         is_excluded = self._resigned or self._clock.now_ms() < self._cooldown_until_ms
         return 0.0 if is_excluded else strength_of(self._live.current.machine)
 
-    async def resign(
-        self, waits: WaitsFunction = tuple, has_long_leases: Callable[[], bool] = lambda: False
-    ) -> None:
-        """Release the leadership permanently, so that another instance takes over immediately.
-
-        Parameters
-        ----------
-        waits
-            Returns how long leaders have waited for each worker, to be stored for the successor.
-        has_long_leases
-            Returns whether a run may have a longer lease than was ordered.
-        """
+    async def resign(self, facts: ReleaseFactsFunction = ReleaseFacts) -> None:
+        """Release the leadership permanently, so that another instance takes over immediately."""
         self._resigned = True
-        await self._release("planned stop", waits, has_long_leases)
+        await self._release("planned stop", facts)
 
-    async def hand_over(self, waits: WaitsFunction, has_long_leases: Callable[[], bool]) -> None:
+    async def hand_over(self, facts: ReleaseFactsFunction) -> None:
         """Release the leadership and let other instances campaign first.
 
         Does nothing while the store does not answer, since nobody could be elected then.
         """
         if await self._store_answers_here():
-            await self._release(HANDED_OVER, waits, has_long_leases)
+            await self._release(HANDED_OVER, facts)
 
-    async def _release(
-        self, cause: str, waits: WaitsFunction, has_long_leases: Callable[[], bool]
-    ) -> None:
+    async def _release(self, cause: str, facts: ReleaseFactsFunction) -> None:
         term = self._term
         if term is None or self._is_releasing:
             return
@@ -175,8 +164,8 @@
         term.authority.revoke()
         self._is_releasing = True
         try:
-            # No orders are sent from here on, so the stored waits cover every order of this term.
-            await self._store_release(term, waits(), has_long_leases())
+            # No orders are sent from here on, so the stored facts cover every order of this term.
+            await self._store_release(term, facts())
             ended = await self._store.lease_revoke(term.lease)
         finally:
             self._is_releasing = False
@@ -184,19 +173,9 @@
             logger.warning("lease not revoked; it expires by itself", cause=str(ended.err_value))
         await self.step_down(cause)
 
-    async def _store_release(
-        self, term: Term, waited: Sequence[tuple[str, float]], has_long_leases: bool
-    ) -> None:
-        """Remove the leader key, and store records that let the successor wait less for workers.
-
-        The term is only marked as free of orders once it is old enough that the former leader can
-        no longer send any either. The longer wait that follows otherwise covers the longest lease.
-        """
-        puts = [StoredPut(keys.WAITS, encode_queue_record(Waits(term.number, list(waited))))]
-        age_ms = (self._clock.now_ms() - term.claimed_ms) * (1 - MAX_CLOCK_DRIFT)
-        is_free = term.no_former_orders or age_ms >= self._settings.authority_ms
-        if is_free and not has_long_leases:
-            puts.append(StoredPut(keys.TERM, encode_queue_record(Counter(term.number, NO_WRITER))))
+    async def _store_release(self, term: Term, facts: ReleaseFacts) -> None:
+        """Remove the leader key, and store what shortens the takeover of the successor."""
+        puts = release_puts(term, facts, self._clock.now_ms(), self._settings.authority_ms)
         stored = await self._store.commit({keys.LEADER: term.key_revision}, puts, [keys.LEADER])
         if isinstance(stored, Err):
             logger.warning("release not stored; takeover takes longer", cause=str(stored.err_value))
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/leader.py
@@ -19,6 +19,7 @@
 from nutmeglb._internal.queues.inbox_reader import InboxReader
 from nutmeglb._internal.queues.leader_callbacks import LeaderCallbacks
 from nutmeglb._internal.queues.leader_hints import LeaderHints
+from nutmeglb._internal.queues.leader_release import ReleaseFacts
 from nutmeglb._internal.queues.lease_bounds import new_cell
 from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.load_reports import LoadReports
@@ -212,17 +213,14 @@
         if lifecycle.cancel_job(self.cell, job_id, self._clock.wall_ms()):
             self._request_pass()
 
-    def waits(self) -> list[tuple[str, float]]:
-        """Return worker ids and how long leaders have waited for them, for the successor."""
+    def release_facts(self) -> ReleaseFacts:
+        """Return what the successor may rely on, after the last order of this leader."""
         elapsed_ms = (self._clock.now_ms() - self._takeover_wait.takeover_ms) * (
             1 - MAX_CLOCK_DRIFT
         )
-        return list(takeover_wait.waits(self.cell, self._takeover_wait, elapsed_ms).items())
-
-    @property
-    def has_long_leases(self) -> bool:
-        """Return whether a run may have a longer lease than was ordered."""
-        return unknown_life_leases.may_outlast_orders(self.cell)
+        waits = takeover_wait.waits(self.cell, self._takeover_wait, elapsed_ms)
+        has_long_leases = unknown_life_leases.may_outlast_orders(self.cell)
+        return ReleaseFacts(list(waits.items()), has_long_leases)
 
     def _set_takeover_wait(self, start_ms: float, waits: Waits | None) -> None:
         """Set how long to wait for workers that may still run tasks of former leaders."""
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/node.py
@@ -15,6 +15,7 @@
 from nutmeglb._internal.queues.decision_log import DecisionLog
 from nutmeglb._internal.queues.election import Election
 from nutmeglb._internal.queues.leader import Leader
+from nutmeglb._internal.queues.leader_release import ReleaseFacts
 from nutmeglb._internal.queues.live_settings import LiveSettings
 from nutmeglb._internal.queues.loop_lag import LoopLag
 from nutmeglb._internal.queues.part_metrics import PartMetrics
@@ -202,7 +203,7 @@
         logger.info("draining", balancer_notice_ms=limits.balancer_notice_ms)
         frontend.begin_drain()
         await self._store_progress()
-        await self._election.resign(self._waits, self._has_long_leases)
+        await self._election.resign(self._release_facts)
         # Counts only time in which the process ran, since the balancer cannot check a paused one.
         for _ in range(int(limits.balancer_notice_ms / MS_PER_S / POLL_INTERVAL_S)):
             await asyncio.sleep(POLL_INTERVAL_S)
@@ -227,17 +228,14 @@
 
     async def _hand_over(self) -> None:
         await self._store_progress()
-        await self._election.hand_over(self._waits, self._has_long_leases)
+        await self._election.hand_over(self._release_facts)
 
     async def _store_progress(self) -> None:
         if self._leader is not None:
             await self._leader.flush_progress(FLUSH_TIMEOUT_MS)
 
-    def _waits(self) -> list[tuple[str, float]]:
-        return self._leader.waits() if self._leader is not None else []
-
-    def _has_long_leases(self) -> bool:
-        return self._leader is not None and self._leader.has_long_leases
+    def _release_facts(self) -> ReleaseFacts:
+        return self._leader.release_facts() if self._leader is not None else ReleaseFacts()
 
     def _own_record(self) -> LeaderRecord:
         return LeaderRecord(
--- a/tests/functional/test_queue_giving_up.py
+++ b/tests/functional/test_queue_giving_up.py
@@ -7,6 +7,7 @@
 import pytest
 
 from nutmeglb._internal.queues import keys, stored_jobs
+from nutmeglb._internal.queues.leader_release import ReleaseFacts
 from nutmeglb._internal.queues.ports import StoredItem
 from nutmeglb_formats.clock import Clock
 from nutmeglb_formats.models.queue_records import Counter, Waits, encode_queue_record
@@ -70,7 +71,7 @@
 
         held._term = replace(held.term, claimed_ms=held._clock.now_ms() - LONG_MS)
         setattr(store, name, slow)
-        handing_over = asyncio.create_task(held.hand_over(list))
+        handing_over = asyncio.create_task(held.hand_over(ReleaseFacts))
         await asyncio.sleep(0.3)
         answered.set()
         await handing_over
@@ -141,7 +142,7 @@
         await former.node.drain(former.frontend)
         await path.until(lambda: other.node.is_leading)
         before = {key: path.store.data.items[key] for key in (keys.TERM, keys.LEADER)}
-        await held._store_release(term, [])
+        await held._store_release(term, ReleaseFacts())
         assert {key: path.store.data.items.get(key) for key in before} == before
 
     run_scenario(scenario)
@@ -174,11 +175,11 @@
         held = path.leader.node._election
         authority, may_command_values = held.term.authority, []
 
-        def waits():
+        def facts():
             may_command_values.append(authority.may_command)
-            return []
+            return ReleaseFacts()
 
-        await held.hand_over(waits)
+        await held.hand_over(facts)
         assert may_command_values == [False]
 
     run_scenario(scenario)
--- a/tests/lib/queue_lease_world.py
+++ b/tests/lib/queue_lease_world.py
@@ -42,6 +42,6 @@
         async def release():
             leader = process.leader
             if leader is not None:
-                await process.election.resign(leader.waits, lambda: leader.has_long_leases)
+                await process.election.resign(leader.release_facts)
 
         process.loop.call_soon(lambda: process._background.spawn(release()))
--- a/tests/lib/queue_process.py
+++ b/tests/lib/queue_process.py
@@ -92,8 +92,7 @@
         """Release the leadership as planned, with the waits for the successor."""
         leader = self.leader
         if leader is not None:
-            handing_over = self.election.hand_over(leader.waits, lambda: leader.has_long_leases)
-            self._background.spawn(handing_over)
+            self._background.spawn(self.election.hand_over(leader.release_facts))
 
     def write(self, decisions):
         for decision in decisions:
