Count the longest lease in the first term only after another life has answered

The first answer of a worker to the first leader counted with the longest lease once its entry had shown a restart, although no other life had been sent a deadline. test_first_answer_of_a_life_may_follow_a_deadline_for_another_one has the four cases.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/unknown_life_leases.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/unknown_life_leases.py
@@ -11,8 +11,6 @@
   which a later life may carry out. Each call that carries a deadline may give it the longest lease.
 """
 
-import math
-
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.state import Run, RunState
 from nutmeglb_decisions.queues.worker_state import Worker
@@ -31,10 +29,10 @@
 def record_first_answer(cell: Cell, worker: Worker, now_ms: float) -> None:
     """Count the longest lease from the first answer of a life to this leader.
 
-    Until then, a former leader may have sent a deadline for another life. From then on the worker
-    refuses its calls.
+    Until then, a deadline for another life may have been sent, by a former leader or by this one.
+    From then on the worker refuses the calls of former leaders.
     """
-    if cell.term > 0 or worker.restarted_ms > -math.inf:
+    if cell.term > 0 or worker.former_report_ms > 0.0:
         worker.lease_expires_at_ms = max(
             worker.lease_expires_at_ms, now_ms + cell.max_lease_expiry_after_ms
         )
--- a/tests/unit/test_queue_lease_of_unknown_life.py
+++ b/tests/unit/test_queue_lease_of_unknown_life.py
@@ -175,3 +175,18 @@
     if is_silent:
         orders.unanswered(world.cell, world.worker(run.worker_id), world.now_ms)
     assert unknown_life_leases.may_outlast_orders(world.cell) == expected
+
+
+@pytest.mark.parametrize(
+    ("term", "restarts", "expected_ms"),
+    [(0, False, LEASE_MS), (0, True, LONGEST_MS), (1, False, LONGEST_MS), (1, True, LONGEST_MS)],
+)
+def test_first_answer_of_a_life_may_follow_a_deadline_for_another_one(term, restarts, expected_ms):
+    world = CellWorld(cell=Cell(term, LEASE_MS, 350.0, LONGEST_MS))
+    world.show(worker_info("w1"))
+    worker = world.worker("w1")
+    if restarts:
+        world.tick(2 * LONGEST_MS)
+        world.report("w1", started_ms=9_000)
+    orders.extend_lease(worker, world.now_ms + LEASE_MS)
+    assert worker.lease_expires_at_ms == world.now_ms + expected_ms
