Let lasting tasks not wait for the longest lease of an unknown life

A worker that crashes silently with such an order in flight is far more frequent than one that restarts unseen and is then cut off, so these tasks go by the ordered lease. test_lasting_task_does_not_wait_for_the_longest_lease fails before.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/unknown_life_leases.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/unknown_life_leases.py
@@ -66,8 +66,13 @@
 
 
 def has_unknown_life(run: Run) -> bool:
-    """Return whether a run may be active in a life of its worker that is not known."""
-    return not run.is_life_known or run.unanswered_orders > 0
+    """Return whether a run may be active in a life of its worker that is not known.
+
+    Lasting tasks do not wait for it: callers allow them 9 s without a run, which the longest lease
+    exceeds.
+    """
+    is_unknown = not run.is_life_known or run.unanswered_orders > 0
+    return is_unknown and not run.step.spec.lasting
 
 
 def lapsed_runs(worker: Worker, confirmed_ms: float) -> list[Run]:
--- a/tests/unit/test_queue_lease_of_unknown_life.py
+++ b/tests/unit/test_queue_lease_of_unknown_life.py
@@ -79,11 +79,11 @@
 LEASE_MS, LONGEST_MS = 6_300.0, 10_400.0
 
 
-def world_with_run() -> CellWorld:
+def world_with_run(**changes: object) -> CellWorld:
     """Return a world with a run whose order is about to be sent."""
     world = CellWorld(cell=Cell(0, LEASE_MS, 350.0, LONGEST_MS))
     world.show(worker_info("w1"), worker_info("w2"))
-    world.add(job("a", step()))
+    world.add(job("a", step(**changes)))
     world.schedule()
     return world
 
@@ -125,6 +125,17 @@
     assert not worker.runs
 
 
+def test_lasting_task_does_not_wait_for_the_longest_lease():
+    """Guards against a lasting task that is idle for longer than callers allow."""
+    world = world_with_run(lasting=True)
+    (run,) = world.cell.active["a"].steps[0].live_runs
+    worker = world.worker(run.worker_id)
+    unknown_life_leases.record_deadline(world.cell, worker, world.now_ms)
+    orders.unanswered(world.cell, worker, world.now_ms)
+    world.tick(LEASE_MS)
+    assert not worker.runs
+
+
 def test_other_runs_of_the_worker_do_not_wait_and_remain_free_of_suspicion():
     """Guards against a wait for all runs, and against losses that count without their suspect."""
     world = world_with_run()
