--- a/tests/lib/queue_silence_cases.py
+++ b/tests/lib/queue_silence_cases.py
@@ -76,6 +76,10 @@
     "stopped_without_its_clock_during_two_changes_of_leader": stopped(
         True, False, *HANDED_OVER_TWICE
     ),
+    # Waits for a worker that accepts connections must not count for the next leader.
+    "stopped_while_the_leader_hands_over_after_its_wait": stopped(
+        False, True, ("replace", 0), ("advance", 16_000), ("hand_over", 0), ("advance", 5_000)
+    ),
     "stopped_again_after_a_short_stop": stopped(
         False, True, ("advance", 3_000), ("wake", W), ("advance", 200), ("stall", W, True, True),
         ("advance", 9_000),
