--- a/tests/lib/queue_world.py
+++ b/tests/lib/queue_world.py
@@ -74,6 +74,8 @@
         self.cuts = {}
         self.jobs = {}
         self.cancelled = set()
+        # Jobs that have ended as expected. Their records are removed after a while.
+        self._ended = set()
         self._lives_of_processes = 0
         self._born = 1_000
         self._begin_lives()
@@ -155,6 +157,7 @@
         """Apply one step of a case."""
         self.note(f"STEP {name} {arguments}")
         getattr(self, name)(*arguments)
+        World._unfinished(self)
 
     def advance(self, duration_ms):
         self.simulation.advance(duration_ms)
@@ -365,13 +368,15 @@
 
     def _unfinished(self):
         unfinished = []
-        for job_id in self.jobs:
+        for job_id in self.jobs.keys() - self._ended:
             item = self.store.items.get(keys.final(job_id))
             loaded = decode_queue_record(item[0].value, "") if item else Err(None)
             final = loaded.ok_value.final if isinstance(loaded, Ok) else ""
-            if final != "completed" and not (final == "cancelled" and job_id in self.cancelled):
+            if final == "completed" or (final == "cancelled" and job_id in self.cancelled):
+                self._ended.add(job_id)
+            else:
                 unfinished.append((job_id, final))
-        return unfinished
+        return sorted(unfinished)
 
 
 def replay(steps, finish=True, make_world=World):
