--- a/scripts/queue_soak.py
+++ b/scripts/queue_soak.py
@@ -50,6 +50,18 @@
 }
 
 
+def process_sizes(seed: int, processes: int, workers: int) -> list[int]:
+    """Return the numbers of workers in processes that may be stopped, at most half of all.
+
+    The others are enough for gangs and for steps that need tickets.
+    """
+    rng = random.Random(f"processes {seed}")
+    sizes: list[int] = []
+    for _ in range(processes):
+        sizes.append(min(rng.choice(PROCESS_SIZES), workers // 2 - sum(sizes)))
+    return [size for size in sizes if size > 0]
+
+
 def first_of_each_rule(violations: Iterable[SeenViolation]) -> Iterator[SeenViolation]:
     """Return the violations to show, so that many of one rule do not hide another one."""
     seen: Counter[str] = Counter()
@@ -67,7 +79,6 @@
 
 async def run(arguments: argparse.Namespace) -> int:
     """Run once, print one JSON line and return the exit status."""
-    sizes_rng = random.Random(f"processes {arguments.seed}")
     directory = Path(tempfile.mkdtemp(prefix=f"queue-soak-{arguments.seed}-"))
     cell = SoakCell(
         directory,
@@ -75,7 +86,7 @@
         arguments.instances,
         arguments.workers,
         [f"--{name}={getattr(arguments, name)}" for name in FLEET_ARGUMENTS],
-        stoppable=[sizes_rng.choice(PROCESS_SIZES) for _ in range(arguments.worker_processes)],
+        stoppable=process_sizes(arguments.seed, arguments.worker_processes, arguments.workers),
     )
     usage: list[float] = []
     exits: list[SeenViolation] = []
