End a stall by any answer, and by no failed connection

A failed connection withdrew a proved stall, although this process may be the cause, for instance without a free descriptor; the task then started beside its run. Now only an answer, another incarnation or the limit ends a proved stall; an answer without a report leaves the runs one more ordered lease.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/silent_workers.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/silent_workers.py
@@ -3,7 +3,7 @@
 A worker that is cut off, or whose machine is down, accepts no connections. One whose process stands
 still does: its kernel establishes them, although nothing answers. Such a worker does not end its
 runs when their lease expires, and may complete them when it continues. So its runs count as active
-until it answers, refuses connections or has stood still for the longest time that is waited for.
+until it answers, has restarted, or has stood still for the longest time that is waited for.
 """
 
 from dataclasses import dataclass
@@ -35,25 +35,20 @@
     leader_ms: float
 
 
-def record_unanswered(
-    cell: Cell, worker: Worker, is_connected: bool, is_refused: bool, now_ms: float
-) -> None:
+def record_unanswered(cell: Cell, worker: Worker, is_connected: bool, now_ms: float) -> None:
     """Record what the attempt to reach a worker has shown.
 
-    Only a refusal or an answer disproves a stall: after some connections, the kernel of a stalled
-    worker may accept no more.
+    No missing connection disproves a stall: after some connections, the kernel of a stalled worker
+    may accept no more, and this process may be unable to open one.
 
     Parameters
     ----------
     is_connected
         Whether a new connection was established, on which nothing came back until the timeout.
-    is_refused
-        Whether no connection could be established.
     """
     if not is_connected:
-        if is_refused or worker.connected_calls < STALL_PROOF_CALLS:
-            worker.connected_calls = 0
-            worker.stalled_since_ms = None
+        if worker.connected_calls < STALL_PROOF_CALLS:
+            _forget_stall(worker)
         return
     worker.connected_calls += 1
     if worker.stalled_since_ms is None:
@@ -70,6 +65,23 @@
         )
 
 
+def record_other_answer(cell: Cell, worker: Worker, now_ms: float) -> None:
+    """Record an answer without a report, after which the process does not stand still any more.
+
+    If its clock stood still, the lease of its runs goes on for as long as was ordered at most.
+    """
+    if worker.stalled_since_ms is not None:
+        worker.lease_expires_at_ms = max(
+            worker.lease_expires_at_ms, now_ms + cell.lease_expiry_after_ms
+        )
+    _forget_stall(worker)
+
+
+def _forget_stall(worker: Worker) -> None:
+    worker.connected_calls = 0
+    worker.stalled_since_ms = None
+
+
 def may_have_active_runs(cell: Cell, worker: Worker, now_ms: float) -> bool:
     """Return whether a silent worker may continue runs although their lease has expired."""
     since_ms = worker.stalled_since_ms
@@ -84,8 +96,8 @@
     cell: Cell, worker: Worker, report: WorkerReport, gap: ClockGap | None, now_ms: float
 ) -> None:
     """Record and log the first report after a silence. Called before the report is applied."""
-    connected_calls, worker.connected_calls = worker.connected_calls, 0
-    worker.stalled_since_ms = None
+    connected_calls = worker.connected_calls
+    _forget_stall(worker)
     if worker.unanswered_since_ms is None:
         return
     presumed = cell.presumed_ends.keys()
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/worker_state.py
@@ -47,13 +47,17 @@
     is_replaced, replaced_ms
         Whether another worker has answered at its address, and the worker has not reported since;
         and the time of that answer.
+    report_clock_ms, first_answer_clock_ms
+        Times on the worker's clock of the last report and of the first answer of this incarnation.
+    stop_clocks_ms
+        Per task and run number: time on the worker's clock at which it accepted a stop.
     avoided_until_ms
         Time before which no task is placed on the worker.
     last_report_ms
         Time of the last report.
     connected_calls
         Renewals since the last answer for which the worker accepted a new connection without
-        answering; 0 again after a refusal, or if the next call after a single one is not accepted.
+        answering; 0 again if the next call after a single one is not accepted.
     stalled_since_ms
         Time of the first of these calls, since which its process stands still; ``None`` if it does
         not.
@@ -92,6 +96,9 @@
     avoided_until_ms: float = 0.0
     unanswered_since_ms: float | None = None
     last_report_ms: float = 0.0
+    report_clock_ms: float = 0.0
+    first_answer_clock_ms: float = 0.0
+    stop_clocks_ms: dict[tuple[str, int], float] = field(default_factory=dict)
     connected_calls: int = 0
     stalled_since_ms: float | None = None
     restarted_ms: float = -math.inf
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -139,14 +139,13 @@
                 return
             if answer.err_value.context.get("other_incarnation"):
                 self._end_life(sent_to)
-            is_refused = bool(answer.err_value.context.get("not_sent"))
-            if is_refused:
+            if answer.err_value.context.get("not_sent"):
                 worker_losses.record_unreachable(worker, now_ms)
+            if answer.err_value.context.get("answered"):
+                silent_workers.record_other_answer(self._cell, worker, now_ms)
             if not self._is_excused(sent_ms):
                 is_connected = bool(answer.err_value.context.get("connected"))
-                silent_workers.record_unanswered(
-                    self._cell, worker, is_connected, is_refused, now_ms
-                )
+                silent_workers.record_unanswered(self._cell, worker, is_connected, now_ms)
                 await self._on_unanswered(now_ms)
             return
         report = answer.ok_value
