Measure the time of a stop on the clock of the worker that stands still

An accepted stop proves the end of its run once a report lacks it after the longest time that a stop takes. That time was counted here only: a worker that stood still after the answer, and its clock with it, had most of the stop left when it went on, while its report already lacked the run. The same held for stops of a former leader before a worker is settled.

The clocks in the answer to the stop and in the report now have to differ by that time as well, within one incarnation (stop_proofs.py).

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/absent_runs.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Container
 
-from nutmeglb_decisions.queues import presumed_ends, worker_losses
+from nutmeglb_decisions.queues import presumed_ends, stop_proofs, worker_losses
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.lifecycle import end_run, repeat_stop
 from nutmeglb_decisions.queues.state import Run, RunState
@@ -61,7 +61,11 @@
     )
     if is_of_former_life and not run.unanswered_orders:
         return True
-    return _is_stop_accepted(worker, run) and sent_ms >= confirmed_ms + cell.stop_ends_after_ms
+    return (
+        _is_stop_accepted(worker, run)
+        and sent_ms >= confirmed_ms + cell.stop_ends_after_ms
+        and stop_proofs.has_passed(cell, worker, (run.task, run.number))
+    )
 
 
 def _is_stop_accepted(worker: Worker, run: Run) -> bool:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/cell.py
@@ -101,8 +101,10 @@
         the former incarnation, and the worker only limits it to the longest lease.
     stop_ends_after_ms
         Time after the answer to a stop order after which the stopped run has certainly ended.
+    max_stop_ms
+        Longest time from the answer to a stop order to its end, on the worker's clock.
     max_kill_ms
-        Time that is contained in both of them, in which a worker ends its runs after their lease.
+        Time that both lease bounds contain, in which a worker ends its runs after their lease.
     max_stall_ms
         How long runs of a worker whose process stands still count as active after their lease.
     former_orders_end_ms
@@ -157,6 +159,7 @@
     lease_expiry_after_ms: float
     stop_ends_after_ms: float
     max_lease_expiry_after_ms: float = 0.0
+    max_stop_ms: float = 0.0
     max_kill_ms: float = 0.0
     max_stall_ms: float = 0.0
     former_orders_end_ms: float | None = -math.inf
@@ -259,6 +262,7 @@
         worker = self.workers.get(run.worker_id)
         if worker and worker.runs.pop((run.task, run.number), None) is run:
             worker.release_capacity(run.charged)
+            worker.stop_clocks_ms.pop((run.task, run.number), None)
         task = run.step.tasks[run.index]
         if task.run is run:
             task.run = None
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/orders.py
@@ -2,7 +2,7 @@
 
 from enum import StrEnum
 
-from nutmeglb_decisions.queues import presumed_ends, worker_losses
+from nutmeglb_decisions.queues import presumed_ends, stop_proofs, worker_losses
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StopTask
 from nutmeglb_decisions.queues.lifecycle import RETRY_DELAY_MS, end_run, stop_run
@@ -146,8 +146,21 @@
         run.unanswered_orders += sent
 
 
-def apply_stop_answer(cell: Cell, worker_id: str, task: str, number: int, now_ms: float) -> None:
-    """Record that a worker accepted a stop order: the run ends, or can never start."""
+def apply_stop_answer(
+    cell: Cell,
+    worker_id: str,
+    task: str,
+    number: int,
+    now_ms: float,
+    clock_ms: float | None = None,
+) -> None:
+    """Record that a worker accepted a stop order: the run ends, or can never start.
+
+    Parameters
+    ----------
+    clock_ms
+        Time on the worker's clock, if the answer contains it.
+    """
     worker = cell.workers.get(worker_id)
     if worker is None:
         return
@@ -158,6 +171,9 @@
         run.stop_accepted_by = worker.started_ms
     elif key in worker.stray_runs:
         worker.stray_runs[key] = now_ms
+    else:
+        return
+    stop_proofs.record_accepted(worker, key, clock_ms)
 
 
 def extend_lease(worker: Worker, lease_expires_at_ms: float) -> None:
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/reports.py
@@ -9,6 +9,7 @@
     presumed_ends,
     run_numbers,
     speeds,
+    stop_proofs,
     stray_runs,
     unknown_life_leases,
     unseen_runs,
@@ -139,6 +140,7 @@
     worker.has_moved = False
     worker.connected_calls = 0
     worker.stalled_since_ms = None
+    stop_proofs.forget_life(worker)
     worker.first_answer_ms = None
     worker.settled = False
     worker.lease_expires_at_ms = max(
@@ -205,6 +207,8 @@
         worker.reported_started_ms = report.started_ms
         worker.stray_runs.clear()
     late_orders.bar(cell, worker, now_ms)
+    is_first_answer = worker.first_answer_ms is None
+    stop_proofs.record_report(worker, report.clock_ms, is_first_answer)
     worker.unanswered_since_ms = None
     worker.is_replaced = False
     worker.last_report_ms = now_ms
@@ -221,7 +225,7 @@
     for key, running in running_by_key.items():
         _apply_running(cell, worker, key, running, sent_ms, now_ms)
     speeds.after_report(cell, worker, now_ms)
-    if worker.first_answer_ms is None:
+    if is_first_answer:
         worker.first_answer_ms = now_ms
         unknown_life_leases.record_first_answer(cell, worker, now_ms)
     ended_keys = [(ended.task, ended.run) for ended in report.ended]
@@ -229,7 +233,11 @@
     if len(report.ended) < MAX_ENDS_PER_REPORT:
         ended_runs = apply_absence(cell, worker, running_by_key, sent_ms, now_ms, wall_ms)
         log_ends(cell, worker, [(run.task, run.number, LOST) for run in ended_runs])
-        if not worker.settled and sent_ms >= cell.settles_at_ms(worker):
+        if (
+            not worker.settled
+            and sent_ms >= cell.settles_at_ms(worker)
+            and stop_proofs.has_passed_for_former_leaders(cell, worker)
+        ):
             worker.settled = True
             unseen_runs.record_settled(cell, worker)
 
--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/stray_runs.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/stray_runs.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Container, Iterable
 
+from nutmeglb_decisions.queues import stop_proofs
 from nutmeglb_decisions.queues.cell import Cell
 from nutmeglb_decisions.queues.effects import StopTask
 from nutmeglb_decisions.queues.worker_state import Worker
@@ -40,10 +41,14 @@
     """Forget the stray runs of which a report, requested at ``sent_ms``, proves the end."""
     for key in ended:
         worker.stray_runs.pop(key, None)
+        stop_proofs.forget(worker, key)
     for key, stopped_ms in list(worker.stray_runs.items()):
         if key in running:
             continue
         if stopped_ms is None:
             cell.effects.append(StopTask(worker.worker_id, key[0], key[1]))
-        elif sent_ms >= stopped_ms + cell.stop_ends_after_ms:
+        elif sent_ms >= stopped_ms + cell.stop_ends_after_ms and stop_proofs.has_passed(
+            cell, worker, key
+        ):
             del worker.stray_runs[key]
+            stop_proofs.forget(worker, key)
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/lease_bounds.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/lease_bounds.py
@@ -21,6 +21,7 @@
         stop_ends_after_ms=_longest_ms(settings.max_stop_ms) + NETWORK_MARGIN_MS,
         max_lease_expiry_after_ms=_longest_ms(settings.max_run_lease_ms) + ended_after_ms,
     )
+    cell.max_stop_ms = settings.max_stop_ms
     cell.max_kill_ms = settings.max_kill_ms
     cell.max_stall_ms = settings.max_stall_ms
     return cell
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -363,6 +363,7 @@
                 effect.task,
                 effect.run,
                 self._clock.now_ms(),
+                answer.clock_ms,
             )
         elif answer.outcome not in (StartOutcome.UNKNOWN, StartOutcome.STARTED):
             self._cell.log_decision(
