--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/takeover_wait.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/takeover_wait.py
@@ -96,8 +96,8 @@
 def waits(cell: Cell, takeover_wait: TakeoverWait, elapsed_ms: float) -> dict[str, float]:
     """Return the time waited so far for each worker that has not answered, in milliseconds.
 
-    Workers whose process stands still are left out, since its runs may outlast the waited time. The
-    next leader finds out by itself whether they still do.
+    Workers whose processes stand still are left out, since their runs may outlast the waited time.
+    The next leader finds out by itself whether they still stand still.
 
     Parameters
     ----------
