End a stall by no answer of another worker

An answer of another worker at an address that may be outdated ended the stall of this one, and its runs counted with their lease again. The row of test_only_an_answer_of_the_worker_itself_ends_its_stall fails before.

--- a/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/unknown_life_leases.py
+++ b/packages/nutmeglb-decisions/src/nutmeglb_decisions/queues/unknown_life_leases.py
@@ -70,9 +70,8 @@
 def has_unknown_life(run: Run, now_ms: float) -> bool:
     """Return whether a run may be active in a life of its worker that is not known.
 
-    Copies of its order are carried out within a bounded time.
-    Lasting tasks do not wait for it: callers allow them 9 s without a run, which the longest lease
-    exceeds.
+    Copies of its order are carried out within a bounded time. Lasting tasks do not wait for any of
+    this: callers allow them 9 s without a run, which the longest lease exceeds.
     """
     has_copies = run.unanswered_orders > 0
     may_start_late = has_copies and now_ms < run.ordered_ms + late_orders.MAX_DELAY_MS
--- a/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
+++ b/packages/nutmeglb/src/nutmeglb/_internal/queues/worker_link.py
@@ -139,10 +139,10 @@
                 return
             if answer.err_value.context.get("other_incarnation"):
                 self._end_life(sent_to)
+            elif answer.err_value.context.get("answered"):
+                silent_workers.record_other_answer(self._cell, worker, now_ms)
             if answer.err_value.context.get("not_sent"):
                 worker_losses.record_unreachable(worker, now_ms)
-            if answer.err_value.context.get("answered"):
-                silent_workers.record_other_answer(self._cell, worker, now_ms)
             if not self._is_excused(sent_ms):
                 is_connected = bool(answer.err_value.context.get("connected"))
                 silent_workers.record_unanswered(self._cell, worker, is_connected, now_ms)
--- a/tests/unit/test_queue_silent_workers.py
+++ b/tests/unit/test_queue_silent_workers.py
@@ -1,6 +1,9 @@
 """Workers that do not answer for a while: what is concluded, and what the log tells."""
 
+import asyncio
+
 import pytest
+from result import Err
 
 from nutmeglb_decisions.queues import (
     orders,
@@ -12,6 +15,7 @@
 )
 from nutmeglb_decisions.queues.silent_workers import ClockGap
 from nutmeglb_decisions.queues.state import JobState
+from nutmeglb_formats.exceptions import AgentError
 from nutmeglb_formats.models.queues import EndedTask, RunningTask, WorkerReport
 from tests.lib.queues import (
     BATCH,
@@ -21,6 +25,7 @@
     step,
     worker_info,
 )
+from tests.lib.worker_link import Link
 
 
 def world_with_run():
@@ -188,6 +193,35 @@
     assert worker.lease_expires_at_ms - world.now_ms == left_ms
 
 
+class AnsweringLink(Link):
+    """A link whose worker answers renewals without a report."""
+
+    context = {}
+
+    async def hold(self, worker, fence, last_seen, deadline_ms, wait_ms):
+        return Err(AgentError("no report", context=self.context, hint="none"))
+
+
+@pytest.mark.parametrize(
+    ("context", "is_stalled"),
+    [
+        ({"answered": True}, False),
+        # Another worker has answered, at an address that may be outdated.
+        ({"answered": True, "other_incarnation": True}, True),
+        ({"connected": True}, True),
+        ({"not_sent": True}, True),
+    ],
+)
+def test_only_an_answer_of_the_worker_itself_ends_its_stall(context, is_stalled):
+    link = AnsweringLink()
+    link.context, link.worker.has_moved = context, True
+    link.world.cell.max_stall_ms = STALL_MS
+    fail_calls(link.world, link.worker, [CONNECTED, CONNECTED])
+    asyncio.run(link.link._renew())
+    now_ms = link.clock.now_ms()
+    assert silent_workers.may_have_active_runs(link.world.cell, link.worker, now_ms) == is_stalled
+
+
 def test_another_incarnation_has_not_stood_still():
     world, worker, _ = world_with_run()
     world.cell.max_stall_ms = STALL_MS
